--- /dev/null
+++ b/cli/src/main/java/org/lockdale/cli/DemoCommand.java
@@ -0,0 +1,94 @@
+package org.lockdale.cli;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.emulator.engine.EngineServer;
+import org.lockdale.emulator.history.HistoryEvent;
+import org.lockdale.emulator.load.LoadGenerator;
+import org.lockdale.emulator.load.LoadReport;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs a user's deployment on stand-ins and reports on it. */
+@Command(
+    name = "demo",
+    mixinStandardHelpOptions = true,
+    description =
+        "Runs three nodes, stand-in engines and platform in one process under a user's workload.")
+final class DemoCommand implements Callable<Integer> {
+
+  @Option(names = "--seconds", defaultValue = "10", description = "Default: ${DEFAULT-VALUE}.")
+  private double seconds;
+
+  @Option(
+      names = "--workload",
+      defaultValue = "gift-cards",
+      description = "gift-cards or canal-hire (default: ${DEFAULT-VALUE}).")
+  private String workload;
+
+  @Option(names = "--rate", description = "Requests a second (default: the workload's).")
+  private @Nullable Double rate;
+
+  @Option(names = "--seed", defaultValue = "1", description = "Default: ${DEFAULT-VALUE}.")
+  private long seed;
+
+  @Option(names = "--report", paramLabel = "FILE.json", description = "Writes the report as JSON.")
+  private @Nullable Path reportFile;
+
+  @Override
+  public Integer call() throws IOException, InterruptedException {
+    Deployment deployment = Deployment.find(workload);
+    double requestsPerSecond = rate == null ? deployment.workload().moderateRate() : rate;
+    System.out.printf(
+        "lockdale demo: %s, %d nodes, %d engines, %.0f requests/s for %.0f s, seed %d%n%n",
+        workload,
+        deployment.zones().size(),
+        deployment.engines().size(),
+        requestsPerSecond,
+        seconds,
+        seed);
+    try (LocalCluster cluster = LocalCluster.start(deployment, seed)) {
+      ScheduledExecutorService progress = startProgress(cluster);
+      new LoadGenerator(cluster.eventLoops(), cluster.history())
+          .run(deployment.workload(), cluster.callerAddresses(), requestsPerSecond, seconds, seed);
+      progress.shutdownNow();
+      for (EngineServer engine : cluster.engines()) {
+        cluster
+            .history()
+            .add(new HistoryEvent.ForeignReuse(engine.settings().id(), engine.foreignReuses()));
+      }
+      LoadReport report = LoadReport.of(cluster.history().events());
+      ReportPrinter.print(report, true);
+      write(report);
+      return report.verdict().holds() ? ExitStatus.OK : ExitStatus.FAILED;
+    }
+  }
+
+  /** Shows progress on a terminal and nothing in a pipe. */
+  private static ScheduledExecutorService startProgress(LocalCluster cluster) {
+    ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
+    if (System.console() != null) {
+      executor.scheduleAtFixedRate(
+          () -> System.err.printf("\r%d events ", cluster.history().events().size()),
+          1,
+          1,
+          TimeUnit.SECONDS);
+    }
+    return executor;
+  }
+
+  private void write(LoadReport report) throws IOException {
+    if (reportFile != null) {
+      new ObjectMapper()
+          .enable(SerializationFeature.INDENT_OUTPUT)
+          .writeValue(reportFile.toFile(), report);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/lockdale/cli/Deployment.java
@@ -0,0 +1,95 @@
+package org.lockdale.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import org.lockdale.emulator.engine.EngineSettings;
+import org.lockdale.emulator.load.CanalHireWorkload;
+import org.lockdale.emulator.load.GiftCardWorkload;
+import org.lockdale.emulator.load.Workload;
+
+/**
+ * An example deployment of one of the users: zones, engines, configuration and workload.
+ *
+ * @param zones zones, each with one node
+ * @param enginesByZone number of engines in each zone
+ * @param model model that all engines hold
+ * @param weightsVersion its weights version
+ * @param pool value of the engines' label {@code pool}
+ * @param resource name of the configuration in this jar
+ * @param workload requests
+ */
+record Deployment(
+    List<String> zones,
+    List<Integer> enginesByZone,
+    String model,
+    String weightsVersion,
+    String pool,
+    String resource,
+    Workload workload) {
+
+  private static final int CACHE_BLOCKS = 2_048;
+
+  private static final Deployment GIFT_CARDS =
+      new Deployment(
+          List.of("pasig-a", "pasig-b", "makati-c"),
+          List.of(5, 4, 4),
+          GiftCardWorkload.MODEL,
+          "2026-11",
+          "llm-pool",
+          "/examples/gift-cards.yaml",
+          new GiftCardWorkload());
+
+  private static final Deployment CANAL_HIRE =
+      new Deployment(
+          List.of("hall-fes", "hall-meknes", "hall-tanger"),
+          List.of(3, 3, 2),
+          CanalHireWorkload.MODEL,
+          "2026-10",
+          "quai-llm",
+          "/examples/canal-hire.yaml",
+          new CanalHireWorkload());
+
+  static Deployment find(String workloadName) {
+    for (Deployment deployment : List.of(GIFT_CARDS, CANAL_HIRE)) {
+      if (deployment.workload.name().equals(workloadName)) {
+        return deployment;
+      }
+    }
+    throw new OperatorException(
+        "There is no workload '" + workloadName + "'; choose gift-cards or canal-hire.");
+  }
+
+  /** Returns the settings of all engines. */
+  List<EngineSettings> engines() {
+    List<EngineSettings> engines = new ArrayList<>();
+    for (int zone = 0; zone < zones.size(); zone++) {
+      for (int number = 0; number < enginesByZone.get(zone); number++) {
+        String id = String.format("llm-%02d", engines.size() + 1);
+        engines.add(
+            EngineSettings.standard(
+                    id, zones.get(zone), Map.of("pool", pool), Map.of(model, weightsVersion))
+                .withCacheBlocks(CACHE_BLOCKS));
+      }
+    }
+    return engines;
+  }
+
+  /** Returns the resources of the configuration. */
+  List<JsonNode> configuration() {
+    try (InputStream stream = Deployment.class.getResourceAsStream(resource)) {
+      return new YAMLMapper()
+          .readerFor(JsonNode.class)
+          .<JsonNode>readValues(Objects.requireNonNull(stream))
+          .readAll();
+    } catch (IOException impossible) {
+      throw new UncheckedIOException(impossible);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/lockdale/cli/HashKeyCommand.java
@@ -0,0 +1,30 @@
+package org.lockdale.cli;
+
+import java.util.concurrent.Callable;
+import org.lockdale.router.policy.PolicySet;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/** Hashes an API key for a tenant's configuration. */
+@Command(
+    name = "hash-key",
+    mixinStandardHelpOptions = true,
+    description = "Prints the hash of an API key as it stands in a tenant's apiKeySha256.")
+final class HashKeyCommand implements Callable<Integer> {
+
+  @Parameters(
+      paramLabel = "KEY",
+      description = "API key; without it, one is asked for.",
+      interactive = true,
+      arity = "0..1")
+  private char[] key = new char[0];
+
+  @Override
+  public Integer call() {
+    if (key.length == 0) {
+      throw new OperatorException("Give a key.");
+    }
+    System.out.println(PolicySet.hashOfKey(new String(key)));
+    return ExitStatus.OK;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/lockdale/cli/LoadCommand.java
@@ -0,0 +1,69 @@
+package org.lockdale.cli;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.emulator.history.HistoryFile;
+import org.lockdale.emulator.history.HistoryRecorder;
+import org.lockdale.emulator.load.LoadGenerator;
+import org.lockdale.emulator.load.LoadReport;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Sends a workload to running nodes. */
+@Command(
+    name = "load",
+    mixinStandardHelpOptions = true,
+    description = "Sends a workload to nodes and prints what callers saw.")
+final class LoadCommand implements Callable<Integer> {
+
+  @Option(
+      names = "--nodes",
+      paramLabel = "IP:PORT",
+      split = ",",
+      required = true,
+      converter = Addresses.Converter.class,
+      description = "Callers' addresses of nodes, taken in turn.")
+  private List<InetSocketAddress> nodes;
+
+  @Option(
+      names = "--workload",
+      defaultValue = "gift-cards",
+      description = "gift-cards or canal-hire (default: ${DEFAULT-VALUE}).")
+  private String workload;
+
+  @Option(names = "--rate", description = "Requests a second (default: the workload's).")
+  private @Nullable Double rate;
+
+  @Option(names = "--seconds", defaultValue = "10", description = "Default: ${DEFAULT-VALUE}.")
+  private double seconds;
+
+  @Option(names = "--seed", defaultValue = "1", description = "Default: ${DEFAULT-VALUE}.")
+  private long seed;
+
+  @Option(names = "--history", paramLabel = "FILE", description = "Writes the calls to a file.")
+  private @Nullable Path historyFile;
+
+  @Override
+  public Integer call() throws IOException, InterruptedException {
+    Deployment deployment = Deployment.find(workload);
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(4, NioIoHandler.newFactory());
+    HistoryRecorder history = new HistoryRecorder();
+    double requestsPerSecond = rate == null ? deployment.workload().moderateRate() : rate;
+    new LoadGenerator(group, history)
+        .run(deployment.workload(), nodes, requestsPerSecond, seconds, seed);
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    if (historyFile != null) {
+      HistoryFile.write(historyFile, history.events());
+    }
+    ReportPrinter.print(LoadReport.of(history.events()), false);
+    return ExitStatus.OK;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/lockdale/cli/package-info.java
@@ -0,0 +1,5 @@
+/** The {@code lockdale} command. */
+@NullMarked
+package org.lockdale.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/coordination/src/main/java/org/lockdale/coordination/collection/package-info.java
@@ -0,0 +1,5 @@
+/** Bounded collections. */
+@NullMarked
+package org.lockdale.coordination.collection;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/emulator/src/main/java/org/lockdale/emulator/engine/CacheCensus.java
@@ -0,0 +1,31 @@
+package org.lockdale.emulator.engine;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.lockdale.coordination.placement.PrefixChain;
+
+/**
+ * Counts over all engines of one process how many hold a block, without lag: the yardstick for
+ * wasted recomputation. Safe for use by several threads.
+ */
+public final class CacheCensus {
+
+  private final Map<Long, Integer> holders = new ConcurrentHashMap<>();
+
+  void stored(long hash) {
+    holders.merge(hash, 1, Integer::sum);
+  }
+
+  void evicted(long hash) {
+    holders.computeIfPresent(hash, (key, count) -> count == 1 ? null : count - 1);
+  }
+
+  /** Returns the number of leading blocks of a chain that some engine holds. */
+  public int heldAnywhere(PrefixChain chain) {
+    int depth = 0;
+    while (depth < chain.length() && holders.containsKey(chain.hashAt(depth))) {
+      depth++;
+    }
+    return depth;
+  }
+}
--- /dev/null
+++ b/emulator/src/main/java/org/lockdale/emulator/load/CanalHireWorkload.java
@@ -0,0 +1,90 @@
+package org.lockdale.emulator.load;
+
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The booking platform's workload: questions of holidaymakers, contract drafts and booking charges
+ * that run at most once. Prompts nest deeply: a firm's terms (2 kB), a lock schedule under them (8
+ * kB), the house rules of one boat under that (16 kB).
+ */
+public final class CanalHireWorkload implements Workload {
+
+  /** Model of the example deployment. */
+  public static final String MODEL = "canal-llm";
+
+  private static final String[] TENANTS = {
+    "fes-canaux",
+    "meknes-boats",
+    "tanger-bleu",
+    "oued-hire",
+    "atlas-afloat",
+    "medina-marine",
+    "sebou",
+    "loukkos"
+  };
+  private static final int SCHEDULES = 4;
+  private static final int BOATS = 12;
+  private static final int TERMS_BYTES = 2_000;
+  private static final int SCHEDULE_BYTES = 8_000;
+  private static final int HOUSE_RULES_BYTES = 16_000;
+  private static final double QUESTION_SHARE = 0.75;
+  private static final double CHARGE_SHARE = 0.1;
+  private static final double MODERATE_RATE = 24;
+
+  private final ZipfChoice tenants = new ZipfChoice(TENANTS.length, 0.9);
+  private final ZipfChoice schedules = new ZipfChoice(SCHEDULES, 0.8);
+  private final ZipfChoice boats = new ZipfChoice(BOATS, 1.0);
+
+  @Override
+  public String name() {
+    return "canal-hire";
+  }
+
+  @Override
+  public double moderateRate() {
+    return MODERATE_RATE;
+  }
+
+  @Override
+  public PlannedRequest next(UniformRandomProvider random, long number) {
+    String tenant = TENANTS[tenants.next(random)];
+    int schedule = schedules.next(random);
+    int boat = boats.next(random);
+    String shared =
+        SyntheticText.of("terms of " + tenant, TERMS_BYTES)
+            + SyntheticText.of("lock schedule " + schedule + " of " + tenant, SCHEDULE_BYTES)
+            + SyntheticText.of(
+                "house rules " + schedule + "/" + boat + " of " + tenant, HOUSE_RULES_BYTES);
+    double kind = random.nextDouble();
+    if (kind < QUESTION_SHARE) {
+      return request(tenant, "skipper-question", shared, "question " + number, 40, null);
+    }
+    if (kind < QUESTION_SHARE + CHARGE_SHARE) {
+      String key = "charge-" + number;
+      return request(tenant, "booking-charge", shared, "charge booking " + number, 16, key);
+    }
+    return request(tenant, "contract-draft", shared, "draft contract " + number, 150, null);
+  }
+
+  private static PlannedRequest request(
+      String tenant,
+      String service,
+      String shared,
+      String own,
+      int maxTokens,
+      @Nullable String key) {
+    return new PlannedRequest(
+        tenant,
+        "key-" + tenant,
+        MODEL,
+        service,
+        Map.of("service", service),
+        shared,
+        own,
+        maxTokens,
+        key == null,
+        key);
+  }
+}
--- /dev/null
+++ b/emulator/src/main/java/org/lockdale/emulator/load/GiftCardWorkload.java
@@ -0,0 +1,86 @@
+package org.lockdale.emulator.load;
+
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The cooperative's workload: short counter checks that can't wait, redemptions that run at most
+ * once, and dispute drafts that can wait. Prompts share a tenant's policy (about 2 kB) and, under
+ * it, the rules of one kind of card (about 4 kB), of which a few are very hot.
+ */
+public final class GiftCardWorkload implements Workload {
+
+  /** Model of the example deployment. */
+  public static final String MODEL = "gift-llm";
+
+  private static final String[] TENANTS = {
+    "sm-malls",
+    "puregold",
+    "sari-luzon",
+    "mercury",
+    "robinsons",
+    "aling-nena",
+    "tiangge",
+    "kapitbahay"
+  };
+  private static final int CARD_KINDS = 24;
+  private static final int POLICY_BYTES = 2_000;
+  private static final int CARD_RULE_BYTES = 4_000;
+  private static final int DISPUTE_FILE_BYTES = 6_000;
+  private static final double CHECK_SHARE = 0.7;
+  private static final double REDEMPTION_SHARE = 0.1;
+  private static final double MODERATE_RATE = 60;
+
+  private final ZipfChoice tenants = new ZipfChoice(TENANTS.length, 1.0);
+  private final ZipfChoice cards = new ZipfChoice(CARD_KINDS, 1.1);
+
+  @Override
+  public String name() {
+    return "gift-cards";
+  }
+
+  @Override
+  public double moderateRate() {
+    return MODERATE_RATE;
+  }
+
+  @Override
+  public PlannedRequest next(UniformRandomProvider random, long number) {
+    String tenant = TENANTS[tenants.next(random)];
+    int card = cards.next(random);
+    String shared =
+        SyntheticText.of("policy of " + tenant, POLICY_BYTES)
+            + SyntheticText.of("card rules " + card + " of " + tenant, CARD_RULE_BYTES);
+    double kind = random.nextDouble();
+    if (kind < CHECK_SHARE) {
+      return request(tenant, "balance-check", shared, "check card number " + number, 12, null);
+    }
+    if (kind < CHECK_SHARE + REDEMPTION_SHARE) {
+      String key = "redemption-" + number;
+      return request(tenant, "redemption", shared, "post redemption " + number, 16, key);
+    }
+    String file = SyntheticText.of("dispute file " + number, DISPUTE_FILE_BYTES);
+    return request(tenant, "dispute-draft", shared, file, 120, null);
+  }
+
+  private static PlannedRequest request(
+      String tenant,
+      String service,
+      String shared,
+      String own,
+      int maxTokens,
+      @Nullable String key) {
+    return new PlannedRequest(
+        tenant,
+        "key-" + tenant,
+        MODEL,
+        service,
+        Map.of("service", service),
+        shared,
+        own,
+        maxTokens,
+        key == null,
+        key);
+  }
+}
--- /dev/null
+++ b/emulator/src/main/java/org/lockdale/emulator/load/LoadReport.java
@@ -0,0 +1,109 @@
+package org.lockdale.emulator.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+import org.lockdale.emulator.history.HistoryChecker;
+import org.lockdale.emulator.history.HistoryEvent;
+import org.lockdale.emulator.history.Verdict;
+
+/**
+ * Figures of a run, from the callers' and the engines' notes.
+ *
+ * @param requests requests sent
+ * @param ends number of calls by how they ended
+ * @param errors number of calls by error code
+ * @param services times to first token by service
+ * @param prefixHitRate prompt tokens found in caches over all prompt tokens
+ * @param wastedShare prefilled tokens that another engine held over all prefilled tokens
+ * @param verdict of the history check
+ */
+public record LoadReport(
+    int requests,
+    Map<String, Integer> ends,
+    Map<String, Integer> errors,
+    Map<String, Latency> services,
+    double prefixHitRate,
+    double wastedShare,
+    Verdict verdict) {
+
+  private static final long MAX_MICROS = 600_000_000L;
+  private static final double MICROS_PER_MILLI = 1_000;
+
+  /**
+   * Times to first token in milliseconds.
+   *
+   * @param count calls that got one
+   */
+  public record Latency(long count, double p50, double p95, double p99) {
+
+    static Latency of(Histogram histogram) {
+      return new Latency(
+          histogram.getTotalCount(),
+          histogram.getValueAtPercentile(50) / MICROS_PER_MILLI,
+          histogram.getValueAtPercentile(95) / MICROS_PER_MILLI,
+          histogram.getValueAtPercentile(99) / MICROS_PER_MILLI);
+    }
+  }
+
+  /** Returns the report of a history. */
+  public static LoadReport of(List<HistoryEvent> history) {
+    List<HistoryEvent.Call> calls = new ArrayList<>();
+    long promptTokens = 0;
+    long cachedTokens = 0;
+    long wastedTokens = 0;
+    for (HistoryEvent event : history) {
+      if (event instanceof HistoryEvent.Call call) {
+        calls.add(call);
+      } else if (event instanceof HistoryEvent.Run run) {
+        promptTokens += run.promptTokens();
+        cachedTokens += run.cachedTokens();
+        wastedTokens += run.heldElsewhereTokens();
+      }
+    }
+    return new LoadReport(
+        calls.size(),
+        countEnds(calls),
+        countErrors(calls),
+        latencies(calls),
+        share(cachedTokens, promptTokens),
+        share(wastedTokens, promptTokens - cachedTokens),
+        HistoryChecker.check(history));
+  }
+
+  private static double share(long part, long whole) {
+    return whole == 0 ? 0 : (double) part / whole;
+  }
+
+  private static Map<String, Integer> countEnds(List<HistoryEvent.Call> calls) {
+    Map<String, Integer> ends = new TreeMap<>();
+    calls.forEach(call -> ends.merge(call.end().name(), 1, Integer::sum));
+    return ends;
+  }
+
+  private static Map<String, Integer> countErrors(List<HistoryEvent.Call> calls) {
+    Map<String, Integer> errors = new TreeMap<>();
+    for (HistoryEvent.Call call : calls) {
+      if (!call.errorCode().isEmpty()) {
+        errors.merge(call.errorCode(), 1, Integer::sum);
+      }
+    }
+    return errors;
+  }
+
+  private static Map<String, Latency> latencies(List<HistoryEvent.Call> calls) {
+    Map<String, Histogram> histograms = new TreeMap<>();
+    for (HistoryEvent.Call call : calls) {
+      if (call.firstTokenMicros() >= 0) {
+        histograms
+            .computeIfAbsent(call.service(), absent -> new Histogram(MAX_MICROS, 3))
+            .recordValue(Math.min(call.firstTokenMicros(), MAX_MICROS));
+      }
+    }
+    Map<String, Latency> latencies = new TreeMap<>();
+    histograms.forEach((service, histogram) -> latencies.put(service, Latency.of(histogram)));
+    return latencies;
+  }
+}
--- /dev/null
+++ b/emulator/src/main/java/org/lockdale/emulator/platform/RateLimiter.java
@@ -0,0 +1,32 @@
+package org.lockdale.emulator.platform;
+
+import org.lockdale.coordination.time.Time;
+
+/** Counts calls in each second. Safe for use by several threads. */
+final class RateLimiter {
+
+  private static final long WINDOW_MILLIS = 1_000;
+
+  private final Time time;
+  private long windowStart;
+  private int used;
+
+  RateLimiter(Time time) {
+    this.time = time;
+    this.windowStart = time.monotonicMillis();
+  }
+
+  /** Returns whether one more call fits a limit; 0 means that there is none. */
+  synchronized boolean tryAcquire(int perSecond) {
+    if (perSecond <= 0) {
+      return true;
+    }
+    long now = time.monotonicMillis();
+    if (now - windowStart >= WINDOW_MILLIS) {
+      windowStart = now;
+      used = 0;
+    }
+    used++;
+    return used <= perSecond;
+  }
+}
--- /dev/null
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -0,0 +1,99 @@
+package org.lockdale.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+
+/**
+ * Idle connections by event loop and address. A connection carries one exchange at a time and stays
+ * on its event loop, so a relay need not change threads between the caller and the engine.
+ */
+final class ConnectionPool {
+
+  private static final int MAX_IDLE_PER_KEY = 256;
+
+  private record Key(EventLoop eventLoop, InetSocketAddress address) {}
+
+  private final Map<Key, Deque<Channel>> idle = new ConcurrentHashMap<>();
+  private final Duration connectTimeout;
+
+  ConnectionPool(Duration connectTimeout) {
+    this.connectTimeout = connectTimeout;
+  }
+
+  Future<Channel> acquire(EventLoop eventLoop, InetSocketAddress address) {
+    Promise<Channel> acquired = eventLoop.newPromise();
+    Channel pooled = pollActive(new Key(eventLoop, address));
+    if (pooled != null) {
+      return acquired.setSuccess(pooled);
+    }
+    new Bootstrap()
+        .group(eventLoop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new HttpClientCodec())
+                    .addLast(new ResponseReader(ConnectionPool.this, address));
+              }
+            })
+        .connect(address)
+        .addListener(
+            (io.netty.channel.ChannelFuture connected) -> {
+              if (connected.isSuccess()) {
+                acquired.setSuccess(connected.channel());
+              } else {
+                acquired.setFailure(connected.cause());
+              }
+            });
+    return acquired;
+  }
+
+  private @org.jspecify.annotations.Nullable Channel pollActive(Key key) {
+    Deque<Channel> channels = idle.get(key);
+    if (channels == null) {
+      return null;
+    }
+    Channel channel = channels.pollFirst();
+    while (channel != null && !channel.isActive()) {
+      channel = channels.pollFirst();
+    }
+    return channel;
+  }
+
+  void release(Channel channel, InetSocketAddress address) {
+    Deque<Channel> channels =
+        idle.computeIfAbsent(
+            new Key(channel.eventLoop(), address), key -> new ConcurrentLinkedDeque<>());
+    if (channels.size() >= MAX_IDLE_PER_KEY) {
+      channel.close();
+      return;
+    }
+    channels.addFirst(channel);
+  }
+
+  void discard(Channel channel, InetSocketAddress address) {
+    Deque<Channel> channels = idle.get(new Key(channel.eventLoop(), address));
+    if (channels != null) {
+      channels.remove(channel);
+    }
+  }
+}
--- /dev/null
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -0,0 +1,166 @@
+package org.lockdale.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** An HTTP/1.1 client with pooled connections, one exchange a connection at a time. */
+public final class HttpClient {
+
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final int MAX_REPLY_BYTES = 64 * 1024 * 1024;
+
+  private final EventLoopGroup group;
+  private final ConnectionPool pool = new ConnectionPool(CONNECT_TIMEOUT);
+
+  /**
+   * Creates a client.
+   *
+   * @param group event loops for calls that name none
+   */
+  public HttpClient(EventLoopGroup group) {
+    this.group = group;
+  }
+
+  /**
+   * Sends a request and hands the reply to a listener part by part.
+   *
+   * @param eventLoop the event loop that carries the call and calls the listener
+   * @param address peer
+   * @param request what to send
+   * @param listener receives the reply
+   * @return the call, by which it can be given up
+   */
+  public HttpCall send(
+      EventLoop eventLoop,
+      InetSocketAddress address,
+      HttpRequestMessage request,
+      HttpResponseListener listener) {
+    HttpCall call = new HttpCall();
+    pool.acquire(eventLoop, address)
+        .addListener(
+            (Future<Channel> acquired) -> {
+              if (acquired.isSuccess()) {
+                write(acquired.getNow(), address, request, call, listener);
+              } else if (call.end()) {
+                listener.onFailure(
+                    new HttpCallException(
+                        HttpCallException.Stage.NOT_SENT, acquired.cause().getMessage()));
+              }
+            });
+    return call;
+  }
+
+  private void write(
+      Channel channel,
+      InetSocketAddress address,
+      HttpRequestMessage request,
+      HttpCall call,
+      HttpResponseListener listener) {
+    if (call.hasEnded()) {
+      pool.release(channel, address);
+      return;
+    }
+    call.attach(channel);
+    channel.pipeline().get(ResponseReader.class).begin(call, listener);
+    DefaultFullHttpRequest message =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            request.method(),
+            request.path(),
+            Unpooled.wrappedBuffer(request.body()));
+    message.headers().set(request.headers());
+    message.headers().set(HttpHeaderNames.HOST, hostOf(address));
+    message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+    call.markSent();
+    channel.writeAndFlush(message, channel.voidPromise());
+  }
+
+  private static String hostOf(InetSocketAddress address) {
+    return address.getHostString() + ":" + address.getPort();
+  }
+
+  /**
+   * Sends a request and collects the whole reply.
+   *
+   * @param address peer
+   * @param request what to send
+   * @param timeout longest time to wait for the whole reply
+   * @return the reply; fails with {@link HttpCallException} where none came in time
+   */
+  public CompletableFuture<HttpReply> exchange(
+      InetSocketAddress address, HttpRequestMessage request, Duration timeout) {
+    EventLoop eventLoop = group.next();
+    CompletableFuture<HttpReply> result = new CompletableFuture<>();
+    HttpCall call = send(eventLoop, address, request, new CollectingListener(result));
+    var timer =
+        eventLoop.schedule(
+            () -> {
+              HttpCallException.Stage stage =
+                  call.wasSent()
+                      ? HttpCallException.Stage.NO_REPLY
+                      : HttpCallException.Stage.NOT_SENT;
+              if (call.cancel()) {
+                result.completeExceptionally(
+                    new HttpCallException(stage, address + ": no reply within " + timeout));
+              }
+            },
+            timeout.toMillis(),
+            TimeUnit.MILLISECONDS);
+    result.whenComplete((reply, failure) -> timer.cancel(false));
+    return result;
+  }
+
+  private static final class CollectingListener implements HttpResponseListener {
+    private final CompletableFuture<HttpReply> result;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private int status;
+    private HttpHeaders headers = new DefaultHttpHeaders();
+
+    CollectingListener(CompletableFuture<HttpReply> result) {
+      this.result = result;
+    }
+
+    @Override
+    public void onHead(int replyStatus, HttpHeaders replyHeaders) {
+      status = replyStatus;
+      headers = replyHeaders;
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {
+      if (body.size() + content.readableBytes() > MAX_REPLY_BYTES) {
+        result.completeExceptionally(
+            new HttpCallException(
+                HttpCallException.Stage.BROKEN_REPLY, "the reply is over the limit"));
+        return;
+      }
+      byte[] part = new byte[content.readableBytes()];
+      content.readBytes(part);
+      body.writeBytes(part);
+    }
+
+    @Override
+    public void onEnd() {
+      result.complete(new HttpReply(status, headers, body.toByteArray()));
+    }
+
+    @Override
+    public void onFailure(HttpCallException failure) {
+      result.completeExceptionally(failure);
+    }
+  }
+}
--- /dev/null
+++ b/http/src/main/java/org/lockdale/http/HttpExchange.java
@@ -0,0 +1,185 @@
+package org.lockdale.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request and its reply. A reply is either whole ({@link #reply}) or a stream ({@link
+ * #startStream}, {@link #write}, {@link #endStream}). Methods may be called from any thread; the
+ * first one to end the exchange wins and later calls are ignored.
+ */
+public final class HttpExchange {
+
+  private final Channel channel;
+  private final HttpRequest request;
+  private final byte[] body;
+  private final Runnable onEnded;
+  private final boolean keepAlive;
+  private final long receivedNanos;
+  private final AtomicBoolean ended = new AtomicBoolean();
+  private final CompletableFuture<Void> disconnected = new CompletableFuture<>();
+
+  HttpExchange(
+      Channel channel, HttpRequest request, byte[] body, long receivedNanos, Runnable onEnded) {
+    this.channel = channel;
+    this.request = request;
+    this.body = body;
+    this.receivedNanos = receivedNanos;
+    this.onEnded = onEnded;
+    this.keepAlive = HttpUtil.isKeepAlive(request);
+  }
+
+  /** Returns the request method, such as {@code POST}. */
+  public String method() {
+    return request.method().name();
+  }
+
+  /** Returns the request target as sent, with its query. */
+  public String uri() {
+    return request.uri();
+  }
+
+  /** Returns the path without the query. */
+  public String path() {
+    int query = request.uri().indexOf('?');
+    return query < 0 ? request.uri() : request.uri().substring(0, query);
+  }
+
+  /** Returns all request headers. */
+  public HttpHeaders headers() {
+    return request.headers();
+  }
+
+  /** Returns a request header, or null where it is absent. */
+  public @Nullable String header(CharSequence name) {
+    return request.headers().get(name);
+  }
+
+  /** Returns the whole request body. */
+  public byte[] body() {
+    return body;
+  }
+
+  /** Returns when the first byte of the request was read, by {@link System#nanoTime}. */
+  public long receivedNanos() {
+    return receivedNanos;
+  }
+
+  /** Returns the event loop of the caller's connection. */
+  public EventLoop eventLoop() {
+    return channel.eventLoop();
+  }
+
+  /** Returns a future that completes if the caller goes away before the exchange has ended. */
+  public CompletableFuture<Void> disconnected() {
+    return disconnected;
+  }
+
+  /** Returns whether the caller's socket takes more data without queueing. */
+  public boolean isWritable() {
+    return channel.isWritable();
+  }
+
+  /** Returns the number of bytes that wait for the caller's socket. */
+  public long queuedBytes() {
+    return channel.unsafe().outboundBuffer() == null
+        ? 0
+        : channel.unsafe().outboundBuffer().totalPendingWriteBytes();
+  }
+
+  /** Sends a whole reply and ends the exchange. */
+  public void reply(HttpReply reply) {
+    if (!ended.compareAndSet(false, true)) {
+      return;
+    }
+    DefaultFullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(reply.status()),
+            Unpooled.wrappedBuffer(reply.body()));
+    response.headers().set(reply.headers());
+    response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+    finish(channel.writeAndFlush(markConnection(response)));
+  }
+
+  /** Sends the head of a streamed reply. */
+  public void startStream(int status, HttpHeaders headers) {
+    HttpResponse response =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+    response.headers().set(headers);
+    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    channel.write(markConnection(response), channel.voidPromise());
+  }
+
+  /** Returns a buffer from the connection's allocator, to be passed to {@link #write}. */
+  public ByteBuf allocate(int initialBytes) {
+    return channel.alloc().buffer(initialBytes);
+  }
+
+  /** Sends what was written so far without waiting for more. */
+  public void flush() {
+    channel.flush();
+  }
+
+  /** Sends a part of a streamed reply and releases the buffer. */
+  public void write(ByteBuf part) {
+    if (ended.get()) {
+      part.release();
+      return;
+    }
+    channel.writeAndFlush(new DefaultHttpContent(part), channel.voidPromise());
+  }
+
+  /** Ends a streamed reply as complete. */
+  public void endStream() {
+    if (ended.compareAndSet(false, true)) {
+      finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+    }
+  }
+
+  /** Breaks the reply off by closing the connection, so that the caller sees it is not whole. */
+  public void abort() {
+    if (ended.compareAndSet(false, true)) {
+      // An empty write comes after all earlier ones, so what was sent before still arrives.
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      onEnded.run();
+    }
+  }
+
+  void connectionClosed() {
+    if (!ended.get()) {
+      disconnected.complete(null);
+    }
+  }
+
+  private HttpResponse markConnection(HttpResponse response) {
+    HttpUtil.setKeepAlive(response, keepAlive);
+    return response;
+  }
+
+  private void finish(ChannelFuture written) {
+    if (!keepAlive) {
+      written.addListener(ChannelFutureListener.CLOSE);
+    }
+    written.addListener(future -> onEnded.run());
+  }
+}
--- /dev/null
+++ b/http/src/main/java/org/lockdale/http/HttpProtocolError.java
@@ -0,0 +1,31 @@
+package org.lockdale.http;
+
+/** Ways in which a request can be refused before a handler sees it. */
+public enum HttpProtocolError {
+  /** The request line, a header or the framing can't be read. */
+  MALFORMED_REQUEST(400, "The request is not valid HTTP/1.1; check the client library."),
+  /** The body did not arrive within the request timeout. */
+  REQUEST_TIMEOUT(408, "The request body arrived too slowly; send it without pauses."),
+  /** The body is larger than the limit. */
+  BODY_TOO_LARGE(413, "The request body is over the limit; shorten the prompt."),
+  /** The headers are larger than the limit. */
+  HEADERS_TOO_LARGE(431, "The request headers are over the limit; send fewer or shorter ones.");
+
+  private final int status;
+  private final String remedy;
+
+  HttpProtocolError(int status, String remedy) {
+    this.status = status;
+    this.remedy = remedy;
+  }
+
+  /** Returns the HTTP status code of the answer. */
+  public int status() {
+    return status;
+  }
+
+  /** Returns a sentence that says what is wrong and how to mend it. */
+  public String remedy() {
+    return remedy;
+  }
+}
--- /dev/null
+++ b/http/src/main/java/org/lockdale/http/HttpReply.java
@@ -0,0 +1,56 @@
+package org.lockdale.http;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A whole HTTP reply.
+ *
+ * @param status HTTP status code
+ * @param headers reply headers; content length is added when it is sent
+ * @param body reply body
+ */
+public record HttpReply(int status, HttpHeaders headers, byte[] body) {
+
+  /** Media type of JSON bodies. */
+  public static final String JSON = "application/json";
+
+  /** Media type of plain text bodies. */
+  public static final String TEXT = "text/plain; charset=utf-8";
+
+  private static final byte[] EMPTY = new byte[0];
+
+  /** Returns a reply with one content type and no further headers. */
+  public static HttpReply of(int status, String contentType, byte[] body) {
+    HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+    return new HttpReply(status, headers, body);
+  }
+
+  /** Returns a plain text reply. */
+  public static HttpReply text(int status, String body) {
+    return of(status, TEXT, body.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Returns a JSON reply. */
+  public static HttpReply json(int status, byte[] body) {
+    return of(status, JSON, body);
+  }
+
+  /** Returns a reply without a body. */
+  public static HttpReply empty(int status) {
+    return new HttpReply(status, new DefaultHttpHeaders(), EMPTY);
+  }
+
+  /** Sets a header and returns this reply. */
+  public HttpReply with(CharSequence name, Object value) {
+    headers.set(name, value);
+    return this;
+  }
+
+  /** Returns the body as text. */
+  public String bodyText() {
+    return new String(body, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/http/src/main/java/org/lockdale/http/HttpResponseListener.java
@@ -0,0 +1,23 @@
+package org.lockdale.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * Receives one reply part by part, on the call's event loop. After {@link #onEnd} or {@link
+ * #onFailure} nothing more comes.
+ */
+public interface HttpResponseListener {
+
+  /** Receives the head of the reply. */
+  void onHead(int status, HttpHeaders headers);
+
+  /** Receives a part of the body; the buffer is only valid during the call. */
+  void onContent(ByteBuf content);
+
+  /** Called when the reply is whole. */
+  void onEnd();
+
+  /** Called when the reply can't become whole. */
+  void onFailure(HttpCallException failure);
+}
--- /dev/null
+++ b/http/src/main/java/org/lockdale/http/HttpServer.java
@@ -0,0 +1,113 @@
+package org.lockdale.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.Closeable;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+/** An HTTP/1.1 server on one address. */
+public final class HttpServer implements Closeable {
+
+  private static final int LISTEN_BACKLOG = 4096;
+
+  private final Channel listener;
+  private final ChannelGroup connections;
+
+  private HttpServer(Channel listener, ChannelGroup connections) {
+    this.listener = listener;
+    this.connections = connections;
+  }
+
+  /**
+   * Binds the address and starts to serve.
+   *
+   * @param settings address and limits
+   * @param group event loops of the listener and its connections
+   * @param handler serves the requests
+   * @return the running server
+   * @throws HttpBindException if the address can't be bound
+   */
+  public static HttpServer start(
+      HttpServerSettings settings, EventLoopGroup group, HttpHandler handler) {
+    ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ConnectionInitializer(settings, handler, connections));
+    var bound = bootstrap.bind(settings.listenAddress()).awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new HttpBindException(settings.listenAddress(), bound.cause());
+    }
+    return new HttpServer(bound.channel(), connections);
+  }
+
+  /** Returns the address that was bound. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) listener.localAddress();
+  }
+
+  /** Returns the number of open connections. */
+  public int connectionCount() {
+    return connections.size();
+  }
+
+  /** Stops accepting connections; open ones go on. */
+  public void stopAccepting() {
+    listener.close().awaitUninterruptibly();
+  }
+
+  /** Stops accepting connections and closes the open ones. */
+  @Override
+  public void close() {
+    stopAccepting();
+    connections.close().awaitUninterruptibly();
+  }
+
+  private static final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
+    private final HttpServerSettings settings;
+    private final HttpHandler handler;
+    private final ChannelGroup connections;
+
+    ConnectionInitializer(
+        HttpServerSettings settings, HttpHandler handler, ChannelGroup connections) {
+      this.settings = settings;
+      this.handler = handler;
+      this.connections = connections;
+    }
+
+    @Override
+    protected void initChannel(SocketChannel channel) {
+      if (connections.size() >= settings.maxConnections()) {
+        channel.close();
+        return;
+      }
+      connections.add(channel);
+      HttpDecoderConfig decoder =
+          new HttpDecoderConfig()
+              .setMaxHeaderSize(settings.maxHeaderBytes())
+              .setMaxInitialLineLength(settings.maxHeaderBytes());
+      channel
+          .pipeline()
+          .addLast(
+              new IdleStateHandler(settings.idleTimeout().toMillis(), 0, 0, TimeUnit.MILLISECONDS))
+          .addLast(new HttpServerCodec(decoder))
+          .addLast(new RequestAssembler(settings, handler));
+    }
+  }
+}
--- /dev/null
+++ b/http/src/main/java/org/lockdale/http/RequestAssembler.java
@@ -0,0 +1,211 @@
+package org.lockdale.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * Joins the parts of a request within the server's limits and hands whole requests to the handler,
+ * one at a time for each connection, so that replies can't cross.
+ */
+final class RequestAssembler extends SimpleChannelInboundHandler<HttpObject> {
+
+  /** Requests a client may send ahead of the reply to the first one. */
+  private static final int MAX_PIPELINED_REQUESTS = 8;
+
+  private final HttpServerSettings settings;
+  private final HttpHandler handler;
+  private final Deque<HttpExchange> waiting = new ArrayDeque<>();
+  private @Nullable HttpExchange active;
+  private @Nullable HttpRequest head;
+  private ByteBuf body = Unpooled.EMPTY_BUFFER;
+  private @Nullable ScheduledFuture<?> requestTimeout;
+  private long receivedNanos;
+  private boolean refused;
+
+  RequestAssembler(HttpServerSettings settings, HttpHandler handler) {
+    this.settings = settings;
+    this.handler = handler;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+    if (refused) {
+      return;
+    }
+    if (part.decoderResult().isFailure()) {
+      refuse(context, errorOf(part.decoderResult()));
+      return;
+    }
+    if (part instanceof HttpRequest request) {
+      begin(context, request);
+    }
+    if (part instanceof HttpContent content && !refused) {
+      append(context, content.content());
+      if (part instanceof LastHttpContent && !refused) {
+        complete(context);
+      }
+    }
+  }
+
+  private void begin(ChannelHandlerContext context, HttpRequest request) {
+    head = request;
+    receivedNanos = System.nanoTime();
+    if (HttpUtil.getContentLength(request, 0L) > settings.maxBodyBytes()) {
+      refuse(context, HttpProtocolError.BODY_TOO_LARGE);
+      return;
+    }
+    if (HttpUtil.is100ContinueExpected(request)) {
+      context.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+    requestTimeout =
+        context
+            .executor()
+            .schedule(
+                () -> refuse(context, HttpProtocolError.REQUEST_TIMEOUT),
+                settings.requestTimeout().toMillis(),
+                TimeUnit.MILLISECONDS);
+  }
+
+  private void append(ChannelHandlerContext context, ByteBuf content) {
+    if (!content.isReadable()) {
+      return;
+    }
+    if (body.readableBytes() + content.readableBytes() > settings.maxBodyBytes()) {
+      refuse(context, HttpProtocolError.BODY_TOO_LARGE);
+      return;
+    }
+    if (body == Unpooled.EMPTY_BUFFER) {
+      body = context.alloc().buffer(content.readableBytes());
+    }
+    body.writeBytes(content);
+  }
+
+  private void complete(ChannelHandlerContext context) {
+    cancelTimeout();
+    byte[] bytes = new byte[body.readableBytes()];
+    body.readBytes(bytes);
+    releaseBody();
+    HttpRequest request = head;
+    head = null;
+    if (request == null) {
+      return;
+    }
+    HttpExchange exchange =
+        new HttpExchange(
+            context.channel(), request, bytes, receivedNanos, () -> exchangeEnded(context));
+    if (active == null) {
+      dispatch(exchange);
+    } else if (waiting.size() < MAX_PIPELINED_REQUESTS) {
+      waiting.add(exchange);
+    } else {
+      context.close();
+    }
+  }
+
+  private void dispatch(HttpExchange exchange) {
+    active = exchange;
+    try {
+      handler.handle(exchange);
+    } catch (RuntimeException failure) {
+      Logger.error(failure, "event=handler-failed path={}", exchange.path());
+      exchange.abort();
+    }
+  }
+
+  private void exchangeEnded(ChannelHandlerContext context) {
+    if (!context.executor().inEventLoop()) {
+      context.executor().execute(() -> exchangeEnded(context));
+      return;
+    }
+    active = null;
+    HttpExchange next = waiting.poll();
+    if (next != null && context.channel().isActive()) {
+      dispatch(next);
+    }
+  }
+
+  private void refuse(ChannelHandlerContext context, HttpProtocolError error) {
+    refused = true;
+    cancelTimeout();
+    releaseBody();
+    if (active != null) {
+      context.close();
+      return;
+    }
+    HttpReply reply = handler.renderProtocolError(error);
+    DefaultFullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(reply.status()),
+            Unpooled.wrappedBuffer(reply.body()));
+    response.headers().set(reply.headers());
+    response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+    HttpUtil.setKeepAlive(response, false);
+    context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private static HttpProtocolError errorOf(DecoderResult result) {
+    boolean tooLong =
+        result.cause() instanceof TooLongHttpHeaderException
+            || result.cause() instanceof TooLongHttpLineException;
+    return tooLong ? HttpProtocolError.HEADERS_TOO_LARGE : HttpProtocolError.MALFORMED_REQUEST;
+  }
+
+  private void cancelTimeout() {
+    if (requestTimeout != null) {
+      requestTimeout.cancel(false);
+      requestTimeout = null;
+    }
+  }
+
+  private void releaseBody() {
+    body.release();
+    body = Unpooled.EMPTY_BUFFER;
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof IdleStateEvent && active == null && head == null) {
+      context.close();
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    cancelTimeout();
+    releaseBody();
+    waiting.clear();
+    if (active != null) {
+      active.connectionClosed();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    Logger.debug("event=connection-failed cause={}", cause.toString());
+    context.close();
+  }
+}
--- /dev/null
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -0,0 +1,93 @@
+package org.lockdale.http;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+import org.jspecify.annotations.Nullable;
+
+/** Hands the parts of a reply to the listener of the one call that holds the connection. */
+final class ResponseReader extends SimpleChannelInboundHandler<HttpObject> {
+
+  private final ConnectionPool pool;
+  private final InetSocketAddress address;
+  private @Nullable HttpCall call;
+  private @Nullable HttpResponseListener listener;
+  private boolean headReceived;
+  private boolean keepAlive;
+
+  ResponseReader(ConnectionPool pool, InetSocketAddress address) {
+    this.pool = pool;
+    this.address = address;
+  }
+
+  void begin(HttpCall newCall, HttpResponseListener newListener) {
+    call = newCall;
+    listener = newListener;
+    headReceived = false;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+    HttpCall current = call;
+    HttpResponseListener receiver = listener;
+    if (current == null || receiver == null || current.hasEnded()) {
+      context.close();
+      return;
+    }
+    if (part.decoderResult().isFailure()) {
+      fail(context, "the reply is not valid HTTP");
+      return;
+    }
+    if (part instanceof HttpResponse response) {
+      headReceived = true;
+      keepAlive = HttpUtil.isKeepAlive(response);
+      receiver.onHead(response.status().code(), response.headers());
+    }
+    if (part instanceof HttpContent content && content.content().isReadable()) {
+      receiver.onContent(content.content());
+    }
+    if (part instanceof LastHttpContent && current.end()) {
+      release(context);
+      receiver.onEnd();
+    }
+  }
+
+  private void release(ChannelHandlerContext context) {
+    call = null;
+    listener = null;
+    if (keepAlive) {
+      pool.release(context.channel(), address);
+    } else {
+      context.close();
+    }
+  }
+
+  private void fail(ChannelHandlerContext context, String reason) {
+    HttpCall current = call;
+    HttpResponseListener receiver = listener;
+    call = null;
+    listener = null;
+    context.close();
+    if (current != null && receiver != null && current.end()) {
+      HttpCallException.Stage stage =
+          headReceived ? HttpCallException.Stage.BROKEN_REPLY : HttpCallException.Stage.NO_REPLY;
+      receiver.onFailure(new HttpCallException(stage, address + ": " + reason));
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    pool.discard(context.channel(), address);
+    fail(context, "the connection closed before the reply was whole");
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    fail(context, cause.toString());
+  }
+}
--- /dev/null
+++ b/http/src/main/java/org/lockdale/http/package-info.java
@@ -0,0 +1,5 @@
+/** HTTP/1.1 server and client helpers on Netty's codec, shared by the daemon and the stand-ins. */
+@NullMarked
+package org.lockdale.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/openai/src/main/java/org/lockdale/openai/package-info.java
@@ -0,0 +1,5 @@
+/** The OpenAI-compatible interface as typed messages, shared by the daemon and the stand-ins. */
+@NullMarked
+package org.lockdale.openai;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
@@ -0,0 +1,137 @@
+package org.lockdale.protocol;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import org.apache.avro.Schema;
+import org.apache.avro.SchemaNormalization;
+import org.apache.avro.io.BinaryEncoder;
+import org.apache.avro.io.DecoderFactory;
+import org.apache.avro.io.EncoderFactory;
+import org.apache.avro.specific.SpecificDatumReader;
+import org.apache.avro.specific.SpecificDatumWriter;
+import org.apache.avro.specific.SpecificRecordBase;
+import org.apache.avro.util.ClassSecurityValidator;
+import org.lockdale.protocol.generated.ClaimRecord;
+import org.lockdale.protocol.generated.ConfigurationChange;
+import org.lockdale.protocol.generated.ConfigurationSnapshot;
+import org.lockdale.protocol.generated.PeerMessage;
+
+/**
+ * Encodes and decodes one type of message with Avro. Each encoding starts with the 64-bit
+ * fingerprint of the writer's schema, so that a reader can tell a schema it does not know from
+ * damaged bytes and can read those of earlier versions.
+ *
+ * @param <T> the generated class
+ */
+public final class MessageCodec<T extends SpecificRecordBase> {
+
+  /** Bytes of the schema fingerprint in front of every encoding. */
+  public static final int FINGERPRINT_BYTES = Long.BYTES;
+
+  static {
+    // Avro instantiates only classes it is told to trust; the predicate of before is kept, since an
+    // embedding program may trust classes of its own.
+    ClassSecurityValidator.setGlobal(
+        ClassSecurityValidator.composite(
+            ClassSecurityValidator.getGlobal(),
+            type -> type.getPackageName().equals(PeerMessage.class.getPackageName())));
+  }
+
+  private final SchemaHistory history;
+  private final SpecificDatumWriter<T> writer;
+  private final Schema readerSchema;
+  private final long fingerprint;
+
+  private MessageCodec(Schema schema, SchemaHistory history) {
+    this.history = history;
+    this.readerSchema = schema;
+    this.writer = new SpecificDatumWriter<>(schema);
+    this.fingerprint = SchemaNormalization.parsingFingerprint64(schema);
+  }
+
+  /** Returns a codec of node-to-node messages. */
+  public static MessageCodec<PeerMessage> peerMessages() {
+    return forSchema(PeerMessage.getClassSchema());
+  }
+
+  /** Returns a codec of configuration changes as kept in the table service. */
+  public static MessageCodec<ConfigurationChange> configurationChanges() {
+    return forSchema(ConfigurationChange.getClassSchema());
+  }
+
+  /** Returns a codec of configuration snapshots as kept in the table service. */
+  public static MessageCodec<ConfigurationSnapshot> configurationSnapshots() {
+    return forSchema(ConfigurationSnapshot.getClassSchema());
+  }
+
+  /** Returns a codec of run-once claims as kept in the table service. */
+  public static MessageCodec<ClaimRecord> claims() {
+    return forSchema(ClaimRecord.getClassSchema());
+  }
+
+  /** Returns a codec that writes a schema and reads it alone. */
+  public static <T extends SpecificRecordBase> MessageCodec<T> forSchema(Schema schema) {
+    return forSchema(schema, SchemaHistory.of(schema));
+  }
+
+  /**
+   * Returns a codec that reads several versions of a schema.
+   *
+   * @param schema the schema to write, and to read into
+   * @param history all schemas whose encodings are understood
+   */
+  public static <T extends SpecificRecordBase> MessageCodec<T> forSchema(
+      Schema schema, SchemaHistory history) {
+    return new MessageCodec<>(schema, history);
+  }
+
+  /** Encodes a message. */
+  public byte[] encode(T message) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    BinaryEncoder encoder = EncoderFactory.get().directBinaryEncoder(bytes, null);
+    try {
+      writeFingerprint(bytes);
+      writer.write(message, encoder);
+      encoder.flush();
+    } catch (IOException impossible) {
+      throw new UncheckedIOException(impossible);
+    }
+    return bytes.toByteArray();
+  }
+
+  private void writeFingerprint(ByteArrayOutputStream bytes) {
+    for (int shift = 0; shift < Long.SIZE; shift += Byte.SIZE) {
+      bytes.write((int) (fingerprint >>> shift));
+    }
+  }
+
+  /**
+   * Decodes a message.
+   *
+   * @throws MessageFormatException if the bytes are damaged or of an unknown schema
+   */
+  public T decode(byte[] bytes) {
+    if (bytes.length < FINGERPRINT_BYTES) {
+      throw new MessageFormatException("the message is shorter than its schema fingerprint");
+    }
+    Schema writerSchema = history.find(readFingerprint(bytes));
+    SpecificDatumReader<T> reader = new SpecificDatumReader<>(writerSchema, readerSchema);
+    try {
+      return reader.read(
+          null,
+          DecoderFactory.get()
+              .binaryDecoder(bytes, FINGERPRINT_BYTES, bytes.length - FINGERPRINT_BYTES, null));
+    } catch (IOException | RuntimeException damaged) {
+      throw new MessageFormatException("the message is damaged: " + damaged);
+    }
+  }
+
+  private static long readFingerprint(byte[] bytes) {
+    long value = 0;
+    for (int index = FINGERPRINT_BYTES - 1; index >= 0; index--) {
+      value = value << Byte.SIZE | bytes[index] & 0xFF;
+    }
+    return value;
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageFormatException.java
@@ -0,0 +1,14 @@
+package org.lockdale.protocol;
+
+/** Bytes that are no message of a known schema. */
+public final class MessageFormatException extends RuntimeException {
+
+  private static final long serialVersionUID = 1L;
+
+  MessageFormatException(String reason) {
+    super(
+        reason
+            + "; check that only lockdale nodes send to this port and that their versions are at"
+            + " most one release apart.");
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/lockdale/protocol/SchemaHistory.java
@@ -0,0 +1,34 @@
+package org.lockdale.protocol;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.apache.avro.Schema;
+import org.apache.avro.SchemaNormalization;
+
+/** The schemas of one message type whose encodings this version can read. */
+public final class SchemaHistory {
+
+  private final Map<Long, Schema> byFingerprint;
+
+  private SchemaHistory(Map<Long, Schema> byFingerprint) {
+    this.byFingerprint = byFingerprint;
+  }
+
+  /** Returns a history of the given schemas. */
+  public static SchemaHistory of(Schema... schemas) {
+    Map<Long, Schema> byFingerprint = new LinkedHashMap<>();
+    for (Schema schema : schemas) {
+      byFingerprint.put(SchemaNormalization.parsingFingerprint64(schema), schema);
+    }
+    return new SchemaHistory(Map.copyOf(byFingerprint));
+  }
+
+  Schema find(long fingerprint) {
+    Schema schema = byFingerprint.get(fingerprint);
+    if (schema == null) {
+      throw new MessageFormatException(
+          "the message has the unknown schema " + Long.toHexString(fingerprint));
+    }
+    return schema;
+  }
+}
--- /dev/null
+++ b/router/src/main/java/org/lockdale/router/blackboard/package-info.java
@@ -0,0 +1,5 @@
+/** Snapshots that controllers publish and the request path reads without locks. */
+@NullMarked
+package org.lockdale.router.blackboard;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/router/src/main/java/org/lockdale/router/controller/EngineController.java
@@ -0,0 +1,201 @@
+package org.lockdale.router.controller;
+
+import io.netty.channel.EventLoop;
+import java.io.Closeable;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.lockdale.coordination.membership.Member;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.router.blackboard.Blackboard;
+import org.lockdale.router.engine.EngineClient;
+import org.lockdale.router.engine.EngineReport;
+import org.lockdale.router.engine.EngineTable;
+import org.lockdale.router.engine.EngineView;
+import org.lockdale.router.platform.Machine;
+import org.lockdale.router.platform.MachineListClient;
+import org.lockdale.router.policy.PolicySet;
+import org.tinylog.Logger;
+
+/**
+ * Keeps the section {@code engines}: which engines there are, from the platform's machine list or,
+ * while that is down, from a peer's copy of it; and how they are, from their own reports. Runs on
+ * one event loop.
+ */
+public final class EngineController implements Closeable {
+
+  /** Path of the copy of the machine list at the operators' port. */
+  public static final String MACHINES_PATH = "/v1/machines";
+
+  /** Engines that the list has dropped are kept this long, since the list may be wrong. */
+  private static final long DROPPED_RETENTION_MILLIS = 10_000;
+
+  private final EventLoop eventLoop;
+  private final Blackboard blackboard;
+  private final EngineClient engines;
+  private final MachineListClient machineLists;
+  private final InetSocketAddress platform;
+  private final EngineControllerSettings settings;
+  private final Time time;
+  private final Runnable onReport;
+  private final Map<String, EngineRecord> records = new HashMap<>();
+  private volatile List<Machine> machines = List.of();
+  private PolicySet labelledWith = PolicySet.EMPTY;
+  private volatile boolean closed;
+
+  /**
+   * Starts the controller.
+   *
+   * @param eventLoop runs the controller
+   * @param blackboard where to publish
+   * @param engines calls engines
+   * @param machineLists reads machine lists
+   * @param platform address of the platform
+   * @param settings zone and intervals
+   * @param time clock
+   * @param onReport called after new reports, which may have shown room
+   */
+  public EngineController(
+      EventLoop eventLoop,
+      Blackboard blackboard,
+      EngineClient engines,
+      MachineListClient machineLists,
+      InetSocketAddress platform,
+      EngineControllerSettings settings,
+      Time time,
+      Runnable onReport) {
+    this.eventLoop = eventLoop;
+    this.blackboard = blackboard;
+    this.engines = engines;
+    this.machineLists = machineLists;
+    this.platform = platform;
+    this.settings = settings;
+    this.time = time;
+    this.onReport = onReport;
+    schedule(this::readMachines, settings.machineListInterval());
+    schedule(this::readReports, settings.reportInterval());
+  }
+
+  private void schedule(Runnable task, Duration interval) {
+    eventLoop.scheduleAtFixedRate(
+        () -> {
+          if (!closed) {
+            task.run();
+          }
+        },
+        0,
+        interval.toMillis(),
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns the machine list as last read. */
+  public List<Machine> machines() {
+    return machines;
+  }
+
+  private void readMachines() {
+    machineLists
+        .read(platform, MachineListClient.PLATFORM_PATH)
+        .whenCompleteAsync(
+            (list, failure) -> {
+              if (failure == null) {
+                accept(list);
+              } else if (machines.isEmpty()) {
+                readMachinesFromPeer();
+              }
+            },
+            eventLoop);
+  }
+
+  private void readMachinesFromPeer() {
+    List<Member> members = blackboard.members().value();
+    for (Member member : members) {
+      if (member.isAlive() && member.operatorPort() > 0) {
+        machineLists
+            .read(member.operatorAddress(), MACHINES_PATH)
+            .whenCompleteAsync(
+                (list, failure) -> {
+                  if (failure == null && machines.isEmpty() && !list.isEmpty()) {
+                    accept(list);
+                  }
+                },
+                eventLoop);
+      }
+    }
+  }
+
+  private void accept(List<Machine> list) {
+    machines = List.copyOf(list);
+    long now = time.monotonicMillis();
+    for (Machine machine : list) {
+      if (machine.isEngine()) {
+        EngineRecord record = records.get(machine.id());
+        if (record == null || !record.isAt(machine)) {
+          records.put(machine.id(), new EngineRecord(machine, now));
+          readReport(records.get(machine.id()));
+        } else {
+          record.listed(machine, now);
+        }
+      }
+    }
+    records.values().removeIf(record -> record.isDropped(now, DROPPED_RETENTION_MILLIS));
+    publish();
+  }
+
+  private void readReports() {
+    long now = time.monotonicMillis();
+    for (EngineRecord record : records.values()) {
+      Duration interval =
+          record.machine().zone().equals(settings.zone())
+              ? settings.reportInterval()
+              : settings.remoteReportInterval();
+      if (record.wantsReport(now, interval.toMillis())) {
+        readReport(record);
+      }
+    }
+    if (labelledWith != blackboard.policies().value()) {
+      publish();
+    }
+  }
+
+  private void readReport(EngineRecord record) {
+    record.reportAsked(time.monotonicMillis());
+    engines
+        .report(record.address())
+        .whenCompleteAsync((report, failure) -> reported(record, report, failure), eventLoop);
+  }
+
+  private void reported(EngineRecord record, EngineReport report, Throwable failure) {
+    long now = time.monotonicMillis();
+    record.reportAnswered();
+    if (failure != null) {
+      record.activity().failed(now);
+      Logger.debug("event=report-failed engine={}", record.machine().id());
+      return;
+    }
+    record.reported(report, now);
+    publish();
+    onReport.run();
+  }
+
+  private void publish() {
+    PolicySet policies = blackboard.policies().value();
+    labelledWith = policies;
+    List<EngineView> views = new ArrayList<>(records.size());
+    for (EngineRecord record : records.values()) {
+      views.add(record.toView(policies));
+    }
+    views.sort(Comparator.comparing(EngineView::id));
+    blackboard.engines().publish(new EngineTable(List.copyOf(views)), time.monotonicMillis());
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+  }
+}
--- /dev/null
+++ b/router/src/main/java/org/lockdale/router/controller/EngineControllerSettings.java
@@ -0,0 +1,17 @@
+package org.lockdale.router.controller;
+
+import java.time.Duration;
+
+/**
+ * Zone and intervals of an {@link EngineController}.
+ *
+ * @param zone zone of this node
+ * @param reportInterval time between reads of the load of an engine in the zone
+ * @param remoteReportInterval the same for an engine in another zone
+ * @param machineListInterval time between reads of the machine list
+ */
+public record EngineControllerSettings(
+    String zone,
+    Duration reportInterval,
+    Duration remoteReportInterval,
+    Duration machineListInterval) {}
--- /dev/null
+++ b/router/src/main/java/org/lockdale/router/peer/PeerBindException.java
@@ -0,0 +1,19 @@
+package org.lockdale.router.peer;
+
+import java.net.InetSocketAddress;
+
+/** The peers' port could not be bound. */
+public final class PeerBindException extends RuntimeException {
+
+  private static final long serialVersionUID = 1L;
+
+  PeerBindException(InetSocketAddress address, Throwable cause) {
+    super(
+        "Can't listen for peers on "
+            + address
+            + " ("
+            + cause.getMessage()
+            + "); set peers.port to a port that is free for UDP and TCP.",
+        cause);
+  }
+}
--- /dev/null
+++ b/router/src/main/java/org/lockdale/router/policy/LabelNames.java
@@ -0,0 +1,27 @@
+package org.lockdale.router.policy;
+
+import java.util.Set;
+
+/** Labels that the system sets itself. */
+public final class LabelNames {
+
+  /** Tenant of a request. */
+  public static final String TENANT = "tenant";
+
+  /** Model of a request. */
+  public static final String MODEL = "model";
+
+  /** Adapter of a request. */
+  public static final String ADAPTER = "adapter";
+
+  /** Zone of the node that took a request, and zone of an engine. */
+  public static final String ZONE = "zone";
+
+  /** Id of an engine. */
+  public static final String ENGINE = "engine";
+
+  /** Labels a caller may not choose. */
+  public static final Set<String> RESERVED = Set.of(TENANT, MODEL, ADAPTER, ZONE, ENGINE);
+
+  private LabelNames() {}
+}
--- /dev/null
+++ b/router/src/main/java/org/lockdale/router/request/ClaimStep.java
@@ -0,0 +1,216 @@
+package org.lockdale.router.request;
+
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import net.openhft.hashing.LongHashFunction;
+import org.lockdale.coordination.claim.ClaimDecision;
+import org.lockdale.coordination.claim.HeldClaim;
+import org.lockdale.coordination.claim.RunOnceClaims;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.http.HttpReply;
+import org.lockdale.openai.HeaderNames;
+import org.lockdale.openai.Outcome;
+import org.lockdale.protocol.generated.ClaimRecord;
+import org.lockdale.protocol.generated.ClaimState;
+import org.lockdale.router.blackboard.Blackboard;
+import org.lockdale.router.engine.AttemptFate;
+import org.lockdale.router.engine.EngineClient;
+import org.lockdale.router.engine.EngineView;
+import org.lockdale.router.error.ErrorKind;
+import org.lockdale.router.error.RequestException;
+import org.lockdale.router.policy.PolicySet;
+
+/**
+ * Takes the claim of a request that must run at most once, before it is dispatched. Where another
+ * attempt holds it, its engine is asked what became of it: only an attempt that an engine confirms
+ * never started gives the claim up.
+ */
+final class ClaimStep implements RequestStep {
+
+  /** A younger claim is left to its holder, which may be about to dispatch. */
+  private static final long HOLDER_GRACE_MILLIS = 3_000;
+
+  private final RunOnceClaims claims;
+  private final ClaimFinisher finisher;
+  private final EngineClient engines;
+  private final Blackboard blackboard;
+  private final String nodeId;
+  private final Time time;
+
+  ClaimStep(
+      RunOnceClaims claims,
+      ClaimFinisher finisher,
+      EngineClient engines,
+      Blackboard blackboard,
+      String nodeId,
+      Time time) {
+    this.claims = claims;
+    this.finisher = finisher;
+    this.engines = engines;
+    this.blackboard = blackboard;
+    this.nodeId = nodeId;
+    this.time = time;
+  }
+
+  @Override
+  public CompletableFuture<Next> apply(RequestContext context) {
+    if (!context.isRunOnce()) {
+      return CONTINUE;
+    }
+    ClaimRecord attempt = recordOf(context);
+    CompletableFuture<Next> result =
+        context.claim == null
+            ? takeClaim(context, keyOf(context), attempt)
+            : moveClaim(context, context.claim, attempt);
+    // The table service answers on threads of its own; the path goes on where it came from.
+    return result.whenCompleteAsync((next, failure) -> {}, context.exchange.eventLoop());
+  }
+
+  private static String keyOf(RequestContext context) {
+    // The tenant is part of the key, so no tenant can meet another's claims.
+    return PolicySet.hashOfKey(context.tenant.name() + "\u0000" + context.idempotencyKey);
+  }
+
+  private ClaimRecord recordOf(RequestContext context) {
+    EngineView engine = context.placement.engine();
+    return new ClaimRecord(
+        context.attemptId,
+        nodeId,
+        engine.id(),
+        engine.incarnation(),
+        LongHashFunction.xx3().hashBytes(context.exchange.body()),
+        ClaimState.CLAIMED,
+        time.wallMillis(),
+        0,
+        "",
+        ByteBuffer.allocate(0));
+  }
+
+  private CompletableFuture<Next> takeClaim(
+      RequestContext context, String key, ClaimRecord attempt) {
+    return claims
+        .claim(key, attempt)
+        .exceptionally(
+            failure -> {
+              finisher.abandon(key, attempt);
+              throw storeUnavailable();
+            })
+        .thenCompose(decision -> decide(context, key, attempt, decision));
+  }
+
+  /**
+   * An earlier attempt of this request was refused by its engine; the row must name the new one.
+   */
+  private CompletableFuture<Next> moveClaim(
+      RequestContext context, HeldClaim held, ClaimRecord attempt) {
+    return claims
+        .move(held, attempt)
+        .handle(
+            (claim, failure) -> {
+              if (failure != null) {
+                finisher.abandon(held.key(), attempt);
+                throw storeUnavailable();
+              }
+              granted(context, claim);
+              return Next.CONTINUE;
+            });
+  }
+
+  private static RequestException storeUnavailable() {
+    return RequestException.of(
+        ErrorKind.CLAIM_STORE_UNAVAILABLE,
+        "The claim of the idempotency key could not be taken, so the request was not started.");
+  }
+
+  private static void granted(RequestContext context, HeldClaim claim) {
+    context.claim = claim;
+    context.enter(RequestStage.CLAIMED);
+  }
+
+  private CompletableFuture<Next> decide(
+      RequestContext context, String key, ClaimRecord attempt, ClaimDecision decision) {
+    if (decision instanceof ClaimDecision.Granted granted) {
+      granted(context, granted.claim());
+      return CONTINUE;
+    }
+    if (decision instanceof ClaimDecision.AlreadyComplete complete) {
+      replay(context, complete.record());
+      return ANSWERED;
+    }
+    if (decision instanceof ClaimDecision.HeldByOther held) {
+      return resolveHolder(context, key, attempt, held);
+    }
+    if (decision instanceof ClaimDecision.OutcomeLost) {
+      throw outcomeUnknown();
+    }
+    throw RequestException.of(
+        ErrorKind.IDEMPOTENCY_KEY_REUSED, "The idempotency key was used with another body.");
+  }
+
+  private static void replay(RequestContext context, ClaimRecord record) {
+    if (record.getAnswerStatus() == 0) {
+      throw RequestException.of(
+          ErrorKind.ANSWER_NOT_KEPT, "The answer was too large to be kept for a repeat.");
+    }
+    byte[] body = new byte[record.getAnswerBody().remaining()];
+    record.getAnswerBody().duplicate().get(body);
+    context.exchange.reply(
+        HttpReply.of(record.getAnswerStatus(), record.getAnswerContentType(), body)
+            .with(HeaderNames.OUTCOME, Outcome.COMPLETE.wireName())
+            .with(HeaderNames.REQUEST_ID, context.requestId));
+  }
+
+  private static RequestException outcomeUnknown() {
+    return RequestException.of(
+        ErrorKind.OUTCOME_UNKNOWN,
+        "The request may have run before, and what came of it can't be found out.");
+  }
+
+  private static RequestException inProgress() {
+    return RequestException.of(
+        ErrorKind.REQUEST_IN_PROGRESS, "Another attempt with this idempotency key is running.");
+  }
+
+  private CompletableFuture<Next> resolveHolder(
+      RequestContext context, String key, ClaimRecord attempt, ClaimDecision.HeldByOther held) {
+    ClaimRecord holder = held.record();
+    if (time.wallMillis() - holder.getUpdatedAtMillis() < HOLDER_GRACE_MILLIS) {
+      throw inProgress();
+    }
+    Optional<EngineView> engine =
+        blackboard
+            .engines()
+            .value()
+            .find(holder.getEngineId())
+            .filter(view -> view.incarnation().equals(holder.getEngineIncarnation()));
+    if (engine.isEmpty()) {
+      throw outcomeUnknown();
+    }
+    return engines
+        .ask(engine.get(), holder.getAttemptId())
+        .thenCompose(
+            fate ->
+                fate == AttemptFate.NEVER_STARTED
+                    ? engines.cancel(engine.get(), holder.getAttemptId())
+                    : CompletableFuture.completedFuture(fate))
+        .thenCompose(
+            fate -> {
+              if (fate == AttemptFate.RUNNING) {
+                throw inProgress();
+              }
+              if (fate != AttemptFate.NEVER_STARTED) {
+                throw outcomeUnknown();
+              }
+              HeldClaim row = new HeldClaim(key, holder, held.rowVersion());
+              return claims
+                  .release(row)
+                  .exceptionally(
+                      failure -> {
+                        throw new CompletionException(inProgress());
+                      })
+                  .thenCompose(released -> takeClaim(context, key, attempt));
+            });
+  }
+}
--- /dev/null
+++ b/router/src/main/java/org/lockdale/router/request/EngineAttempt.java
@@ -0,0 +1,284 @@
+package org.lockdale.router.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.http.HttpCall;
+import org.lockdale.http.HttpCallException;
+import org.lockdale.http.HttpResponseListener;
+import org.lockdale.http.ServerSentEventDecoder;
+import org.lockdale.openai.HeaderNames;
+import org.lockdale.router.engine.AttemptFate;
+import org.lockdale.router.engine.AttemptMessage;
+import org.lockdale.router.engine.EngineClient;
+import org.lockdale.router.engine.EngineView;
+
+/**
+ * One attempt at one engine: checks that the answer belongs to the attempt, relays a stream event
+ * by event in the order of their ids, and takes it up again where the connection breaks. Lives on
+ * the event loop of the caller's connection.
+ */
+final class EngineAttempt implements HttpResponseListener {
+
+  private static final int OK = 200;
+  private static final int MAX_RESUMES = 2;
+  private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+  private final RequestContext context;
+  private final EngineClient engines;
+  private final EngineView engine;
+  private final AttemptMessage message;
+  private final AnswerSink sink;
+  private final CompletableFuture<AttemptResult> result = new CompletableFuture<>();
+  private final long tokenTimeoutMillis;
+  private HttpCall call;
+  private ServerSentEventDecoder decoder;
+  private int status;
+  private boolean belongs;
+  private long nextEventId;
+  private boolean doneSeen;
+  private int resumes;
+  private long lastProgressNanos = System.nanoTime();
+  private @Nullable ByteArrayOutputStream body;
+
+  EngineAttempt(
+      RequestContext context,
+      EngineClient engines,
+      AttemptMessage message,
+      AnswerSink sink,
+      long tokenTimeoutMillis) {
+    this.context = context;
+    this.engines = engines;
+    this.engine = context.placement.engine();
+    this.message = message;
+    this.sink = sink;
+    this.tokenTimeoutMillis = tokenTimeoutMillis;
+    this.decoder = new ServerSentEventDecoder(this::onEvent);
+  }
+
+  CompletableFuture<AttemptResult> start() {
+    context.enter(RequestStage.DISPATCHED);
+    call = engines.dispatch(context.exchange.eventLoop(), engine, message, this);
+    watchProgress();
+    return result;
+  }
+
+  /** Gives the attempt up, after its fate at the engine is known as far as possible. */
+  void giveUp(String reason) {
+    if (result.isDone()) {
+      return;
+    }
+    call.cancel();
+    engines
+        .cancel(engine, message.attemptId())
+        .whenCompleteAsync(
+            (fate, failure) -> finish(resultOfCancel(fate, reason)), context.exchange.eventLoop());
+  }
+
+  private static AttemptResult resultOfCancel(AttemptFate fate, String reason) {
+    return fate == AttemptFate.NEVER_STARTED
+        ? new AttemptResult.NotStarted(reason)
+        : new AttemptResult.GivenUp(reason);
+  }
+
+  private void finish(AttemptResult attemptResult) {
+    decoder.close();
+    result.complete(attemptResult);
+  }
+
+  /** Guards against an engine that has stopped without closing its connections. */
+  private void watchProgress() {
+    context
+        .exchange
+        .eventLoop()
+        .schedule(
+            () -> {
+              if (result.isDone()) {
+                return;
+              }
+              long silentMillis =
+                  TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastProgressNanos);
+              if (sink.hasStarted() && silentMillis >= tokenTimeoutMillis) {
+                call.cancel();
+                broken("the engine was silent for " + silentMillis + " ms");
+              } else {
+                watchProgress();
+              }
+            },
+            tokenTimeoutMillis,
+            TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void onHead(int replyStatus, HttpHeaders headers) {
+    status = replyStatus;
+    belongs =
+        message.attemptId().equals(headers.get(HeaderNames.ATTEMPT_ID))
+            && engine.incarnation().equals(headers.get(HeaderNames.ENGINE_INCARNATION));
+    if (status == OK && !belongs) {
+      call.cancel();
+      broken("the engine's answer belongs to another attempt or incarnation");
+      return;
+    }
+    boolean isStream = headers.get("content-type", "").startsWith("text/event-stream");
+    body = status == OK && isStream ? null : new ByteArrayOutputStream();
+  }
+
+  @Override
+  public void onContent(ByteBuf content) {
+    lastProgressNanos = System.nanoTime();
+    if (result.isDone()) {
+      return;
+    }
+    if (body == null) {
+      decoder.decode(content);
+      sink.flush();
+    } else if (body.size() + content.readableBytes() > MAX_ANSWER_BYTES) {
+      call.cancel();
+      finish(new AttemptResult.Failed("the engine's answer is over the size limit"));
+    } else {
+      byte[] part = new byte[content.readableBytes()];
+      content.readBytes(part);
+      body.writeBytes(part);
+    }
+  }
+
+  private void onEvent(long id, ByteBuf event) {
+    if (doneSeen || result.isDone()) {
+      return;
+    }
+    if (id == ServerSentEventDecoder.NO_ID) {
+      doneSeen = ServerSentEventDecoder.isDone(event);
+      return;
+    }
+    if (id < nextEventId) {
+      // A resumed stream may overlap with what was relayed before.
+      return;
+    }
+    if (id > nextEventId) {
+      call.cancel();
+      broken("an event of the engine's stream is missing");
+      return;
+    }
+    nextEventId++;
+    if (!sink.event(event)) {
+      giveUp("the caller reads too slowly");
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    if (result.isDone()) {
+      return;
+    }
+    if (status != OK) {
+      refused();
+    } else if (body != null) {
+      sink.whole(body.toByteArray());
+      finish(new AttemptResult.Complete());
+    } else if (doneSeen) {
+      sink.endOfStream();
+      finish(new AttemptResult.Complete());
+    } else {
+      broken("the engine ended its stream early");
+    }
+  }
+
+  private void refused() {
+    String reason = body == null ? "" : body.toString(StandardCharsets.UTF_8);
+    finish(new AttemptResult.NotStarted("engine answered " + status + " " + codeIn(reason)));
+  }
+
+  private static String codeIn(String reason) {
+    int start = reason.indexOf("\"code\":\"");
+    if (start < 0) {
+      return "";
+    }
+    int from = start + "\"code\":\"".length();
+    int end = reason.indexOf('"', from);
+    return end < 0 ? "" : reason.substring(from, end);
+  }
+
+  @Override
+  public void onFailure(HttpCallException failure) {
+    if (result.isDone()) {
+      return;
+    }
+    if (failure.stage() == HttpCallException.Stage.NOT_SENT) {
+      finish(new AttemptResult.NotStarted("the engine can't be reached"));
+      return;
+    }
+    broken(failure.getMessage());
+  }
+
+  /** A stream that broke is taken up again at the same engine; anything else has failed. */
+  private void broken(String reason) {
+    if (result.isDone()) {
+      return;
+    }
+    boolean resumable = context.request.stream() && resumes < MAX_RESUMES;
+    if (!resumable) {
+      settle(reason);
+      return;
+    }
+    resumes++;
+    doneSeen = false;
+    decoder.close();
+    decoder = new ServerSentEventDecoder(this::onEvent);
+    context.enter(RequestStage.RESUMED);
+    lastProgressNanos = System.nanoTime();
+    call =
+        engines.resume(
+            context.exchange.eventLoop(), engine, message, nextEventId - 1, new ResumeListener());
+  }
+
+  /** Ends a broken attempt; the engine is told to cancel it, which also tells whether it ran. */
+  private void settle(String reason) {
+    engines
+        .cancel(engine, message.attemptId())
+        .whenCompleteAsync(
+            (fate, failure) -> {
+              if (sink.hasStarted()) {
+                finish(new AttemptResult.BrokenOff(reason));
+              } else if (fate == AttemptFate.NEVER_STARTED) {
+                finish(new AttemptResult.NotStarted(reason));
+              } else {
+                finish(new AttemptResult.Failed(reason));
+              }
+            },
+            context.exchange.eventLoop());
+  }
+
+  /** As the attempt itself, but a refused resumption tells nothing about whether it ran. */
+  private final class ResumeListener implements HttpResponseListener {
+    @Override
+    public void onHead(int replyStatus, HttpHeaders headers) {
+      EngineAttempt.this.onHead(replyStatus, headers);
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {
+      EngineAttempt.this.onContent(content);
+    }
+
+    @Override
+    public void onEnd() {
+      if (status == OK) {
+        EngineAttempt.this.onEnd();
+      } else if (!result.isDone()) {
+        settle("the engine can't resume the stream");
+      }
+    }
+
+    @Override
+    public void onFailure(HttpCallException failure) {
+      if (!result.isDone()) {
+        settle("the stream could not be resumed: " + failure.getMessage());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/router/src/main/java/org/lockdale/router/request/PlacementStep.java
@@ -0,0 +1,219 @@
+package org.lockdale.router.request;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.lockdale.coordination.placement.CacheScope;
+import org.lockdale.coordination.placement.PrefixChain;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.router.blackboard.Blackboard;
+import org.lockdale.router.engine.EngineTable;
+import org.lockdale.router.engine.EngineView;
+import org.lockdale.router.error.ErrorKind;
+import org.lockdale.router.error.RequestException;
+import org.lockdale.router.limit.CapacityQueue;
+import org.lockdale.router.placement.EngineChooser;
+import org.lockdale.router.placement.Placement;
+import org.lockdale.router.placement.PlacementRequest;
+import org.lockdale.router.placement.PrefixIndex;
+import org.lockdale.router.placement.PrefixMatch;
+
+/**
+ * Chooses an engine. Where none has room the request waits at this node, in the order of priority
+ * and of the tenants' shares; where it can't be expected to start before its deadline it is refused
+ * at once.
+ */
+final class PlacementStep implements RequestStep {
+
+  private final Blackboard blackboard;
+  private final PrefixIndex prefixes;
+  private final CapacityQueue queue;
+  private final DrainRate drainRate;
+  private final String zone;
+  private final Time time;
+
+  PlacementStep(
+      Blackboard blackboard,
+      PrefixIndex prefixes,
+      CapacityQueue queue,
+      DrainRate drainRate,
+      String zone,
+      Time time) {
+    this.blackboard = blackboard;
+    this.prefixes = prefixes;
+    this.queue = queue;
+    this.drainRate = drainRate;
+    this.zone = zone;
+    this.time = time;
+  }
+
+  @Override
+  public CompletableFuture<Next> apply(RequestContext context) {
+    Placement placement =
+        choose(context)
+            .orElseThrow(
+                () ->
+                    RequestException.of(
+                        ErrorKind.NO_ENGINE,
+                        "No engine that route '" + context.route.name() + "' allows is up."));
+    if (placement.expectedMillis() > context.millisToDeadline()) {
+      throw overloaded(placement.expectedMillis());
+    }
+    boolean mayStart = placement.hasRoom() && queue.lengthAtOrAbove(level(context)) == 0;
+    if (mayStart) {
+      take(context, placement);
+      return CONTINUE;
+    }
+    return waitForRoom(context);
+  }
+
+  private static int level(RequestContext context) {
+    return context.route.priority().level();
+  }
+
+  private void take(RequestContext context, Placement placement) {
+    context.placement = placement;
+    placement.engine().activity().sent(context.promptTokens - placement.believedCachedTokens());
+    context.enter(RequestStage.PLACED);
+  }
+
+  private CompletableFuture<Next> waitForRoom(RequestContext context) {
+    double expectedWait = drainRate.expectedMillis(queue.lengthAtOrAbove(level(context)) + 1);
+    if (expectedWait > context.millisToDeadline()) {
+      throw overloaded(expectedWait);
+    }
+    CapacityQueue.Waiter waiter =
+        queue.add(
+            level(context),
+            context.tenant.name(),
+            context.tenant.limit().weight(),
+            () -> tryStart(context));
+    if (waiter == null) {
+      throw overloaded(drainRate.expectedMillis(queue.length()));
+    }
+    context.enter(RequestStage.QUEUED);
+    CompletableFuture<Next> placed = new CompletableFuture<>();
+    waiter
+        .started()
+        .thenRunAsync(() -> placed.complete(Next.CONTINUE), context.exchange.eventLoop());
+    giveUpAtDeadline(context, waiter, placed);
+    giveUpWhenCallerLeaves(context, waiter, placed);
+    queue.drain();
+    return placed;
+  }
+
+  private boolean tryStart(RequestContext context) {
+    Optional<Placement> placement = choose(context);
+    if (placement.isEmpty() || !placement.get().hasRoom()) {
+      return false;
+    }
+    take(context, placement.get());
+    drainRate.started(time.monotonicMillis());
+    return true;
+  }
+
+  private void giveUpAtDeadline(
+      RequestContext context, CapacityQueue.Waiter waiter, CompletableFuture<Next> placed) {
+    var timer =
+        context
+            .exchange
+            .eventLoop()
+            .schedule(
+                () -> {
+                  if (queue.remove(waiter)) {
+                    placed.completeExceptionally(
+                        RequestException.of(
+                            ErrorKind.DEADLINE_EXPIRED,
+                            "The deadline passed while the request waited for an engine."));
+                  }
+                },
+                Math.max(0, context.millisToDeadline()),
+                TimeUnit.MILLISECONDS);
+    placed.whenComplete((next, failure) -> timer.cancel(false));
+  }
+
+  private void giveUpWhenCallerLeaves(
+      RequestContext context, CapacityQueue.Waiter waiter, CompletableFuture<Next> placed) {
+    context
+        .exchange
+        .disconnected()
+        .thenRun(
+            () -> {
+              if (queue.remove(waiter)) {
+                placed.complete(Next.ANSWERED);
+              }
+            });
+  }
+
+  private static RequestException overloaded(double expectedMillis) {
+    int seconds = (int) Math.min(60, Math.max(1, Math.ceil(expectedMillis / 1_000)));
+    return RequestException.builder(
+            ErrorKind.OVERLOADED, "The engines are too busy to start the request in time.")
+        .retryAfterSeconds(seconds)
+        .build();
+  }
+
+  private Optional<Placement> choose(RequestContext context) {
+    EngineTable engines = blackboard.engines().value();
+    long now = time.monotonicMillis();
+    String weights = weightsToUse(context, engines, now);
+    PrefixChain chain = chainFor(context, weights);
+    context.chain = chain;
+    PrefixMatch match = prefixes.match(chain, now);
+    return EngineChooser.choose(
+        requestFor(context, weights, chain), match, engines, context.policies, zone, now);
+  }
+
+  private static PlacementRequest requestFor(
+      RequestContext context, String weights, PrefixChain chain) {
+    return new PlacementRequest(
+        context.model.model(),
+        weights,
+        context.route.engines(),
+        context.excludedEngines,
+        chain,
+        context.promptTokens,
+        level(context));
+  }
+
+  /**
+   * Returns the weights version wanted by the configuration where an engine that may serve the
+   * request holds it, else one that such an engine does hold: while a new version is rolled out,
+   * requests go on with the old one.
+   */
+  private static String weightsToUse(RequestContext context, EngineTable engines, long now) {
+    String wanted = context.model.weightsVersion();
+    String fallback = null;
+    for (EngineView engine : engines.engines()) {
+      String held = engine.weights().get(context.model.model());
+      boolean allowed =
+          held != null
+              && engine.isUsable(now)
+              && context.route.engines().matches(engine.labels())
+              && !context.excludedEngines.contains(engine.id());
+      if (allowed && held.equals(wanted)) {
+        return wanted;
+      }
+      fallback = allowed ? held : fallback;
+    }
+    return fallback == null ? wanted : fallback;
+  }
+
+  /** The chain depends on the weights, so it is made anew where another version is used. */
+  private static PrefixChain chainFor(RequestContext context, String weights) {
+    if (context.chain != null && weights.equals(context.weightsVersion)) {
+      return context.chain;
+    }
+    context.weightsVersion = weights;
+    CacheScope scope =
+        new CacheScope(context.tenant.name(), context.model.model(), adapterKey(context), weights);
+    context.cacheSalt = Long.toHexString(scope.hash());
+    return PrefixChain.of(new CacheScope(context.cacheSalt, "", "", ""), context.request.prompt());
+  }
+
+  private static String adapterKey(RequestContext context) {
+    return context.model.adapter().isEmpty()
+        ? ""
+        : context.model.adapter() + "@" + context.model.adapterVersion();
+  }
+}
--- /dev/null
+++ b/router/src/main/java/org/lockdale/router/settings/Setting.java
@@ -0,0 +1,31 @@
+package org.lockdale.router.settings;
+
+import java.util.function.Function;
+
+/**
+ * The one declaration of a setting.
+ *
+ * @param <T> type of the value
+ * @param key name in files and flags
+ * @param type type in words
+ * @param defaultText default as it would be written, or an empty string where one must be given
+ * @param range allowed values in words
+ * @param description what it does
+ * @param secret whether the value must not be printed
+ * @param parser turns the text into a value; throws {@link IllegalArgumentException} with the
+ *     reason
+ */
+public record Setting<T>(
+    String key,
+    String type,
+    String defaultText,
+    String range,
+    String description,
+    boolean secret,
+    Function<String, T> parser) {
+
+  /** Returns whether a value must be given. */
+  public boolean isRequired() {
+    return defaultText.isEmpty();
+  }
+}
--- /dev/null
+++ b/router/src/main/java/org/lockdale/router/settings/ValueParsers.java
@@ -0,0 +1,112 @@
+package org.lockdale.router.settings;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Parsers of setting values; each throws {@link IllegalArgumentException} with the reason. */
+final class ValueParsers {
+
+  private static final Pattern DURATION = Pattern.compile("(\\d+)(ms|s|m)");
+  private static final Pattern ADDRESS = Pattern.compile("(\\[[0-9a-fA-F:]+]|[0-9.]+):(\\d+)");
+  private static final int MAX_PORT = 65_535;
+  private static final String NONE = "none";
+
+  private ValueParsers() {}
+
+  static Function<String, Integer> integer(int least, int most) {
+    return text -> {
+      int value;
+      try {
+        value = Integer.parseInt(text);
+      } catch (NumberFormatException notANumber) {
+        throw new IllegalArgumentException("is not a whole number");
+      }
+      if (value < least || value > most) {
+        throw new IllegalArgumentException("is not within " + least + " to " + most);
+      }
+      return value;
+    };
+  }
+
+  static Function<String, Duration> duration(Duration least, Duration most) {
+    return text -> {
+      Matcher matcher = DURATION.matcher(text);
+      if (!matcher.matches()) {
+        throw new IllegalArgumentException("is not a duration such as 250ms, 5s or 2m");
+      }
+      long amount = Long.parseLong(matcher.group(1));
+      Duration value =
+          switch (matcher.group(2)) {
+            case "ms" -> Duration.ofMillis(amount);
+            case "s" -> Duration.ofSeconds(amount);
+            default -> Duration.ofMinutes(amount);
+          };
+      if (value.compareTo(least) < 0 || value.compareTo(most) > 0) {
+        throw new IllegalArgumentException("is not within " + least + " to " + most);
+      }
+      return value;
+    };
+  }
+
+  static Function<String, String> name() {
+    return text -> {
+      if (!text.matches("[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")) {
+        throw new IllegalArgumentException(
+            "is not a name of 1 to 63 lower-case letters, digits, dots and hyphens");
+      }
+      return text;
+    };
+  }
+
+  static Function<String, String> text(int leastLength) {
+    return text -> {
+      if (text.length() < leastLength) {
+        throw new IllegalArgumentException("is shorter than " + leastLength + " characters");
+      }
+      return text;
+    };
+  }
+
+  static InetAddress ipAddress(String text) {
+    if (!text.matches("[0-9.]+|[0-9a-fA-F:]+")) {
+      throw new IllegalArgumentException("is not an IP address");
+    }
+    try {
+      return InetAddress.getByName(text);
+    } catch (UnknownHostException malformed) {
+      throw new IllegalArgumentException("is not an IP address");
+    }
+  }
+
+  static InetSocketAddress address(String text) {
+    Matcher matcher = ADDRESS.matcher(text);
+    if (!matcher.matches()) {
+      throw new IllegalArgumentException("is not an IP address and port such as 10.0.0.5:7080");
+    }
+    int port = Integer.parseInt(matcher.group(2));
+    if (port > MAX_PORT) {
+      throw new IllegalArgumentException("has a port over " + MAX_PORT);
+    }
+    return new InetSocketAddress(ipAddress(matcher.group(1).replaceAll("[\\[\\]]", "")), port);
+  }
+
+  static List<InetSocketAddress> addresses(String text) {
+    List<InetSocketAddress> addresses = new ArrayList<>();
+    if (text.equals(NONE)) {
+      return addresses;
+    }
+    for (String part : text.split(",")) {
+      if (!part.isBlank()) {
+        addresses.add(address(part.trim()));
+      }
+    }
+    return List.copyOf(addresses);
+  }
+}
--- /dev/null
+++ b/router/src/main/java/org/lockdale/router/settings/package-info.java
@@ -0,0 +1,5 @@
+/** Settings of a node: each declared once with type, default, range and description. */
+@NullMarked
+package org.lockdale.router.settings;
+
+import org.jspecify.annotations.NullMarked;
