Membership that survives herds, cuts and pauses; hollow-node scale experiment

Cause: the first run of the new scale experiment did not converge at any size. Now seeds that no reachable member stands at are contacted as well. 2. Two nodes that take each other for dead answered each other's digests for ever: a message storm (the healed-zone test did not end within 10 minutes). Now a member is told of its death in a probe, whose answer carries a new incarnation, and the exchange ends there. 3. Whole member tables were sent to everyone who differed. Now one table in 2 s a node, and the answer to a table is the difference only. Ruled out: a longer suspicion time alone (hides 3, and detection gets slower with the size).

Also: Avro readers are kept for each thread (resolving a schema on every message was most of the processor time), and a new version is told for six rounds of gossip.

--- /dev/null
+++ b/cli/src/main/java/org/lockdale/cli/ExperimentCommand.java
@@ -0,0 +1,14 @@
+package org.lockdale.cli;
+
+import picocli.CommandLine.Command;
+
+/** Experiments. */
+@Command(
+    name = "experiment",
+    mixinStandardHelpOptions = true,
+    description = "Runs experiments in one process.",
+    subcommands = {ScaleCommand.class})
+final class ExperimentCommand {
+
+  private ExperimentCommand() {}
+}
--- a/cli/src/main/java/org/lockdale/cli/Lockdale.java
+++ b/cli/src/main/java/org/lockdale/cli/Lockdale.java
@@ -24,6 +24,7 @@
       PlatformCommand.class,
       EngineCommand.class,
       LoadCommand.class,
+      ExperimentCommand.class,
       DemoCommand.class,
       CheckHistoryCommand.class
     })
--- a/coordination/src/main/java/org/lockdale/coordination/membership/MemberTable.java
+++ b/coordination/src/main/java/org/lockdale/coordination/membership/MemberTable.java
@@ -2,10 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.jspecify.annotations.Nullable;
@@ -33,6 +36,11 @@
     return members.values();
   }
 
+  /** Returns the members that can be expected to answer. */
+  List<Member> reachable() {
+    return candidates(Member::isReachable);
+  }
+
   void put(Member member, long nowMillis) {
     Member before = members.put(member.id(), member);
     if (before == null) {
@@ -92,6 +100,35 @@
 
   /** Returns up to a number of distinct random members that meet a condition. */
   List<Member> sample(int count, Predicate<Member> condition) {
+    List<Member> candidates = candidates(condition);
+    List<Member> chosen = new ArrayList<>(Math.min(count, candidates.size()));
+    while (chosen.size() < count && !candidates.isEmpty()) {
+      chosen.add(removeRandom(candidates));
+    }
+    return chosen;
+  }
+
+  /**
+   * Returns up to a number of random members that meet a condition, from as many zones as possible:
+   * where the way between two zones is cut, only a third zone can tell.
+   */
+  List<Member> sampleAcrossZones(int count, Predicate<Member> condition) {
+    List<Member> candidates = candidates(condition);
+    List<Member> sameZone = new ArrayList<>();
+    Set<String> zones = new HashSet<>();
+    List<Member> chosen = new ArrayList<>(count);
+    while (chosen.size() < count && !candidates.isEmpty()) {
+      Member candidate = removeRandom(candidates);
+      boolean newZone = zones.add(candidate.zone());
+      (newZone ? chosen : sameZone).add(candidate);
+    }
+    while (chosen.size() < count && !sameZone.isEmpty()) {
+      chosen.add(removeRandom(sameZone));
+    }
+    return chosen;
+  }
+
+  private List<Member> candidates(Predicate<Member> condition) {
     List<Member> candidates = new ArrayList<>();
     for (Member member : members.values()) {
       if (condition.test(member)) {
@@ -99,12 +136,12 @@
       }
     }
     // The table's iteration order must not decide, or runs of one seed would differ.
-    candidates.sort((left, right) -> left.id().compareTo(right.id()));
-    List<Member> chosen = new ArrayList<>(Math.min(count, candidates.size()));
-    while (chosen.size() < count && !candidates.isEmpty()) {
-      chosen.add(candidates.remove(random.nextInt(candidates.size())));
-    }
-    return chosen;
+    candidates.sort(Comparator.comparing(Member::id));
+    return candidates;
+  }
+
+  private Member removeRandom(List<Member> candidates) {
+    return candidates.remove(random.nextInt(candidates.size()));
   }
 
   /**
--- a/coordination/src/main/java/org/lockdale/coordination/membership/MembershipState.java
+++ b/coordination/src/main/java/org/lockdale/coordination/membership/MembershipState.java
@@ -3,15 +3,16 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.lockdale.coordination.collection.BoundedMap;
 import org.lockdale.protocol.generated.Ack;
+import org.lockdale.protocol.generated.Gossip;
 import org.lockdale.protocol.generated.IndirectPing;
+import org.lockdale.protocol.generated.Join;
 import org.lockdale.protocol.generated.MemberStatus;
 import org.lockdale.protocol.generated.MemberUpdate;
 import org.lockdale.protocol.generated.PeerMessage;
@@ -33,25 +34,21 @@
   /** A gap between ticks of more than this many probe timeouts means that this node was paused. */
   private static final int PAUSE_IN_PROBE_TIMEOUTS = 4;
 
-  /** Most probes made for others that may wait for their acknowledgement at once. */
-  private static final int MAX_RELAYS = 256;
-
-  private record Relay(InetSocketAddress asker, long pairing) {}
+  /** Members told to one that joins; it learns the others by comparing tables. */
+  private static final int JOIN_SAMPLE = 12;
 
   private final MembershipSettings settings;
   private final MemberTable table;
   private final UniformRandomProvider random;
   private final MembershipListener listener;
   private final List<InetSocketAddress> seeds;
-  private final GossipQueue gossip = new GossipQueue();
-  private final Map<Long, Probe> probes = new LinkedHashMap<>();
-  private final Map<Long, Relay> relays = new BoundedMap<>(MAX_RELAYS);
-  private Member self;
-  private long configurationVersion;
-  private long sequence;
+  private final MessageComposer composer;
+  private final Prober prober;
   private long lastTick = Long.MIN_VALUE;
   private long nextProbeAt;
   private long nextSynchronizationAt;
+  private long lastWholeTableAt = Long.MIN_VALUE / 2;
+  private long nextGossipAt;
   private long nextReconnectAt;
 
   /**
@@ -70,17 +67,18 @@
       MembershipSettings settings,
       UniformRandomProvider random,
       MembershipListener listener) {
-    this.self = self;
+    this.composer = new MessageComposer(self, settings);
     this.seeds = List.copyOf(seeds);
     this.settings = settings;
     this.random = random;
     this.listener = listener;
     this.table = new MemberTable(random);
+    this.prober = new Prober(settings, table, composer);
   }
 
   /** Returns this node as others should see it. */
   public Member self() {
-    return self;
+    return composer.self();
   }
 
   /** Returns the beliefs of all other nodes, dead ones included. */
@@ -106,13 +104,12 @@
 
   /** Sets the configuration version told in every message from now on. */
   public void setConfigurationVersion(long version) {
-    configurationVersion = version;
+    composer.setConfigurationVersion(version);
   }
 
   /** Announces that this node leaves; it goes on to answer probes. */
   public void leave() {
-    self = self.with(MemberStatus.LEAVING, self.incarnation() + 1);
-    spread(self);
+    become(MemberStatus.LEAVING, self().incarnation() + 1);
   }
 
   /** Returns up to a number of random nodes that are believed alive. */
@@ -126,12 +123,7 @@
    * @param body one of the bodies of {@link PeerMessage}
    */
   public PeerMessage compose(Object body) {
-    sequence++;
-    return compose(body, sequence, gossip.take(settings.maxUpdatesPerMessage()));
-  }
-
-  private PeerMessage compose(Object body, long pairing, List<MemberUpdate> updates) {
-    return new PeerMessage(self.toUpdate(), pairing, configurationVersion, updates, body);
+    return composer.compose(body);
   }
 
   /**
@@ -144,12 +136,16 @@
     forgivePause(nowMillis);
     lastTick = nowMillis;
     List<Outbound> outbound = new ArrayList<>();
-    checkProbes(nowMillis, outbound);
+    prober.check(nowMillis, outbound).forEach(member -> suspect(member, nowMillis));
     expireSuspects(nowMillis);
     forgetDead(nowMillis);
     if (nowMillis >= nextProbeAt) {
       nextProbeAt = nowMillis + settings.probeIntervalMillis();
-      table.nextToProbe().ifPresent(member -> probe(member, nowMillis, outbound));
+      table.nextToProbe().ifPresent(member -> prober.probe(member, nowMillis, outbound));
+    }
+    if (nowMillis >= nextGossipAt) {
+      nextGossipAt = nowMillis + settings.gossipIntervalMillis();
+      gossip(outbound);
     }
     if (nowMillis >= nextReconnectAt) {
       nextReconnectAt = nowMillis + settings.reconnectMillis();
@@ -172,7 +168,7 @@
     }
     long gap = nowMillis - lastTick;
     if (gap > settings.probeTimeoutMillis() * PAUSE_IN_PROBE_TIMEOUTS) {
-      probes.clear();
+      prober.clear();
       table.shiftStatusTimes(gap);
     }
   }
@@ -181,44 +177,13 @@
     return millis / 2 + random.nextLong(millis);
   }
 
-  private void probe(Member target, long nowMillis, List<Outbound> outbound) {
-    sequence++;
-    probes.put(sequence, new Probe(target.id(), nowMillis));
-    List<MemberUpdate> updates = gossip.take(settings.maxUpdatesPerMessage());
-    if (target.status() == MemberStatus.SUSPECT) {
-      // The suspect must hear of the suspicion to be able to refute it.
-      updates.add(target.toUpdate());
-    }
-    outbound.add(new Outbound(target.peerAddress(), compose(new Ping(), sequence, updates)));
-  }
-
-  private void checkProbes(long nowMillis, List<Outbound> outbound) {
-    Iterator<Map.Entry<Long, Probe>> iterator = probes.entrySet().iterator();
-    while (iterator.hasNext()) {
-      Map.Entry<Long, Probe> entry = iterator.next();
-      Probe probe = entry.getValue();
-      Member target = table.get(probe.target);
-      long age = nowMillis - probe.sentAtMillis;
-      if (target == null || !target.isReachable()) {
-        iterator.remove();
-      } else if (age >= settings.probeIntervalMillis()) {
-        iterator.remove();
-        suspect(target, nowMillis);
-      } else if (age >= settings.probeTimeoutMillis() && !probe.indirectSent) {
-        probe.indirectSent = true;
-        askOthersToProbe(target, entry.getKey(), outbound);
-      }
+  /** Sends news on faster than probes would carry it, and nothing while there is none. */
+  private void gossip(List<Outbound> outbound) {
+    if (!composer.beginRound()) {
+      return;
     }
-  }
-
-  private void askOthersToProbe(Member target, long pairing, List<Outbound> outbound) {
-    List<Member> helpers =
-        table.sample(
-            settings.indirectProbes(),
-            member -> member.isAlive() && !member.id().equals(target.id()));
-    for (Member helper : helpers) {
-      IndirectPing body = new IndirectPing(target.toUpdate());
-      outbound.add(new Outbound(helper.peerAddress(), compose(body, pairing, List.of())));
+    for (Member member : table.sample(settings.gossipFanout(), Member::isReachable)) {
+      outbound.add(new Outbound(member.peerAddress(), composer.compose(new Gossip())));
     }
   }
 
@@ -245,35 +210,52 @@
   }
 
   private void reconnect(List<Outbound> outbound) {
-    boolean alone = reachableCount() == 1;
-    if (alone && !seeds.isEmpty()) {
-      InetSocketAddress seed = seeds.get(random.nextInt(seeds.size()));
-      outbound.add(new Outbound(seed, tableContents(true)));
+    List<InetSocketAddress> strangers = seedsNotKnown();
+    if (!strangers.isEmpty()) {
+      InetSocketAddress seed = strangers.get(random.nextInt(strangers.size()));
+      outbound.add(new Outbound(seed, composer.compose(new Join())));
     }
     for (Member dead : table.sample(1, member -> !member.isReachable())) {
-      // Told of its own death, a member that lives refutes it and is back at once.
-      sequence++;
-      PeerMessage message = compose(new Ping(), sequence, List.of(dead.toUpdate()));
-      outbound.add(new Outbound(dead.peerAddress(), message));
+      tellOfDeath(dead, outbound);
     }
   }
 
-  private void synchronize(List<Outbound> outbound) {
-    for (Member member : table.sample(1, Member::isReachable)) {
-      TableDigest body = new TableDigest(table.digestWith(self));
-      outbound.add(new Outbound(member.peerAddress(), compose(body)));
-    }
+  /** Told of its own death in a probe, a member that lives refutes it in its answer. */
+  private void tellOfDeath(Member dead, List<Outbound> outbound) {
+    PeerMessage message =
+        composer.compose(new Ping(), composer.nextSequence(), List.of(dead.toUpdate()));
+    outbound.add(new Outbound(dead.peerAddress(), message));
   }
 
-  private PeerMessage tableContents(boolean replyWanted) {
-    List<MemberUpdate> updates = new ArrayList<>();
+  /**
+   * Returns seeds that no reachable member stands at. They are contacted also by a node that knows
+   * others: nodes that start together can form islands, and only the seeds join them.
+   */
+  private List<InetSocketAddress> seedsNotKnown() {
+    List<InetSocketAddress> unknown = new ArrayList<>(seeds);
+    unknown.remove(self().peerAddress());
     for (Member member : table.all()) {
       if (member.isReachable()) {
-        updates.add(member.toUpdate());
+        unknown.remove(member.peerAddress());
       }
     }
-    sequence++;
-    return compose(new TableContents(replyWanted), sequence, updates);
+    return unknown;
+  }
+
+  private void synchronize(List<Outbound> outbound) {
+    for (Member member : table.sample(1, Member::isReachable)) {
+      TableDigest body = new TableDigest(table.digestWith(self()));
+      outbound.add(new Outbound(member.peerAddress(), composer.compose(body)));
+    }
+  }
+
+  private PeerMessage wholeTable() {
+    return composer.compose(
+        new TableContents(true), composer.nextSequence(), updatesOf(table.reachable()));
+  }
+
+  private static List<MemberUpdate> updatesOf(List<Member> members) {
+    return members.stream().map(Member::toUpdate).collect(Collectors.toList());
   }
 
   /**
@@ -287,96 +269,129 @@
   public List<Outbound> receive(PeerMessage message, long nowMillis) {
     List<Outbound> outbound = new ArrayList<>();
     Member sender = Member.of(message.getSender());
-    if (sender.id().equals(self.id())) {
+    if (sender.id().equals(self().id())) {
       return outbound;
     }
-    boolean wasDead = find(sender.id()).map(member -> !member.isReachable()).orElse(false);
+    boolean wasDead = isBelievedDead(sender);
     consider(sender, nowMillis);
+    int learnt = 0;
     for (MemberUpdate update : message.getUpdates()) {
-      consider(Member.of(update), nowMillis);
+      learnt += consider(Member.of(update), nowMillis) ? 1 : 0;
     }
-    answer(message, sender, outbound);
+    answer(message, sender, nowMillis, outbound);
     if (wasDead) {
-      // The other side of a healed cut has news of many members, not of this one alone.
-      TableDigest body = new TableDigest(table.digestWith(self));
-      outbound.add(new Outbound(sender.peerAddress(), compose(body)));
+      greetReturned(sender, outbound);
+    }
+    if (wasDead || message.getBody() instanceof TableContents && learnt > 0) {
+      // Who learnt much at once is likely to lack more; the next comparison comes soon.
+      nextSynchronizationAt =
+          Math.min(
+              nextSynchronizationAt, nowMillis + jittered(settings.wholeTableIntervalMillis()));
     }
     return outbound;
   }
 
-  private void answer(PeerMessage message, Member sender, List<Outbound> outbound) {
+  private boolean isBelievedDead(Member member) {
+    return find(member.id()).map(belief -> !belief.isReachable()).orElse(false);
+  }
+
+  /**
+   * A member that was taken for dead and speaks again either has a new incarnation already, and
+   * then has news of many members, or must be told of its death to take one. It is told in a probe,
+   * whose answer shows the new incarnation, so the exchange ends there on both sides.
+   */
+  private void greetReturned(Member sender, List<Outbound> outbound) {
+    if (isBelievedDead(sender)) {
+      tellOfDeath(table.get(sender.id()), outbound);
+    }
+  }
+
+  private void answer(PeerMessage message, Member sender, long nowMillis, List<Outbound> outbound) {
     Object body = message.getBody();
     if (body instanceof Ping) {
-      List<MemberUpdate> updates = gossip.take(settings.maxUpdatesPerMessage());
-      PeerMessage reply = compose(new Ack(self.id()), message.getSequence(), updates);
+      List<MemberUpdate> updates = composer.takeNews();
+      PeerMessage reply = composer.compose(new Ack(self().id()), message.getSequence(), updates);
       outbound.add(new Outbound(sender.peerAddress(), reply));
     } else if (body instanceof Ack ack) {
-      acknowledged(ack, message.getSequence(), outbound);
+      prober.acknowledged(ack, message.getSequence(), outbound);
     } else if (body instanceof IndirectPing request) {
-      probeOnBehalf(request, sender, message.getSequence(), outbound);
+      prober.probeOnBehalf(request, sender, message.getSequence(), outbound);
+    } else if (body instanceof Join) {
+      List<Member> some = table.sample(JOIN_SAMPLE, Member::isReachable);
+      PeerMessage reply =
+          composer.compose(new TableContents(false), composer.nextSequence(), updatesOf(some));
+      outbound.add(new Outbound(sender.peerAddress(), reply));
     } else if (body instanceof TableDigest digest) {
-      if (digest.getDigest() != table.digestWith(self)) {
-        outbound.add(new Outbound(sender.peerAddress(), tableContents(true)));
-      }
-    } else if (body instanceof TableContents contents && contents.getReplyWanted()) {
-      outbound.add(new Outbound(sender.peerAddress(), tableContents(false)));
+      answerDigest(digest, sender, nowMillis, outbound);
+    } else if (body instanceof TableContents contents) {
+      answerContents(contents, message.getUpdates(), sender, outbound);
     }
   }
 
-  private void probeOnBehalf(
-      IndirectPing request, Member asker, long pairing, List<Outbound> outbound) {
-    sequence++;
-    relays.put(sequence, new Relay(asker.peerAddress(), pairing));
-    Member target = Member.of(request.getTarget());
-    outbound.add(new Outbound(target.peerAddress(), compose(new Ping(), sequence, List.of())));
+  /**
+   * Answers a differing digest with the whole table. Tables are large, so a node sends at most one
+   * in an interval: after a cut has healed or a herd has restarted, everyone differs from everyone,
+   * and who is not answered asks another node a little later.
+   */
+  private void answerDigest(
+      TableDigest digest, Member sender, long nowMillis, List<Outbound> outbound) {
+    boolean differs = digest.getDigest() != table.digestWith(self());
+    if (differs && nowMillis - lastWholeTableAt >= settings.wholeTableIntervalMillis()) {
+      lastWholeTableAt = nowMillis;
+      outbound.add(new Outbound(sender.peerAddress(), wholeTable()));
+    }
   }
 
-  private void acknowledged(Ack ack, long pairing, List<Outbound> outbound) {
-    Relay relay = relays.remove(pairing);
-    if (relay != null) {
-      // The acknowledgement goes back the way the probe came, since the direct way may be cut.
-      PeerMessage relayed = compose(ack, relay.pairing(), List.of());
-      outbound.add(new Outbound(relay.asker(), relayed));
+  private void answerContents(
+      TableContents contents, List<MemberUpdate> updates, Member sender, List<Outbound> outbound) {
+    if (!contents.getReplyWanted()) {
       return;
     }
-    Probe probe = probes.get(pairing);
-    if (probe != null && probe.target.equals(ack.getSubject())) {
-      probes.remove(pairing);
+    List<Member> better = table.reachable();
+    Map<String, Long> known = new HashMap<>();
+    updates.forEach(update -> known.put(update.getId(), update.getIncarnation()));
+    better.removeIf(
+        member -> known.getOrDefault(member.id(), Long.MIN_VALUE) >= member.incarnation());
+    better.removeIf(member -> member.id().equals(sender.id()));
+    if (!better.isEmpty()) {
+      PeerMessage reply =
+          composer.compose(new TableContents(false), composer.nextSequence(), updatesOf(better));
+      outbound.add(new Outbound(sender.peerAddress(), reply));
     }
   }
 
-  private void consider(Member news, long nowMillis) {
-    if (news.id().equals(self.id())) {
+  /** Weighs news of a member and returns whether they were new. */
+  private boolean consider(Member news, long nowMillis) {
+    if (news.id().equals(self().id())) {
       refute(news);
-      return;
+      return false;
     }
     Member known = table.get(news.id());
     boolean deadStranger = known == null && !news.isReachable();
     if (deadStranger || known != null && !news.supersedes(known)) {
-      return;
+      return false;
     }
     accept(news, nowMillis);
+    return true;
   }
 
   private void accept(Member member, long nowMillis) {
     table.put(member, nowMillis);
-    spread(member);
+    composer.spread(member, reachableCount());
     listener.memberChanged(member);
   }
 
   /** Any belief of this node that is not its own is answered with a later incarnation. */
   private void refute(Member news) {
-    boolean isOlder = news.incarnation() < self.incarnation();
-    boolean isOwn = news.incarnation() == self.incarnation() && news.status() == self.status();
-    if (isOlder || isOwn) {
-      return;
+    boolean isOlder = news.incarnation() < self().incarnation();
+    boolean isOwn = news.incarnation() == self().incarnation() && news.status() == self().status();
+    if (!isOlder && !isOwn) {
+      become(self().status(), news.incarnation() + 1);
     }
-    self = self.with(self.status(), news.incarnation() + 1);
-    spread(self);
   }
 
-  private void spread(Member member) {
-    int digits = String.valueOf(reachableCount()).length();
-    gossip.add(member, settings.transmissionFactor() * digits);
+  private void become(MemberStatus status, long incarnation) {
+    composer.setSelf(self().with(status, incarnation));
+    composer.spread(self(), reachableCount());
   }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/lockdale/coordination/simulation/SimulatedNode.java
@@ -0,0 +1,124 @@
+package org.lockdale.coordination.simulation;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.lockdale.coordination.configuration.ConfigurationState;
+import org.lockdale.coordination.membership.Member;
+import org.lockdale.coordination.membership.MembershipSettings;
+import org.lockdale.coordination.membership.Outbound;
+import org.lockdale.coordination.node.CoordinationListener;
+import org.lockdale.coordination.node.CoordinationNode;
+import org.lockdale.protocol.generated.ConfigurationChange;
+import org.lockdale.protocol.generated.ConfigurationTransfer;
+import org.lockdale.protocol.generated.MemberStatus;
+import org.lockdale.protocol.generated.PeerMessage;
+
+/** One node of a {@link SimulatedCluster}: the daemon's own state machine on a virtual clock. */
+public final class SimulatedNode {
+
+  private final String id;
+  private final String zone;
+  private final InetSocketAddress address;
+  private final TrafficMeter meter = new TrafficMeter();
+  private CoordinationNode node;
+  private boolean up = true;
+  private boolean paused;
+  private int life;
+
+  SimulatedNode(String id, String zone, InetSocketAddress address) {
+    this.id = id;
+    this.zone = zone;
+    this.address = address;
+  }
+
+  /** Begins a life with nothing known but the seeds. */
+  void begin(
+      long wallMillis,
+      List<InetSocketAddress> seeds,
+      MembershipSettings settings,
+      UniformRandomProvider random,
+      CoordinationListener listener) {
+    life++;
+    up = true;
+    paused = false;
+    Member self = new Member(id, wallMillis + life, address, 1, zone, MemberStatus.ALIVE);
+    node = new CoordinationNode(self, seeds, settings, random, listener);
+  }
+
+  /** Returns the node id. */
+  public String id() {
+    return id;
+  }
+
+  /** Returns the zone. */
+  public String zone() {
+    return zone;
+  }
+
+  /** Returns the state machine. */
+  public CoordinationNode coordination() {
+    return node;
+  }
+
+  /** Returns the counts of this node. */
+  public TrafficMeter meter() {
+    return meter;
+  }
+
+  /** Returns whether the process runs, paused or not. */
+  public boolean isUp() {
+    return up;
+  }
+
+  /** Ends the process without a word. */
+  public void kill() {
+    up = false;
+  }
+
+  /** Stops the process from running; messages to it are lost meanwhile. */
+  public void pause() {
+    paused = true;
+  }
+
+  /** Lets a paused process run again. */
+  public void resume() {
+    paused = false;
+  }
+
+  boolean runs() {
+    return up && !paused;
+  }
+
+  int life() {
+    return life;
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  void tick(long nowMillis, Consumer<List<Outbound>> sender) {
+    long start = System.nanoTime();
+    List<Outbound> outbound = node.tick(nowMillis);
+    meter.addProcessorNanos(System.nanoTime() - start);
+    sender.accept(outbound);
+  }
+
+  void receive(PeerMessage message, long nowMillis, Consumer<List<Outbound>> sender) {
+    long start = System.nanoTime();
+    List<Outbound> outbound = node.receive(message, nowMillis);
+    meter.addProcessorNanos(System.nanoTime() - start);
+    sender.accept(outbound);
+  }
+
+  void accept(ConfigurationChange change, Consumer<List<Outbound>> sender) {
+    sender.accept(node.accept(new ConfigurationTransfer(null, List.of(change))));
+  }
+
+  /** Returns the configuration in force. */
+  public ConfigurationState configuration() {
+    return node.configuration();
+  }
+}
--- a/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
@@ -3,6 +3,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.HashMap;
+import java.util.Map;
 import org.apache.avro.Schema;
 import org.apache.avro.SchemaNormalization;
 import org.apache.avro.io.BinaryEncoder;
@@ -43,6 +45,10 @@
   private final Schema readerSchema;
   private final long fingerprint;
 
+  /** Readers are costly to resolve and not safe for use by several threads. */
+  private final ThreadLocal<Map<Long, SpecificDatumReader<T>>> readers =
+      ThreadLocal.withInitial(HashMap::new);
+
   private MessageCodec(Schema schema, SchemaHistory history) {
     this.history = history;
     this.readerSchema = schema;
@@ -115,8 +121,7 @@
     if (bytes.length < FINGERPRINT_BYTES) {
       throw new MessageFormatException("the message is shorter than its schema fingerprint");
     }
-    Schema writerSchema = history.find(readFingerprint(bytes));
-    SpecificDatumReader<T> reader = new SpecificDatumReader<>(writerSchema, readerSchema);
+    SpecificDatumReader<T> reader = readerOf(readFingerprint(bytes));
     try {
       return reader.read(
           null,
@@ -127,6 +132,16 @@
     }
   }
 
+  private SpecificDatumReader<T> readerOf(long writerFingerprint) {
+    Map<Long, SpecificDatumReader<T>> known = readers.get();
+    SpecificDatumReader<T> reader = known.get(writerFingerprint);
+    if (reader == null) {
+      reader = new SpecificDatumReader<>(history.find(writerFingerprint), readerSchema);
+      known.put(writerFingerprint, reader);
+    }
+    return reader;
+  }
+
   private static long readFingerprint(byte[] bytes) {
     long value = 0;
     for (int index = FINGERPRINT_BYTES - 1; index >= 0; index--) {
