--- a/cli/src/main/java/org/lockdale/cli/Deployment.java
+++ b/cli/src/main/java/org/lockdale/cli/Deployment.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.UnaryOperator;
 import org.lockdale.emulator.engine.EngineSettings;
 import org.lockdale.emulator.load.CanalHireWorkload;
 import org.lockdale.emulator.load.GiftCardWorkload;
@@ -24,6 +25,7 @@
  * @param pool value of the engines' label {@code pool}
  * @param resource name of the configuration in this jar
  * @param workload requests
+ * @param engineChange change of the standard engine
  */
 record Deployment(
     List<String> zones,
@@ -32,7 +34,8 @@
     String weightsVersion,
     String pool,
     String resource,
-    Workload workload) {
+    Workload workload,
+    UnaryOperator<EngineSettings> engineChange) {
 
   private static final int CACHE_BLOCKS = 2_048;
 
@@ -44,7 +47,8 @@
           "2026-11",
           "llm-pool",
           "/examples/gift-cards.yaml",
-          new GiftCardWorkload());
+          new GiftCardWorkload(),
+          UnaryOperator.identity());
 
   private static final Deployment CANAL_HIRE =
       new Deployment(
@@ -54,7 +58,8 @@
           "2026-10",
           "quai-llm",
           "/examples/canal-hire.yaml",
-          new CanalHireWorkload());
+          new CanalHireWorkload(),
+          UnaryOperator.identity());
 
   static Deployment find(String workloadName) {
     for (Deployment deployment : List.of(GIFT_CARDS, CANAL_HIRE)) {
@@ -66,16 +71,23 @@
         "There is no workload '" + workloadName + "'; choose gift-cards or canal-hire.");
   }
 
+  /** Returns the same deployment in other zones with other engines. */
+  Deployment withEngines(
+      List<String> newZones, List<Integer> newEngines, UnaryOperator<EngineSettings> change) {
+    return new Deployment(
+        newZones, newEngines, model, weightsVersion, pool, resource, workload, change);
+  }
+
   /** Returns the settings of all engines. */
   List<EngineSettings> engines() {
     List<EngineSettings> engines = new ArrayList<>();
     for (int zone = 0; zone < zones.size(); zone++) {
       for (int number = 0; number < enginesByZone.get(zone); number++) {
         String id = String.format("llm-%02d", engines.size() + 1);
-        engines.add(
+        EngineSettings standard =
             EngineSettings.standard(
-                    id, zones.get(zone), Map.of("pool", pool), Map.of(model, weightsVersion))
-                .withCacheBlocks(CACHE_BLOCKS));
+                id, zones.get(zone), Map.of("pool", pool), Map.of(model, weightsVersion));
+        engines.add(engineChange.apply(standard.withCacheBlocks(CACHE_BLOCKS)));
       }
     }
     return engines;
--- a/cli/src/main/java/org/lockdale/cli/LocalCluster.java
+++ b/cli/src/main/java/org/lockdale/cli/LocalCluster.java
@@ -42,6 +42,8 @@
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(4, NioIoHandler.newFactory());
+  private final EventLoopGroup engineGroup =
+      new MultiThreadIoEventLoopGroup(4, NioIoHandler.newFactory());
   private final HttpClient client = new HttpClient(group);
   private final HistoryRecorder history = new HistoryRecorder();
   private final CacheCensus census = new CacheCensus();
@@ -65,7 +67,7 @@
 
   private void startEngine(EngineSettings settings) {
     EngineServer engine =
-        EngineServer.start(settings, Addresses.loopback(0), group, history::add, census);
+        EngineServer.start(settings, Addresses.loopback(0), engineGroup, history::add, census);
     engines.add(engine);
     platform
         .machines()
@@ -157,6 +159,7 @@
     nodes.forEach(RouterNode::close);
     engines.forEach(EngineServer::close);
     platform.close();
+    engineGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
   }
 }
--- a/router/src/main/java/org/lockdale/router/controller/EngineController.java
+++ b/router/src/main/java/org/lockdale/router/controller/EngineController.java
@@ -35,6 +35,9 @@
   /** Engines that the list has dropped are kept this long, since the list may be wrong. */
   private static final long DROPPED_RETENTION_MILLIS = 10_000;
 
+  /** Longest time that a report waits for others before it is published. */
+  private static final long PUBLICATION_DELAY_MILLIS = 10;
+
   private final EventLoop eventLoop;
   private final Blackboard blackboard;
   private final EngineClient engines;
@@ -46,6 +49,7 @@
   private final Map<String, EngineRecord> records = new HashMap<>();
   private volatile List<Machine> machines = List.of();
   private PolicySet labelledWith = PolicySet.EMPTY;
+  private boolean publicationDue;
   private volatile boolean closed;
 
   /**
@@ -179,8 +183,22 @@
       return;
     }
     record.reported(report, now);
-    publish();
-    onReport.run();
+    publishSoon();
+  }
+
+  /** Gathers reports that come close together, since each publication renders all engines anew. */
+  private void publishSoon() {
+    if (!publicationDue) {
+      publicationDue = true;
+      eventLoop.schedule(
+          () -> {
+            publicationDue = false;
+            publish();
+            onReport.run();
+          },
+          PUBLICATION_DELAY_MILLIS,
+          TimeUnit.MILLISECONDS);
+    }
   }
 
   private void publish() {
--- a/router/src/main/java/org/lockdale/router/node/RouterNode.java
+++ b/router/src/main/java/org/lockdale/router/node/RouterNode.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.Closeable;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -43,6 +44,12 @@
 /** One node: assembled from settings, started, stopped as planned or closed at once. */
 public final class RouterNode implements Closeable {
 
+  /** Name prefix of the threads that serve requests. */
+  public static final String REQUEST_THREADS = "node-requests";
+
+  /** Name prefix of the thread that does everything else. */
+  public static final String CONTROL_THREADS = "node-control";
+
   private static final long PHASE_CHECK_MILLIS = 50;
 
   private final NodeSettings settings;
@@ -64,8 +71,12 @@
     this.settings = settings;
     eventLoops =
         new MultiThreadIoEventLoopGroup(
-            settings.get(NodeSettings.THREADS), NioIoHandler.newFactory());
-    controlLoop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+            settings.get(NodeSettings.THREADS),
+            new DefaultThreadFactory(REQUEST_THREADS),
+            NioIoHandler.newFactory());
+    controlLoop =
+        new MultiThreadIoEventLoopGroup(
+            1, new DefaultThreadFactory(CONTROL_THREADS), NioIoHandler.newFactory());
     queue = new CapacityQueue(settings.get(NodeSettings.QUEUE_MAX_LENGTH));
     PrefixIndex prefixes =
         new PrefixIndex(
