--- a/cli/src/main/java/org/lockdale/cli/LocalCluster.java
+++ b/cli/src/main/java/org/lockdale/cli/LocalCluster.java
@@ -51,13 +51,22 @@
   private final List<EngineServer> engines = new ArrayList<>();
   private final List<RouterNode> nodes = new ArrayList<>();
 
-  private LocalCluster(long seed) {
+  private final Map<String, String> extraFlags;
+
+  private LocalCluster(long seed, Map<String, String> extraFlags) {
+    this.extraFlags = Map.copyOf(extraFlags);
     platform = PlatformServer.start(Addresses.loopback(0), group, seed);
   }
 
   /** Starts a deployment and waits until all its nodes serve. */
   static LocalCluster start(Deployment deployment, long seed) throws InterruptedException {
-    LocalCluster cluster = new LocalCluster(seed);
+    return start(deployment, seed, Map.of());
+  }
+
+  /** As {@link #start(Deployment, long)}, with further settings of all nodes. */
+  static LocalCluster start(Deployment deployment, long seed, Map<String, String> extraFlags)
+      throws InterruptedException {
+    LocalCluster cluster = new LocalCluster(seed, extraFlags);
     deployment.engines().forEach(cluster::startEngine);
     deployment.zones().forEach(cluster::startNode);
     cluster.applyConfiguration(deployment);
@@ -95,6 +104,7 @@
     if (!nodes.isEmpty()) {
       flags.put("peers.seeds", Addresses.format(nodes.get(0).peerAddress()));
     }
+    flags.putAll(extraFlags);
     NodeSettings settings = SettingsLoader.load(null, flags);
     nodes.add(RouterNode.start(settings));
   }
@@ -142,6 +152,14 @@
     return nodes.stream().map(RouterNode::callerAddress).toList();
   }
 
+  List<RouterNode> nodes() {
+    return nodes;
+  }
+
+  PlatformServer platform() {
+    return platform;
+  }
+
   HistoryRecorder history() {
     return history;
   }
--- a/cli/src/test/java/org/lockdale/cli/ProcessCluster.java
+++ b/cli/src/test/java/org/lockdale/cli/ProcessCluster.java
@@ -94,6 +94,17 @@
     }
   }
 
+  /** Waits until no engine of a deployment in this process runs anything. */
+  static void awaitIdle(LocalCluster cluster) {
+    try {
+      await(
+          "all engines are idle",
+          () -> cluster.engines().stream().allMatch(engine -> engine.activeAttempts() == 0));
+    } catch (InterruptedException interrupted) {
+      throw new AssertionError(interrupted);
+    }
+  }
+
   @Override
   public void close() {
     processes.values().forEach(Process::destroyForcibly);
--- a/emulator/src/main/java/org/lockdale/emulator/engine/EngineModel.java
+++ b/emulator/src/main/java/org/lockdale/emulator/engine/EngineModel.java
@@ -362,6 +362,11 @@
     }
   }
 
+  /** Returns attempts that run or wait. */
+  public int activeAttempts() {
+    return running.size() + queue.size();
+  }
+
   /** Returns how many blocks were reused for another owner than the one that stored them. */
   public long foreignReuses() {
     return cache.foreignReuses();
--- a/emulator/src/main/java/org/lockdale/emulator/engine/EngineServer.java
+++ b/emulator/src/main/java/org/lockdale/emulator/engine/EngineServer.java
@@ -97,6 +97,11 @@
     return settings;
   }
 
+  /** Returns attempts that run or wait; may be called anywhere. */
+  public int activeAttempts() {
+    return eventLoop.submit(() -> model.activeAttempts()).awaitUninterruptibly().getNow();
+  }
+
   /** Returns how many blocks the present life reused for another owner; may be called anywhere. */
   public long foreignReuses() {
     return eventLoop.submit(() -> model.foreignReuses()).awaitUninterruptibly().getNow();
--- /dev/null
+++ b/router/src/test/java/org/lockdale/router/settings/SettingsTest.java
@@ -0,0 +1,99 @@
+package org.lockdale.router.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Settings are checked as a whole, and their page is that of the declarations. */
+public final class SettingsTest {
+
+  private static Map<String, String> good() {
+    return new HashMap<>(
+        Map.of(
+            "node.id", "n1",
+            "node.zone", "z1",
+            "peers.shared-key", "0123456789abcdef",
+            "platform.address", "127.0.0.1:6080"));
+  }
+
+  /** Wrong values with the words that the error must contain. */
+  @DataProvider
+  public Object[][] wrong() {
+    return new Object[][] {
+      {"node.id", "Über", "lower-case"},
+      {"callers.port", "65536", "0 to 65535"},
+      {"callers.port", "http", "whole number"},
+      {"platform.address", "platform.example:6080", "IP address and port"},
+      {"platform.timeout", "5", "duration such as"},
+      {"engine.report-interval", "1ms", "10ms to 1m"},
+      {"node.bind-address", "localhost", "IP address"},
+      {"peers.seeds", "127.0.0.1", "IP address and port"},
+      {"caller.port", "8080", "no such setting"},
+    };
+  }
+
+  /** The error names key, value and what is allowed. */
+  @Test(dataProvider = "wrong")
+  public void wrongValuesAreNamed(String key, String value, String remedy) {
+    Map<String, String> flags = good();
+    flags.put(key, value);
+    SettingsException failure =
+        expectThrows(SettingsException.class, () -> SettingsLoader.load(null, flags));
+    assertTrue(failure.getMessage().contains(key), failure.getMessage());
+    assertTrue(failure.getMessage().contains(remedy), failure.getMessage());
+  }
+
+  /** A secret never stands in an error. */
+  @Test
+  public void secretsAreNotPrinted() {
+    Map<String, String> flags = good();
+    flags.put("peers.shared-key", "tooshort");
+    SettingsException failure =
+        expectThrows(SettingsException.class, () -> SettingsLoader.load(null, flags));
+    assertTrue(!failure.getMessage().contains("tooshort"), failure.getMessage());
+  }
+
+  /** All problems are told at once. */
+  @Test
+  public void allProblemsAreTold() {
+    SettingsException failure =
+        expectThrows(SettingsException.class, () -> SettingsLoader.load(null, Map.of()));
+    assertEquals(failure.getMessage().lines().count(), 4, failure.getMessage());
+  }
+
+  /** Flags win over the file, and the file is named in errors. */
+  @Test
+  public void flagsWinOverTheFile() throws IOException {
+    Path file = Files.createTempFile("settings", ".yaml");
+    try {
+      Files.writeString(file, "node.id: from-file\nplatform.timeout: 2s\n");
+      NodeSettings settings = SettingsLoader.load(file, good());
+      assertEquals(settings.get(NodeSettings.NODE_ID), "n1");
+      assertEquals(settings.get(NodeSettings.PLATFORM_TIMEOUT), Duration.ofSeconds(2));
+      Files.writeString(file, "platform.timeout: never\n");
+      SettingsException failure =
+          expectThrows(SettingsException.class, () -> SettingsLoader.load(file, good()));
+      assertTrue(failure.getMessage().contains(file.toString()), failure.getMessage());
+    } finally {
+      Files.delete(file);
+    }
+  }
+
+  /** docs/SETTINGS.md is the page of the declarations. */
+  @Test
+  public void thePageIsCurrent() throws IOException {
+    assertEquals(
+        Files.readString(Path.of("../docs/SETTINGS.md")),
+        SettingsReference.toMarkdown(),
+        "write it anew: ./lockdale node --settings-reference > docs/SETTINGS.md");
+  }
+}
