--- a/cli/src/main/java/org/lockdale/cli/LocalCluster.java
+++ b/cli/src/main/java/org/lockdale/cli/LocalCluster.java
@@ -28,7 +28,6 @@
 import org.lockdale.router.blackboard.NodePhase;
 import org.lockdale.router.node.RouterNode;
 import org.lockdale.router.operator.OperatorApi;
-import org.lockdale.router.settings.NodeSettings;
 import org.lockdale.router.settings.SettingsLoader;
 
 /** A deployment in one process on loopback: stand-in platform, stand-in engines, real nodes. */
@@ -50,6 +49,7 @@
   private final PlatformServer platform;
   private final List<EngineServer> engines = new ArrayList<>();
   private final List<RouterNode> nodes = new ArrayList<>();
+  private final List<Map<String, String>> nodeFlags = new ArrayList<>();
 
   private final Map<String, String> extraFlags;
 
@@ -105,8 +105,24 @@
       flags.put("peers.seeds", Addresses.format(nodes.get(0).peerAddress()));
     }
     flags.putAll(extraFlags);
-    NodeSettings settings = SettingsLoader.load(null, flags);
-    nodes.add(RouterNode.start(settings));
+    nodeFlags.add(flags);
+    nodes.add(RouterNode.start(SettingsLoader.load(null, flags)));
+  }
+
+  /** Ends a node without a word. */
+  void killNode(int index) {
+    RouterNode node = nodes.get(index);
+    Map<String, String> flags = nodeFlags.get(index);
+    flags.put("callers.port", String.valueOf(node.callerAddress().getPort()));
+    flags.put("operators.port", String.valueOf(node.operatorAddress().getPort()));
+    flags.put("peers.port", String.valueOf(node.peerAddress().getPort()));
+    flags.put("peers.seeds", Addresses.format(nodes.get((index + 1) % nodes.size()).peerAddress()));
+    node.close();
+  }
+
+  /** Starts a node again that was killed, with the same id at the same addresses. */
+  void restartNode(int index) {
+    nodes.set(index, RouterNode.start(SettingsLoader.load(null, nodeFlags.get(index))));
   }
 
   private void applyConfiguration(Deployment deployment) {
--- a/emulator/src/main/java/org/lockdale/emulator/platform/InMemoryTables.java
+++ b/coordination/src/main/java/org/lockdale/coordination/table/InMemoryTables.java
@@ -1,10 +1,9 @@
-package org.lockdale.emulator.platform;
+package org.lockdale.coordination.table;
 
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
-import org.lockdale.coordination.table.TableRow;
 
 /** Tables in memory with conditional writes. Safe for use by several threads. */
 public final class InMemoryTables {
--- a/emulator/src/main/java/org/lockdale/emulator/engine/EngineServer.java
+++ b/emulator/src/main/java/org/lockdale/emulator/engine/EngineServer.java
@@ -155,6 +155,23 @@
         });
   }
 
+  /**
+   * Takes no new work from now on, and says so in its load reports.
+   *
+   * @return the incarnation that leaves
+   */
+  public String leave() {
+    EngineOrder order = new EngineOrder(Long.MAX_VALUE, EngineOrder.Action.LEAVE, "", "");
+    return eventLoop
+        .submit(
+            () -> {
+              model.order(order);
+              return model.incarnation();
+            })
+        .awaitUninterruptibly()
+        .getNow();
+  }
+
   /** Loses all state and comes back empty with a new incarnation; open streams break off. */
   public void crash() {
     eventLoop.execute(
--- a/emulator/src/main/java/org/lockdale/emulator/history/HistoryEvent.java
+++ b/emulator/src/main/java/org/lockdale/emulator/history/HistoryEvent.java
@@ -31,6 +31,7 @@
    * One call as its caller saw it.
    *
    * @param call number of the call
+   * @param requestId id the node gave it, or an empty string; attempts at engines begin with it
    * @param tenant tenant
    * @param service what the caller does
    * @param promptDigest identifies the prompt
@@ -45,6 +46,7 @@
    */
   record Call(
       long call,
+      String requestId,
       String tenant,
       String service,
       long promptDigest,
@@ -84,8 +86,8 @@
   /** An engine reused blocks of another tenant, model or weights version. */
   record ForeignReuse(String engine, long blocks) implements HistoryEvent {}
 
-  /** An engine was announced to leave. */
-  record EngineLeaving(String engine, long atMicros) implements HistoryEvent {}
+  /** An engine was announced to leave; it holds for this incarnation, as a restart ends it. */
+  record EngineLeaving(String engine, String incarnation, long atMicros) implements HistoryEvent {}
 
   /** An edit of the configuration was accepted. */
   record ConfigurationAccepted(long version, long atMicros) implements HistoryEvent {}
--- a/emulator/src/main/java/org/lockdale/emulator/load/CallerExchange.java
+++ b/emulator/src/main/java/org/lockdale/emulator/load/CallerExchange.java
@@ -16,6 +16,7 @@
 import org.lockdale.http.HttpCallException;
 import org.lockdale.http.HttpResponseListener;
 import org.lockdale.http.ServerSentEventDecoder;
+import org.lockdale.openai.HeaderNames;
 
 /** One call of the load generator: reads the answer and notes how it ended. */
 final class CallerExchange implements HttpResponseListener {
@@ -35,6 +36,7 @@
   private boolean isStream;
   private boolean doneSeen;
   private long firstTokenMicros = -1;
+  private String requestId = "";
   private String errorCode = "";
   private String outcome = "";
 
@@ -60,6 +62,7 @@
   @Override
   public void onHead(int replyStatus, HttpHeaders headers) {
     status = replyStatus;
+    requestId = headers.get(HeaderNames.REQUEST_ID, "");
     isStream = headers.get("content-type", "").startsWith("text/event-stream");
   }
 
@@ -137,6 +140,7 @@
     HistoryEvent.Call call =
         new HistoryEvent.Call(
             number,
+            requestId,
             request.tenant(),
             request.service(),
             digestOf(request),
--- a/emulator/src/main/java/org/lockdale/emulator/load/LoadGenerator.java
+++ b/emulator/src/main/java/org/lockdale/emulator/load/LoadGenerator.java
@@ -29,6 +29,8 @@
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final double NANOS_PER_SECOND = 1e9;
+  private static final long REPEAT_DELAY_MILLIS = 700;
+  private static final int MAX_SENDS = 6;
 
   private final EventLoopGroup group;
   private final HttpClient client;
@@ -69,7 +71,7 @@
         TimeUnit.NANOSECONDS.sleep(waitNanos);
       }
       int number = calls.size();
-      calls.add(send(workload.next(random, number), number, nodes.get(number % nodes.size())));
+      calls.add(sendWithRepeats(workload.next(random, number), number, nodes, MAX_SENDS));
       dueNanos += -Math.log(1 - random.nextDouble()) / requestsPerSecond * NANOS_PER_SECOND;
     }
     CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new)).join();
@@ -84,6 +86,35 @@
     return exchange.done();
   }
 
+  /**
+   * Sends one request and, as a careful client would, sends it again with the same key while it has
+   * no answer.
+   *
+   * @param most most times to send it
+   */
+  public CompletableFuture<HistoryEvent.Call> sendWithRepeats(
+      PlannedRequest request, long number, List<InetSocketAddress> nodes, int most) {
+    InetSocketAddress node = nodes.get((int) ((number + most) % nodes.size()));
+    return send(request, number, node)
+        .thenCompose(
+            call -> {
+              boolean answered = call.end() == HistoryEvent.CallEnd.COMPLETE;
+              if (answered || most <= 1 || request.idempotencyKey() == null) {
+                return CompletableFuture.completedFuture(call);
+              }
+              CompletableFuture<HistoryEvent.Call> repeated = new CompletableFuture<>();
+              group
+                  .next()
+                  .schedule(
+                      () ->
+                          sendWithRepeats(request, number, nodes, most - 1)
+                              .thenAccept(repeated::complete),
+                      REPEAT_DELAY_MILLIS,
+                      TimeUnit.MILLISECONDS);
+              return repeated;
+            });
+  }
+
   private static HttpRequestMessage messageOf(PlannedRequest request) {
     HttpRequestMessage message =
         HttpRequestMessage.json(
--- a/emulator/src/main/java/org/lockdale/emulator/platform/PlatformServer.java
+++ b/emulator/src/main/java/org/lockdale/emulator/platform/PlatformServer.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.lockdale.coordination.table.InMemoryTables;
 import org.lockdale.coordination.table.TableRow;
 import org.lockdale.coordination.time.SystemTime;
 import org.lockdale.http.HttpExchange;
--- a/router/src/main/java/org/lockdale/router/peer/PeerTransport.java
+++ b/router/src/main/java/org/lockdale/router/peer/PeerTransport.java
@@ -43,6 +43,7 @@
   private static final int LENGTH_BYTES = 4;
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int READ_TIMEOUT_SECONDS = 10;
+  private static final int MAX_BIND_TRIES = 50;
 
   private final EventLoop eventLoop;
   private final MessageCodec<PeerMessage> codec = MessageCodec.peerMessages();
@@ -70,9 +71,26 @@
     this.eventLoop = eventLoop;
     this.authenticator = new MessageAuthenticator(sharedKey);
     this.receiver = receiver;
-    this.datagrams = bindDatagrams(address);
-    InetSocketAddress bound = (InetSocketAddress) datagrams.localAddress();
-    this.listener = bindStreams(bound);
+    BoundPair pair = bindBoth(address);
+    this.datagrams = pair.datagrams();
+    this.listener = pair.listener();
+  }
+
+  private record BoundPair(Channel datagrams, Channel listener) {}
+
+  /** A free port that the system gives for UDP may be taken for TCP; then another one is tried. */
+  private BoundPair bindBoth(InetSocketAddress address) {
+    for (int tries = 1; ; tries++) {
+      Channel udp = bindDatagrams(address);
+      try {
+        return new BoundPair(udp, bindStreams((InetSocketAddress) udp.localAddress()));
+      } catch (PeerBindException taken) {
+        udp.close().awaitUninterruptibly();
+        if (address.getPort() != 0 || tries >= MAX_BIND_TRIES) {
+          throw taken;
+        }
+      }
+    }
   }
 
   private Channel bindDatagrams(InetSocketAddress address) {
