Placement experiment on a virtual clock: ours, four baselines and an oracle

Cause: the three measures of the users had no figure beside a baseline. Ruled out: comparing over real processes first (a run takes as long as it simulates, and noise of the machine is larger than the differences). Change: module experiments and lockdale experiment run. The daemon's EngineChooser and PrefixIndex and the stand-in's EngineModel on one virtual clock; round robin, least loaded by report, random two choices, consistent hashing of the first 1,024 tokens, and an oracle that sees all caches and queues. The node's capacity queue is not simulated yet.

--- a/emulator/src/main/java/org/lockdale/emulator/engine/EngineModel.java
+++ b/emulator/src/main/java/org/lockdale/emulator/engine/EngineModel.java
@@ -280,7 +280,8 @@
     return report;
   }
 
-  private LoadReport measureLoad() {
+  /** Returns prompt tokens not yet computed, of waiting and running requests. */
+  public long pendingPromptTokens() {
     long promptTokens = 0;
     for (Attempt attempt : queue) {
       promptTokens += attempt.request.promptTokens();
@@ -288,6 +289,11 @@
     for (Attempt attempt : running) {
       promptTokens += attempt.prefillLeft;
     }
+    return promptTokens;
+  }
+
+  private LoadReport measureLoad() {
+    long promptTokens = pendingPromptTokens();
     double stepPrefillMicros =
         settings.stepMicros() + settings.prefillTokensPerStep() * settings.prefillMicrosPerToken();
     long prefillPerSecond =
--- /dev/null
+++ b/experiments/src/main/java/org/lockdale/experiments/PlacementPolicy.java
@@ -0,0 +1,19 @@
+package org.lockdale.experiments;
+
+import java.util.List;
+import org.lockdale.coordination.placement.PrefixChain;
+
+/** A way to choose an engine. */
+interface PlacementPolicy {
+
+  /**
+   * Chooses an engine.
+   *
+   * @param node what the deciding node believes
+   * @param engines all engines; only the oracle may ask them for the truth
+   * @param chain prefix blocks of the request
+   * @param promptTokens length of the prompt
+   */
+  SimulatedEngine choose(
+      SimulatedNodeView node, List<SimulatedEngine> engines, PrefixChain chain, int promptTokens);
+}
--- /dev/null
+++ b/experiments/src/main/java/org/lockdale/experiments/Policies.java
@@ -0,0 +1,150 @@
+package org.lockdale.experiments;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.lockdale.coordination.placement.PrefixChain;
+import org.lockdale.coordination.placement.Rendezvous;
+import org.lockdale.coordination.simulation.VirtualTime;
+import org.lockdale.router.engine.EngineView;
+import org.lockdale.router.placement.EngineChooser;
+import org.lockdale.router.placement.PlacementRequest;
+import org.lockdale.router.policy.PolicySet;
+import org.lockdale.router.policy.Selector;
+
+/** The policies by name: the daemon's own, the baselines and the oracle. */
+final class Policies {
+
+  private static final int TOKENS_PER_BLOCK = PrefixChain.BLOCK_BYTES / 4;
+
+  /** Blocks of the prefix that plain consistent hashing takes for its key: 1,024 tokens. */
+  private static final int HASHED_BLOCKS = 16;
+
+  private final Map<String, PlacementPolicy> byName = new HashMap<>();
+  private int turn;
+
+  Policies(Scenario scenario, VirtualTime time, UniformRandomProvider random) {
+    PolicySet distances = distancesOf(scenario);
+    byName.put(
+        "lockdale",
+        (node, engines, chain, tokens) -> own(node, engines, chain, tokens, distances, time));
+    byName.put(
+        "round-robin", (node, engines, chain, tokens) -> engines.get(turn++ % engines.size()));
+    byName.put("least-loaded", (node, engines, chain, tokens) -> leastLoaded(node, engines));
+    byName.put(
+        "two-choices",
+        (node, engines, chain, tokens) -> {
+          SimulatedEngine first = engines.get(random.nextInt(engines.size()));
+          SimulatedEngine second = engines.get(random.nextInt(engines.size()));
+          return leastLoaded(node, List.of(first, second));
+        });
+    byName.put("consistent-hash", (node, engines, chain, tokens) -> hashed(engines, chain));
+    byName.put(
+        "oracle", (node, engines, chain, tokens) -> oracle(node, engines, chain, tokens, scenario));
+  }
+
+  /** Returns all names. */
+  static Set<String> names() {
+    return new TreeSet<>(
+        Set.of(
+            "lockdale", "round-robin", "least-loaded", "two-choices", "consistent-hash", "oracle"));
+  }
+
+  PlacementPolicy find(String name) {
+    PlacementPolicy policy = byName.get(name);
+    if (policy == null) {
+      throw new IllegalArgumentException("no policy '" + name + "'; choose from " + names());
+    }
+    return policy;
+  }
+
+  private static PolicySet distancesOf(Scenario scenario) {
+    Map<String, Map<String, Double>> latencies = new HashMap<>();
+    for (String zone : scenario.zones()) {
+      Map<String, Double> toOthers = new HashMap<>();
+      scenario.zones().forEach(other -> toOthers.put(other, scenario.zoneLatencyMillis()));
+      latencies.put(zone, toOthers);
+    }
+    return new PolicySet(1, Map.of(), Map.of(), List.of(), Map.of(), latencies);
+  }
+
+  private static SimulatedEngine own(
+      SimulatedNodeView node,
+      List<SimulatedEngine> engines,
+      PrefixChain chain,
+      int promptTokens,
+      PolicySet distances,
+      VirtualTime time) {
+    PlacementRequest request =
+        new PlacementRequest(
+            "model", "v1", Selector.EVERYTHING, Set.of(), chain, promptTokens, 500);
+    long now = time.monotonicMillis();
+    EngineView chosen =
+        EngineChooser.choose(
+                request,
+                node.prefixes().match(chain, now),
+                node.engines(),
+                distances,
+                node.zone(),
+                now)
+            .orElseThrow()
+            .engine();
+    return byId(engines, chosen.id());
+  }
+
+  private static SimulatedEngine byId(List<SimulatedEngine> engines, String id) {
+    return engines.stream().filter(engine -> engine.id().equals(id)).findFirst().orElseThrow();
+  }
+
+  private static SimulatedEngine leastLoaded(
+      SimulatedNodeView node, List<SimulatedEngine> engines) {
+    return engines.stream()
+        .min(
+            Comparator.comparingInt(
+                engine ->
+                    node.engines()
+                        .find(engine.id())
+                        .map(view -> view.load().running() + view.load().queued())
+                        .orElse(0)))
+        .orElseThrow();
+  }
+
+  private static SimulatedEngine hashed(List<SimulatedEngine> engines, PrefixChain chain) {
+    int depth = Math.min(chain.length(), HASHED_BLOCKS);
+    long key = depth == 0 ? 0 : chain.hashAt(depth - 1);
+    return engines.stream()
+        .max(
+            (left, right) ->
+                Long.compareUnsigned(
+                    Rendezvous.weight(key, left.identity()),
+                    Rendezvous.weight(key, right.identity())))
+        .orElseThrow();
+  }
+
+  /** Sees all caches and queues without lag, and estimates as the daemon does. */
+  private static SimulatedEngine oracle(
+      SimulatedNodeView node,
+      List<SimulatedEngine> engines,
+      PrefixChain chain,
+      int promptTokens,
+      Scenario scenario) {
+    return engines.stream()
+        .min(
+            Comparator.comparingDouble(
+                engine -> {
+                  long cached = (long) engine.trulyCached(chain) * TOKENS_PER_BLOCK;
+                  long prefill = engine.trulyPendingTokens() + promptTokens - cached;
+                  double millis = prefill * 1_000.0 / engine.report().prefillTokensPerSecond();
+                  int excess = Math.max(0, engine.trulyActive() + 1 - engine.maxRunning());
+                  boolean far = !engine.zone().equals(node.zone());
+                  return millis
+                      + excess * 1_000.0 / engine.maxRunning()
+                      + (far ? 2 * scenario.zoneLatencyMillis() : 0);
+                }))
+        .orElseThrow();
+  }
+}
--- /dev/null
+++ b/experiments/src/main/java/org/lockdale/experiments/SimulatedEngine.java
@@ -0,0 +1,109 @@
+package org.lockdale.experiments;
+
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.lockdale.coordination.placement.PrefixChain;
+import org.lockdale.coordination.placement.Rendezvous;
+import org.lockdale.coordination.simulation.VirtualTime;
+import org.lockdale.emulator.engine.CacheCensus;
+import org.lockdale.emulator.engine.EngineModel;
+import org.lockdale.emulator.engine.EngineOutput;
+import org.lockdale.emulator.engine.EngineRequest;
+import org.lockdale.emulator.engine.EngineSettings;
+import org.lockdale.emulator.engine.LoadReport;
+import org.lockdale.emulator.engine.RunRecord;
+import org.lockdale.emulator.engine.SubmitResult;
+
+/** A stand-in engine on the virtual clock. */
+final class SimulatedEngine {
+
+  /** Hears of every attempt that runs. */
+  interface Ledger {
+    void ran(RunRecord run);
+  }
+
+  private final VirtualTime time;
+  private final EngineSettings settings;
+  private final EngineModel model;
+  private final long identity;
+  private boolean stepping;
+
+  SimulatedEngine(
+      EngineSettings settings,
+      VirtualTime time,
+      UniformRandomProvider random,
+      Ledger ledger,
+      CacheCensus census) {
+    this.time = time;
+    this.settings = settings;
+    this.identity = Rendezvous.identityOf(settings.id());
+    this.model =
+        new EngineModel(
+            settings, settings.id() + "-1", random, time::nowMicros, ledger::ran, census);
+  }
+
+  static EngineSettings settings(String id, String zone, int cacheBlocks) {
+    return EngineSettings.standard(id, zone, Map.of(), Map.of("model", "v1"))
+        .withCacheBlocks(cacheBlocks);
+  }
+
+  String id() {
+    return settings.id();
+  }
+
+  String zone() {
+    return settings.zone();
+  }
+
+  long identity() {
+    return identity;
+  }
+
+  String incarnation() {
+    return model.incarnation();
+  }
+
+  LoadReport report() {
+    return model.loadReport();
+  }
+
+  /** Returns the blocks it truly holds of a chain, which only the oracle may ask. */
+  int trulyCached(PrefixChain chain) {
+    return model.cachedPrefix(chain);
+  }
+
+  /** Returns prompt tokens it truly has still to compute, which only the oracle may ask. */
+  long trulyPendingTokens() {
+    return model.pendingPromptTokens();
+  }
+
+  /** Returns sequences it truly runs or queues, which only the oracle may ask. */
+  int trulyActive() {
+    return model.activeAttempts();
+  }
+
+  int maxRunning() {
+    return settings.maxRunning();
+  }
+
+  boolean submit(EngineRequest request, EngineOutput output) {
+    boolean accepted = model.submit(request, output) == SubmitResult.ACCEPTED;
+    if (accepted && !stepping) {
+      step();
+    }
+    return accepted;
+  }
+
+  private void step() {
+    long micros = model.beginStep();
+    stepping = micros >= 0;
+    if (stepping) {
+      time.schedule(
+          micros,
+          () -> {
+            model.completeStep();
+            step();
+          });
+    }
+  }
+}
