Placement by group homes with prefill weighed above its time

The home of a request was taken from the deepest prefix the node had seen, so the first request of a prefix and the later ones had different homes, three nodes had three opinions, and any short queue sent a request away from its cache, since computing anew cost no more than its own time. Change: a group is named by the first 1,024 tokens, or less where the node knows that less is shared; first and second choice of rendezvous; evidence of other engines counts half; prefill counts eight times. The simulation counts expected uncached tokens as the daemon does.

--- a/experiments/src/main/java/org/lockdale/experiments/PlacementPolicy.java
+++ b/experiments/src/main/java/org/lockdale/experiments/PlacementPolicy.java
@@ -6,6 +6,14 @@
 /** A way to choose an engine. */
 interface PlacementPolicy {
 
+  /**
+   * A choice.
+   *
+   * @param engine the engine
+   * @param uncachedTokens prompt tokens it is expected to compute
+   */
+  record Choice(SimulatedEngine engine, int uncachedTokens) {}
+
   /**
    * Chooses an engine.
    *
@@ -14,6 +22,6 @@
    * @param chain prefix blocks of the request
    * @param promptTokens length of the prompt
    */
-  SimulatedEngine choose(
+  Choice choose(
       SimulatedNodeView node, List<SimulatedEngine> engines, PrefixChain chain, int promptTokens);
 }
--- a/experiments/src/main/java/org/lockdale/experiments/PlacementSimulation.java
+++ b/experiments/src/main/java/org/lockdale/experiments/PlacementSimulation.java
@@ -117,8 +117,9 @@
     CacheScope scope = new CacheScope(request.tenant(), "model", "", "v1");
     PrefixChain chain = PrefixChain.of(scope, prompt);
     int tokens = Math.max(1, prompt.length / BYTES_PER_TOKEN);
-    SimulatedEngine engine = policy.choose(node, engines, chain, tokens);
-    node.activityOf(engine).sent(tokens);
+    PlacementPolicy.Choice choice = policy.choose(node, engines, chain, tokens);
+    SimulatedEngine engine = choice.engine();
+    node.activityOf(engine).sent(choice.uncachedTokens());
     boolean far = !engine.zone().equals(node.zone());
     double hopMillis = far ? scenario.zoneLatencyMillis() : 0;
     boolean isPatient = PATIENT_SERVICES.contains(request.service());
--- a/experiments/src/main/java/org/lockdale/experiments/Policies.java
+++ b/experiments/src/main/java/org/lockdale/experiments/Policies.java
@@ -10,8 +10,9 @@
 import org.lockdale.coordination.placement.PrefixChain;
 import org.lockdale.coordination.placement.Rendezvous;
 import org.lockdale.coordination.simulation.VirtualTime;
-import org.lockdale.router.engine.EngineView;
+import org.lockdale.experiments.PlacementPolicy.Choice;
 import org.lockdale.router.placement.EngineChooser;
+import org.lockdale.router.placement.Placement;
 import org.lockdale.router.placement.PlacementRequest;
 import org.lockdale.router.policy.PolicySet;
 import org.lockdale.router.policy.Selector;
@@ -33,18 +34,25 @@
         "lockdale",
         (node, engines, chain, tokens) -> own(node, engines, chain, tokens, distances, time));
     byName.put(
-        "round-robin", (node, engines, chain, tokens) -> engines.get(turn++ % engines.size()));
-    byName.put("least-loaded", (node, engines, chain, tokens) -> leastLoaded(node, engines));
+        "round-robin",
+        (node, engines, chain, tokens) -> new Choice(engines.get(turn++ % engines.size()), tokens));
+    byName.put(
+        "least-loaded",
+        (node, engines, chain, tokens) -> new Choice(leastLoaded(node, engines), tokens));
     byName.put(
         "two-choices",
         (node, engines, chain, tokens) -> {
           SimulatedEngine first = engines.get(random.nextInt(engines.size()));
           SimulatedEngine second = engines.get(random.nextInt(engines.size()));
-          return leastLoaded(node, List.of(first, second));
+          return new Choice(leastLoaded(node, List.of(first, second)), tokens);
         });
-    byName.put("consistent-hash", (node, engines, chain, tokens) -> hashed(engines, chain));
     byName.put(
-        "oracle", (node, engines, chain, tokens) -> oracle(node, engines, chain, tokens, scenario));
+        "consistent-hash",
+        (node, engines, chain, tokens) -> new Choice(hashed(engines, chain), tokens));
+    byName.put(
+        "oracle",
+        (node, engines, chain, tokens) ->
+            new Choice(oracle(node, engines, chain, tokens, scenario), tokens));
   }
 
   /** Returns all names. */
@@ -72,7 +80,7 @@
     return new PolicySet(1, Map.of(), Map.of(), List.of(), Map.of(), latencies);
   }
 
-  private static SimulatedEngine own(
+  private static Choice own(
       SimulatedNodeView node,
       List<SimulatedEngine> engines,
       PrefixChain chain,
@@ -83,7 +91,7 @@
         new PlacementRequest(
             "model", "v1", Selector.EVERYTHING, Set.of(), chain, promptTokens, 500);
     long now = time.monotonicMillis();
-    EngineView chosen =
+    Placement chosen =
         EngineChooser.choose(
                 request,
                 node.prefixes().match(chain, now),
@@ -91,9 +99,9 @@
                 distances,
                 node.zone(),
                 now)
-            .orElseThrow()
-            .engine();
-    return byId(engines, chosen.id());
+            .orElseThrow();
+    return new Choice(
+        byId(engines, chosen.engine().id()), promptTokens - chosen.believedCachedTokens());
   }
 
   private static SimulatedEngine byId(List<SimulatedEngine> engines, String id) {
--- a/router/src/main/java/org/lockdale/router/placement/EngineChooser.java
+++ b/router/src/main/java/org/lockdale/router/placement/EngineChooser.java
@@ -11,18 +11,36 @@
 import org.lockdale.router.policy.Priority;
 
 /**
- * Chooses the engine with the least expected time to first token: waiting for a place, prefill of
- * what is not cached, and distance. What an engine holds is a belief of this node where it has one;
- * where it has none, the engine that rendezvous hashing gives to the deepest prefix seen so far is
- * favoured, since all other nodes favour the same one. A pure function of its arguments.
+ * Chooses the engine of least cost: expected time to first token (waiting, prefill of what is not
+ * cached, distance), with prefill weighed above the time it takes. The engine that rendezvous
+ * hashing gives to a request's group of prompts is believed to hold their shared prefix, since all
+ * nodes send them there; other engines are believed to hold a part of what this node saw them hold.
+ * A pure function of its arguments. The weights were chosen by lockdale experiment run, see
+ * docs/design/0002-placement.md.
  */
 public final class EngineChooser {
 
   private static final int TOKENS_PER_BLOCK = PrefixChain.BLOCK_BYTES / 4;
   private static final double MILLIS_PER_SECOND = 1_000;
 
-  /** Share of the seen prefix that the rendezvous choice is assumed to hold without evidence. */
-  private static final double HOME_CONFIDENCE = 0.5;
+  /** Blocks of the prefix that name a group of prompts: 1,024 tokens. */
+  private static final int GROUP_DEPTH = 16;
+
+  /** Share of the shared prefix that the first choice of rendezvous hashing is assumed to hold. */
+  private static final double HOME_CONFIDENCE = 0.95;
+
+  /** The same for the second choice, to which all nodes turn when the first is busy. */
+  private static final double SECOND_HOME_CONFIDENCE = 0.3;
+
+  /**
+   * Share of what an engine elsewhere was seen to hold that it is assumed to hold still. It is low
+   * on purpose: what every node finds at the home of a group is worth more than a copy only this
+   * node knows of.
+   */
+  private static final double EVIDENCE_CONFIDENCE = 0.5;
+
+  /** How much computing a token counts beyond the time it takes: it also delays all others. */
+  private static final double RECOMPUTE_WEIGHT = 8;
 
   /** Time that a sequence is assumed to keep its place in a full batch. */
   private static final double ASSUMED_SERVICE_MILLIS = 1_000;
@@ -47,17 +65,20 @@
       PolicySet policies,
       String ownZone,
       long nowMillis) {
-    long homeKey = homeKeyOf(request, match);
-    EngineView home = homeOf(request, engines, homeKey, nowMillis);
+    Homes homes = homesOf(request, engines, groupKeyOf(request, match), nowMillis);
     Placement best = null;
+    double lowestCost = Double.MAX_VALUE;
     for (EngineView engine : engines.engines()) {
       if (!isCandidate(request, engine, nowMillis)) {
         continue;
       }
-      int cached = believedTokens(request, match, engine, engine == home);
-      double millis = expectedMillis(request, engine, cached);
-      millis += 2 * policies.latencyMillis(ownZone, engine.zone());
-      if (best == null || millis < best.expectedMillis()) {
+      int cached = believedTokens(request, match, engine, homes);
+      int uncached = request.promptTokens() - cached;
+      double hopMillis = 2 * policies.latencyMillis(ownZone, engine.zone());
+      double millis = waitMillis(engine) + prefillMillis(engine, uncached) + hopMillis;
+      double cost = millis + (RECOMPUTE_WEIGHT - 1) * prefillMillis(engine, uncached);
+      if (cost < lowestCost) {
+        lowestCost = cost;
         boolean room = hasRoom(engine, request.priorityLevel());
         best = new Placement(engine, cached, millis, room);
       }
@@ -73,52 +94,69 @@
         && !request.excludedEngines().contains(engine.id());
   }
 
-  private static long homeKeyOf(PlacementRequest request, PrefixMatch match) {
+  /**
+   * Returns the key by which a group of prompts finds its home: the prefix of a fixed depth, since
+   * all nodes can compute it from the request alone, or less where this node knows that less is
+   * shared.
+   */
+  private static long groupKeyOf(PlacementRequest request, PrefixMatch match) {
+    int depth = Math.min(GROUP_DEPTH, request.chain().length());
     if (match.seenDepth() > 0) {
-      return match.seenHash();
+      depth = Math.min(depth, match.seenDepth());
     }
-    return request.chain().length() > 0 ? request.chain().hashAt(0) : 0;
+    return depth == 0 ? 0 : request.chain().hashAt(depth - 1);
   }
 
-  private static @Nullable EngineView homeOf(
+  /** The first and the second choice of rendezvous hashing. */
+  private record Homes(@Nullable EngineView first, @Nullable EngineView second) {}
+
+  private static Homes homesOf(
       PlacementRequest request, EngineTable engines, long key, long nowMillis) {
-    EngineView home = null;
+    EngineView first = null;
+    EngineView second = null;
     long highest = 0;
+    long nextHighest = 0;
     for (EngineView engine : engines.engines()) {
       if (!isCandidate(request, engine, nowMillis)) {
         continue;
       }
       long weight = Rendezvous.weight(key, engine.identity());
-      if (home == null || Long.compareUnsigned(weight, highest) > 0) {
-        home = engine;
+      if (first == null || Long.compareUnsigned(weight, highest) > 0) {
+        second = first;
+        nextHighest = highest;
+        first = engine;
         highest = weight;
+      } else if (second == null || Long.compareUnsigned(weight, nextHighest) > 0) {
+        second = engine;
+        nextHighest = weight;
       }
     }
-    return home;
+    return new Homes(first, second);
   }
 
   private static int believedTokens(
-      PlacementRequest request, PrefixMatch match, EngineView engine, boolean isHome) {
-    int tokens = match.depthAt(engine.identity()) * TOKENS_PER_BLOCK;
-    if (isHome) {
-      int depth = Math.max(1, match.seenDepth());
-      tokens = Math.max(tokens, (int) (depth * TOKENS_PER_BLOCK * HOME_CONFIDENCE));
+      PlacementRequest request, PrefixMatch match, EngineView engine, Homes homes) {
+    double tokens = match.depthAt(engine.identity()) * TOKENS_PER_BLOCK * EVIDENCE_CONFIDENCE;
+    int sharedDepth =
+        match.seenDepth() > 0 ? match.seenDepth() : Math.min(GROUP_DEPTH, request.chain().length());
+    if (engine == homes.first()) {
+      tokens = Math.max(tokens, sharedDepth * TOKENS_PER_BLOCK * HOME_CONFIDENCE);
+    } else if (engine == homes.second()) {
+      tokens = Math.max(tokens, sharedDepth * TOKENS_PER_BLOCK * SECOND_HOME_CONFIDENCE);
     }
-    return Math.min(tokens, Math.max(0, request.promptTokens() - 1));
+    return (int) Math.min(tokens, Math.max(0, request.promptTokens() - 1));
+  }
+
+  private static double prefillMillis(EngineView engine, long tokens) {
+    return tokens * MILLIS_PER_SECOND / engine.load().prefillTokensPerSecond();
   }
 
-  private static double expectedMillis(
-      PlacementRequest request, EngineView engine, int cachedTokens) {
+  private static double waitMillis(EngineView engine) {
     EngineLoad load = engine.load();
-    long prefillTokens =
-        load.pendingPromptTokens()
-            + engine.activity().tokensSinceReport()
-            + request.promptTokens()
-            - cachedTokens;
-    double prefill = prefillTokens * MILLIS_PER_SECOND / load.prefillTokensPerSecond();
+    long pendingTokens = load.pendingPromptTokens() + engine.activity().tokensSinceReport();
     int excess = engine.expectedOccupancy() + 1 - load.maxRunning();
-    double waiting = Math.max(0, excess) * ASSUMED_SERVICE_MILLIS / load.maxRunning();
-    return prefill + waiting;
+    return prefillMillis(engine, pendingTokens)
+        + Math.max(0, excess) * ASSUMED_SERVICE_MILLIS / load.maxRunning();
   }
 
   /**
