--- a/benchmarks/src/main/java/org/lockdale/benchmarks/DecisionBenchmark.java
+++ b/benchmarks/src/main/java/org/lockdale/benchmarks/DecisionBenchmark.java
@@ -12,6 +12,7 @@
 import org.lockdale.router.placement.EngineChooser;
 import org.lockdale.router.placement.Placement;
 import org.lockdale.router.placement.PlacementRequest;
+import org.lockdale.router.placement.Popularity;
 import org.lockdale.router.placement.PrefixIndex;
 import org.lockdale.router.policy.PolicyParser;
 import org.lockdale.router.policy.PolicySet;
@@ -98,7 +99,14 @@
   private Optional<Placement> choose(PrefixChain prefix, Route route) {
     PlacementRequest request =
         new PlacementRequest(
-            "model-1", "v1", route.engines(), Set.of(), prefix, PROMPT_TOKENS, 500);
+            "model-1",
+            "v1",
+            route.engines(),
+            Set.of(),
+            prefix,
+            PROMPT_TOKENS,
+            500,
+            new Popularity(0.01, 0.01));
     return EngineChooser.choose(request, prefixes.match(prefix, 1), engines, policies, "zone-1", 1);
   }
 
--- a/experiments/src/main/java/org/lockdale/experiments/Policies.java
+++ b/experiments/src/main/java/org/lockdale/experiments/Policies.java
@@ -14,6 +14,8 @@
 import org.lockdale.router.placement.EngineChooser;
 import org.lockdale.router.placement.Placement;
 import org.lockdale.router.placement.PlacementRequest;
+import org.lockdale.router.placement.Popularity;
+import org.lockdale.router.placement.PrefixMatch;
 import org.lockdale.router.policy.PolicySet;
 import org.lockdale.router.policy.Selector;
 
@@ -87,18 +89,14 @@
       int promptTokens,
       PolicySet distances,
       VirtualTime time) {
+    long now = time.monotonicMillis();
+    PrefixMatch match = node.prefixes().match(chain, now);
+    Popularity popularity = node.popularity().count(chain, match, now);
     PlacementRequest request =
         new PlacementRequest(
-            "model", "v1", Selector.EVERYTHING, Set.of(), chain, promptTokens, 500);
-    long now = time.monotonicMillis();
+            "model", "v1", Selector.EVERYTHING, Set.of(), chain, promptTokens, 500, popularity);
     Placement chosen =
-        EngineChooser.choose(
-                request,
-                node.prefixes().match(chain, now),
-                node.engines(),
-                distances,
-                node.zone(),
-                now)
+        EngineChooser.choose(request, match, node.engines(), distances, node.zone(), now)
             .orElseThrow();
     return new Choice(
         byId(engines, chosen.engine().id()), promptTokens - chosen.believedCachedTokens());
--- a/experiments/src/main/java/org/lockdale/experiments/SimulatedNodeView.java
+++ b/experiments/src/main/java/org/lockdale/experiments/SimulatedNodeView.java
@@ -11,6 +11,7 @@
 import org.lockdale.router.engine.EngineLoad;
 import org.lockdale.router.engine.EngineTable;
 import org.lockdale.router.engine.EngineView;
+import org.lockdale.router.placement.PopularityCounter;
 import org.lockdale.router.placement.PrefixIndex;
 
 /** What one node believes: load as last reported, and prefixes from its own dispatches. */
@@ -26,6 +27,7 @@
   private final String zone;
   private final VirtualTime time;
   private final PrefixIndex prefixes = new PrefixIndex(PREFIX_CAPACITY, BELIEF_LIFETIME_MILLIS);
+  private final PopularityCounter popularity = new PopularityCounter();
   private final Map<String, EngineActivity> activities = new HashMap<>();
   private final Map<String, EngineView> views = new HashMap<>();
   private EngineTable table = EngineTable.EMPTY;
@@ -47,6 +49,10 @@
     return prefixes;
   }
 
+  PopularityCounter popularity() {
+    return popularity;
+  }
+
   EngineTable engines() {
     return table;
   }
--- a/router/src/main/java/org/lockdale/router/operator/Explainer.java
+++ b/router/src/main/java/org/lockdale/router/operator/Explainer.java
@@ -17,6 +17,7 @@
 import org.lockdale.router.placement.EngineChooser;
 import org.lockdale.router.placement.Placement;
 import org.lockdale.router.placement.PlacementRequest;
+import org.lockdale.router.placement.Popularity;
 import org.lockdale.router.placement.PrefixIndex;
 import org.lockdale.router.policy.LabelNames;
 import org.lockdale.router.policy.PolicySet;
@@ -117,7 +118,8 @@
         Set.of(),
         PrefixChain.of(new CacheScope(salt, "", "", ""), prompt),
         Math.max(1, prompt.length / BYTES_PER_TOKEN),
-        route.priority().level());
+        route.priority().level(),
+        Popularity.RARE);
   }
 
   private Map<String, String> labelsOf(ExplainRequest request, PolicySet policies) {
--- a/router/src/main/java/org/lockdale/router/placement/PlacementRequest.java
+++ b/router/src/main/java/org/lockdale/router/placement/PlacementRequest.java
@@ -14,6 +14,7 @@
  * @param chain prefix blocks
  * @param promptTokens estimated length of the prompt
  * @param priorityLevel 0 to 1000
+ * @param popularity how much this node is asked for the request's group and prefix
  */
 public record PlacementRequest(
     String model,
@@ -22,4 +23,5 @@
     Set<String> excludedEngines,
     PrefixChain chain,
     int promptTokens,
-    int priorityLevel) {}
+    int priorityLevel,
+    Popularity popularity) {}
--- a/router/src/main/java/org/lockdale/router/request/PlacementStep.java
+++ b/router/src/main/java/org/lockdale/router/request/PlacementStep.java
@@ -15,6 +15,7 @@
 import org.lockdale.router.placement.EngineChooser;
 import org.lockdale.router.placement.Placement;
 import org.lockdale.router.placement.PlacementRequest;
+import org.lockdale.router.placement.PopularityCounter;
 import org.lockdale.router.placement.PrefixIndex;
 import org.lockdale.router.placement.PrefixMatch;
 
@@ -27,6 +28,7 @@
 
   private final Blackboard blackboard;
   private final PrefixIndex prefixes;
+  private final PopularityCounter popularity = new PopularityCounter();
   private final CapacityQueue queue;
   private final DrainRate drainRate;
   private final String zone;
@@ -160,6 +162,9 @@
     PrefixChain chain = chainFor(context, weights);
     context.chain = chain;
     PrefixMatch match = prefixes.match(chain, now);
+    if (context.popularity == null) {
+      context.popularity = popularity.count(chain, match, now);
+    }
     return EngineChooser.choose(
         requestFor(context, weights, chain), match, engines, context.policies, zone, now);
   }
@@ -173,7 +178,8 @@
         context.excludedEngines,
         chain,
         context.promptTokens,
-        level(context));
+        level(context),
+        context.popularity);
   }
 
   /**
--- a/router/src/main/java/org/lockdale/router/request/RequestContext.java
+++ b/router/src/main/java/org/lockdale/router/request/RequestContext.java
@@ -12,6 +12,7 @@
 import org.lockdale.http.HttpExchange;
 import org.lockdale.openai.CompletionRequest;
 import org.lockdale.router.placement.Placement;
+import org.lockdale.router.placement.Popularity;
 import org.lockdale.router.policy.PolicySet;
 import org.lockdale.router.policy.Route;
 import org.lockdale.router.policy.ServedModel;
@@ -40,6 +41,7 @@
   @Nullable Route route;
   @Nullable String idempotencyKey;
   @Nullable PrefixChain chain;
+  @Nullable Popularity popularity;
   @Nullable Placement placement;
   @Nullable HeldClaim claim;
   String attemptId = "";
