--- a/emulator/src/main/java/org/lockdale/emulator/engine/EngineServer.java
+++ b/emulator/src/main/java/org/lockdale/emulator/engine/EngineServer.java
@@ -172,6 +172,13 @@
         .getNow();
   }
 
+  /** Loads other weights of a model at once; cached blocks of the old ones stay, as a trap. */
+  public void loadWeights(String modelName, String version) {
+    EngineOrder order =
+        new EngineOrder(Long.MAX_VALUE, EngineOrder.Action.LOAD_WEIGHTS, modelName, version);
+    eventLoop.submit(() -> model.order(order)).awaitUninterruptibly();
+  }
+
   /** Loses all state and comes back empty with a new incarnation; open streams break off. */
   public void crash() {
     eventLoop.execute(
