--- a/router/src/main/java/org/lockdale/router/placement/EngineChooser.java
+++ b/router/src/main/java/org/lockdale/router/placement/EngineChooser.java
@@ -71,7 +71,7 @@
       String ownZone,
       long nowMillis) {
     Homes homes =
-        homesOf(request, engines, groupKeyOf(request.chain(), match), match.seenHash(), nowMillis);
+        homesOf(request, engines, groupKeyOf(request.chain()), match.seenHash(), nowMillis);
     Placement best = null;
     double lowestCost = Double.MAX_VALUE;
     for (EngineView engine : engines.engines()) {
@@ -101,15 +101,11 @@
   }
 
   /**
-   * Returns the key by which a group of prompts finds its home: the prefix of a fixed depth, since
-   * all nodes can compute it from the request alone, or less where this node knows that less is
-   * shared.
+   * Returns the key by which a group of prompts finds its home: the prefix of a fixed depth, which
+   * all nodes can compute from the request alone, whatever they have seen before.
    */
-  public static long groupKeyOf(PrefixChain chain, PrefixMatch match) {
+  public static long groupKeyOf(PrefixChain chain) {
     int depth = Math.min(GROUP_DEPTH, chain.length());
-    if (match.seenDepth() > 0) {
-      depth = Math.min(depth, match.seenDepth());
-    }
     return depth == 0 ? 0 : chain.hashAt(depth - 1);
   }
 
@@ -196,8 +192,7 @@
   private static int believedTokens(
       PlacementRequest request, PrefixMatch match, EngineView engine, Homes homes) {
     double tokens = match.depthAt(engine.identity()) * TOKENS_PER_BLOCK * EVIDENCE_CONFIDENCE;
-    int sharedDepth =
-        match.seenDepth() > 0 ? match.seenDepth() : Math.min(GROUP_DEPTH, request.chain().length());
+    int sharedDepth = Math.max(match.seenDepth(), Math.min(GROUP_DEPTH, request.chain().length()));
     tokens = Math.max(tokens, sharedDepth * TOKENS_PER_BLOCK * homes.confidenceIn(engine));
     return (int) Math.min(tokens, Math.max(0, request.promptTokens() - 1));
   }
--- a/router/src/main/java/org/lockdale/router/placement/PopularityCounter.java
+++ b/router/src/main/java/org/lockdale/router/placement/PopularityCounter.java
@@ -32,7 +32,7 @@
   /** Counts a request with its group and its deepest prefix that was seen before. */
   public synchronized Popularity count(PrefixChain chain, PrefixMatch match, long nowMillis) {
     add(total, nowMillis);
-    long groupKey = EngineChooser.groupKeyOf(chain, match);
+    long groupKey = EngineChooser.groupKeyOf(chain);
     double group = countOne(groupKey, nowMillis);
     boolean isDeeper = match.seenDepth() > 0 && match.seenHash() != groupKey;
     double prefix = isDeeper ? countOne(match.seenHash(), nowMillis) : group;
