--- a/cli/src/main/java/org/lockdale/cli/EngineCommand.java
+++ b/cli/src/main/java/org/lockdale/cli/EngineCommand.java
@@ -17,12 +17,14 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.emulator.engine.CacheCensus;
 import org.lockdale.emulator.engine.EngineServer;
 import org.lockdale.emulator.engine.EngineSettings;
 import org.lockdale.emulator.engine.RunRecord;
+import org.lockdale.emulator.history.HistoryEvent;
 import org.lockdale.emulator.platform.MachineEntry;
 import org.lockdale.http.HttpClient;
 import org.lockdale.http.HttpReply;
@@ -76,7 +78,7 @@
   @Option(
       names = "--ledger",
       paramLabel = "FILE",
-      description = "Appends a line for every attempt that runs, before it does.")
+      description = "Appends a history event for every attempt that runs, before it does.")
   private @Nullable Path ledgerFile;
 
   @Override
@@ -101,13 +103,25 @@
             true);
     return run -> {
       try {
-        out.println(MAPPER.writeValueAsString(run));
+        out.println(MAPPER.writerFor(HistoryEvent.class).writeValueAsString(eventOf(run)));
       } catch (IOException impossible) {
         throw new UncheckedIOException(impossible);
       }
     };
   }
 
+  private static HistoryEvent eventOf(RunRecord run) {
+    return new HistoryEvent.Run(
+        run.engineId(),
+        run.incarnation(),
+        run.attemptId(),
+        run.promptDigest(),
+        run.promptTokens(),
+        run.cachedTokens(),
+        run.heldElsewhereTokens(),
+        TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis()));
+  }
+
   private void register(HttpClient client, InetSocketAddress address) throws IOException {
     MachineEntry entry =
         new MachineEntry(
