--- a/emulator/src/main/java/org/lockdale/emulator/platform/PlatformServer.java
+++ b/emulator/src/main/java/org/lockdale/emulator/platform/PlatformServer.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import net.openhft.hashing.LongHashFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.lockdale.coordination.table.InMemoryTables;
@@ -170,10 +171,7 @@
   private void serveMachines(HttpExchange exchange, String rest, PlatformFaults current) {
     try {
       switch (exchange.method()) {
-        case "GET" -> {
-          byte[] body = MAPPER.writeValueAsBytes(machines.asOf(current.machineListLagMillis()));
-          exchange.reply(HttpReply.json(200, body));
-        }
+        case "GET" -> exchange.reply(machineList(exchange, current));
         case "PUT" -> {
           machines.put(MAPPER.readValue(exchange.body(), MachineEntry.class));
           exchange.reply(HttpReply.empty(204));
@@ -191,6 +189,15 @@
     }
   }
 
+  private HttpReply machineList(HttpExchange exchange, PlatformFaults current)
+      throws JsonProcessingException {
+    byte[] body = MAPPER.writeValueAsBytes(machines.asOf(current.machineListLagMillis()));
+    String tag = '"' + Long.toHexString(LongHashFunction.xx3().hashBytes(body)) + '"';
+    boolean unchanged = tag.equals(exchange.header("if-none-match"));
+    HttpReply reply = unchanged ? HttpReply.empty(304) : HttpReply.json(200, body);
+    return reply.with("etag", tag);
+  }
+
   @Override
   public HttpReply renderProtocolError(HttpProtocolError error) {
     return HttpReply.text(error.status(), error.remedy());
--- a/router/src/main/java/org/lockdale/router/controller/EngineController.java
+++ b/router/src/main/java/org/lockdale/router/controller/EngineController.java
@@ -104,11 +104,11 @@
 
   private void readMachines() {
     machineLists
-        .read(platform, MachineListClient.PLATFORM_PATH)
+        .readIfChanged(platform, MachineListClient.PLATFORM_PATH)
         .whenCompleteAsync(
             (list, failure) -> {
               if (failure == null) {
-                accept(list);
+                accept(list.orElse(machines));
               } else if (machines.isEmpty()) {
                 readMachinesFromPeer();
               }
@@ -121,11 +121,12 @@
     for (Member member : members) {
       if (member.isAlive() && member.operatorPort() > 0) {
         machineLists
-            .read(member.operatorAddress(), MACHINES_PATH)
+            .readIfChanged(member.operatorAddress(), MACHINES_PATH)
             .whenCompleteAsync(
                 (list, failure) -> {
-                  if (failure == null && machines.isEmpty() && !list.isEmpty()) {
-                    accept(list);
+                  boolean helps = failure == null && machines.isEmpty() && list.isPresent();
+                  if (helps && !list.get().isEmpty()) {
+                    accept(list.get());
                   }
                 },
                 eventLoop);
--- a/router/src/main/java/org/lockdale/router/platform/MachineListClient.java
+++ b/router/src/main/java/org/lockdale/router/platform/MachineListClient.java
@@ -7,7 +7,10 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import org.lockdale.http.HttpClient;
 import org.lockdale.http.HttpReply;
 import org.lockdale.http.HttpRequestMessage;
@@ -20,9 +23,11 @@
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int OK = 200;
+  private static final int NOT_MODIFIED = 304;
 
   private final HttpClient client;
   private final Duration timeout;
+  private final Map<InetSocketAddress, String> entityTags = new ConcurrentHashMap<>();
 
   /** Creates a client. */
   public MachineListClient(HttpClient client, Duration timeout) {
@@ -30,11 +35,33 @@
     this.timeout = timeout;
   }
 
-  /** Reads the list at an address; the future fails where there is no answer. */
-  public CompletableFuture<List<Machine>> read(InetSocketAddress address, String path) {
+  /**
+   * Reads the list at an address. The list is only sent when it has changed since this client read
+   * it there (RFC 9110, section 13.1.2).
+   *
+   * @return the list, or empty where it is the one read before; fails where there is no answer
+   */
+  public CompletableFuture<Optional<List<Machine>>> readIfChanged(
+      InetSocketAddress address, String path) {
+    HttpRequestMessage request = HttpRequestMessage.get(path);
+    String known = entityTags.get(address);
+    if (known != null) {
+      request.with("if-none-match", known);
+    }
     return client
-        .exchange(address, HttpRequestMessage.get(path), timeout)
-        .thenApply(MachineListClient::parse);
+        .exchange(address, request, timeout)
+        .thenApply(
+            reply -> {
+              if (reply.status() == NOT_MODIFIED) {
+                return Optional.empty();
+              }
+              List<Machine> list = parse(reply);
+              String tag = reply.headers().get("etag");
+              if (tag != null) {
+                entityTags.put(address, tag);
+              }
+              return Optional.of(list);
+            });
   }
 
   private static List<Machine> parse(HttpReply reply) {
