--- a/cli/src/main/java/org/lockdale/cli/DemoCommand.java
+++ b/cli/src/main/java/org/lockdale/cli/DemoCommand.java
@@ -14,6 +14,7 @@
 import org.lockdale.emulator.load.LoadGenerator;
 import org.lockdale.emulator.load.LoadReport;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /** Runs a user's deployment on stand-ins and reports on it. */
@@ -24,40 +25,32 @@
         "Runs three nodes, stand-in engines and platform in one process under a user's workload.")
 final class DemoCommand implements Callable<Integer> {
 
-  @Option(names = "--seconds", defaultValue = "10", description = "Default: ${DEFAULT-VALUE}.")
-  private double seconds;
-
-  @Option(
-      names = "--workload",
-      defaultValue = "gift-cards",
-      description = "gift-cards or canal-hire (default: ${DEFAULT-VALUE}).")
-  private String workload;
-
-  @Option(names = "--rate", description = "Requests a second (default: the workload's).")
-  private @Nullable Double rate;
-
-  @Option(names = "--seed", defaultValue = "1", description = "Default: ${DEFAULT-VALUE}.")
-  private long seed;
+  @Mixin private WorkloadOptions options = new WorkloadOptions();
 
   @Option(names = "--report", paramLabel = "FILE.json", description = "Writes the report as JSON.")
   private @Nullable Path reportFile;
 
   @Override
   public Integer call() throws IOException, InterruptedException {
-    Deployment deployment = Deployment.find(workload);
-    double requestsPerSecond = rate == null ? deployment.workload().moderateRate() : rate;
+    Deployment deployment = Deployment.find(options.workload);
+    double requestsPerSecond = options.rateOf(deployment);
     System.out.printf(
         "lockdale demo: %s, %d nodes, %d engines, %.0f requests/s for %.0f s, seed %d%n%n",
-        workload,
+        options.workload,
         deployment.zones().size(),
         deployment.engines().size(),
         requestsPerSecond,
-        seconds,
-        seed);
-    try (LocalCluster cluster = LocalCluster.start(deployment, seed)) {
+        options.seconds,
+        options.seed);
+    try (LocalCluster cluster = LocalCluster.start(deployment, options.seed)) {
       ScheduledExecutorService progress = startProgress(cluster);
       new LoadGenerator(cluster.eventLoops(), cluster.history())
-          .run(deployment.workload(), cluster.callerAddresses(), requestsPerSecond, seconds, seed);
+          .run(
+              deployment.workload(),
+              cluster.callerAddresses(),
+              requestsPerSecond,
+              options.seconds,
+              options.seed);
       progress.shutdownNow();
       for (EngineServer engine : cluster.engines()) {
         cluster
--- a/cli/src/main/java/org/lockdale/cli/EngineCommand.java
+++ b/cli/src/main/java/org/lockdale/cli/EngineCommand.java
@@ -103,25 +103,18 @@
             true);
     return run -> {
       try {
-        out.println(MAPPER.writerFor(HistoryEvent.class).writeValueAsString(eventOf(run)));
+        out.println(
+            MAPPER
+                .writerFor(HistoryEvent.class)
+                .writeValueAsString(
+                    HistoryEvent.Run.of(
+                        run, TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis()))));
       } catch (IOException impossible) {
         throw new UncheckedIOException(impossible);
       }
     };
   }
 
-  private static HistoryEvent eventOf(RunRecord run) {
-    return new HistoryEvent.Run(
-        run.engineId(),
-        run.incarnation(),
-        run.attemptId(),
-        run.promptDigest(),
-        run.promptTokens(),
-        run.cachedTokens(),
-        run.heldElsewhereTokens(),
-        TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis()));
-  }
-
   private void register(HttpClient client, InetSocketAddress address) throws IOException {
     MachineEntry entry =
         new MachineEntry(
--- a/cli/src/main/java/org/lockdale/cli/LoadCommand.java
+++ b/cli/src/main/java/org/lockdale/cli/LoadCommand.java
@@ -15,6 +15,7 @@
 import org.lockdale.emulator.load.LoadGenerator;
 import org.lockdale.emulator.load.LoadReport;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /** Sends a workload to running nodes. */
@@ -24,6 +25,8 @@
     description = "Sends a workload to nodes and prints what callers saw.")
 final class LoadCommand implements Callable<Integer> {
 
+  @Mixin private WorkloadOptions options = new WorkloadOptions();
+
   @Option(
       names = "--nodes",
       paramLabel = "IP:PORT",
@@ -33,32 +36,17 @@
       description = "Callers' addresses of nodes, taken in turn.")
   private List<InetSocketAddress> nodes;
 
-  @Option(
-      names = "--workload",
-      defaultValue = "gift-cards",
-      description = "gift-cards or canal-hire (default: ${DEFAULT-VALUE}).")
-  private String workload;
-
-  @Option(names = "--rate", description = "Requests a second (default: the workload's).")
-  private @Nullable Double rate;
-
-  @Option(names = "--seconds", defaultValue = "10", description = "Default: ${DEFAULT-VALUE}.")
-  private double seconds;
-
-  @Option(names = "--seed", defaultValue = "1", description = "Default: ${DEFAULT-VALUE}.")
-  private long seed;
-
   @Option(names = "--history", paramLabel = "FILE", description = "Writes the calls to a file.")
   private @Nullable Path historyFile;
 
   @Override
   public Integer call() throws IOException, InterruptedException {
-    Deployment deployment = Deployment.find(workload);
+    Deployment deployment = Deployment.find(options.workload);
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(4, NioIoHandler.newFactory());
     HistoryRecorder history = new HistoryRecorder();
-    double requestsPerSecond = rate == null ? deployment.workload().moderateRate() : rate;
+    double requestsPerSecond = options.rateOf(deployment);
     new LoadGenerator(group, history)
-        .run(deployment.workload(), nodes, requestsPerSecond, seconds, seed);
+        .run(deployment.workload(), nodes, requestsPerSecond, options.seconds, options.seed);
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     if (historyFile != null) {
       HistoryFile.write(historyFile, history.events());
--- a/emulator/src/main/java/org/lockdale/emulator/history/HistoryEvent.java
+++ b/emulator/src/main/java/org/lockdale/emulator/history/HistoryEvent.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.lockdale.emulator.engine.RunRecord;
 
 /** Something that a caller, an engine or a node noted during a run. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "event")
@@ -81,7 +82,21 @@
       int cachedTokens,
       int heldElsewhereTokens,
       long atMicros)
-      implements HistoryEvent {}
+      implements HistoryEvent {
+
+    /** Returns the event of an engine's own note. */
+    public static Run of(RunRecord run, long atMicros) {
+      return new Run(
+          run.engineId(),
+          run.incarnation(),
+          run.attemptId(),
+          run.promptDigest(),
+          run.promptTokens(),
+          run.cachedTokens(),
+          run.heldElsewhereTokens(),
+          atMicros);
+    }
+  }
 
   /** An engine reused blocks of another tenant, model or weights version. */
   record ForeignReuse(String engine, long blocks) implements HistoryEvent {}
--- a/emulator/src/main/java/org/lockdale/emulator/history/HistoryRecorder.java
+++ b/emulator/src/main/java/org/lockdale/emulator/history/HistoryRecorder.java
@@ -23,16 +23,7 @@
 
   /** Adds an engine's note of a run. */
   public void add(RunRecord run) {
-    add(
-        new HistoryEvent.Run(
-            run.engineId(),
-            run.incarnation(),
-            run.attemptId(),
-            run.promptDigest(),
-            run.promptTokens(),
-            run.cachedTokens(),
-            run.heldElsewhereTokens(),
-            nowMicros()));
+    add(HistoryEvent.Run.of(run, nowMicros()));
   }
 
   /** Returns all events so far. */
--- a/emulator/src/main/java/org/lockdale/emulator/load/CanalHireWorkload.java
+++ b/emulator/src/main/java/org/lockdale/emulator/load/CanalHireWorkload.java
@@ -1,8 +1,6 @@
 package org.lockdale.emulator.load;
 
-import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.jspecify.annotations.Nullable;
 
 /**
  * The booking platform's workload: questions of holidaymakers, contract drafts and booking charges
@@ -59,32 +57,15 @@
                 "house rules " + schedule + "/" + boat + " of " + tenant, HOUSE_RULES_BYTES);
     double kind = random.nextDouble();
     if (kind < QUESTION_SHARE) {
-      return request(tenant, "skipper-question", shared, "question " + number, 40, null);
+      return PlannedRequest.of(
+          tenant, MODEL, "skipper-question", shared, "question " + number, 40, null);
     }
     if (kind < QUESTION_SHARE + CHARGE_SHARE) {
       String key = "charge-" + number;
-      return request(tenant, "booking-charge", shared, "charge booking " + number, 16, key);
+      return PlannedRequest.of(
+          tenant, MODEL, "booking-charge", shared, "charge booking " + number, 16, key);
     }
-    return request(tenant, "contract-draft", shared, "draft contract " + number, 150, null);
-  }
-
-  private static PlannedRequest request(
-      String tenant,
-      String service,
-      String shared,
-      String own,
-      int maxTokens,
-      @Nullable String key) {
-    return new PlannedRequest(
-        tenant,
-        "key-" + tenant,
-        MODEL,
-        service,
-        Map.of("service", service),
-        shared,
-        own,
-        maxTokens,
-        key == null,
-        key);
+    return PlannedRequest.of(
+        tenant, MODEL, "contract-draft", shared, "draft contract " + number, 150, null);
   }
 }
--- a/emulator/src/main/java/org/lockdale/emulator/load/GiftCardWorkload.java
+++ b/emulator/src/main/java/org/lockdale/emulator/load/GiftCardWorkload.java
@@ -1,8 +1,6 @@
 package org.lockdale.emulator.load;
 
-import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.jspecify.annotations.Nullable;
 
 /**
  * The cooperative's workload: short counter checks that can't wait, redemptions that run at most
@@ -54,33 +52,15 @@
             + SyntheticText.of("card rules " + card + " of " + tenant, CARD_RULE_BYTES);
     double kind = random.nextDouble();
     if (kind < CHECK_SHARE) {
-      return request(tenant, "balance-check", shared, "check card number " + number, 12, null);
+      return PlannedRequest.of(
+          tenant, MODEL, "balance-check", shared, "check card number " + number, 12, null);
     }
     if (kind < CHECK_SHARE + REDEMPTION_SHARE) {
       String key = "redemption-" + number;
-      return request(tenant, "redemption", shared, "post redemption " + number, 16, key);
+      return PlannedRequest.of(
+          tenant, MODEL, "redemption", shared, "post redemption " + number, 16, key);
     }
     String file = SyntheticText.of("dispute file " + number, DISPUTE_FILE_BYTES);
-    return request(tenant, "dispute-draft", shared, file, 120, null);
-  }
-
-  private static PlannedRequest request(
-      String tenant,
-      String service,
-      String shared,
-      String own,
-      int maxTokens,
-      @Nullable String key) {
-    return new PlannedRequest(
-        tenant,
-        "key-" + tenant,
-        MODEL,
-        service,
-        Map.of("service", service),
-        shared,
-        own,
-        maxTokens,
-        key == null,
-        key);
+    return PlannedRequest.of(tenant, MODEL, "dispute-draft", shared, file, 120, null);
   }
 }
--- a/emulator/src/main/java/org/lockdale/emulator/load/PlannedRequest.java
+++ b/emulator/src/main/java/org/lockdale/emulator/load/PlannedRequest.java
@@ -27,4 +27,30 @@
     String userPrompt,
     int maxTokens,
     boolean stream,
-    @Nullable String idempotencyKey) {}
+    @Nullable String idempotencyKey) {
+
+  /**
+   * Returns a request of a workload: labelled with its service, streamed unless it must run at most
+   * once.
+   */
+  static PlannedRequest of(
+      String tenant,
+      String model,
+      String service,
+      String systemPrompt,
+      String userPrompt,
+      int maxTokens,
+      @Nullable String idempotencyKey) {
+    return new PlannedRequest(
+        tenant,
+        "key-" + tenant,
+        model,
+        service,
+        Map.of("service", service),
+        systemPrompt,
+        userPrompt,
+        maxTokens,
+        idempotencyKey == null,
+        idempotencyKey);
+  }
+}
--- a/http/src/main/java/org/lockdale/http/HttpExchange.java
+++ b/http/src/main/java/org/lockdale/http/HttpExchange.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -111,14 +110,7 @@
     if (!ended.compareAndSet(false, true)) {
       return;
     }
-    DefaultFullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(reply.status()),
-            Unpooled.wrappedBuffer(reply.body()));
-    response.headers().set(reply.headers());
-    response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
-    finish(channel.writeAndFlush(markConnection(response)));
+    finish(channel.writeAndFlush(markConnection(reply.toResponse())));
   }
 
   /** Sends the head of a streamed reply. */
--- a/http/src/main/java/org/lockdale/http/HttpReply.java
+++ b/http/src/main/java/org/lockdale/http/HttpReply.java
@@ -1,8 +1,13 @@
 package org.lockdale.http;
 
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 
 /**
@@ -49,6 +54,16 @@
     return this;
   }
 
+  /** Returns the reply as Netty sends it. */
+  FullHttpResponse toResponse() {
+    DefaultFullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+    response.headers().set(headers);
+    response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+    return response;
+  }
+
   /** Returns the body as text. */
   public String bodyText() {
     return new String(body, StandardCharsets.UTF_8);
--- a/http/src/main/java/org/lockdale/http/RequestAssembler.java
+++ b/http/src/main/java/org/lockdale/http/RequestAssembler.java
@@ -7,8 +7,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -155,14 +155,7 @@
       context.close();
       return;
     }
-    HttpReply reply = handler.renderProtocolError(error);
-    DefaultFullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(reply.status()),
-            Unpooled.wrappedBuffer(reply.body()));
-    response.headers().set(reply.headers());
-    response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+    FullHttpResponse response = handler.renderProtocolError(error).toResponse();
     HttpUtil.setKeepAlive(response, false);
     context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
   }
--- /dev/null
+++ b/http/src/test/java/org/lockdale/http/ServerSentEventDecoderTest.java
@@ -0,0 +1,64 @@
+package org.lockdale.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** Events are found whatever parts the network cuts a stream into. */
+public final class ServerSentEventDecoderTest {
+
+  private static final int SEEDS = 300;
+  private static final String STREAM =
+      "id: 0\ndata: {\"a\":1}\n\nid: 12\ndata: x\n\ndata: no id\n\nid: x\ndata: y\n\n"
+          + ServerSentEventDecoder.DONE;
+
+  private static List<String> decode(String stream, Random cuts) {
+    List<String> events = new ArrayList<>();
+    try (ServerSentEventDecoder decoder =
+        new ServerSentEventDecoder(
+            (id, event) -> events.add(id + "=" + event.toString(StandardCharsets.UTF_8)))) {
+      byte[] bytes = stream.getBytes(StandardCharsets.UTF_8);
+      int from = 0;
+      while (from < bytes.length) {
+        int length = Math.min(bytes.length - from, 1 + cuts.nextInt(9));
+        ByteBuf part = Unpooled.copiedBuffer(bytes, from, length);
+        decoder.decode(part);
+        part.release();
+        from += length;
+      }
+    }
+    return events;
+  }
+
+  /** The same events come out for every way to cut the stream. */
+  @Test
+  public void anyCutGivesTheSameEvents() {
+    List<String> expected =
+        List.of(
+            "0=id: 0\ndata: {\"a\":1}\n\n",
+            "12=id: 12\ndata: x\n\n",
+            "-1=data: no id\n\n",
+            "-1=id: x\ndata: y\n\n",
+            "-1=" + ServerSentEventDecoder.DONE);
+    for (int seed = 0; seed < SEEDS; seed++) {
+      assertEquals(decode(STREAM, new Random(seed)), expected, "seed " + seed);
+    }
+  }
+
+  /** Only the end marker is the end marker. */
+  @Test
+  public void theEndMarkerIsKnown() {
+    ByteBuf done = Unpooled.copiedBuffer(ServerSentEventDecoder.DONE, StandardCharsets.UTF_8);
+    ByteBuf other = Unpooled.copiedBuffer("data: [DONE!\n\n", StandardCharsets.UTF_8);
+    assertTrue(ServerSentEventDecoder.isDone(done));
+    assertFalse(ServerSentEventDecoder.isDone(other));
+  }
+}
--- a/router/src/main/java/org/lockdale/router/operator/Explainer.java
+++ b/router/src/main/java/org/lockdale/router/operator/Explainer.java
@@ -9,11 +9,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import org.lockdale.coordination.placement.CacheScope;
-import org.lockdale.coordination.placement.PrefixChain;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.router.blackboard.Blackboard;
 import org.lockdale.router.engine.EngineView;
+import org.lockdale.router.placement.CacheSalt;
 import org.lockdale.router.placement.EngineChooser;
 import org.lockdale.router.placement.Placement;
 import org.lockdale.router.placement.PlacementRequest;
@@ -106,17 +105,13 @@
   private static PlacementRequest placementOf(
       ExplainRequest request, Route route, ServedModel model) {
     byte[] prompt = request.prompt().getBytes(StandardCharsets.UTF_8);
-    String adapter =
-        model.adapter().isEmpty() ? "" : model.adapter() + "@" + model.adapterVersion();
-    CacheScope scope =
-        new CacheScope(request.tenant(), model.model(), adapter, model.weightsVersion());
-    String salt = Long.toHexString(scope.hash());
+    CacheSalt salt = CacheSalt.of(request.tenant(), model, model.weightsVersion());
     return new PlacementRequest(
         model.model(),
         model.weightsVersion(),
         route.engines(),
         Set.of(),
-        PrefixChain.of(new CacheScope(salt, "", "", ""), prompt),
+        salt.chainOf(prompt),
         Math.max(1, prompt.length / BYTES_PER_TOKEN),
         route.priority().level(),
         Popularity.RARE);
--- a/router/src/main/java/org/lockdale/router/placement/EngineChooser.java
+++ b/router/src/main/java/org/lockdale/router/placement/EngineChooser.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import org.lockdale.coordination.placement.PrefixChain;
-import org.lockdale.coordination.placement.Rendezvous;
 import org.lockdale.router.engine.EngineLoad;
 import org.lockdale.router.engine.EngineTable;
 import org.lockdale.router.engine.EngineView;
@@ -25,18 +24,6 @@
   /** Blocks of the prefix that name a group of prompts: 1,024 tokens. */
   private static final int GROUP_DEPTH = 16;
 
-  /** Share of the shared prefix that the first choice of rendezvous hashing is assumed to hold. */
-  private static final double HOME_CONFIDENCE = 0.95;
-
-  /** Most homes of one group of prompts. */
-  private static final int MAX_REPLICAS = 4;
-
-  /** Homes that a group gets for each engine's fair share of requests that it makes up. */
-  private static final double REPLICAS_PER_FAIR_SHARE = 2;
-
-  /** The same for the next choice, to which all nodes turn when the homes are busy. */
-  private static final double NEXT_HOME_CONFIDENCE = 0.3;
-
   /**
    * Share of what an engine elsewhere was seen to hold that it is assumed to hold still. It is low
    * on purpose: what every node finds at the home of a group is worth more than a copy only this
@@ -70,8 +57,7 @@
       PolicySet policies,
       String ownZone,
       long nowMillis) {
-    Homes homes =
-        homesOf(request, engines, groupKeyOf(request.chain()), match.seenHash(), nowMillis);
+    GroupHomes homes = homesOf(request, engines, match, nowMillis);
     Placement best = null;
     double lowestCost = Double.MAX_VALUE;
     for (EngineView engine : engines.engines()) {
@@ -109,88 +95,20 @@
     return depth == 0 ? 0 : chain.hashAt(depth - 1);
   }
 
-  /** Engines in the order in which rendezvous hashing ranks them for one group, a few of them. */
-  private static final class Homes {
-    private final EngineView[] ranked = new EngineView[MAX_REPLICAS + 1];
-    private final long[] weights = new long[MAX_REPLICAS + 1];
-    private int count;
-    private int replicas = 1;
-
-    void offer(EngineView engine, long weight) {
-      int place = count;
-      while (place > 0 && Long.compareUnsigned(weight, weights[place - 1]) > 0) {
-        place--;
-      }
-      if (place == ranked.length) {
-        return;
-      }
-      int last = Math.min(count, ranked.length - 1);
-      System.arraycopy(ranked, place, ranked, place + 1, last - place);
-      System.arraycopy(weights, place, weights, place + 1, last - place);
-      ranked[place] = engine;
-      weights[place] = weight;
-      count = Math.min(count + 1, ranked.length);
-    }
-
-    /**
-     * Keeps the homes of the group, and among them in front those of the prefix: a group of many
-     * prefixes is split over its homes, and only a prefix that is itself in much demand is held by
-     * several.
-     */
-    void keep(int groupHomes, int prefixHomes, long prefixKey) {
-      int kept = Math.min(groupHomes, count);
-      for (int place = 1; place < kept; place++) {
-        EngineView moved = ranked[place];
-        long weight = Rendezvous.weight(prefixKey, moved.identity());
-        int target = place;
-        while (target > 0
-            && Long.compareUnsigned(
-                    weight, Rendezvous.weight(prefixKey, ranked[target - 1].identity()))
-                > 0) {
-          ranked[target] = ranked[target - 1];
-          target--;
-        }
-        ranked[target] = moved;
-      }
-      replicas = Math.min(prefixHomes, Math.max(1, kept));
-    }
-
-    /** Returns the share of the group's prefix that an engine is assumed to hold. */
-    double confidenceIn(EngineView engine) {
-      for (int rank = 0; rank < count; rank++) {
-        if (ranked[rank] == engine) {
-          return rank < replicas ? HOME_CONFIDENCE : rank == replicas ? NEXT_HOME_CONFIDENCE : 0;
-        }
-      }
-      return 0;
-    }
-  }
-
-  /** A group gets more homes the larger its share, so that none of them has to bear it alone. */
-  private static Homes homesOf(
-      PlacementRequest request, EngineTable engines, long key, long prefixKey, long nowMillis) {
-    Homes homes = new Homes();
-    int candidates = 0;
+  private static GroupHomes homesOf(
+      PlacementRequest request, EngineTable engines, PrefixMatch match, long nowMillis) {
+    GroupHomes homes = new GroupHomes(groupKeyOf(request.chain()));
     for (EngineView engine : engines.engines()) {
       if (isCandidate(request, engine, nowMillis)) {
-        homes.offer(engine, Rendezvous.weight(key, engine.identity()));
-        candidates++;
+        homes.offer(engine);
       }
     }
-    homes.keep(
-        replicasFor(request.popularity().group(), candidates),
-        replicasFor(request.popularity().prefix(), candidates),
-        prefixKey);
+    homes.settle(request.popularity(), match.seenHash());
     return homes;
   }
 
-  private static int replicasFor(double share, int engines) {
-    long wanted = Math.round(share * engines * REPLICAS_PER_FAIR_SHARE);
-    return (int) Math.min(MAX_REPLICAS, Math.max(1, wanted));
-  }
-
   private static int believedTokens(
-      PlacementRequest request, PrefixMatch match, EngineView engine, Homes homes) {
+      PlacementRequest request, PrefixMatch match, EngineView engine, GroupHomes homes) {
     double tokens = match.depthAt(engine.identity()) * TOKENS_PER_BLOCK * EVIDENCE_CONFIDENCE;
     int sharedDepth = Math.max(match.seenDepth(), Math.min(GROUP_DEPTH, request.chain().length()));
     tokens = Math.max(tokens, sharedDepth * TOKENS_PER_BLOCK * homes.confidenceIn(engine));
--- a/router/src/main/java/org/lockdale/router/request/PlacementStep.java
+++ b/router/src/main/java/org/lockdale/router/request/PlacementStep.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.lockdale.coordination.placement.CacheScope;
 import org.lockdale.coordination.placement.PrefixChain;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.router.blackboard.Blackboard;
@@ -12,6 +11,7 @@
 import org.lockdale.router.error.ErrorKind;
 import org.lockdale.router.error.RequestException;
 import org.lockdale.router.limit.CapacityQueue;
+import org.lockdale.router.placement.CacheSalt;
 import org.lockdale.router.placement.EngineChooser;
 import org.lockdale.router.placement.Placement;
 import org.lockdale.router.placement.PlacementRequest;
@@ -211,15 +211,8 @@
       return context.chain;
     }
     context.weightsVersion = weights;
-    CacheScope scope =
-        new CacheScope(context.tenant.name(), context.model.model(), adapterKey(context), weights);
-    context.cacheSalt = Long.toHexString(scope.hash());
-    return PrefixChain.of(new CacheScope(context.cacheSalt, "", "", ""), context.request.prompt());
-  }
-
-  private static String adapterKey(RequestContext context) {
-    return context.model.adapter().isEmpty()
-        ? ""
-        : context.model.adapter() + "@" + context.model.adapterVersion();
+    CacheSalt salt = CacheSalt.of(context.tenant.name(), context.model, weights);
+    context.cacheSalt = salt.value();
+    return salt.chainOf(context.request.prompt());
   }
 }
