--- a/cli/src/main/java/org/lockdale/cli/LocalCluster.java
+++ b/cli/src/main/java/org/lockdale/cli/LocalCluster.java
@@ -129,16 +129,13 @@
     ObjectNode edit = MAPPER.createObjectNode().put("baseVersion", 0).put("author", "demo");
     ArrayNode resources = edit.putArray("resources");
     deployment.configuration().forEach(resources::add);
-    HttpReply reply =
-        client
-            .exchange(
-                nodes.get(0).operatorAddress(),
-                HttpRequestMessage.json(
-                    HttpMethod.POST,
-                    OperatorApi.CONFIGURATION,
-                    edit.toString().getBytes(StandardCharsets.UTF_8)),
-                CALL_TIMEOUT)
-            .join();
+    HttpRequestMessage request =
+        HttpRequestMessage.json(
+                HttpMethod.POST,
+                OperatorApi.CONFIGURATION,
+                edit.toString().getBytes(StandardCharsets.UTF_8))
+            .with("authorization", "Bearer " + extraFlags.getOrDefault("operators.token", "none"));
+    HttpReply reply = client.exchange(nodes.get(0).operatorAddress(), request, CALL_TIMEOUT).join();
     if (reply.status() != 200) {
       throw new OperatorException("The configuration was refused: " + reply.bodyText());
     }
--- a/cli/src/test/java/org/lockdale/cli/ProcessCluster.java
+++ b/cli/src/test/java/org/lockdale/cli/ProcessCluster.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -24,6 +25,7 @@
 
   private final Map<String, Process> processes = new LinkedHashMap<>();
   private final Map<String, Map<String, String>> addresses = new LinkedHashMap<>();
+  private final Map<String, Path> logs = new LinkedHashMap<>();
   private final HttpClient client = HttpClient.newHttpClient();
 
   /** Starts a process and waits for the line in which it tells its addresses. */
@@ -36,8 +38,7 @@
     command.add(System.getProperty("java.class.path"));
     command.add("org.lockdale.cli.Lockdale");
     command.addAll(Arrays.asList(arguments));
-    Process process =
-        new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+    Process process = new ProcessBuilder(command).redirectError(logOf(name).toFile()).start();
     processes.put(name, process);
     BufferedReader output =
         new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
@@ -52,6 +53,21 @@
     addresses.put(name, told);
   }
 
+  /** Returns the file of a process's log. */
+  private Path logOf(String name) throws IOException {
+    Path existing = logs.get(name);
+    if (existing != null) {
+      return existing;
+    }
+    Path created = Files.createTempFile("lockdale-" + name, ".log");
+    logs.put(name, created);
+    return created;
+  }
+
+  String log(String name) throws IOException {
+    return Files.readString(logs.get(name));
+  }
+
   String address(String process, String port) {
     return addresses.get(process).get(port);
   }
@@ -108,5 +124,6 @@
   @Override
   public void close() {
     processes.values().forEach(Process::destroyForcibly);
+    logs.values().forEach(log -> log.toFile().delete());
   }
 }
--- a/cli/src/test/java/org/lockdale/cli/SeparateProcessesTest.java
+++ b/cli/src/test/java/org/lockdale/cli/SeparateProcessesTest.java
@@ -161,4 +161,15 @@
             "label", "tenant", "puregold", "size=small", "--base-version=1", "--node", operators()),
         1);
   }
+
+  /** The log has a line for each request, and neither keys nor prompts. */
+  @Test(dependsOnMethods = "anEditOnAnOldVersionConflicts")
+  public void logsHoldNoSecrets() throws IOException {
+    String log = cluster.log(ZONES[0]);
+    assertTrue(log.contains("event=request "), log);
+    assertTrue(log.contains("tenant=sm-malls"), log);
+    assertFalse(log.contains("key-sm-malls"), "an API key is in the log");
+    assertFalse(log.contains("what is left on card"), "a prompt is in the log");
+    assertFalse(log.contains("0123456789abcdef"), "the peers' key is in the log");
+  }
 }
