--- a/cli/src/main/java/org/lockdale/cli/ControlCommand.java
+++ b/cli/src/main/java/org/lockdale/cli/ControlCommand.java
@@ -26,6 +26,7 @@
 
   @Override
   public Integer call() throws InterruptedException {
+    QuietLogs.begin();
     for (int count : engines) {
       Deployment deployment =
           Deployment.find("gift-cards")
--- a/cli/src/main/java/org/lockdale/cli/DemoCommand.java
+++ b/cli/src/main/java/org/lockdale/cli/DemoCommand.java
@@ -32,6 +32,7 @@
 
   @Override
   public Integer call() throws IOException, InterruptedException {
+    QuietLogs.begin();
     Deployment deployment = Deployment.find(options.workload);
     double requestsPerSecond = options.rateOf(deployment);
     System.out.printf(
@@ -57,7 +58,7 @@
             .history()
             .add(new HistoryEvent.ForeignReuse(engine.settings().id(), engine.foreignReuses()));
       }
-      LoadReport report = LoadReport.of(cluster.history().events());
+      LoadReport report = LoadReport.of(cluster.history().events(), deployment::priorityOf);
       ReportPrinter.print(report, true);
       write(report);
       return report.verdict().holds() ? ExitStatus.OK : ExitStatus.FAILED;
--- a/cli/src/main/java/org/lockdale/cli/Deployment.java
+++ b/cli/src/main/java/org/lockdale/cli/Deployment.java
@@ -104,4 +104,25 @@
       throw new UncheckedIOException(impossible);
     }
   }
+
+  /** Returns the priority that the routes give to a service. */
+  String priorityOf(String service) {
+    String fallback = service;
+    for (JsonNode resource : configuration()) {
+      if (!resource.path("kind").asText().equals("Route")) {
+        continue;
+      }
+      JsonNode spec = resource.path("spec");
+      JsonNode expressions = spec.path("requests").path("matchExpressions");
+      if (expressions.isEmpty()) {
+        fallback = spec.path("priority").asText();
+      }
+      for (JsonNode value : expressions.path(0).path("values")) {
+        if (value.asText().equals(service)) {
+          return spec.path("priority").asText();
+        }
+      }
+    }
+    return fallback;
+  }
 }
--- a/cli/src/main/java/org/lockdale/cli/LoadCommand.java
+++ b/cli/src/main/java/org/lockdale/cli/LoadCommand.java
@@ -51,7 +51,7 @@
     if (historyFile != null) {
       HistoryFile.write(historyFile, history.events());
     }
-    ReportPrinter.print(LoadReport.of(history.events()), false);
+    ReportPrinter.print(LoadReport.of(history.events(), deployment::priorityOf), false);
     return ExitStatus.OK;
   }
 }
--- a/cli/src/main/java/org/lockdale/cli/RelayCommand.java
+++ b/cli/src/main/java/org/lockdale/cli/RelayCommand.java
@@ -32,6 +32,7 @@
 
   @Override
   public Integer call() throws InterruptedException {
+    QuietLogs.begin();
     try (LocalCluster cluster = LocalCluster.start(RelayExperiment.deployment(), 1)) {
       RelayExperiment experiment = new RelayExperiment(cluster);
       experiment.measureLatency(rate, WARM_UP_SECONDS, tokens);
--- a/cli/src/main/java/org/lockdale/cli/ReportPrinter.java
+++ b/cli/src/main/java/org/lockdale/cli/ReportPrinter.java
@@ -23,7 +23,7 @@
     printCounts("error", report.errors());
     System.out.printf(
         "%n%-18s %8s %9s %9s %9s%n", "TIME TO FIRST TOKEN", "COUNT", "P50", "P95", "P99");
-    for (Map.Entry<String, LoadReport.Latency> entry : report.services().entrySet()) {
+    for (Map.Entry<String, LoadReport.Latency> entry : report.firstTokens().entrySet()) {
       LoadReport.Latency latency = entry.getValue();
       System.out.printf(
           "%-19s %8d %6.1f ms %6.1f ms %6.1f ms%n",
--- a/cli/src/test/java/org/lockdale/cli/FaultsTest.java
+++ b/cli/src/test/java/org/lockdale/cli/FaultsTest.java
@@ -57,7 +57,7 @@
             .history()
             .add(new HistoryEvent.ForeignReuse(engine.settings().id(), engine.foreignReuses()));
       }
-      LoadReport report = LoadReport.of(cluster.history().events());
+      LoadReport report = LoadReport.of(cluster.history().events(), deployment::priorityOf);
       assertTrue(
           report.verdict().holds(),
           "seed " + seed + " after " + faults.done() + ": " + report.verdict().violations());
--- a/emulator/src/main/java/org/lockdale/emulator/load/LoadReport.java
+++ b/emulator/src/main/java/org/lockdale/emulator/load/LoadReport.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.UnaryOperator;
 import org.HdrHistogram.Histogram;
 import org.lockdale.emulator.history.HistoryChecker;
 import org.lockdale.emulator.history.HistoryEvent;
@@ -15,7 +16,7 @@
  * @param requests requests sent
  * @param ends number of calls by how they ended
  * @param errors number of calls by error code
- * @param services times to first token by service
+ * @param firstTokens times to first token by group, such as the priority
  * @param prefixHitRate prompt tokens found in caches over all prompt tokens
  * @param wastedShare prefilled tokens that another engine held over all prefilled tokens
  * @param verdict of the history check
@@ -24,7 +25,7 @@
     int requests,
     Map<String, Integer> ends,
     Map<String, Integer> errors,
-    Map<String, Latency> services,
+    Map<String, Latency> firstTokens,
     double prefixHitRate,
     double wastedShare,
     Verdict verdict) {
@@ -48,8 +49,12 @@
     }
   }
 
-  /** Returns the report of a history. */
-  public static LoadReport of(List<HistoryEvent> history) {
+  /**
+   * Returns the report of a history.
+   *
+   * @param groupOf group of a service in the times to first token
+   */
+  public static LoadReport of(List<HistoryEvent> history, UnaryOperator<String> groupOf) {
     List<HistoryEvent.Call> calls = new ArrayList<>();
     long promptTokens = 0;
     long cachedTokens = 0;
@@ -67,7 +72,7 @@
         calls.size(),
         countEnds(calls),
         countErrors(calls),
-        latencies(calls),
+        latencies(calls, groupOf),
         share(cachedTokens, promptTokens),
         share(wastedTokens, promptTokens - cachedTokens),
         HistoryChecker.check(history));
@@ -93,17 +98,24 @@
     return errors;
   }
 
-  private static Map<String, Latency> latencies(List<HistoryEvent.Call> calls) {
+  /** Requests with a key are not streamed: their first token comes with the whole answer. */
+  private static String groupOf(HistoryEvent.Call call, UnaryOperator<String> groupOfService) {
+    String group = groupOfService.apply(call.service());
+    return call.idempotencyKey().isEmpty() ? group : group + " (whole)";
+  }
+
+  private static Map<String, Latency> latencies(
+      List<HistoryEvent.Call> calls, UnaryOperator<String> groupOf) {
     Map<String, Histogram> histograms = new TreeMap<>();
     for (HistoryEvent.Call call : calls) {
       if (call.firstTokenMicros() >= 0) {
         histograms
-            .computeIfAbsent(call.service(), absent -> new Histogram(MAX_MICROS, 3))
+            .computeIfAbsent(groupOf(call, groupOf), absent -> new Histogram(MAX_MICROS, 3))
             .recordValue(Math.min(call.firstTokenMicros(), MAX_MICROS));
       }
     }
     Map<String, Latency> latencies = new TreeMap<>();
-    histograms.forEach((service, histogram) -> latencies.put(service, Latency.of(histogram)));
+    histograms.forEach((group, histogram) -> latencies.put(group, Latency.of(histogram)));
     return latencies;
   }
 }
