--- a/coordination/src/test/java/org/lockdale/coordination/node/ClusterTest.java
+++ b/coordination/src/test/java/org/lockdale/coordination/node/ClusterTest.java
@@ -26,7 +26,10 @@
 
   private static final int ZONES = 3;
   private static final int NODES = 18;
-  private static final int SEEDS = 25;
+
+  /** Seeds of each test; more by -Dlockdale.cluster.seeds=N. */
+  private static final int SEEDS = Integer.getInteger("lockdale.cluster.seeds", 25);
+
   private static final long BOUND_MILLIS = 120_000;
   private static final long IN_FORCE_MILLIS = 4_000;
 
