--- a/emulator/src/main/java/org/lockdale/emulator/engine/EngineHttpHandler.java
+++ b/emulator/src/main/java/org/lockdale/emulator/engine/EngineHttpHandler.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Objects;
+import java.util.UUID;
 import org.lockdale.coordination.placement.CacheScope;
 import org.lockdale.coordination.placement.PrefixChain;
 import org.lockdale.http.HttpExchange;
@@ -99,9 +101,7 @@
 
   private void transferBlock(HttpExchange exchange, long hash) {
     if (exchange.method().equals("PUT")) {
-      engine
-          .model()
-          .importBlock(hash, new String(exchange.body(), java.nio.charset.StandardCharsets.UTF_8));
+      engine.model().importBlock(hash, new String(exchange.body(), StandardCharsets.UTF_8));
       exchange.reply(HttpReply.empty(204));
       return;
     }
@@ -138,8 +138,7 @@
     String loaded = Objects.requireNonNullElse(engine.model().weightsVersion(modelOf(body)), "");
     String salt = header(exchange, HeaderNames.CACHE_SALT, "");
     CacheScope scope = new CacheScope(salt, "", "", "");
-    String attempt =
-        header(exchange, HeaderNames.ATTEMPT_ID, java.util.UUID.randomUUID().toString());
+    String attempt = header(exchange, HeaderNames.ATTEMPT_ID, UUID.randomUUID().toString());
     int promptTokens = Math.max(1, (body.prompt().length + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN);
     return new EngineRequest(
         attempt,
--- a/http/src/main/java/org/lockdale/http/ConnectionPool.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -16,6 +17,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Idle connections by event loop and address. A connection carries one exchange at a time and stays
@@ -57,7 +59,7 @@
             })
         .connect(address)
         .addListener(
-            (io.netty.channel.ChannelFuture connected) -> {
+            (ChannelFuture connected) -> {
               if (connected.isSuccess()) {
                 acquired.setSuccess(connected.channel());
               } else {
@@ -67,7 +69,7 @@
     return acquired;
   }
 
-  private @org.jspecify.annotations.Nullable Channel pollActive(Key key) {
+  private @Nullable Channel pollActive(Key key) {
     Deque<Channel> channels = idle.get(key);
     if (channels == null) {
       return null;
--- a/router/src/main/java/org/lockdale/router/settings/NodeSettings.java
+++ b/router/src/main/java/org/lockdale/router/settings/NodeSettings.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 
 /** The settings of a node: their declarations and their checked values. */
 public final class NodeSettings {
@@ -314,7 +315,7 @@
       String defaultText,
       String range,
       String description,
-      java.util.function.Function<String, T> parser) {
+      Function<String, T> parser) {
     return new Setting<>(key, type, defaultText, range, description, false, parser);
   }
 
