An earlier attempt that may have run counts: never "not run" after it

Cause: read as a newcomer, RequestPath retried a repeatable request whose first attempt had failed in the middle, and where the second could not start it told the caller "not run", although the first had run. OutcomeAfterRetryTest failed: 503 with outcome not_run after one run. Change: an attempt that may have run marks its request; no later error says "not run". An engine's 5xx other than 503 is no refusal and is settled by a cancel. A claim that could not be moved to a second attempt is released as well as abandoned, so that the key is not held until somebody asks again. The 5xx rule and the moved claim have no test of their own.

--- a/router/src/main/java/org/lockdale/router/error/RequestException.java
+++ b/router/src/main/java/org/lockdale/router/error/RequestException.java
@@ -17,6 +17,16 @@
   private final int status;
   private final int retryAfterSeconds;
 
+  private RequestException(RequestException original, Outcome outcome) {
+    super(original.getMessage(), null, false, false);
+    this.kind = original.kind;
+    this.code = original.code;
+    this.parameter = original.parameter;
+    this.outcome = outcome;
+    this.status = original.status;
+    this.retryAfterSeconds = original.retryAfterSeconds;
+  }
+
   private RequestException(Builder builder) {
     super(builder.detail + " " + builder.kind.remedy(), null, false, false);
     this.kind = builder.kind;
@@ -42,6 +52,11 @@
     return kind;
   }
 
+  /** Returns the same error with another outcome. */
+  public RequestException withOutcome(Outcome newOutcome) {
+    return new RequestException(this, newOutcome);
+  }
+
   /** Returns whether the request ran. */
   public Outcome outcome() {
     return outcome;
--- a/router/src/main/java/org/lockdale/router/request/ClaimStep.java
+++ b/router/src/main/java/org/lockdale/router/request/ClaimStep.java
@@ -110,6 +110,8 @@
         .handle(
             (claim, failure) -> {
               if (failure != null) {
+                // Whichever attempt the row names now, neither can run any more.
+                finisher.release(held);
                 finisher.abandon(held.key(), attempt);
                 throw storeUnavailable();
               }
--- a/router/src/main/java/org/lockdale/router/request/EngineAttempt.java
+++ b/router/src/main/java/org/lockdale/router/request/EngineAttempt.java
@@ -25,6 +25,8 @@
 final class EngineAttempt implements HttpResponseListener {
 
   private static final int OK = 200;
+  private static final int SERVER_ERROR = 500;
+  private static final int SERVICE_UNAVAILABLE = 503;
   private static final int MAX_RESUMES = 2;
   private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
@@ -175,7 +177,10 @@
     if (result.isDone()) {
       return;
     }
-    if (status != OK) {
+    if (status >= SERVER_ERROR && status != SERVICE_UNAVAILABLE) {
+      // Not a refusal: the engine may have failed after it had begun to run.
+      settle("the engine answered " + status);
+    } else if (status != OK) {
       refused();
     } else if (body != null) {
       sink.whole(body.toByteArray());
--- a/router/src/main/java/org/lockdale/router/request/RequestContext.java
+++ b/router/src/main/java/org/lockdale/router/request/RequestContext.java
@@ -52,6 +52,10 @@
   int attempts;
   int cachedTokens;
   int relayedTokens;
+
+  /** Whether an earlier attempt may have run, whatever becomes of later ones. */
+  boolean mayHaveRun;
+
   boolean callerLeft;
   boolean tenantPlaceTaken;
   final Set<String> excludedEngines = new HashSet<>();
--- a/router/src/main/java/org/lockdale/router/request/RequestPath.java
+++ b/router/src/main/java/org/lockdale/router/request/RequestPath.java
@@ -145,6 +145,7 @@
       throw notStarted(context, notStarted.reason());
     }
     if (result instanceof AttemptResult.Failed failed) {
+      context.mayHaveRun = true;
       boolean repeatable = !context.isRunOnce();
       context.excludedEngines.add(context.engineId());
       if (repeatable && mayTryAgain(context)) {
@@ -225,6 +226,10 @@
       recorder.ended(context, outcome, "");
     } else {
       RequestException error = errorOf(failure);
+      if (context.mayHaveRun && error.outcome() == Outcome.NOT_RUN) {
+        // The last attempt did not run, but the request may have.
+        error = error.withOutcome(Outcome.UNKNOWN);
+      }
       context.exchange.reply(error.toReply(context.requestId));
       recorder.ended(context, error.outcome(), error.kind().code());
     }
