--- a/cli/src/test/java/org/lockdale/cli/BadInputTest.java
+++ b/cli/src/test/java/org/lockdale/cli/BadInputTest.java
@@ -18,6 +18,9 @@
 /** Bad input is answered at once with a typed error, and leaves no request or connection behind. */
 public final class BadInputTest {
 
+  /** As LocalCluster sets for each node; one thread more does everything else. */
+  private static final int REQUEST_THREADS = 2;
+
   private static final String CHAT = "/v1/chat/completions";
   private static final String KEY = "authorization: Bearer key-sm-malls\r\n";
   private static final String JSON = "content-type: application/json\r\n";
@@ -54,6 +57,17 @@
   public void nothingIsLeft() throws InterruptedException {
     ProcessCluster.await("no request in flight", () -> node.requestsInFlight() == 0);
     ProcessCluster.await("no connection open", () -> node.callerConnections() == 0);
+    ProcessCluster.await(
+        "no thread beyond the node's own", () -> nodeThreads() <= REQUEST_THREADS + 1);
+  }
+
+  private static long nodeThreads() {
+    return Thread.getAllStackTraces().keySet().stream()
+        .filter(
+            thread ->
+                thread.getName().startsWith(RouterNode.REQUEST_THREADS)
+                    || thread.getName().startsWith(RouterNode.CONTROL_THREADS))
+        .count();
   }
 
   private static String body(String model, String metadata) {
--- a/router/src/main/java/org/lockdale/router/settings/NodeSettings.java
+++ b/router/src/main/java/org/lockdale/router/settings/NodeSettings.java
@@ -251,7 +251,7 @@
           "integer",
           "131072",
           "1024 to 10000000",
-          "Prefixes whose holders this node remembers; about 150 bytes each.",
+          "Prefixes whose holders this node remembers.",
           ValueParsers.integer(KIB, 10_000_000));
 
   /** Life of a belief about a prefix. */
