--- a/cli/src/main/java/org/lockdale/cli/LocalCluster.java
+++ b/cli/src/main/java/org/lockdale/cli/LocalCluster.java
@@ -28,7 +28,7 @@
 import org.lockdale.router.blackboard.NodePhase;
 import org.lockdale.router.node.RouterNode;
 import org.lockdale.router.operator.OperatorApi;
-import org.lockdale.router.settings.SettingsLoader;
+import org.lockdale.router.settings.NodeSettings;
 
 /** A deployment in one process on loopback: stand-in platform, stand-in engines, real nodes. */
 final class LocalCluster implements AutoCloseable {
@@ -106,7 +106,7 @@
     }
     flags.putAll(extraFlags);
     nodeFlags.add(flags);
-    nodes.add(RouterNode.start(SettingsLoader.load(null, flags)));
+    nodes.add(RouterNode.start(NodeSettings.load(null, flags)));
   }
 
   /** Ends a node without a word. */
@@ -122,7 +122,7 @@
 
   /** Starts a node again that was killed, with the same id at the same addresses. */
   void restartNode(int index) {
-    nodes.set(index, RouterNode.start(SettingsLoader.load(null, nodeFlags.get(index))));
+    nodes.set(index, RouterNode.start(NodeSettings.load(null, nodeFlags.get(index))));
   }
 
   private void applyConfiguration(Deployment deployment) {
--- a/cli/src/main/java/org/lockdale/cli/Lockdale.java
+++ b/cli/src/main/java/org/lockdale/cli/Lockdale.java
@@ -2,7 +2,7 @@
 
 import org.lockdale.http.HttpBindException;
 import org.lockdale.router.peer.PeerBindException;
-import org.lockdale.router.settings.SettingsException;
+import org.lockdale.settings.SettingsException;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
--- a/cli/src/main/java/org/lockdale/cli/NodeCommand.java
+++ b/cli/src/main/java/org/lockdale/cli/NodeCommand.java
@@ -8,9 +8,7 @@
 import org.jspecify.annotations.Nullable;
 import org.lockdale.router.node.RouterNode;
 import org.lockdale.router.settings.NodeSettings;
-import org.lockdale.router.settings.Setting;
-import org.lockdale.router.settings.SettingsLoader;
-import org.lockdale.router.settings.SettingsReference;
+import org.lockdale.settings.Setting;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -39,10 +37,10 @@
   @Override
   public Integer call() throws InterruptedException {
     if (reference) {
-      System.out.print(SettingsReference.toMarkdown());
+      System.out.print(NodeSettings.referencePage());
       return ExitStatus.OK;
     }
-    NodeSettings settings = SettingsLoader.load(file, flags);
+    NodeSettings settings = NodeSettings.load(file, flags);
     if (printOnly) {
       print(settings);
       return ExitStatus.OK;
--- a/router/src/main/java/org/lockdale/router/blackboard/Snapshot.java
+++ b/coordination/src/main/java/org/lockdale/coordination/blackboard/Snapshot.java
@@ -1,4 +1,4 @@
-package org.lockdale.router.blackboard;
+package org.lockdale.coordination.blackboard;
 
 /**
  * A value with its age.
--- /dev/null
+++ b/coordination/src/main/java/org/lockdale/coordination/blackboard/package-info.java
@@ -0,0 +1,5 @@
+/** Immutable values that one controller replaces and everyone reads without locks. */
+@NullMarked
+package org.lockdale.coordination.blackboard;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/coordination/src/main/java/org/lockdale/coordination/lease/LeaseReading.java
@@ -0,0 +1,12 @@
+package org.lockdale.coordination.lease;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The row of a lease as read or written.
+ *
+ * @param row contents, or null where nobody ever held the lease
+ * @param version version of the row; 0 where there is none
+ * @param storeMillis the store's clock at that moment
+ */
+public record LeaseReading(@Nullable LeaseRow row, long version, long storeMillis) {}
--- a/coordination/src/main/java/org/lockdale/coordination/table/TableServiceException.java
+++ b/coordination/src/main/java/org/lockdale/coordination/table/TableServiceException.java
@@ -11,6 +11,8 @@
     CONDITION_FAILED,
     /** The service refused the call for its rate; nothing was written. */
     RATE_LIMITED,
+    /** The changes that were asked for are forgotten; the table must be read whole. */
+    HISTORY_LOST,
     /** The call did not reach the service; nothing was written. */
     UNREACHABLE,
     /** No answer came; the write may have taken effect or may still do so. */
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/BackendTable.java
@@ -0,0 +1,47 @@
+package org.lockdale.gateway.backend;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** All back ends that are on record, by pool. Immutable. */
+public final class BackendTable {
+
+  /** No back ends. */
+  public static final BackendTable EMPTY = new BackendTable(Map.of());
+
+  private final Map<String, TrackedBackend> byId;
+  private final Map<String, List<TrackedBackend>> byPool = new HashMap<>();
+
+  private BackendTable(Map<String, TrackedBackend> byId) {
+    this.byId = byId;
+    byId.values()
+        .forEach(
+            tracked ->
+                byPool
+                    .computeIfAbsent(tracked.backend().pool(), name -> new ArrayList<>())
+                    .add(tracked));
+  }
+
+  /** Returns the table of newer records; what was learned about an incarnation is kept. */
+  public BackendTable with(Collection<Backend> records) {
+    Map<String, TrackedBackend> newer = new HashMap<>();
+    for (Backend backend : records) {
+      TrackedBackend before = byId.get(backend.id());
+      newer.put(backend.id(), before == null ? TrackedBackend.of(backend) : before.with(backend));
+    }
+    return new BackendTable(newer);
+  }
+
+  /** Returns the back ends of a pool. */
+  public List<TrackedBackend> ofPool(String pool) {
+    return byPool.getOrDefault(pool, List.of());
+  }
+
+  /** Returns all back ends. */
+  public Collection<TrackedBackend> all() {
+    return byId.values();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/TrackedBackend.java
@@ -0,0 +1,65 @@
+package org.lockdale.gateway.backend;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.coordination.placement.Rendezvous;
+
+/**
+ * A back end with what this node has learned about it. The record is immutable; the rest is shared
+ * by all versions of the record of one incarnation and is safe for use by several threads.
+ */
+public final class TrackedBackend {
+
+  private final Backend backend;
+  private final BackendHealth health;
+  private final Map<String, Long> observedWeights;
+  private final long identity;
+
+  private TrackedBackend(Backend backend, BackendHealth health, Map<String, Long> observedWeights) {
+    this.backend = backend;
+    this.health = health;
+    this.observedWeights = observedWeights;
+    this.identity = Rendezvous.identityOf(backend.id());
+  }
+
+  /** Returns a back end of which nothing is known but its record. */
+  public static TrackedBackend of(Backend backend) {
+    return new TrackedBackend(backend, new BackendHealth(), new ConcurrentHashMap<>());
+  }
+
+  /** Returns the same incarnation with a newer record. */
+  public TrackedBackend with(Backend newer) {
+    return new TrackedBackend(newer, health, observedWeights);
+  }
+
+  /** Returns the record. */
+  public Backend backend() {
+    return backend;
+  }
+
+  /** Returns load and failures as this node saw them. */
+  public BackendHealth health() {
+    return health;
+  }
+
+  /** Returns the hash by which it is ranked for a key. */
+  public long identity() {
+    return identity;
+  }
+
+  /** Notes the version of weights that an answer told. */
+  public void observeWeights(String model, long version) {
+    observedWeights.merge(model, version, Math::max);
+  }
+
+  /** Returns the newest version known of a model's weights, or null where none is known. */
+  public @Nullable Long weightsOf(String model) {
+    Long listed = backend.weights().get(model);
+    Long observed = observedWeights.get(model);
+    if (listed == null || observed == null) {
+      return listed == null ? observed : listed;
+    }
+    return Math.max(listed, observed);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
@@ -0,0 +1,107 @@
+package org.lockdale.gateway.command;
+
+import io.netty.channel.EventLoopGroup;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.BiFunction;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.gateway.node.GatewayNode;
+import org.lockdale.gateway.node.GatewayProtocols;
+import org.lockdale.gateway.node.GatewaySettings;
+import org.lockdale.http.HttpClient;
+import org.lockdale.settings.SettingsException;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs a gateway node until it is told to stop; SIGTERM is a planned stop. */
+@Command(
+    name = "lockdale-gateway",
+    mixinStandardHelpOptions = true,
+    version = "lockdale-gateway 0.1.0",
+    description = "Runs a gateway node. SIGTERM finishes open requests before it exits.",
+    footer = {
+      "",
+      "Example: lockdale-gateway --settings gateway.yaml --set node.threads=2",
+      "",
+      "Exit status: 0 stopped as planned, 1 the node failed, 2 settings or options are wrong."
+    })
+public final class GatewayCommand implements Callable<Integer> {
+
+  private static final int EXIT_OK = 0;
+  private static final int EXIT_WRONG_SETTINGS = 2;
+
+  private final Function<GatewaySettings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols>>
+      adapters;
+
+  @Option(names = "--settings", paramLabel = "FILE", description = "Settings file (YAML).")
+  private @Nullable Path file;
+
+  @Option(names = "--set", paramLabel = "KEY=VALUE", description = "A setting; wins over the file.")
+  private Map<String, String> flags = new LinkedHashMap<>();
+
+  @Option(names = "--check-settings", description = "Checks the settings and starts nothing.")
+  private boolean checkOnly;
+
+  @Option(names = "--settings-reference", description = "Prints the page of all settings.")
+  private boolean reference;
+
+  private GatewayCommand(
+      Function<GatewaySettings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols>>
+          adapters) {
+    this.adapters = adapters;
+  }
+
+  /**
+   * Runs the command line.
+   *
+   * @param adapters makes the adapters of the deployment
+   * @param arguments the command line
+   * @return the exit status
+   */
+  public static int run(
+      Function<GatewaySettings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols>> adapters,
+      String... arguments) {
+    return new CommandLine(new GatewayCommand(adapters))
+        .setExecutionExceptionHandler(
+            (failure, command, parsed) -> {
+              command.getErr().println(failure.getMessage());
+              return failure instanceof SettingsException ? EXIT_WRONG_SETTINGS : 1;
+            })
+        .execute(arguments);
+  }
+
+  @Override
+  public Integer call() throws InterruptedException {
+    if (reference) {
+      System.out.print(GatewaySettings.referencePage());
+      return EXIT_OK;
+    }
+    GatewaySettings settings = GatewaySettings.load(file, flags);
+    if (checkOnly) {
+      System.out.println("settings are valid");
+      return EXIT_OK;
+    }
+    serve(settings);
+    return EXIT_OK;
+  }
+
+  private void serve(GatewaySettings settings) throws InterruptedException {
+    GatewayNode node = GatewayNode.start(settings, adapters.apply(settings));
+    HangupSignal.onSignal(node::reload);
+    CountDownLatch stopped = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  node.stop().join();
+                  stopped.countDown();
+                },
+                "planned-stop"));
+    stopped.await();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/configuration/GatewayConfiguration.java
@@ -0,0 +1,94 @@
+package org.lockdale.gateway.configuration;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/** One version of everything that operators decide. Immutable. */
+public final class GatewayConfiguration {
+
+  /** What a node holds before it has read any version. */
+  public static final GatewayConfiguration NONE =
+      new GatewayConfiguration(-1, List.of(), List.of(), List.of(), List.of());
+
+  private final long version;
+  private final Map<String, List<Route>> routesByHost = new HashMap<>();
+  private final Map<String, Pool> pools = new HashMap<>();
+  private final Map<String, Tenant> tenantsByKey = new HashMap<>();
+  private final List<CacheStore> cacheStores;
+  private final boolean keysRequired;
+
+  /**
+   * Creates a configuration.
+   *
+   * @param version rises with every change
+   * @param routes all routes
+   * @param pools all pools
+   * @param cacheStores stores of cached prompts; the first one is used
+   * @param tenants all tenants; without any, no keys are asked for
+   */
+  public GatewayConfiguration(
+      long version,
+      List<Route> routes,
+      List<Pool> pools,
+      List<CacheStore> cacheStores,
+      List<Tenant> tenants) {
+    this.version = version;
+    this.cacheStores = List.copyOf(cacheStores);
+    for (Route route : routes) {
+      String host = route.host().toLowerCase(Locale.ROOT);
+      routesByHost.computeIfAbsent(host, name -> new ArrayList<>()).add(route);
+    }
+    Comparator<Route> longestFirst =
+        Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+    routesByHost.values().forEach(sameHost -> sameHost.sort(longestFirst));
+    pools.forEach(pool -> this.pools.put(pool.name(), pool));
+    tenants.forEach(tenant -> tenant.keys().forEach(key -> tenantsByKey.put(key, tenant)));
+    keysRequired = !tenants.isEmpty();
+  }
+
+  /** Returns the version, or -1 where none was read yet. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns whether any version was read. */
+  public boolean isKnown() {
+    return version >= 0;
+  }
+
+  /** Returns the route of a host whose prefix begins the path and is longest. */
+  public Optional<Route> route(String host, String path) {
+    for (Route route : routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of())) {
+      if (path.startsWith(route.pathPrefix())) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns a pool by name. */
+  public Optional<Pool> pool(String name) {
+    return Optional.ofNullable(pools.get(name));
+  }
+
+  /** Returns the store of cached prompts. */
+  public Optional<CacheStore> cacheStore() {
+    return cacheStores.stream().findFirst();
+  }
+
+  /** Returns the tenant that holds a key. */
+  public Optional<Tenant> tenantOf(@Nullable String key) {
+    return Optional.ofNullable(tenantsByKey.get(key));
+  }
+
+  /** Returns whether requests carry keys at all. */
+  public boolean keysRequired() {
+    return keysRequired;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -0,0 +1,184 @@
+package org.lockdale.gateway.node;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
+import org.lockdale.coordination.time.SystemTime;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.request.RequestLimits;
+import org.lockdale.gateway.request.RequestPath;
+import org.lockdale.gateway.table.TableFollower;
+import org.lockdale.gateway.weights.RolloutController;
+import org.lockdale.gateway.weights.RolloutTools;
+import org.lockdale.gateway.weights.WeightsPolicy;
+import org.lockdale.http.HttpClient;
+import org.lockdale.http.HttpServer;
+import org.lockdale.http.HttpServerSettings;
+import org.tinylog.Logger;
+
+/** A gateway node: its controllers, its servers and its planned stop. */
+public final class GatewayNode {
+
+  /** Load balancers may need this long to notice that the node no longer calls itself ready. */
+  private static final long NOTICE_MILLIS = 2_500;
+
+  /** Time kept at the end of the grace for the process to end by itself. */
+  private static final long EXIT_MILLIS = 250;
+
+  private static final long STOP_CHECK_MILLIS = 50;
+
+  private final GatewaySettings settings;
+  private final GatewayBlackboard blackboard = GatewayBlackboard.empty();
+  private final Time time = new SystemTime();
+  private final EventLoopGroup group;
+  private final EventLoop controlLoop;
+  private final RequestPath path;
+  private final HttpServer callers;
+  private final HttpServer readiness;
+  private final List<TableFollower> followers;
+  private final RolloutController rollout;
+  private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+
+  private GatewayNode(
+      GatewaySettings settings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols> adapters) {
+    this.settings = settings;
+    group =
+        new MultiThreadIoEventLoopGroup(
+            settings.get(GatewaySettings.THREADS), NioIoHandler.newFactory());
+    EventLoopGroup controlGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    controlLoop = controlGroup.next();
+    HttpClient backendClient = new HttpClient(group, settings.get(GatewaySettings.CONNECT_TIMEOUT));
+    HttpClient controlClient =
+        new HttpClient(controlGroup, settings.get(GatewaySettings.CONNECT_TIMEOUT));
+    GatewayProtocols protocols = adapters.apply(controlGroup, controlClient);
+    path =
+        new RequestPath(
+            blackboard,
+            protocols.callers(),
+            protocols.backends(),
+            backendClient,
+            limits(),
+            settings.get(GatewaySettings.NODE_ZONE),
+            time);
+    followers = followers(protocols, backendClient);
+    rollout = rollout(protocols);
+    callers = server(GatewaySettings.CALLERS_ADDRESS, path);
+    readiness = server(GatewaySettings.READINESS_ADDRESS, new ReadinessHandler(blackboard));
+  }
+
+  /**
+   * Starts a node.
+   *
+   * @param settings checked settings
+   * @param adapters makes the adapters of the deployment from the control event loops and a client
+   *     that runs on them
+   * @throws org.lockdale.http.HttpBindException if an address can't be bound
+   */
+  public static GatewayNode start(
+      GatewaySettings settings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols> adapters) {
+    GatewayNode node = new GatewayNode(settings, adapters);
+    node.followers.forEach(TableFollower::start);
+    node.rollout.start();
+    Logger.info("event=started node={}", settings.get(GatewaySettings.NODE_ID));
+    return node;
+  }
+
+  private RequestLimits limits() {
+    return new RequestLimits(
+        settings.get(GatewaySettings.RETRY_RATIO),
+        settings.get(GatewaySettings.RETRY_ALLOWANCE),
+        settings.get(GatewaySettings.RETRY_WINDOW),
+        settings.get(GatewaySettings.KEY_MAX_PROOF_AGE),
+        settings.get(GatewaySettings.WEIGHTS_BOUND));
+  }
+
+  private List<TableFollower> followers(GatewayProtocols protocols, HttpClient backendClient) {
+    return List.of(
+        follower(
+            protocols,
+            protocols.records().operatorTable(),
+            new OperatorController(blackboard, protocols.records(), time)),
+        follower(
+            protocols,
+            protocols.records().backendTable(),
+            new BackendController(blackboard, protocols.records(), backendClient)),
+        follower(
+            protocols,
+            protocols.rolloutBoard().table(),
+            new RolloutObserver(blackboard, protocols.rolloutBoard(), time)));
+  }
+
+  private TableFollower follower(
+      GatewayProtocols protocols, String table, TableFollower.Listener listener) {
+    return new TableFollower(
+        controlLoop,
+        protocols.feed(),
+        table,
+        settings.get(GatewaySettings.STORE_WAIT),
+        time,
+        listener);
+  }
+
+  private RolloutController rollout(GatewayProtocols protocols) {
+    return new RolloutController(
+        controlLoop,
+        blackboard.weights(),
+        blackboard.backends(),
+        new WeightsPolicy(settings.get(GatewaySettings.WEIGHTS_BOUND).toMillis()),
+        new RolloutTools(protocols.engines(), protocols.rolloutBoard()),
+        protocols.rolloutLease(),
+        settings.get(GatewaySettings.NODE_ID),
+        settings.get(GatewaySettings.LEASE_GUARD).toMillis(),
+        time);
+  }
+
+  private HttpServer server(
+      org.lockdale.settings.Setting<java.net.InetSocketAddress> address,
+      org.lockdale.http.HttpHandler handler) {
+    return HttpServer.start(HttpServerSettings.forAddress(settings.get(address)), group, handler);
+  }
+
+  /**
+   * Stops as planned: the node calls itself not ready at once, serves what still comes, closes
+   * connections as they fall idle, and ends when nothing is open or the grace is nearly over.
+   */
+  public CompletableFuture<Void> stop() {
+    Logger.info("event=stopping open-requests={}", path.openRequests());
+    blackboard.phase().publish(GatewayPhase.STOPPING, time.monotonicMillis());
+    rollout.close();
+    checkStopped(time.monotonicMillis());
+    return stopped;
+  }
+
+  private void checkStopped(long startedAtMillis) {
+    long elapsed = time.monotonicMillis() - startedAtMillis;
+    long grace = settings.get(GatewaySettings.STOP_GRACE).toMillis() - EXIT_MILLIS;
+    callers.closeIdleConnections();
+    boolean noticed = elapsed >= NOTICE_MILLIS;
+    if (noticed && blackboard.phase().value() == GatewayPhase.STOPPING) {
+      // What comes from now on might not end within the grace.
+      blackboard.phase().publish(GatewayPhase.DRAINING, time.monotonicMillis());
+    }
+    boolean idle = noticed && path.openRequests() == 0;
+    if (idle || elapsed >= grace) {
+      Logger.info("event=stopped open-requests={}", path.openRequests());
+      followers.forEach(TableFollower::close);
+      readiness.close();
+      callers.stopAccepting();
+      stopped.complete(null);
+      return;
+    }
+    controlLoop.schedule(
+        () -> checkStopped(startedAtMillis), STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Re-reads nothing that can change at run time; notes that it was asked to. */
+  public void reload() {
+    Logger.info("event=reload-asked node={}", settings.get(GatewaySettings.NODE_ID));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayProtocols.java
@@ -0,0 +1,29 @@
+package org.lockdale.gateway.node;
+
+import org.lockdale.coordination.lease.LeaseStore;
+import org.lockdale.gateway.backend.BackendProtocol;
+import org.lockdale.gateway.caller.CallerProtocol;
+import org.lockdale.gateway.table.SharedRecords;
+import org.lockdale.gateway.table.TableFeed;
+import org.lockdale.gateway.weights.EngineControl;
+import org.lockdale.gateway.weights.RolloutBoard;
+
+/**
+ * The adapters of one deployment.
+ *
+ * @param callers protocol of callers
+ * @param backends protocol of back ends
+ * @param feed tables of the shared store
+ * @param records what operators and back ends write there
+ * @param engines state and orders of engines
+ * @param rolloutBoard table of the rollout's progress
+ * @param rolloutLease row of the lease under which weights are rolled out
+ */
+public record GatewayProtocols(
+    CallerProtocol callers,
+    BackendProtocol backends,
+    TableFeed feed,
+    SharedRecords records,
+    EngineControl engines,
+    RolloutBoard rolloutBoard,
+    LeaseStore rolloutLease) {}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
@@ -0,0 +1,222 @@
+package org.lockdale.gateway.node;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.settings.Setting;
+import org.lockdale.settings.SettingsException;
+import org.lockdale.settings.SettingsLoader;
+import org.lockdale.settings.SettingsReference;
+import org.lockdale.settings.ValueParsers;
+
+/** The settings of a gateway node: their declarations and their checked values. */
+public final class GatewaySettings {
+
+  private static final Duration MILLISECOND = Duration.ofMillis(1);
+  private static final Duration HOUR = Duration.ofHours(1);
+  private static final int MAX_COUNT = 1_000_000;
+
+  /** Id of the node. */
+  public static final Setting<String> NODE_ID =
+      declare(
+          "node.id",
+          "name",
+          "",
+          "lower-case letters, digits, dots, hyphens",
+          "Id of this node, unique among all nodes; a restarted node keeps it.",
+          ValueParsers.name());
+
+  /** Zone of the node. */
+  public static final Setting<String> NODE_ZONE =
+      declare(
+          "node.zone",
+          "name",
+          "",
+          "lower-case letters, digits, dots, hyphens",
+          "Zone this node stands in, as named in the records of back ends.",
+          ValueParsers.name());
+
+  /** Threads that serve connections. */
+  public static final Setting<Integer> THREADS =
+      declare(
+          "node.threads",
+          "integer",
+          "1",
+          "1 to 256",
+          "Event loops that serve callers and back ends; one for each core.",
+          ValueParsers.integer(1, 256));
+
+  /** Address for callers. */
+  public static final Setting<InetSocketAddress> CALLERS_ADDRESS =
+      address("callers.address", "Address on which callers are served.");
+
+  /** Address for health checks. */
+  public static final Setting<InetSocketAddress> READINESS_ADDRESS =
+      address("readiness.address", "Address on which the node tells whether it serves.");
+
+  /** Address of the shared store. */
+  public static final Setting<InetSocketAddress> STORE_ADDRESS =
+      address("store.address", "Address of the store with configuration and back ends.");
+
+  /** Longest wait of one call that follows changes. */
+  public static final Setting<Duration> STORE_WAIT =
+      duration(
+          "store.wait",
+          "1s",
+          "How long the store holds a call while nothing changes; each answer proves that the"
+              + " configuration is current.");
+
+  /** Longest wait for an answer of the store, beyond the time it holds a call. */
+  public static final Setting<Duration> STORE_TIMEOUT =
+      duration("store.timeout", "800ms", "Longest wait for an answer of the store.");
+
+  /** Age from which on keys are no longer trusted. */
+  public static final Setting<Duration> KEY_MAX_PROOF_AGE =
+      duration(
+          "keys.max-proof-age",
+          "4500ms",
+          "Requests with a key are refused once the configuration was last proven current this"
+              + " long ago, since the key may have been revoked.");
+
+  /** Share of requests that may be sent again. */
+  public static final Setting<Double> RETRY_RATIO =
+      declare(
+          "retries.ratio",
+          "number",
+          "0.15",
+          "0 to 1",
+          "Most repeated sends for each request of this node, for each pool and window.",
+          GatewaySettings::share);
+
+  /** Sends that may be repeated however few requests there are. */
+  public static final Setting<Integer> RETRY_ALLOWANCE =
+      declare(
+          "retries.allowance",
+          "integer",
+          "4",
+          "0 to 1000000",
+          "Repeated sends in a window that are allowed whatever the number of requests.",
+          ValueParsers.integer(0, MAX_COUNT));
+
+  /** Window of the retry budget. */
+  public static final Setting<Duration> RETRY_WINDOW =
+      duration("retries.window", "10s", "Sliding window in which retries are counted.");
+
+  /** Bound of a rollout of weights. */
+  public static final Setting<Duration> WEIGHTS_BOUND =
+      duration(
+          "weights.bound",
+          "8s",
+          "Longest time after new weights were named in which older ones may serve.");
+
+  /** Least time between the orders of two nodes. */
+  public static final Setting<Duration> LEASE_GUARD =
+      duration(
+          "lease.guard", "3s", "Least time between the orders of two holders of the same lease.");
+
+  /** Longest wait for a connection to come up. */
+  public static final Setting<Duration> CONNECT_TIMEOUT =
+      duration("backends.connect-timeout", "300ms", "Longest wait for a connection to a back end.");
+
+  /** Longest planned stop. */
+  public static final Setting<Duration> STOP_GRACE =
+      duration("stop.grace", "8s", "Time from a stop signal until the process is killed.");
+
+  private static final List<Setting<?>> ALL =
+      List.of(
+          NODE_ID,
+          NODE_ZONE,
+          THREADS,
+          CALLERS_ADDRESS,
+          READINESS_ADDRESS,
+          STORE_ADDRESS,
+          STORE_WAIT,
+          STORE_TIMEOUT,
+          KEY_MAX_PROOF_AGE,
+          RETRY_RATIO,
+          RETRY_ALLOWANCE,
+          RETRY_WINDOW,
+          WEIGHTS_BOUND,
+          LEASE_GUARD,
+          CONNECT_TIMEOUT,
+          STOP_GRACE);
+
+  private final Map<Setting<?>, Object> values;
+
+  private GatewaySettings(Map<Setting<?>, Object> values) {
+    this.values = Map.copyOf(values);
+  }
+
+  private static <T> Setting<T> declare(
+      String key,
+      String type,
+      String defaultText,
+      String range,
+      String description,
+      Function<String, T> parser) {
+    return new Setting<>(key, type, defaultText, range, description, false, parser);
+  }
+
+  private static Setting<InetSocketAddress> address(String key, String description) {
+    return declare(key, "IP:port", "", "one address", description, ValueParsers::address);
+  }
+
+  private static Setting<Duration> duration(String key, String defaultText, String description) {
+    return declare(
+        key,
+        "duration",
+        defaultText,
+        "1ms to 60m",
+        description,
+        ValueParsers.duration(MILLISECOND, HOUR));
+  }
+
+  private static double share(String text) {
+    double value;
+    try {
+      value = Double.parseDouble(text);
+    } catch (NumberFormatException notANumber) {
+      throw new IllegalArgumentException("is not a number");
+    }
+    if (!(value >= 0 && value <= 1)) {
+      throw new IllegalArgumentException("is not within 0 to 1");
+    }
+    return value;
+  }
+
+  /**
+   * Loads and checks the settings.
+   *
+   * @param file YAML file of keys and values, or null for none
+   * @param flags values that override the file
+   * @throws SettingsException if anything is wrong; the message names file, key, value and remedy
+   */
+  public static GatewaySettings load(@Nullable Path file, Map<String, String> flags) {
+    return new GatewaySettings(SettingsLoader.load(ALL, file, flags));
+  }
+
+  /** Returns docs/GATEWAY-SETTINGS.md. */
+  public static String referencePage() {
+    return SettingsReference.toMarkdown(
+        "Settings of a gateway node",
+        "Written by `lockdale-gateway --settings-reference`; a test keeps it current. Settings"
+            + " stand in one\nYAML file, a `key: value` a line, or in flags `--set key=value`,"
+            + " which win.",
+        ALL);
+  }
+
+  /** Returns all declarations in the order of the reference page. */
+  public static List<Setting<?>> declarations() {
+    return ALL;
+  }
+
+  /** Returns the value of a setting. */
+  @SuppressWarnings("unchecked")
+  public <T> T get(Setting<T> setting) {
+    return (T) values.get(setting);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/package-info.java
@@ -0,0 +1,5 @@
+/** Choice of the back end that serves a request. */
+@NullMarked
+package org.lockdale.gateway.placement;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -0,0 +1,211 @@
+package org.lockdale.gateway.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.gateway.backend.AnswerHead;
+import org.lockdale.gateway.backend.AttemptPlan;
+import org.lockdale.gateway.backend.BackendProtocol;
+import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.http.HttpCall;
+import org.lockdale.http.HttpCallException;
+import org.lockdale.http.HttpClient;
+import org.lockdale.http.HttpReply;
+import org.lockdale.http.HttpResponseListener;
+
+/**
+ * One attempt at one back end. A whole answer is held back until it is complete, so that a broken
+ * one never reaches the caller; a stream is passed on event by event. Lives on the event loop of
+ * the caller's connection.
+ */
+final class Attempt implements HttpResponseListener {
+
+  private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+  private final RequestState state;
+  private final TrackedBackend target;
+  private final AttemptPlan plan;
+  private final BackendProtocol protocol;
+  private final BiConsumer<Attempt, AttemptResult> onResult;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private @Nullable HttpCall call;
+  private @Nullable AnswerHead head;
+  private @Nullable StreamRelay relay;
+  private boolean ended;
+  private String failure = "";
+
+  Attempt(
+      RequestState state,
+      TrackedBackend target,
+      AttemptPlan plan,
+      BackendProtocol protocol,
+      BiConsumer<Attempt, AttemptResult> onResult) {
+    this.state = state;
+    this.target = target;
+    this.plan = plan;
+    this.protocol = protocol;
+    this.onResult = onResult;
+  }
+
+  void start(HttpClient client) {
+    target.health().opened();
+    call =
+        client.send(
+            state.exchange.eventLoop(),
+            plan.backend().address(),
+            protocol.write(state.request, plan),
+            this);
+  }
+
+  /**
+   * Gives the attempt up; no result is reported.
+   *
+   * @return whether the back end may have received the request
+   */
+  boolean cancel() {
+    HttpCall current = call;
+    if (ended || current == null) {
+      return false;
+    }
+    ended = true;
+    current.cancel();
+    closeRelay();
+    target.health().closed();
+    return current.wasSent();
+  }
+
+  TrackedBackend target() {
+    return target;
+  }
+
+  /** Returns why the attempt failed, in words. */
+  String failure() {
+    return failure;
+  }
+
+  /** Returns the failed answer of the back end itself, or null where there is none whole. */
+  @Nullable HttpReply ownFailureReply() {
+    AnswerHead received = head;
+    return received == null ? null : new HttpReply(received.status(), received.headers(), bytes());
+  }
+
+  private byte[] bytes() {
+    return body.toByteArray();
+  }
+
+  @Override
+  public boolean accepts(int status, HttpHeaders headers) {
+    return protocol.belongsTo(state.request, headers);
+  }
+
+  @Override
+  public void onHead(int status, HttpHeaders headers) {
+    AnswerHead received = protocol.read(status, headers);
+    head = received;
+    String model = state.request.model();
+    if (model != null && received.weights() != null) {
+      target.observeWeights(model, received.weights());
+    }
+    if (received.misdirected()) {
+      finish(AttemptResult.MISDIRECTED, "it is not the back end that was meant");
+    } else if (received.notRun()) {
+      finish(AttemptResult.NOT_RUN, "it takes no request now");
+    } else if (received.isSuccess() && !received.authentic()) {
+      abandon(AttemptResult.FAILED, "its answer has no proof of origin");
+    } else if (received.isSuccess() && received.events()) {
+      relay = new StreamRelay(state, received);
+    }
+  }
+
+  @Override
+  public void onContent(ByteBuf content) {
+    if (ended) {
+      return;
+    }
+    StreamRelay stream = relay;
+    if (stream != null) {
+      relayPart(stream, content);
+    } else if (body.size() + content.readableBytes() > MAX_ANSWER_BYTES) {
+      abandon(AttemptResult.FAILED, "its answer is over the size limit");
+    } else {
+      byte[] part = new byte[content.readableBytes()];
+      content.readBytes(part);
+      body.writeBytes(part);
+    }
+  }
+
+  private void relayPart(StreamRelay stream, ByteBuf content) {
+    try {
+      stream.accept(content);
+    } catch (IllegalArgumentException malformed) {
+      abandon(brokenResult(), "its stream can't be read: " + malformed.getMessage());
+      return;
+    }
+    if (stream.isCallerTooSlow()) {
+      abandon(brokenResult(), "the caller reads too slowly");
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    if (ended) {
+      return;
+    }
+    AnswerHead received = head;
+    if (received == null) {
+      finish(AttemptResult.FAILED, "it sent no answer");
+    } else if (relay != null) {
+      relay.end();
+      finish(AttemptResult.COMPLETE, "");
+    } else if (received.promisesNotRun()) {
+      // Without the back end's own word that it did not run the request, nobody may promise it.
+      head = null;
+      finish(AttemptResult.FAILED, "it answered " + received.status() + " without a reason");
+    } else if (received.isServerError()) {
+      finish(AttemptResult.FAILED, "it answered " + received.status());
+    } else {
+      state.exchange.reply(new HttpReply(received.status(), received.headers(), bytes()));
+      finish(AttemptResult.COMPLETE, "");
+    }
+  }
+
+  @Override
+  public void onFailure(HttpCallException cause) {
+    if (ended) {
+      return;
+    }
+    head = null;
+    AttemptResult result =
+        cause.stage() == HttpCallException.Stage.NOT_SENT ? AttemptResult.NOT_SENT : brokenResult();
+    finish(result, cause.getMessage());
+  }
+
+  private AttemptResult brokenResult() {
+    return relay != null && state.answerStarted ? AttemptResult.BROKEN_OFF : AttemptResult.FAILED;
+  }
+
+  private void abandon(AttemptResult result, String reason) {
+    head = null;
+    HttpCall current = call;
+    if (current != null) {
+      current.cancel();
+    }
+    finish(result, reason);
+  }
+
+  private void finish(AttemptResult result, String reason) {
+    ended = true;
+    failure = reason;
+    closeRelay();
+    target.health().closed();
+    onResult.accept(this, result);
+  }
+
+  private void closeRelay() {
+    if (relay != null) {
+      relay.close();
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/request/PhaseFilter.java
@@ -0,0 +1,29 @@
+package org.lockdale.gateway.request;
+
+import org.jspecify.annotations.Nullable;
+import org.lockdale.coordination.blackboard.Section;
+import org.lockdale.gateway.node.GatewayPhase;
+
+/** Refuses requests that come so late in a planned stop that they might be cut off. */
+final class PhaseFilter implements RequestFilter {
+
+  /** Another node takes the request at once. */
+  private static final long RETRY_AFTER_MILLIS = 1;
+
+  private final Section<GatewayPhase> phase;
+
+  PhaseFilter(Section<GatewayPhase> phase) {
+    this.phase = phase;
+  }
+
+  @Override
+  public @Nullable Refusal apply(RequestState state) {
+    if (phase.value() != GatewayPhase.DRAINING) {
+      return null;
+    }
+    return new Refusal(
+        RefusalKind.UNAVAILABLE,
+        "This node is stopping; send the request again over a new connection.",
+        RETRY_AFTER_MILLIS);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
@@ -0,0 +1,78 @@
+package org.lockdale.gateway.request;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.caller.CallerRequest;
+import org.lockdale.gateway.configuration.GatewayConfiguration;
+import org.lockdale.gateway.configuration.Route;
+import org.lockdale.gateway.configuration.Tenant;
+import org.lockdale.http.HttpExchange;
+
+/** Everything known of one request on its way. Lives on the event loop of its connection. */
+final class RequestState {
+
+  final HttpExchange exchange;
+  final CallerRequest request;
+  final GatewayConfiguration configuration;
+  final long configurationAgeMillis;
+  final long arrivedAtMillis;
+  final Set<String> triedBackends = new HashSet<>();
+
+  /** Set by the route filter, before any attempt. */
+  @Nullable Route route;
+
+  /** Pool of the route that was chosen for this request. */
+  String pool = "";
+
+  @Nullable Tenant tenant;
+  BackendTable backends = BackendTable.EMPTY;
+
+  /** Attempts after which the back end may have run the request. */
+  int possibleRuns;
+
+  /** Attempts that reached a back end. */
+  int sends;
+
+  int connectFailures;
+
+  /** Id of the last event that was passed on, or what the caller holds already. */
+  @Nullable String lastEventId;
+
+  boolean answerStarted;
+
+  RequestState(
+      HttpExchange exchange,
+      CallerRequest request,
+      GatewayConfiguration configuration,
+      long configurationAgeMillis,
+      long arrivedAtMillis) {
+    this.exchange = exchange;
+    this.request = request;
+    this.configuration = configuration;
+    this.configurationAgeMillis = configurationAgeMillis;
+    this.arrivedAtMillis = arrivedAtMillis;
+    this.lastEventId = request.lastEventId();
+  }
+
+  /** Returns the route; only after the route filter. */
+  Route route() {
+    Route chosen = route;
+    if (chosen == null) {
+      throw new IllegalStateException("the route filter has not run");
+    }
+    return chosen;
+  }
+
+  /** Returns the time at which the answer is no longer wanted, by the monotonic clock. */
+  long endsAtMillis() {
+    return arrivedAtMillis + Math.min(request.deadlineMillis(), route().timeout().toMillis());
+  }
+
+  /** Returns the rank of the request; a tenant's takes precedence over its route's. */
+  int priority() {
+    Tenant caller = tenant;
+    return caller == null || caller.priority() == null ? route().priority() : caller.priority();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
@@ -0,0 +1,157 @@
+package org.lockdale.gateway.weights;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.lockdale.coordination.lease.Lease;
+import org.tinylog.Logger;
+
+/**
+ * Moves one engine to a version of weights: asks for its state, gives the order, and asks again
+ * until the engine holds the version. An order without an answer is never repeated blindly, since
+ * it may still be carried out: the next one names the number of orders that the engine has taken,
+ * so that at most one of them takes effect. Runs on one event loop.
+ */
+final class EngineUpdate {
+
+  private static final long FIRST_CHECK_MILLIS = 650;
+  private static final long CHECK_MILLIS = 250;
+
+  /** Time for the other nodes to hear that an engine moves. */
+  private static final long NOTICE_MILLIS = 40;
+
+  private static final long GIVE_UP_MILLIS = 6_000;
+
+  private final EventLoop eventLoop;
+  private final RolloutTools tools;
+  private final WeightsPolicy.Move move;
+  private final Lease lease;
+  private final String nodeId;
+  private final LongSupplier nowMillis;
+  private final long startedAtMillis;
+  private boolean announced;
+  private final CompletableFuture<Boolean> done = new CompletableFuture<>();
+
+  EngineUpdate(
+      EventLoop eventLoop,
+      RolloutTools tools,
+      WeightsPolicy.Move move,
+      Lease lease,
+      String nodeId,
+      LongSupplier nowMillis) {
+    this.eventLoop = eventLoop;
+    this.tools = tools;
+    this.move = move;
+    this.lease = lease;
+    this.nodeId = nodeId;
+    this.nowMillis = nowMillis;
+    this.startedAtMillis = nowMillis.getAsLong();
+  }
+
+  /** Starts the update; the future tells whether the engine holds the version. */
+  CompletableFuture<Boolean> start() {
+    check();
+    return done;
+  }
+
+  private void check() {
+    if (nowMillis.getAsLong() - startedAtMillis > GIVE_UP_MILLIS) {
+      done.complete(false);
+      return;
+    }
+    tools
+        .control()
+        .state(move.engine().backend())
+        .whenCompleteAsync(
+            (state, failure) -> {
+              if (failure != null) {
+                Logger.info(
+                    "event=engine-state-failed backend={} cause={}",
+                    move.engine().backend().id(),
+                    failure.getMessage());
+                done.complete(false);
+              } else {
+                decide(state);
+              }
+            },
+            eventLoop);
+  }
+
+  private void decide(EngineState state) {
+    state.weights().forEach(move.engine()::observeWeights);
+    if (state.weights().getOrDefault(move.model(), 0L) >= move.version()) {
+      succeed();
+    } else if (state.busy()) {
+      checkAfter(CHECK_MILLIS);
+    } else {
+      announceThenOrder(state);
+    }
+  }
+
+  /** The other nodes are told first, so that what they send meanwhile is not turned away. */
+  private void announceThenOrder(EngineState state) {
+    if (announced) {
+      order(state);
+      return;
+    }
+    announced = true;
+    tools
+        .board()
+        .tell(moveRow(true))
+        .whenCompleteAsync(
+            (done, failure) ->
+                eventLoop.schedule(() -> order(state), NOTICE_MILLIS, TimeUnit.MILLISECONDS),
+            eventLoop);
+  }
+
+  private void succeed() {
+    if (announced) {
+      tools.board().tell(moveRow(false));
+    }
+    done.complete(true);
+  }
+
+  private EngineMove moveRow(boolean moving) {
+    return new EngineMove(move.engine().backend().id(), move.model(), move.version(), moving);
+  }
+
+  private void order(EngineState state) {
+    if (!lease.mayAct(nowMillis.getAsLong())) {
+      done.complete(false);
+      return;
+    }
+    LoadOrder order =
+        new LoadOrder(move.model(), move.version(), nodeId, lease.fence(), state.orderCount());
+    tools
+        .control()
+        .load(move.engine().backend(), order)
+        .whenCompleteAsync((outcome, impossible) -> ordered(outcome), eventLoop);
+  }
+
+  private void ordered(OrderOutcome outcome) {
+    Logger.info(
+        "event=weights-ordered backend={} model={} version={} outcome={}",
+        move.engine().backend().id(),
+        move.model(),
+        move.version(),
+        outcome);
+    switch (outcome) {
+      case ACCEPTED -> checkAfter(FIRST_CHECK_MILLIS);
+      case ALREADY_HELD -> {
+        move.engine().observeWeights(move.model(), move.version());
+        succeed();
+      }
+      case CONFLICT, UNKNOWN -> checkAfter(CHECK_MILLIS);
+      case FENCED -> {
+        lease.lost();
+        done.complete(false);
+      }
+      default -> done.complete(false);
+    }
+  }
+
+  private void checkAfter(long millis) {
+    eventLoop.schedule(this::check, millis, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
@@ -0,0 +1,209 @@
+package org.lockdale.gateway.weights;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.coordination.blackboard.Section;
+import org.lockdale.coordination.lease.Lease;
+import org.lockdale.coordination.lease.LeaseReading;
+import org.lockdale.coordination.lease.LeaseRow;
+import org.lockdale.coordination.lease.LeaseStore;
+import org.lockdale.coordination.table.TableServiceException;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.backend.BackendTable;
+import org.tinylog.Logger;
+
+/**
+ * Moves engines to the newest weights. Every node runs one; the one that takes the lease gives the
+ * orders, a few engines at a time and always straight to the newest version. Runs on one event
+ * loop.
+ */
+public final class RolloutController {
+
+  private static final long TICK_MILLIS = 100;
+  private static final long LEASE_DURATION_MILLIS = 1_500;
+  private static final long RENEWAL_MILLIS = 500;
+  private static final long CONTENTION_MILLIS = 300;
+  private static final long ENGINE_RETRY_MILLIS = 400;
+
+  /** Nodes spread their first attempts over this many ticks, so that they do not all collide. */
+  private static final int STAGGER_TICKS = 5;
+
+  private static final int LEAST_PARALLEL = 2;
+
+  /** One engine in this many may load at once. */
+  private static final int PARALLEL_DIVISOR = 4;
+
+  private final EventLoop eventLoop;
+  private final Section<NamedWeights> weights;
+  private final Section<BackendTable> backends;
+  private final WeightsPolicy policy;
+  private final RolloutTools tools;
+  private final LeaseStore store;
+  private final Lease lease;
+  private final String nodeId;
+  private final Time time;
+  private final Set<String> updating = new HashSet<>();
+  private final Map<String, Long> retryAtMillis = new HashMap<>();
+  private boolean leaseCallOpen;
+  private long nextLeaseCallMillis;
+  private boolean pending;
+  private volatile boolean closed;
+
+  /**
+   * Creates a controller; {@link #start} starts it.
+   *
+   * @param eventLoop runs the controller
+   * @param weights versions that operators have named
+   * @param backends back ends on record
+   * @param policy when engines have to move
+   * @param tools calls engines and tells other nodes
+   * @param store holds the lease's row
+   * @param nodeId id of this node
+   * @param guardMillis least time between the orders of two holders of the lease
+   * @param time clock
+   */
+  public RolloutController(
+      EventLoop eventLoop,
+      Section<NamedWeights> weights,
+      Section<BackendTable> backends,
+      WeightsPolicy policy,
+      RolloutTools tools,
+      LeaseStore store,
+      String nodeId,
+      long guardMillis,
+      Time time) {
+    this.eventLoop = eventLoop;
+    this.weights = weights;
+    this.backends = backends;
+    this.policy = policy;
+    this.tools = tools;
+    this.store = store;
+    this.lease = new Lease(nodeId, LEASE_DURATION_MILLIS, guardMillis);
+    this.nodeId = nodeId;
+    this.time = time;
+  }
+
+  /** Starts the controller. */
+  public void start() {
+    eventLoop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Gives no further orders. */
+  public void close() {
+    closed = true;
+  }
+
+  private void tick() {
+    if (closed) {
+      return;
+    }
+    long now = time.monotonicMillis();
+    List<WeightsPolicy.Move> moves = WeightsPolicy.moves(weights.value(), backends.value());
+    int parallel = parallel();
+    if (moves.isEmpty() || now < policy.startBy(weights.value(), moves, parallel)) {
+      pending = false;
+      return;
+    }
+    if (!pending) {
+      pending = true;
+      nextLeaseCallMillis = now + Math.floorMod(nodeId.hashCode(), STAGGER_TICKS) * TICK_MILLIS;
+    }
+    keepLease(now);
+    if (lease.mayAct(now)) {
+      startUpdates(moves, parallel, now);
+    }
+  }
+
+  private int parallel() {
+    long engines =
+        backends.value().all().stream()
+            .filter(tracked -> !tracked.backend().weights().isEmpty())
+            .count();
+    // One engine at least goes on serving, where there is more than one.
+    long most = Math.max(1, engines - 1);
+    return (int) Math.min(most, Math.max(LEAST_PARALLEL, engines / PARALLEL_DIVISOR));
+  }
+
+  private void startUpdates(List<WeightsPolicy.Move> moves, int parallel, long now) {
+    for (WeightsPolicy.Move move : moves) {
+      String engine = move.engine().backend().id();
+      boolean due = retryAtMillis.getOrDefault(engine, Long.MIN_VALUE) <= now;
+      if (due && updating.size() < parallel && updating.add(engine)) {
+        new EngineUpdate(eventLoop, tools, move, lease, nodeId, time::monotonicMillis)
+            .start()
+            .whenCompleteAsync((held, impossible) -> updated(engine, held), eventLoop);
+      }
+    }
+  }
+
+  private void updated(String engine, boolean held) {
+    updating.remove(engine);
+    if (held) {
+      retryAtMillis.remove(engine);
+    } else {
+      retryAtMillis.put(engine, time.monotonicMillis() + ENGINE_RETRY_MILLIS);
+    }
+  }
+
+  private void keepLease(long now) {
+    if (leaseCallOpen || now < nextLeaseCallMillis) {
+      return;
+    }
+    leaseCallOpen = true;
+    store
+        .read()
+        .thenComposeAsync(
+            reading -> {
+              lease.observed(reading, now);
+              return claimAfter(reading);
+            },
+            eventLoop)
+        .whenCompleteAsync((written, failure) -> concluded(failure), eventLoop);
+  }
+
+  private CompletableFuture<@Nullable Void> claimAfter(LeaseReading reading) {
+    Optional<LeaseRow> claim = lease.claim();
+    if (claim.isEmpty()) {
+      nextLeaseCallMillis =
+          time.monotonicMillis() + Math.max(CONTENTION_MILLIS, lease.millisUntilFree());
+      return CompletableFuture.completedFuture(null);
+    }
+    long askedAt = time.monotonicMillis();
+    return store
+        .write(claim.get(), reading.version())
+        .thenAcceptAsync(
+            written -> {
+              boolean held = lease.mayAct(askedAt);
+              lease.written(written, askedAt);
+              nextLeaseCallMillis = askedAt + RENEWAL_MILLIS;
+              if (!held) {
+                Logger.info("event=lease-taken lease=weights fence={}", written.version());
+              }
+            },
+            eventLoop);
+  }
+
+  private void concluded(@Nullable Throwable failure) {
+    leaseCallOpen = false;
+    if (failure == null) {
+      return;
+    }
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    boolean contended =
+        cause instanceof TableServiceException known
+            && known.kind() == TableServiceException.Kind.CONDITION_FAILED;
+    if (!contended) {
+      Logger.info("event=lease-call-failed lease=weights cause={}", cause.getMessage());
+    }
+    nextLeaseCallMillis = time.monotonicMillis() + CONTENTION_MILLIS;
+  }
+}
--- a/http/src/main/java/org/lockdale/http/ConnectionPool.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.util.AttributeKey;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
 import java.net.InetSocketAddress;
@@ -29,6 +30,10 @@
 
   private record Key(EventLoop eventLoop, InetSocketAddress address) {}
 
+  /** Until when an idle connection may be used again, by {@link System#nanoTime}. */
+  private static final AttributeKey<Long> USABLE_UNTIL =
+      AttributeKey.valueOf(ConnectionPool.class, "usable-until");
+
   private final Map<Key, Deque<Channel>> idle = new ConcurrentHashMap<>();
   private final Duration connectTimeout;
 
@@ -75,13 +80,41 @@
       return null;
     }
     Channel channel = channels.pollFirst();
-    while (channel != null && !channel.isActive()) {
+    while (channel != null && !isUsable(channel)) {
+      channel.close();
       channel = channels.pollFirst();
     }
     return channel;
   }
 
+  private static boolean isUsable(Channel channel) {
+    Long usableUntil = channel.attr(USABLE_UNTIL).get();
+    return channel.isActive() && (usableUntil == null || System.nanoTime() - usableUntil < 0);
+  }
+
+  /** Closes the idle connections to an address. */
+  void forget(InetSocketAddress address) {
+    idle.forEach(
+        (key, channels) -> {
+          if (key.address().equals(address)) {
+            channels.forEach(Channel::close);
+          }
+        });
+    idle.keySet().removeIf(key -> key.address().equals(address));
+  }
+
+  /** Returns a connection that has carried nothing since it was acquired. */
   void release(Channel channel, InetSocketAddress address) {
+    park(channel, address);
+  }
+
+  /** Returns a connection after a whole exchange, for use again until a time. */
+  void release(Channel channel, InetSocketAddress address, long usableUntilNanos) {
+    channel.attr(USABLE_UNTIL).set(usableUntilNanos);
+    park(channel, address);
+  }
+
+  private void park(Channel channel, InetSocketAddress address) {
     Deque<Channel> channels =
         idle.computeIfAbsent(
             new Key(channel.eventLoop(), address), key -> new ConcurrentLinkedDeque<>());
--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
@@ -24,7 +25,7 @@
   private static final int MAX_REPLY_BYTES = 64 * 1024 * 1024;
 
   private final EventLoopGroup group;
-  private final ConnectionPool pool = new ConnectionPool(CONNECT_TIMEOUT);
+  private final ConnectionPool pool;
 
   /**
    * Creates a client.
@@ -32,7 +33,18 @@
    * @param group event loops for calls that name none
    */
   public HttpClient(EventLoopGroup group) {
+    this(group, CONNECT_TIMEOUT);
+  }
+
+  /**
+   * Creates a client.
+   *
+   * @param group event loops for calls that name none
+   * @param connectTimeout longest time for a connection to come up
+   */
+  public HttpClient(EventLoopGroup group, Duration connectTimeout) {
     this.group = group;
+    this.pool = new ConnectionPool(connectTimeout);
   }
 
   /**
@@ -83,12 +95,21 @@
             request.path(),
             Unpooled.wrappedBuffer(request.body()));
     message.headers().set(request.headers());
-    message.headers().set(HttpHeaderNames.HOST, hostOf(address));
-    message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+    if (!message.headers().contains(HttpHeaderNames.HOST)) {
+      message.headers().set(HttpHeaderNames.HOST, hostOf(address));
+    }
+    if (request.body().length > 0 || !HttpMethod.GET.equals(request.method())) {
+      message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+    }
     call.markSent();
     channel.writeAndFlush(message, channel.voidPromise());
   }
 
+  /** Closes the idle connections to a peer that has gone. */
+  public void forget(InetSocketAddress address) {
+    pool.forget(address);
+  }
+
   private static String hostOf(InetSocketAddress address) {
     return address.getHostString() + ":" + address.getPort();
   }
--- a/http/src/main/java/org/lockdale/http/HttpExchange.java
+++ b/http/src/main/java/org/lockdale/http/HttpExchange.java
@@ -32,7 +32,7 @@
   private final HttpRequest request;
   private final byte[] body;
   private final Runnable onEnded;
-  private final boolean keepAlive;
+  private volatile boolean keepAlive;
   private final long receivedNanos;
   private final AtomicBoolean ended = new AtomicBoolean();
   private final CompletableFuture<Void> disconnected = new CompletableFuture<>();
@@ -105,6 +105,11 @@
         : channel.unsafe().outboundBuffer().totalPendingWriteBytes();
   }
 
+  /** Closes the connection after this exchange; to be called before the reply begins. */
+  public void closeAfterReply() {
+    keepAlive = false;
+  }
+
   /** Sends a whole reply and ends the exchange. */
   public void reply(HttpReply reply) {
     if (!ended.compareAndSet(false, true)) {
--- a/http/src/main/java/org/lockdale/http/HttpResponseListener.java
+++ b/http/src/main/java/org/lockdale/http/HttpResponseListener.java
@@ -9,6 +9,14 @@
  */
 public interface HttpResponseListener {
 
+  /**
+   * Returns whether a reply belongs to this call. One that doesn't is a surplus reply to an earlier
+   * call on the same connection; it is dropped, and the call waits for the next one.
+   */
+  default boolean accepts(int status, HttpHeaders headers) {
+    return true;
+  }
+
   /** Receives the head of the reply. */
   void onHead(int status, HttpHeaders headers);
 
--- a/http/src/main/java/org/lockdale/http/HttpServer.java
+++ b/http/src/main/java/org/lockdale/http/HttpServer.java
@@ -77,6 +77,21 @@
     connections.close().awaitUninterruptibly();
   }
 
+  /** Closes the connections on which no request is open or under way. */
+  public void closeIdleConnections() {
+    for (Channel connection : connections) {
+      connection
+          .eventLoop()
+          .execute(
+              () -> {
+                RequestAssembler assembler = connection.pipeline().get(RequestAssembler.class);
+                if (assembler != null && assembler.isIdle()) {
+                  connection.close();
+                }
+              });
+    }
+  }
+
   /** Stops accepting connections and closes the open ones. */
   @Override
   public void close() {
--- /dev/null
+++ b/http/src/main/java/org/lockdale/http/KeepAliveHeader.java
@@ -0,0 +1,34 @@
+package org.lockdale.http;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Reads how long a peer keeps an idle connection open ({@code Keep-Alive: timeout=5}). */
+final class KeepAliveHeader {
+
+  private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
+
+  /** Idle limit assumed where the peer states none. */
+  private static final long DEFAULT_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+  /** A connection is given up this long before the peer would close it. */
+  private static final long MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+  private KeepAliveHeader() {}
+
+  /** Returns for how long the connection may be used again, in nanoseconds. */
+  static long idleLimitNanos(HttpHeaders headers) {
+    String value = headers.get("keep-alive");
+    if (value == null) {
+      return DEFAULT_LIMIT_NANOS;
+    }
+    Matcher matcher = TIMEOUT.matcher(value);
+    if (!matcher.find()) {
+      return DEFAULT_LIMIT_NANOS;
+    }
+    long limit = TimeUnit.SECONDS.toNanos(Long.parseLong(matcher.group(1)));
+    return Math.max(0, limit - MARGIN_NANOS);
+  }
+}
--- a/http/src/main/java/org/lockdale/http/RequestAssembler.java
+++ b/http/src/main/java/org/lockdale/http/RequestAssembler.java
@@ -49,6 +49,11 @@
     this.handler = handler;
   }
 
+  /** Returns whether no request is open or under way; called on the connection's event loop. */
+  boolean isIdle() {
+    return active == null && head == null && waiting.isEmpty();
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
     if (refused) {
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.net.InetSocketAddress;
@@ -19,6 +20,9 @@
   private @Nullable HttpResponseListener listener;
   private boolean headReceived;
   private boolean keepAlive;
+  private boolean skipping;
+  private boolean surplusSeen;
+  private long idleLimitNanos;
 
   ResponseReader(ConnectionPool pool, InetSocketAddress address) {
     this.pool = pool;
@@ -29,6 +33,7 @@
     call = newCall;
     listener = newListener;
     headReceived = false;
+    skipping = false;
   }
 
   @Override
@@ -44,9 +49,11 @@
       return;
     }
     if (part instanceof HttpResponse response) {
-      headReceived = true;
-      keepAlive = HttpUtil.isKeepAlive(response);
-      receiver.onHead(response.status().code(), response.headers());
+      begin(response, receiver);
+    }
+    if (skipping) {
+      skipping = !(part instanceof LastHttpContent);
+      return;
     }
     if (part instanceof HttpContent content && content.content().isReadable()) {
       receiver.onContent(content.content());
@@ -57,11 +64,24 @@
     }
   }
 
+  private void begin(HttpResponse response, HttpResponseListener receiver) {
+    boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    if (informational || !receiver.accepts(response.status().code(), response.headers())) {
+      skipping = true;
+      surplusSeen |= !informational;
+      return;
+    }
+    headReceived = true;
+    keepAlive = HttpUtil.isKeepAlive(response) && !surplusSeen;
+    idleLimitNanos = KeepAliveHeader.idleLimitNanos(response.headers());
+    receiver.onHead(response.status().code(), response.headers());
+  }
+
   private void release(ChannelHandlerContext context) {
     call = null;
     listener = null;
     if (keepAlive) {
-      pool.release(context.channel(), address);
+      pool.release(context.channel(), address, System.nanoTime() + idleLimitNanos);
     } else {
       context.close();
     }
--- a/http/src/main/java/org/lockdale/http/ServerSentEventDecoder.java
+++ b/http/src/main/java/org/lockdale/http/ServerSentEventDecoder.java
@@ -28,7 +28,7 @@
   /** The data line that ends a stream of OpenAI's interface. */
   public static final String DONE = "data: [DONE]\n\n";
 
-  private static final byte[] ID_PREFIX = "id: ".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] ID_PREFIX = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final byte[] DONE_BYTES = DONE.getBytes(StandardCharsets.US_ASCII);
   private static final int MAX_EVENT_BYTES = 1024 * 1024;
   private static final int DECIMAL = 10;
@@ -101,25 +101,45 @@
     }
   }
 
+  /** Returns the value of the first line that begins with the id field. */
   private static long idOf(ByteBuf event) {
-    int start = event.readerIndex();
-    if (event.readableBytes() < ID_PREFIX.length) {
-      return NO_ID;
+    int line = event.readerIndex();
+    while (line < event.writerIndex()) {
+      int end = event.indexOf(line, event.writerIndex(), (byte) '\n');
+      int lineEnd = end < 0 ? event.writerIndex() : end;
+      if (startsWithId(event, line, lineEnd)) {
+        return numberAt(event, line + ID_PREFIX.length, lineEnd);
+      }
+      line = lineEnd + 1;
+    }
+    return NO_ID;
+  }
+
+  private static boolean startsWithId(ByteBuf event, int start, int end) {
+    if (end - start <= ID_PREFIX.length) {
+      return false;
     }
     for (int index = 0; index < ID_PREFIX.length; index++) {
       if (event.getByte(start + index) != ID_PREFIX[index]) {
-        return NO_ID;
+        return false;
       }
     }
-    long id = 0;
-    for (int index = start + ID_PREFIX.length; event.getByte(index) != '\n'; index++) {
+    return true;
+  }
+
+  private static long numberAt(ByteBuf event, int start, int end) {
+    long number = 0;
+    for (int index = start; index < end; index++) {
       int digit = event.getByte(index) - '0';
+      if (index == start && event.getByte(index) == ' ' && end - start > 1) {
+        continue;
+      }
       if (digit < 0 || digit >= DECIMAL) {
         return NO_ID;
       }
-      id = id * DECIMAL + digit;
+      number = number * DECIMAL + digit;
     }
-    return id;
+    return number;
   }
 
   /** Returns whether an event is the one that ends a stream. */
@@ -142,6 +162,11 @@
     return start < 0 ? "" : text.substring(start + "data: ".length()).trim();
   }
 
+  /** Returns the bytes after the last whole event; they stay until {@link #close}. */
+  public ByteBuf remainder() {
+    return pending;
+  }
+
   /** Releases what is held of an unfinished event. */
   @Override
   public void close() {
--- a/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
@@ -17,6 +17,8 @@
 import org.lockdale.protocol.generated.ClaimRecord;
 import org.lockdale.protocol.generated.ConfigurationChange;
 import org.lockdale.protocol.generated.ConfigurationSnapshot;
+import org.lockdale.protocol.generated.EngineMoveRecord;
+import org.lockdale.protocol.generated.LeaseRecord;
 import org.lockdale.protocol.generated.PeerMessage;
 
 /**
@@ -76,6 +78,16 @@
     return forSchema(ClaimRecord.getClassSchema());
   }
 
+  /** Returns a codec of leases as kept in the table service. */
+  public static MessageCodec<LeaseRecord> leases() {
+    return forSchema(LeaseRecord.getClassSchema());
+  }
+
+  /** Returns a codec of the states of engines in a rollout as kept in the table service. */
+  public static MessageCodec<EngineMoveRecord> engineMoves() {
+    return forSchema(EngineMoveRecord.getClassSchema());
+  }
+
   /** Returns a codec that writes a schema and reads it alone. */
   public static <T extends SpecificRecordBase> MessageCodec<T> forSchema(Schema schema) {
     return forSchema(schema, SchemaHistory.of(schema));
--- a/router/src/main/java/org/lockdale/router/blackboard/Blackboard.java
+++ b/router/src/main/java/org/lockdale/router/blackboard/Blackboard.java
@@ -1,6 +1,7 @@
 package org.lockdale.router.blackboard;
 
 import java.util.List;
+import org.lockdale.coordination.blackboard.Section;
 import org.lockdale.coordination.configuration.ConfigurationState;
 import org.lockdale.coordination.membership.Member;
 import org.lockdale.router.engine.EngineTable;
--- a/router/src/main/java/org/lockdale/router/settings/NodeSettings.java
+++ b/router/src/main/java/org/lockdale/router/settings/NodeSettings.java
@@ -2,10 +2,17 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.settings.Setting;
+import org.lockdale.settings.SettingsException;
+import org.lockdale.settings.SettingsLoader;
+import org.lockdale.settings.SettingsReference;
+import org.lockdale.settings.ValueParsers;
 
 /** The settings of a node: their declarations and their checked values. */
 public final class NodeSettings {
@@ -331,6 +338,27 @@
         text -> text.equals(defaultText) ? text : ValueParsers.text(16).apply(text));
   }
 
+  /**
+   * Loads and checks the settings of a node.
+   *
+   * @param file YAML file of keys and values, or null for none
+   * @param flags values that override the file
+   * @throws SettingsException if anything is wrong; the message names file, key, value and remedy
+   */
+  public static NodeSettings load(@Nullable Path file, Map<String, String> flags) {
+    return new NodeSettings(SettingsLoader.load(ALL, file, flags));
+  }
+
+  /** Returns docs/SETTINGS.md. */
+  public static String referencePage() {
+    return SettingsReference.toMarkdown(
+        "Settings of a node",
+        "Written by `lockdale node --settings-reference`; a test keeps it current. Settings stand"
+            + " in one YAML\nfile, a `key: value` a line, or in flags `--set key=value`, which"
+            + " win. Secrets are never printed.",
+        ALL);
+  }
+
   /** Returns all declarations in the order of the reference page. */
   public static List<Setting<?>> declarations() {
     return ALL;
--- a/router/src/test/java/org/lockdale/router/settings/SettingsTest.java
+++ b/router/src/test/java/org/lockdale/router/settings/SettingsTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import org.lockdale.settings.SettingsException;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -47,7 +48,7 @@
     Map<String, String> flags = good();
     flags.put(key, value);
     SettingsException failure =
-        expectThrows(SettingsException.class, () -> SettingsLoader.load(null, flags));
+        expectThrows(SettingsException.class, () -> NodeSettings.load(null, flags));
     assertTrue(failure.getMessage().contains(key), failure.getMessage());
     assertTrue(failure.getMessage().contains(remedy), failure.getMessage());
   }
@@ -58,7 +59,7 @@
     Map<String, String> flags = good();
     flags.put("peers.shared-key", "tooshort");
     SettingsException failure =
-        expectThrows(SettingsException.class, () -> SettingsLoader.load(null, flags));
+        expectThrows(SettingsException.class, () -> NodeSettings.load(null, flags));
     assertTrue(!failure.getMessage().contains("tooshort"), failure.getMessage());
   }
 
@@ -66,7 +67,7 @@
   @Test
   public void allProblemsAreTold() {
     SettingsException failure =
-        expectThrows(SettingsException.class, () -> SettingsLoader.load(null, Map.of()));
+        expectThrows(SettingsException.class, () -> NodeSettings.load(null, Map.of()));
     assertEquals(failure.getMessage().lines().count(), 4, failure.getMessage());
   }
 
@@ -76,12 +77,12 @@
     Path file = Files.createTempFile("settings", ".yaml");
     try {
       Files.writeString(file, "node.id: from-file\nplatform.timeout: 2s\n");
-      NodeSettings settings = SettingsLoader.load(file, good());
+      NodeSettings settings = NodeSettings.load(file, good());
       assertEquals(settings.get(NodeSettings.NODE_ID), "n1");
       assertEquals(settings.get(NodeSettings.PLATFORM_TIMEOUT), Duration.ofSeconds(2));
       Files.writeString(file, "platform.timeout: never\n");
       SettingsException failure =
-          expectThrows(SettingsException.class, () -> SettingsLoader.load(file, good()));
+          expectThrows(SettingsException.class, () -> NodeSettings.load(file, good()));
       assertTrue(failure.getMessage().contains(file.toString()), failure.getMessage());
     } finally {
       Files.delete(file);
@@ -93,7 +94,7 @@
   public void thePageIsCurrent() throws IOException {
     assertEquals(
         Files.readString(Path.of("../docs/SETTINGS.md")),
-        SettingsReference.toMarkdown(),
+        NodeSettings.referencePage(),
         "write it anew: ./lockdale node --settings-reference > docs/SETTINGS.md");
   }
 }
--- a/router/src/main/java/org/lockdale/router/settings/SettingsException.java
+++ b/settings/src/main/java/org/lockdale/settings/SettingsException.java
@@ -1,4 +1,4 @@
-package org.lockdale.router.settings;
+package org.lockdale.settings;
 
 import java.util.List;
 
--- a/router/src/main/java/org/lockdale/router/settings/SettingsLoader.java
+++ b/settings/src/main/java/org/lockdale/settings/SettingsLoader.java
@@ -1,4 +1,4 @@
-package org.lockdale.router.settings;
+package org.lockdale.settings;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -22,17 +22,24 @@
   private final Map<String, Given> given = new LinkedHashMap<>();
   private final List<String> problems = new ArrayList<>();
 
-  private SettingsLoader() {}
+  private final List<Setting<?>> declarations;
+
+  private SettingsLoader(List<Setting<?>> declarations) {
+    this.declarations = declarations;
+  }
 
   /**
    * Loads settings.
    *
+   * @param declarations all settings that there are
    * @param file YAML file of keys and values, or null for none
    * @param flags values that override the file
+   * @return the checked value of every setting
    * @throws SettingsException if anything is wrong; the message names file, key, value and remedy
    */
-  public static NodeSettings load(@Nullable Path file, Map<String, String> flags) {
-    SettingsLoader loader = new SettingsLoader();
+  public static Map<Setting<?>, Object> load(
+      List<Setting<?>> declarations, @Nullable Path file, Map<String, String> flags) {
+    SettingsLoader loader = new SettingsLoader(declarations);
     if (file != null) {
       loader.readFile(file);
     }
@@ -62,9 +69,9 @@
     }
   }
 
-  private NodeSettings check() {
+  private Map<Setting<?>, Object> check() {
     Map<Setting<?>, Object> values = new HashMap<>();
-    for (Setting<?> setting : NodeSettings.declarations()) {
+    for (Setting<?> setting : declarations) {
       Optional<Object> value = valueOf(setting, given.remove(setting.key()));
       value.ifPresent(checked -> values.put(setting, checked));
     }
@@ -79,7 +86,7 @@
     if (!problems.isEmpty()) {
       throw new SettingsException(problems);
     }
-    return new NodeSettings(values);
+    return values;
   }
 
   private Optional<Object> valueOf(Setting<?> setting, @Nullable Given value) {
--- a/router/src/main/java/org/lockdale/router/settings/SettingsReference.java
+++ b/settings/src/main/java/org/lockdale/settings/SettingsReference.java
@@ -1,21 +1,26 @@
-package org.lockdale.router.settings;
+package org.lockdale.settings;
+
+import java.util.List;
 
 /** Renders the reference page of settings from their declarations. */
 public final class SettingsReference {
 
   private SettingsReference() {}
 
-  /** Returns docs/SETTINGS.md. */
-  public static String toMarkdown() {
+  /**
+   * Returns a page that describes all settings.
+   *
+   * @param title heading of the page
+   * @param introduction text between heading and table
+   * @param declarations all settings in the order of the page
+   */
+  public static String toMarkdown(
+      String title, String introduction, List<Setting<?>> declarations) {
     StringBuilder page = new StringBuilder();
-    page.append("# Settings of a node\n\n");
-    page.append(
-        "Written by `lockdale node --settings-reference`; a test keeps it current. Settings stand"
-            + " in one YAML\nfile, a `key: value` a line, or in flags `--set key=value`, which"
-            + " win. Secrets are never printed.\n\n");
+    page.append("# ").append(title).append("\n\n").append(introduction).append("\n\n");
     page.append("| key | type | default | allowed | what it does |\n");
     page.append("| --- | --- | --- | --- | --- |\n");
-    for (Setting<?> setting : NodeSettings.declarations()) {
+    for (Setting<?> setting : declarations) {
       page.append("| `").append(setting.key()).append("` | ").append(setting.type()).append(" | ");
       page.append(defaultOf(setting)).append(" | ");
       page.append(setting.range()).append(" | ").append(setting.description()).append(" |\n");
--- a/router/src/main/java/org/lockdale/router/settings/ValueParsers.java
+++ b/settings/src/main/java/org/lockdale/settings/ValueParsers.java
@@ -1,4 +1,4 @@
-package org.lockdale.router.settings;
+package org.lockdale.settings;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -11,7 +11,7 @@
 import java.util.regex.Pattern;
 
 /** Parsers of setting values; each throws {@link IllegalArgumentException} with the reason. */
-final class ValueParsers {
+public final class ValueParsers {
 
   private static final Pattern DURATION = Pattern.compile("(\\d+)(ms|s|m)");
   private static final Pattern ADDRESS = Pattern.compile("(\\[[0-9a-fA-F:]+]|[0-9.]+):(\\d+)");
@@ -20,7 +20,8 @@
 
   private ValueParsers() {}
 
-  static Function<String, Integer> integer(int least, int most) {
+  /** Returns a parser of whole numbers within a range. */
+  public static Function<String, Integer> integer(int least, int most) {
     return text -> {
       int value;
       try {
@@ -35,7 +36,8 @@
     };
   }
 
-  static Function<String, Duration> duration(Duration least, Duration most) {
+  /** Returns a parser of durations within a range, such as 250ms, 5s or 2m. */
+  public static Function<String, Duration> duration(Duration least, Duration most) {
     return text -> {
       Matcher matcher = DURATION.matcher(text);
       if (!matcher.matches()) {
@@ -55,7 +57,8 @@
     };
   }
 
-  static Function<String, String> name() {
+  /** Returns a parser of names of lower-case letters, digits, dots and hyphens. */
+  public static Function<String, String> name() {
     return text -> {
       if (!text.matches("[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")) {
         throw new IllegalArgumentException(
@@ -65,7 +68,8 @@
     };
   }
 
-  static Function<String, String> text(int leastLength) {
+  /** Returns a parser of texts of a least length. */
+  public static Function<String, String> text(int leastLength) {
     return text -> {
       if (text.length() < leastLength) {
         throw new IllegalArgumentException("is shorter than " + leastLength + " characters");
@@ -74,7 +78,8 @@
     };
   }
 
-  static InetAddress ipAddress(String text) {
+  /** Parses an IP address; names are not looked up. */
+  public static InetAddress ipAddress(String text) {
     if (!text.matches("[0-9.]+|[0-9a-fA-F:]+")) {
       throw new IllegalArgumentException("is not an IP address");
     }
@@ -85,7 +90,8 @@
     }
   }
 
-  static InetSocketAddress address(String text) {
+  /** Parses an IP address and port. */
+  public static InetSocketAddress address(String text) {
     Matcher matcher = ADDRESS.matcher(text);
     if (!matcher.matches()) {
       throw new IllegalArgumentException("is not an IP address and port such as 10.0.0.5:7080");
@@ -97,7 +103,8 @@
     return new InetSocketAddress(ipAddress(matcher.group(1).replaceAll("[\\[\\]]", "")), port);
   }
 
-  static List<InetSocketAddress> addresses(String text) {
+  /** Parses a list of addresses separated by commas, or "none". */
+  public static List<InetSocketAddress> addresses(String text) {
     List<InetSocketAddress> addresses = new ArrayList<>();
     if (text.equals(NONE)) {
       return addresses;
--- /dev/null
+++ b/settings/src/main/java/org/lockdale/settings/package-info.java
@@ -0,0 +1,5 @@
+/** Declaration, parsing and checking of settings, shared by all daemons. */
+@NullMarked
+package org.lockdale.settings;
+
+import org.jspecify.annotations.NullMarked;
