Prompts are placed by estimated cost in tokens; requests are taken back from engines with old weights

Half of the card queries were late.

Ruled out: the rollout itself (15 orders, none refused); the deadline of the request (it names the end, not the latest beginning).

Change: cost of a back end = prompt tokens that wait there, fetch of the shared parts unless it is their home, running tokens, zone, failures. A request that waits at an engine whose weights become too old to begin on is taken back and tried elsewhere where it may be repeated. Engines with the oldest weights move first, a third of them at once.

--- a/gateway/src/main/java/org/lockdale/gateway/backend/BackendHealth.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/BackendHealth.java
@@ -4,9 +4,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Open requests and recent failures of one back end as seen by this node. A back end that fails is
- * ejected for a time that doubles with every further failure in a row; after it, one success brings
- * it back. Safe for use by several threads.
+ * Recent failures of one back end as seen by this node. A back end that fails is ejected for a time
+ * that doubles with every further failure in a row; after it, one success brings it back. Safe for
+ * use by several threads.
  */
 public final class BackendHealth {
 
@@ -21,26 +21,10 @@
 
   private static final double SCALE = 1_000_000;
 
-  private final AtomicInteger openRequests = new AtomicInteger();
   private final AtomicInteger failuresInRow = new AtomicInteger();
   private final AtomicLong ejectedUntilMillis = new AtomicLong(Long.MIN_VALUE);
   private final AtomicLong failureRateScaled = new AtomicLong();
 
-  /** Notes a request that was sent. */
-  public void opened() {
-    openRequests.incrementAndGet();
-  }
-
-  /** Notes that a request sent earlier has ended, however it ended. */
-  public void closed() {
-    openRequests.decrementAndGet();
-  }
-
-  /** Returns the number of requests sent and not ended. */
-  public int openRequests() {
-    return openRequests.get();
-  }
-
   /** Notes an answer. */
   public void succeeded() {
     failuresInRow.set(0);
--- a/gateway/src/main/java/org/lockdale/gateway/backend/TrackedBackend.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/TrackedBackend.java
@@ -13,24 +13,28 @@
 
   private final Backend backend;
   private final BackendHealth health;
+  private final BackendLoad load;
   private final Map<String, Long> observedWeights;
   private final long identity;
 
-  private TrackedBackend(Backend backend, BackendHealth health, Map<String, Long> observedWeights) {
+  private TrackedBackend(
+      Backend backend, BackendHealth health, BackendLoad load, Map<String, Long> observedWeights) {
     this.backend = backend;
     this.health = health;
+    this.load = load;
     this.observedWeights = observedWeights;
     this.identity = Rendezvous.identityOf(backend.id());
   }
 
   /** Returns a back end of which nothing is known but its record. */
   public static TrackedBackend of(Backend backend) {
-    return new TrackedBackend(backend, new BackendHealth(), new ConcurrentHashMap<>());
+    return new TrackedBackend(
+        backend, new BackendHealth(), new BackendLoad(), new ConcurrentHashMap<>());
   }
 
   /** Returns the same incarnation with a newer record. */
   public TrackedBackend with(Backend newer) {
-    return new TrackedBackend(newer, health, observedWeights);
+    return new TrackedBackend(newer, health, load, observedWeights);
   }
 
   /** Returns the record. */
@@ -38,7 +42,12 @@
     return backend;
   }
 
-  /** Returns load and failures as this node saw them. */
+  /** Returns the work that this node has sent to it. */
+  public BackendLoad load() {
+    return load;
+  }
+
+  /** Returns its failures as this node saw them. */
   public BackendHealth health() {
     return health;
   }
--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -1,36 +1,45 @@
 package org.lockdale.gateway.placement;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.placement.Rendezvous;
-import org.lockdale.gateway.backend.BackendHealth;
+import org.lockdale.gateway.backend.BackendLoad;
 import org.lockdale.gateway.backend.TrackedBackend;
 
 /**
- * Chooses a back end. Requests that share a prompt prefix go to the first back end in the prefix's
- * rendezvous order that is within the load bound, so that all nodes send them to the same engine
- * without a message. Other requests go to the least loaded back end, the node's own zone first.
+ * Chooses the back end with the least estimated cost. For a prompt the cost is counted in tokens:
+ * what waits before it, and what of it has to be computed or fetched. The home of a prompt's shared
+ * prefix, the first in its rendezvous order, is taken to hold it already; since all nodes know the
+ * same homes, they send a prefix to one engine without a message, and away from it when it is busy.
  */
 public final class BackendChooser {
 
-  /** A back end may hold this share of the mean load before a prefix moves on to the next one. */
-  private static final double LOAD_FACTOR = 1.5;
+  /** Load of other nodes that is not seen here, as a multiple of the load that is. */
+  private static final double UNSEEN_LOAD_FACTOR = 3.0;
 
-  /** Open requests that are always within the load bound. */
-  private static final int LOAD_ALLOWANCE = 2;
+  /** Cost of fetching a token from another engine, relative to computing it. */
+  private static final double FETCH_COST = 0.1;
 
-  /** Load that another zone costs, in open requests. */
-  private static final double REMOTE_ZONE_PENALTY = 1.0;
+  /** Cost of a running token, which takes memory but little time. */
+  private static final double RUNNING_COST = 0.05;
 
-  /** Load that a failure rate of 1 counts for, in open requests. */
-  private static final double FAILURE_PENALTY = 20.0;
+  /** Cost of an open request, in tokens. */
+  private static final double REQUEST_COST = 50;
 
-  private static final double TIE_BREAK = 0.01;
+  /** Cost of crossing zones, in tokens. */
+  private static final double REMOTE_ZONE_COST = 60;
+
+  /** Cost of a failure rate of 1, in tokens. */
+  private static final double FAILURE_COST = 20_000;
+
+  /** Cost of a request without a prompt, in tokens. */
+  private static final double PLAIN_REQUEST_COST = 100;
+
+  private static final double TIE_BREAK = 1.0;
 
   private final String zone;
 
@@ -44,14 +53,14 @@
    *
    * @param candidates back ends that may serve the request
    * @param excluded ids of back ends that were tried already
-   * @param affinityKey hash of the shared prefix, or null for none
+   * @param prompt the prompt, or null for a request without one
    * @param nowMillis monotonic time
    * @return the choice, or empty where there is no candidate
    */
   public Optional<TrackedBackend> choose(
       List<TrackedBackend> candidates,
       Set<String> excluded,
-      @Nullable Long affinityKey,
+      @Nullable PromptPlacement prompt,
       long nowMillis) {
     List<TrackedBackend> usable = new ArrayList<>(candidates.size());
     List<TrackedBackend> ejected = new ArrayList<>();
@@ -60,14 +69,44 @@
         (candidate.health().isEjected(nowMillis) ? ejected : usable).add(candidate);
       }
     }
-    if (usable.isEmpty()) {
-      // With no back end known to be sound, one that may have recovered is better than none.
-      usable = ejected;
-    }
-    if (usable.isEmpty()) {
-      return Optional.empty();
+    // With no back end known to be sound, one that may have recovered is better than none.
+    List<TrackedBackend> choice = usable.isEmpty() ? ejected : usable;
+    return cheapest(choice, prompt);
+  }
+
+  private Optional<TrackedBackend> cheapest(
+      List<TrackedBackend> choice, @Nullable PromptPlacement prompt) {
+    TrackedBackend home = prompt == null ? null : home(choice, prompt.affinityKey());
+    TrackedBackend best = null;
+    double leastCost = Double.MAX_VALUE;
+    for (TrackedBackend candidate : choice) {
+      double cost =
+          prompt == null ? plainCost(candidate) : promptCost(candidate, prompt, candidate == home);
+      if (cost < leastCost) {
+        best = candidate;
+        leastCost = cost;
+      }
     }
-    return Optional.of(affinityKey == null ? leastLoaded(usable) : byAffinity(usable, affinityKey));
+    return Optional.ofNullable(best);
+  }
+
+  private double plainCost(TrackedBackend candidate) {
+    return candidate.load().openRequests() * PLAIN_REQUEST_COST + sharedCost(candidate);
+  }
+
+  private double promptCost(TrackedBackend candidate, PromptPlacement prompt, boolean isHome) {
+    BackendLoad load = candidate.load();
+    double fetched = isHome ? 0 : prompt.sharedTokens() * FETCH_COST;
+    double waiting = load.waitingTokens() + load.runningTokens() * RUNNING_COST;
+    double queue = (waiting + load.openRequests() * REQUEST_COST) * UNSEEN_LOAD_FACTOR;
+    return queue + fetched + sharedCost(candidate);
+  }
+
+  private double sharedCost(TrackedBackend candidate) {
+    double zoneCost = candidate.backend().zone().equals(zone) ? 0 : REMOTE_ZONE_COST;
+    return zoneCost
+        + candidate.health().failureRate() * FAILURE_COST
+        + ThreadLocalRandom.current().nextDouble(TIE_BREAK);
   }
 
   /** Returns the first back end in the rendezvous order of a prefix, or null without candidates. */
@@ -84,39 +123,4 @@
     }
     return best;
   }
-
-  private TrackedBackend byAffinity(List<TrackedBackend> usable, long affinityKey) {
-    int open = usable.stream().mapToInt(tracked -> tracked.health().openRequests()).sum();
-    double bound = LOAD_FACTOR * (open + 1) / usable.size() + LOAD_ALLOWANCE;
-    usable.sort(
-        (left, right) ->
-            Long.compareUnsigned(
-                Rendezvous.weight(affinityKey, right.identity()),
-                Rendezvous.weight(affinityKey, left.identity())));
-    for (TrackedBackend candidate : usable) {
-      if (candidate.health().openRequests() + 1 <= bound) {
-        return candidate;
-      }
-    }
-    return leastLoaded(usable);
-  }
-
-  private TrackedBackend leastLoaded(List<TrackedBackend> usable) {
-    return usable.stream()
-        .map(candidate -> new Ranked(candidate, costOf(candidate)))
-        .min(Comparator.comparingDouble(Ranked::cost))
-        .orElseThrow()
-        .candidate();
-  }
-
-  private record Ranked(TrackedBackend candidate, double cost) {}
-
-  private double costOf(TrackedBackend candidate) {
-    BackendHealth health = candidate.health();
-    double zoneCost = candidate.backend().zone().equals(zone) ? 0 : REMOTE_ZONE_PENALTY;
-    return health.openRequests()
-        + zoneCost
-        + health.failureRate() * FAILURE_PENALTY
-        + ThreadLocalRandom.current().nextDouble(TIE_BREAK);
-  }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.backend.AnswerHead;
 import org.lockdale.gateway.backend.AttemptPlan;
+import org.lockdale.gateway.backend.BackendLoad;
 import org.lockdale.gateway.backend.BackendProtocol;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.http.HttpCall;
@@ -30,6 +31,7 @@
   private final BackendProtocol protocol;
   private final BiConsumer<Attempt, AttemptResult> onResult;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final BackendLoad.Share share;
   private @Nullable HttpCall call;
   private @Nullable AnswerHead head;
   private @Nullable StreamRelay relay;
@@ -47,10 +49,10 @@
     this.plan = plan;
     this.protocol = protocol;
     this.onResult = onResult;
+    this.share = target.load().open(state.computedTokens(), state.promptTokens());
   }
 
   void start(HttpClient client) {
-    target.health().opened();
     call =
         client.send(
             state.exchange.eventLoop(),
@@ -72,10 +74,23 @@
     ended = true;
     current.cancel();
     closeRelay();
-    target.health().closed();
+    share.end();
     return current.wasSent();
   }
 
+  /** Gives an attempt up whose answer has not begun; the back end may have received it. */
+  void abandonWaiting(String reason) {
+    if (!ended) {
+      abandon(AttemptResult.FAILED, reason);
+    }
+  }
+
+  /** Returns whether no event of the answer has come yet. */
+  boolean isWaiting() {
+    StreamRelay stream = relay;
+    return stream == null || !stream.hasBegun();
+  }
+
   TrackedBackend target() {
     return target;
   }
@@ -139,6 +154,9 @@
   private void relayPart(StreamRelay stream, ByteBuf content) {
     try {
       stream.accept(content);
+      if (stream.hasBegun()) {
+        share.begin();
+      }
     } catch (IllegalArgumentException malformed) {
       abandon(brokenResult(), "its stream can't be read: " + malformed.getMessage());
       return;
@@ -199,7 +217,7 @@
     ended = true;
     failure = reason;
     closeRelay();
-    target.health().closed();
+    share.end();
     onResult.accept(this, result);
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -11,6 +11,7 @@
 import org.lockdale.gateway.configuration.RouteKind;
 import org.lockdale.gateway.configuration.Tenant;
 import org.lockdale.gateway.placement.BackendChooser;
+import org.lockdale.gateway.placement.PromptPlacement;
 import org.lockdale.http.HttpReply;
 import org.tinylog.Logger;
 
@@ -29,6 +30,8 @@
   /** An attempt with less time than this left is not worth sending. */
   private static final long LEAST_ATTEMPT_MILLIS = 20;
 
+  private static final long WEIGHTS_CHECK_MILLIS = 150;
+
   private final RequestPath path;
   private final RequestState state;
   private @Nullable Attempt current;
@@ -55,7 +58,7 @@
     long now = path.nowMillis();
     List<TrackedBackend> candidates = path.candidates(state, now);
     Optional<TrackedBackend> chosen =
-        path.chooser().choose(candidates, state.triedBackends, path.affinityOf(state), now);
+        path.chooser().choose(candidates, state.triedBackends, state.prompt, now);
     if (chosen.isEmpty() || state.endsAtMillis() - now < LEAST_ATTEMPT_MILLIS) {
       giveUp("no back end of pool " + state.pool + " is left to try", null);
       return;
@@ -80,6 +83,29 @@
     Attempt attempt = new Attempt(state, target, plan, path.backendProtocol(), this::concluded);
     current = attempt;
     attempt.start(path.client());
+    if (weights != null) {
+      watchWeights(attempt, weights);
+    }
+  }
+
+  /** Takes a request back that waits at an engine whose weights become too old to begin on. */
+  private void watchWeights(Attempt attempt, long weights) {
+    state
+        .exchange
+        .eventLoop()
+        .schedule(
+            () -> {
+              if (ended || attempt != current || !attempt.isWaiting()) {
+                return;
+              }
+              if (path.isOutdated(state, weights, path.nowMillis())) {
+                attempt.abandonWaiting("its weights are out of date");
+              } else {
+                watchWeights(attempt, weights);
+              }
+            },
+            WEIGHTS_CHECK_MILLIS,
+            TimeUnit.MILLISECONDS);
   }
 
   private @Nullable Long weightsOf(TrackedBackend target) {
@@ -101,14 +127,16 @@
       String namespace,
       @Nullable Long weights,
       long now) {
-    Long affinityKey = path.affinityOf(state);
-    if (weights == null || affinityKey == null) {
+    PromptPlacement prompt = state.prompt;
+    if (weights == null || prompt == null) {
       return CacheTransfer.NONE;
     }
+    List<TrackedBackend> sameWeights =
+        candidates.stream().filter(other -> weights.equals(weightsOf(other))).toList();
     return path.cachePlanner()
         .plan(
             target,
-            BackendChooser.home(candidates, affinityKey),
+            BackendChooser.home(sameWeights, prompt.affinityKey()),
             namespace,
             state.request.promptParts(),
             state.configuration.cacheStore(),
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import net.openhft.hashing.LongHashFunction;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.blackboard.Snapshot;
 import org.lockdale.coordination.time.Time;
@@ -14,7 +13,6 @@
 import org.lockdale.gateway.caller.CallerProtocol;
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.caller.MalformedRequestException;
-import org.lockdale.gateway.caller.PromptPart;
 import org.lockdale.gateway.configuration.GatewayConfiguration;
 import org.lockdale.gateway.limit.RetryBudget;
 import org.lockdale.gateway.node.GatewayBlackboard;
@@ -34,8 +32,6 @@
  */
 public final class RequestPath implements HttpHandler {
 
-  private static final LongHashFunction HASH = LongHashFunction.xx3();
-
   private final GatewayBlackboard blackboard;
   private final CallerProtocol callerProtocol;
   private final BackendProtocol backendProtocol;
@@ -151,15 +147,14 @@
     return held == null || held >= required;
   }
 
-  /** Returns the hash of the prompt's shared prefix, or null where there is none. */
-  @Nullable Long affinityOf(RequestState state) {
-    List<PromptPart> parts = state.request.promptParts();
-    if (parts.isEmpty()) {
-      return null;
+  /** Returns whether a version of weights is too old for a request to begin on it now. */
+  boolean isOutdated(RequestState state, long weights, long nowMillis) {
+    String model = state.request.model();
+    if (model == null) {
+      return false;
     }
-    // The last part is the request's own, unless it is the only one.
-    PromptPart shared = parts.get(Math.max(0, parts.size() - 2));
-    return HASH.hashChars(shared.id());
+    Long required = weightsPolicy.requiredVersion(blackboard.weights().value(), model, nowMillis);
+    return required != null && weights < required;
   }
 
   CachePlanner cachePlanner() {
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
@@ -3,11 +3,11 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
-import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.configuration.GatewayConfiguration;
 import org.lockdale.gateway.configuration.Route;
 import org.lockdale.gateway.configuration.Tenant;
+import org.lockdale.gateway.placement.PromptPlacement;
 import org.lockdale.http.HttpExchange;
 
 /** Everything known of one request on its way. Lives on the event loop of its connection. */
@@ -20,6 +20,8 @@
   final long arrivedAtMillis;
   final Set<String> triedBackends = new HashSet<>();
 
+  final @Nullable PromptPlacement prompt;
+
   /** Set by the route filter, before any attempt. */
   @Nullable Route route;
 
@@ -27,7 +29,6 @@
   String pool = "";
 
   @Nullable Tenant tenant;
-  BackendTable backends = BackendTable.EMPTY;
 
   /** Attempts after which the back end may have run the request. */
   int possibleRuns;
@@ -54,6 +55,18 @@
     this.configurationAgeMillis = configurationAgeMillis;
     this.arrivedAtMillis = arrivedAtMillis;
     this.lastEventId = request.lastEventId();
+    this.prompt =
+        request.promptParts().isEmpty() ? null : PromptPlacement.of(request.promptParts());
+  }
+
+  /** Returns the prompt tokens that an engine which knows the shared parts has to compute. */
+  long computedTokens() {
+    return prompt == null ? 0 : prompt.ownTokens();
+  }
+
+  /** Returns all tokens of the prompt. */
+  long promptTokens() {
+    return prompt == null ? 0 : prompt.tokens();
   }
 
   /** Returns the route; only after the route filter. */
--- a/gateway/src/main/java/org/lockdale/gateway/request/StreamRelay.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/StreamRelay.java
@@ -18,6 +18,7 @@
   private final AnswerHead head;
   private final ServerSentEventDecoder decoder = new ServerSentEventDecoder(this::onEvent);
   private final long resumedAfter;
+  private boolean begun;
 
   StreamRelay(RequestState state, AnswerHead head) {
     this.state = state;
@@ -37,6 +38,7 @@
   }
 
   private void onEvent(long id, ByteBuf event) {
+    begun = true;
     boolean repeated = id != ServerSentEventDecoder.NO_ID && id <= resumedAfter;
     if (repeated) {
       return;
@@ -59,6 +61,11 @@
     }
   }
 
+  /** Returns whether any event has come. */
+  boolean hasBegun() {
+    return begun;
+  }
+
   /** Returns whether too much waits for the caller. */
   boolean isCallerTooSlow() {
     return state.exchange.queuedBytes() > MAX_QUEUED_BYTES;
--- a/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
@@ -40,7 +40,7 @@
   private static final int LEAST_PARALLEL = 2;
 
   /** One engine in this many may load at once. */
-  private static final int PARALLEL_DIVISOR = 4;
+  private static final int PARALLEL_DIVISOR = 3;
 
   private final EventLoop eventLoop;
   private final Section<NamedWeights> weights;
@@ -130,7 +130,9 @@
             .count();
     // One engine at least goes on serving, where there is more than one.
     long most = Math.max(1, engines - 1);
-    return (int) Math.min(most, Math.max(LEAST_PARALLEL, engines / PARALLEL_DIVISOR));
+    return (int)
+        Math.min(
+            most, Math.max(LEAST_PARALLEL, (engines + PARALLEL_DIVISOR - 1) / PARALLEL_DIVISOR));
   }
 
   private void startUpdates(List<WeightsPolicy.Move> moves, int parallel, long now) {
--- a/gateway/src/main/java/org/lockdale/gateway/weights/WeightsPolicy.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/WeightsPolicy.java
@@ -1,6 +1,7 @@
 package org.lockdale.gateway.weights;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
@@ -15,11 +16,11 @@
  */
 public record WeightsPolicy(long bound) {
 
-  /** Requests are kept from old weights this long before the bound, since they may queue first. */
-  private static final long QUEUE_MARGIN_MILLIS = 2_000;
+  /** Requests are kept from old weights, and taken back, this long before the bound. */
+  private static final long QUEUE_MARGIN_MILLIS = 700;
 
   /** Time that one group of engines takes, from the order to the new weights. */
-  private static final long LOAD_MILLIS = 1_300;
+  private static final long LOAD_MILLIS = 1_900;
 
   /** Time to take the lease. */
   private static final long LEASE_MILLIS = 400;
@@ -39,7 +40,15 @@
     return required.isPresent() ? required.getAsLong() : null;
   }
 
-  /** Returns the engines that do not hold the newest weights, the least loaded first. */
+  private static long heldBy(Move move) {
+    Long held = move.engine().weightsOf(move.model());
+    return held == null ? Long.MIN_VALUE : held;
+  }
+
+  /**
+   * Returns the engines that do not hold the newest weights; those with the oldest come first, and
+   * among them the least loaded.
+   */
   public static List<Move> moves(NamedWeights weights, BackendTable backends) {
     List<Move> moves = new ArrayList<>();
     for (TrackedBackend engine : backends.all()) {
@@ -53,9 +62,8 @@
       }
     }
     moves.sort(
-        (left, right) ->
-            Integer.compare(
-                left.engine().health().openRequests(), right.engine().health().openRequests()));
+        Comparator.comparingLong((Move move) -> heldBy(move))
+            .thenComparingInt(move -> move.engine().load().openRequests()));
     return moves;
   }
 
