What the store of cached prompts keeps is followed; prompts are fetched from it and saved once

Change: each node follows the store's events; an engine is sent to the store for what it keeps, else to the prefix's home, and saves only what the store does not keep. A store that does not answer is not used.

--- a/gateway/src/main/java/org/lockdale/gateway/cache/CachePlanner.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cache/CachePlanner.java
@@ -19,15 +19,21 @@
   private static final LongHashFunction HASH = LongHashFunction.xx3();
   private static final int CAPACITY = 8_192;
 
-  /** A saved part is saved again after this time, since the store drops what lies unused. */
-  private static final long SAVED_MILLIS = 10_000;
+  /** A save takes this long at most until the store tells of it. */
+  private static final long SAVE_MILLIS = 2_000;
 
   /** A part that an engine has used lately is believed to be there still. */
   private static final long HELD_MILLIS = 1_500;
 
-  private final RecentSet saved = new RecentSet(CAPACITY, SAVED_MILLIS);
+  private final CacheStoreView store;
+  private final RecentSet saving = new RecentSet(CAPACITY, SAVE_MILLIS);
   private final RecentSet held = new RecentSet(CAPACITY, HELD_MILLIS);
 
+  /** Creates a planner that knows what the store keeps. */
+  public CachePlanner(CacheStoreView store) {
+    this.store = store;
+  }
+
   /**
    * Plans the moves around one request.
    *
@@ -35,7 +41,7 @@
    * @param home engine at which requests with its prefix are usually served, or null
    * @param namespace namespace of its cached prompts
    * @param parts parts of its prompt; the last one is its own
-   * @param store store of cached prompts, if there is one
+   * @param storeInForce store of cached prompts, if there is one
    * @param nowMillis monotonic time
    */
   public CacheTransfer plan(
@@ -43,22 +49,38 @@
       @Nullable TrackedBackend home,
       String namespace,
       List<PromptPart> parts,
-      Optional<CacheStore> store,
+      Optional<CacheStore> storeInForce,
       long nowMillis) {
     if (parts.size() < 2) {
       return CacheTransfer.NONE;
     }
-    long space = HASH.hashChars(namespace);
-    long prefix = mix(space, parts.get(parts.size() - 2).id());
+    PromptPart deepest = parts.get(parts.size() - 2);
+    long prefix = mix(HASH.hashChars(namespace), deepest.id());
+    InetSocketAddress storeAddress =
+        storeInForce.filter(known -> store.isAvailable()).map(CacheStore::address).orElse(null);
     boolean warm = !held.add(mix(prefix, target.backend().id()), nowMillis);
-    InetSocketAddress storeAddress = store.map(CacheStore::address).orElse(null);
     InetSocketAddress source = null;
     if (!warm) {
-      boolean elsewhere = home != null && home.identity() != target.identity();
-      source = elsewhere ? home.backend().address() : storeAddress;
+      source = sourceOf(target, home, namespace, parts, storeAddress);
+    }
+    boolean wanted = storeAddress != null && !store.keeps(namespace, deepest.id());
+    boolean save = wanted && saving.add(prefix, nowMillis);
+    return new CacheTransfer(source, save ? storeAddress : null);
+  }
+
+  private @Nullable InetSocketAddress sourceOf(
+      TrackedBackend target,
+      @Nullable TrackedBackend home,
+      String namespace,
+      List<PromptPart> parts,
+      @Nullable InetSocketAddress storeAddress) {
+    if (store.keeps(namespace, parts.get(parts.size() - 2).id())) {
+      return storeAddress;
+    }
+    if (home != null && home.identity() != target.identity()) {
+      return home.backend().address();
     }
-    boolean unsaved = saved.add(mix(space, parts.get(0).id()), nowMillis);
-    return new CacheTransfer(source, unsaved ? storeAddress : null);
+    return store.keeps(namespace, parts.get(0).id()) ? storeAddress : null;
   }
 
   private static long mix(long seed, String text) {
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayProtocols.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayProtocols.java
@@ -2,6 +2,7 @@
 
 import org.lockdale.coordination.lease.LeaseStore;
 import org.lockdale.gateway.backend.BackendProtocol;
+import org.lockdale.gateway.cache.CacheEventSource;
 import org.lockdale.gateway.caller.CallerProtocol;
 import org.lockdale.gateway.table.SharedRecords;
 import org.lockdale.gateway.table.TableFeed;
@@ -16,6 +17,7 @@
  * @param feed tables of the shared store
  * @param records what operators and back ends write there
  * @param engines state and orders of engines
+ * @param cacheEvents what holders of cached prompts keep
  * @param rolloutBoard table of the rollout's progress
  * @param rolloutLease row of the lease under which weights are rolled out
  */
@@ -25,5 +27,6 @@
     TableFeed feed,
     SharedRecords records,
     EngineControl engines,
+    CacheEventSource cacheEvents,
     RolloutBoard rolloutBoard,
     LeaseStore rolloutLease) {}
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -42,7 +42,7 @@
   private final Time time;
   private final SplitSelector splits = new SplitSelector();
   private final List<RequestFilter> filters;
-  private final CachePlanner cachePlanner = new CachePlanner();
+  private final CachePlanner cachePlanner;
   private final AtomicInteger openRequests = new AtomicInteger();
 
   /**
@@ -53,6 +53,7 @@
    * @param backendProtocol protocol of back ends
    * @param client sends requests
    * @param limits bounds that the path keeps
+   * @param cachePlanner plans moves of cached prompts
    * @param zone zone of the node
    * @param time clock
    */
@@ -62,6 +63,7 @@
       BackendProtocol backendProtocol,
       HttpClient client,
       RequestLimits limits,
+      CachePlanner cachePlanner,
       String zone,
       Time time) {
     this.blackboard = blackboard;
@@ -74,6 +76,7 @@
             limits.retryRatio(), limits.retryAllowance(), limits.retryWindow().toMillis());
     this.weightsPolicy = new WeightsPolicy(limits.weightsBound().toMillis());
     this.time = time;
+    this.cachePlanner = cachePlanner;
     this.filters = List.of(new RouteFilter(), new TenantFilter(limits.maxKeyProofAge().toMillis()));
   }
 
