The gateway is tested against stand-ins of the store and the servers; late requests of a stop are refused

The filter meant to refuse such requests was written but never joined the path; the new test of a planned stop failed on that (504 in place of 503) and passes now.

Ruled out: a longer stay of the process; the grace is the platform's.

Change: PhaseFilter is the first filter. Tests: forwarding (17), streams (5), control (8), against raw servers that write any bytes and a store that refuses, throttles, falls silent and forgets its history.

--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -190,6 +190,11 @@
         () -> checkStopped(startedAtMillis), STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Returns whether new requests are refused since a planned stop is near its end. */
+  public boolean isDraining() {
+    return blackboard.phase().value() == GatewayPhase.DRAINING;
+  }
+
   /** Re-reads nothing that can change at run time; notes that it was asked to. */
   public void reload() {
     Logger.info("event=reload-asked node={}", settings.get(GatewaySettings.NODE_ID));
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -77,7 +77,11 @@
     this.weightsPolicy = new WeightsPolicy(limits.weightsBound().toMillis());
     this.time = time;
     this.cachePlanner = cachePlanner;
-    this.filters = List.of(new RouteFilter(), new TenantFilter(limits.maxKeyProofAge().toMillis()));
+    this.filters =
+        List.of(
+            new PhaseFilter(blackboard.phase()),
+            new RouteFilter(),
+            new TenantFilter(limits.maxKeyProofAge().toMillis()));
   }
 
   /** Returns the number of requests that have no final answer yet. */
