--- a/coordination/src/main/java/org/lockdale/coordination/lease/Lease.java
+++ b/coordination/src/main/java/org/lockdale/coordination/lease/Lease.java
@@ -42,7 +42,10 @@
    * @param askedAtMillis monotonic time at which the call was sent
    */
   public void observed(LeaseReading reading, long askedAtMillis) {
-    if (held && known != null && reading.version() != known.version()) {
+    if (isOutdated(reading)) {
+      return;
+    }
+    if (known != null && reading.version() != known.version()) {
       held = false;
     }
     known = reading;
@@ -51,11 +54,19 @@
 
   /** Takes in that this node's write took effect. */
   public void written(LeaseReading reading, long askedAtMillis) {
+    if (isOutdated(reading)) {
+      return;
+    }
     known = reading;
     knownAskedAtMillis = askedAtMillis;
     held = true;
   }
 
+  /** Answers to calls that overlap may come in any order. */
+  private boolean isOutdated(LeaseReading reading) {
+    return known != null && reading.version() < known.version();
+  }
+
   /** Gives the lease up, as after a write whose outcome is not known. */
   public void lost() {
     held = false;
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
@@ -0,0 +1,100 @@
+package org.lockdale.gateway.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.caller.PromptPart;
+import org.testng.annotations.Test;
+
+/** Prompts go to their home until it is busy; back ends that fail are left alone. */
+public final class BackendChooserTest {
+
+  private static final BackendChooser CHOOSER = new BackendChooser("zone-a");
+
+  private static List<TrackedBackend> engines(int count) {
+    List<TrackedBackend> engines = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      engines.add(engine("i-" + index, "zone-a"));
+    }
+    return engines;
+  }
+
+  private static TrackedBackend engine(String id, String zone) {
+    return TrackedBackend.of(
+        new Backend(
+            id,
+            "pool",
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+            zone,
+            4,
+            false,
+            Map.of()));
+  }
+
+  private static PromptPlacement prompt(String shared) {
+    return PromptPlacement.of(
+        List.of(
+            new PromptPart("root", 500),
+            new PromptPart(shared, 5_000),
+            new PromptPart("own", 100)));
+  }
+
+  private static TrackedBackend choose(List<TrackedBackend> engines, PromptPlacement prompt) {
+    return CHOOSER.choose(engines, Set.of(), prompt, 0).orElseThrow();
+  }
+
+  @Test
+  public void promptsOfOnePrefixGoToOneEngineAndPrefixesAreSpread() {
+    List<TrackedBackend> engines = engines(8);
+    Set<String> homes = new HashSet<>();
+    for (int prefix = 0; prefix < 100; prefix++) {
+      TrackedBackend first = choose(engines, prompt("p" + prefix));
+      assertEquals(choose(engines, prompt("p" + prefix)), first);
+      homes.add(first.backend().id());
+    }
+    assertEquals(homes.size(), 8);
+  }
+
+  @Test
+  public void aBusyHomeIsLeftForAnotherEngine() {
+    List<TrackedBackend> engines = engines(4);
+    TrackedBackend home = choose(engines, prompt("p"));
+    home.load().open(20_000, 25_000);
+    assertNotEquals(choose(engines, prompt("p")), home);
+  }
+
+  @Test
+  public void triedAndEjectedBackEndsAreAvoidedWhileThereAreOthers() {
+    List<TrackedBackend> engines = engines(3);
+    engines.get(0).health().unreachable(0);
+    Set<String> tried = Set.of("i-1");
+    for (int request = 0; request < 20; request++) {
+      TrackedBackend chosen =
+          CHOOSER.choose(engines, tried, prompt("p" + request), 1).orElseThrow();
+      assertEquals(chosen.backend().id(), "i-2");
+    }
+    assertEquals(
+        CHOOSER.choose(engines, Set.of("i-1", "i-2"), null, 1).orElseThrow().backend().id(), "i-0");
+    assertTrue(CHOOSER.choose(engines, Set.of("i-0", "i-1", "i-2"), null, 1).isEmpty());
+  }
+
+  @Test
+  public void plainRequestsStayInTheZoneUntilItIsBusy() {
+    TrackedBackend near = engine("near", "zone-a");
+    TrackedBackend far = engine("far", "zone-b");
+    List<TrackedBackend> both = List.of(far, near);
+    assertEquals(CHOOSER.choose(both, Set.of(), null, 0).orElseThrow(), near);
+    near.load().open(0, 0);
+    assertEquals(CHOOSER.choose(both, Set.of(), null, 0).orElseThrow(), far);
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
@@ -0,0 +1,137 @@
+package org.lockdale.gateway.table;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.DefaultEventLoop;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.coordination.table.TableServiceException;
+import org.lockdale.coordination.time.SystemTime;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A copy of a table stays whole over pages, lost history, failures and stale readings. */
+public final class TableFollowerTest {
+
+  private static final class ScriptedFeed implements TableFeed {
+    final Deque<CompletableFuture<TablePage>> scans = new ArrayDeque<>();
+    final Deque<CompletableFuture<TablePage>> changes = new ArrayDeque<>();
+    final List<String> calls = new ArrayList<>();
+
+    @Override
+    public synchronized CompletableFuture<TablePage> scan(String table, @Nullable String fromKey) {
+      calls.add("scan " + (fromKey == null ? "start" : fromKey.replace('\0', '+')));
+      return scans.isEmpty() ? new CompletableFuture<>() : scans.poll();
+    }
+
+    @Override
+    public synchronized CompletableFuture<TablePage> changes(
+        String table, long afterVersion, Duration wait) {
+      calls.add("changes " + afterVersion);
+      return changes.isEmpty() ? new CompletableFuture<>() : changes.poll();
+    }
+  }
+
+  private final ScriptedFeed feed = new ScriptedFeed();
+  private final BlockingQueue<Map<String, String>> copies = new LinkedBlockingQueue<>();
+  private DefaultEventLoop eventLoop;
+
+  @BeforeMethod
+  public void start() {
+    eventLoop = new DefaultEventLoop();
+    feed.scans.clear();
+    feed.changes.clear();
+    feed.calls.clear();
+    copies.clear();
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    eventLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private static TableRowChange row(String key, String value, long version) {
+    return new TableRowChange(key, value.getBytes(StandardCharsets.UTF_8), version, false);
+  }
+
+  private static CompletableFuture<TablePage> page(
+      boolean more, long version, TableRowChange... rows) {
+    return CompletableFuture.completedFuture(new TablePage(List.of(rows), more, version, 0));
+  }
+
+  private static CompletableFuture<TablePage> failure(TableServiceException.Kind kind) {
+    return CompletableFuture.failedFuture(new TableServiceException(kind, "scripted"));
+  }
+
+  private TableFollower follow() {
+    TableFollower follower =
+        new TableFollower(
+            eventLoop,
+            feed,
+            "table",
+            Duration.ofSeconds(1),
+            new SystemTime(),
+            (rows, changed, provenAt) -> copies.add(texts(rows)));
+    follower.start();
+    return follower;
+  }
+
+  private static Map<String, String> texts(Map<String, TableRowChange> rows) {
+    Map<String, String> texts = new TreeMap<>();
+    rows.forEach((key, row) -> texts.put(key, new String(row.value(), StandardCharsets.UTF_8)));
+    return texts;
+  }
+
+  private Map<String, String> nextCopy() throws InterruptedException {
+    Map<String, String> copy = copies.poll(10, TimeUnit.SECONDS);
+    assertTrue(copy != null, "no copy came");
+    return copy;
+  }
+
+  @Test
+  public void pagesAreJoinedAndChangesFollowFromTheFirstPageOn() throws InterruptedException {
+    feed.scans.add(page(true, 5, row("a", "1", 1)));
+    feed.scans.add(page(false, 8, row("b", "2", 2)));
+    feed.changes.add(page(false, 9, row("a", "3", 6)));
+    follow();
+    assertEquals(nextCopy(), Map.of("a", "1", "b", "2"));
+    assertEquals(nextCopy(), Map.of("a", "3", "b", "2"));
+    assertEquals(feed.calls.subList(0, 3), List.of("scan start", "scan a+", "changes 5"));
+  }
+
+  @Test
+  public void removedRowsGoAndFailuresAreRetriedFromTheSameVersion() throws InterruptedException {
+    feed.scans.add(page(false, 3, row("a", "1", 1), row("b", "2", 2)));
+    feed.changes.add(failure(TableServiceException.Kind.UNREACHABLE));
+    feed.changes.add(failure(TableServiceException.Kind.OUTCOME_UNKNOWN));
+    feed.changes.add(page(false, 4, new TableRowChange("a", new byte[0], 4, true)));
+    follow();
+    nextCopy();
+    assertEquals(nextCopy(), Map.of("b", "2"));
+    assertEquals(
+        feed.calls.subList(0, 4), List.of("scan start", "changes 3", "changes 3", "changes 3"));
+  }
+
+  @Test
+  public void lostHistoryMeansAnotherScanAndNoRowGoesBack() throws InterruptedException {
+    feed.scans.add(page(false, 3, row("a", "new", 3)));
+    feed.changes.add(failure(TableServiceException.Kind.HISTORY_LOST));
+    feed.scans.add(page(false, 2, row("a", "stale", 2), row("b", "1", 1)));
+    follow();
+    assertEquals(nextCopy(), Map.of("a", "new"));
+    assertEquals(nextCopy(), Map.of("a", "new", "b", "1"));
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/weights/WeightsPolicyTest.java
@@ -0,0 +1,93 @@
+package org.lockdale.gateway.weights;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.backend.BackendTable;
+import org.testng.annotations.Test;
+
+/** Which weights may serve, which engines move, and by when. */
+public final class WeightsPolicyTest {
+
+  private static final long BOUND = 8_000;
+  private static final String MODEL = "model";
+
+  private static Backend engine(String id, long version, boolean leaving) {
+    return new Backend(
+        id,
+        "pool",
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+        "zone",
+        4,
+        leaving,
+        Map.of(MODEL, version));
+  }
+
+  private static BackendTable table(Backend... engines) {
+    return BackendTable.EMPTY.with(List.of(engines));
+  }
+
+  @Test
+  public void oldWeightsMayServeUntilShortlyBeforeTheBound() {
+    WeightsPolicy policy = new WeightsPolicy(BOUND);
+    NamedWeights weights = NamedWeights.NONE.with(Map.of(MODEL, 2L), 1_000);
+    assertNull(policy.requiredVersion(weights, MODEL, 1_000));
+    assertNull(policy.requiredVersion(weights, MODEL, 1_000 + BOUND - 1_000));
+    assertEquals(policy.requiredVersion(weights, MODEL, 1_000 + BOUND), Long.valueOf(2));
+  }
+
+  @Test
+  public void eachVersionIsJudgedFromItsOwnTime() {
+    WeightsPolicy policy = new WeightsPolicy(BOUND);
+    NamedWeights weights =
+        NamedWeights.NONE.with(Map.of(MODEL, 2L), 0).with(Map.of(MODEL, 3L), 5_000);
+    assertEquals(policy.requiredVersion(weights, MODEL, BOUND), Long.valueOf(2));
+    assertEquals(policy.requiredVersion(weights, MODEL, 5_000 + BOUND), Long.valueOf(3));
+  }
+
+  @Test
+  public void enginesMoveStraightToTheNewestAndTheOldestFirst() {
+    NamedWeights weights = NamedWeights.NONE.with(Map.of(MODEL, 5L), 0);
+    List<WeightsPolicy.Move> moves =
+        WeightsPolicy.moves(
+            weights,
+            table(
+                engine("newer", 4, false),
+                engine("oldest", 1, false),
+                engine("current", 5, false),
+                engine("leaving", 1, true)));
+    List<String> order = new ArrayList<>();
+    moves.forEach(move -> order.add(move.engine().backend().id()));
+    assertEquals(order, List.of("oldest", "newer"));
+    assertTrue(moves.stream().allMatch(move -> move.version() == 5));
+  }
+
+  @Test
+  public void whatAnAnswerToldCountsAsMuchAsTheRecord() {
+    NamedWeights weights = NamedWeights.NONE.with(Map.of(MODEL, 2L), 0);
+    BackendTable table = table(engine("i", 1, false));
+    table.all().iterator().next().observeWeights(MODEL, 2);
+    assertTrue(WeightsPolicy.moves(weights, table).isEmpty());
+    BackendTable later = table.with(List.of(engine("i", 1, false)));
+    assertTrue(WeightsPolicy.moves(weights, later).isEmpty(), "a record may lag behind");
+  }
+
+  @Test
+  public void moreRoundsMeanAnEarlierStart() {
+    WeightsPolicy policy = new WeightsPolicy(BOUND);
+    NamedWeights weights = NamedWeights.NONE.with(Map.of(MODEL, 2L), 0);
+    List<WeightsPolicy.Move> one = WeightsPolicy.moves(weights, table(engine("a", 1, false)));
+    List<WeightsPolicy.Move> three =
+        WeightsPolicy.moves(
+            weights, table(engine("a", 1, false), engine("b", 1, false), engine("c", 1, false)));
+    assertTrue(policy.startBy(weights, three, 1) < policy.startBy(weights, one, 1));
+    assertEquals(policy.startBy(weights, three, 3), policy.startBy(weights, one, 1));
+  }
+}
