Short and long prompts are kept on engines of their own; late streams are logged

The new log lines (first event, longest gap, tokens) show gaps of 520 to 605 ms on card queries of a few hundred tokens: an engine computes long prompts in pieces between the tokens of its running streams, and four pieces in a row pass the 500 ms that the route allows.

Ruled out: waiting before the first event (14 to 120 ms on these requests); a few engines only (all five that served had such gaps).

Change: the engines of a pool are split by rendezvous rank into a set for short prompts, as large as their share of tokens, and one for long prompts; the other set costs 4,000 tokens. Streams that miss an objective are logged with what they missed.

--- a/gateway/src/main/java/org/lockdale/gateway/configuration/Route.java
+++ b/gateway/src/main/java/org/lockdale/gateway/configuration/Route.java
@@ -13,6 +13,7 @@
  * @param pools pools that serve it; at least one
  * @param timeout longest time a request may be held
  * @param latencyObjective time within which an answer should begin
+ * @param gapObjective longest pause between two events of a stream that is still in time
  * @param priority rank of its requests, 0 first
  * @param maxAttempts most back ends that may begin to work on one request
  * @param anonymousAllowed whether requests need no key
@@ -26,6 +27,7 @@
     List<WeightedPool> pools,
     Duration timeout,
     Duration latencyObjective,
+    Duration gapObjective,
     int priority,
     int maxAttempts,
     boolean anonymousAllowed,
--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.ToDoubleFunction;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.placement.Rendezvous;
 import org.lockdale.gateway.backend.BackendLoad;
@@ -39,9 +40,13 @@
   /** Cost of a request without a prompt, in tokens. */
   private static final double PLAIN_REQUEST_COST = 100;
 
+  /** Cost of serving a prompt at an engine that is preferred for prompts of the other length. */
+  private static final double OTHER_SET_COST = 4_000;
+
   private static final double TIE_BREAK = 1.0;
 
   private final String zone;
+  private final PromptMix mix = new PromptMix();
 
   /** Creates a chooser for a node of a zone. */
   public BackendChooser(String zone) {
@@ -51,6 +56,7 @@
   /**
    * Chooses a back end.
    *
+   * @param pool name of the pool
    * @param candidates back ends that may serve the request
    * @param excluded ids of back ends that were tried already
    * @param prompt the prompt, or null for a request without one
@@ -58,6 +64,7 @@
    * @return the choice, or empty where there is no candidate
    */
   public Optional<TrackedBackend> choose(
+      String pool,
       List<TrackedBackend> candidates,
       Set<String> excluded,
       @Nullable PromptPlacement prompt,
@@ -71,17 +78,30 @@
     }
     // With no back end known to be sound, one that may have recovered is better than none.
     List<TrackedBackend> choice = usable.isEmpty() ? ejected : usable;
-    return cheapest(choice, prompt);
+    return cheapest(pool, choice, prompt);
   }
 
   private Optional<TrackedBackend> cheapest(
-      List<TrackedBackend> choice, @Nullable PromptPlacement prompt) {
-    TrackedBackend home = prompt == null ? null : home(choice, prompt.affinityKey());
+      String pool, List<TrackedBackend> choice, @Nullable PromptPlacement prompt) {
+    if (prompt == null) {
+      return least(choice, this::plainCost);
+    }
+    List<TrackedBackend> preferred =
+        EngineSets.split(choice, mix.shareAfter(pool, prompt)).preferredFor(prompt);
+    TrackedBackend home = home(preferred, prompt.affinityKey());
+    return least(
+        choice,
+        candidate ->
+            promptCost(candidate, prompt, candidate == home)
+                + (preferred.contains(candidate) ? 0 : OTHER_SET_COST));
+  }
+
+  private static Optional<TrackedBackend> least(
+      List<TrackedBackend> choice, ToDoubleFunction<TrackedBackend> costOf) {
     TrackedBackend best = null;
     double leastCost = Double.MAX_VALUE;
     for (TrackedBackend candidate : choice) {
-      double cost =
-          prompt == null ? plainCost(candidate) : promptCost(candidate, prompt, candidate == home);
+      double cost = costOf.applyAsDouble(candidate);
       if (cost < leastCost) {
         best = candidate;
         leastCost = cost;
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PromptPlacement.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PromptPlacement.java
@@ -13,6 +13,7 @@
  */
 public record PromptPlacement(long affinityKey, long sharedTokens, long ownTokens) {
 
+  private static final long LONG_PROMPT_TOKENS = 4_000;
   private static final LongHashFunction HASH = LongHashFunction.xx3();
 
   /** Returns the placement of a prompt of one part or more. */
@@ -26,6 +27,11 @@
     return new PromptPlacement(HASH.hashChars(deepest.id()), shared, parts.get(last).tokens());
   }
 
+  /** Returns whether its computation would make running streams of the same engine pause. */
+  public boolean isLong() {
+    return tokens() >= LONG_PROMPT_TOKENS;
+  }
+
   /** Returns all tokens of the prompt. */
   public long tokens() {
     return sharedTokens + ownTokens;
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.function.BiConsumer;
 import org.jspecify.annotations.Nullable;
+import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.AnswerHead;
 import org.lockdale.gateway.backend.AttemptPlan;
 import org.lockdale.gateway.backend.BackendLoad;
@@ -29,6 +30,7 @@
   private final TrackedBackend target;
   private final AttemptPlan plan;
   private final BackendProtocol protocol;
+  private final Time time;
   private final BiConsumer<Attempt, AttemptResult> onResult;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private final BackendLoad.Share share;
@@ -43,11 +45,13 @@
       TrackedBackend target,
       AttemptPlan plan,
       BackendProtocol protocol,
+      Time time,
       BiConsumer<Attempt, AttemptResult> onResult) {
     this.state = state;
     this.target = target;
     this.plan = plan;
     this.protocol = protocol;
+    this.time = time;
     this.onResult = onResult;
     this.share = target.load().open(state.computedTokens(), state.promptTokens());
   }
@@ -130,7 +134,7 @@
     } else if (received.isSuccess() && !received.authentic()) {
       abandon(AttemptResult.FAILED, "its answer has no proof of origin");
     } else if (received.isSuccess() && received.events()) {
-      relay = new StreamRelay(state, received);
+      relay = new StreamRelay(state, received, time);
     }
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -8,7 +8,6 @@
 import org.lockdale.gateway.backend.AttemptPlan;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.cache.CacheTransfer;
-import org.lockdale.gateway.configuration.RouteKind;
 import org.lockdale.gateway.configuration.Tenant;
 import org.lockdale.gateway.placement.BackendChooser;
 import org.lockdale.gateway.placement.PromptPlacement;
@@ -58,7 +57,7 @@
     long now = path.nowMillis();
     List<TrackedBackend> candidates = path.candidates(state, now);
     Optional<TrackedBackend> chosen =
-        path.chooser().choose(candidates, state.triedBackends, state.prompt, now);
+        path.chooser().choose(state.pool, candidates, state.triedBackends, state.prompt, now);
     if (chosen.isEmpty() || state.endsAtMillis() - now < LEAST_ATTEMPT_MILLIS) {
       giveUp("no back end of pool " + state.pool + " is left to try", null);
       return;
@@ -70,6 +69,7 @@
     Long weights = weightsOf(target);
     String namespace = cacheNamespace(weights);
     state.triedBackends.add(target.backend().id());
+    state.backend = target.backend().id();
     AttemptPlan plan =
         new AttemptPlan(
             target.backend(),
@@ -80,7 +80,8 @@
             weights,
             cacheTransfer(target, candidates, namespace, weights, now),
             state.lastEventId);
-    Attempt attempt = new Attempt(state, target, plan, path.backendProtocol(), this::concluded);
+    Attempt attempt =
+        new Attempt(state, target, plan, path.backendProtocol(), path.time(), this::concluded);
     current = attempt;
     attempt.start(path.client());
     if (weights != null) {
@@ -149,7 +150,7 @@
     }
     note(attempt, result);
     switch (result) {
-      case COMPLETE -> end("complete");
+      case COMPLETE -> end(RequestPath.COMPLETE);
       case NOT_SENT -> afterNotSent(attempt);
       case NOT_RUN, MISDIRECTED -> afterNotRun(attempt);
       default -> afterFailure(attempt, result);
@@ -273,10 +274,6 @@
     if (timeout != null) {
       timeout.cancel(false);
     }
-    path.ended(state, outcome, isStream());
-  }
-
-  private boolean isStream() {
-    return state.route().kind() == RouteKind.STREAM;
+    path.ended(state, outcome);
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -32,6 +32,9 @@
  */
 public final class RequestPath implements HttpHandler {
 
+  /** Outcome of a request whose whole answer was passed on. */
+  static final String COMPLETE = "complete";
+
   private final GatewayBlackboard blackboard;
   private final CallerProtocol callerProtocol;
   private final BackendProtocol backendProtocol;
@@ -118,7 +121,7 @@
       Refusal refusal = filter.apply(state);
       if (refusal != null) {
         state.exchange.reply(render(refusal));
-        ended(state, refusal.kind().name(), false);
+        ended(state, refusal.kind().name());
         return;
       }
     }
@@ -172,20 +175,30 @@
     return callerProtocol.render(refusal);
   }
 
-  void ended(RequestState state, String outcome, boolean stream) {
+  void ended(RequestState state, String outcome) {
     openRequests.decrementAndGet();
-    if (!outcome.equals("complete")) {
+    boolean late = state.route != null && state.isLateStream();
+    if (late || !outcome.equals(COMPLETE)) {
       Logger.info(
-          "event=request-ended request={} outcome={} stream={} pool={} sends={} millis={}",
+          "event=request-ended request={} outcome={} late={} pool={} backend={} sends={} millis={}"
+              + " first-event-ms={} longest-gap-ms={} prompt-tokens={}",
           state.request.id(),
           outcome,
-          stream,
+          late,
           state.pool,
+          state.backend,
           state.sends,
-          time.monotonicMillis() - state.arrivedAtMillis);
+          time.monotonicMillis() - state.arrivedAtMillis,
+          state.firstEventMillis,
+          state.longestGapMillis,
+          state.promptTokens());
     }
   }
 
+  Time time() {
+    return time;
+  }
+
   BackendChooser chooser() {
     return chooser;
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
@@ -43,6 +43,17 @@
 
   boolean answerStarted;
 
+  /** When the answer began, in milliseconds after the arrival; -1 before that. */
+  long firstEventMillis = -1;
+
+  /** When the latest event was passed on, by the monotonic clock. */
+  long latestEventAtMillis;
+
+  long longestGapMillis;
+
+  /** Back end of the latest attempt. */
+  String backend = "";
+
   RequestState(
       HttpExchange exchange,
       CallerRequest request,
@@ -69,6 +80,22 @@
     return prompt == null ? 0 : prompt.tokens();
   }
 
+  /** Notes that an event was passed on. */
+  void eventPassed(long nowMillis) {
+    if (firstEventMillis < 0) {
+      firstEventMillis = nowMillis - arrivedAtMillis;
+    } else {
+      longestGapMillis = Math.max(longestGapMillis, nowMillis - latestEventAtMillis);
+    }
+    latestEventAtMillis = nowMillis;
+  }
+
+  /** Returns whether a stream missed an objective of its route. */
+  boolean isLateStream() {
+    return firstEventMillis > route().latencyObjective().toMillis()
+        || longestGapMillis > route().gapObjective().toMillis();
+  }
+
   /** Returns the route; only after the route filter. */
   Route route() {
     Route chosen = route;
--- a/gateway/src/main/java/org/lockdale/gateway/request/StreamRelay.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/StreamRelay.java
@@ -1,6 +1,7 @@
 package org.lockdale.gateway.request;
 
 import io.netty.buffer.ByteBuf;
+import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.AnswerHead;
 import org.lockdale.http.ServerSentEventDecoder;
 
@@ -16,12 +17,14 @@
 
   private final RequestState state;
   private final AnswerHead head;
+  private final Time time;
   private final ServerSentEventDecoder decoder = new ServerSentEventDecoder(this::onEvent);
   private final long resumedAfter;
   private boolean begun;
 
-  StreamRelay(RequestState state, AnswerHead head) {
+  StreamRelay(RequestState state, AnswerHead head, Time time) {
     this.state = state;
+    this.time = time;
     this.head = head;
     this.resumedAfter = state.answerStarted ? numberOf(state.lastEventId) : Long.MIN_VALUE;
   }
@@ -39,6 +42,7 @@
 
   private void onEvent(long id, ByteBuf event) {
     begun = true;
+    state.eventPassed(time.monotonicMillis());
     boolean repeated = id != ServerSentEventDecoder.NO_ID && id <= resumedAfter;
     if (repeated) {
       return;
--- a/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
@@ -50,7 +50,7 @@
   }
 
   private static TrackedBackend choose(List<TrackedBackend> engines, PromptPlacement prompt) {
-    return CHOOSER.choose(engines, Set.of(), prompt, 0).orElseThrow();
+    return CHOOSER.choose("pool", engines, Set.of(), prompt, 0).orElseThrow();
   }
 
   @Test
@@ -80,12 +80,13 @@
     Set<String> tried = Set.of("i-1");
     for (int request = 0; request < 20; request++) {
       TrackedBackend chosen =
-          CHOOSER.choose(engines, tried, prompt("p" + request), 1).orElseThrow();
+          CHOOSER.choose("pool", engines, tried, prompt("p" + request), 1).orElseThrow();
       assertEquals(chosen.backend().id(), "i-2");
     }
     assertEquals(
-        CHOOSER.choose(engines, Set.of("i-1", "i-2"), null, 1).orElseThrow().backend().id(), "i-0");
-    assertTrue(CHOOSER.choose(engines, Set.of("i-0", "i-1", "i-2"), null, 1).isEmpty());
+        CHOOSER.choose("pool", engines, Set.of("i-1", "i-2"), null, 1).orElseThrow().backend().id(),
+        "i-0");
+    assertTrue(CHOOSER.choose("pool", engines, Set.of("i-0", "i-1", "i-2"), null, 1).isEmpty());
   }
 
   @Test
@@ -93,8 +94,43 @@
     TrackedBackend near = engine("near", "zone-a");
     TrackedBackend far = engine("far", "zone-b");
     List<TrackedBackend> both = List.of(far, near);
-    assertEquals(CHOOSER.choose(both, Set.of(), null, 0).orElseThrow(), near);
+    assertEquals(CHOOSER.choose("pool", both, Set.of(), null, 0).orElseThrow(), near);
     near.load().open(0, 0);
-    assertEquals(CHOOSER.choose(both, Set.of(), null, 0).orElseThrow(), far);
+    assertEquals(CHOOSER.choose("pool", both, Set.of(), null, 0).orElseThrow(), far);
+  }
+
+  @Test
+  public void shortAndLongPromptsAreKeptApartWhileBothCome() {
+    List<TrackedBackend> engines = engines(8);
+    Set<String> shortHomes = new HashSet<>();
+    Set<String> longHomes = new HashSet<>();
+    for (int index = 0; index < 400; index++) {
+      PromptPlacement brief =
+          PromptPlacement.of(
+              List.of(new PromptPart("s" + index % 50, 100), new PromptPart("own", 300)));
+      TrackedBackend forShort = choose(engines, brief);
+      TrackedBackend forLong = choose(engines, prompt("p" + index % 50));
+      if (index >= 100) {
+        shortHomes.add(forShort.backend().id());
+        longHomes.add(forLong.backend().id());
+      }
+    }
+    assertEquals(shortHomes.size(), 2);
+    assertEquals(longHomes.size(), 6);
+    assertTrue(shortHomes.stream().noneMatch(longHomes::contains));
+  }
+
+  @Test
+  public void aSetThatIsBusyOverflowsIntoTheOther() {
+    List<TrackedBackend> engines = engines(2);
+    PromptPlacement brief =
+        PromptPlacement.of(List.of(new PromptPart("s", 100), new PromptPart("own", 300)));
+    for (int index = 0; index < 100; index++) {
+      choose(engines, brief);
+      choose(engines, prompt("p" + index));
+    }
+    TrackedBackend forShort = choose(engines, brief);
+    forShort.load().open(10_000, 10_000);
+    assertNotEquals(choose(engines, brief), forShort);
   }
 }
