What every engine keeps is followed; prompts are placed by what they would have to compute there

Ruled out: asking by the rendezvous order of the same weights only; the sets differ by candidates, so that order is not the one of the placement either.

--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -10,9 +10,8 @@
 import java.util.function.BiFunction;
 import org.lockdale.coordination.time.SystemTime;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.cache.CacheDirectory;
 import org.lockdale.gateway.cache.CachePlanner;
-import org.lockdale.gateway.cache.CacheStoreFollower;
-import org.lockdale.gateway.cache.CacheStoreView;
 import org.lockdale.gateway.request.RequestLimits;
 import org.lockdale.gateway.request.RequestPath;
 import org.lockdale.gateway.table.TableFollower;
@@ -45,8 +44,7 @@
   private final HttpServer readiness;
   private final List<TableFollower> followers;
   private final RolloutController rollout;
-  private final CacheStoreView cacheStore = new CacheStoreView();
-  private final CacheStoreFollower cacheStoreFollower;
+  private final CacheDirectory cacheDirectory;
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
   private GatewayNode(
@@ -61,6 +59,12 @@
     HttpClient controlClient =
         new HttpClient(controlGroup, settings.get(GatewaySettings.CONNECT_TIMEOUT));
     GatewayProtocols protocols = adapters.apply(controlGroup, controlClient);
+    cacheDirectory =
+        new CacheDirectory(
+            controlLoop,
+            protocols.cacheEvents(),
+            () -> blackboard.backends().value(),
+            () -> blackboard.configuration().value().cacheStore());
     path =
         new RequestPath(
             blackboard,
@@ -68,15 +72,9 @@
             protocols.backends(),
             backendClient,
             limits(),
-            new CachePlanner(cacheStore),
+            new CachePlanner(cacheDirectory),
             settings.get(GatewaySettings.NODE_ZONE),
             time);
-    cacheStoreFollower =
-        new CacheStoreFollower(
-            controlLoop,
-            protocols.cacheEvents(),
-            () -> blackboard.configuration().value().cacheStore(),
-            cacheStore);
     followers = followers(protocols, backendClient);
     rollout = rollout(protocols);
     callers = server(GatewaySettings.CALLERS_ADDRESS, path);
@@ -96,7 +94,7 @@
     GatewayNode node = new GatewayNode(settings, adapters);
     node.followers.forEach(TableFollower::start);
     node.rollout.start();
-    node.cacheStoreFollower.start();
+    node.cacheDirectory.start();
     Logger.info("event=started node={}", settings.get(GatewaySettings.NODE_ID));
     return node;
   }
--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -3,19 +3,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.ToDoubleFunction;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.placement.Rendezvous;
 import org.lockdale.gateway.backend.BackendLoad;
 import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.cache.PrefixNeed;
 
 /**
  * Chooses the back end with the least estimated cost. For a prompt the cost is counted in tokens:
- * what waits before it, and what of it has to be computed or fetched. The home of a prompt's shared
- * prefix, the first in its rendezvous order, is taken to hold it already; since all nodes know the
- * same homes, they send a prefix to one engine without a message, and away from it when it is busy.
+ * what waits before it, and what of it has to be computed or fetched. A new prefix goes to its
+ * home, the first engine in its rendezvous order; since all nodes know the same homes, it is
+ * computed once, without a message.
  */
 public final class BackendChooser {
 
@@ -25,6 +25,12 @@
   /** Cost of fetching a token from another engine, relative to computing it. */
   private static final double FETCH_COST = 0.1;
 
+  /**
+   * Cost of computing a new prefix elsewhere than at its home, relative to computing it: another
+   * node that has not heard of it yet would compute it once more.
+   */
+  private static final double NOT_HOME_COST = 0.4;
+
   /** Cost of a running token, which takes memory but little time. */
   private static final double RUNNING_COST = 0.05;
 
@@ -56,43 +62,33 @@
   /**
    * Chooses a back end.
    *
-   * @param pool name of the pool
-   * @param candidates back ends that may serve the request
-   * @param excluded ids of back ends that were tried already
-   * @param prompt the prompt, or null for a request without one
+   * @param request what it is chosen for
    * @param nowMillis monotonic time
    * @return the choice, or empty where there is no candidate
    */
-  public Optional<TrackedBackend> choose(
-      String pool,
-      List<TrackedBackend> candidates,
-      Set<String> excluded,
-      @Nullable PromptPlacement prompt,
-      long nowMillis) {
-    List<TrackedBackend> usable = new ArrayList<>(candidates.size());
+  public Optional<TrackedBackend> choose(PlacementRequest request, long nowMillis) {
+    List<TrackedBackend> usable = new ArrayList<>(request.candidates().size());
     List<TrackedBackend> ejected = new ArrayList<>();
-    for (TrackedBackend candidate : candidates) {
-      if (!excluded.contains(candidate.backend().id())) {
+    for (TrackedBackend candidate : request.candidates()) {
+      if (!request.excluded().contains(candidate.backend().id())) {
         (candidate.health().isEjected(nowMillis) ? ejected : usable).add(candidate);
       }
     }
     // With no back end known to be sound, one that may have recovered is better than none.
     List<TrackedBackend> choice = usable.isEmpty() ? ejected : usable;
-    return cheapest(pool, choice, prompt);
+    PromptPlacement prompt = request.prompt();
+    return prompt == null ? least(choice, this::plainCost) : cheapest(choice, request, prompt);
   }
 
   private Optional<TrackedBackend> cheapest(
-      String pool, List<TrackedBackend> choice, @Nullable PromptPlacement prompt) {
-    if (prompt == null) {
-      return least(choice, this::plainCost);
-    }
-    List<TrackedBackend> preferred =
-        EngineSets.split(choice, mix.shareAfter(pool, prompt)).preferredFor(prompt);
+      List<TrackedBackend> choice, PlacementRequest request, PromptPlacement prompt) {
+    double shortShare = mix.shareAfter(request.pool(), prompt);
+    List<TrackedBackend> preferred = EngineSets.split(choice, shortShare).preferredFor(prompt);
     TrackedBackend home = home(preferred, prompt.affinityKey());
     return least(
         choice,
         candidate ->
-            promptCost(candidate, prompt, candidate == home)
+            promptCost(candidate, request.needOf().apply(candidate), candidate == home)
                 + (preferred.contains(candidate) ? 0 : OTHER_SET_COST));
   }
 
@@ -114,12 +110,12 @@
     return candidate.load().openRequests() * PLAIN_REQUEST_COST + sharedCost(candidate);
   }
 
-  private double promptCost(TrackedBackend candidate, PromptPlacement prompt, boolean isHome) {
+  private double promptCost(TrackedBackend candidate, PrefixNeed need, boolean isHome) {
     BackendLoad load = candidate.load();
-    double fetched = isHome ? 0 : prompt.sharedTokens() * FETCH_COST;
     double waiting = load.waitingTokens() + load.runningTokens() * RUNNING_COST;
     double queue = (waiting + load.openRequests() * REQUEST_COST) * UNSEEN_LOAD_FACTOR;
-    return queue + fetched + sharedCost(candidate);
+    double compute = need.unknown() * (isHome ? 1 : 1 + NOT_HOME_COST);
+    return queue + compute + need.fetchable() * FETCH_COST + sharedCost(candidate);
   }
 
   private double sharedCost(TrackedBackend candidate) {
@@ -129,8 +125,7 @@
         + ThreadLocalRandom.current().nextDouble(TIE_BREAK);
   }
 
-  /** Returns the first back end in the rendezvous order of a prefix, or null without candidates. */
-  public static @Nullable TrackedBackend home(List<TrackedBackend> candidates, long affinityKey) {
+  private static @Nullable TrackedBackend home(List<TrackedBackend> candidates, long affinityKey) {
     TrackedBackend best = null;
     for (TrackedBackend candidate : candidates) {
       boolean better =
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementRequest.java
@@ -0,0 +1,24 @@
+package org.lockdale.gateway.placement;
+
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.cache.PrefixNeed;
+
+/**
+ * What a back end is chosen for.
+ *
+ * @param pool name of the pool
+ * @param candidates back ends that may serve the request
+ * @param excluded ids of back ends that were tried already
+ * @param prompt the prompt, or null for a request without one
+ * @param needOf estimates what a candidate lacks of the prompt's shared parts
+ */
+public record PlacementRequest(
+    String pool,
+    List<TrackedBackend> candidates,
+    Set<String> excluded,
+    @Nullable PromptPlacement prompt,
+    Function<TrackedBackend, PrefixNeed> needOf) {}
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -8,9 +8,9 @@
 import org.lockdale.gateway.backend.AttemptPlan;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.cache.CacheTransfer;
+import org.lockdale.gateway.cache.PrefixNeed;
 import org.lockdale.gateway.configuration.Tenant;
-import org.lockdale.gateway.placement.BackendChooser;
-import org.lockdale.gateway.placement.PromptPlacement;
+import org.lockdale.gateway.placement.PlacementRequest;
 import org.lockdale.http.HttpReply;
 import org.tinylog.Logger;
 
@@ -57,7 +57,15 @@
     long now = path.nowMillis();
     List<TrackedBackend> candidates = path.candidates(state, now);
     Optional<TrackedBackend> chosen =
-        path.chooser().choose(state.pool, candidates, state.triedBackends, state.prompt, now);
+        path.chooser()
+            .choose(
+                new PlacementRequest(
+                    state.pool,
+                    candidates,
+                    state.triedBackends,
+                    state.prompt,
+                    candidate -> needOf(candidate, now)),
+                now);
     if (chosen.isEmpty() || state.endsAtMillis() - now < LEAST_ATTEMPT_MILLIS) {
       giveUp("no back end of pool " + state.pool + " is left to try", null);
       return;
@@ -70,6 +78,10 @@
     String namespace = cacheNamespace(weights);
     state.triedBackends.add(target.backend().id());
     state.backend = target.backend().id();
+    if (state.prompt != null) {
+      PrefixNeed need = needOf(target, now);
+      state.sharedTokensToCompute = need.unknown();
+    }
     AttemptPlan plan =
         new AttemptPlan(
             target.backend(),
@@ -128,20 +140,17 @@
       String namespace,
       @Nullable Long weights,
       long now) {
-    PromptPlacement prompt = state.prompt;
-    if (weights == null || prompt == null) {
+    if (weights == null || state.prompt == null) {
       return CacheTransfer.NONE;
     }
-    List<TrackedBackend> sameWeights =
-        candidates.stream().filter(other -> weights.equals(weightsOf(other))).toList();
     return path.cachePlanner()
-        .plan(
-            target,
-            BackendChooser.home(sameWeights, prompt.affinityKey()),
-            namespace,
-            state.request.promptParts(),
-            state.configuration.cacheStore(),
-            now);
+        .plan(target, candidates, namespace, state.request.promptParts(), now);
+  }
+
+  /** Estimates what a candidate would have to compute and to fetch of the prompt. */
+  private PrefixNeed needOf(TrackedBackend candidate, long now) {
+    String namespace = cacheNamespace(weightsOf(candidate));
+    return path.cachePlanner().need(candidate, namespace, state.request.promptParts(), now);
   }
 
   private void concluded(Attempt attempt, AttemptResult result) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
@@ -43,6 +43,9 @@
 
   boolean answerStarted;
 
+  /** Tokens of shared parts that the chosen engine lacks and nobody is known to have. */
+  long sharedTokensToCompute;
+
   /** When the answer began, in milliseconds after the arrival; -1 before that. */
   long firstEventMillis = -1;
 
@@ -70,9 +73,9 @@
         request.promptParts().isEmpty() ? null : PromptPlacement.of(request.promptParts());
   }
 
-  /** Returns the prompt tokens that an engine which knows the shared parts has to compute. */
+  /** Returns the prompt tokens that the chosen engine probably has to compute. */
   long computedTokens() {
-    return prompt == null ? 0 : prompt.ownTokens();
+    return prompt == null ? 0 : prompt.ownTokens() + sharedTokensToCompute;
   }
 
   /** Returns all tokens of the prompt. */
--- a/gateway/src/test/java/org/lockdale/gateway/cache/CachePlannerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cache/CachePlannerTest.java
@@ -2,32 +2,85 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
 
+import io.netty.channel.DefaultEventLoop;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.caller.PromptPart;
 import org.lockdale.gateway.configuration.CacheStore;
+import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Moves of cached prompts follow what the store keeps, within one namespace only. */
+/** Moves of cached prompts follow what holders keep, within one namespace only. */
 public final class CachePlannerTest {
 
+  private static final long WAIT_NANOS = TimeUnit.SECONDS.toNanos(10);
   private static final InetSocketAddress STORE = address(9);
-  private static final Optional<CacheStore> IN_FORCE =
-      Optional.of(new CacheStore("store", STORE, "zone"));
   private static final List<PromptPart> PARTS =
       List.of(new PromptPart("root", 100), new PromptPart("deep", 200), new PromptPart("own", 10));
 
-  private CacheStoreView view;
+  /** Holders that answer calls at once while there is news, and fail while they are down. */
+  private static final class ScriptedHolders implements CacheEventSource {
+    private final Map<InetSocketAddress, List<CacheEvent>> news = new HashMap<>();
+    private final Map<InetSocketAddress, Long> epochs = new HashMap<>();
+    private final List<InetSocketAddress> down = new ArrayList<>();
+
+    @Override
+    public synchronized CompletableFuture<CacheEventPage> changes(
+        InetSocketAddress holder, long since, Duration wait) {
+      if (down.contains(holder)) {
+        return CompletableFuture.failedFuture(new IllegalStateException("down"));
+      }
+      List<CacheEvent> events = news.remove(holder);
+      return CompletableFuture.completedFuture(
+          new CacheEventPage(
+              epochs.getOrDefault(holder, 1L),
+              since + 1,
+              false,
+              events == null ? List.of() : List.copyOf(events)));
+    }
+
+    @Override
+    public CompletableFuture<CacheEventPage> contents(InetSocketAddress holder) {
+      return changes(holder, 0, Duration.ZERO);
+    }
+
+    synchronized void tell(InetSocketAddress holder, boolean added, String space, String part) {
+      news.computeIfAbsent(holder, address -> new ArrayList<>())
+          .add(new CacheEvent(added, space, part, 100));
+    }
+
+    synchronized void setDown(InetSocketAddress holder) {
+      down.add(holder);
+    }
+
+    synchronized void restart(InetSocketAddress holder) {
+      epochs.put(holder, 2L);
+    }
+  }
+
+  private final TrackedBackend target = engine("target", 1);
+  private final TrackedBackend other = engine("other", 2);
+  private final List<TrackedBackend> engines = List.of(target, other);
+  private ScriptedHolders holders;
+  private DefaultEventLoop eventLoop;
+  private CacheDirectory directory;
   private CachePlanner planner;
-  private TrackedBackend target;
-  private TrackedBackend home;
 
   private static InetSocketAddress address(int port) {
     return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
@@ -40,48 +93,101 @@
 
   @BeforeMethod
   public void start() {
-    view = new CacheStoreView();
-    view.setAvailable(true);
-    planner = new CachePlanner(view);
-    target = engine("target", 1);
-    home = engine("home", 2);
+    holders = new ScriptedHolders();
+    eventLoop = new DefaultEventLoop();
+    BackendTable table =
+        BackendTable.EMPTY.with(engines.stream().map(TrackedBackend::backend).toList());
+    directory =
+        new CacheDirectory(
+            eventLoop,
+            holders,
+            () -> table,
+            () -> Optional.of(new CacheStore("store", STORE, "zone")));
+    directory.start();
+    planner = new CachePlanner(directory);
+    await(() -> directory.storeAddress().isPresent());
+    await(() -> engines.stream().allMatch(e -> directory.engine(e.backend().id()).isAvailable()));
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    eventLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + WAIT_NANOS;
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() < end, "the condition did not come true in time");
+      LockSupport.parkNanos(1_000_000);
+    }
+  }
+
+  private static boolean holds(HeldParts held, String namespace, String part) {
+    return held.contains(HeldParts.keyOf(namespace, part), 0);
+  }
+
+  private void storeKeeps(String... parts) {
+    for (String part : parts) {
+      holders.tell(STORE, true, "1", part);
+    }
+    await(() -> holds(directory.store(), "1", parts[parts.length - 1]));
   }
 
   private CacheTransfer plan(String namespace, long now) {
-    return planner.plan(target, home, namespace, PARTS, IN_FORCE, now);
+    return planner.plan(target, engines, namespace, PARTS, now);
   }
 
   @Test
   public void whatTheStoreKeepsIsFetchedThereAndNotSavedAgain() {
-    view.apply(new CacheEvent(true, "1", "deep", 200));
+    storeKeeps("root", "deep");
     assertEquals(plan("1", 0), new CacheTransfer(STORE, null));
   }
 
+  @Test
+  public void aPartWithoutThoseBeforeItIsOfNoUse() {
+    storeKeeps("deep");
+    assertNull(plan("1", 0).source());
+    assertEquals(planner.need(other, "1", PARTS, 0), new PrefixNeed(0, 300));
+  }
+
   @Test
   public void anotherNamespaceIsNeverTouched() {
-    view.apply(new CacheEvent(true, "1", "deep", 200));
-    assertEquals(plan("2", 0), new CacheTransfer(home.backend().address(), STORE));
+    storeKeeps("root", "deep");
+    assertEquals(plan("2", 0), new CacheTransfer(null, STORE));
+  }
+
+  @Test
+  public void theHolderOfTheLongestPrefixIsAsked() {
+    storeKeeps("root");
+    holders.tell(other.backend().address(), true, "1", "root");
+    holders.tell(other.backend().address(), true, "1", "deep");
+    await(() -> holds(directory.engine("other"), "1", "deep"));
+    assertEquals(plan("1", 0).source(), other.backend().address());
+    assertEquals(planner.need(other, "1", PARTS, 0), new PrefixNeed(0, 0));
   }
 
   @Test
-  public void aPartIsSavedOnceAndAnEngineThatHasItFetchesNothing() {
-    assertEquals(plan("1", 0), new CacheTransfer(home.backend().address(), STORE));
+  public void aPartIsSavedOnceAndExpectedWhereItIsComputed() {
+    assertEquals(plan("1", 0), new CacheTransfer(null, STORE));
     assertEquals(plan("1", 100), CacheTransfer.NONE);
+    assertEquals(planner.need(target, "1", PARTS, 100), new PrefixNeed(0, 0));
+    assertEquals(plan("1", 10_000), new CacheTransfer(null, STORE), "it was never confirmed");
   }
 
   @Test
   public void aStoreThatDoesNotAnswerIsNotUsed() {
-    view.apply(new CacheEvent(true, "1", "deep", 200));
-    view.setAvailable(false);
-    CacheTransfer transfer = plan("1", 0);
-    assertEquals(transfer.source(), home.backend().address());
-    assertNull(transfer.destination());
+    storeKeeps("root", "deep");
+    holders.setDown(STORE);
+    await(() -> directory.storeAddress().isEmpty());
+    assertEquals(plan("1", 0), CacheTransfer.NONE);
   }
 
   @Test
-  public void whatTheStoreHasDroppedIsSavedAgain() {
-    view.apply(new CacheEvent(true, "1", "deep", 200));
-    view.apply(new CacheEvent(false, "1", "deep", 0));
-    assertEquals(plan("1", 0).destination(), STORE);
+  public void whatAHolderDropsOrLosesByARestartIsNoLongerBelieved() {
+    storeKeeps("root", "deep");
+    holders.tell(STORE, false, "1", "deep");
+    await(() -> !holds(directory.store(), "1", "deep"));
+    holders.restart(STORE);
+    await(() -> !holds(directory.store(), "1", "root"));
   }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
@@ -10,9 +10,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.cache.PrefixNeed;
 import org.lockdale.gateway.caller.PromptPart;
 import org.testng.annotations.Test;
 
@@ -50,7 +52,17 @@
   }
 
   private static TrackedBackend choose(List<TrackedBackend> engines, PromptPlacement prompt) {
-    return CHOOSER.choose("pool", engines, Set.of(), prompt, 0).orElseThrow();
+    return place(engines, Set.of(), prompt, 0).orElseThrow();
+  }
+
+  private static PrefixNeed newPrefix(PromptPlacement prompt) {
+    return new PrefixNeed(0, prompt == null ? 0 : prompt.sharedTokens());
+  }
+
+  private static Optional<TrackedBackend> place(
+      List<TrackedBackend> engines, Set<String> tried, PromptPlacement prompt, long now) {
+    return CHOOSER.choose(
+        new PlacementRequest("pool", engines, tried, prompt, engine -> newPrefix(prompt)), now);
   }
 
   @Test
@@ -73,20 +85,37 @@
     assertNotEquals(choose(engines, prompt("p")), home);
   }
 
+  @Test
+  public void anEngineThatHoldsThePrefixIsPreferredToItsHome() {
+    List<TrackedBackend> engines = engines(4);
+    PromptPlacement prompt = prompt("p");
+    TrackedBackend home = choose(engines, prompt);
+    TrackedBackend holder = engines.get(engines.get(0) == home ? 1 : 0);
+    TrackedBackend chosen =
+        CHOOSER
+            .choose(
+                new PlacementRequest(
+                    "pool",
+                    engines,
+                    Set.of(),
+                    prompt,
+                    engine -> new PrefixNeed(0, engine == holder ? 0 : 5_000)),
+                0)
+            .orElseThrow();
+    assertEquals(chosen, holder);
+  }
+
   @Test
   public void triedAndEjectedBackEndsAreAvoidedWhileThereAreOthers() {
     List<TrackedBackend> engines = engines(3);
     engines.get(0).health().unreachable(0);
     Set<String> tried = Set.of("i-1");
     for (int request = 0; request < 20; request++) {
-      TrackedBackend chosen =
-          CHOOSER.choose("pool", engines, tried, prompt("p" + request), 1).orElseThrow();
+      TrackedBackend chosen = place(engines, tried, prompt("p" + request), 1).orElseThrow();
       assertEquals(chosen.backend().id(), "i-2");
     }
-    assertEquals(
-        CHOOSER.choose("pool", engines, Set.of("i-1", "i-2"), null, 1).orElseThrow().backend().id(),
-        "i-0");
-    assertTrue(CHOOSER.choose("pool", engines, Set.of("i-0", "i-1", "i-2"), null, 1).isEmpty());
+    assertEquals(place(engines, Set.of("i-1", "i-2"), null, 1).orElseThrow().backend().id(), "i-0");
+    assertTrue(place(engines, Set.of("i-0", "i-1", "i-2"), null, 1).isEmpty());
   }
 
   @Test
@@ -94,9 +123,9 @@
     TrackedBackend near = engine("near", "zone-a");
     TrackedBackend far = engine("far", "zone-b");
     List<TrackedBackend> both = List.of(far, near);
-    assertEquals(CHOOSER.choose("pool", both, Set.of(), null, 0).orElseThrow(), near);
+    assertEquals(place(both, Set.of(), null, 0).orElseThrow(), near);
     near.load().open(0, 0);
-    assertEquals(CHOOSER.choose("pool", both, Set.of(), null, 0).orElseThrow(), far);
+    assertEquals(place(both, Set.of(), null, 0).orElseThrow(), far);
   }
 
   @Test
