Nodes tell each other by datagrams how many prompt tokens wait at each engine

Cause: drafts of 14 thousand tokens waited 1 to 2.9 s at engines to which other nodes had just sent drafts of their own; a node saw a seventh of the load only.

Change: nodes announce themselves in the table they share; each tells the others the prompt tokens that wait at an engine when the number changes by a thousand or falls to zero, and twice a second while it is not zero. What is told is believed for 1.5 s.

--- a/gateway/src/main/java/org/lockdale/gateway/node/RolloutObserver.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
@@ -4,24 +4,27 @@
 import java.util.List;
 import java.util.Map;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.cluster.ClusterTable;
+import org.lockdale.gateway.cluster.NodeRegistry;
 import org.lockdale.gateway.table.MalformedRecordException;
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.table.TableRowChange;
 import org.lockdale.gateway.weights.EngineMove;
-import org.lockdale.gateway.weights.RolloutBoard;
 import org.lockdale.gateway.weights.RolloutProgress;
 import org.tinylog.Logger;
 
-/** Keeps the section {@code rollout} from the table of the rollout's coordinator. */
-final class RolloutObserver implements TableFollower.Listener {
+/** Keeps the section {@code rollout} and the registry of nodes from the nodes' own table. */
+final class ClusterObserver implements TableFollower.Listener {
 
   private final GatewayBlackboard blackboard;
-  private final RolloutBoard board;
+  private final ClusterTable table;
+  private final NodeRegistry nodes;
   private final Time time;
 
-  RolloutObserver(GatewayBlackboard blackboard, RolloutBoard board, Time time) {
+  ClusterObserver(GatewayBlackboard blackboard, ClusterTable table, NodeRegistry nodes, Time time) {
     this.blackboard = blackboard;
-    this.board = board;
+    this.table = table;
+    this.nodes = nodes;
     this.time = time;
   }
 
@@ -33,9 +36,10 @@
     List<EngineMove> moves = new ArrayList<>();
     for (TableRowChange row : rows.values()) {
       try {
-        moves.add(board.read(row));
+        table.engineMove(row).ifPresent(moves::add);
+        table.node(row).ifPresent(node -> nodes.observed(node, row.version()));
       } catch (MalformedRecordException malformed) {
-        Logger.warn("event=rollout-row-rejected cause=\"{}\"", malformed.getMessage());
+        Logger.warn("event=cluster-row-rejected cause=\"{}\"", malformed.getMessage());
       }
     }
     long now = time.monotonicMillis();
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -12,6 +12,10 @@
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.cache.CacheDirectory;
 import org.lockdale.gateway.cache.CachePlanner;
+import org.lockdale.gateway.cluster.LoadExchange;
+import org.lockdale.gateway.cluster.NodeRegistry;
+import org.lockdale.gateway.cluster.PeerLoads;
+import org.lockdale.gateway.cluster.PeerNode;
 import org.lockdale.gateway.request.RequestLimits;
 import org.lockdale.gateway.request.RequestPath;
 import org.lockdale.gateway.table.TableFollower;
@@ -45,6 +49,9 @@
   private final List<TableFollower> followers;
   private final RolloutController rollout;
   private final CacheDirectory cacheDirectory;
+  private final PeerLoads peerLoads = new PeerLoads(time);
+  private final NodeRegistry nodes;
+  private final LoadExchange loadExchange;
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
   private GatewayNode(
@@ -59,6 +66,21 @@
     HttpClient controlClient =
         new HttpClient(controlGroup, settings.get(GatewaySettings.CONNECT_TIMEOUT));
     GatewayProtocols protocols = adapters.apply(controlGroup, controlClient);
+    nodes =
+        new NodeRegistry(
+            controlLoop,
+            protocols.clusterTable(),
+            new PeerNode(
+                settings.get(GatewaySettings.NODE_ID), settings.get(GatewaySettings.PEERS_ADDRESS)),
+            time);
+    loadExchange =
+        new LoadExchange(
+            settings.get(GatewaySettings.NODE_ID),
+            settings.get(GatewaySettings.PEERS_ADDRESS),
+            controlLoop,
+            () -> blackboard.backends().value(),
+            nodes::peers,
+            peerLoads);
     cacheDirectory =
         new CacheDirectory(
             controlLoop,
@@ -73,6 +95,7 @@
             backendClient,
             limits(),
             new CachePlanner(cacheDirectory),
+            peerLoads,
             settings.get(GatewaySettings.NODE_ZONE),
             time);
     followers = followers(protocols, backendClient);
@@ -92,6 +115,8 @@
   public static GatewayNode start(
       GatewaySettings settings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols> adapters) {
     GatewayNode node = new GatewayNode(settings, adapters);
+    node.loadExchange.start();
+    node.nodes.start();
     node.followers.forEach(TableFollower::start);
     node.rollout.start();
     node.cacheDirectory.start();
@@ -120,8 +145,8 @@
             new BackendController(blackboard, protocols.records(), backendClient)),
         follower(
             protocols,
-            protocols.rolloutBoard().table(),
-            new RolloutObserver(blackboard, protocols.rolloutBoard(), time)));
+            protocols.clusterTable().table(),
+            new ClusterObserver(blackboard, protocols.clusterTable(), nodes, time)));
   }
 
   private TableFollower follower(
@@ -141,7 +166,7 @@
         blackboard.weights(),
         blackboard.backends(),
         new WeightsPolicy(settings.get(GatewaySettings.WEIGHTS_BOUND).toMillis()),
-        new RolloutTools(protocols.engines(), protocols.rolloutBoard()),
+        new RolloutTools(protocols.engines(), protocols.clusterTable()),
         protocols.rolloutLease(),
         settings.get(GatewaySettings.NODE_ID),
         settings.get(GatewaySettings.LEASE_GUARD).toMillis(),
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayProtocols.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayProtocols.java
@@ -4,10 +4,10 @@
 import org.lockdale.gateway.backend.BackendProtocol;
 import org.lockdale.gateway.cache.CacheEventSource;
 import org.lockdale.gateway.caller.CallerProtocol;
+import org.lockdale.gateway.cluster.ClusterTable;
 import org.lockdale.gateway.table.SharedRecords;
 import org.lockdale.gateway.table.TableFeed;
 import org.lockdale.gateway.weights.EngineControl;
-import org.lockdale.gateway.weights.RolloutBoard;
 
 /**
  * The adapters of one deployment.
@@ -18,7 +18,7 @@
  * @param records what operators and back ends write there
  * @param engines state and orders of engines
  * @param cacheEvents what holders of cached prompts keep
- * @param rolloutBoard table of the rollout's progress
+ * @param clusterTable the nodes' own table
  * @param rolloutLease row of the lease under which weights are rolled out
  */
 public record GatewayProtocols(
@@ -28,5 +28,5 @@
     SharedRecords records,
     EngineControl engines,
     CacheEventSource cacheEvents,
-    RolloutBoard rolloutBoard,
+    ClusterTable clusterTable,
     LeaseStore rolloutLease) {}
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
@@ -58,6 +58,10 @@
   public static final Setting<InetSocketAddress> READINESS_ADDRESS =
       address("readiness.address", "Address on which the node tells whether it serves.");
 
+  /** Address for other nodes. */
+  public static final Setting<InetSocketAddress> PEERS_ADDRESS =
+      address("peers.address", "Address on which other nodes tell their load, by UDP.");
+
   /** Address of the shared store. */
   public static final Setting<InetSocketAddress> STORE_ADDRESS =
       address("store.address", "Address of the store with configuration and back ends.");
@@ -133,6 +137,7 @@
           THREADS,
           CALLERS_ADDRESS,
           READINESS_ADDRESS,
+          PEERS_ADDRESS,
           STORE_ADDRESS,
           STORE_WAIT,
           STORE_TIMEOUT,
--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.ToDoubleFunction;
+import java.util.function.ToLongFunction;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.placement.Rendezvous;
 import org.lockdale.gateway.backend.BackendLoad;
@@ -19,7 +20,7 @@
  */
 public final class BackendChooser {
 
-  /** Load of other nodes that is not seen here, as a multiple of the load that is. */
+  /** Running work of other nodes, which is not told, as a multiple of this node's own. */
   private static final double UNSEEN_LOAD_FACTOR = 3.0;
 
   /** Cost of fetching a token from another engine, relative to computing it. */
@@ -52,11 +53,19 @@
   private static final double TIE_BREAK = 1.0;
 
   private final String zone;
+  private final ToLongFunction<String> waitingElsewhere;
   private final PromptMix mix = new PromptMix();
 
-  /** Creates a chooser for a node of a zone. */
-  public BackendChooser(String zone) {
+  /**
+   * Creates a chooser.
+   *
+   * @param zone zone of the node
+   * @param waitingElsewhere prompt tokens that other nodes have sent to a back end and that wait
+   *     there
+   */
+  public BackendChooser(String zone, ToLongFunction<String> waitingElsewhere) {
     this.zone = zone;
+    this.waitingElsewhere = waitingElsewhere;
   }
 
   /**
@@ -112,8 +121,9 @@
 
   private double promptCost(TrackedBackend candidate, PrefixNeed need, boolean isHome) {
     BackendLoad load = candidate.load();
-    double waiting = load.waitingTokens() + load.runningTokens() * RUNNING_COST;
-    double queue = (waiting + load.openRequests() * REQUEST_COST) * UNSEEN_LOAD_FACTOR;
+    double waiting = load.waitingTokens() + waitingElsewhere.applyAsLong(candidate.backend().id());
+    double running = load.runningTokens() * RUNNING_COST + load.openRequests() * REQUEST_COST;
+    double queue = waiting + running * UNSEEN_LOAD_FACTOR;
     double compute = need.unknown() * (isHome ? 1 : 1 + NOT_HOME_COST);
     return queue + compute + need.fetchable() * FETCH_COST + sharedCost(candidate);
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -13,6 +13,7 @@
 import org.lockdale.gateway.caller.CallerProtocol;
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.caller.MalformedRequestException;
+import org.lockdale.gateway.cluster.PeerLoads;
 import org.lockdale.gateway.configuration.GatewayConfiguration;
 import org.lockdale.gateway.limit.RetryBudget;
 import org.lockdale.gateway.node.GatewayBlackboard;
@@ -57,6 +58,7 @@
    * @param client sends requests
    * @param limits bounds that the path keeps
    * @param cachePlanner plans moves of cached prompts
+   * @param peerLoads load of other nodes
    * @param zone zone of the node
    * @param time clock
    */
@@ -67,13 +69,14 @@
       HttpClient client,
       RequestLimits limits,
       CachePlanner cachePlanner,
+      PeerLoads peerLoads,
       String zone,
       Time time) {
     this.blackboard = blackboard;
     this.callerProtocol = callerProtocol;
     this.backendProtocol = backendProtocol;
     this.client = client;
-    this.chooser = new BackendChooser(zone);
+    this.chooser = new BackendChooser(zone, peerLoads::waitingTokens);
     this.budget =
         new RetryBudget(
             limits.retryRatio(), limits.retryAllowance(), limits.retryWindow().toMillis());
--- a/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
@@ -97,7 +97,7 @@
     }
     announced = true;
     tools
-        .board()
+        .table()
         .tell(moveRow(true))
         .whenCompleteAsync(
             (done, failure) ->
@@ -107,7 +107,7 @@
 
   private void succeed() {
     if (announced) {
-      tools.board().tell(moveRow(false));
+      tools.table().tell(moveRow(false));
     }
     done.complete(true);
   }
--- a/gateway/src/main/java/org/lockdale/gateway/weights/RolloutTools.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutTools.java
@@ -1,9 +1,11 @@
 package org.lockdale.gateway.weights;
 
+import org.lockdale.gateway.cluster.ClusterTable;
+
 /**
  * What a coordinator works with.
  *
  * @param control calls engines
- * @param board tells the other nodes
+ * @param table tells the other nodes
  */
-public record RolloutTools(EngineControl control, RolloutBoard board) {}
+public record RolloutTools(EngineControl control, ClusterTable table) {}
--- a/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
@@ -21,7 +21,7 @@
 /** Prompts go to their home until it is busy; back ends that fail are left alone. */
 public final class BackendChooserTest {
 
-  private static final BackendChooser CHOOSER = new BackendChooser("zone-a");
+  private static final BackendChooser CHOOSER = new BackendChooser("zone-a", engine -> 0);
 
   private static List<TrackedBackend> engines(int count) {
     List<TrackedBackend> engines = new ArrayList<>();
@@ -105,6 +105,18 @@
     assertEquals(chosen, holder);
   }
 
+  @Test
+  public void workThatOtherNodesToldKeepsPromptsAway() {
+    List<TrackedBackend> engines = engines(4);
+    TrackedBackend home = choose(engines, prompt("p"));
+    BackendChooser informed =
+        new BackendChooser("zone-a", engine -> engine.equals(home.backend().id()) ? 20_000 : 0);
+    PromptPlacement prompt = prompt("p");
+    PlacementRequest request =
+        new PlacementRequest("pool", engines, Set.of(), prompt, engine -> newPrefix(prompt));
+    assertNotEquals(informed.choose(request, 0).orElseThrow(), home);
+  }
+
   @Test
   public void triedAndEjectedBackEndsAreAvoidedWhileThereAreOthers() {
     List<TrackedBackend> engines = engines(3);
--- a/http/src/main/java/org/lockdale/http/HttpBindException.java
+++ b/http/src/main/java/org/lockdale/http/HttpBindException.java
@@ -7,7 +7,8 @@
 
   private static final long serialVersionUID = 1L;
 
-  HttpBindException(InetSocketAddress address, Throwable cause) {
+  /** Creates a failure for an address. */
+  public HttpBindException(InetSocketAddress address, Throwable cause) {
     super(
         "Can't listen on "
             + address
--- a/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
@@ -17,8 +17,10 @@
 import org.lockdale.protocol.generated.ClaimRecord;
 import org.lockdale.protocol.generated.ConfigurationChange;
 import org.lockdale.protocol.generated.ConfigurationSnapshot;
+import org.lockdale.protocol.generated.EngineLoad;
 import org.lockdale.protocol.generated.EngineMoveRecord;
 import org.lockdale.protocol.generated.LeaseRecord;
+import org.lockdale.protocol.generated.NodeRecord;
 import org.lockdale.protocol.generated.PeerMessage;
 
 /**
@@ -88,6 +90,16 @@
     return forSchema(EngineMoveRecord.getClassSchema());
   }
 
+  /** Returns a codec of the addresses of nodes as kept in the table service. */
+  public static MessageCodec<NodeRecord> nodes() {
+    return forSchema(NodeRecord.getClassSchema());
+  }
+
+  /** Returns a codec of the load that nodes tell each other. */
+  public static MessageCodec<EngineLoad> engineLoads() {
+    return forSchema(EngineLoad.getClassSchema());
+  }
+
   /** Returns a codec that writes a schema and reads it alone. */
   public static <T extends SpecificRecordBase> MessageCodec<T> forSchema(Schema schema) {
     return forSchema(schema, SchemaHistory.of(schema));
