What an engine will hold is told to all nodes; reading a prefix twice costs three times

Ruled out: stale events alone (they come 80 ms late; a reading takes 260 ms).

Change: a request's survey tells what is confirmed anywhere (it can be fetched), what another engine is about to compute, and what nobody has. Nodes tell each other which parts an engine will hold soon. A second computation costs three times its tokens. Rollouts log how long an engine took.

--- a/gateway/src/main/java/org/lockdale/gateway/cache/CachePlanner.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cache/CachePlanner.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiConsumer;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.caller.PromptPart;
@@ -14,39 +15,51 @@
  */
 public final class CachePlanner {
 
+  /** Shorter parts are not worth a message to other nodes. */
+  private static final long LEAST_TOLD_TOKENS = 1_000;
+
   private final CacheDirectory directory;
+  private final BiConsumer<String, List<Long>> tellOthers;
 
-  /** Creates a planner over what holders keep. */
-  public CachePlanner(CacheDirectory directory) {
+  /**
+   * Creates a planner.
+   *
+   * @param directory what holders keep
+   * @param tellOthers tells other nodes which parts an engine will hold soon
+   */
+  public CachePlanner(CacheDirectory directory, BiConsumer<String, List<Long>> tellOthers) {
     this.directory = directory;
+    this.tellOthers = tellOthers;
   }
 
   /**
-   * Returns what an engine lacks of a prompt's shared parts. A part is of use only if all parts
-   * before it are there too.
+   * Finds out where the shared parts of a prompt are.
+   *
+   * @param engines engines that may hold some of them
+   * @param namespace namespace of the cached prompts
+   * @param parts parts of the prompt; the last one is its own
+   * @param nowMillis monotonic time
    */
-  public PrefixNeed need(
-      TrackedBackend engine, String namespace, List<PromptPart> parts, long nowMillis) {
-    HeldParts held = directory.engine(engine.backend().id());
-    HeldParts stored = directory.store();
-    long fetchable = 0;
-    long unknown = 0;
-    boolean prefixHeld = true;
-    boolean prefixStored = directory.storeAddress().isPresent();
-    for (PromptPart part : sharedOf(parts)) {
-      long key = HeldParts.keyOf(namespace, part.id());
-      prefixHeld = prefixHeld && held.contains(key, nowMillis);
-      prefixStored = prefixStored && stored.isConfirmed(key);
-      if (prefixHeld) {
-        continue;
-      }
-      if (prefixStored) {
-        fetchable += part.tokens();
-      } else {
-        unknown += part.tokens();
-      }
+  public PrefixSurvey survey(
+      List<TrackedBackend> engines, String namespace, List<PromptPart> parts, long nowMillis) {
+    List<PromptPart> shared = parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
+    List<Long> keys = new ArrayList<>(shared.size());
+    shared.forEach(part -> keys.add(HeldParts.keyOf(namespace, part.id())));
+    int confirmed =
+        directory.storeAddress().isPresent() ? confirmedDepth(directory.store(), keys) : 0;
+    int expected = 0;
+    for (TrackedBackend engine : engines) {
+      HeldParts held = directory.engine(engine.backend().id());
+      confirmed = Math.max(confirmed, confirmedDepth(held, keys));
+      expected = Math.max(expected, expectedDepth(held, keys, nowMillis));
     }
-    return new PrefixNeed(fetchable, unknown);
+    return new PrefixSurvey(List.copyOf(shared), keys, confirmed, expected);
+  }
+
+  /** Returns what an engine lacks of a surveyed prompt. */
+  public PrefixNeed need(TrackedBackend engine, PrefixSurvey survey, long nowMillis) {
+    HeldParts held = directory.engine(engine.backend().id());
+    return survey.needFrom(expectedDepth(held, survey.keys(), nowMillis));
   }
 
   /**
@@ -55,49 +68,43 @@
    *
    * @param target engine that serves it
    * @param others engines that may hold parts of the prompt
-   * @param namespace namespace of its cached prompts
-   * @param parts parts of its prompt; the last one is its own
+   * @param survey where the shared parts are
    * @param nowMillis monotonic time
    */
   public CacheTransfer plan(
-      TrackedBackend target,
-      List<TrackedBackend> others,
-      String namespace,
-      List<PromptPart> parts,
-      long nowMillis) {
-    List<Long> keys = new ArrayList<>();
-    sharedOf(parts).forEach(part -> keys.add(HeldParts.keyOf(namespace, part.id())));
+      TrackedBackend target, List<TrackedBackend> others, PrefixSurvey survey, long nowMillis) {
+    List<Long> keys = survey.keys();
     if (keys.isEmpty()) {
       return CacheTransfer.NONE;
     }
     InetSocketAddress source = sourceOf(target, others, keys);
+    PrefixNeed need = need(target, survey, nowMillis);
     HeldParts held = directory.engine(target.backend().id());
     keys.forEach(key -> held.expect(key, nowMillis));
+    if (need.computed() >= LEAST_TOLD_TOKENS) {
+      tellOthers.accept(target.backend().id(), keys);
+    }
     return new CacheTransfer(source, destinationOf(keys, nowMillis));
   }
 
-  private static List<PromptPart> sharedOf(List<PromptPart> parts) {
-    return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
-  }
-
   /**
    * Returns the holder of the longest prefix that is longer than the engine's own. What is only
    * expected does not count: it may not have been computed yet.
    */
   private @Nullable InetSocketAddress sourceOf(
       TrackedBackend target, List<TrackedBackend> others, List<Long> keys) {
-    int longest = depthOf(directory.engine(target.backend().id()), keys);
+    int longest = confirmedDepth(directory.engine(target.backend().id()), keys);
     InetSocketAddress source = null;
     InetSocketAddress storeAddress = directory.storeAddress().orElse(null);
     if (storeAddress != null) {
-      int depth = depthOf(directory.store(), keys);
+      int depth = confirmedDepth(directory.store(), keys);
       if (depth > longest) {
         longest = depth;
         source = storeAddress;
       }
     }
     for (TrackedBackend other : others) {
-      int depth = depthOf(directory.engine(other.backend().id()), keys);
+      int depth = confirmedDepth(directory.engine(other.backend().id()), keys);
       if (depth > longest) {
         longest = depth;
         source = other.backend().address();
@@ -106,7 +113,7 @@
     return source;
   }
 
-  private static int depthOf(HeldParts held, List<Long> keys) {
+  private static int confirmedDepth(HeldParts held, List<Long> keys) {
     int depth = 0;
     while (depth < keys.size() && held.isConfirmed(keys.get(depth))) {
       depth++;
@@ -114,6 +121,14 @@
     return depth;
   }
 
+  private static int expectedDepth(HeldParts held, List<Long> keys, long nowMillis) {
+    int depth = 0;
+    while (depth < keys.size() && held.contains(keys.get(depth), nowMillis)) {
+      depth++;
+    }
+    return depth;
+  }
+
   /** A prompt is saved by the request that first finds its shared parts missing in the store. */
   private @Nullable InetSocketAddress destinationOf(List<Long> keys, long nowMillis) {
     InetSocketAddress storeAddress = directory.storeAddress().orElse(null);
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/LoadExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/LoadExchange.java
@@ -14,7 +14,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.TrackedBackend;
@@ -39,6 +42,11 @@
   /** Messages go to this many nodes at most. */
   private static final int MAX_PEERS = 32;
 
+  /** Expectations that wait to be told; further ones are dropped. */
+  private static final int MAX_EXPECTATIONS = 256;
+
+  private record Expectation(String engine, List<Long> parts) {}
+
   private record Told(long waitingTokens, long atMillis) {}
 
   private final String nodeId;
@@ -47,6 +55,8 @@
   private final Supplier<BackendTable> backends;
   private final Supplier<List<PeerNode>> peers;
   private final PeerLoads loads;
+  private final BiConsumer<String, List<Long>> onExpected;
+  private final Queue<Expectation> expectations = new ConcurrentLinkedQueue<>();
   private final Map<String, Told> told = new HashMap<>();
   private final MessageCodec<EngineLoad> codec = MessageCodec.engineLoads();
   private Channel channel;
@@ -60,6 +70,7 @@
    * @param backends back ends on record
    * @param peers other nodes
    * @param loads where to write what they tell
+   * @param onExpected receives the parts of prompts that an engine will hold soon
    */
   public LoadExchange(
       String nodeId,
@@ -67,7 +78,9 @@
       EventLoop eventLoop,
       Supplier<BackendTable> backends,
       Supplier<List<PeerNode>> peers,
-      PeerLoads loads) {
+      PeerLoads loads,
+      BiConsumer<String, List<Long>> onExpected) {
+    this.onExpected = onExpected;
     this.nodeId = nodeId;
     this.address = address;
     this.eventLoop = eventLoop;
@@ -96,11 +109,20 @@
     eventLoop.scheduleAtFixedRate(this::tell, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Tells the other nodes that an engine will hold parts of prompts soon. */
+  public void expect(String engine, List<Long> parts) {
+    if (expectations.size() < MAX_EXPECTATIONS) {
+      expectations.add(new Expectation(engine, parts));
+    }
+  }
+
   private void tell() {
     List<PeerNode> receivers = peers.get();
     if (receivers.isEmpty()) {
+      expectations.clear();
       return;
     }
+    tellExpectations(receivers);
     long now = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     for (TrackedBackend tracked : backends.get().all()) {
       long waiting = tracked.load().waitingTokens();
@@ -108,11 +130,20 @@
       Told before = told.getOrDefault(engine, new Told(0, now));
       if (isNews(before, waiting, now)) {
         told.put(engine, new Told(waiting, now));
-        send(engine, waiting, receivers);
+        send(engine, waiting, List.of(), receivers);
       }
     }
   }
 
+  private void tellExpectations(List<PeerNode> receivers) {
+    Expectation next = expectations.poll();
+    while (next != null) {
+      long waiting = told.getOrDefault(next.engine(), new Told(0, 0)).waitingTokens();
+      send(next.engine(), waiting, next.parts(), receivers);
+      next = expectations.poll();
+    }
+  }
+
   private static boolean isNews(Told before, long waiting, long now) {
     boolean emptied = waiting == 0 && before.waitingTokens() > 0;
     boolean changed = Math.abs(waiting - before.waitingTokens()) >= LEAST_CHANGE_TOKENS;
@@ -120,8 +151,8 @@
     return emptied || changed || due;
   }
 
-  private void send(String engine, long waiting, List<PeerNode> receivers) {
-    byte[] message = codec.encode(new EngineLoad(nodeId, engine, waiting));
+  private void send(String engine, long waiting, List<Long> parts, List<PeerNode> receivers) {
+    byte[] message = codec.encode(new EngineLoad(nodeId, engine, waiting, parts));
     for (PeerNode peer : receivers.subList(0, Math.min(MAX_PEERS, receivers.size()))) {
       channel.write(
           new DatagramPacket(Unpooled.wrappedBuffer(message), peer.address()),
@@ -138,6 +169,9 @@
       try {
         EngineLoad load = codec.decode(ByteBufUtil.getBytes(content));
         loads.told(load.getNode(), load.getEngine(), load.getWaitingTokens());
+        if (!load.getExpectedParts().isEmpty()) {
+          onExpected.accept(load.getEngine(), load.getExpectedParts());
+        }
       } catch (RuntimeException malformed) {
         Logger.debug("event=datagram-rejected sender={}", packet.sender());
       }
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -66,6 +66,12 @@
     HttpClient controlClient =
         new HttpClient(controlGroup, settings.get(GatewaySettings.CONNECT_TIMEOUT));
     GatewayProtocols protocols = adapters.apply(controlGroup, controlClient);
+    cacheDirectory =
+        new CacheDirectory(
+            controlLoop,
+            protocols.cacheEvents(),
+            () -> blackboard.backends().value(),
+            () -> blackboard.configuration().value().cacheStore());
     nodes =
         new NodeRegistry(
             controlLoop,
@@ -80,13 +86,8 @@
             controlLoop,
             () -> blackboard.backends().value(),
             nodes::peers,
-            peerLoads);
-    cacheDirectory =
-        new CacheDirectory(
-            controlLoop,
-            protocols.cacheEvents(),
-            () -> blackboard.backends().value(),
-            () -> blackboard.configuration().value().cacheStore());
+            peerLoads,
+            this::expectParts);
     path =
         new RequestPath(
             blackboard,
@@ -94,7 +95,7 @@
             protocols.backends(),
             backendClient,
             limits(),
-            new CachePlanner(cacheDirectory),
+            new CachePlanner(cacheDirectory, loadExchange::expect),
             peerLoads,
             settings.get(GatewaySettings.NODE_ZONE),
             time);
@@ -124,6 +125,11 @@
     return node;
   }
 
+  private void expectParts(String engine, List<Long> parts) {
+    long now = time.monotonicMillis();
+    parts.forEach(part -> cacheDirectory.engine(engine).expect(part, now));
+  }
+
   private RequestLimits limits() {
     return new RequestLimits(
         settings.get(GatewaySettings.RETRY_RATIO),
--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -32,6 +32,9 @@
    */
   private static final double NOT_HOME_COST = 0.4;
 
+  /** Cost of computing a token that another engine is computing, relative to computing it. */
+  private static final double RECOMPUTE_COST = 3.0;
+
   /** Cost of a running token, which takes memory but little time. */
   private static final double RUNNING_COST = 0.05;
 
@@ -124,7 +127,8 @@
     double waiting = load.waitingTokens() + waitingElsewhere.applyAsLong(candidate.backend().id());
     double running = load.runningTokens() * RUNNING_COST + load.openRequests() * REQUEST_COST;
     double queue = waiting + running * UNSEEN_LOAD_FACTOR;
-    double compute = need.unknown() * (isHome ? 1 : 1 + NOT_HOME_COST);
+    double compute =
+        need.unknown() * (isHome ? 1 : 1 + NOT_HOME_COST) + need.recomputed() * RECOMPUTE_COST;
     return queue + compute + need.fetchable() * FETCH_COST + sharedCost(candidate);
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -1,7 +1,9 @@
 package org.lockdale.gateway.request;
 
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -9,6 +11,7 @@
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.cache.CacheTransfer;
 import org.lockdale.gateway.cache.PrefixNeed;
+import org.lockdale.gateway.cache.PrefixSurvey;
 import org.lockdale.gateway.configuration.Tenant;
 import org.lockdale.gateway.placement.PlacementRequest;
 import org.lockdale.http.HttpReply;
@@ -33,6 +36,7 @@
 
   private final RequestPath path;
   private final RequestState state;
+  private final Map<String, PrefixSurvey> surveys = new HashMap<>();
   private @Nullable Attempt current;
   private @Nullable ScheduledFuture<?> timeout;
   private boolean ended;
@@ -55,6 +59,7 @@
 
   private void attempt() {
     long now = path.nowMillis();
+    surveys.clear();
     List<TrackedBackend> candidates = path.candidates(state, now);
     Optional<TrackedBackend> chosen =
         path.chooser()
@@ -64,7 +69,7 @@
                     candidates,
                     state.triedBackends,
                     state.prompt,
-                    candidate -> needOf(candidate, now)),
+                    candidate -> needOf(candidate, candidates, now)),
                 now);
     if (chosen.isEmpty() || state.endsAtMillis() - now < LEAST_ATTEMPT_MILLIS) {
       giveUp("no back end of pool " + state.pool + " is left to try", null);
@@ -79,8 +84,8 @@
     state.triedBackends.add(target.backend().id());
     state.backend = target.backend().id();
     if (state.prompt != null) {
-      PrefixNeed need = needOf(target, now);
-      state.sharedTokensToCompute = need.unknown();
+      PrefixNeed need = needOf(target, candidates, now);
+      state.sharedTokensToCompute = need.computed();
     }
     AttemptPlan plan =
         new AttemptPlan(
@@ -143,14 +148,20 @@
     if (weights == null || state.prompt == null) {
       return CacheTransfer.NONE;
     }
-    return path.cachePlanner()
-        .plan(target, candidates, namespace, state.request.promptParts(), now);
+    return path.cachePlanner().plan(target, candidates, surveyOf(namespace, candidates, now), now);
   }
 
   /** Estimates what a candidate would have to compute and to fetch of the prompt. */
-  private PrefixNeed needOf(TrackedBackend candidate, long now) {
-    String namespace = cacheNamespace(weightsOf(candidate));
-    return path.cachePlanner().need(candidate, namespace, state.request.promptParts(), now);
+  private PrefixNeed needOf(TrackedBackend candidate, List<TrackedBackend> candidates, long now) {
+    PrefixSurvey survey = surveyOf(cacheNamespace(weightsOf(candidate)), candidates, now);
+    return path.cachePlanner().need(candidate, survey, now);
+  }
+
+  /** Surveys each namespace once for an attempt; engines of other weights have another one. */
+  private PrefixSurvey surveyOf(String namespace, List<TrackedBackend> candidates, long now) {
+    return surveys.computeIfAbsent(
+        namespace,
+        name -> path.cachePlanner().survey(candidates, name, state.request.promptParts(), now));
   }
 
   private void concluded(Attempt attempt, AttemptResult result) {
--- a/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
@@ -106,6 +106,11 @@
   }
 
   private void succeed() {
+    Logger.info(
+        "event=weights-held backend={} version={} millis={}",
+        move.engine().backend().id(),
+        move.version(),
+        nowMillis.getAsLong() - startedAtMillis);
     if (announced) {
       tools.table().tell(moveRow(false));
     }
--- a/gateway/src/test/java/org/lockdale/gateway/cache/CachePlannerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cache/CachePlannerTest.java
@@ -32,7 +32,8 @@
   private static final long WAIT_NANOS = TimeUnit.SECONDS.toNanos(10);
   private static final InetSocketAddress STORE = address(9);
   private static final List<PromptPart> PARTS =
-      List.of(new PromptPart("root", 100), new PromptPart("deep", 200), new PromptPart("own", 10));
+      List.of(
+          new PromptPart("root", 1_000), new PromptPart("deep", 2_000), new PromptPart("own", 10));
 
   /** Holders that answer calls at once while there is news, and fail while they are down. */
   private static final class ScriptedHolders implements CacheEventSource {
@@ -77,6 +78,7 @@
   private final TrackedBackend target = engine("target", 1);
   private final TrackedBackend other = engine("other", 2);
   private final List<TrackedBackend> engines = List.of(target, other);
+  private final List<String> toldEngines = new ArrayList<>();
   private ScriptedHolders holders;
   private DefaultEventLoop eventLoop;
   private CacheDirectory directory;
@@ -94,6 +96,7 @@
   @BeforeMethod
   public void start() {
     holders = new ScriptedHolders();
+    toldEngines.clear();
     eventLoop = new DefaultEventLoop();
     BackendTable table =
         BackendTable.EMPTY.with(engines.stream().map(TrackedBackend::backend).toList());
@@ -104,7 +107,7 @@
             () -> table,
             () -> Optional.of(new CacheStore("store", STORE, "zone")));
     directory.start();
-    planner = new CachePlanner(directory);
+    planner = new CachePlanner(directory, (engine, parts) -> toldEngines.add(engine));
     await(() -> directory.storeAddress().isPresent());
     await(() -> engines.stream().allMatch(e -> directory.engine(e.backend().id()).isAvailable()));
   }
@@ -133,8 +136,12 @@
     await(() -> holds(directory.store(), "1", parts[parts.length - 1]));
   }
 
+  private PrefixNeed need(TrackedBackend engine, long now) {
+    return planner.need(engine, planner.survey(engines, "1", PARTS, now), now);
+  }
+
   private CacheTransfer plan(String namespace, long now) {
-    return planner.plan(target, engines, namespace, PARTS, now);
+    return planner.plan(target, engines, planner.survey(engines, namespace, PARTS, now), now);
   }
 
   @Test
@@ -146,8 +153,8 @@
   @Test
   public void aPartWithoutThoseBeforeItIsOfNoUse() {
     storeKeeps("deep");
+    assertEquals(need(other, 0), new PrefixNeed(0, 0, 3_000));
     assertNull(plan("1", 0).source());
-    assertEquals(planner.need(other, "1", PARTS, 0), new PrefixNeed(0, 300));
   }
 
   @Test
@@ -163,17 +170,30 @@
     holders.tell(other.backend().address(), true, "1", "deep");
     await(() -> holds(directory.engine("other"), "1", "deep"));
     assertEquals(plan("1", 0).source(), other.backend().address());
-    assertEquals(planner.need(other, "1", PARTS, 0), new PrefixNeed(0, 0));
+    assertEquals(need(other, 0), new PrefixNeed(0, 0, 0));
   }
 
   @Test
   public void aPartIsSavedOnceAndExpectedWhereItIsComputed() {
     assertEquals(plan("1", 0), new CacheTransfer(null, STORE));
     assertEquals(plan("1", 100), CacheTransfer.NONE);
-    assertEquals(planner.need(target, "1", PARTS, 100), new PrefixNeed(0, 0));
+    assertEquals(need(target, 100), new PrefixNeed(0, 0, 0));
     assertEquals(plan("1", 10_000), new CacheTransfer(null, STORE), "it was never confirmed");
   }
 
+  @Test
+  public void whatOneEngineComputesWouldBeComputedTwiceElsewhere() {
+    assertEquals(need(other, 0), new PrefixNeed(0, 0, 3_000));
+    plan("1", 0);
+    assertEquals(toldEngines, List.of("target"));
+    assertEquals(need(other, 1), new PrefixNeed(0, 3_000, 0));
+    holders.tell(target.backend().address(), true, "1", "root");
+    await(() -> directory.engine("target").isConfirmed(HeldParts.keyOf("1", "root")));
+    assertEquals(need(other, 2), new PrefixNeed(1_000, 2_000, 0));
+    plan("1", 3);
+    assertEquals(toldEngines, List.of("target"), "it is told once");
+  }
+
   @Test
   public void aStoreThatDoesNotAnswerIsNotUsed() {
     storeKeeps("root", "deep");
--- a/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
@@ -56,7 +56,7 @@
   }
 
   private static PrefixNeed newPrefix(PromptPlacement prompt) {
-    return new PrefixNeed(0, prompt == null ? 0 : prompt.sharedTokens());
+    return new PrefixNeed(0, 0, prompt == null ? 0 : prompt.sharedTokens());
   }
 
   private static Optional<TrackedBackend> place(
@@ -99,7 +99,7 @@
                     engines,
                     Set.of(),
                     prompt,
-                    engine -> new PrefixNeed(0, engine == holder ? 0 : 5_000)),
+                    engine -> new PrefixNeed(0, 0, engine == holder ? 0 : 5_000)),
                 0)
             .orElseThrow();
     assertEquals(chosen, holder);
