--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/node/GatewaySettingsTest.java
@@ -0,0 +1,55 @@
+package org.lockdale.gateway.node;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.lockdale.settings.SettingsException;
+import org.testng.annotations.Test;
+
+/** Settings of a gateway are checked as a whole, and their page is that of the declarations. */
+public final class GatewaySettingsTest {
+
+  private static Map<String, String> good() {
+    Map<String, String> flags = new HashMap<>();
+    flags.put("node.id", "node-1");
+    flags.put("node.zone", "zone-a");
+    flags.put("callers.address", "127.0.0.1:1");
+    flags.put("readiness.address", "127.0.0.1:2");
+    flags.put("peers.address", "127.0.0.1:3");
+    flags.put("store.address", "127.0.0.1:4");
+    return flags;
+  }
+
+  @Test
+  public void goodSettingsHaveTheirDefaults() {
+    GatewaySettings settings = GatewaySettings.load(null, good());
+    assertEquals(settings.get(GatewaySettings.NODE_ID), "node-1");
+    assertEquals(settings.get(GatewaySettings.STORE_WAIT), Duration.ofSeconds(1));
+  }
+
+  @Test
+  public void everyProblemIsReportedAtOnceWithItsRemedy() {
+    Map<String, String> flags = good();
+    flags.remove("store.address");
+    flags.put("retries.ratio", "2");
+    flags.put("node.thread", "1");
+    SettingsException failure =
+        expectThrows(SettingsException.class, () -> GatewaySettings.load(null, flags));
+    assertTrue(failure.getMessage().contains("store.address: is not set"), failure.getMessage());
+    assertTrue(failure.getMessage().contains("retries.ratio: '2' is not within 0 to 1"));
+    assertTrue(failure.getMessage().contains("node.thread: there is no such setting"));
+  }
+
+  @Test
+  public void thePageOfSettingsIsCurrent() throws IOException {
+    String page = Files.readString(Path.of("../docs/GATEWAY-SETTINGS.md"));
+    assertEquals(page, GatewaySettings.referencePage());
+  }
+}
