--- a/gateway/src/main/java/org/lockdale/gateway/backend/BackendLoad.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/BackendLoad.java
@@ -12,6 +12,7 @@
   private final AtomicInteger openRequests = new AtomicInteger();
   private final AtomicLong waitingTokens = new AtomicLong();
   private final AtomicLong runningTokens = new AtomicLong();
+  private final AtomicLong progress = new AtomicLong();
 
   /** One request's share of the load; used on one thread at a time. */
   public final class Share {
@@ -31,6 +32,7 @@
         begun = true;
         waitingTokens.addAndGet(-computedTokens);
         runningTokens.addAndGet(promptTokens);
+        progress.incrementAndGet();
       }
     }
 
@@ -46,6 +48,7 @@
       } else {
         waitingTokens.addAndGet(-computedTokens);
       }
+      progress.incrementAndGet();
     }
   }
 
@@ -61,6 +64,16 @@
     return new Share(computedTokens, promptTokens);
   }
 
+  /** Returns a number that rises whenever a request begins to be answered or ends. */
+  public long progress() {
+    return progress.get();
+  }
+
+  /** Returns all of the work. */
+  public ElsewhereLoads.BackendWork work() {
+    return new ElsewhereLoads.BackendWork(waitingTokens(), runningTokens(), openRequests());
+  }
+
   /** Returns the number of requests that have not ended. */
   public int openRequests() {
     return openRequests.get();
--- a/gateway/src/main/java/org/lockdale/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/BackendTable.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /** All back ends that are on record, by pool. Immutable. */
 public final class BackendTable {
@@ -40,6 +41,11 @@
     return byPool.getOrDefault(pool, List.of());
   }
 
+  /** Returns the back end of an id, or null where it is not on record. */
+  public @Nullable TrackedBackend find(String id) {
+    return byId.get(id);
+  }
+
   /** Returns all back ends. */
   public Collection<TrackedBackend> all() {
     return byId.values();
--- a/gateway/src/main/java/org/lockdale/gateway/cache/CacheDirectory.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cache/CacheDirectory.java
@@ -24,7 +24,7 @@
   private static final long RECONCILE_MILLIS = 200;
 
   /** Engines beyond this number are not followed; what they keep stays unknown. */
-  private static final int MAX_FOLLOWED_ENGINES = 64;
+  private static final int MAX_FOLLOWED_ENGINES = 256;
 
   private static final HeldParts NOTHING = new HeldParts();
 
@@ -36,6 +36,7 @@
   private final Supplier<Optional<CacheStore>> storeInForce;
   private final Map<String, Holder> engines = new ConcurrentHashMap<>();
   private volatile @Nullable Holder store;
+  private volatile boolean following;
 
   /**
    * Creates a directory; {@link #start} starts it.
@@ -62,12 +63,18 @@
         this::reconcile, RECONCILE_MILLIS, RECONCILE_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Follows the holders, or ceases to and forgets what they keep. */
+  public void follow(boolean wanted) {
+    following = wanted;
+  }
+
   private void reconcile() {
     followStore();
     Set<String> present = new HashSet<>();
     for (TrackedBackend tracked : backends.get().all()) {
       Backend backend = tracked.backend();
-      if (!backend.weights().isEmpty() && present.size() < MAX_FOLLOWED_ENGINES) {
+      boolean room = present.size() < MAX_FOLLOWED_ENGINES;
+      if (following && !backend.weights().isEmpty() && room) {
         present.add(backend.id());
         engines.computeIfAbsent(backend.id(), id -> follow(backend.address(), false));
       }
@@ -85,7 +92,8 @@
   }
 
   private void followStore() {
-    InetSocketAddress address = storeInForce.get().map(CacheStore::address).orElse(null);
+    InetSocketAddress address =
+        following ? storeInForce.get().map(CacheStore::address).orElse(null) : null;
     Holder followed = store;
     if (followed != null && !followed.address().equals(address)) {
       followed.follower().close();
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
@@ -0,0 +1,125 @@
+package org.lockdale.gateway.cluster;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.List;
+import org.apache.avro.specific.SpecificRecordBase;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.http.HttpBindException;
+import org.lockdale.protocol.MessageCodec;
+import org.lockdale.protocol.generated.NodeDatagram;
+import org.lockdale.protocol.generated.NodeReport;
+import org.lockdale.protocol.generated.PlacementAnswer;
+import org.lockdale.protocol.generated.PlacementQuestion;
+import org.lockdale.protocol.generated.RelayHeartbeat;
+import org.tinylog.Logger;
+
+/**
+ * Datagrams between the nodes of a deployment. They may be lost, late or doubled; nothing that must
+ * hold depends on them. Messages may be sent from any thread.
+ */
+public final class DatagramExchange {
+
+  private final String nodeId;
+  private final InetSocketAddress address;
+  private final EventLoop eventLoop;
+  private final MessageCodec<NodeDatagram> codec = MessageCodec.nodeDatagrams();
+  private @Nullable Channel channel;
+
+  /**
+   * Creates an exchange; {@link #start} starts it.
+   *
+   * @param nodeId id of this node
+   * @param address where this node takes datagrams
+   * @param eventLoop runs the exchange
+   */
+  public DatagramExchange(String nodeId, InetSocketAddress address, EventLoop eventLoop) {
+    this.nodeId = nodeId;
+    this.address = address;
+    this.eventLoop = eventLoop;
+  }
+
+  /**
+   * Binds the address and passes on what comes.
+   *
+   * @throws HttpBindException if the address can't be bound
+   */
+  public void start(DatagramListener listener) {
+    var bound =
+        new Bootstrap()
+            .group(eventLoop)
+            .channel(NioDatagramChannel.class)
+            .handler(new Receiver(listener))
+            .bind(address)
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new HttpBindException(address, bound.cause());
+    }
+    channel = bound.channel();
+  }
+
+  /** Sends a message to one node. */
+  public void send(InetSocketAddress receiver, SpecificRecordBase body) {
+    send(List.of(receiver), body);
+  }
+
+  /** Sends a message to several nodes. */
+  public void send(Collection<InetSocketAddress> receivers, SpecificRecordBase body) {
+    Channel bound = channel;
+    if (bound == null || receivers.isEmpty()) {
+      return;
+    }
+    byte[] message = codec.encode(new NodeDatagram(nodeId, body));
+    for (InetSocketAddress receiver : receivers) {
+      bound.write(
+          new DatagramPacket(Unpooled.wrappedBuffer(message), receiver), bound.voidPromise());
+    }
+    bound.flush();
+  }
+
+  private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+
+    private final DatagramListener listener;
+
+    Receiver(DatagramListener listener) {
+      this.listener = listener;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+      try {
+        dispatch(codec.decode(ByteBufUtil.getBytes(packet.content())), packet.sender());
+      } catch (RuntimeException malformed) {
+        Logger.debug("event=datagram-rejected sender={}", packet.sender());
+      }
+    }
+
+    private void dispatch(NodeDatagram datagram, InetSocketAddress from) {
+      String sender = datagram.getSender();
+      Object body = datagram.getBody();
+      if (body instanceof RelayHeartbeat heartbeat) {
+        listener.onHeartbeat(sender, from, heartbeat);
+      } else if (body instanceof NodeReport report) {
+        listener.onReport(sender, report);
+      } else if (body instanceof PlacementQuestion question) {
+        listener.onQuestion(sender, from, question);
+      } else if (body instanceof PlacementAnswer answer) {
+        listener.onAnswer(sender, answer);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      Logger.debug("event=datagram-failed cause={}", cause.toString());
+    }
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/NodeRegistry.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/NodeRegistry.java
@@ -9,15 +9,16 @@
 import org.lockdale.coordination.time.Time;
 
 /**
- * Other nodes of the deployment. Each node announces itself from time to time in the shared table;
- * one that has not done so for a while is no longer told anything. Runs on one event loop; the list
- * may be read from any thread.
+ * Nodes of the deployment. Each node announces itself in the shared table when it starts and from
+ * time to time; one that has not done so for long is no longer told anything. That a node is gone
+ * harms nobody, so this needs no failure detection. Runs on one event loop; the list may be read
+ * from any thread.
  */
 public final class NodeRegistry {
 
-  private static final long ANNOUNCE_MILLIS = 20_000;
+  private static final long ANNOUNCE_MILLIS = 600_000;
   private static final long RETRY_MILLIS = 500;
-  private static final long FORGET_MILLIS = 70_000;
+  private static final long FORGET_MILLIS = 1_900_000;
 
   private record Seen(PeerNode node, long rowVersion, long atMillis) {}
 
@@ -26,6 +27,7 @@
   private final PeerNode self;
   private final Time time;
   private final Map<String, Seen> seen = new ConcurrentHashMap<>();
+  private volatile List<PeerNode> peers = List.of();
 
   /** Creates a registry; {@link #start} starts to announce. */
   public NodeRegistry(EventLoop eventLoop, ClusterTable table, PeerNode self, Time time) {
@@ -60,13 +62,24 @@
     }
   }
 
+  /** Forgets nodes that have been silent for long; to be called from time to time. */
+  public void refresh() {
+    long now = time.monotonicMillis();
+    peers =
+        seen.values().stream()
+            .filter(entry -> now - entry.atMillis() < FORGET_MILLIS)
+            .map(Seen::node)
+            .sorted(Comparator.comparing(PeerNode::id))
+            .toList();
+  }
+
+  /** Returns this node. */
+  public PeerNode self() {
+    return self;
+  }
+
   /** Returns the other nodes in order of their ids. */
   public List<PeerNode> peers() {
-    long now = time.monotonicMillis();
-    return seen.values().stream()
-        .filter(entry -> now - entry.atMillis() < FORGET_MILLIS)
-        .map(Seen::node)
-        .sorted(Comparator.comparing(PeerNode::id))
-        .toList();
+    return peers;
   }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/NodeReporter.java
@@ -0,0 +1,166 @@
+package org.lockdale.gateway.cluster;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.backend.ElsewhereLoads.BackendWork;
+import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.weights.EngineMove;
+import org.lockdale.protocol.generated.AttemptOutcome;
+import org.lockdale.protocol.generated.AttemptVerdict;
+import org.lockdale.protocol.generated.EngineLoad;
+import org.lockdale.protocol.generated.EngineMoveRecord;
+import org.lockdale.protocol.generated.ExpectedParts;
+import org.lockdale.protocol.generated.NodeReport;
+
+/**
+ * Tells the relays, by datagrams, what this node's requests do at the back ends: soon after a
+ * request has begun to be answered or has ended, and from time to time while there are any. Notes
+ * may be made from any thread; the rest runs on one event loop.
+ */
+public final class NodeReporter {
+
+  private static final long TICK_MILLIS = 10;
+  private static final long REPEAT_MILLIS = 500;
+
+  /** Notes that wait to be told; further ones are dropped. */
+  private static final int MAX_NOTES = 256;
+
+  /** Notes of each kind in one message, so that it fits into a datagram. */
+  private static final int MAX_NOTES_IN_MESSAGE = 16;
+
+  private record Told(BackendWork work, long progress, long atMillis) {}
+
+  private static final Told NOTHING = new Told(BackendWork.NONE, 0, 0);
+
+  private final EventLoop eventLoop;
+  private final DatagramExchange datagrams;
+  private final Supplier<BackendTable> backends;
+  private final Supplier<List<RelayElection.Relay>> receivers;
+  private final Time time;
+  private final Queue<ExpectedParts> expectations = new ConcurrentLinkedQueue<>();
+  private final Queue<AttemptOutcome> outcomes = new ConcurrentLinkedQueue<>();
+  private final Queue<EngineMoveRecord> moves = new ConcurrentLinkedQueue<>();
+  private final Map<String, Long> latestPlacements = new ConcurrentHashMap<>();
+  private final Map<String, Told> told = new HashMap<>();
+
+  /**
+   * Creates a reporter; {@link #start} starts it.
+   *
+   * @param eventLoop runs the reporter
+   * @param datagrams sends its messages
+   * @param backends back ends on record
+   * @param receivers the relays
+   * @param time clock
+   */
+  public NodeReporter(
+      EventLoop eventLoop,
+      DatagramExchange datagrams,
+      Supplier<BackendTable> backends,
+      Supplier<List<RelayElection.Relay>> receivers,
+      Time time) {
+    this.eventLoop = eventLoop;
+    this.datagrams = datagrams;
+    this.backends = backends;
+    this.receivers = receivers;
+    this.time = time;
+  }
+
+  /** Starts to tell. */
+  public void start() {
+    eventLoop.scheduleAtFixedRate(this::tell, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Notes that an engine will hold parts of prompts soon. */
+  public void expect(String engine, List<Long> parts) {
+    note(expectations, new ExpectedParts(engine, parts));
+  }
+
+  /** Notes the outcome of an attempt. */
+  public void concluded(String engine, AttemptVerdict verdict) {
+    note(outcomes, new AttemptOutcome(engine, verdict));
+  }
+
+  /** Notes the state of an engine in a rollout. */
+  public void moved(EngineMove move) {
+    note(moves, new EngineMoveRecord(move.engine(), move.model(), move.version(), move.moving()));
+  }
+
+  /** Notes that a request that a relay has placed counts in the load from now on. */
+  public void opened(String relay, long placement) {
+    latestPlacements.merge(relay, placement, Math::max);
+  }
+
+  private static <T> void note(Queue<T> notes, T note) {
+    if (notes.size() < MAX_NOTES) {
+      notes.add(note);
+    }
+  }
+
+  private void tell() {
+    List<RelayElection.Relay> relays = receivers.get();
+    List<EngineLoad> loads = news(relays.isEmpty());
+    boolean notes = !expectations.isEmpty() || !outcomes.isEmpty() || !moves.isEmpty();
+    while (!loads.isEmpty() || notes) {
+      List<EngineLoad> part = loads.subList(0, Math.min(loads.size(), MAX_NOTES_IN_MESSAGE));
+      send(relays, List.copyOf(part));
+      part.clear();
+      notes = !expectations.isEmpty() || !outcomes.isEmpty() || !moves.isEmpty();
+    }
+  }
+
+  private void send(List<RelayElection.Relay> relays, List<EngineLoad> loads) {
+    NodeReport report = new NodeReport(0L, loads, take(expectations), take(outcomes), take(moves));
+    for (RelayElection.Relay relay : relays) {
+      report.setLatestPlacement(latestPlacements.getOrDefault(relay.id(), 0L));
+      datagrams.send(relay.address(), report);
+    }
+  }
+
+  private static <T> List<T> take(Queue<T> notes) {
+    List<T> taken = new ArrayList<>();
+    T next = notes.poll();
+    while (next != null) {
+      taken.add(next);
+      next = taken.size() < MAX_NOTES_IN_MESSAGE ? notes.poll() : null;
+    }
+    return taken;
+  }
+
+  private List<EngineLoad> news(boolean nobodyListens) {
+    List<EngineLoad> loads = new ArrayList<>();
+    if (nobodyListens) {
+      return loads;
+    }
+    long now = time.monotonicMillis();
+    for (TrackedBackend tracked : backends.get().all()) {
+      String engine = tracked.backend().id();
+      Told before = told.getOrDefault(engine, NOTHING);
+      long progress = tracked.load().progress();
+      BackendWork work = tracked.load().work();
+      boolean due = now - before.atMillis() >= REPEAT_MILLIS && !work.isNone();
+      if (progress != before.progress() || due) {
+        told.put(engine, new Told(work, progress, now));
+        loads.add(
+            new EngineLoad(
+                engine, work.waitingTokens(), work.runningTokens(), work.openRequests()));
+      }
+    }
+    return loads;
+  }
+
+  /** Forgets back ends that are gone. */
+  public void retain(Set<String> engines) {
+    told.keySet().retainAll(engines);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
@@ -0,0 +1,178 @@
+package org.lockdale.gateway.cluster;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.cache.CacheTransfer;
+import org.lockdale.gateway.placement.Placement;
+import org.lockdale.gateway.placement.PlacementDecider;
+import org.lockdale.gateway.placement.PlacementQuery;
+import org.lockdale.gateway.placement.PlacementService;
+import org.lockdale.protocol.generated.PlacementAnswer;
+import org.lockdale.protocol.generated.PlacementQuestion;
+import org.lockdale.protocol.generated.QueryPart;
+import org.tinylog.Logger;
+
+/**
+ * Asks the relay that places requests, which knows the work of all nodes. Where there is none, or
+ * no answer comes in time, this node decides by what it knows itself. Safe for use by several
+ * threads.
+ */
+public final class PlacementClient implements PlacementService {
+
+  /** A relay in another zone answers within a few milliseconds; one that is paused does not. */
+  private static final long ANSWER_MILLIS = 40;
+
+  /** Questions in a row without an answer after which a relay is no longer asked. */
+  private static final int MAX_SILENT_QUESTIONS = 3;
+
+  /** Most back ends that a question excludes. */
+  private static final int MAX_EXCLUDED = 12;
+
+  private record Open(
+      String relay, PlacementQuery query, CompletableFuture<Optional<Placement>> result) {}
+
+  /** Where a node finds what it needs to ask. */
+  public record Context(
+      EventLoop eventLoop,
+      DatagramExchange datagrams,
+      Supplier<Optional<RelayElection.Relay>> coordinator,
+      Supplier<BackendTable> backends,
+      PlacementDecider decider,
+      NodeReporter reporter,
+      Time time) {}
+
+  private final Context context;
+  private final Consumer<RelayElection.Relay> onSilent;
+  private final Map<Long, Open> open = new ConcurrentHashMap<>();
+  private final AtomicLong numbers = new AtomicLong();
+  private final AtomicInteger silentQuestions = new AtomicInteger();
+
+  /**
+   * Creates a client.
+   *
+   * @param context where it finds what it needs
+   * @param onSilent told on the event loop of a relay that no longer answers
+   */
+  public PlacementClient(Context context, Consumer<RelayElection.Relay> onSilent) {
+    this.context = context;
+    this.onSilent = onSilent;
+  }
+
+  @Override
+  public CompletableFuture<Optional<Placement>> place(PlacementQuery query) {
+    Optional<RelayElection.Relay> coordinator = context.coordinator().get();
+    if (coordinator.isEmpty()) {
+      return CompletableFuture.completedFuture(decide(query));
+    }
+    return ask(coordinator.get(), query);
+  }
+
+  private Optional<Placement> decide(PlacementQuery query) {
+    return context.decider().decide(query, context.time().monotonicMillis());
+  }
+
+  private CompletableFuture<Optional<Placement>> ask(
+      RelayElection.Relay relay, PlacementQuery query) {
+    long number = numbers.incrementAndGet();
+    CompletableFuture<Optional<Placement>> result = new CompletableFuture<>();
+    open.put(number, new Open(relay.id(), query, result));
+    context.datagrams().send(relay.address(), question(number, query));
+    context
+        .eventLoop()
+        .schedule(() -> unanswered(number, relay), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+    return result;
+  }
+
+  private PlacementQuestion question(long number, PlacementQuery query) {
+    List<QueryPart> parts = new ArrayList<>(query.parts().size());
+    query.parts().forEach(part -> parts.add(new QueryPart(part.id(), part.tokens())));
+    return new PlacementQuestion(
+        number,
+        query.pool(),
+        query.zone(),
+        query.model(),
+        query.isolatedTenant(),
+        parts,
+        excluded(query));
+  }
+
+  /** Back ends that this node found to fail are excluded, as only it may be cut off from them. */
+  private List<String> excluded(PlacementQuery query) {
+    long now = context.time().monotonicMillis();
+    List<String> excluded = new ArrayList<>(query.excluded());
+    for (TrackedBackend tracked : context.backends().get().ofPool(query.pool())) {
+      String id = tracked.backend().id();
+      boolean room = excluded.size() < MAX_EXCLUDED;
+      if (room && tracked.health().isEjected(now) && !query.excluded().contains(id)) {
+        excluded.add(id);
+      }
+    }
+    return excluded;
+  }
+
+  private void unanswered(long number, RelayElection.Relay relay) {
+    Open question = open.remove(number);
+    if (question == null) {
+      return;
+    }
+    if (silentQuestions.incrementAndGet() >= MAX_SILENT_QUESTIONS) {
+      silentQuestions.set(0);
+      Logger.info("event=relay-silent relay={}", relay.id());
+      onSilent.accept(relay);
+    }
+    question.result().complete(decide(question.query()));
+  }
+
+  /** Takes in an answer. */
+  public void answered(String sender, PlacementAnswer answer) {
+    Open question = open.remove(answer.getNumber());
+    if (question == null || !question.relay().equals(sender)) {
+      return;
+    }
+    silentQuestions.set(0);
+    Placement placement = placement(sender, answer);
+    question
+        .result()
+        .complete(placement == null ? decide(question.query()) : Optional.of(placement));
+  }
+
+  private @Nullable Placement placement(String sender, PlacementAnswer answer) {
+    String engine = answer.getEngine();
+    TrackedBackend target = engine == null ? null : context.backends().get().find(engine);
+    if (target == null || target.backend().leaving()) {
+      return null;
+    }
+    CacheTransfer transfer =
+        new CacheTransfer(
+            PlacementMessages.address(answer.getSource()),
+            PlacementMessages.address(answer.getDestination()));
+    return new Placement(
+        target,
+        answer.getWeights(),
+        transfer,
+        answer.getComputedTokens(),
+        new Placement.Origin(sender, answer.getPlacement()));
+  }
+
+  @Override
+  public void opened(Placement placement) {
+    Placement.Origin origin = placement.origin();
+    if (origin != null) {
+      context.reporter().opened(origin.relay(), origin.number());
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementMessages.java
@@ -0,0 +1,70 @@
+package org.lockdale.gateway.cluster;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.gateway.caller.PromptPart;
+import org.lockdale.gateway.placement.Placement;
+import org.lockdale.gateway.placement.PlacementQuery;
+import org.lockdale.protocol.generated.PlacementAnswer;
+import org.lockdale.protocol.generated.PlacementQuestion;
+
+/** Conversions between placements and their messages. */
+final class PlacementMessages {
+
+  private PlacementMessages() {}
+
+  static PlacementQuery query(PlacementQuestion question) {
+    List<PromptPart> parts = new ArrayList<>(question.getParts().size());
+    question.getParts().forEach(part -> parts.add(new PromptPart(part.getId(), part.getTokens())));
+    return new PlacementQuery(
+        question.getPool(),
+        question.getZone(),
+        question.getModel(),
+        question.getIsolatedTenant(),
+        parts,
+        new HashSet<>(question.getExcluded()));
+  }
+
+  static PlacementAnswer answer(long number, long placementNumber, Placement placement) {
+    return new PlacementAnswer(
+        number,
+        placementNumber,
+        placement.target().backend().id(),
+        placement.weights(),
+        placement.computedTokens(),
+        text(placement.transfer().source()),
+        text(placement.transfer().destination()));
+  }
+
+  static PlacementAnswer none(long number) {
+    return new PlacementAnswer(number, 0L, null, null, 0L, null, null);
+  }
+
+  private static @Nullable String text(@Nullable InetSocketAddress address) {
+    return address == null ? null : address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  /**
+   * Reads an address.
+   *
+   * @throws IllegalArgumentException if the text is none
+   */
+  static @Nullable InetSocketAddress address(@Nullable String text) {
+    if (text == null) {
+      return null;
+    }
+    int colon = text.lastIndexOf(':');
+    try {
+      return new InetSocketAddress(
+          InetAddress.getByName(text.substring(0, colon)),
+          Integer.parseInt(text.substring(colon + 1)));
+    } catch (UnknownHostException | IndexOutOfBoundsException wrong) {
+      throw new IllegalArgumentException("'" + text + "' is no address", wrong);
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/ReportReceiver.java
@@ -0,0 +1,82 @@
+package org.lockdale.gateway.cluster;
+
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.backend.ElsewhereLoads.BackendWork;
+import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.weights.EngineMove;
+import org.lockdale.protocol.generated.AttemptOutcome;
+import org.lockdale.protocol.generated.AttemptVerdict;
+import org.lockdale.protocol.generated.EngineLoad;
+import org.lockdale.protocol.generated.EngineMoveRecord;
+import org.lockdale.protocol.generated.ExpectedParts;
+import org.lockdale.protocol.generated.NodeReport;
+
+/** Takes in what other nodes report of their requests. Runs on one event loop. */
+public final class ReportReceiver {
+
+  private final Supplier<BackendTable> backends;
+  private final PeerLoads loads;
+  private final Time time;
+  private final Consumer<EngineMove> onMove;
+  private final BiConsumer<String, List<Long>> onExpected;
+
+  /**
+   * Creates a receiver.
+   *
+   * @param backends back ends on record
+   * @param loads where to write the load of other nodes
+   * @param time clock
+   * @param onMove receives the states of engines in a rollout
+   * @param onExpected receives the parts of prompts that an engine will hold soon
+   */
+  public ReportReceiver(
+      Supplier<BackendTable> backends,
+      PeerLoads loads,
+      Time time,
+      Consumer<EngineMove> onMove,
+      BiConsumer<String, List<Long>> onExpected) {
+    this.backends = backends;
+    this.loads = loads;
+    this.time = time;
+    this.onMove = onMove;
+    this.onExpected = onExpected;
+  }
+
+  /** Takes in a report. */
+  public void accept(String sender, NodeReport report) {
+    for (EngineLoad load : report.getLoads()) {
+      BackendWork work =
+          new BackendWork(load.getWaitingTokens(), load.getRunningTokens(), load.getOpenRequests());
+      loads.told(sender, load.getEngine(), work);
+    }
+    if (!report.getLoads().isEmpty()) {
+      loads.counted(sender, report.getLatestPlacement());
+    }
+    for (ExpectedParts expected : report.getExpectations()) {
+      onExpected.accept(expected.getEngine(), expected.getParts());
+    }
+    for (EngineMoveRecord move : report.getMoves()) {
+      onMove.accept(
+          new EngineMove(move.getEngine(), move.getModel(), move.getVersion(), move.getMoving()));
+    }
+    report.getOutcomes().forEach(this::accept);
+  }
+
+  /** A failure that another node saw may be of its own links, so it counts like any one failure. */
+  private void accept(AttemptOutcome outcome) {
+    TrackedBackend tracked = backends.get().find(outcome.getEngine());
+    if (tracked == null) {
+      return;
+    }
+    if (outcome.getVerdict() == AttemptVerdict.SUCCEEDED) {
+      tracked.health().succeeded();
+    } else {
+      tracked.health().failed(time.monotonicMillis());
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/TableSliceHandler.java
@@ -0,0 +1,79 @@
+package org.lockdale.gateway.cluster;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.Optional;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.table.TableFollower;
+import org.lockdale.http.HttpExchange;
+import org.lockdale.http.HttpHandler;
+import org.lockdale.http.HttpProtocolError;
+import org.lockdale.http.HttpReply;
+import org.lockdale.protocol.MessageCodec;
+import org.lockdale.protocol.MessageFormatException;
+import org.lockdale.protocol.generated.TableSlice;
+import org.lockdale.protocol.generated.TableSliceRequest;
+
+/** Gives other nodes the changes in this node's copies of tables. */
+public final class TableSliceHandler implements HttpHandler {
+
+  static final String PATH = "/tables/changes";
+  static final String MEDIA_TYPE = "avro/binary";
+
+  private static final int OK = 200;
+  private static final int BAD_REQUEST = 400;
+  private static final int NOT_FOUND = 404;
+
+  private final EventLoop eventLoop;
+  private final List<TableFollower> followers;
+  private final Time time;
+  private final MessageCodec<TableSliceRequest> requests = MessageCodec.tableSliceRequests();
+  private final MessageCodec<TableSlice> slices = MessageCodec.tableSlices();
+
+  /**
+   * Creates a handler.
+   *
+   * @param eventLoop event loop of the followers
+   * @param followers copies of tables
+   * @param time clock
+   */
+  public TableSliceHandler(EventLoop eventLoop, List<TableFollower> followers, Time time) {
+    this.eventLoop = eventLoop;
+    this.followers = followers;
+    this.time = time;
+  }
+
+  @Override
+  public void handle(HttpExchange exchange) {
+    eventLoop.execute(() -> exchange.reply(answer(exchange)));
+  }
+
+  private HttpReply answer(HttpExchange exchange) {
+    TableSliceRequest request;
+    try {
+      request = requests.decode(exchange.body());
+    } catch (MessageFormatException malformed) {
+      return HttpReply.text(BAD_REQUEST, "The request can't be read: " + malformed.getMessage());
+    }
+    Optional<TableFollower> follower =
+        followers.stream()
+            .filter(known -> known.table().equals(request.getTable()) && known.isKnown())
+            .findFirst();
+    if (follower.isEmpty()) {
+      return HttpReply.text(NOT_FOUND, "This node has no copy of the table; ask another one.");
+    }
+    return HttpReply.of(OK, MEDIA_TYPE, slices.encode(slice(follower.get(), request)));
+  }
+
+  private TableSlice slice(TableFollower follower, TableSliceRequest request) {
+    return TableSliceMessages.slice(
+        follower.changesAfter(request.getAfterChange()),
+        follower.proof().storeMillis(),
+        time.monotonicMillis() - follower.provenAtMillis());
+  }
+
+  @Override
+  public HttpReply renderProtocolError(HttpProtocolError error) {
+    return HttpReply.text(error.status(), error.remedy());
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -0,0 +1,243 @@
+package org.lockdale.gateway.node;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.cache.CacheDirectory;
+import org.lockdale.gateway.cache.CachePlanner;
+import org.lockdale.gateway.cluster.DatagramExchange;
+import org.lockdale.gateway.cluster.NodeListener;
+import org.lockdale.gateway.cluster.NodeRegistry;
+import org.lockdale.gateway.cluster.NodeReporter;
+import org.lockdale.gateway.cluster.PeerLoads;
+import org.lockdale.gateway.cluster.PeerNode;
+import org.lockdale.gateway.cluster.PlacementClient;
+import org.lockdale.gateway.cluster.PlacementResponder;
+import org.lockdale.gateway.cluster.RelayController;
+import org.lockdale.gateway.cluster.ReportReceiver;
+import org.lockdale.gateway.cluster.TableSliceClient;
+import org.lockdale.gateway.placement.BackendChooser;
+import org.lockdale.gateway.placement.PlacementDecider;
+import org.lockdale.gateway.placement.PlacementService;
+import org.lockdale.gateway.table.StoreClock;
+import org.lockdale.gateway.table.TableFollower;
+import org.lockdale.gateway.weights.EngineMove;
+import org.lockdale.gateway.weights.RolloutProgress;
+import org.lockdale.gateway.weights.WeightsPolicy;
+import org.lockdale.http.HttpClient;
+
+/** What a node does together with the other nodes: copies of tables, relays, placement. */
+final class ClusterServices {
+
+  private static final long UPKEEP_MILLIS = 500;
+
+  /** Tables whose proofs nobody needs are asked for with waits this many times as long. */
+  private static final int QUIET_TABLE_WAITS = 2;
+
+  /** Back ends write their records in bursts, as during a rollout. */
+  private static final Duration BACKEND_CHANGES_GATHER = Duration.ofMillis(100);
+
+  /** Nodes announce themselves in bursts, as after a start of all. */
+  private static final Duration CLUSTER_CHANGES_GATHER = Duration.ofMillis(400);
+
+  private final EventLoop eventLoop;
+  private final GatewayBlackboard blackboard;
+  private final Time time;
+  private final PeerLoads peerLoads;
+  private final CacheDirectory cacheDirectory;
+  private final NodeRegistry nodes;
+  private final DatagramExchange datagrams;
+  private final List<TableFollower> followers;
+  private final RelayController relays;
+  private final NodeReporter reporter;
+  private final PlacementDecider decider;
+  private final PlacementClient placements;
+
+  /**
+   * Creates the services; {@link #start} starts them.
+   *
+   * @param eventLoop runs them
+   * @param settings settings of the node
+   * @param blackboard what the node believes
+   * @param protocols adapters of the deployment
+   * @param controlClient calls other nodes
+   * @param backendClient told of back ends that are gone
+   * @param time clock
+   */
+  ClusterServices(
+      EventLoop eventLoop,
+      GatewaySettings settings,
+      GatewayBlackboard blackboard,
+      GatewayProtocols protocols,
+      HttpClient controlClient,
+      HttpClient backendClient,
+      Time time) {
+    this.eventLoop = eventLoop;
+    this.blackboard = blackboard;
+    this.time = time;
+    peerLoads = new PeerLoads(time);
+    cacheDirectory = cacheDirectory(protocols);
+    PeerNode self = self(settings);
+    nodes = new NodeRegistry(eventLoop, protocols.clusterTable(), self, time);
+    datagrams = new DatagramExchange(self.id(), self.address(), eventLoop);
+    StoreClock clock = new StoreClock();
+    TableFollower.Sources sources =
+        new TableFollower.Sources(protocols.feed(), new TableSliceClient(controlClient), clock);
+    followers =
+        followers(sources, settings.get(GatewaySettings.STORE_WAIT), protocols, backendClient);
+    relays =
+        new RelayController(
+            eventLoop, nodes, datagrams, followers, clock, time, cacheDirectory::follow);
+    reporter =
+        new NodeReporter(
+            eventLoop, datagrams, () -> blackboard.backends().value(), relays::relays, time);
+    decider =
+        new PlacementDecider(
+            blackboard,
+            new BackendChooser(peerLoads),
+            new CachePlanner(cacheDirectory, reporter::expect),
+            new WeightsPolicy(settings.get(GatewaySettings.WEIGHTS_BOUND).toMillis()));
+    placements = new PlacementClient(placementContext(), relays::failed);
+  }
+
+  private static PeerNode self(GatewaySettings settings) {
+    return new PeerNode(
+        settings.get(GatewaySettings.NODE_ID),
+        settings.get(GatewaySettings.PEERS_ADDRESS),
+        settings.get(GatewaySettings.NODE_LINK));
+  }
+
+  private CacheDirectory cacheDirectory(GatewayProtocols protocols) {
+    return new CacheDirectory(
+        eventLoop,
+        protocols.cacheEvents(),
+        () -> blackboard.backends().value(),
+        () -> blackboard.configuration().value().cacheStore());
+  }
+
+  private PlacementClient.Context placementContext() {
+    return new PlacementClient.Context(
+        eventLoop,
+        datagrams,
+        relays::coordinator,
+        () -> blackboard.backends().value(),
+        decider,
+        reporter,
+        time);
+  }
+
+  /** The operators' table stands first, since its proof is what keys are trusted by. */
+  private List<TableFollower> followers(
+      TableFollower.Sources sources,
+      Duration wait,
+      GatewayProtocols protocols,
+      HttpClient backendClient) {
+    Duration quietWait = wait.multipliedBy(QUIET_TABLE_WAITS);
+    return List.of(
+        new TableFollower(
+            eventLoop,
+            sources,
+            new TableFollower.Plan(protocols.records().operatorTable(), wait, Duration.ZERO),
+            time,
+            new OperatorController(blackboard, protocols.records(), time)),
+        new TableFollower(
+            eventLoop,
+            sources,
+            new TableFollower.Plan(
+                protocols.records().backendTable(), quietWait, BACKEND_CHANGES_GATHER),
+            time,
+            new BackendController(blackboard, protocols.records(), backendClient)),
+        new TableFollower(
+            eventLoop,
+            sources,
+            new TableFollower.Plan(
+                protocols.clusterTable().table(), quietWait, CLUSTER_CHANGES_GATHER),
+            time,
+            new ClusterObserver(protocols.clusterTable(), nodes)));
+  }
+
+  /**
+   * Starts the services.
+   *
+   * @throws org.lockdale.http.HttpBindException if the address for datagrams can't be bound
+   */
+  void start() {
+    ReportReceiver reports =
+        new ReportReceiver(
+            () -> blackboard.backends().value(), peerLoads, time, this::moved, this::expectParts);
+    PlacementResponder responder = new PlacementResponder(datagrams, decider, peerLoads, time);
+    datagrams.start(new NodeListener(relays, reports, responder, placements::answered));
+    nodes.start();
+    followers.forEach(TableFollower::start);
+    relays.start();
+    reporter.start();
+    cacheDirectory.start();
+    eventLoop.scheduleAtFixedRate(
+        this::upkeep, UPKEEP_MILLIS, UPKEEP_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void upkeep() {
+    nodes.refresh();
+    peerLoads.expire();
+    Set<String> engines = new HashSet<>();
+    blackboard.backends().value().all().forEach(tracked -> engines.add(tracked.backend().id()));
+    reporter.retain(engines);
+  }
+
+  /** Ceases to serve other nodes, as before a planned stop. */
+  void retire() {
+    relays.retire();
+  }
+
+  /** Stops following the store. */
+  void close() {
+    followers.forEach(TableFollower::close);
+  }
+
+  /** Tells the state of an engine in a rollout to all who place requests. */
+  void announce(EngineMove move) {
+    moved(move);
+    reporter.moved(move);
+  }
+
+  private void moved(EngineMove move) {
+    long now = time.monotonicMillis();
+    RolloutProgress progress = blackboard.rollout().value().with(move, now);
+    blackboard.rollout().publish(progress, now);
+    blackboard.backends().value().all().forEach(progress::observe);
+  }
+
+  private void expectParts(String engine, List<Long> parts) {
+    long now = time.monotonicMillis();
+    parts.forEach(part -> cacheDirectory.engine(engine).expect(part, now));
+  }
+
+  /** Returns whether this node serves others as a relay. */
+  boolean isRelay() {
+    return relays.isServing();
+  }
+
+  /** Returns this node's copies of tables. */
+  List<TableFollower> followers() {
+    return followers;
+  }
+
+  /** Returns what tells where requests are served. */
+  PlacementService placements() {
+    return placements;
+  }
+
+  /** Returns what this node decides by itself. */
+  PlacementDecider decider() {
+    return decider;
+  }
+
+  /** Returns what tells the relays of this node's requests. */
+  NodeReporter reporter() {
+    return reporter;
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -4,21 +4,14 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import org.lockdale.coordination.time.SystemTime;
 import org.lockdale.coordination.time.Time;
-import org.lockdale.gateway.cache.CacheDirectory;
-import org.lockdale.gateway.cache.CachePlanner;
-import org.lockdale.gateway.cluster.LoadExchange;
-import org.lockdale.gateway.cluster.NodeRegistry;
-import org.lockdale.gateway.cluster.PeerLoads;
-import org.lockdale.gateway.cluster.PeerNode;
+import org.lockdale.gateway.cluster.TableSliceHandler;
 import org.lockdale.gateway.request.RequestLimits;
 import org.lockdale.gateway.request.RequestPath;
-import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.weights.RolloutController;
 import org.lockdale.gateway.weights.RolloutTools;
 import org.lockdale.gateway.weights.WeightsPolicy;
@@ -46,12 +39,9 @@
   private final RequestPath path;
   private final HttpServer callers;
   private final HttpServer readiness;
-  private final List<TableFollower> followers;
   private final RolloutController rollout;
-  private final CacheDirectory cacheDirectory;
-  private final PeerLoads peerLoads = new PeerLoads(time);
-  private final NodeRegistry nodes;
-  private final LoadExchange loadExchange;
+  private final ClusterServices cluster;
+  private final HttpServer peers;
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
   private GatewayNode(
@@ -66,28 +56,9 @@
     HttpClient controlClient =
         new HttpClient(controlGroup, settings.get(GatewaySettings.CONNECT_TIMEOUT));
     GatewayProtocols protocols = adapters.apply(controlGroup, controlClient);
-    cacheDirectory =
-        new CacheDirectory(
-            controlLoop,
-            protocols.cacheEvents(),
-            () -> blackboard.backends().value(),
-            () -> blackboard.configuration().value().cacheStore());
-    nodes =
-        new NodeRegistry(
-            controlLoop,
-            protocols.clusterTable(),
-            new PeerNode(
-                settings.get(GatewaySettings.NODE_ID), settings.get(GatewaySettings.PEERS_ADDRESS)),
-            time);
-    loadExchange =
-        new LoadExchange(
-            settings.get(GatewaySettings.NODE_ID),
-            settings.get(GatewaySettings.PEERS_ADDRESS),
-            controlLoop,
-            () -> blackboard.backends().value(),
-            nodes::peers,
-            peerLoads,
-            this::expectParts);
+    cluster =
+        new ClusterServices(
+            controlLoop, settings, blackboard, protocols, controlClient, backendClient, time);
     path =
         new RequestPath(
             blackboard,
@@ -95,12 +66,16 @@
             protocols.backends(),
             backendClient,
             limits(),
-            new CachePlanner(cacheDirectory, loadExchange::expect),
-            peerLoads,
+            cluster.placements(),
+            cluster.decider(),
             settings.get(GatewaySettings.NODE_ZONE),
+            cluster.reporter()::concluded,
             time);
-    followers = followers(protocols, backendClient);
     rollout = rollout(protocols);
+    peers =
+        server(
+            GatewaySettings.PEERS_ADDRESS,
+            new TableSliceHandler(controlLoop, cluster.followers(), time));
     callers = server(GatewaySettings.CALLERS_ADDRESS, path);
     readiness = server(GatewaySettings.READINESS_ADDRESS, new ReadinessHandler(blackboard));
   }
@@ -116,54 +91,18 @@
   public static GatewayNode start(
       GatewaySettings settings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols> adapters) {
     GatewayNode node = new GatewayNode(settings, adapters);
-    node.loadExchange.start();
-    node.nodes.start();
-    node.followers.forEach(TableFollower::start);
+    node.cluster.start();
     node.rollout.start();
-    node.cacheDirectory.start();
     Logger.info("event=started node={}", settings.get(GatewaySettings.NODE_ID));
     return node;
   }
 
-  private void expectParts(String engine, List<Long> parts) {
-    long now = time.monotonicMillis();
-    parts.forEach(part -> cacheDirectory.engine(engine).expect(part, now));
-  }
-
   private RequestLimits limits() {
     return new RequestLimits(
         settings.get(GatewaySettings.RETRY_RATIO),
         settings.get(GatewaySettings.RETRY_ALLOWANCE),
         settings.get(GatewaySettings.RETRY_WINDOW),
-        settings.get(GatewaySettings.KEY_MAX_PROOF_AGE),
-        settings.get(GatewaySettings.WEIGHTS_BOUND));
-  }
-
-  private List<TableFollower> followers(GatewayProtocols protocols, HttpClient backendClient) {
-    return List.of(
-        follower(
-            protocols,
-            protocols.records().operatorTable(),
-            new OperatorController(blackboard, protocols.records(), time)),
-        follower(
-            protocols,
-            protocols.records().backendTable(),
-            new BackendController(blackboard, protocols.records(), backendClient)),
-        follower(
-            protocols,
-            protocols.clusterTable().table(),
-            new ClusterObserver(blackboard, protocols.clusterTable(), nodes, time)));
-  }
-
-  private TableFollower follower(
-      GatewayProtocols protocols, String table, TableFollower.Listener listener) {
-    return new TableFollower(
-        controlLoop,
-        protocols.feed(),
-        table,
-        settings.get(GatewaySettings.STORE_WAIT),
-        time,
-        listener);
+        settings.get(GatewaySettings.KEY_MAX_PROOF_AGE));
   }
 
   private RolloutController rollout(GatewayProtocols protocols) {
@@ -172,11 +111,12 @@
         blackboard.weights(),
         blackboard.backends(),
         new WeightsPolicy(settings.get(GatewaySettings.WEIGHTS_BOUND).toMillis()),
-        new RolloutTools(protocols.engines(), protocols.clusterTable()),
+        new RolloutTools(protocols.engines(), cluster::announce),
         protocols.rolloutLease(),
         settings.get(GatewaySettings.NODE_ID),
         settings.get(GatewaySettings.LEASE_GUARD).toMillis(),
-        time);
+        time,
+        cluster::isRelay);
   }
 
   private HttpServer server(
@@ -193,6 +133,7 @@
     Logger.info("event=stopping open-requests={}", path.openRequests());
     blackboard.phase().publish(GatewayPhase.STOPPING, time.monotonicMillis());
     rollout.close();
+    cluster.retire();
     checkStopped(time.monotonicMillis());
     return stopped;
   }
@@ -209,8 +150,9 @@
     boolean idle = noticed && path.openRequests() == 0;
     if (idle || elapsed >= grace) {
       Logger.info("event=stopped open-requests={}", path.openRequests());
-      followers.forEach(TableFollower::close);
+      cluster.close();
       readiness.close();
+      peers.close();
       callers.stopAccepting();
       stopped.complete(null);
       return;
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
@@ -40,6 +40,17 @@
           "Zone this node stands in, as named in the records of back ends.",
           ValueParsers.name());
 
+  /** Bandwidth of the node. */
+  public static final Setting<Double> NODE_LINK =
+      declare(
+          "node.link",
+          "number",
+          "0",
+          "0 to 1000000",
+          "Bandwidth of this node's link in megabits a second; nodes with the most are preferred as"
+              + " relays.",
+          GatewaySettings::bandwidth);
+
   /** Threads that serve connections. */
   public static final Setting<Integer> THREADS =
       declare(
@@ -60,7 +71,7 @@
 
   /** Address for other nodes. */
   public static final Setting<InetSocketAddress> PEERS_ADDRESS =
-      address("peers.address", "Address on which other nodes tell their load, by UDP.");
+      address("peers.address", "Address on which other nodes are heard, by UDP and TCP.");
 
   /** Address of the shared store. */
   public static final Setting<InetSocketAddress> STORE_ADDRESS =
@@ -134,6 +145,7 @@
       List.of(
           NODE_ID,
           NODE_ZONE,
+          NODE_LINK,
           THREADS,
           CALLERS_ADDRESS,
           READINESS_ADDRESS,
@@ -181,14 +193,22 @@
   }
 
   private static double share(String text) {
+    return number(text, 1);
+  }
+
+  private static double bandwidth(String text) {
+    return number(text, MAX_COUNT);
+  }
+
+  private static double number(String text, int most) {
     double value;
     try {
       value = Double.parseDouble(text);
     } catch (NumberFormatException notANumber) {
       throw new IllegalArgumentException("is not a number");
     }
-    if (!(value >= 0 && value <= 1)) {
-      throw new IllegalArgumentException("is not within 0 to 1");
+    if (!(value >= 0 && value <= most)) {
+      throw new IllegalArgumentException("is not within 0 to " + most);
     }
     return value;
   }
--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -5,10 +5,10 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.ToDoubleFunction;
-import java.util.function.ToLongFunction;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.placement.Rendezvous;
-import org.lockdale.gateway.backend.BackendLoad;
+import org.lockdale.gateway.backend.ElsewhereLoads;
+import org.lockdale.gateway.backend.ElsewhereLoads.BackendWork;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.cache.PrefixNeed;
 
@@ -20,9 +20,6 @@
  */
 public final class BackendChooser {
 
-  /** Running work of other nodes, which is not told, as a multiple of this node's own. */
-  private static final double UNSEEN_LOAD_FACTOR = 3.0;
-
   /** Cost of fetching a token from another engine, relative to computing it. */
   private static final double FETCH_COST = 0.1;
 
@@ -55,20 +52,16 @@
 
   private static final double TIE_BREAK = 1.0;
 
-  private final String zone;
-  private final ToLongFunction<String> waitingElsewhere;
+  private final ElsewhereLoads elsewhere;
   private final PromptMix mix = new PromptMix();
 
   /**
    * Creates a chooser.
    *
-   * @param zone zone of the node
-   * @param waitingElsewhere prompt tokens that other nodes have sent to a back end and that wait
-   *     there
+   * @param elsewhere work of other nodes at the back ends
    */
-  public BackendChooser(String zone, ToLongFunction<String> waitingElsewhere) {
-    this.zone = zone;
-    this.waitingElsewhere = waitingElsewhere;
+  public BackendChooser(ElsewhereLoads elsewhere) {
+    this.elsewhere = elsewhere;
   }
 
   /**
@@ -89,7 +82,9 @@
     // With no back end known to be sound, one that may have recovered is better than none.
     List<TrackedBackend> choice = usable.isEmpty() ? ejected : usable;
     PromptPlacement prompt = request.prompt();
-    return prompt == null ? least(choice, this::plainCost) : cheapest(choice, request, prompt);
+    return prompt == null
+        ? least(choice, candidate -> plainCost(candidate, request.zone()))
+        : cheapest(choice, request, prompt);
   }
 
   private Optional<TrackedBackend> cheapest(
@@ -101,6 +96,7 @@
         choice,
         candidate ->
             promptCost(candidate, request.needOf().apply(candidate), candidate == home)
+                + sharedCost(candidate, request.zone())
                 + (preferred.contains(candidate) ? 0 : OTHER_SET_COST));
   }
 
@@ -118,21 +114,26 @@
     return Optional.ofNullable(best);
   }
 
-  private double plainCost(TrackedBackend candidate) {
-    return candidate.load().openRequests() * PLAIN_REQUEST_COST + sharedCost(candidate);
+  private double plainCost(TrackedBackend candidate, String zone) {
+    return workAt(candidate).openRequests() * PLAIN_REQUEST_COST + sharedCost(candidate, zone);
+  }
+
+  private BackendWork workAt(TrackedBackend candidate) {
+    return candidate.load().work().plus(elsewhere.at(candidate.backend().id()));
   }
 
   private double promptCost(TrackedBackend candidate, PrefixNeed need, boolean isHome) {
-    BackendLoad load = candidate.load();
-    double waiting = load.waitingTokens() + waitingElsewhere.applyAsLong(candidate.backend().id());
-    double running = load.runningTokens() * RUNNING_COST + load.openRequests() * REQUEST_COST;
-    double queue = waiting + running * UNSEEN_LOAD_FACTOR;
+    BackendWork work = workAt(candidate);
+    double queue =
+        work.waitingTokens()
+            + work.runningTokens() * RUNNING_COST
+            + work.openRequests() * REQUEST_COST;
     double compute =
         need.unknown() * (isHome ? 1 : 1 + NOT_HOME_COST) + need.recomputed() * RECOMPUTE_COST;
-    return queue + compute + need.fetchable() * FETCH_COST + sharedCost(candidate);
+    return queue + compute + need.fetchable() * FETCH_COST;
   }
 
-  private double sharedCost(TrackedBackend candidate) {
+  private static double sharedCost(TrackedBackend candidate, String zone) {
     double zoneCost = candidate.backend().zone().equals(zone) ? 0 : REMOTE_ZONE_COST;
     return zoneCost
         + candidate.health().failureRate() * FAILURE_COST
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
@@ -0,0 +1,129 @@
+package org.lockdale.gateway.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.cache.CacheNamespace;
+import org.lockdale.gateway.cache.CachePlanner;
+import org.lockdale.gateway.cache.CacheTransfer;
+import org.lockdale.gateway.cache.PrefixNeed;
+import org.lockdale.gateway.cache.PrefixSurvey;
+import org.lockdale.gateway.node.GatewayBlackboard;
+import org.lockdale.gateway.weights.WeightsPolicy;
+
+/** Decides from what this node believes where a request is served. */
+public final class PlacementDecider {
+
+  private final GatewayBlackboard blackboard;
+  private final BackendChooser chooser;
+  private final CachePlanner cachePlanner;
+  private final WeightsPolicy weightsPolicy;
+
+  /**
+   * Creates a decider.
+   *
+   * @param blackboard what this node believes
+   * @param chooser weighs back ends
+   * @param cachePlanner plans moves of cached prompts
+   * @param weightsPolicy which weights may serve
+   */
+  public PlacementDecider(
+      GatewayBlackboard blackboard,
+      BackendChooser chooser,
+      CachePlanner cachePlanner,
+      WeightsPolicy weightsPolicy) {
+    this.blackboard = blackboard;
+    this.chooser = chooser;
+    this.cachePlanner = cachePlanner;
+    this.weightsPolicy = weightsPolicy;
+  }
+
+  /** Returns where a request is served, or empty where no back end is left for it. */
+  public Optional<Placement> decide(PlacementQuery query, long nowMillis) {
+    return new Decision(query, nowMillis).decide();
+  }
+
+  /** Returns whether a version of weights is too old for a request to begin on it now. */
+  public boolean isOutdated(String model, long weights, long nowMillis) {
+    Long required = weightsPolicy.requiredVersion(blackboard.weights().value(), model, nowMillis);
+    return required != null && weights < required;
+  }
+
+  /** One decision; surveys of cached prompts are made once for each namespace. */
+  private final class Decision {
+
+    private final PlacementQuery query;
+    private final long nowMillis;
+    private final List<TrackedBackend> candidates;
+    private final Map<String, PrefixSurvey> surveys = new HashMap<>();
+
+    Decision(PlacementQuery query, long nowMillis) {
+      this.query = query;
+      this.nowMillis = nowMillis;
+      this.candidates = candidates();
+    }
+
+    Optional<Placement> decide() {
+      PromptPlacement prompt = query.parts().isEmpty() ? null : PromptPlacement.of(query.parts());
+      PlacementRequest request =
+          new PlacementRequest(
+              query.pool(), query.zone(), candidates, query.excluded(), prompt, this::needOf);
+      return chooser.choose(request, nowMillis).map(target -> placed(target, prompt));
+    }
+
+    private Placement placed(TrackedBackend target, @Nullable PromptPlacement prompt) {
+      long computed = prompt == null ? 0 : needOf(target).computed();
+      Long weights = weightsOf(target);
+      // Without known weights nothing is moved, since the namespace could hold those of others.
+      CacheTransfer transfer =
+          weights == null || prompt == null
+              ? CacheTransfer.NONE
+              : cachePlanner.plan(target, candidates, surveyFor(target), nowMillis);
+      return new Placement(target, weights, transfer, computed, null);
+    }
+
+    private List<TrackedBackend> candidates() {
+      String model = query.model();
+      Long required =
+          model == null
+              ? null
+              : weightsPolicy.requiredVersion(blackboard.weights().value(), model, nowMillis);
+      List<TrackedBackend> usable = new ArrayList<>();
+      for (TrackedBackend tracked : blackboard.backends().value().ofPool(query.pool())) {
+        if (!tracked.backend().leaving() && !isMoving(tracked) && holds(tracked, required)) {
+          usable.add(tracked);
+        }
+      }
+      return usable;
+    }
+
+    private boolean isMoving(TrackedBackend tracked) {
+      String model = query.model();
+      return model != null && blackboard.rollout().value().isMoving(tracked, model, nowMillis);
+    }
+
+    private boolean holds(TrackedBackend tracked, @Nullable Long required) {
+      Long held = weightsOf(tracked);
+      return required == null || held == null || held >= required;
+    }
+
+    private @Nullable Long weightsOf(TrackedBackend tracked) {
+      String model = query.model();
+      return model == null ? null : tracked.weightsOf(model);
+    }
+
+    private PrefixNeed needOf(TrackedBackend candidate) {
+      return cachePlanner.need(candidate, surveyFor(candidate), nowMillis);
+    }
+
+    private PrefixSurvey surveyFor(TrackedBackend candidate) {
+      String namespace = CacheNamespace.of(weightsOf(candidate), query.isolatedTenant());
+      return surveys.computeIfAbsent(
+          namespace, name -> cachePlanner.survey(candidates, name, query.parts(), nowMillis));
+    }
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementRequest.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementRequest.java
@@ -11,6 +11,7 @@
  * What a back end is chosen for.
  *
  * @param pool name of the pool
+ * @param zone zone of the node that sends the request
  * @param candidates back ends that may serve the request
  * @param excluded ids of back ends that were tried already
  * @param prompt the prompt, or null for a request without one
@@ -18,6 +19,7 @@
  */
 public record PlacementRequest(
     String pool,
+    String zone,
     List<TrackedBackend> candidates,
     Set<String> excluded,
     @Nullable PromptPlacement prompt,
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -1,19 +1,16 @@
 package org.lockdale.gateway.request;
 
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.backend.AttemptPlan;
 import org.lockdale.gateway.backend.TrackedBackend;
-import org.lockdale.gateway.cache.CacheTransfer;
-import org.lockdale.gateway.cache.PrefixNeed;
-import org.lockdale.gateway.cache.PrefixSurvey;
+import org.lockdale.gateway.cache.CacheNamespace;
 import org.lockdale.gateway.configuration.Tenant;
-import org.lockdale.gateway.placement.PlacementRequest;
+import org.lockdale.gateway.placement.Placement;
+import org.lockdale.gateway.placement.PlacementQuery;
 import org.lockdale.http.HttpReply;
 import org.tinylog.Logger;
 
@@ -36,7 +33,6 @@
 
   private final RequestPath path;
   private final RequestState state;
-  private final Map<String, PrefixSurvey> surveys = new HashMap<>();
   private @Nullable Attempt current;
   private @Nullable ScheduledFuture<?> timeout;
   private boolean ended;
@@ -58,48 +54,55 @@
   }
 
   private void attempt() {
-    long now = path.nowMillis();
-    surveys.clear();
-    List<TrackedBackend> candidates = path.candidates(state, now);
-    Optional<TrackedBackend> chosen =
-        path.chooser()
-            .choose(
-                new PlacementRequest(
-                    state.pool,
-                    candidates,
-                    state.triedBackends,
-                    state.prompt,
-                    candidate -> needOf(candidate, candidates, now)),
-                now);
-    if (chosen.isEmpty() || state.endsAtMillis() - now < LEAST_ATTEMPT_MILLIS) {
+    CompletableFuture<Optional<Placement>> placed = path.placements().place(query());
+    if (placed.isDone()) {
+      placed(placed.join());
+    } else {
+      placed.thenAcceptAsync(this::placed, state.exchange.eventLoop());
+    }
+  }
+
+  private PlacementQuery query() {
+    return new PlacementQuery(
+        state.pool,
+        path.zone(),
+        state.request.model(),
+        isolatedTenant(),
+        state.request.promptParts(),
+        state.triedBackends);
+  }
+
+  private void placed(Optional<Placement> placement) {
+    if (ended) {
+      return;
+    }
+    if (placement.isEmpty() || state.endsAtMillis() - path.nowMillis() < LEAST_ATTEMPT_MILLIS) {
       giveUp("no back end of pool " + state.pool + " is left to try", null);
       return;
     }
-    send(chosen.get(), candidates, now);
+    send(placement.get());
   }
 
-  private void send(TrackedBackend target, List<TrackedBackend> candidates, long now) {
-    Long weights = weightsOf(target);
-    String namespace = cacheNamespace(weights);
+  private void send(Placement placement) {
+    TrackedBackend target = placement.target();
+    Long weights = placement.weights();
     state.triedBackends.add(target.backend().id());
     state.backend = target.backend().id();
-    if (state.prompt != null) {
-      PrefixNeed need = needOf(target, candidates, now);
-      state.sharedTokensToCompute = need.computed();
-    }
+    state.sharedTokensToCompute = placement.computedTokens();
     AttemptPlan plan =
         new AttemptPlan(
             target.backend(),
             state.tenant,
-            state.endsAtMillis() - now,
+            state.endsAtMillis() - path.nowMillis(),
             state.priority(),
-            namespace,
+            CacheNamespace.of(weights, isolatedTenant()),
             weights,
-            cacheTransfer(target, candidates, namespace, weights, now),
+            placement.transfer(),
             state.lastEventId);
     Attempt attempt =
         new Attempt(state, target, plan, path.backendProtocol(), path.time(), this::concluded);
     current = attempt;
+    path.placements().opened(placement);
     attempt.start(path.client());
     if (weights != null) {
       watchWeights(attempt, weights);
@@ -116,7 +119,7 @@
               if (ended || attempt != current || !attempt.isWaiting()) {
                 return;
               }
-              if (path.isOutdated(state, weights, path.nowMillis())) {
+              if (isOutdated(weights)) {
                 attempt.abandonWaiting("its weights are out of date");
               } else {
                 watchWeights(attempt, weights);
@@ -126,42 +129,15 @@
             TimeUnit.MILLISECONDS);
   }
 
-  private @Nullable Long weightsOf(TrackedBackend target) {
+  private boolean isOutdated(long weights) {
     String model = state.request.model();
-    return model == null ? null : target.weightsOf(model);
+    return model != null && path.decider().isOutdated(model, weights, path.nowMillis());
   }
 
-  /** Cached prompts are shared within one version of the weights, and one tenant if it is so. */
-  private String cacheNamespace(@Nullable Long weights) {
+  /** Cached prompts of an isolated tenant are not shared with others. */
+  private @Nullable String isolatedTenant() {
     Tenant tenant = state.tenant;
-    String version = weights == null ? "any" : weights.toString();
-    return tenant != null && tenant.isolated() ? version + ":" + tenant.name() : version;
-  }
-
-  /** Without known weights nothing is moved, since the namespace could hold those of others. */
-  private CacheTransfer cacheTransfer(
-      TrackedBackend target,
-      List<TrackedBackend> candidates,
-      String namespace,
-      @Nullable Long weights,
-      long now) {
-    if (weights == null || state.prompt == null) {
-      return CacheTransfer.NONE;
-    }
-    return path.cachePlanner().plan(target, candidates, surveyOf(namespace, candidates, now), now);
-  }
-
-  /** Estimates what a candidate would have to compute and to fetch of the prompt. */
-  private PrefixNeed needOf(TrackedBackend candidate, List<TrackedBackend> candidates, long now) {
-    PrefixSurvey survey = surveyOf(cacheNamespace(weightsOf(candidate)), candidates, now);
-    return path.cachePlanner().need(candidate, survey, now);
-  }
-
-  /** Surveys each namespace once for an attempt; engines of other weights have another one. */
-  private PrefixSurvey surveyOf(String namespace, List<TrackedBackend> candidates, long now) {
-    return surveys.computeIfAbsent(
-        namespace,
-        name -> path.cachePlanner().survey(candidates, name, state.request.promptParts(), now));
+    return tenant != null && tenant.isolated() ? tenant.name() : null;
   }
 
   private void concluded(Attempt attempt, AttemptResult result) {
@@ -190,6 +166,7 @@
       case MISDIRECTED -> health.unavailable(now, NOT_RUN_PAUSE_MILLIS);
       default -> health.failed(now);
     }
+    path.report(attempt.target(), result);
     if (result != AttemptResult.COMPLETE) {
       Logger.info(
           "event=attempt-failed request={} backend={} result={} reason=\"{}\"",
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestLimits.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestLimits.java
@@ -9,11 +9,6 @@
  * @param retryAllowance repeated sends in a window whatever the number of requests
  * @param retryWindow length of that window
  * @param maxKeyProofAge age of the configuration from which on keys are no longer trusted
- * @param weightsBound longest time after new weights were named in which older ones may serve
  */
 public record RequestLimits(
-    double retryRatio,
-    int retryAllowance,
-    Duration retryWindow,
-    Duration maxKeyProofAge,
-    Duration weightsBound) {}
+    double retryRatio, int retryAllowance, Duration retryWindow, Duration maxKeyProofAge) {}
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -1,30 +1,28 @@
 package org.lockdale.gateway.request;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.jspecify.annotations.Nullable;
+import java.util.function.BiConsumer;
 import org.lockdale.coordination.blackboard.Snapshot;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.BackendProtocol;
 import org.lockdale.gateway.backend.TrackedBackend;
-import org.lockdale.gateway.cache.CachePlanner;
 import org.lockdale.gateway.caller.CallerProtocol;
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.caller.MalformedRequestException;
-import org.lockdale.gateway.cluster.PeerLoads;
 import org.lockdale.gateway.configuration.GatewayConfiguration;
 import org.lockdale.gateway.limit.RetryBudget;
 import org.lockdale.gateway.node.GatewayBlackboard;
-import org.lockdale.gateway.placement.BackendChooser;
+import org.lockdale.gateway.placement.PlacementDecider;
+import org.lockdale.gateway.placement.PlacementService;
 import org.lockdale.gateway.placement.SplitSelector;
-import org.lockdale.gateway.weights.WeightsPolicy;
 import org.lockdale.http.HttpClient;
 import org.lockdale.http.HttpExchange;
 import org.lockdale.http.HttpHandler;
 import org.lockdale.http.HttpProtocolError;
 import org.lockdale.http.HttpReply;
+import org.lockdale.protocol.generated.AttemptVerdict;
 import org.tinylog.Logger;
 
 /**
@@ -40,13 +38,14 @@
   private final CallerProtocol callerProtocol;
   private final BackendProtocol backendProtocol;
   private final HttpClient client;
-  private final BackendChooser chooser;
+  private final PlacementService placements;
+  private final PlacementDecider decider;
+  private final String zone;
+  private final BiConsumer<String, AttemptVerdict> onConcluded;
   private final RetryBudget budget;
-  private final WeightsPolicy weightsPolicy;
   private final Time time;
   private final SplitSelector splits = new SplitSelector();
   private final List<RequestFilter> filters;
-  private final CachePlanner cachePlanner;
   private final AtomicInteger openRequests = new AtomicInteger();
 
   /**
@@ -57,9 +56,10 @@
    * @param backendProtocol protocol of back ends
    * @param client sends requests
    * @param limits bounds that the path keeps
-   * @param cachePlanner plans moves of cached prompts
-   * @param peerLoads load of other nodes
+   * @param placements tells where requests are served
+   * @param decider what this node believes itself
    * @param zone zone of the node
+   * @param onConcluded receives what attempts showed of their back ends, by id
    * @param time clock
    */
   public RequestPath(
@@ -68,21 +68,23 @@
       BackendProtocol backendProtocol,
       HttpClient client,
       RequestLimits limits,
-      CachePlanner cachePlanner,
-      PeerLoads peerLoads,
+      PlacementService placements,
+      PlacementDecider decider,
       String zone,
+      BiConsumer<String, AttemptVerdict> onConcluded,
       Time time) {
     this.blackboard = blackboard;
     this.callerProtocol = callerProtocol;
     this.backendProtocol = backendProtocol;
     this.client = client;
-    this.chooser = new BackendChooser(zone, peerLoads::waitingTokens);
+    this.placements = placements;
+    this.decider = decider;
+    this.zone = zone;
+    this.onConcluded = onConcluded;
     this.budget =
         new RetryBudget(
             limits.retryRatio(), limits.retryAllowance(), limits.retryWindow().toMillis());
-    this.weightsPolicy = new WeightsPolicy(limits.weightsBound().toMillis());
     this.time = time;
-    this.cachePlanner = cachePlanner;
     this.filters =
         List.of(
             new PhaseFilter(blackboard.phase()),
@@ -133,45 +135,31 @@
     new RequestExecution(this, state).start();
   }
 
-  /** Returns the back ends that may serve a request now. */
-  List<TrackedBackend> candidates(RequestState state, long nowMillis) {
-    String model = state.request.model();
-    Long required =
-        model == null
-            ? null
-            : weightsPolicy.requiredVersion(blackboard.weights().value(), model, nowMillis);
-    List<TrackedBackend> candidates = new ArrayList<>();
-    for (TrackedBackend tracked : blackboard.backends().value().ofPool(state.pool)) {
-      boolean moving =
-          model != null && blackboard.rollout().value().isMoving(tracked, model, nowMillis);
-      if (!tracked.backend().leaving() && !moving && hasWeights(tracked, model, required)) {
-        candidates.add(tracked);
-      }
-    }
-    return candidates;
+  PlacementService placements() {
+    return placements;
   }
 
-  private static boolean hasWeights(
-      TrackedBackend tracked, @Nullable String model, @Nullable Long required) {
-    if (model == null || required == null) {
-      return true;
-    }
-    Long held = tracked.weightsOf(model);
-    return held == null || held >= required;
+  PlacementDecider decider() {
+    return decider;
   }
 
-  /** Returns whether a version of weights is too old for a request to begin on it now. */
-  boolean isOutdated(RequestState state, long weights, long nowMillis) {
-    String model = state.request.model();
-    if (model == null) {
-      return false;
-    }
-    Long required = weightsPolicy.requiredVersion(blackboard.weights().value(), model, nowMillis);
-    return required != null && weights < required;
+  /** Returns the zone of this node. */
+  String zone() {
+    return zone;
   }
 
-  CachePlanner cachePlanner() {
-    return cachePlanner;
+  /** Tells the relays what an attempt showed of its back end. */
+  void report(TrackedBackend target, AttemptResult result) {
+    AttemptVerdict verdict =
+        switch (result) {
+          case COMPLETE -> AttemptVerdict.SUCCEEDED;
+          case NOT_SENT -> AttemptVerdict.UNREACHABLE;
+          case FAILED, BROKEN_OFF -> AttemptVerdict.FAILED;
+          default -> null;
+        };
+    if (verdict != null) {
+      onConcluded.accept(target.backend().id(), verdict);
+    }
   }
 
   HttpReply render(Refusal refusal) {
@@ -202,10 +190,6 @@
     return time;
   }
 
-  BackendChooser chooser() {
-    return chooser;
-  }
-
   BackendProtocol backendProtocol() {
     return backendProtocol;
   }
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableCopy.java
@@ -0,0 +1,109 @@
+package org.lockdale.gateway.table;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Copy of one table, without I/O. Invariant: the copy holds all changes up to {@link #lastChange},
+ * and no row in it is ever replaced by an older reading. Not safe for use by several threads.
+ */
+final class TableCopy {
+
+  /** Removals beyond this number are forgotten; who needs older ones reads the table whole. */
+  private static final int MAX_REMOVALS = 2_048;
+
+  /** Version of a copy that was never read. */
+  static final long UNKNOWN = -1;
+
+  private final Map<String, TableRowChange> rows = new HashMap<>();
+  private final Map<String, TableRowChange> removals = new LinkedHashMap<>();
+  private long lastChange = UNKNOWN;
+  private long historyFrom = UNKNOWN;
+
+  /** Returns all rows by key; the view changes with the copy. */
+  Map<String, TableRowChange> rows() {
+    return Collections.unmodifiableMap(rows);
+  }
+
+  /** Returns the version up to which all changes are in, or {@link #UNKNOWN}. */
+  long lastChange() {
+    return lastChange;
+  }
+
+  /**
+   * Takes in a reading of the whole table. One that is older than the copy adds what it has, but
+   * removes nothing, since what it lacks may have come later.
+   *
+   * @param whole all rows by key
+   * @param version version of the store at the reading
+   */
+  void replace(Map<String, TableRowChange> whole, long version) {
+    if (version >= lastChange) {
+      rows.keySet().retainAll(whole.keySet());
+      removals.clear();
+      lastChange = version;
+      historyFrom = version;
+    }
+    for (TableRowChange row : whole.values()) {
+      TableRowChange removal = removals.get(row.key());
+      if (removal == null || removal.version() < row.version()) {
+        rows.merge(row.key(), row, TableCopy::newer);
+      }
+    }
+  }
+
+  private static TableRowChange newer(TableRowChange before, TableRowChange row) {
+    return before.version() > row.version() ? before : row;
+  }
+
+  /** Takes in changes that follow what is known. */
+  void apply(List<TableRowChange> changes) {
+    for (TableRowChange change : changes) {
+      TableRowChange before = rows.get(change.key());
+      if (before == null || before.version() <= change.version()) {
+        applyNewer(change);
+      }
+      lastChange = Math.max(lastChange, change.version());
+    }
+  }
+
+  private void applyNewer(TableRowChange change) {
+    removals.remove(change.key());
+    if (!change.removed()) {
+      rows.put(change.key(), change);
+      return;
+    }
+    rows.remove(change.key());
+    removals.put(change.key(), change);
+    if (removals.size() > MAX_REMOVALS) {
+      Iterator<TableRowChange> oldest = removals.values().iterator();
+      historyFrom = Math.max(historyFrom, oldest.next().version());
+      oldest.remove();
+    }
+  }
+
+  /** Notes that a part of the changes after what was known is in, up to a version. */
+  void completeTo(long version) {
+    lastChange = Math.max(lastChange, version);
+  }
+
+  /** Returns what changed after a version, or everything where the copy no longer knows that. */
+  TableChanges changesAfter(long version) {
+    boolean whole = version < historyFrom;
+    List<TableRowChange> changes = new ArrayList<>();
+    for (TableRowChange row : rows.values()) {
+      if (whole || row.version() > version) {
+        changes.add(row);
+      }
+    }
+    if (!whole) {
+      removals.values().stream().filter(row -> row.version() > version).forEach(changes::add);
+    }
+    return new TableChanges(whole, lastChange, List.copyOf(changes));
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
@@ -1,10 +1,11 @@
 package org.lockdale.gateway.table;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -13,9 +14,10 @@
 import org.tinylog.Logger;
 
 /**
- * Keeps a copy of a table: scans it whole, then follows its changes, and scans again where the
- * store has forgotten some. Each answer also proves that the copy was current when the call was
- * sent. Runs on one event loop.
+ * Keeps a copy of a table. At first it scans the table whole. Then it follows the store's changes
+ * while it is told to, scanning again where the store has forgotten some; otherwise it reads the
+ * changes that a relay announces from that relay. Each answer also proves that the copy was
+ * current. Runs on one event loop.
  */
 public final class TableFollower {
 
@@ -26,62 +28,191 @@
   @FunctionalInterface
   public interface Listener {
     /**
-     * Called after every answer of the store.
+     * Called after every proof.
      *
      * @param rows all rows by key; only valid during the call
-     * @param changed whether anything differs from the last call
+     * @param changed whether anything may differ from the last call
      * @param provenAtMillis monotonic time at which the copy was current
      */
     void onTable(Map<String, TableRowChange> rows, boolean changed, long provenAtMillis);
   }
 
+  /**
+   * Where a table is read.
+   *
+   * @param feed the store
+   * @param peers other nodes
+   * @param clock the store's clock
+   */
+  public record Sources(TableFeed feed, TablePeers peers, StoreClock clock) {}
+
+  /**
+   * How a table is followed.
+   *
+   * @param table name of the table
+   * @param longestWait longest time that the store holds a call without changes
+   * @param gather time between two calls to the store after a change, in which further ones come
+   */
+  public record Plan(String table, Duration longestWait, Duration gather) {}
+
   private final EventLoop eventLoop;
-  private final TableFeed feed;
+  private final Sources sources;
   private final String table;
   private final Duration wait;
+  private final Duration gather;
   private final Time time;
   private final Listener listener;
-  private Map<String, TableRowChange> rows = new HashMap<>();
-  private long version;
+  private final TableCopy copy = new TableCopy();
+  private long followedTo;
+  private long provenStoreMillis;
+  private long provenAtMillis = Long.MIN_VALUE / 2;
   private int failures;
+  private boolean following;
+  private boolean callOpen;
+  private boolean peerCallOpen;
   private volatile boolean closed;
 
   /**
    * Creates a follower; {@link #start} starts it.
    *
    * @param eventLoop runs the follower and its listener
-   * @param feed the store
-   * @param table table name
-   * @param wait longest time that the store holds a call without changes
+   * @param sources where the table is read
+   * @param plan how the table is followed
    * @param time clock
    * @param listener receives the copy
    */
   public TableFollower(
-      EventLoop eventLoop,
-      TableFeed feed,
-      String table,
-      Duration wait,
-      Time time,
-      Listener listener) {
+      EventLoop eventLoop, Sources sources, Plan plan, Time time, Listener listener) {
     this.eventLoop = eventLoop;
-    this.feed = feed;
-    this.table = table;
-    this.wait = wait;
+    this.sources = sources;
+    this.table = plan.table();
+    this.wait = plan.longestWait();
+    this.gather = plan.gather();
     this.time = time;
     this.listener = listener;
   }
 
-  /** Starts to follow. */
+  /** Reads the table whole for the first time. */
   public void start() {
     eventLoop.execute(this::scan);
   }
 
+  /** Follows the store's changes, or ceases to; to be called on the event loop. */
+  public void follow(boolean wanted) {
+    following = wanted;
+    if (wanted) {
+      next();
+    }
+  }
+
   /** Stops following. */
   public void close() {
     closed = true;
   }
 
+  /** Returns the name of the table. */
+  public String table() {
+    return table;
+  }
+
+  /** Returns whether the table was read at least once. */
+  public boolean isKnown() {
+    return copy.lastChange() != TableCopy.UNKNOWN;
+  }
+
+  /** Returns the monotonic time at which the copy was last proven to be current. */
+  public long provenAtMillis() {
+    return provenAtMillis;
+  }
+
+  /** Returns the newest proof. */
+  public TableProof proof() {
+    return new TableProof(table, copy.lastChange(), provenStoreMillis);
+  }
+
+  /** Returns what changed after a version; to be called on the event loop. */
+  public TableChanges changesAfter(long version) {
+    return copy.changesAfter(version);
+  }
+
+  /**
+   * Takes in a proof of a relay, and reads from it what this copy lacks; to be called on the event
+   * loop.
+   *
+   * @return whether the copy is current by the proof, or will be once the relay has answered
+   */
+  public CompletableFuture<Boolean> announced(InetSocketAddress relay, TableProof proof) {
+    if (proof.lastChange() < 0 || peerCallOpen || closed) {
+      return CompletableFuture.completedFuture(true);
+    }
+    if (proof.lastChange() > copy.lastChange()) {
+      return readFrom(relay);
+    }
+    prove(proof.storeMillis(), sources.clock().localMillis(proof.storeMillis()), false);
+    return CompletableFuture.completedFuture(true);
+  }
+
+  private CompletableFuture<Boolean> readFrom(InetSocketAddress relay) {
+    peerCallOpen = true;
+    long sentAtMillis = time.monotonicMillis();
+    return sources
+        .peers()
+        .changes(relay, table, copy.lastChange())
+        .handleAsync(
+            (answer, failure) -> {
+              peerCallOpen = false;
+              if (failure != null) {
+                Logger.info(
+                    "event=relay-failed table={} relay={} cause=\"{}\"",
+                    table,
+                    relay,
+                    failure.getMessage());
+                return false;
+              }
+              accept(answer, sentAtMillis);
+              return true;
+            },
+            eventLoop);
+  }
+
+  private void accept(TablePeers.Answer answer, long sentAtMillis) {
+    TableChanges changes = answer.changes();
+    if (changes.lastChange() < copy.lastChange()) {
+      return;
+    }
+    if (changes.whole()) {
+      Map<String, TableRowChange> whole = new HashMap<>();
+      changes.rows().forEach(row -> whole.put(row.key(), row));
+      copy.replace(whole, changes.lastChange());
+    } else {
+      copy.apply(changes.rows());
+      copy.completeTo(changes.lastChange());
+    }
+    followedTo = Math.max(followedTo, changes.lastChange());
+    sources.clock().observed(answer.storeMillis(), sentAtMillis - answer.ageMillis());
+    // The answer was written after it was asked for, so its proof is no older than its age now.
+    prove(answer.storeMillis(), sentAtMillis - answer.ageMillis(), true);
+  }
+
+  private void prove(long storeMillis, long atMillis, boolean changed) {
+    provenStoreMillis = Math.max(provenStoreMillis, storeMillis);
+    provenAtMillis = Math.max(provenAtMillis, atMillis);
+    listener.onTable(copy.rows(), changed, provenAtMillis);
+  }
+
+  private void next() {
+    if (closed || callOpen) {
+      return;
+    }
+    if (!isKnown()) {
+      scan();
+    } else if (following) {
+      poll();
+    }
+  }
+
   private void scan() {
+    callOpen = true;
     scanFrom(null, new HashMap<>(), time.monotonicMillis(), 0);
   }
 
@@ -93,13 +224,17 @@
     if (closed) {
       return;
     }
-    feed.scan(table, fromKey)
+    long sentAtMillis = time.monotonicMillis();
+    sources
+        .feed()
+        .scan(table, fromKey)
         .whenCompleteAsync(
             (page, failure) -> {
               if (failure != null) {
                 retry(failure, this::scan);
                 return;
               }
+              sources.clock().observed(page.storeMillis(), sentAtMillis);
               page.rows().forEach(row -> collected.put(row.key(), row));
               // Changes made between two pages come again with the feed from the first page on.
               long since = fromKey == null ? page.version() : startVersion;
@@ -107,42 +242,41 @@
                 String next = page.rows().get(page.rows().size() - 1).key() + '\0';
                 scanFrom(next, collected, startedAtMillis, since);
               } else {
-                scanned(collected, since, startedAtMillis);
+                scanned(collected, since, startedAtMillis, page.storeMillis());
               }
             },
             eventLoop);
   }
 
   private void scanned(
-      Map<String, TableRowChange> collected, long sinceVersion, long provenAtMillis) {
+      Map<String, TableRowChange> collected,
+      long sinceVersion,
+      long startedAtMillis,
+      long storeMillis) {
     failures = 0;
-    // A row that was seen newer is never left for an older reading of it.
-    collected.replaceAll((key, row) -> newer(row, rows.get(key)));
-    rows = collected;
-    version = Math.max(version, sinceVersion);
-    listener.onTable(rows, true, provenAtMillis);
-    follow();
-  }
-
-  private static TableRowChange newer(TableRowChange row, @Nullable TableRowChange before) {
-    return before != null && before.version() > row.version() ? before : row;
+    callOpen = false;
+    copy.replace(collected, sinceVersion);
+    followedTo = Math.max(followedTo, sinceVersion);
+    long elapsed = time.monotonicMillis() - startedAtMillis;
+    prove(storeMillis - elapsed, startedAtMillis, true);
+    next();
   }
 
-  private void follow() {
-    if (closed) {
-      return;
-    }
+  private void poll() {
+    callOpen = true;
     long sentAtMillis = time.monotonicMillis();
-    feed.changes(table, version, wait)
+    sources
+        .feed()
+        .changes(table, followedTo, wait)
         .whenCompleteAsync(
             (page, failure) -> {
               if (failure == null) {
                 changed(page, sentAtMillis);
               } else if (kindOf(failure) == TableServiceException.Kind.HISTORY_LOST) {
-                Logger.info("event=history-lost table={} version={}", table, version);
+                Logger.info("event=history-lost table={} version={}", table, followedTo);
                 retry(failure, this::scan);
               } else {
-                retry(failure, this::follow);
+                retry(failure, this::poll);
               }
             },
             eventLoop);
@@ -153,23 +287,17 @@
       Logger.info("event=store-back table={} failures={}", table, failures);
     }
     failures = 0;
-    version = Math.max(version, page.version());
-    apply(page.rows());
-    listener.onTable(rows, !page.rows().isEmpty(), sentAtMillis);
-    follow();
-  }
-
-  private void apply(List<TableRowChange> changes) {
-    for (TableRowChange change : changes) {
-      TableRowChange before = rows.get(change.key());
-      if (before != null && before.version() > change.version()) {
-        continue;
-      }
-      if (change.removed()) {
-        rows.remove(change.key());
-      } else {
-        rows.put(change.key(), change);
-      }
+    callOpen = false;
+    sources.clock().observed(page.storeMillis(), sentAtMillis);
+    followedTo = Math.max(followedTo, page.version());
+    copy.apply(page.rows());
+    boolean changed = !page.rows().isEmpty();
+    long provenAt = Math.max(sentAtMillis, sources.clock().localMillis(page.storeMillis()));
+    prove(page.storeMillis(), provenAt, changed);
+    if (changed && !gather.isZero()) {
+      eventLoop.schedule(this::next, gather.toMillis(), TimeUnit.MILLISECONDS);
+    } else {
+      next();
     }
   }
 
@@ -179,7 +307,16 @@
       Logger.warn("event=store-failed table={} cause={}", table, failure.getMessage());
     }
     long delay = Math.min(FIRST_RETRY_MILLIS << Math.min(failures - 1, 4), MAX_RETRY_MILLIS);
-    eventLoop.schedule(again, delay, TimeUnit.MILLISECONDS);
+    eventLoop.schedule(
+        () -> {
+          if (following || !isKnown()) {
+            again.run();
+          } else {
+            callOpen = false;
+          }
+        },
+        delay,
+        TimeUnit.MILLISECONDS);
   }
 
   private static TableServiceException.@Nullable Kind kindOf(Throwable failure) {
--- a/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
@@ -96,13 +96,8 @@
       return;
     }
     announced = true;
-    tools
-        .table()
-        .tell(moveRow(true))
-        .whenCompleteAsync(
-            (done, failure) ->
-                eventLoop.schedule(() -> order(state), NOTICE_MILLIS, TimeUnit.MILLISECONDS),
-            eventLoop);
+    tools.announcer().accept(moveRow(true));
+    eventLoop.schedule(() -> order(state), NOTICE_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void succeed() {
@@ -112,7 +107,7 @@
         move.version(),
         nowMillis.getAsLong() - startedAtMillis);
     if (announced) {
-      tools.table().tell(moveRow(false));
+      tools.announcer().accept(moveRow(false));
     }
     done.complete(true);
   }
--- a/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.blackboard.Section;
 import org.lockdale.coordination.lease.Lease;
@@ -51,6 +52,7 @@
   private final Lease lease;
   private final String nodeId;
   private final Time time;
+  private final BooleanSupplier mayLead;
   private final Set<String> updating = new HashSet<>();
   private final Map<String, Long> retryAtMillis = new HashMap<>();
   private boolean leaseCallOpen;
@@ -70,6 +72,7 @@
    * @param nodeId id of this node
    * @param guardMillis least time between the orders of two holders of the lease
    * @param time clock
+   * @param mayLead whether this node may take the lease at present
    */
   public RolloutController(
       EventLoop eventLoop,
@@ -80,7 +83,8 @@
       LeaseStore store,
       String nodeId,
       long guardMillis,
-      Time time) {
+      Time time,
+      BooleanSupplier mayLead) {
     this.eventLoop = eventLoop;
     this.weights = weights;
     this.backends = backends;
@@ -90,6 +94,7 @@
     this.lease = new Lease(nodeId, LEASE_DURATION_MILLIS, guardMillis);
     this.nodeId = nodeId;
     this.time = time;
+    this.mayLead = mayLead;
   }
 
   /** Starts the controller. */
@@ -103,7 +108,8 @@
   }
 
   private void tick() {
-    if (closed) {
+    if (closed || !mayLead.getAsBoolean()) {
+      pending = false;
       return;
     }
     long now = time.monotonicMillis();
--- a/gateway/src/main/java/org/lockdale/gateway/weights/RolloutProgress.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutProgress.java
@@ -13,6 +13,9 @@
   /** A move that was told this long ago is no longer believed; its coordinator may be gone. */
   private static final long BELIEF_MILLIS = 4_000;
 
+  /** What was told this long ago has reached the back ends' own records. */
+  private static final long FORGET_MILLIS = 60_000;
+
   private record Told(EngineMove move, long atMillis) {}
 
   private final Map<String, Told> byEngine;
@@ -21,14 +24,11 @@
     this.byEngine = byEngine;
   }
 
-  /** Returns this progress with what was told now; what was known before keeps its age. */
-  public RolloutProgress with(Iterable<EngineMove> moves, long nowMillis) {
-    Map<String, Told> updated = new HashMap<>();
-    for (EngineMove move : moves) {
-      Told before = byEngine.get(move.engine());
-      boolean same = before != null && before.move().equals(move);
-      updated.put(move.engine(), same ? before : new Told(move, nowMillis));
-    }
+  /** Returns this progress with what was told now; what was told long ago is dropped. */
+  public RolloutProgress with(EngineMove move, long nowMillis) {
+    Map<String, Told> updated = new HashMap<>(byEngine);
+    updated.values().removeIf(told -> nowMillis - told.atMillis() > FORGET_MILLIS);
+    updated.put(move.engine(), new Told(move, nowMillis));
     return new RolloutProgress(Map.copyOf(updated));
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/weights/RolloutTools.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutTools.java
@@ -1,11 +1,11 @@
 package org.lockdale.gateway.weights;
 
-import org.lockdale.gateway.cluster.ClusterTable;
+import java.util.function.Consumer;
 
 /**
  * What a coordinator works with.
  *
  * @param control calls engines
- * @param table tells the other nodes
+ * @param announcer tells who places requests which engines move
  */
-public record RolloutTools(EngineControl control, ClusterTable table) {}
+public record RolloutTools(EngineControl control, Consumer<EngineMove> announcer) {}
--- a/gateway/src/test/java/org/lockdale/gateway/cache/CachePlannerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cache/CachePlannerTest.java
@@ -107,6 +107,7 @@
             () -> table,
             () -> Optional.of(new CacheStore("store", STORE, "zone")));
     directory.start();
+    directory.follow(true);
     planner = new CachePlanner(directory, (engine, parts) -> toldEngines.add(engine));
     await(() -> directory.storeAddress().isPresent());
     await(() -> engines.stream().allMatch(e -> directory.engine(e.backend().id()).isAvailable()));
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/NodeReporterTest.java
@@ -0,0 +1,169 @@
+package org.lockdale.gateway.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.lockdale.coordination.time.SystemTime;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.backend.BackendLoad;
+import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.backend.ElsewhereLoads.BackendWork;
+import org.lockdale.gateway.weights.EngineMove;
+import org.lockdale.protocol.generated.AttemptVerdict;
+import org.lockdale.protocol.generated.NodeReport;
+import org.lockdale.protocol.generated.PlacementAnswer;
+import org.lockdale.protocol.generated.PlacementQuestion;
+import org.lockdale.protocol.generated.RelayHeartbeat;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Relays hear of the work of other nodes; strangers' bytes are ignored. */
+public final class NodeReporterTest {
+
+  private static final long WAIT_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  private final BlockingQueue<String> expected = new LinkedBlockingQueue<>();
+  private final BlockingQueue<EngineMove> moves = new LinkedBlockingQueue<>();
+  private final BackendTable sendersTable = table();
+  private final BackendTable relaysTable = table();
+  private EventLoopGroup group;
+  private InetSocketAddress relayAddress;
+  private PeerLoads heard;
+  private NodeReporter sender;
+
+  private static BackendTable table() {
+    return BackendTable.EMPTY.with(
+        List.of(
+            new Backend(
+                "i-1",
+                "pool",
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+                "zone",
+                4,
+                false,
+                Map.of("model", 1L))));
+  }
+
+  @BeforeMethod
+  public void start() throws IOException {
+    group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    relayAddress = freeAddress();
+    heard = new PeerLoads(new SystemTime());
+    expected.clear();
+    moves.clear();
+    startRelay();
+    EventLoop loop = group.next();
+    DatagramExchange datagrams = new DatagramExchange("node-1", freeAddress(), loop);
+    datagrams.start(new Listener(null));
+    List<RelayElection.Relay> relays = List.of(new RelayElection.Relay("node-2", relayAddress, 0));
+    sender = new NodeReporter(loop, datagrams, () -> sendersTable, () -> relays, new SystemTime());
+    sender.start();
+  }
+
+  private void startRelay() {
+    ReportReceiver receiver =
+        new ReportReceiver(
+            () -> relaysTable,
+            heard,
+            new SystemTime(),
+            moves::add,
+            (engine, parts) -> expected.add(engine + parts));
+    new DatagramExchange("node-2", relayAddress, group.next()).start(new Listener(receiver));
+  }
+
+  private record Listener(ReportReceiver receiver) implements DatagramListener {
+    @Override
+    public void onHeartbeat(String sender, InetSocketAddress address, RelayHeartbeat heartbeat) {}
+
+    @Override
+    public void onReport(String sender, NodeReport report) {
+      receiver.accept(sender, report);
+    }
+
+    @Override
+    public void onQuestion(String sender, InetSocketAddress address, PlacementQuestion question) {}
+
+    @Override
+    public void onAnswer(String sender, PlacementAnswer answer) {}
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private static InetSocketAddress freeAddress() throws IOException {
+    try (DatagramSocket socket = new DatagramSocket()) {
+      return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+    }
+  }
+
+  private static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + WAIT_NANOS;
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() < end, "the condition did not come true in time");
+      LockSupport.parkNanos(1_000_000);
+    }
+  }
+
+  private BackendLoad senderLoad() {
+    return sendersTable.find("i-1").load();
+  }
+
+  @Test
+  public void workIsToldAndTakenBack() {
+    BackendLoad.Share share = senderLoad().open(5_000, 8_000);
+    await(() -> heard.at("i-1").equals(new BackendWork(5_000, 0, 1)));
+    share.begin();
+    await(() -> heard.at("i-1").equals(new BackendWork(0, 8_000, 1)));
+    share.end();
+    await(() -> heard.at("i-1").isNone());
+  }
+
+  @Test
+  public void expectedPartsAndMovesAreTold() throws InterruptedException {
+    sender.expect("i-1", List.of(7L, 8L));
+    assertEquals(expected.poll(10, TimeUnit.SECONDS), "i-1[7, 8]");
+    EngineMove move = new EngineMove("i-1", "model", 3, true);
+    sender.moved(move);
+    assertEquals(moves.poll(10, TimeUnit.SECONDS), move);
+  }
+
+  @Test
+  public void failuresInARowAtAnyNodeKeepRequestsAwayAndASuccessBringsThemBack() {
+    sender.concluded("i-1", AttemptVerdict.FAILED);
+    sender.concluded("i-1", AttemptVerdict.UNREACHABLE);
+    Time time = new SystemTime();
+    await(() -> relaysTable.find("i-1").health().isEjected(time.monotonicMillis()));
+    sender.concluded("i-1", AttemptVerdict.SUCCEEDED);
+    await(() -> !relaysTable.find("i-1").health().isEjected(time.monotonicMillis()));
+  }
+
+  @Test
+  public void bytesThatAreNoMessageAreIgnored() throws IOException {
+    try (DatagramSocket stranger = new DatagramSocket()) {
+      stranger.send(new DatagramPacket(new byte[] {1, 2, 3}, 3, relayAddress));
+    }
+    BackendLoad.Share share = senderLoad().open(5_000, 8_000);
+    await(() -> heard.at("i-1").waitingTokens() == 5_000);
+    share.end();
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RelayElectionTest.java
@@ -0,0 +1,149 @@
+package org.lockdale.gateway.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** Many nodes on a simulated network settle on a few relays, whatever goes. */
+public final class RelayElectionTest {
+
+  private static final InetSocketAddress ADDRESS = new InetSocketAddress("127.0.0.1", 1);
+  private static final long TICK = 50;
+  private static final long HEARTBEAT = 500;
+
+  private static final class Node {
+    final String id;
+    final boolean preferred;
+    final RelayElection election;
+    boolean up = true;
+    boolean reachesStore = true;
+    boolean cutOff;
+    long provenAt;
+    long heartbeatAt = Long.MIN_VALUE / 2;
+
+    Node(int index, boolean preferred) {
+      this.id = "node-" + index;
+      this.preferred = preferred;
+      this.election = new RelayElection(id);
+    }
+  }
+
+  private final List<Node> nodes = new ArrayList<>();
+  private Random random = new Random(0);
+  private long now;
+
+  private void startNodes(int count, int preferred, long seed) {
+    nodes.clear();
+    now = 0;
+    random = new Random(seed);
+    for (int index = 0; index < count; index++) {
+      nodes.add(new Node(index, index < preferred));
+    }
+  }
+
+  private void run(long millis) {
+    long end = now + millis;
+    while (now < end) {
+      now += TICK;
+      for (Node node : nodes) {
+        if (node.up) {
+          tick(node);
+        }
+      }
+    }
+  }
+
+  private void tick(Node node) {
+    boolean wasServing = node.election.isServing();
+    if (wasServing && node.reachesStore) {
+      node.provenAt = now;
+    }
+    node.election.tick(nodes.size(), node.preferred, now);
+    boolean begins = node.election.isServing() && !wasServing;
+    if (node.election.isServing() && (begins || now - node.heartbeatAt >= HEARTBEAT)) {
+      node.heartbeatAt = now;
+      nodes.forEach(receiver -> deliver(node, receiver));
+    }
+  }
+
+  private void deliver(Node sender, Node receiver) {
+    boolean lost = random.nextInt(100) == 0 || sender.cutOff || receiver.cutOff;
+    if (receiver != sender && receiver.up && !lost) {
+      receiver.election.heard(
+          sender.id, ADDRESS, sender.election.servingMillis(now), sender.provenAt, now);
+    }
+  }
+
+  private List<Node> serving() {
+    return nodes.stream().filter(node -> node.up && node.election.isServing()).toList();
+  }
+
+  @Test
+  public void nodesSettleOnAFewRelaysAndOneCoordinator() {
+    for (long seed = 0; seed < 50; seed++) {
+      startNodes(79, 6, seed);
+      run(10_000);
+      assertEquals(serving().size(), RelayElection.WANTED, "seed " + seed);
+      assertTrue(serving().stream().allMatch(node -> node.preferred), "seed " + seed);
+      long coordinators =
+          nodes.stream().filter(node -> node.election.coordinator(now).isEmpty()).count();
+      assertEquals(coordinators, 1, "seed " + seed);
+    }
+  }
+
+  @Test
+  public void relaysThatDieAreReplacedWithinSeconds() {
+    for (long seed = 0; seed < 50; seed++) {
+      startNodes(30, 30, seed);
+      run(5_000);
+      serving().forEach(node -> node.up = false);
+      run(4_000);
+      assertTrue(serving().size() >= RelayElection.WANTED, "seed " + seed);
+      run(6_000);
+      assertEquals(serving().size(), RelayElection.WANTED, "seed " + seed);
+    }
+  }
+
+  @Test
+  public void aRelayThatLosesTheStoreIsReplacedThoughItIsHeard() {
+    for (long seed = 0; seed < 50; seed++) {
+      startNodes(30, 30, seed);
+      run(5_000);
+      Node cut = serving().get(0);
+      cut.reachesStore = false;
+      run(8_000);
+      long proven = serving().stream().filter(node -> node.reachesStore).count();
+      assertEquals(proven, RelayElection.WANTED, "seed " + seed);
+    }
+  }
+
+  @Test
+  public void aNodeThatHearsNobodyServesItselfAndCeasesWhenItIsBack() {
+    startNodes(10, 10, 1);
+    run(5_000);
+    Node alone = nodes.stream().filter(node -> !node.election.isServing()).findAny().orElseThrow();
+    alone.cutOff = true;
+    run(6_000);
+    assertTrue(alone.election.isServing());
+    assertTrue(alone.election.coordinator(now).isEmpty());
+    alone.cutOff = false;
+    run(4_000);
+    assertEquals(serving().size(), RelayElection.WANTED);
+    assertTrue(!alone.election.isServing(), "the senior relays stay");
+  }
+
+  @Test
+  public void aRelayThatDoesNotAnswerIsPassedOver() {
+    startNodes(10, 10, 2);
+    run(5_000);
+    Node asking = nodes.stream().filter(node -> !node.election.isServing()).findAny().orElseThrow();
+    String first = asking.election.coordinator(now).orElseThrow().id();
+    asking.election.failed(first, now);
+    assertTrue(!asking.election.coordinator(now).orElseThrow().id().equals(first));
+  }
+}
--- a/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.backend.ElsewhereLoads.BackendWork;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.cache.PrefixNeed;
 import org.lockdale.gateway.caller.PromptPart;
@@ -21,7 +22,7 @@
 /** Prompts go to their home until it is busy; back ends that fail are left alone. */
 public final class BackendChooserTest {
 
-  private static final BackendChooser CHOOSER = new BackendChooser("zone-a", engine -> 0);
+  private static final BackendChooser CHOOSER = new BackendChooser(engine -> BackendWork.NONE);
 
   private static List<TrackedBackend> engines(int count) {
     List<TrackedBackend> engines = new ArrayList<>();
@@ -62,7 +63,8 @@
   private static Optional<TrackedBackend> place(
       List<TrackedBackend> engines, Set<String> tried, PromptPlacement prompt, long now) {
     return CHOOSER.choose(
-        new PlacementRequest("pool", engines, tried, prompt, engine -> newPrefix(prompt)), now);
+        new PlacementRequest("pool", "zone-a", engines, tried, prompt, engine -> newPrefix(prompt)),
+        now);
   }
 
   @Test
@@ -96,6 +98,7 @@
             .choose(
                 new PlacementRequest(
                     "pool",
+                    "zone-a",
                     engines,
                     Set.of(),
                     prompt,
@@ -110,10 +113,15 @@
     List<TrackedBackend> engines = engines(4);
     TrackedBackend home = choose(engines, prompt("p"));
     BackendChooser informed =
-        new BackendChooser("zone-a", engine -> engine.equals(home.backend().id()) ? 20_000 : 0);
+        new BackendChooser(
+            engine ->
+                engine.equals(home.backend().id())
+                    ? new BackendWork(20_000, 0, 2)
+                    : BackendWork.NONE);
     PromptPlacement prompt = prompt("p");
     PlacementRequest request =
-        new PlacementRequest("pool", engines, Set.of(), prompt, engine -> newPrefix(prompt));
+        new PlacementRequest(
+            "pool", "zone-a", engines, Set.of(), prompt, engine -> newPrefix(prompt));
     assertNotEquals(informed.choose(request, 0).orElseThrow(), home);
   }
 
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/table/TableCopyTest.java
@@ -0,0 +1,101 @@
+package org.lockdale.gateway.table;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** A copy gives others exactly what they lack, and never goes back. */
+public final class TableCopyTest {
+
+  private static TableRowChange row(String key, long version, boolean removed) {
+    return new TableRowChange(key, new byte[] {(byte) version}, version, removed);
+  }
+
+  private static Map<String, TableRowChange> whole(TableRowChange... rows) {
+    Map<String, TableRowChange> whole = new HashMap<>();
+    for (TableRowChange row : rows) {
+      whole.put(row.key(), row);
+    }
+    return whole;
+  }
+
+  @Test
+  public void changesAfterAVersionNameRowsAndRemovals() {
+    TableCopy copy = new TableCopy();
+    copy.replace(whole(row("a", 1, false), row("b", 2, false)), 4);
+    copy.apply(List.of(row("a", 5, true), row("c", 6, false)));
+    TableChanges changes = copy.changesAfter(4);
+    assertEquals(changes.whole(), false);
+    assertEquals(changes.lastChange(), 6);
+    assertEquals(changes.rows().size(), 2);
+    assertEquals(copy.changesAfter(5).rows(), List.of(row(copy, "c")));
+  }
+
+  private static TableRowChange row(TableCopy copy, String key) {
+    return copy.rows().get(key);
+  }
+
+  @Test
+  public void whoKnowsLessThanTheHistoryGetsTheWholeTable() {
+    TableCopy copy = new TableCopy();
+    copy.replace(whole(row("a", 1, false)), 4);
+    assertEquals(copy.changesAfter(3).whole(), true);
+    assertEquals(copy.changesAfter(-1).rows().size(), 1);
+  }
+
+  @Test
+  public void anOlderReadingOfTheWholeTableRemovesNothingAndBringsNothingBack() {
+    TableCopy copy = new TableCopy();
+    copy.replace(whole(row("a", 1, false), row("b", 2, false)), 4);
+    copy.apply(List.of(row("b", 5, true), row("c", 6, false)));
+    copy.replace(whole(row("a", 1, false), row("b", 2, false)), 4);
+    assertEquals(copy.rows().keySet(), java.util.Set.of("a", "c"));
+    assertEquals(copy.lastChange(), 6);
+  }
+
+  /** Readers that ask at random times, of copies that began at random times, see the same table. */
+  @Test
+  public void readersOfReadersEndWithTheSameTable() {
+    for (long seed = 0; seed < 500; seed++) {
+      Random random = new Random(seed);
+      Map<String, TableRowChange> table = new HashMap<>();
+      TableCopy relay = new TableCopy();
+      TableCopy reader = new TableCopy();
+      for (long version = 1; version <= 60; version++) {
+        String key = "k" + random.nextInt(6);
+        TableRowChange change = row(key, version, random.nextInt(3) == 0);
+        if (change.removed()) {
+          table.remove(key);
+        } else {
+          table.put(key, change);
+        }
+        if (relay.lastChange() < 0 || random.nextInt(20) == 0) {
+          relay.replace(table, version);
+        } else {
+          relay.apply(List.of(change));
+        }
+        if (random.nextInt(4) == 0) {
+          pull(relay, reader);
+        }
+      }
+      pull(relay, reader);
+      assertEquals(reader.rows(), table, "seed " + seed);
+    }
+  }
+
+  private static void pull(TableCopy relay, TableCopy reader) {
+    TableChanges changes = relay.changesAfter(reader.lastChange());
+    if (changes.whole()) {
+      Map<String, TableRowChange> whole = new HashMap<>();
+      changes.rows().forEach(row -> whole.put(row.key(), row));
+      reader.replace(whole, changes.lastChange());
+    } else {
+      reader.apply(changes.rows());
+      reader.completeTo(changes.lastChange());
+    }
+  }
+}
--- a/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
@@ -1,9 +1,11 @@
 package org.lockdale.gateway.table;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.DefaultEventLoop;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -45,16 +47,29 @@
     }
   }
 
+  private static final InetSocketAddress RELAY = new InetSocketAddress("127.0.0.1", 1);
+
   private final ScriptedFeed feed = new ScriptedFeed();
+  private final List<Long> peerCalls = new ArrayList<>();
+  private final Deque<CompletableFuture<TablePeers.Answer>> peerAnswers = new ArrayDeque<>();
+  private final TablePeers peers =
+      (peer, table, afterChange) -> {
+        peerCalls.add(afterChange);
+        return peerAnswers.poll();
+      };
+  private StoreClock clock;
   private final BlockingQueue<Map<String, String>> copies = new LinkedBlockingQueue<>();
   private DefaultEventLoop eventLoop;
 
   @BeforeMethod
   public void start() {
     eventLoop = new DefaultEventLoop();
+    clock = new StoreClock();
     feed.scans.clear();
     feed.changes.clear();
     feed.calls.clear();
+    peerCalls.clear();
+    peerAnswers.clear();
     copies.clear();
   }
 
@@ -77,15 +92,19 @@
   }
 
   private TableFollower follow() {
+    return follow(true);
+  }
+
+  private TableFollower follow(boolean direct) {
     TableFollower follower =
         new TableFollower(
             eventLoop,
-            feed,
-            "table",
-            Duration.ofSeconds(1),
+            new TableFollower.Sources(feed, peers, clock),
+            new TableFollower.Plan("table", Duration.ofSeconds(1), Duration.ZERO),
             new SystemTime(),
             (rows, changed, provenAt) -> copies.add(texts(rows)));
     follower.start();
+    eventLoop.execute(() -> follower.follow(direct));
     return follower;
   }
 
@@ -125,6 +144,56 @@
         feed.calls.subList(0, 4), List.of("scan start", "changes 3", "changes 3", "changes 3"));
   }
 
+  private boolean announce(TableFollower follower, long lastChange) throws Exception {
+    return eventLoop
+        .submit(() -> follower.announced(RELAY, new TableProof("table", lastChange, 1_000)))
+        .get()
+        .get(10, TimeUnit.SECONDS);
+  }
+
+  @Test
+  public void aNodeThatDoesNotFollowReadsOnlyWhatARelayAnnounces() throws Exception {
+    feed.scans.add(page(false, 5, row("a", "1", 1)));
+    TableFollower follower = follow(false);
+    nextCopy();
+    assertTrue(announce(follower, 5));
+    assertEquals(nextCopy(), Map.of("a", "1"));
+    TableChanges changes = new TableChanges(false, 7, List.of(row("b", "2", 7)));
+    peerAnswers.add(CompletableFuture.completedFuture(new TablePeers.Answer(changes, 1_100, 3)));
+    assertTrue(announce(follower, 7));
+    assertEquals(nextCopy(), Map.of("a", "1", "b", "2"));
+    assertEquals(peerCalls, List.of(5L));
+    assertEquals(feed.calls, List.of("scan start"), "the store is left alone");
+  }
+
+  @Test
+  public void aRelayThatDoesNotAnswerIsReportedAndAskedAgain() throws Exception {
+    feed.scans.add(page(false, 5, row("a", "1", 1)));
+    TableFollower follower = follow(false);
+    nextCopy();
+    peerAnswers.add(CompletableFuture.failedFuture(new IllegalStateException("down")));
+    assertFalse(announce(follower, 6));
+    TableChanges whole = new TableChanges(true, 9, List.of(row("c", "3", 9)));
+    peerAnswers.add(CompletableFuture.completedFuture(new TablePeers.Answer(whole, 1_100, 3)));
+    assertTrue(announce(follower, 9));
+    assertEquals(nextCopy(), Map.of("c", "3"), "what the whole table lacks is gone");
+  }
+
+  @Test
+  public void aNodeThatStartsWhileTheStoreIsDownReadsFromARelay() throws Exception {
+    TableFollower follower = follow(false);
+    TableChanges whole = new TableChanges(true, 9, List.of(row("c", "3", 9)));
+    peerAnswers.add(CompletableFuture.completedFuture(new TablePeers.Answer(whole, 1_100, 50)));
+    long askedAt = new SystemTime().monotonicMillis();
+    assertTrue(announce(follower, 9));
+    assertEquals(nextCopy(), Map.of("c", "3"));
+    assertEquals(peerCalls, List.of(-1L));
+    long provenAt = follower.provenAtMillis();
+    assertTrue(provenAt >= askedAt - 50, "the relay's proof counts with its age");
+    assertTrue(provenAt <= new SystemTime().monotonicMillis() - 50);
+    assertEquals(clock.localMillis(1_100), provenAt, "the store's clock is known from then on");
+  }
+
   @Test
   public void lostHistoryMeansAnotherScanAndNoRowGoesBack() throws InterruptedException {
     feed.scans.add(page(false, 3, row("a", "new", 3)));
--- a/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
@@ -17,11 +17,12 @@
 import org.lockdale.protocol.generated.ClaimRecord;
 import org.lockdale.protocol.generated.ConfigurationChange;
 import org.lockdale.protocol.generated.ConfigurationSnapshot;
-import org.lockdale.protocol.generated.EngineLoad;
-import org.lockdale.protocol.generated.EngineMoveRecord;
 import org.lockdale.protocol.generated.LeaseRecord;
+import org.lockdale.protocol.generated.NodeDatagram;
 import org.lockdale.protocol.generated.NodeRecord;
 import org.lockdale.protocol.generated.PeerMessage;
+import org.lockdale.protocol.generated.TableSlice;
+import org.lockdale.protocol.generated.TableSliceRequest;
 
 /**
  * Encodes and decodes one type of message with Avro. Each encoding starts with the 64-bit
@@ -85,19 +86,24 @@
     return forSchema(LeaseRecord.getClassSchema());
   }
 
-  /** Returns a codec of the states of engines in a rollout as kept in the table service. */
-  public static MessageCodec<EngineMoveRecord> engineMoves() {
-    return forSchema(EngineMoveRecord.getClassSchema());
-  }
-
   /** Returns a codec of the addresses of nodes as kept in the table service. */
   public static MessageCodec<NodeRecord> nodes() {
     return forSchema(NodeRecord.getClassSchema());
   }
 
-  /** Returns a codec of the load that nodes tell each other. */
-  public static MessageCodec<EngineLoad> engineLoads() {
-    return forSchema(EngineLoad.getClassSchema());
+  /** Returns a codec of the datagrams between gateway nodes. */
+  public static MessageCodec<NodeDatagram> nodeDatagrams() {
+    return forSchema(NodeDatagram.getClassSchema());
+  }
+
+  /** Returns a codec of requests for parts of tables. */
+  public static MessageCodec<TableSliceRequest> tableSliceRequests() {
+    return forSchema(TableSliceRequest.getClassSchema());
+  }
+
+  /** Returns a codec of parts of tables. */
+  public static MessageCodec<TableSlice> tableSlices() {
+    return forSchema(TableSlice.getClassSchema());
   }
 
   /** Returns a codec that writes a schema and reads it alone. */
