--- a/gateway/src/main/java/org/lockdale/gateway/backend/BackendLoad.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/BackendLoad.java
@@ -26,14 +26,20 @@
       this.promptTokens = promptTokens;
     }
 
-    /** Notes that the answer has begun. */
-    public void begin() {
-      if (!begun && !ended) {
-        begun = true;
-        waitingTokens.addAndGet(-computedTokens);
-        runningTokens.addAndGet(promptTokens);
-        progress.incrementAndGet();
+    /**
+     * Notes that the answer has begun.
+     *
+     * @return whether it had not begun before
+     */
+    public boolean begin() {
+      if (begun || ended) {
+        return false;
       }
+      begun = true;
+      waitingTokens.addAndGet(-computedTokens);
+      runningTokens.addAndGet(promptTokens);
+      progress.incrementAndGet();
+      return true;
     }
 
     /** Notes that the request has ended, however it ended. */
--- a/gateway/src/main/java/org/lockdale/gateway/cache/CacheDirectory.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cache/CacheDirectory.java
@@ -21,7 +21,7 @@
  */
 public final class CacheDirectory {
 
-  private static final long RECONCILE_MILLIS = 200;
+  private static final long RECONCILE_MILLIS = 500;
 
   /** Engines beyond this number are not followed; what they keep stays unknown. */
   private static final int MAX_FOLLOWED_ENGINES = 256;
@@ -66,6 +66,7 @@
   /** Follows the holders, or ceases to and forgets what they keep. */
   public void follow(boolean wanted) {
     following = wanted;
+    eventLoop.execute(this::reconcile);
   }
 
   private void reconcile() {
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/NodeReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/NodeReporter.java
@@ -10,11 +10,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.ElsewhereLoads.BackendWork;
 import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.request.AttemptObserver;
 import org.lockdale.gateway.weights.EngineMove;
 import org.lockdale.protocol.generated.AttemptOutcome;
 import org.lockdale.protocol.generated.AttemptVerdict;
@@ -28,9 +30,11 @@
  * request has begun to be answered or has ended, and from time to time while there are any. Notes
  * may be made from any thread; the rest runs on one event loop.
  */
-public final class NodeReporter {
+public final class NodeReporter implements AttemptObserver {
+
+  /** What happens within this time goes into one message. */
+  private static final long GATHER_MILLIS = 10;
 
-  private static final long TICK_MILLIS = 10;
   private static final long REPEAT_MILLIS = 500;
 
   /** Notes that wait to be told; further ones are dropped. */
@@ -53,6 +57,7 @@
   private final Queue<EngineMoveRecord> moves = new ConcurrentLinkedQueue<>();
   private final Map<String, Long> latestPlacements = new ConcurrentHashMap<>();
   private final Map<String, Told> told = new HashMap<>();
+  private final AtomicBoolean scheduled = new AtomicBoolean();
 
   /**
    * Creates a reporter; {@link #start} starts it.
@@ -78,7 +83,19 @@
 
   /** Starts to tell. */
   public void start() {
-    eventLoop.scheduleAtFixedRate(this::tell, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    eventLoop.scheduleAtFixedRate(this::tell, REPEAT_MILLIS, REPEAT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void workChanged() {
+    if (scheduled.compareAndSet(false, true)) {
+      eventLoop.schedule(this::tellNews, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void tellNews() {
+    scheduled.set(false);
+    tell();
   }
 
   /** Notes that an engine will hold parts of prompts soon. */
@@ -86,7 +103,7 @@
     note(expectations, new ExpectedParts(engine, parts));
   }
 
-  /** Notes the outcome of an attempt. */
+  @Override
   public void concluded(String engine, AttemptVerdict verdict) {
     note(outcomes, new AttemptOutcome(engine, verdict));
   }
@@ -101,10 +118,11 @@
     latestPlacements.merge(relay, placement, Math::max);
   }
 
-  private static <T> void note(Queue<T> notes, T note) {
+  private <T> void note(Queue<T> notes, T note) {
     if (notes.size() < MAX_NOTES) {
       notes.add(note);
     }
+    workChanged();
   }
 
   private void tell() {
@@ -148,7 +166,7 @@
       Told before = told.getOrDefault(engine, NOTHING);
       long progress = tracked.load().progress();
       BackendWork work = tracked.load().work();
-      boolean due = now - before.atMillis() >= REPEAT_MILLIS && !work.isNone();
+      boolean due = now - before.atMillis() >= REPEAT_MILLIS - GATHER_MILLIS && !work.isNone();
       if (progress != before.progress() || due) {
         told.put(engine, new Told(work, progress, now));
         loads.add(
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -20,7 +21,12 @@
  */
 public final class RelayController {
 
-  private static final long TICK_MILLIS = 50;
+  /** How often a relay looks for changes to announce. */
+  private static final long RELAY_TICK_MILLIS = 50;
+
+  /** How often another node looks whether it has to serve; idle nodes wake seldom. */
+  private static final long TICK_MILLIS = 200;
+
   private static final long HEARTBEAT_MILLIS = 500;
 
   private final EventLoop eventLoop;
@@ -47,6 +53,7 @@
    * @param followers copies of tables; the first one's proof tells whether a relay reaches the
    *     store
    * @param clock the store's clock
+   * @param maxProofAge age of its proof from which on a relay is taken to have lost the store
    * @param time clock
    * @param onServing told whether this node serves as a relay, whenever that changes
    */
@@ -56,6 +63,7 @@
       DatagramExchange datagrams,
       List<TableFollower> followers,
       StoreClock clock,
+      Duration maxProofAge,
       Time time,
       Consumer<Boolean> onServing) {
     this.eventLoop = eventLoop;
@@ -65,12 +73,12 @@
     this.clock = clock;
     this.time = time;
     this.onServing = onServing;
-    this.election = new RelayElection(nodes.self().id());
+    this.election = new RelayElection(nodes.self().id(), maxProofAge.toMillis());
   }
 
   /** Starts the election. */
   public void start() {
-    eventLoop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    eventLoop.execute(this::run);
   }
 
   /** Ceases to serve for good, as before a planned stop, and tells the others. */
@@ -145,6 +153,12 @@
     }
   }
 
+  private void run() {
+    tick();
+    long delay = serving ? RELAY_TICK_MILLIS : TICK_MILLIS;
+    eventLoop.schedule(this::run, delay, TimeUnit.MILLISECONDS);
+  }
+
   private void tick() {
     long now = time.monotonicMillis();
     if (!retired && followers.get(0).isKnown()) {
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RelayElection.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RelayElection.java
@@ -24,9 +24,6 @@
   /** A relay that was not heard of for this long counts as gone. */
   static final long SILENCE_MILLIS = 1_300;
 
-  /** A relay whose copies were last proven current this long ago can't reach the store. */
-  static final long MAX_PROOF_AGE_MILLIS = 2_000;
-
   /** A relay that failed to answer is left alone for this long. */
   static final long DISTRUST_MILLIS = 3_000;
 
@@ -55,6 +52,7 @@
   private record Heard(Relay relay, long heardAtMillis, long provenAtMillis) {}
 
   private final String selfId;
+  private final long maxProofAgeMillis;
   private final Map<String, Heard> heard = new HashMap<>();
   private final Map<String, Long> distrustedUntil = new HashMap<>();
   private boolean serving;
@@ -63,9 +61,16 @@
   private long lackingSinceMillis = NEVER;
   private long delays;
 
-  /** Creates the election of one node. */
-  public RelayElection(String selfId) {
+  /**
+   * Creates the election of one node.
+   *
+   * @param selfId id of the node
+   * @param maxProofAgeMillis age of the proof of its copies from which on a relay is taken to have
+   *     lost the store
+   */
+  public RelayElection(String selfId, long maxProofAgeMillis) {
     this.selfId = selfId;
+    this.maxProofAgeMillis = maxProofAgeMillis;
   }
 
   /**
@@ -165,7 +170,7 @@
     List<Relay> usable = new ArrayList<>();
     for (Heard entry : heard.values()) {
       boolean silent = nowMillis - entry.heardAtMillis() > SILENCE_MILLIS;
-      boolean proven = nowMillis - entry.provenAtMillis() <= MAX_PROOF_AGE_MILLIS;
+      boolean proven = nowMillis - entry.provenAtMillis() <= maxProofAgeMillis;
       if (!silent && proven && !distrustedUntil.containsKey(entry.relay().id())) {
         usable.add(entry.relay());
       }
--- a/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
+++ b/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
@@ -50,6 +50,13 @@
   @Option(names = "--settings-reference", description = "Prints the page of all settings.")
   private boolean reference;
 
+  @Option(
+      names = "--training-run",
+      description =
+          "Starts a node on loopback for a moment and stops it, so that a class data archive can be"
+              + " written (java -XX:ArchiveClassesAtExit=FILE).")
+  private boolean trainingRun;
+
   private GatewayCommand(
       Function<GatewaySettings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols>>
           adapters) {
@@ -81,6 +88,10 @@
       System.out.print(GatewaySettings.referencePage());
       return EXIT_OK;
     }
+    if (trainingRun) {
+      TrainingRun.run(adapters);
+      return EXIT_OK;
+    }
     GatewaySettings settings = GatewaySettings.load(file, flags);
     if (checkOnly) {
       System.out.println("settings are valid");
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -35,6 +35,9 @@
 
   private static final long UPKEEP_MILLIS = 500;
 
+  /** A proof may be older than one wait by the time until the next heartbeat, and a lost one. */
+  private static final Duration PROOF_MARGIN = Duration.ofMillis(1_000);
+
   /** Tables whose proofs nobody needs are asked for with waits this many times as long. */
   private static final int QUIET_TABLE_WAITS = 2;
 
@@ -91,7 +94,14 @@
         followers(sources, settings.get(GatewaySettings.STORE_WAIT), protocols, backendClient);
     relays =
         new RelayController(
-            eventLoop, nodes, datagrams, followers, clock, time, cacheDirectory::follow);
+            eventLoop,
+            nodes,
+            datagrams,
+            followers,
+            clock,
+            settings.get(GatewaySettings.STORE_WAIT).plus(PROOF_MARGIN),
+            time,
+            cacheDirectory::follow);
     reporter =
         new NodeReporter(
             eventLoop, datagrams, () -> blackboard.backends().value(), relays::relays, time);
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -69,7 +69,7 @@
             cluster.placements(),
             cluster.decider(),
             settings.get(GatewaySettings.NODE_ZONE),
-            cluster.reporter()::concluded,
+            cluster.reporter(),
             time);
     rollout = rollout(protocols);
     peers =
@@ -166,6 +166,11 @@
     return blackboard.phase().value() == GatewayPhase.DRAINING;
   }
 
+  /** Returns whether this node follows the store and places requests on behalf of others. */
+  public boolean isRelay() {
+    return cluster.isRelay();
+  }
+
   /** Re-reads nothing that can change at run time; notes that it was asked to. */
   public void reload() {
     Logger.info("event=reload-asked node={}", settings.get(GatewaySettings.NODE_ID));
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -31,6 +31,7 @@
   private final AttemptPlan plan;
   private final BackendProtocol protocol;
   private final Time time;
+  private final Runnable onBegun;
   private final BiConsumer<Attempt, AttemptResult> onResult;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private final BackendLoad.Share share;
@@ -46,12 +47,14 @@
       AttemptPlan plan,
       BackendProtocol protocol,
       Time time,
+      Runnable onBegun,
       BiConsumer<Attempt, AttemptResult> onResult) {
     this.state = state;
     this.target = target;
     this.plan = plan;
     this.protocol = protocol;
     this.time = time;
+    this.onBegun = onBegun;
     this.onResult = onResult;
     this.share = target.load().open(state.computedTokens(), state.promptTokens());
   }
@@ -158,8 +161,8 @@
   private void relayPart(StreamRelay stream, ByteBuf content) {
     try {
       stream.accept(content);
-      if (stream.hasBegun()) {
-        share.begin();
+      if (stream.hasBegun() && share.begin()) {
+        onBegun.run();
       }
     } catch (IllegalArgumentException malformed) {
       abandon(brokenResult(), "its stream can't be read: " + malformed.getMessage());
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -100,7 +100,14 @@
             placement.transfer(),
             state.lastEventId);
     Attempt attempt =
-        new Attempt(state, target, plan, path.backendProtocol(), path.time(), this::concluded);
+        new Attempt(
+            state,
+            target,
+            plan,
+            path.backendProtocol(),
+            path.time(),
+            path::workChanged,
+            this::concluded);
     current = attempt;
     path.placements().opened(placement);
     attempt.start(path.client());
@@ -237,6 +244,7 @@
     }
     Attempt attempt = current;
     if (attempt != null && attempt.cancel()) {
+      path.workChanged();
       state.possibleRuns++;
       attempt.target().health().failed(path.nowMillis());
     }
@@ -257,6 +265,7 @@
     Attempt attempt = current;
     if (attempt != null) {
       attempt.cancel();
+      path.workChanged();
     }
     end("caller-left");
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BiConsumer;
 import org.lockdale.coordination.blackboard.Snapshot;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.BackendProtocol;
@@ -41,7 +40,7 @@
   private final PlacementService placements;
   private final PlacementDecider decider;
   private final String zone;
-  private final BiConsumer<String, AttemptVerdict> onConcluded;
+  private final AttemptObserver observer;
   private final RetryBudget budget;
   private final Time time;
   private final SplitSelector splits = new SplitSelector();
@@ -59,7 +58,7 @@
    * @param placements tells where requests are served
    * @param decider what this node believes itself
    * @param zone zone of the node
-   * @param onConcluded receives what attempts showed of their back ends, by id
+   * @param observer told of the progress of attempts
    * @param time clock
    */
   public RequestPath(
@@ -71,7 +70,7 @@
       PlacementService placements,
       PlacementDecider decider,
       String zone,
-      BiConsumer<String, AttemptVerdict> onConcluded,
+      AttemptObserver observer,
       Time time) {
     this.blackboard = blackboard;
     this.callerProtocol = callerProtocol;
@@ -80,7 +79,7 @@
     this.placements = placements;
     this.decider = decider;
     this.zone = zone;
-    this.onConcluded = onConcluded;
+    this.observer = observer;
     this.budget =
         new RetryBudget(
             limits.retryRatio(), limits.retryAllowance(), limits.retryWindow().toMillis());
@@ -148,6 +147,11 @@
     return zone;
   }
 
+  /** Notes that a request has begun to be answered or has ended. */
+  void workChanged() {
+    observer.workChanged();
+  }
+
   /** Tells the relays what an attempt showed of its back end. */
   void report(TrackedBackend target, AttemptResult result) {
     AttemptVerdict verdict =
@@ -157,8 +161,10 @@
           case FAILED, BROKEN_OFF -> AttemptVerdict.FAILED;
           default -> null;
         };
-    if (verdict != null) {
-      onConcluded.accept(target.backend().id(), verdict);
+    if (verdict == null) {
+      observer.workChanged();
+    } else {
+      observer.concluded(target.backend().id(), verdict);
     }
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
@@ -30,6 +30,10 @@
 public final class RolloutController {
 
   private static final long TICK_MILLIS = 100;
+
+  /** How often a node that may not lead looks whether it may; idle nodes wake seldom. */
+  private static final long IDLE_TICK_MILLIS = 500;
+
   private static final long LEASE_DURATION_MILLIS = 1_500;
   private static final long RENEWAL_MILLIS = 500;
   private static final long CONTENTION_MILLIS = 300;
@@ -99,7 +103,7 @@
 
   /** Starts the controller. */
   public void start() {
-    eventLoop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    eventLoop.execute(this::run);
   }
 
   /** Gives no further orders. */
@@ -107,6 +111,12 @@
     closed = true;
   }
 
+  private void run() {
+    tick();
+    long delay = mayLead.getAsBoolean() ? TICK_MILLIS : IDLE_TICK_MILLIS;
+    eventLoop.schedule(this::run, delay, TimeUnit.MILLISECONDS);
+  }
+
   private void tick() {
     if (closed || !mayLead.getAsBoolean()) {
       pending = false;
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/NodeReporterTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/NodeReporterTest.java
@@ -131,8 +131,10 @@
   @Test
   public void workIsToldAndTakenBack() {
     BackendLoad.Share share = senderLoad().open(5_000, 8_000);
+    sender.workChanged();
     await(() -> heard.at("i-1").equals(new BackendWork(5_000, 0, 1)));
     share.begin();
+    sender.workChanged();
     await(() -> heard.at("i-1").equals(new BackendWork(0, 8_000, 1)));
     share.end();
     await(() -> heard.at("i-1").isNone());
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RelayElectionTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RelayElectionTest.java
@@ -29,7 +29,7 @@
     Node(int index, boolean preferred) {
       this.id = "node-" + index;
       this.preferred = preferred;
-      this.election = new RelayElection(id);
+      this.election = new RelayElection(id, 2_000);
     }
   }
 
