Prompts are kept by all cache stores; a plain start builds no command line

Cause, 1: on the grown sites the configuration names three stores of cached prompts, and only the first one was used.

Change: CacheDirectory follows all stores; a prompt is saved at the store that ranks first for its deepest shared part, and fetched from whoever keeps most. `--settings FILE` alone starts a node without picocli; errors and exit statuses are the same (GatewayCommandTest).

--- a/gateway/src/main/java/org/lockdale/gateway/cache/CacheDirectory.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cache/CacheDirectory.java
@@ -2,21 +2,21 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.configuration.CacheStore;
 
 /**
- * What each engine and the store of cached prompts are believed to keep. A follower a holder runs
+ * What each engine and each store of cached prompts is believed to keep. A follower a holder runs
  * on one event loop; the request path reads from any thread.
  */
 public final class CacheDirectory {
@@ -28,14 +28,22 @@
 
   private static final HeldParts NOTHING = new HeldParts();
 
+  /**
+   * A store that answers.
+   *
+   * @param address where it is reached
+   * @param held what it keeps
+   */
+  public record StoreView(InetSocketAddress address, HeldParts held) {}
+
   private record Holder(InetSocketAddress address, HeldParts held, CacheFollower follower) {}
 
   private final EventLoop eventLoop;
   private final CacheEventSource source;
   private final Supplier<BackendTable> backends;
-  private final Supplier<Optional<CacheStore>> storeInForce;
+  private final Supplier<List<CacheStore>> storesInForce;
   private final Map<String, Holder> engines = new ConcurrentHashMap<>();
-  private volatile @Nullable Holder store;
+  private final Map<InetSocketAddress, Holder> stores = new ConcurrentHashMap<>();
   private volatile boolean following;
 
   /**
@@ -44,17 +52,17 @@
    * @param eventLoop runs the followers
    * @param source asks holders
    * @param backends back ends on record
-   * @param storeInForce the store in force
+   * @param storesInForce the stores in force
    */
   public CacheDirectory(
       EventLoop eventLoop,
       CacheEventSource source,
       Supplier<BackendTable> backends,
-      Supplier<Optional<CacheStore>> storeInForce) {
+      Supplier<List<CacheStore>> storesInForce) {
     this.eventLoop = eventLoop;
     this.source = source;
     this.backends = backends;
-    this.storeInForce = storeInForce;
+    this.storesInForce = storesInForce;
   }
 
   /** Starts to follow. */
@@ -70,7 +78,7 @@
   }
 
   private void reconcile() {
-    followStore();
+    followStores();
     Set<String> present = new HashSet<>();
     for (TrackedBackend tracked : backends.get().all()) {
       Backend backend = tracked.backend();
@@ -80,7 +88,20 @@
         engines.computeIfAbsent(backend.id(), id -> follow(backend.address(), false));
       }
     }
-    engines
+    closeAllBut(present, engines);
+  }
+
+  private void followStores() {
+    Set<InetSocketAddress> present = new HashSet<>();
+    if (following) {
+      storesInForce.get().forEach(store -> present.add(store.address()));
+    }
+    present.forEach(address -> stores.computeIfAbsent(address, absent -> follow(address, true)));
+    closeAllBut(present, stores);
+  }
+
+  private static <K> void closeAllBut(Set<K> present, Map<K, Holder> holders) {
+    holders
         .entrySet()
         .removeIf(
             entry -> {
@@ -92,19 +113,6 @@
             });
   }
 
-  private void followStore() {
-    InetSocketAddress address =
-        following ? storeInForce.get().map(CacheStore::address).orElse(null) : null;
-    Holder followed = store;
-    if (followed != null && !followed.address().equals(address)) {
-      followed.follower().close();
-      store = null;
-    }
-    if (store == null && address != null) {
-      store = follow(address, true);
-    }
-  }
-
   private Holder follow(InetSocketAddress address, boolean listFirst) {
     HeldParts held = new HeldParts();
     CacheFollower follower = new CacheFollower(eventLoop, source, address, held, listFirst);
@@ -118,17 +126,14 @@
     return holder == null ? NOTHING : holder.held();
   }
 
-  /** Returns the address of the store, if it answers. */
-  public Optional<InetSocketAddress> storeAddress() {
-    Holder holder = store;
-    return holder != null && holder.held().isAvailable()
-        ? Optional.of(holder.address())
-        : Optional.empty();
-  }
-
-  /** Returns what the store keeps. */
-  public HeldParts store() {
-    Holder holder = store;
-    return holder == null ? NOTHING : holder.held();
+  /** Returns the stores that answer. */
+  public List<StoreView> stores() {
+    List<StoreView> answering = new ArrayList<>(stores.size());
+    for (Holder holder : stores.values()) {
+      if (holder.held().isAvailable()) {
+        answering.add(new StoreView(holder.address(), holder.held()));
+      }
+    }
+    return answering;
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/cache/CachePlanner.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cache/CachePlanner.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 import org.jspecify.annotations.Nullable;
+import org.lockdale.coordination.placement.Rendezvous;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.caller.PromptPart;
 
@@ -45,9 +46,11 @@
     List<PromptPart> shared = parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
     List<Long> keys = new ArrayList<>(shared.size());
     shared.forEach(part -> keys.add(HeldParts.keyOf(namespace, part.id())));
-    int confirmed =
-        directory.storeAddress().isPresent() ? confirmedDepth(directory.store(), keys) : 0;
+    int confirmed = 0;
     int expected = 0;
+    for (CacheDirectory.StoreView store : directory.stores()) {
+      confirmed = Math.max(confirmed, confirmedDepth(store.held(), keys));
+    }
     for (TrackedBackend engine : engines) {
       HeldParts held = directory.engine(engine.backend().id());
       confirmed = Math.max(confirmed, confirmedDepth(held, keys));
@@ -95,12 +98,11 @@
       TrackedBackend target, List<TrackedBackend> others, List<Long> keys) {
     int longest = confirmedDepth(directory.engine(target.backend().id()), keys);
     InetSocketAddress source = null;
-    InetSocketAddress storeAddress = directory.storeAddress().orElse(null);
-    if (storeAddress != null) {
-      int depth = confirmedDepth(directory.store(), keys);
+    for (CacheDirectory.StoreView store : directory.stores()) {
+      int depth = confirmedDepth(store.held(), keys);
       if (depth > longest) {
         longest = depth;
-        source = storeAddress;
+        source = store.address();
       }
     }
     for (TrackedBackend other : others) {
@@ -129,11 +131,27 @@
     return depth;
   }
 
-  /** A prompt is saved by the request that first finds its shared parts missing in the store. */
+  /**
+   * A prompt is saved by the request that first finds its shared parts missing at their home, the
+   * store that ranks first for the deepest of them. So each prompt is kept once, and all stores
+   * together keep as many as they have room for.
+   */
   private @Nullable InetSocketAddress destinationOf(List<Long> keys, long nowMillis) {
-    InetSocketAddress storeAddress = directory.storeAddress().orElse(null);
-    boolean missing =
-        storeAddress != null && directory.store().expect(keys.get(keys.size() - 1), nowMillis);
-    return missing ? storeAddress : null;
+    long deepest = keys.get(keys.size() - 1);
+    CacheDirectory.StoreView home = homeOf(deepest);
+    return home != null && home.held().expect(deepest, nowMillis) ? home.address() : null;
+  }
+
+  private CacheDirectory.@Nullable StoreView homeOf(long key) {
+    CacheDirectory.StoreView home = null;
+    long homeWeight = 0;
+    for (CacheDirectory.StoreView store : directory.stores()) {
+      long weight = Rendezvous.weight(key, Rendezvous.identityOf(store.address().toString()));
+      if (home == null || Long.compareUnsigned(weight, homeWeight) > 0) {
+        home = store;
+        homeWeight = weight;
+      }
+    }
+    return home;
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
+++ b/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
@@ -33,12 +33,14 @@
 public final class GatewayCommand implements Callable<Integer> {
 
   private static final int EXIT_OK = 0;
+  private static final int EXIT_FAILED = 1;
   private static final int EXIT_WRONG_SETTINGS = 2;
+  private static final String SETTINGS_OPTION = "--settings";
 
   private final Function<GatewaySettings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols>>
       adapters;
 
-  @Option(names = "--settings", paramLabel = "FILE", description = "Settings file (YAML).")
+  @Option(names = SETTINGS_OPTION, paramLabel = "FILE", description = "Settings file (YAML).")
   private @Nullable Path file;
 
   @Option(names = "--set", paramLabel = "KEY=VALUE", description = "A setting; wins over the file.")
@@ -73,15 +75,45 @@
   public static int run(
       Function<GatewaySettings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols>> adapters,
       String... arguments) {
+    if (isPlainStart(arguments)) {
+      return startPlainly(new GatewayCommand(adapters), Path.of(arguments[1]));
+    }
     return new CommandLine(new GatewayCommand(adapters))
         .setExecutionExceptionHandler(
             (failure, command, parsed) -> {
               command.getErr().println(failure.getMessage());
-              return failure instanceof SettingsException ? EXIT_WRONG_SETTINGS : 1;
+              return statusOf(failure);
             })
         .execute(arguments);
   }
 
+  /**
+   * Returns whether a node is started with its settings file alone, as where it is installed. This
+   * is part of every recovery, and to build the command line would take half of its time.
+   */
+  private static boolean isPlainStart(String... arguments) {
+    return arguments.length == 2
+        && arguments[0].equals(SETTINGS_OPTION)
+        && !arguments[1].startsWith("-");
+  }
+
+  private static int startPlainly(GatewayCommand command, Path settings) {
+    command.file = settings;
+    try {
+      return command.call();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      return EXIT_FAILED;
+    } catch (RuntimeException failure) {
+      System.err.println(failure.getMessage());
+      return statusOf(failure);
+    }
+  }
+
+  private static int statusOf(Exception failure) {
+    return failure instanceof SettingsException ? EXIT_WRONG_SETTINGS : EXIT_FAILED;
+  }
+
   @Override
   public Integer call() throws InterruptedException {
     if (reference) {
--- a/gateway/src/main/java/org/lockdale/gateway/configuration/GatewayConfiguration.java
+++ b/gateway/src/main/java/org/lockdale/gateway/configuration/GatewayConfiguration.java
@@ -29,7 +29,7 @@
    * @param version rises with every change
    * @param routes all routes
    * @param pools all pools
-   * @param cacheStores stores of cached prompts; the first one is used
+   * @param cacheStores stores of cached prompts
    * @param tenants all tenants; without any, no keys are asked for
    */
   public GatewayConfiguration(
@@ -77,9 +77,9 @@
     return Optional.ofNullable(pools.get(name));
   }
 
-  /** Returns the store of cached prompts. */
-  public Optional<CacheStore> cacheStore() {
-    return cacheStores.stream().findFirst();
+  /** Returns the stores of cached prompts. */
+  public List<CacheStore> cacheStores() {
+    return cacheStores;
   }
 
   /** Returns the tenant that holds a key. */
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -126,7 +126,7 @@
         eventLoop,
         protocols.cacheEvents(),
         () -> blackboard.backends().value(),
-        () -> blackboard.configuration().value().cacheStore());
+        () -> blackboard.configuration().value().cacheStores());
   }
 
   private PlacementClient.Context placementContext() {
--- a/gateway/src/test/java/org/lockdale/gateway/cache/CachePlannerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cache/CachePlannerTest.java
@@ -10,9 +10,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -31,9 +32,9 @@
 
   private static final long WAIT_NANOS = TimeUnit.SECONDS.toNanos(10);
   private static final InetSocketAddress STORE = address(9);
+  private static final PromptPart OWN = new PromptPart("own", 10);
   private static final List<PromptPart> PARTS =
-      List.of(
-          new PromptPart("root", 1_000), new PromptPart("deep", 2_000), new PromptPart("own", 10));
+      List.of(new PromptPart("root", 1_000), new PromptPart("deep", 2_000), OWN);
 
   /** Holders that answer calls at once while there is news, and fail while they are down. */
   private static final class ScriptedHolders implements CacheEventSource {
@@ -79,6 +80,7 @@
   private final TrackedBackend other = engine("other", 2);
   private final List<TrackedBackend> engines = List.of(target, other);
   private final List<String> toldEngines = new ArrayList<>();
+  private final List<CacheStore> stores = new ArrayList<>();
   private ScriptedHolders holders;
   private DefaultEventLoop eventLoop;
   private CacheDirectory directory;
@@ -97,19 +99,16 @@
   public void start() {
     holders = new ScriptedHolders();
     toldEngines.clear();
+    stores.clear();
+    stores.add(new CacheStore("store", STORE, "zone"));
     eventLoop = new DefaultEventLoop();
     BackendTable table =
         BackendTable.EMPTY.with(engines.stream().map(TrackedBackend::backend).toList());
-    directory =
-        new CacheDirectory(
-            eventLoop,
-            holders,
-            () -> table,
-            () -> Optional.of(new CacheStore("store", STORE, "zone")));
+    directory = new CacheDirectory(eventLoop, holders, () -> table, () -> stores);
     directory.start();
     directory.follow(true);
     planner = new CachePlanner(directory, (engine, parts) -> toldEngines.add(engine));
-    await(() -> directory.storeAddress().isPresent());
+    await(() -> !directory.stores().isEmpty());
     await(() -> engines.stream().allMatch(e -> directory.engine(e.backend().id()).isAvailable()));
   }
 
@@ -126,6 +125,14 @@
     }
   }
 
+  private HeldParts storeHeld() {
+    return directory.stores().stream()
+        .filter(store -> store.address().equals(STORE))
+        .findFirst()
+        .map(CacheDirectory.StoreView::held)
+        .orElseGet(HeldParts::new);
+  }
+
   private static boolean holds(HeldParts held, String namespace, String part) {
     return held.contains(HeldParts.keyOf(namespace, part), 0);
   }
@@ -134,7 +141,7 @@
     for (String part : parts) {
       holders.tell(STORE, true, "1", part);
     }
-    await(() -> holds(directory.store(), "1", parts[parts.length - 1]));
+    await(() -> holds(storeHeld(), "1", parts[parts.length - 1]));
   }
 
   private PrefixNeed need(TrackedBackend engine, long now) {
@@ -151,6 +158,25 @@
     assertEquals(plan("1", 0), new CacheTransfer(STORE, null));
   }
 
+  @Test
+  public void promptsAreSpreadOverAllStoresAndFetchedFromTheOneThatKeepsThem() {
+    InetSocketAddress second = address(10);
+    stores.add(new CacheStore("second", second, "zone"));
+    await(() -> directory.stores().size() == 2);
+    Set<InetSocketAddress> destinations = new HashSet<>();
+    for (int prompt = 0; prompt < 40; prompt++) {
+      List<PromptPart> parts =
+          List.of(new PromptPart("root", 10), new PromptPart("p" + prompt, 20), OWN);
+      destinations.add(
+          planner.plan(target, engines, planner.survey(engines, "1", parts, 0), 0).destination());
+    }
+    assertEquals(destinations, Set.of(STORE, second));
+    holders.tell(second, true, "1", "root");
+    holders.tell(second, true, "1", "deep");
+    await(() -> need(other, 0).fetchable() == 3_000);
+    assertEquals(plan("1", 0).source(), second);
+  }
+
   @Test
   public void aPartWithoutThoseBeforeItIsOfNoUse() {
     storeKeeps("deep");
@@ -199,7 +225,7 @@
   public void aStoreThatDoesNotAnswerIsNotUsed() {
     storeKeeps("root", "deep");
     holders.setDown(STORE);
-    await(() -> directory.storeAddress().isEmpty());
+    await(() -> directory.stores().isEmpty());
     assertEquals(plan("1", 0), CacheTransfer.NONE);
   }
 
@@ -207,8 +233,8 @@
   public void whatAHolderDropsOrLosesByARestartIsNoLongerBelieved() {
     storeKeeps("root", "deep");
     holders.tell(STORE, false, "1", "deep");
-    await(() -> !holds(directory.store(), "1", "deep"));
+    await(() -> !holds(storeHeld(), "1", "deep"));
     holders.restart(STORE);
-    await(() -> !holds(directory.store(), "1", "root"));
+    await(() -> !holds(storeHeld(), "1", "root"));
   }
 }
