One parser of addresses, one way to take in another copy's changes; plainer names

Cause: read as a newcomer. IP:port was parsed in three places; TableFollower and its test each took in changes of another copy by themselves; ElsewhereLoads needed explaining and held a second type; a generated TableProof had the name of a class of ours and stood in full. Change: ValueParsers.address serves all; TableCopy.accept; RemoteLoads, and BackendWork in a file of its own; TableProofRecord. No test or check changed but for the names, and TableCopyTest now tests TableCopy.accept.

--- a/gateway/src/main/java/org/lockdale/gateway/backend/BackendLoad.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/BackendLoad.java
@@ -76,8 +76,8 @@
   }
 
   /** Returns all of the work. */
-  public ElsewhereLoads.BackendWork work() {
-    return new ElsewhereLoads.BackendWork(waitingTokens(), runningTokens(), openRequests());
+  public BackendWork work() {
+    return new BackendWork(waitingTokens(), runningTokens(), openRequests());
   }
 
   /** Returns the number of requests that have not ended. */
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/NodeReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/NodeReporter.java
@@ -14,7 +14,7 @@
 import java.util.function.Supplier;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.BackendTable;
-import org.lockdale.gateway.backend.ElsewhereLoads.BackendWork;
+import org.lockdale.gateway.backend.BackendWork;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.request.AttemptObserver;
 import org.lockdale.gateway.weights.EngineMove;
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PeerLoads.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PeerLoads.java
@@ -6,14 +6,15 @@
 import java.util.Iterator;
 import java.util.Map;
 import org.lockdale.coordination.time.Time;
-import org.lockdale.gateway.backend.ElsewhereLoads;
+import org.lockdale.gateway.backend.BackendWork;
+import org.lockdale.gateway.backend.RemoteLoads;
 
 /**
  * Work of other nodes at each back end: what they told, and what was placed for them and is not yet
  * counted in what they told. Neither is believed for long, so that lost messages and dead nodes do
  * no lasting harm. Safe for use by several threads.
  */
-public final class PeerLoads implements ElsewhereLoads {
+public final class PeerLoads implements RemoteLoads {
 
   private static final long TOLD_BELIEF_MILLIS = 1_500;
   private static final long PLACED_BELIEF_MILLIS = 2_000;
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementMessages.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementMessages.java
@@ -1,8 +1,6 @@
 package org.lockdale.gateway.cluster;
 
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -12,6 +10,7 @@
 import org.lockdale.gateway.placement.PlacementQuery;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementQuestion;
+import org.lockdale.settings.ValueParsers;
 
 /** Conversions between placements and their messages. */
 final class PlacementMessages {
@@ -55,16 +54,6 @@
    * @throws IllegalArgumentException if the text is none
    */
   static @Nullable InetSocketAddress address(@Nullable String text) {
-    if (text == null) {
-      return null;
-    }
-    int colon = text.lastIndexOf(':');
-    try {
-      return new InetSocketAddress(
-          InetAddress.getByName(text.substring(0, colon)),
-          Integer.parseInt(text.substring(colon + 1)));
-    } catch (UnknownHostException | IndexOutOfBoundsException wrong) {
-      throw new IllegalArgumentException("'" + text + "' is no address", wrong);
-    }
+    return text == null ? null : ValueParsers.address(text);
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
@@ -13,6 +13,7 @@
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.table.TableProof;
 import org.lockdale.protocol.generated.RelayHeartbeat;
+import org.lockdale.protocol.generated.TableProofRecord;
 import org.tinylog.Logger;
 
 /**
@@ -196,12 +197,10 @@
 
   private void send(boolean retiring) {
     long now = time.monotonicMillis();
-    List<org.lockdale.protocol.generated.TableProof> proofs = new ArrayList<>();
+    List<TableProofRecord> proofs = new ArrayList<>();
     for (TableFollower follower : followers) {
       TableProof proof = follower.proof();
-      proofs.add(
-          new org.lockdale.protocol.generated.TableProof(
-              proof.table(), proof.lastChange(), proof.storeMillis()));
+      proofs.add(new TableProofRecord(proof.table(), proof.lastChange(), proof.storeMillis()));
     }
     List<InetSocketAddress> receivers = nodes.peers().stream().map(PeerNode::address).toList();
     datagrams.send(receivers, new RelayHeartbeat(election.servingSinceMillis(), retiring, proofs));
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/ReportReceiver.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/ReportReceiver.java
@@ -6,7 +6,7 @@
 import java.util.function.Supplier;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.BackendTable;
-import org.lockdale.gateway.backend.ElsewhereLoads.BackendWork;
+import org.lockdale.gateway.backend.BackendWork;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.weights.EngineMove;
 import org.lockdale.protocol.generated.AttemptOutcome;
--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -7,8 +7,8 @@
 import java.util.function.ToDoubleFunction;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.placement.Rendezvous;
-import org.lockdale.gateway.backend.ElsewhereLoads;
-import org.lockdale.gateway.backend.ElsewhereLoads.BackendWork;
+import org.lockdale.gateway.backend.BackendWork;
+import org.lockdale.gateway.backend.RemoteLoads;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.cache.PrefixNeed;
 
@@ -52,16 +52,16 @@
 
   private static final double TIE_BREAK = 1.0;
 
-  private final ElsewhereLoads elsewhere;
+  private final RemoteLoads remoteLoads;
   private final PromptMix mix = new PromptMix();
 
   /**
    * Creates a chooser.
    *
-   * @param elsewhere work of other nodes at the back ends
+   * @param remoteLoads work of other nodes at the back ends
    */
-  public BackendChooser(ElsewhereLoads elsewhere) {
-    this.elsewhere = elsewhere;
+  public BackendChooser(RemoteLoads remoteLoads) {
+    this.remoteLoads = remoteLoads;
   }
 
   /**
@@ -119,7 +119,7 @@
   }
 
   private BackendWork workAt(TrackedBackend candidate) {
-    return candidate.load().work().plus(elsewhere.at(candidate.backend().id()));
+    return candidate.load().work().plus(remoteLoads.at(candidate.backend().id()));
   }
 
   private double promptCost(TrackedBackend candidate, PrefixNeed need, boolean isHome) {
--- a/gateway/src/main/java/org/lockdale/gateway/table/TableCopy.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableCopy.java
@@ -87,9 +87,19 @@
     }
   }
 
-  /** Notes that a part of the changes after what was known is in, up to a version. */
-  void completeTo(long version) {
-    lastChange = Math.max(lastChange, version);
+  /** Takes in what another copy of the table told; what is older than this copy is ignored. */
+  void accept(TableChanges changes) {
+    if (changes.lastChange() < lastChange) {
+      return;
+    }
+    if (changes.whole()) {
+      Map<String, TableRowChange> whole = new HashMap<>();
+      changes.rows().forEach(row -> whole.put(row.key(), row));
+      replace(whole, changes.lastChange());
+    } else {
+      apply(changes.rows());
+      lastChange = Math.max(lastChange, changes.lastChange());
+    }
   }
 
   /** Returns what changed after a version, or everything where the copy no longer knows that. */
--- a/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
@@ -180,14 +180,7 @@
     if (changes.lastChange() < copy.lastChange()) {
       return;
     }
-    if (changes.whole()) {
-      Map<String, TableRowChange> whole = new HashMap<>();
-      changes.rows().forEach(row -> whole.put(row.key(), row));
-      copy.replace(whole, changes.lastChange());
-    } else {
-      copy.apply(changes.rows());
-      copy.completeTo(changes.lastChange());
-    }
+    copy.accept(changes);
     followedTo = Math.max(followedTo, changes.lastChange());
     sources.clock().observed(answer.storeMillis(), sentAtMillis - answer.ageMillis());
     // The answer was written after it was asked for, so its proof is no older than its age now.
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/NodeReporterTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/NodeReporterTest.java
@@ -24,7 +24,7 @@
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendLoad;
 import org.lockdale.gateway.backend.BackendTable;
-import org.lockdale.gateway.backend.ElsewhereLoads.BackendWork;
+import org.lockdale.gateway.backend.BackendWork;
 import org.lockdale.gateway.weights.EngineMove;
 import org.lockdale.protocol.generated.AttemptVerdict;
 import org.lockdale.protocol.generated.NodeReport;
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/PeerLoadsTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/PeerLoadsTest.java
@@ -4,7 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import org.lockdale.coordination.time.Time;
-import org.lockdale.gateway.backend.ElsewhereLoads.BackendWork;
+import org.lockdale.gateway.backend.BackendWork;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
--- a/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
@@ -13,7 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.lockdale.gateway.backend.Backend;
-import org.lockdale.gateway.backend.ElsewhereLoads.BackendWork;
+import org.lockdale.gateway.backend.BackendWork;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.cache.PrefixNeed;
 import org.lockdale.gateway.caller.PromptPart;
--- a/gateway/src/test/java/org/lockdale/gateway/table/TableCopyTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/table/TableCopyTest.java
@@ -88,14 +88,6 @@
   }
 
   private static void pull(TableCopy relay, TableCopy reader) {
-    TableChanges changes = relay.changesAfter(reader.lastChange());
-    if (changes.whole()) {
-      Map<String, TableRowChange> whole = new HashMap<>();
-      changes.rows().forEach(row -> whole.put(row.key(), row));
-      reader.replace(whole, changes.lastChange());
-    } else {
-      reader.apply(changes.rows());
-      reader.completeTo(changes.lastChange());
-    }
+    reader.accept(relay.changesAfter(reader.lastChange()));
   }
 }
