--- a/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
+++ b/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
@@ -39,6 +39,7 @@
 
   private final Function<GatewaySettings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols>>
       adapters;
+  private final TrainingEnvironment training;
 
   @Option(names = SETTINGS_OPTION, paramLabel = "FILE", description = "Settings file (YAML).")
   private @Nullable Path file;
@@ -55,30 +56,33 @@
   @Option(
       names = "--training-run",
       description =
-          "Starts a node on loopback for a moment and stops it, so that a class data archive can be"
-              + " written (java -XX:ArchiveClassesAtExit=FILE).")
+          "Serves a few requests on loopback and stops, so that a class data archive can be written"
+              + " (java -XX:ArchiveClassesAtExit=FILE).")
   private boolean trainingRun;
 
   private GatewayCommand(
-      Function<GatewaySettings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols>>
-          adapters) {
+      Function<GatewaySettings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols>> adapters,
+      TrainingEnvironment training) {
     this.adapters = adapters;
+    this.training = training;
   }
 
   /**
    * Runs the command line.
    *
    * @param adapters makes the adapters of the deployment
+   * @param training what a training run needs of the deployment
    * @param arguments the command line
    * @return the exit status
    */
   public static int run(
       Function<GatewaySettings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols>> adapters,
+      TrainingEnvironment training,
       String... arguments) {
     if (isPlainStart(arguments)) {
-      return startPlainly(new GatewayCommand(adapters), Path.of(arguments[1]));
+      return startPlainly(new GatewayCommand(adapters, training), Path.of(arguments[1]));
     }
-    return new CommandLine(new GatewayCommand(adapters))
+    return new CommandLine(new GatewayCommand(adapters, training))
         .setExecutionExceptionHandler(
             (failure, command, parsed) -> {
               command.getErr().println(failure.getMessage());
@@ -121,7 +125,7 @@
       return EXIT_OK;
     }
     if (trainingRun) {
-      TrainingRun.run(adapters);
+      TrainingRun.run(adapters, training);
       return EXIT_OK;
     }
     GatewaySettings settings = GatewaySettings.load(file, flags);
