--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/command/AddressConverter.java
@@ -0,0 +1,20 @@
+package org.lockdale.gateway.command;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.lockdale.settings.SettingsException;
+import org.lockdale.settings.ValueParsers;
+import picocli.CommandLine.ITypeConverter;
+
+/** Reads an address from the command line. */
+final class AddressConverter implements ITypeConverter<InetSocketAddress> {
+
+  @Override
+  public InetSocketAddress convert(String text) {
+    try {
+      return ValueParsers.address(text);
+    } catch (IllegalArgumentException noAddress) {
+      throw new SettingsException(List.of("'" + text + "' " + noAddress.getMessage()));
+    }
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
+++ b/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
@@ -1,8 +1,10 @@
 package org.lockdale.gateway.command;
 
 import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
@@ -12,6 +14,7 @@
 import org.lockdale.gateway.node.GatewayNode;
 import org.lockdale.gateway.node.GatewayProtocols;
 import org.lockdale.gateway.node.GatewaySettings;
+import org.lockdale.http.EarlyListener;
 import org.lockdale.http.HttpClient;
 import org.lockdale.settings.SettingsException;
 import picocli.CommandLine;
@@ -36,6 +39,9 @@
   private static final int EXIT_FAILED = 1;
   private static final int EXIT_WRONG_SETTINGS = 2;
   private static final String SETTINGS_OPTION = "--settings";
+  private static final String LISTEN_OPTION = "--listen";
+  private static final int PLAIN_ARGUMENTS = 2;
+  private static final int PLAIN_ARGUMENTS_WITH_LISTEN = 4;
 
   private final Function<GatewaySettings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols>>
       adapters;
@@ -44,6 +50,15 @@
   @Option(names = SETTINGS_OPTION, paramLabel = "FILE", description = "Settings file (YAML).")
   private @Nullable Path file;
 
+  @Option(
+      names = LISTEN_OPTION,
+      paramLabel = "IP:PORT",
+      converter = AddressConverter.class,
+      description =
+          "Listens for callers here before anything else, so that none is refused while the node"
+              + " starts; must be callers.address.")
+  private @Nullable InetSocketAddress listenAddress;
+
   @Option(names = "--set", paramLabel = "KEY=VALUE", description = "A setting; wins over the file.")
   private Map<String, String> flags = new LinkedHashMap<>();
 
@@ -80,7 +95,7 @@
       TrainingEnvironment training,
       String... arguments) {
     if (isPlainStart(arguments)) {
-      return startPlainly(new GatewayCommand(adapters, training), Path.of(arguments[1]));
+      return startPlainly(new GatewayCommand(adapters, training), arguments);
     }
     return new CommandLine(new GatewayCommand(adapters, training))
         .setExecutionExceptionHandler(
@@ -96,14 +111,22 @@
    * is part of every recovery, and to build the command line would take half of its time.
    */
   private static boolean isPlainStart(String... arguments) {
-    return arguments.length == 2
-        && arguments[0].equals(SETTINGS_OPTION)
-        && !arguments[1].startsWith("-");
+    boolean settings =
+        arguments.length >= PLAIN_ARGUMENTS
+            && arguments[0].equals(SETTINGS_OPTION)
+            && !arguments[1].startsWith("-");
+    boolean listen =
+        arguments.length == PLAIN_ARGUMENTS_WITH_LISTEN
+            && arguments[PLAIN_ARGUMENTS].equals(LISTEN_OPTION);
+    return settings && (arguments.length == PLAIN_ARGUMENTS || listen);
   }
 
-  private static int startPlainly(GatewayCommand command, Path settings) {
-    command.file = settings;
+  private static int startPlainly(GatewayCommand command, String... arguments) {
+    command.file = Path.of(arguments[1]);
     try {
+      if (arguments.length == PLAIN_ARGUMENTS_WITH_LISTEN) {
+        command.listenAddress = new AddressConverter().convert(arguments[PLAIN_ARGUMENTS + 1]);
+      }
       return command.call();
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
@@ -128,17 +151,24 @@
       TrainingRun.run(adapters, training);
       return EXIT_OK;
     }
+    EarlyListener listener = listenAddress == null ? null : EarlyListener.open(listenAddress);
     GatewaySettings settings = GatewaySettings.load(file, flags);
+    if (listener != null && !settings.get(GatewaySettings.CALLERS_ADDRESS).equals(listenAddress)) {
+      throw new SettingsException(
+          List.of(
+              LISTEN_OPTION + ": is not callers.address; give the same address or leave it out."));
+    }
     if (checkOnly) {
       System.out.println("settings are valid");
       return EXIT_OK;
     }
-    serve(settings);
+    serve(settings, listener);
     return EXIT_OK;
   }
 
-  private void serve(GatewaySettings settings) throws InterruptedException {
-    GatewayNode node = GatewayNode.start(settings, adapters.apply(settings));
+  private void serve(GatewaySettings settings, @Nullable EarlyListener listener)
+      throws InterruptedException {
+    GatewayNode node = GatewayNode.start(settings, adapters.apply(settings), listener);
     HangupSignal.onSignal(node::reload);
     CountDownLatch stopped = new CountDownLatch(1);
     Runtime.getRuntime()
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
+import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.time.SystemTime;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.cluster.TableSliceHandler;
@@ -15,6 +16,7 @@
 import org.lockdale.gateway.weights.RolloutController;
 import org.lockdale.gateway.weights.RolloutTools;
 import org.lockdale.gateway.weights.WeightsPolicy;
+import org.lockdale.http.EarlyListener;
 import org.lockdale.http.HttpClient;
 import org.lockdale.http.HttpServer;
 import org.lockdale.http.HttpServerSettings;
@@ -50,7 +52,9 @@
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
   private GatewayNode(
-      GatewaySettings settings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols> adapters) {
+      GatewaySettings settings,
+      BiFunction<EventLoopGroup, HttpClient, GatewayProtocols> adapters,
+      @Nullable EarlyListener listener) {
     this.settings = settings;
     group =
         new MultiThreadIoEventLoopGroup(
@@ -82,7 +86,7 @@
         server(
             GatewaySettings.PEERS_ADDRESS,
             new TableSliceHandler(controlLoop, cluster.followers(), time));
-    callers = server(GatewaySettings.CALLERS_ADDRESS, path);
+    callers = listener == null ? server(GatewaySettings.CALLERS_ADDRESS, path) : callers(listener);
     readiness = server(GatewaySettings.READINESS_ADDRESS, new ReadinessHandler(blackboard));
   }
 
@@ -96,7 +100,23 @@
    */
   public static GatewayNode start(
       GatewaySettings settings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols> adapters) {
-    GatewayNode node = new GatewayNode(settings, adapters);
+    return start(settings, adapters, null);
+  }
+
+  /**
+   * Starts a node that serves callers on a socket which listens already.
+   *
+   * @param settings checked settings
+   * @param adapters makes the adapters of the deployment from the control event loops and a client
+   *     that runs on them
+   * @param listener the socket, on the callers' address of the settings, or null for none
+   * @throws org.lockdale.http.HttpBindException if an address can't be bound
+   */
+  public static GatewayNode start(
+      GatewaySettings settings,
+      BiFunction<EventLoopGroup, HttpClient, GatewayProtocols> adapters,
+      @Nullable EarlyListener listener) {
+    GatewayNode node = new GatewayNode(settings, adapters, listener);
     node.cluster.start();
     node.rollout.start();
     Logger.info("event=started node={}", settings.get(GatewaySettings.NODE_ID));
@@ -111,7 +131,8 @@
         settings
             .get(GatewaySettings.KEY_REVOCATION_BOUND)
             .multipliedBy(PROOF_AGE_TENTHS)
-            .dividedBy(TENTHS));
+            .dividedBy(TENTHS),
+        settings.get(GatewaySettings.CALLERS_START_WAIT));
   }
 
   private RolloutController rollout(GatewayProtocols protocols) {
@@ -128,6 +149,11 @@
         cluster::isRelay);
   }
 
+  private HttpServer callers(EarlyListener listener) {
+    return HttpServer.start(
+        HttpServerSettings.forAddress(listener.address()), group, path, listener);
+  }
+
   private HttpServer server(
       org.lockdale.settings.Setting<java.net.InetSocketAddress> address,
       org.lockdale.http.HttpHandler handler) {
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
@@ -65,6 +65,14 @@
   public static final Setting<InetSocketAddress> CALLERS_ADDRESS =
       address("callers.address", "Address on which callers are served.");
 
+  /** Longest wait of a request for a node that has just started. */
+  public static final Setting<Duration> CALLERS_START_WAIT =
+      duration(
+          "callers.start-wait",
+          "800ms",
+          "Longest time for which a request waits for a node that has just started and has not read"
+              + " configuration and back ends yet; it is refused as not run after that.");
+
   /** Address for health checks. */
   public static final Setting<InetSocketAddress> READINESS_ADDRESS =
       address("readiness.address", "Address on which the node tells whether it serves.");
@@ -151,6 +159,7 @@
           NODE_LINK,
           THREADS,
           CALLERS_ADDRESS,
+          CALLERS_START_WAIT,
           READINESS_ADDRESS,
           PEERS_ADDRESS,
           STORE_ADDRESS,
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntSupplier;
 import org.lockdale.coordination.blackboard.Snapshot;
@@ -34,6 +35,9 @@
   /** Outcome of a request whose whole answer was passed on. */
   static final String COMPLETE = "complete";
 
+  /** How often a request that waits for the start looks whether it may go on. */
+  private static final long START_CHECK_MILLIS = 15;
+
   private final GatewayBlackboard blackboard;
   private final CallerProtocol callerProtocol;
   private final BackendProtocol backendProtocol;
@@ -43,6 +47,7 @@
   private final String zone;
   private final AttemptObserver observer;
   private final RetryBudget budget;
+  private final long startWaitMillis;
   private final Time time;
   private final SplitSelector splits = new SplitSelector();
   private final List<RequestFilter> filters;
@@ -86,6 +91,7 @@
     this.budget =
         RetryBudget.ofDeployment(
             limits.retryRatio(), limits.retryAllowance(), limits.retryWindow().toMillis(), nodes);
+    this.startWaitMillis = limits.startWait().toMillis();
     this.time = time;
     this.filters =
         List.of(
@@ -101,6 +107,26 @@
 
   @Override
   public void handle(HttpExchange exchange) {
+    if (isStarting() && ageMillis(exchange) < startWaitMillis) {
+      exchange
+          .eventLoop()
+          .schedule(() -> handle(exchange), START_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    serve(exchange);
+  }
+
+  /** A node that has just started knows in a moment what it needs. */
+  private boolean isStarting() {
+    return !blackboard.configuration().value().isKnown()
+        || blackboard.backends().value().all().isEmpty();
+  }
+
+  private static long ageMillis(HttpExchange exchange) {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - exchange.receivedNanos());
+  }
+
+  private void serve(HttpExchange exchange) {
     if (blackboard.phase().value().isEnding()) {
       exchange.closeAfterReply();
     }
@@ -118,9 +144,10 @@
 
   private RequestState stateOf(HttpExchange exchange, CallerRequest request) {
     long now = time.monotonicMillis();
+    long arrivedAt = now - ageMillis(exchange);
     Snapshot<GatewayConfiguration> configuration = blackboard.configuration().snapshot();
     return new RequestState(
-        exchange, request, configuration.value(), configuration.ageMillis(now), now);
+        exchange, request, configuration.value(), configuration.ageMillis(now), arrivedAt);
   }
 
   private void admit(RequestState state) {
--- a/http/src/main/java/org/lockdale/http/HttpServer.java
+++ b/http/src/main/java/org/lockdale/http/HttpServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -20,7 +21,7 @@
 /** An HTTP/1.1 server on one address. */
 public final class HttpServer implements Closeable {
 
-  private static final int LISTEN_BACKLOG = 4096;
+  static final int LISTEN_BACKLOG = 4096;
 
   private final Channel listener;
   private final ChannelGroup connections;
@@ -43,18 +44,53 @@
       HttpServerSettings settings, EventLoopGroup group, HttpHandler handler) {
     ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     ServerBootstrap bootstrap =
-        new ServerBootstrap()
-            .group(group)
+        bootstrap(settings, group, handler, connections)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ConnectionInitializer(settings, handler, connections));
-    var bound = bootstrap.bind(settings.listenAddress()).awaitUninterruptibly();
-    if (!bound.isSuccess()) {
-      throw new HttpBindException(settings.listenAddress(), bound.cause());
+            .option(ChannelOption.SO_REUSEADDR, true);
+    return started(settings, bootstrap.bind(settings.listenAddress()), connections);
+  }
+
+  /**
+   * Starts to serve on a socket that listens already, first of all what waits there.
+   *
+   * @param settings limits
+   * @param group event loops of the listener and its connections
+   * @param handler serves the requests
+   * @param listener the socket; the server closes it
+   * @return the running server
+   * @throws HttpBindException if the socket can't be served
+   */
+  public static HttpServer start(
+      HttpServerSettings settings,
+      EventLoopGroup group,
+      HttpHandler handler,
+      EarlyListener listener) {
+    ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    ServerBootstrap bootstrap =
+        bootstrap(settings, group, handler, connections)
+            .channelFactory(() -> new NioServerSocketChannel(listener.channel()));
+    return started(settings, bootstrap.register(), connections);
+  }
+
+  private static ServerBootstrap bootstrap(
+      HttpServerSettings settings,
+      EventLoopGroup group,
+      HttpHandler handler,
+      ChannelGroup connections) {
+    return new ServerBootstrap()
+        .group(group)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(new ConnectionInitializer(settings, handler, connections));
+  }
+
+  private static HttpServer started(
+      HttpServerSettings settings, ChannelFuture listening, ChannelGroup connections) {
+    listening.awaitUninterruptibly();
+    if (!listening.isSuccess()) {
+      throw new HttpBindException(settings.listenAddress(), listening.cause());
     }
-    return new HttpServer(bound.channel(), connections);
+    return new HttpServer(listening.channel(), connections);
   }
 
   /** Returns the address that was bound. */
