--- a/coordination/src/main/java/org/lockdale/coordination/claim/RunOnceClaims.java
+++ b/coordination/src/main/java/org/lockdale/coordination/claim/RunOnceClaims.java
@@ -3,7 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
+import org.lockdale.coordination.concurrent.Failures;
 import org.lockdale.coordination.table.TableRow;
 import org.lockdale.coordination.table.TableService;
 import org.lockdale.coordination.table.TableServiceException;
@@ -56,7 +56,7 @@
               if (kindOf(failure) == TableServiceException.Kind.CONDITION_FAILED) {
                 return decideByRow(key, attempt);
               }
-              return CompletableFuture.<ClaimDecision>failedFuture(unwrap(failure));
+              return CompletableFuture.<ClaimDecision>failedFuture(Failures.causeOf(failure));
             })
         .thenCompose(decision -> decision);
   }
@@ -78,7 +78,7 @@
               if (lost && attemptsLeft > 1) {
                 return create(key, record, attemptsLeft - 1);
               }
-              return CompletableFuture.<TableRow>failedFuture(unwrap(failure));
+              return CompletableFuture.<TableRow>failedFuture(Failures.causeOf(failure));
             })
         .thenCompose(row -> row);
   }
@@ -130,7 +130,7 @@
                   || kindOf(failure) == TableServiceException.Kind.OUTCOME_UNKNOWN) {
                 return decideByRow(released.key(), attempt);
               }
-              return CompletableFuture.<ClaimDecision>failedFuture(unwrap(failure));
+              return CompletableFuture.<ClaimDecision>failedFuture(Failures.causeOf(failure));
             })
         .thenCompose(decision -> decision);
   }
@@ -209,15 +209,9 @@
   }
 
   private static TableServiceException.Kind kindOf(Throwable failure) {
-    Throwable cause = unwrap(failure);
+    Throwable cause = Failures.causeOf(failure);
     return cause instanceof TableServiceException known
         ? known.kind()
         : TableServiceException.Kind.OUTCOME_UNKNOWN;
   }
-
-  private static Throwable unwrap(Throwable failure) {
-    return failure instanceof CompletionException && failure.getCause() != null
-        ? failure.getCause()
-        : failure;
-  }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/lockdale/coordination/concurrent/package-info.java
@@ -0,0 +1,5 @@
+/** Helpers for futures. */
+@NullMarked
+package org.lockdale.coordination.concurrent;
+
+import org.jspecify.annotations.NullMarked;
--- a/coordination/src/main/java/org/lockdale/coordination/configuration/ConfigurationHistory.java
+++ b/coordination/src/main/java/org/lockdale/coordination/configuration/ConfigurationHistory.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
+import org.lockdale.coordination.concurrent.Failures;
 import org.lockdale.coordination.table.TableRow;
 import org.lockdale.coordination.table.TableService;
 import org.lockdale.coordination.table.TableServiceException;
@@ -178,7 +178,7 @@
   }
 
   private static TableServiceException asTableFailure(Throwable failure) {
-    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    Throwable cause = Failures.causeOf(failure);
     if (cause instanceof TableServiceException known) {
       return known;
     }
--- a/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
@@ -36,16 +36,11 @@
     after.all().forEach(blackboard.rollout().value()::observe);
     blackboard.backends().publish(after, provenAtMillis);
     before.all().stream()
-        .filter(gone -> after.all().stream().noneMatch(there -> isSame(there.backend(), gone)))
+        .filter(gone -> after.find(gone.backend().id()) == null)
         .forEach(gone -> client.forget(gone.backend().address()));
     Logger.info("event=backends-changed count={}", after.all().size());
   }
 
-  private static boolean isSame(
-      Backend backend, org.lockdale.gateway.backend.TrackedBackend other) {
-    return backend.id().equals(other.backend().id());
-  }
-
   private List<Backend> read(Map<String, TableRowChange> rows) {
     List<Backend> backends = new ArrayList<>(rows.size());
     for (TableRowChange row : rows.values()) {
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
@@ -18,8 +19,10 @@
 import org.lockdale.gateway.weights.WeightsPolicy;
 import org.lockdale.http.EarlyListener;
 import org.lockdale.http.HttpClient;
+import org.lockdale.http.HttpHandler;
 import org.lockdale.http.HttpServer;
 import org.lockdale.http.HttpServerSettings;
+import org.lockdale.settings.Setting;
 import org.tinylog.Logger;
 
 /** A gateway node: its controllers, its servers and its planned stop. */
@@ -154,9 +157,7 @@
         HttpServerSettings.forAddress(listener.address()), group, path, listener);
   }
 
-  private HttpServer server(
-      org.lockdale.settings.Setting<java.net.InetSocketAddress> address,
-      org.lockdale.http.HttpHandler handler) {
+  private HttpServer server(Setting<InetSocketAddress> address, HttpHandler handler) {
     return HttpServer.start(HttpServerSettings.forAddress(settings.get(address)), group, handler);
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
@@ -6,9 +6,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.lockdale.coordination.concurrent.Failures;
 import org.lockdale.coordination.table.TableServiceException;
 import org.lockdale.coordination.time.Time;
 import org.tinylog.Logger;
@@ -313,7 +313,7 @@
   }
 
   private static TableServiceException.@Nullable Kind kindOf(Throwable failure) {
-    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    Throwable cause = Failures.causeOf(failure);
     return cause instanceof TableServiceException known ? known.kind() : null;
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
@@ -8,11 +8,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.blackboard.Section;
+import org.lockdale.coordination.concurrent.Failures;
 import org.lockdale.coordination.lease.Lease;
 import org.lockdale.coordination.lease.LeaseReading;
 import org.lockdale.coordination.lease.LeaseRow;
@@ -215,7 +215,7 @@
     if (failure == null) {
       return;
     }
-    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    Throwable cause = Failures.causeOf(failure);
     boolean contended =
         cause instanceof TableServiceException known
             && known.kind() == TableServiceException.Kind.CONDITION_FAILED;
--- a/router/src/main/java/org/lockdale/router/operator/OperatorApi.java
+++ b/router/src/main/java/org/lockdale/router/operator/OperatorApi.java
@@ -11,7 +11,7 @@
 import java.security.MessageDigest;
 import java.util.Locale;
 import java.util.Map;
-import java.util.concurrent.CompletionException;
+import org.lockdale.coordination.concurrent.Failures;
 import org.lockdale.coordination.configuration.ConfigurationConflictException;
 import org.lockdale.coordination.configuration.ConfigurationState;
 import org.lockdale.coordination.configuration.ResourceKey;
@@ -155,7 +155,7 @@
   }
 
   private static HttpReply editFailure(Throwable failure) {
-    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    Throwable cause = Failures.causeOf(failure);
     if (cause instanceof ConfigurationConflictException conflict) {
       return error(409, "version_conflict", conflict.getMessage());
     }
--- a/router/src/main/java/org/lockdale/router/platform/HttpTableService.java
+++ b/router/src/main/java/org/lockdale/router/platform/HttpTableService.java
@@ -5,7 +5,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
+import org.lockdale.coordination.concurrent.Failures;
 import org.lockdale.coordination.table.TableRow;
 import org.lockdale.coordination.table.TableService;
 import org.lockdale.coordination.table.TableServiceException;
@@ -90,7 +90,7 @@
   }
 
   private static TableServiceException translate(Throwable failure) {
-    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    Throwable cause = Failures.causeOf(failure);
     boolean notSent =
         cause instanceof HttpCallException call && call.stage() == HttpCallException.Stage.NOT_SENT;
     Kind kind = notSent ? Kind.UNREACHABLE : Kind.OUTCOME_UNKNOWN;
--- a/router/src/main/java/org/lockdale/router/request/RequestPath.java
+++ b/router/src/main/java/org/lockdale/router/request/RequestPath.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
+import org.lockdale.coordination.concurrent.Failures;
 import org.lockdale.http.HttpExchange;
 import org.lockdale.openai.CompletionRequest;
 import org.lockdale.openai.Outcome;
@@ -237,7 +237,7 @@
   }
 
   private static RequestException errorOf(Throwable failure) {
-    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    Throwable cause = Failures.causeOf(failure);
     if (cause instanceof RequestException known) {
       return known;
     }
