Property test of placement: never to an excluded, leaving, moving, foreign or outdated engine

Change: 500 random deployments; a request is placed exactly when an engine may serve it, only there, and at a reachable one where there is any.

--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/PlacementDeciderTest.java
@@ -0,0 +1,208 @@
+package org.lockdale.gateway.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.backend.BackendWork;
+import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.cache.CacheDirectory;
+import org.lockdale.gateway.cache.CacheEventPage;
+import org.lockdale.gateway.cache.CacheEventSource;
+import org.lockdale.gateway.cache.CacheNamespace;
+import org.lockdale.gateway.cache.CachePlanner;
+import org.lockdale.gateway.cache.HeldParts;
+import org.lockdale.gateway.caller.PromptPart;
+import org.lockdale.gateway.node.GatewayBlackboard;
+import org.lockdale.gateway.weights.EngineMove;
+import org.lockdale.gateway.weights.NamedWeights;
+import org.lockdale.gateway.weights.WeightsPolicy;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Where a request may never be placed, whatever the load: over many random deployments. */
+public final class PlacementDeciderTest {
+
+  private static final int SEEDS = 500;
+  private static final int MAX_ENGINES = 12;
+  private static final long NOW = 100_000;
+  private static final long BOUND = 8_000;
+  private static final String POOL = "pool";
+  private static final String MODEL = "model";
+
+  private EventLoop eventLoop;
+
+  @BeforeClass
+  public void start() {
+    eventLoop = new DefaultEventLoop();
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void stop() {
+    eventLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  /** A holder of cached prompts that never answers. */
+  private static final class SilentHolders implements CacheEventSource {
+    @Override
+    public CompletableFuture<CacheEventPage> changes(
+        InetSocketAddress holder, long since, Duration wait) {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<CacheEventPage> contents(InetSocketAddress holder) {
+      return new CompletableFuture<>();
+    }
+  }
+
+  /** One random deployment: engines of all sorts, weights named at random times. */
+  private final class World {
+    final Random random;
+    final GatewayBlackboard blackboard = GatewayBlackboard.empty();
+    final Set<String> moving = new HashSet<>();
+    final Set<String> excluded = new HashSet<>();
+    final PlacementDecider decider;
+
+    World(long seed) {
+      random = new Random(seed);
+      List<Backend> engines = new ArrayList<>();
+      int count = 1 + random.nextInt(MAX_ENGINES);
+      for (int index = 0; index < count; index++) {
+        engines.add(engine("i-" + index));
+      }
+      blackboard.backends().publish(BackendTable.EMPTY.with(engines), NOW);
+      engines.forEach(engine -> disturb(engine.id()));
+      nameWeights();
+      CacheDirectory directory =
+          new CacheDirectory(
+              eventLoop, new SilentHolders(), () -> blackboard.backends().value(), List::of);
+      decider =
+          new PlacementDecider(
+              blackboard,
+              new BackendChooser(
+                  engine -> new BackendWork(random.nextInt(50_000), 0, random.nextInt(30))),
+              new CachePlanner(directory, (engine, parts) -> {}),
+              new WeightsPolicy(BOUND));
+    }
+
+    private Backend engine(String id) {
+      return new Backend(
+          id,
+          random.nextInt(8) == 0 ? "other-pool" : POOL,
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+          random.nextBoolean() ? "zone-a" : "zone-b",
+          4,
+          random.nextInt(4) == 0,
+          Map.of(MODEL, 1L + random.nextInt(3)));
+    }
+
+    private void disturb(String id) {
+      TrackedBackend tracked = blackboard.backends().value().find(id);
+      if (random.nextInt(4) == 0) {
+        excluded.add(id);
+      }
+      if (random.nextInt(4) == 0) {
+        tracked.health().unreachable(NOW);
+      }
+      if (random.nextInt(4) == 0) {
+        moving.add(id);
+        EngineMove move = new EngineMove(id, MODEL, 3, true);
+        blackboard.rollout().publish(blackboard.rollout().value().with(move, NOW), NOW);
+      }
+    }
+
+    private void nameWeights() {
+      NamedWeights weights = NamedWeights.NONE;
+      for (long version = 2; version <= 1 + random.nextInt(3); version++) {
+        weights = weights.with(Map.of(MODEL, version), NOW - random.nextInt(20_000));
+      }
+      blackboard.weights().publish(weights, NOW);
+    }
+
+    Optional<Placement> place() {
+      List<PromptPart> parts =
+          List.of(
+              new PromptPart("shared-" + random.nextInt(5), 100 + random.nextInt(9_000)),
+              new PromptPart("own", 10 + random.nextInt(3_000)));
+      String tenant = random.nextBoolean() ? "isolated" : null;
+      return decider.decide(
+          new PlacementQuery(POOL, "zone-a", MODEL, tenant, parts, excluded), NOW);
+    }
+
+    boolean isAllowed(TrackedBackend tracked) {
+      Backend backend = tracked.backend();
+      Long required =
+          new WeightsPolicy(BOUND).requiredVersion(blackboard.weights().value(), MODEL, NOW);
+      return backend.pool().equals(POOL)
+          && !backend.leaving()
+          && !excluded.contains(backend.id())
+          && !moving.contains(backend.id())
+          && (required == null || backend.weights().get(MODEL) >= required);
+    }
+  }
+
+  @Test
+  public void noRequestGoesToAnEngineThatMustNotServeIt() {
+    int placed = 0;
+    for (long seed = 0; seed < SEEDS; seed++) {
+      World world = new World(seed);
+      Optional<Placement> placement = world.place();
+      boolean any = world.blackboard.backends().value().all().stream().anyMatch(world::isAllowed);
+      assertEquals(placement.isPresent(), any, "seed " + seed);
+      if (placement.isPresent()) {
+        placed++;
+        TrackedBackend target = placement.get().target();
+        assertTrue(world.isAllowed(target), "seed " + seed + ": " + target.backend());
+        assertEquals(placement.get().weights(), target.weightsOf(MODEL), "seed " + seed);
+      }
+    }
+    assertTrue(placed > SEEDS / 2, "most deployments can serve, but only " + placed + " did");
+  }
+
+  @Test
+  public void aReachableEngineIsPreferredToOneThatIsNot() {
+    for (long seed = 0; seed < SEEDS; seed++) {
+      World world = new World(seed);
+      boolean anySound =
+          world.blackboard.backends().value().all().stream()
+              .anyMatch(each -> world.isAllowed(each) && !each.health().isEjected(NOW));
+      Optional<Placement> placement = world.place();
+      if (anySound) {
+        assertFalse(placement.orElseThrow().target().health().isEjected(NOW), "seed " + seed);
+      }
+    }
+  }
+
+  @Test
+  public void cachedPromptsOfOtherWeightsOrIsolatedTenantsAreOthers() {
+    String shared = CacheNamespace.of(7L, null);
+    for (String foreign :
+        List.of(
+            CacheNamespace.of(8L, null),
+            CacheNamespace.of(7L, "tenant"),
+            CacheNamespace.of(null, null),
+            CacheNamespace.of(8L, "tenant"))) {
+      assertNotEquals(HeldParts.keyOf(foreign, "part"), HeldParts.keyOf(shared, "part"), foreign);
+    }
+    assertNotEquals(CacheNamespace.of(7L, "one"), CacheNamespace.of(7L, "two"));
+  }
+}
