Checking settings opens no socket; a training run waits longer on a busy machine

Change: settings are checked without listening, the socket is closed when the node ends, half a minute for readiness.

--- a/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
+++ b/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
@@ -151,19 +151,33 @@
       TrainingRun.run(adapters, training);
       return EXIT_OK;
     }
+    if (checkOnly) {
+      loadSettings();
+      System.out.println("settings are valid");
+      return EXIT_OK;
+    }
     EarlyListener listener = listenAddress == null ? null : EarlyListener.open(listenAddress);
+    try {
+      serve(loadSettings(), listener);
+    } finally {
+      if (listener != null) {
+        listener.close();
+      }
+    }
+    return EXIT_OK;
+  }
+
+  private GatewaySettings loadSettings() {
     GatewaySettings settings = GatewaySettings.load(file, flags);
-    if (listener != null && !settings.get(GatewaySettings.CALLERS_ADDRESS).equals(listenAddress)) {
+    boolean elsewhere =
+        listenAddress != null
+            && !settings.get(GatewaySettings.CALLERS_ADDRESS).equals(listenAddress);
+    if (elsewhere) {
       throw new SettingsException(
           List.of(
               LISTEN_OPTION + ": is not callers.address; give the same address or leave it out."));
     }
-    if (checkOnly) {
-      System.out.println("settings are valid");
-      return EXIT_OK;
-    }
-    serve(settings, listener);
-    return EXIT_OK;
+    return settings;
   }
 
   private void serve(GatewaySettings settings, @Nullable EarlyListener listener)
--- a/gateway/src/main/java/org/lockdale/gateway/command/TrainingRun.java
+++ b/gateway/src/main/java/org/lockdale/gateway/command/TrainingRun.java
@@ -39,7 +39,10 @@
 
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
   private static final int SUCCESS = 200;
-  private static final int MAX_READINESS_CALLS = 100;
+
+  /** Enough for a machine that is busy with other work: half a minute. */
+  private static final int MAX_READINESS_CALLS = 600;
+
   private static final long READINESS_MILLIS = 50;
 
   /** Rounds of requests; the pause between two lets controllers act that run from time to time. */
--- a/http/src/main/java/org/lockdale/http/EarlyListener.java
+++ b/http/src/main/java/org/lockdale/http/EarlyListener.java
@@ -46,7 +46,7 @@
     return channel;
   }
 
-  /** Closes the socket; not to be called once a server serves it. */
+  /** Closes the socket, also that of a server which was given it. */
   @Override
   public void close() {
     try {
