A row is read once a version; a call over a connection that closes is sent over another

HttpClient may be called from a thread other than the event loop; between taking a connection from the pool and writing to it the event loop may close it, and what is then written raises no event any more, so the call never ends and the load generator waits for ever. Change: a closed connection is replaced before anything is written; RowReader keeps what it read of each version of a row; records that are equal to the last ones change nothing; the two records used as keys, and the one that is compared, have their methods written out, since generated ones link some 40 classes at every start.

--- a/gateway/src/main/java/org/lockdale/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/Backend.java
@@ -21,4 +21,23 @@
     String zone,
     int slots,
     boolean leaving,
-    Map<String, Long> weights) {}
+    Map<String, Long> weights) {
+
+  /** Written out, since a record's own is linked anew in every process that calls it. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Backend backend
+        && id.equals(backend.id)
+        && pool.equals(backend.pool)
+        && address.equals(backend.address)
+        && zone.equals(backend.zone)
+        && slots == backend.slots
+        && leaving == backend.leaving
+        && weights.equals(backend.weights);
+  }
+
+  @Override
+  public int hashCode() {
+    return id.hashCode();
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/BackendTable.java
@@ -36,6 +36,20 @@
     return new BackendTable(newer);
   }
 
+  /** Returns whether another table holds the same records. */
+  public boolean sameRecordsAs(BackendTable other) {
+    if (byId.size() != other.byId.size()) {
+      return false;
+    }
+    for (TrackedBackend tracked : byId.values()) {
+      TrackedBackend counterpart = other.byId.get(tracked.backend().id());
+      if (counterpart == null || !counterpart.backend().equals(tracked.backend())) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Returns the back ends of a pool. */
   public List<TrackedBackend> ofPool(String pool) {
     return byPool.getOrDefault(pool, List.of());
--- a/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
@@ -1,11 +1,10 @@
 package org.lockdale.gateway.node;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
-import org.lockdale.gateway.table.MalformedRecordException;
+import org.lockdale.gateway.table.RowReader;
 import org.lockdale.gateway.table.SharedRecords;
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.table.TableRowChange;
@@ -16,12 +15,12 @@
 final class BackendController implements TableFollower.Listener {
 
   private final GatewayBlackboard blackboard;
-  private final SharedRecords records;
+  private final RowReader<Backend> reader;
   private final HttpClient client;
 
   BackendController(GatewayBlackboard blackboard, SharedRecords records, HttpClient client) {
     this.blackboard = blackboard;
-    this.records = records;
+    this.reader = new RowReader<>(row -> Optional.of(records.backend(row)));
     this.client = client;
   }
 
@@ -32,7 +31,12 @@
       blackboard.backends().publish(before, provenAtMillis);
       return;
     }
-    BackendTable after = before.with(read(rows));
+    BackendTable after = before.with(reader.read(rows));
+    if (after.sameRecordsAs(before)) {
+      // Rows hold more than the records do, such as the time of the last sign of life.
+      blackboard.backends().publish(before, provenAtMillis);
+      return;
+    }
     after.all().forEach(blackboard.rollout().value()::observe);
     blackboard.backends().publish(after, provenAtMillis);
     before.all().stream()
@@ -40,16 +44,4 @@
         .forEach(gone -> client.forget(gone.backend().address()));
     Logger.info("event=backends-changed count={}", after.all().size());
   }
-
-  private List<Backend> read(Map<String, TableRowChange> rows) {
-    List<Backend> backends = new ArrayList<>(rows.size());
-    for (TableRowChange row : rows.values()) {
-      try {
-        backends.add(records.backend(row));
-      } catch (MalformedRecordException malformed) {
-        Logger.warn("event=backend-rejected cause=\"{}\"", malformed.getMessage());
-      }
-    }
-    return backends;
-  }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
@@ -3,19 +3,22 @@
 import java.util.Map;
 import org.lockdale.gateway.cluster.ClusterTable;
 import org.lockdale.gateway.cluster.NodeRegistry;
-import org.lockdale.gateway.table.MalformedRecordException;
+import org.lockdale.gateway.cluster.PeerNode;
+import org.lockdale.gateway.table.RowReader;
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.table.TableRowChange;
-import org.tinylog.Logger;
 
 /** Keeps the registry of nodes from the nodes' own table. */
 final class ClusterObserver implements TableFollower.Listener {
 
-  private final ClusterTable table;
+  private record VersionedNode(PeerNode node, long rowVersion) {}
+
+  private final RowReader<VersionedNode> reader;
   private final NodeRegistry nodes;
 
   ClusterObserver(ClusterTable table, NodeRegistry nodes) {
-    this.table = table;
+    this.reader =
+        new RowReader<>(row -> table.node(row).map(node -> new VersionedNode(node, row.version())));
     this.nodes = nodes;
   }
 
@@ -24,13 +27,7 @@
     if (!changed) {
       return;
     }
-    for (TableRowChange row : rows.values()) {
-      try {
-        table.node(row).ifPresent(node -> nodes.observed(node, row.version()));
-      } catch (MalformedRecordException malformed) {
-        Logger.warn("event=cluster-row-rejected cause=\"{}\"", malformed.getMessage());
-      }
-    }
+    reader.read(rows).forEach(read -> nodes.observed(read.node(), read.rowVersion()));
     nodes.refresh();
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/node/OperatorController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/OperatorController.java
@@ -1,10 +1,12 @@
 package org.lockdale.gateway.node;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.configuration.GatewayConfiguration;
-import org.lockdale.gateway.table.MalformedRecordException;
+import org.lockdale.gateway.configuration.OperatorRecord;
+import org.lockdale.gateway.table.RowReader;
 import org.lockdale.gateway.table.SharedRecords;
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.table.TableRowChange;
@@ -25,13 +27,13 @@
   private static final long MAX_UNSEEN_MILLIS = 4_500;
 
   private final GatewayBlackboard blackboard;
-  private final SharedRecords records;
+  private final RowReader<OperatorRecord> reader;
   private final Time time;
   private long lastProofMillis = Long.MIN_VALUE / 2;
 
   OperatorController(GatewayBlackboard blackboard, SharedRecords records, Time time) {
     this.blackboard = blackboard;
-    this.records = records;
+    this.reader = new RowReader<>(records::operatorRecord);
     this.time = time;
   }
 
@@ -39,38 +41,37 @@
   public void onTable(Map<String, TableRowChange> rows, boolean changed, long provenAtMillis) {
     GatewayConfiguration inForce = blackboard.configuration().value();
     if (changed) {
-      inForce = newerOf(inForce, rows);
-      acceptWeights(new HashMap<>(rows));
+      inForce = accept(inForce, reader.read(rows));
     }
     blackboard.configuration().publish(inForce, provenAtMillis);
     lastProofMillis = provenAtMillis;
   }
 
-  private GatewayConfiguration newerOf(
-      GatewayConfiguration inForce, Map<String, TableRowChange> rows) {
-    try {
-      GatewayConfiguration read = records.configuration(rows).orElse(inForce);
-      if (read.version() <= inForce.version()) {
-        return inForce;
+  private GatewayConfiguration accept(GatewayConfiguration inForce, List<OperatorRecord> records) {
+    GatewayConfiguration newest = inForce;
+    Map<String, Long> weights = new HashMap<>();
+    for (OperatorRecord each : records) {
+      if (each instanceof OperatorRecord.Configured configured) {
+        newest = newerOf(newest, configured.configuration());
+      } else if (each instanceof OperatorRecord.WeightsNamed named) {
+        weights.merge(named.model(), named.version(), Math::max);
       }
-      Logger.info("event=configuration-in-force version={}", read.version());
-      return read;
-    } catch (MalformedRecordException malformed) {
-      Logger.warn(
-          "event=configuration-rejected in-force={} cause=\"{}\"",
-          inForce.version(),
-          malformed.getMessage());
+    }
+    publishWeights(weights);
+    return newest;
+  }
+
+  private static GatewayConfiguration newerOf(
+      GatewayConfiguration inForce, GatewayConfiguration read) {
+    if (read.version() <= inForce.version()) {
       return inForce;
     }
+    Logger.info("event=configuration-in-force version={}", read.version());
+    return read;
   }
 
-  private void acceptWeights(Map<String, TableRowChange> rows) {
+  private void publishWeights(Map<String, Long> newest) {
     long notBefore = Math.max(lastProofMillis, time.monotonicMillis() - MAX_UNSEEN_MILLIS);
-    try {
-      Map<String, Long> newest = records.weights(rows);
-      blackboard.weights().publish(blackboard.weights().value().with(newest, notBefore), notBefore);
-    } catch (MalformedRecordException malformed) {
-      Logger.warn("event=weights-rejected cause=\"{}\"", malformed.getMessage());
-    }
+    blackboard.weights().publish(blackboard.weights().value().with(newest, notBefore), notBefore);
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/table/SharedRecords.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/SharedRecords.java
@@ -1,9 +1,8 @@
 package org.lockdale.gateway.table;
 
-import java.util.Map;
 import java.util.Optional;
 import org.lockdale.gateway.backend.Backend;
-import org.lockdale.gateway.configuration.GatewayConfiguration;
+import org.lockdale.gateway.configuration.OperatorRecord;
 
 /** Port of what operators and back ends write into the shared store. */
 public interface SharedRecords {
@@ -15,21 +14,12 @@
   String backendTable();
 
   /**
-   * Reads the configuration.
+   * Reads a row of the operators' table.
    *
-   * @param rows rows of the operators' table
-   * @return the configuration, or empty where there is none
+   * @return what the row says, or empty for a row of no interest
    * @throws MalformedRecordException if it can't be read
    */
-  Optional<GatewayConfiguration> configuration(Map<String, TableRowChange> rows);
-
-  /**
-   * Reads the newest version of weights that was named for each model.
-   *
-   * @param rows rows of the operators' table
-   * @throws MalformedRecordException if they can't be read
-   */
-  Map<String, Long> weights(Map<String, TableRowChange> rows);
+  Optional<OperatorRecord> operatorRecord(TableRowChange row);
 
   /**
    * Reads the record of a back end.
--- a/http/src/main/java/org/lockdale/http/ConnectionPool.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -28,7 +28,19 @@
 
   private static final int MAX_IDLE_PER_KEY = 256;
 
-  private record Key(EventLoop eventLoop, InetSocketAddress address) {}
+  private record Key(EventLoop eventLoop, InetSocketAddress address) {
+
+    /** Written out, since a record's own is linked anew in every process that calls it. */
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Key key && eventLoop == key.eventLoop && address.equals(key.address);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * System.identityHashCode(eventLoop) + address.hashCode();
+    }
+  }
 
   /** Until when an idle connection may be used again, by {@link System#nanoTime}. */
   private static final AttributeKey<Long> USABLE_UNTIL =
--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -43,8 +43,18 @@
    * @param connectTimeout longest time for a connection to come up
    */
   public HttpClient(EventLoopGroup group, Duration connectTimeout) {
+    this(group, new ConnectionPool(connectTimeout));
+  }
+
+  /**
+   * Creates a client.
+   *
+   * @param group event loops for calls that name none
+   * @param pool idle connections
+   */
+  HttpClient(EventLoopGroup group, ConnectionPool pool) {
     this.group = group;
-    this.pool = new ConnectionPool(connectTimeout);
+    this.pool = pool;
   }
 
   /**
@@ -62,6 +72,16 @@
       HttpRequestMessage request,
       HttpResponseListener listener) {
     HttpCall call = new HttpCall();
+    sendOverPool(eventLoop, address, request, call, listener);
+    return call;
+  }
+
+  private void sendOverPool(
+      EventLoop eventLoop,
+      InetSocketAddress address,
+      HttpRequestMessage request,
+      HttpCall call,
+      HttpResponseListener listener) {
     pool.acquire(eventLoop, address)
         .addListener(
             (Future<Channel> acquired) -> {
@@ -73,7 +93,6 @@
                         HttpCallException.Stage.NOT_SENT, acquired.cause().getMessage()));
               }
             });
-    return call;
   }
 
   private void write(
@@ -86,6 +105,11 @@
       pool.release(channel, address);
       return;
     }
+    if (!channel.isActive()) {
+      // A caller on another thread acquired it just before this event loop closed it.
+      sendOverPool(channel.eventLoop(), address, request, call, listener);
+      return;
+    }
     call.attach(channel);
     channel.pipeline().get(ResponseReader.class).begin(call, listener);
     DefaultFullHttpRequest message =
--- /dev/null
+++ b/http/src/test/java/org/lockdale/http/HttpClientTest.java
@@ -0,0 +1,114 @@
+package org.lockdale.http;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Calls over pooled connections. */
+public final class HttpClientTest {
+
+  private static final int TIMEOUT_SECONDS = 10;
+
+  private EventLoopGroup group;
+  private HttpServer server;
+
+  @BeforeMethod
+  public void start() {
+    group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    server = HttpServer.start(HttpServerSettings.forAddress(anyPort), group, greeting());
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    server.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private static HttpHandler greeting() {
+    return new HttpHandler() {
+      @Override
+      public void handle(HttpExchange exchange) {
+        exchange.reply(HttpReply.text(200, "hello"));
+      }
+
+      @Override
+      public HttpReply renderProtocolError(HttpProtocolError error) {
+        return HttpReply.empty(error.status());
+      }
+    };
+  }
+
+  private static HttpResponseListener statusInto(CompletableFuture<Integer> status) {
+    return new HttpResponseListener() {
+      private int received;
+
+      @Override
+      public void onHead(int replyStatus, HttpHeaders headers) {
+        received = replyStatus;
+      }
+
+      @Override
+      public void onContent(ByteBuf content) {}
+
+      @Override
+      public void onEnd() {
+        status.complete(received);
+      }
+
+      @Override
+      public void onFailure(HttpCallException failure) {
+        status.completeExceptionally(failure);
+      }
+    };
+  }
+
+  /**
+   * A caller on another thread may take a connection from the pool that its event loop is about to
+   * close. What is written to it then fails, or, where the event loop has told of the closing
+   * already, raises no event any more, so that the call would never end.
+   */
+  @Test
+  public void aConnectionThatClosesBeforeItsCallIsWrittenIsReplaced() throws Exception {
+    EventLoop eventLoop = group.next();
+    InetSocketAddress address = server.address();
+    ConnectionPool pool = new ConnectionPool(Duration.ofSeconds(TIMEOUT_SECONDS));
+    HttpClient client = new HttpClient(group, pool);
+    Channel channel = pool.acquire(eventLoop, address).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    pool.release(channel, address);
+    CountDownLatch held = new CountDownLatch(1);
+    eventLoop.execute(() -> awaitUninterruptibly(held));
+    channel.close();
+
+    CompletableFuture<Integer> status = new CompletableFuture<>();
+    HttpRequestMessage request = HttpRequestMessage.json(HttpMethod.GET, "/", new byte[0]);
+    client.send(eventLoop, address, request, statusInto(status));
+    held.countDown();
+
+    assertEquals((int) status.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), 200);
+  }
+
+  private static void awaitUninterruptibly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/settings/src/main/java/org/lockdale/settings/Setting.java
+++ b/settings/src/main/java/org/lockdale/settings/Setting.java
@@ -24,6 +24,18 @@
     boolean secret,
     Function<String, T> parser) {
 
+  /** Settings are declared once, so two are equal only if they are the same. */
+  @Override
+  public boolean equals(Object other) {
+    return this == other;
+  }
+
+  /** Written out, since a record's own is linked anew in every process that calls it. */
+  @Override
+  public int hashCode() {
+    return key.hashCode();
+  }
+
   /** Returns whether a value must be given. */
   public boolean isRequired() {
     return defaultText.isEmpty();
