--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
@@ -28,8 +28,6 @@
   /** How often another node looks whether it has to serve; idle nodes wake seldom. */
   private static final long TICK_MILLIS = 200;
 
-  private static final long HEARTBEAT_MILLIS = 500;
-
   private final EventLoop eventLoop;
   private final NodeRegistry nodes;
   private final DatagramExchange datagrams;
@@ -38,12 +36,11 @@
   private final Time time;
   private final Consumer<Boolean> onServing;
   private final RelayElection election;
+  private final HeartbeatSchedule heartbeats = new HeartbeatSchedule();
   private volatile Optional<RelayElection.Relay> coordinator = Optional.empty();
   private volatile List<RelayElection.Relay> relays = List.of();
   private volatile boolean serving;
   private boolean retired;
-  private long heartbeatAtMillis = Long.MIN_VALUE / 2;
-  private List<Long> announcedChanges = List.of();
 
   /**
    * Creates a controller; {@link #start} starts it.
@@ -166,7 +163,7 @@
       election.tick(nodes.peers().size() + 1, isPreferred(), now, clock.storeMillis(now));
     }
     publish(now);
-    if (serving && (now - heartbeatAtMillis >= HEARTBEAT_MILLIS || hasNews())) {
+    if (serving && heartbeats.isDue(changes(), now)) {
       send(false);
     }
   }
@@ -187,10 +184,6 @@
     }
   }
 
-  private boolean hasNews() {
-    return !changes().equals(announcedChanges);
-  }
-
   private List<Long> changes() {
     return followers.stream().map(follower -> follower.proof().lastChange()).toList();
   }
@@ -204,7 +197,6 @@
     }
     List<InetSocketAddress> receivers = nodes.peers().stream().map(PeerNode::address).toList();
     datagrams.send(receivers, new RelayHeartbeat(election.servingSinceMillis(), retiring, proofs));
-    heartbeatAtMillis = now;
-    announcedChanges = changes();
+    heartbeats.sent(changes(), now);
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -42,7 +42,7 @@
   private static final int QUIET_TABLE_WAITS = 2;
 
   /** Back ends write their records in bursts, as during a rollout. */
-  private static final Duration BACKEND_CHANGES_GATHER = Duration.ofMillis(100);
+  private static final Duration BACKEND_CHANGES_GATHER = Duration.ofMillis(250);
 
   /** Nodes announce themselves in bursts, as after a start of all. */
   private static final Duration CLUSTER_CHANGES_GATHER = Duration.ofMillis(400);
