--- a/gateway/src/main/java/org/lockdale/gateway/cache/CacheDirectory.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cache/CacheDirectory.java
@@ -126,6 +126,21 @@
     return holder == null ? NOTHING : holder.held();
   }
 
+  /**
+   * Returns the addresses of the stores in force, without those that are known not to answer. A
+   * node that follows no holders knows of none, and so returns all.
+   */
+  public List<InetSocketAddress> storeAddresses() {
+    List<InetSocketAddress> addresses = new ArrayList<>();
+    for (CacheStore store : storesInForce.get()) {
+      Holder holder = stores.get(store.address());
+      if (holder == null || !holder.held().isSilent()) {
+        addresses.add(store.address());
+      }
+    }
+    return addresses;
+  }
+
   /** Returns the stores that answer. */
   public List<StoreView> stores() {
     List<StoreView> answering = new ArrayList<>(stores.size());
--- a/gateway/src/main/java/org/lockdale/gateway/cache/HeldParts.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cache/HeldParts.java
@@ -20,6 +20,7 @@
   private final Map<Long, Boolean> told = new ConcurrentHashMap<>();
   private final Map<Long, Long> expectedUntilMillis = new ConcurrentHashMap<>();
   private volatile boolean available;
+  private volatile boolean silent;
 
   /** Returns the key of a part within a namespace. */
   public static long keyOf(String namespace, String part) {
@@ -32,6 +33,11 @@
     return available;
   }
 
+  /** Returns whether the holder did not answer when it was last asked. */
+  public boolean isSilent() {
+    return silent;
+  }
+
   /** Returns whether a part is believed to be there. */
   public boolean contains(long key, long nowMillis) {
     if (told.containsKey(key)) {
@@ -80,5 +86,6 @@
 
   void setAvailable(boolean nowAvailable) {
     available = nowAvailable;
+    silent = !nowAvailable;
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
@@ -1,6 +1,7 @@
 package org.lockdale.gateway.cluster;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -27,14 +28,14 @@
 import org.tinylog.Logger;
 
 /**
- * Asks the relay that places requests, which knows the work of all nodes. Where there is none, or
- * no answer comes in time, this node decides by what it knows itself. Safe for use by several
- * threads.
+ * Asks the relay that places requests, which knows the work of all nodes, and another relay where
+ * no answer comes in time. Where there is none, or none answers, this node decides by what it knows
+ * itself. Safe for use by several threads.
  */
 public final class PlacementClient implements PlacementService {
 
   /** A relay in another zone answers within a few milliseconds; one that is paused does not. */
-  private static final long ANSWER_MILLIS = 40;
+  public static final Duration ANSWER_TIME = Duration.ofMillis(40);
 
   /** Questions in a row without an answer after which a relay is no longer asked. */
   private static final int MAX_SILENT_QUESTIONS = 3;
@@ -43,19 +44,35 @@
   private static final int MAX_EXCLUDED = 12;
 
   private record Open(
-      String relay, PlacementQuery query, CompletableFuture<Optional<Placement>> result) {}
+      String relay,
+      PlacementQuery query,
+      CompletableFuture<Optional<Placement>> result,
+      boolean isRepeat) {}
 
-  /** Where a node finds what it needs to ask. */
+  /**
+   * Where a node finds what it needs to ask.
+   *
+   * @param eventLoop runs the client's timers
+   * @param datagrams carries questions
+   * @param coordinator the relay that places requests, or empty where this node does so itself
+   * @param relays the other relays that can be relied on, the most senior first
+   * @param backends back ends on record
+   * @param decider decides where no relay answers
+   * @param reporter told of requests that count in a back end's load
+   * @param time clock
+   */
   public record Context(
       EventLoop eventLoop,
       DatagramExchange datagrams,
       Supplier<Optional<RelayElection.Relay>> coordinator,
+      Supplier<List<RelayElection.Relay>> relays,
       Supplier<BackendTable> backends,
       PlacementDecider decider,
       NodeReporter reporter,
       Time time) {}
 
   private final Context context;
+  private final Duration answerTime;
   private final Consumer<RelayElection.Relay> onSilent;
   private final Map<Long, Open> open = new ConcurrentHashMap<>();
   private final AtomicLong numbers = new AtomicLong();
@@ -65,10 +82,13 @@
    * Creates a client.
    *
    * @param context where it finds what it needs
+   * @param answerTime how long it waits for a relay's answer
    * @param onSilent told on the event loop of a relay that no longer answers
    */
-  public PlacementClient(Context context, Consumer<RelayElection.Relay> onSilent) {
+  public PlacementClient(
+      Context context, Duration answerTime, Consumer<RelayElection.Relay> onSilent) {
     this.context = context;
+    this.answerTime = answerTime;
     this.onSilent = onSilent;
   }
 
@@ -78,23 +98,26 @@
     if (coordinator.isEmpty()) {
       return CompletableFuture.completedFuture(decide(query));
     }
-    return ask(coordinator.get(), query);
+    CompletableFuture<Optional<Placement>> result = new CompletableFuture<>();
+    ask(coordinator.get(), query, result, false);
+    return result;
   }
 
   private Optional<Placement> decide(PlacementQuery query) {
     return context.decider().decide(query, context.time().monotonicMillis());
   }
 
-  private CompletableFuture<Optional<Placement>> ask(
-      RelayElection.Relay relay, PlacementQuery query) {
+  private void ask(
+      RelayElection.Relay relay,
+      PlacementQuery query,
+      CompletableFuture<Optional<Placement>> result,
+      boolean isRepeat) {
     long number = numbers.incrementAndGet();
-    CompletableFuture<Optional<Placement>> result = new CompletableFuture<>();
-    open.put(number, new Open(relay.id(), query, result));
+    open.put(number, new Open(relay.id(), query, result, isRepeat));
     context.datagrams().send(relay.address(), question(number, query));
     context
         .eventLoop()
-        .schedule(() -> unanswered(number, relay), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
-    return result;
+        .schedule(() -> unanswered(number, relay), answerTime.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private PlacementQuestion question(long number, PlacementQuery query) {
@@ -134,7 +157,19 @@
       Logger.info("event=relay-silent relay={}", relay.id());
       onSilent.accept(relay);
     }
-    question.result().complete(decide(question.query()));
+    Optional<RelayElection.Relay> next = question.isRepeat() ? Optional.empty() : after(relay);
+    if (next.isPresent()) {
+      ask(next.get(), question.query(), question.result(), true);
+    } else {
+      question.result().complete(decide(question.query()));
+    }
+  }
+
+  /** Returns another relay: it knows far more than this node does. */
+  private Optional<RelayElection.Relay> after(RelayElection.Relay silent) {
+    return context.relays().get().stream()
+        .filter(relay -> !relay.id().equals(silent.id()))
+        .findFirst();
   }
 
   /** Takes in an answer. */
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -111,7 +111,8 @@
             new BackendChooser(peerLoads),
             new CachePlanner(cacheDirectory, reporter::expect),
             new WeightsPolicy(settings.get(GatewaySettings.WEIGHTS_BOUND).toMillis()));
-    placements = new PlacementClient(placementContext(), relays::failed);
+    placements =
+        new PlacementClient(placementContext(), PlacementClient.ANSWER_TIME, relays::failed);
   }
 
   private static PeerNode self(GatewaySettings settings) {
@@ -134,6 +135,7 @@
         eventLoop,
         datagrams,
         relays::coordinator,
+        relays::relays,
         () -> blackboard.backends().value(),
         decider,
         reporter,
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
@@ -0,0 +1,201 @@
+package org.lockdale.gateway.cluster;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.lockdale.coordination.time.SystemTime;
+import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.backend.BackendWork;
+import org.lockdale.gateway.cache.CacheDirectory;
+import org.lockdale.gateway.cache.CacheEventPage;
+import org.lockdale.gateway.cache.CacheEventSource;
+import org.lockdale.gateway.cache.CachePlanner;
+import org.lockdale.gateway.node.GatewayBlackboard;
+import org.lockdale.gateway.placement.BackendChooser;
+import org.lockdale.gateway.placement.Placement;
+import org.lockdale.gateway.placement.PlacementDecider;
+import org.lockdale.gateway.placement.PlacementQuery;
+import org.lockdale.gateway.weights.WeightsPolicy;
+import org.lockdale.protocol.generated.NodeReport;
+import org.lockdale.protocol.generated.PlacementAnswer;
+import org.lockdale.protocol.generated.PlacementQuestion;
+import org.lockdale.protocol.generated.RelayHeartbeat;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A request is placed by a relay that answers, and by this node only where none does. */
+public final class PlacementClientTest {
+
+  private static final int TIMEOUT_SECONDS = 20;
+
+  /** Long enough for a relay that answers at all to answer in time on a busy machine. */
+  private static final int ANSWER_SECONDS = 2;
+
+  private static final PlacementQuery QUERY =
+      new PlacementQuery("pool", "zone", null, null, List.of(), Set.of());
+
+  private final List<RelayElection.Relay> relays = new ArrayList<>();
+  private EventLoopGroup group;
+  private PlacementClient client;
+
+  /** Answers each question with the one back end. */
+  private record Answering(DatagramExchange exchange) implements DatagramListener {
+    @Override
+    public void onHeartbeat(String sender, InetSocketAddress address, RelayHeartbeat heartbeat) {}
+
+    @Override
+    public void onReport(String sender, NodeReport report) {}
+
+    @Override
+    public void onQuestion(String sender, InetSocketAddress address, PlacementQuestion question) {
+      exchange.send(
+          address, new PlacementAnswer(question.getNumber(), 1L, "i-1", null, 0L, null, null));
+    }
+
+    @Override
+    public void onAnswer(String sender, PlacementAnswer answer) {}
+  }
+
+  /** Hands answers to the client under test. */
+  private final class Asking implements DatagramListener {
+    @Override
+    public void onHeartbeat(String sender, InetSocketAddress address, RelayHeartbeat heartbeat) {}
+
+    @Override
+    public void onReport(String sender, NodeReport report) {}
+
+    @Override
+    public void onQuestion(String sender, InetSocketAddress address, PlacementQuestion question) {}
+
+    @Override
+    public void onAnswer(String sender, PlacementAnswer answer) {
+      client.answered(sender, answer);
+    }
+  }
+
+  private static final class SilentHolders implements CacheEventSource {
+    @Override
+    public CompletableFuture<CacheEventPage> changes(
+        InetSocketAddress holder, long since, Duration wait) {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<CacheEventPage> contents(InetSocketAddress holder) {
+      return new CompletableFuture<>();
+    }
+  }
+
+  @BeforeMethod
+  public void start() throws IOException {
+    group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    relays.clear();
+    EventLoop loop = group.next();
+    DatagramExchange datagrams = new DatagramExchange("node", freeAddress(), loop);
+    datagrams.start(new Asking());
+    GatewayBlackboard blackboard = GatewayBlackboard.empty();
+    blackboard.backends().publish(backends(), 0);
+    CacheDirectory directory =
+        new CacheDirectory(
+            loop, new SilentHolders(), () -> blackboard.backends().value(), List::of);
+    PlacementDecider decider =
+        new PlacementDecider(
+            blackboard,
+            new BackendChooser(engine -> BackendWork.NONE),
+            new CachePlanner(directory, (engine, parts) -> {}),
+            new WeightsPolicy(1_000));
+    client =
+        new PlacementClient(
+            new PlacementClient.Context(
+                loop,
+                datagrams,
+                () -> relays.stream().findFirst(),
+                () -> relays,
+                () -> blackboard.backends().value(),
+                decider,
+                new NodeReporter(
+                    loop,
+                    datagrams,
+                    () -> blackboard.backends().value(),
+                    List::of,
+                    new SystemTime()),
+                new SystemTime()),
+            Duration.ofSeconds(ANSWER_SECONDS),
+            relay -> {});
+  }
+
+  private static BackendTable backends() {
+    InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+    return BackendTable.EMPTY.with(
+        List.of(new Backend("i-1", "pool", address, "zone", 4, false, Map.of())));
+  }
+
+  private static InetSocketAddress freeAddress() throws IOException {
+    try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+      return (InetSocketAddress) socket.getLocalSocketAddress();
+    }
+  }
+
+  private void addRelay(String id, boolean answers) throws IOException {
+    InetSocketAddress address = freeAddress();
+    relays.add(new RelayElection.Relay(id, address, 0));
+    if (answers) {
+      DatagramExchange exchange = new DatagramExchange(id, address, group.next());
+      exchange.start(new Answering(exchange));
+    }
+  }
+
+  private Placement place() throws Exception {
+    Optional<Placement> placement = client.place(QUERY).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    return placement.orElseThrow();
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  @Test
+  public void theCoordinatorPlaces() throws Exception {
+    addRelay("senior", true);
+    addRelay("junior", true);
+    assertEquals(place().origin(), new Placement.Origin("senior", 1));
+  }
+
+  @Test
+  public void anotherRelayIsAskedWhereTheCoordinatorIsSilent() throws Exception {
+    addRelay("senior", false);
+    addRelay("junior", true);
+    assertEquals(place().origin(), new Placement.Origin("junior", 1));
+  }
+
+  @Test
+  public void theNodeDecidesWhereNoRelayAnswers() throws Exception {
+    addRelay("senior", false);
+    addRelay("junior", false);
+    assertNull(place().origin());
+  }
+
+  @Test
+  public void theNodeDecidesWhereThereIsNoRelay() throws Exception {
+    assertNull(place().origin());
+  }
+}
