Engines that fail count as moving in a rollout, and hold up no sound one

Change: RolloutSlots (no I/O): a third of the engines may be out of service, those whose last attempts failed included; these have a slot of their own. A rollout begins by what the sound ones need. Tests: RolloutSlotsTest.

--- a/gateway/src/main/java/org/lockdale/gateway/backend/BackendHealth.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/BackendHealth.java
@@ -67,6 +67,11 @@
     return failureRateScaled.get() / SCALE;
   }
 
+  /** Returns whether the last attempts all failed, also after the pause that they led to. */
+  public boolean isSuspected() {
+    return failuresInRow.get() >= FAILURES_TO_EJECT;
+  }
+
   /** Returns whether requests should go elsewhere for now. */
   public boolean isEjected(long nowMillis) {
     return nowMillis < ejectedUntilMillis.get();
--- a/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
@@ -1,6 +1,7 @@
 package org.lockdale.gateway.weights;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -42,11 +43,6 @@
   /** Nodes spread their first attempts over this many ticks, so that they do not all collide. */
   private static final int STAGGER_TICKS = 5;
 
-  private static final int LEAST_PARALLEL = 2;
-
-  /** One engine in this many may load at once. */
-  private static final int PARALLEL_DIVISOR = 3;
-
   private final EventLoop eventLoop;
   private final Section<NamedWeights> weights;
   private final Section<BackendTable> backends;
@@ -58,6 +54,7 @@
   private final Time time;
   private final BooleanSupplier mayLead;
   private final Set<String> updating = new HashSet<>();
+  private final Set<String> updatingSuspected = new HashSet<>();
   private final Map<String, Long> retryAtMillis = new HashMap<>();
   private boolean leaseCallOpen;
   private long nextLeaseCallMillis;
@@ -124,8 +121,8 @@
     }
     long now = time.monotonicMillis();
     List<WeightsPolicy.Move> moves = WeightsPolicy.moves(weights.value(), backends.value());
-    int parallel = parallel();
-    if (moves.isEmpty() || now < policy.startBy(weights.value(), moves, parallel)) {
+    RolloutSlots slots = RolloutSlots.of(backends.value());
+    if (moves.isEmpty() || now < startBy(moves, slots)) {
       pending = false;
       return;
     }
@@ -135,27 +132,30 @@
     }
     keepLease(now);
     if (lease.mayAct(now)) {
-      startUpdates(moves, parallel, now);
+      startUpdates(moves, slots, now);
     }
   }
 
-  private int parallel() {
-    long engines =
-        backends.value().all().stream()
-            .filter(tracked -> !tracked.backend().weights().isEmpty())
-            .count();
-    // One engine at least goes on serving, where there is more than one.
-    long most = Math.max(1, engines - 1);
-    return (int)
-        Math.min(
-            most, Math.max(LEAST_PARALLEL, (engines + PARALLEL_DIVISOR - 1) / PARALLEL_DIVISOR));
+  /** The engines that can be moved now decide; those that can't be reached are moved when back. */
+  private long startBy(List<WeightsPolicy.Move> moves, RolloutSlots slots) {
+    List<WeightsPolicy.Move> sound = new ArrayList<>();
+    for (WeightsPolicy.Move move : moves) {
+      if (!move.engine().health().isSuspected()) {
+        sound.add(move);
+      }
+    }
+    return policy.startBy(weights.value(), sound.isEmpty() ? moves : sound, slots.sound());
   }
 
-  private void startUpdates(List<WeightsPolicy.Move> moves, int parallel, long now) {
+  private void startUpdates(List<WeightsPolicy.Move> moves, RolloutSlots slots, long now) {
     for (WeightsPolicy.Move move : moves) {
       String engine = move.engine().backend().id();
+      boolean suspected = move.engine().health().isSuspected();
+      Set<String> begun = suspected ? updatingSuspected : updating;
       boolean due = retryAtMillis.getOrDefault(engine, Long.MIN_VALUE) <= now;
-      if (due && updating.size() < parallel && updating.add(engine)) {
+      boolean idle = !updating.contains(engine) && !updatingSuspected.contains(engine);
+      if (due && idle && begun.size() < slots.of(suspected)) {
+        begun.add(engine);
         new EngineUpdate(eventLoop, tools, move, lease, nodeId, time::monotonicMillis)
             .start()
             .whenCompleteAsync((held, impossible) -> updated(engine, held), eventLoop);
@@ -165,6 +165,7 @@
 
   private void updated(String engine, boolean held) {
     updating.remove(engine);
+    updatingSuspected.remove(engine);
     if (held) {
       retryAtMillis.remove(engine);
     } else {
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/weights/RolloutSlotsTest.java
@@ -0,0 +1,58 @@
+package org.lockdale.gateway.weights;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.backend.BackendTable;
+import org.testng.annotations.Test;
+
+/** A rollout leaves two thirds of the engines in service where that can be. */
+public final class RolloutSlotsTest {
+
+  @Test
+  public void aThirdOfSoundEnginesMovesAtOnce() {
+    assertEquals(RolloutSlots.of(6, 0).sound(), 2);
+    assertEquals(RolloutSlots.of(8, 0).sound(), 3);
+    assertEquals(RolloutSlots.of(13, 0).sound(), 5);
+    assertEquals(RolloutSlots.of(63, 0).sound(), 21);
+  }
+
+  @Test
+  public void enginesThatFailTakeUpSlots() {
+    assertEquals(RolloutSlots.of(6, 1).sound(), 1);
+    assertEquals(RolloutSlots.of(6, 2).sound(), 1);
+    assertEquals(RolloutSlots.of(63, 16).sound(), 5);
+  }
+
+  @Test
+  public void aRolloutNeverStopsAndNeverTakesTheLastEngine() {
+    for (int engines = 1; engines < 70; engines++) {
+      for (int failing = 0; failing <= engines; failing++) {
+        int sound = RolloutSlots.of(engines, failing).sound();
+        assertTrue(sound >= 1);
+        assertTrue(sound == 1 || sound < engines - failing);
+      }
+    }
+  }
+
+  @Test
+  public void anEngineWhoseLastAttemptsFailedIsSuspectedUntilItAnswers() {
+    BackendTable table = BackendTable.EMPTY.with(List.of(engine("a"), engine("b"), engine("c")));
+    table.all().iterator().next().health().failed(0);
+    assertEquals(RolloutSlots.of(table), new RolloutSlots(2, 1), "one may be the request's own");
+    table.all().iterator().next().health().failed(0);
+    assertEquals(RolloutSlots.of(table), new RolloutSlots(1, 1));
+    table.all().iterator().next().health().succeeded();
+    assertEquals(RolloutSlots.of(table), new RolloutSlots(2, 1));
+  }
+
+  private static Backend engine(String id) {
+    InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+    return new Backend(id, "pool", address, "zone", 4, false, Map.of("model", 1L));
+  }
+}
