A request that would be late in its turn lets those pass that can be in time

Change: the relay tells with a placement how many prompt tokens wait at the engine; each node learns, for each rank, the time to the first event by token before it (WaitEstimate, no I/O: weighted mean, prior of nothing, no constant of the hardware). A request whose predicted wait exceeds its route's objective is sent with the last rank, and its tokens do not count as waiting before others.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
@@ -200,6 +200,7 @@
         answer.getWeights(),
         transfer,
         answer.getComputedTokens(),
+        answer.getWaitingTokens(),
         new Placement.Origin(sender, answer.getPlacement()));
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementMessages.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementMessages.java
@@ -37,11 +37,12 @@
         placement.weights(),
         placement.computedTokens(),
         text(placement.transfer().source()),
-        text(placement.transfer().destination()));
+        text(placement.transfer().destination()),
+        placement.waitingTokens());
   }
 
   static PlacementAnswer none(long number) {
-    return new PlacementAnswer(number, 0L, null, null, 0L, null, null);
+    return new PlacementAnswer(number, 0L, null, null, 0L, null, null, 0L);
   }
 
   private static @Nullable String text(@Nullable InetSocketAddress address) {
--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -118,6 +118,11 @@
     return workAt(candidate).openRequests() * PLAIN_REQUEST_COST + sharedCost(candidate, zone);
   }
 
+  /** Returns the prompt tokens that wait at a back end, of the requests of all nodes. */
+  long waitingTokens(TrackedBackend candidate) {
+    return workAt(candidate).waitingTokens();
+  }
+
   private BackendWork workAt(TrackedBackend candidate) {
     return candidate.load().work().plus(remoteLoads.at(candidate.backend().id()));
   }
--- a/gateway/src/main/java/org/lockdale/gateway/placement/Placement.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/Placement.java
@@ -11,6 +11,7 @@
  * @param weights version of the model's weights that it is believed to hold, or null
  * @param transfer moves of cached prompts around the request
  * @param computedTokens tokens of shared parts that the engine probably has to compute
+ * @param waitingTokens prompt tokens that wait at the engine before this request
  * @param origin relay that decided, or null where this node did
  */
 public record Placement(
@@ -18,6 +19,7 @@
     @Nullable Long weights,
     CacheTransfer transfer,
     long computedTokens,
+    long waitingTokens,
     @Nullable Origin origin) {
 
   /**
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
@@ -83,7 +83,8 @@
           weights == null || prompt == null
               ? CacheTransfer.NONE
               : cachePlanner.plan(target, candidates, surveyFor(target), nowMillis);
-      return new Placement(target, weights, transfer, computed, null);
+      return new Placement(
+          target, weights, transfer, computed, chooser.waitingTokens(target), null);
     }
 
     private List<TrackedBackend> candidates() {
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -56,7 +56,7 @@
     this.time = time;
     this.onBegun = onBegun;
     this.onResult = onResult;
-    this.share = target.load().open(state.computedTokens(), state.promptTokens());
+    this.share = target.load().open(state.queuedTokens(), state.promptTokens());
   }
 
   void start(HttpClient client) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -89,6 +89,9 @@
     state.triedBackends.add(target.backend().id());
     state.backend = target.backend().id();
     state.sharedTokensToCompute = placement.computedTokens();
+    state.waitingTokens = placement.waitingTokens();
+    state.deferred = wouldBeLate();
+    long sentAtMillis = path.nowMillis();
     AttemptPlan plan =
         new AttemptPlan(
             target.backend(),
@@ -106,7 +109,7 @@
             plan,
             path.backendProtocol(),
             path.time(),
-            path::workChanged,
+            () -> begun(sentAtMillis),
             this::concluded);
     current = attempt;
     path.placements().opened(placement);
@@ -116,6 +119,32 @@
     }
   }
 
+  /**
+   * Where more comes than engines can do, a queue in order of arrival makes everything late. A
+   * request that would be late in its turn lets those pass that can still be in time.
+   */
+  private boolean wouldBeLate() {
+    if (state.prompt == null) {
+      return false;
+    }
+    double wait =
+        path.waits()
+            .predictMillis(state.ownPriority(), state.waitingTokens + state.computedTokens());
+    long elapsed = path.nowMillis() - state.arrivedAtMillis;
+    return elapsed + wait > state.route().latencyObjective().toMillis();
+  }
+
+  private void begun(long sentAtMillis) {
+    path.workChanged();
+    if (!state.deferred) {
+      path.waits()
+          .observe(
+              state.ownPriority(),
+              state.waitingTokens + state.computedTokens(),
+              path.nowMillis() - sentAtMillis);
+    }
+  }
+
   /** Takes a request back that waits at an engine whose weights become too old to begin on. */
   private void watchWeights(Attempt attempt, long weights) {
     state
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -51,6 +51,7 @@
   private final Time time;
   private final SplitSelector splits = new SplitSelector();
   private final List<RequestFilter> filters;
+  private final WaitEstimate waits = new WaitEstimate();
   private final AtomicInteger openRequests = new AtomicInteger();
 
   /**
@@ -230,6 +231,10 @@
     return backendProtocol;
   }
 
+  WaitEstimate waits() {
+    return waits;
+  }
+
   RetryBudget budget() {
     return budget;
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
@@ -13,6 +13,9 @@
 /** Everything known of one request on its way. Lives on the event loop of its connection. */
 final class RequestState {
 
+  /** Rank of a request that goes behind all others. */
+  private static final int LAST_PRIORITY = 9;
+
   final HttpExchange exchange;
   final CallerRequest request;
   final GatewayConfiguration configuration;
@@ -43,6 +46,15 @@
 
   boolean answerStarted;
 
+  /**
+   * Whether it goes behind all others, since it would be late in its turn and would make others
+   * late as well.
+   */
+  boolean deferred;
+
+  /** Prompt tokens that waited at the chosen engine before it. */
+  long waitingTokens;
+
   /** Tokens of shared parts that the chosen engine lacks and nobody is known to have. */
   long sharedTokensToCompute;
 
@@ -78,6 +90,11 @@
     return prompt == null ? 0 : prompt.ownTokens() + sharedTokensToCompute;
   }
 
+  /** Returns the tokens that others have to wait for at the chosen engine. */
+  long queuedTokens() {
+    return deferred ? 0 : computedTokens();
+  }
+
   /** Returns all tokens of the prompt. */
   long promptTokens() {
     return prompt == null ? 0 : prompt.tokens();
@@ -113,8 +130,15 @@
     return arrivedAtMillis + Math.min(request.deadlineMillis(), route().timeout().toMillis());
   }
 
-  /** Returns the rank of the request; a tenant's takes precedence over its route's. */
+  /**
+   * Returns the rank at the back end: that of the request, or the last one where it is deferred.
+   */
   int priority() {
+    return deferred ? LAST_PRIORITY : ownPriority();
+  }
+
+  /** Returns the rank of the request; a tenant's takes precedence over its route's. */
+  int ownPriority() {
     Tenant caller = tenant;
     return caller == null || caller.priority() == null ? route().priority() : caller.priority();
   }
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
@@ -67,7 +67,7 @@
     @Override
     public void onQuestion(String sender, InetSocketAddress address, PlacementQuestion question) {
       exchange.send(
-          address, new PlacementAnswer(question.getNumber(), 1L, "i-1", null, 0L, null, null));
+          address, new PlacementAnswer(question.getNumber(), 1L, "i-1", null, 0L, null, null, 0L));
     }
 
     @Override
