--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/cache/SilentHolders.java
@@ -0,0 +1,20 @@
+package org.lockdale.gateway.cache;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+/** Holders of cached prompts that never answer. */
+public final class SilentHolders implements CacheEventSource {
+
+  @Override
+  public CompletableFuture<CacheEventPage> changes(
+      InetSocketAddress holder, long since, Duration wait) {
+    return new CompletableFuture<>();
+  }
+
+  @Override
+  public CompletableFuture<CacheEventPage> contents(InetSocketAddress holder) {
+    return new CompletableFuture<>();
+  }
+}
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/NodeReporterTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/NodeReporterTest.java
@@ -28,9 +28,6 @@
 import org.lockdale.gateway.weights.EngineMove;
 import org.lockdale.protocol.generated.AttemptVerdict;
 import org.lockdale.protocol.generated.NodeReport;
-import org.lockdale.protocol.generated.PlacementAnswer;
-import org.lockdale.protocol.generated.PlacementQuestion;
-import org.lockdale.protocol.generated.RelayHeartbeat;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -72,7 +69,7 @@
     startRelay();
     EventLoop loop = group.next();
     DatagramExchange datagrams = new DatagramExchange("node-1", freeAddress(), loop);
-    datagrams.start(new Listener(null));
+    datagrams.start(new IgnoringListener());
     List<RelayElection.Relay> relays = List.of(new RelayElection.Relay("node-2", relayAddress, 0));
     sender = new NodeReporter(loop, datagrams, () -> sendersTable, () -> relays, new SystemTime());
     sender.start();
@@ -86,23 +83,20 @@
             new SystemTime(),
             moves::add,
             (engine, parts) -> expected.add(engine + parts));
-    new DatagramExchange("node-2", relayAddress, group.next()).start(new Listener(receiver));
+    new DatagramExchange("node-2", relayAddress, group.next()).start(new Receiving(receiver));
   }
 
-  private record Listener(ReportReceiver receiver) implements DatagramListener {
-    @Override
-    public void onHeartbeat(String sender, InetSocketAddress address, RelayHeartbeat heartbeat) {}
+  private static final class Receiving extends IgnoringListener {
+    private final ReportReceiver receiver;
+
+    Receiving(ReportReceiver receiver) {
+      this.receiver = receiver;
+    }
 
     @Override
     public void onReport(String sender, NodeReport report) {
       receiver.accept(sender, report);
     }
-
-    @Override
-    public void onQuestion(String sender, InetSocketAddress address, PlacementQuestion question) {}
-
-    @Override
-    public void onAnswer(String sender, PlacementAnswer answer) {}
   }
 
   @AfterMethod(alwaysRun = true)
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
@@ -17,26 +17,22 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.lockdale.coordination.time.SystemTime;
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.BackendWork;
 import org.lockdale.gateway.cache.CacheDirectory;
-import org.lockdale.gateway.cache.CacheEventPage;
-import org.lockdale.gateway.cache.CacheEventSource;
 import org.lockdale.gateway.cache.CachePlanner;
+import org.lockdale.gateway.cache.SilentHolders;
 import org.lockdale.gateway.node.GatewayBlackboard;
 import org.lockdale.gateway.placement.BackendChooser;
 import org.lockdale.gateway.placement.Placement;
 import org.lockdale.gateway.placement.PlacementDecider;
 import org.lockdale.gateway.placement.PlacementQuery;
 import org.lockdale.gateway.weights.WeightsPolicy;
-import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementQuestion;
-import org.lockdale.protocol.generated.RelayHeartbeat;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -57,53 +53,28 @@
   private PlacementClient client;
 
   /** Answers each question with the one back end. */
-  private record Answering(DatagramExchange exchange) implements DatagramListener {
-    @Override
-    public void onHeartbeat(String sender, InetSocketAddress address, RelayHeartbeat heartbeat) {}
+  private static final class Answering extends IgnoringListener {
+    private final DatagramExchange exchange;
 
-    @Override
-    public void onReport(String sender, NodeReport report) {}
+    Answering(DatagramExchange exchange) {
+      this.exchange = exchange;
+    }
 
     @Override
     public void onQuestion(String sender, InetSocketAddress address, PlacementQuestion question) {
       exchange.send(
           address, new PlacementAnswer(question.getNumber(), 1L, "i-1", null, 0L, null, null, 0L));
     }
-
-    @Override
-    public void onAnswer(String sender, PlacementAnswer answer) {}
   }
 
   /** Hands answers to the client under test. */
-  private final class Asking implements DatagramListener {
-    @Override
-    public void onHeartbeat(String sender, InetSocketAddress address, RelayHeartbeat heartbeat) {}
-
-    @Override
-    public void onReport(String sender, NodeReport report) {}
-
-    @Override
-    public void onQuestion(String sender, InetSocketAddress address, PlacementQuestion question) {}
-
+  private final class Asking extends IgnoringListener {
     @Override
     public void onAnswer(String sender, PlacementAnswer answer) {
       client.answered(sender, answer);
     }
   }
 
-  private static final class SilentHolders implements CacheEventSource {
-    @Override
-    public CompletableFuture<CacheEventPage> changes(
-        InetSocketAddress holder, long since, Duration wait) {
-      return new CompletableFuture<>();
-    }
-
-    @Override
-    public CompletableFuture<CacheEventPage> contents(InetSocketAddress holder) {
-      return new CompletableFuture<>();
-    }
-  }
-
   @BeforeMethod
   public void start() throws IOException {
     group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
--- a/gateway/src/test/java/org/lockdale/gateway/placement/PlacementDeciderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/PlacementDeciderTest.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoop;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -17,18 +16,16 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.BackendWork;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.cache.CacheDirectory;
-import org.lockdale.gateway.cache.CacheEventPage;
-import org.lockdale.gateway.cache.CacheEventSource;
 import org.lockdale.gateway.cache.CacheNamespace;
 import org.lockdale.gateway.cache.CachePlanner;
 import org.lockdale.gateway.cache.HeldParts;
+import org.lockdale.gateway.cache.SilentHolders;
 import org.lockdale.gateway.caller.PromptPart;
 import org.lockdale.gateway.node.GatewayBlackboard;
 import org.lockdale.gateway.weights.EngineMove;
@@ -60,20 +57,6 @@
     eventLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
-  /** A holder of cached prompts that never answers. */
-  private static final class SilentHolders implements CacheEventSource {
-    @Override
-    public CompletableFuture<CacheEventPage> changes(
-        InetSocketAddress holder, long since, Duration wait) {
-      return new CompletableFuture<>();
-    }
-
-    @Override
-    public CompletableFuture<CacheEventPage> contents(InetSocketAddress holder) {
-      return new CompletableFuture<>();
-    }
-  }
-
   /** One random deployment: engines of all sorts, weights named at random times. */
   private final class World {
     final Random random;
