--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -209,7 +209,8 @@
     if (late || !outcome.equals(COMPLETE)) {
       Logger.info(
           "event=request-ended request={} outcome={} late={} pool={} backend={} sends={} millis={}"
-              + " first-event-ms={} longest-gap-ms={} prompt-tokens={}",
+              + " first-event-ms={} longest-gap-ms={} prompt-tokens={} waiting-tokens={}"
+              + " deferred={}",
           state.request.id(),
           outcome,
           late,
@@ -219,7 +220,9 @@
           time.monotonicMillis() - state.arrivedAtMillis,
           state.firstEventMillis,
           state.longestGapMillis,
-          state.promptTokens());
+          state.promptTokens(),
+          state.waitingTokens,
+          state.deferred);
     }
   }
 
