A rollout begins soon after the newest version, no longer as late as the bound allows

Change: WeightsPolicy.beginAt: 0.6 s after the newest version was named, so that versions that follow each other cost one load; no later than the bound requires, as before. Tests: WeightsPolicyTest (two new).

--- a/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
@@ -122,7 +122,7 @@
     long now = time.monotonicMillis();
     List<WeightsPolicy.Move> moves = WeightsPolicy.moves(weights.value(), backends.value());
     RolloutSlots slots = RolloutSlots.of(backends.value());
-    if (moves.isEmpty() || now < startBy(moves, slots)) {
+    if (moves.isEmpty() || now < beginAt(moves, slots)) {
       pending = false;
       return;
     }
@@ -137,14 +137,14 @@
   }
 
   /** The engines that can be moved now decide; those that can't be reached are moved when back. */
-  private long startBy(List<WeightsPolicy.Move> moves, RolloutSlots slots) {
+  private long beginAt(List<WeightsPolicy.Move> moves, RolloutSlots slots) {
     List<WeightsPolicy.Move> sound = new ArrayList<>();
     for (WeightsPolicy.Move move : moves) {
       if (!move.engine().health().isSuspected()) {
         sound.add(move);
       }
     }
-    return policy.startBy(weights.value(), sound.isEmpty() ? moves : sound, slots.sound());
+    return policy.beginAt(weights.value(), sound.isEmpty() ? moves : sound, slots.sound());
   }
 
   private void startUpdates(List<WeightsPolicy.Move> moves, RolloutSlots slots, long now) {
--- a/gateway/src/main/java/org/lockdale/gateway/weights/WeightsPolicy.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/WeightsPolicy.java
@@ -22,6 +22,9 @@
   /** Time that one group of engines takes, from the order to the new weights. */
   private static final long LOAD_MILLIS = 1_900;
 
+  /** A version that is followed by another within this time is not worth a load. */
+  private static final long SETTLE_MILLIS = 600;
+
   /** Time to take the lease. */
   private static final long LEASE_MILLIS = 400;
 
@@ -67,6 +70,20 @@
     return moves;
   }
 
+  /**
+   * Returns the monotonic time at which the moves begin: soon, since answers on older weights are
+   * worth less, but not between versions that follow each other, unless the bound requires it.
+   */
+  public long beginAt(NamedWeights weights, List<Move> moves, int parallel) {
+    long newest = Long.MIN_VALUE / 2;
+    for (Move move : moves) {
+      for (NamedVersion named : weights.versionsOf(move.model())) {
+        newest = Math.max(newest, named.notBeforeMillis());
+      }
+    }
+    return Math.min(newest + SETTLE_MILLIS, startBy(weights, moves, parallel));
+  }
+
   /**
    * Returns the latest monotonic time at which the moves must begin for all engines to serve within
    * the bound.
--- a/gateway/src/test/java/org/lockdale/gateway/weights/WeightsPolicyTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/weights/WeightsPolicyTest.java
@@ -79,6 +79,30 @@
     assertTrue(WeightsPolicy.moves(weights, later).isEmpty(), "a record may lag behind");
   }
 
+  @Test
+  public void aRolloutBeginsOnceNoNewerVersionFollows() {
+    WeightsPolicy policy = new WeightsPolicy(BOUND);
+    BackendTable engines = table(engine("a", 1, false));
+    NamedWeights weights = NamedWeights.NONE.with(Map.of(MODEL, 2L), 1_000);
+    long first = policy.beginAt(weights, WeightsPolicy.moves(weights, engines), 1);
+    assertTrue(first > 1_000 && first < 2_000, "soon after it was named");
+    NamedWeights newer = weights.with(Map.of(MODEL, 3L), 1_500);
+    long second = policy.beginAt(newer, WeightsPolicy.moves(newer, engines), 1);
+    assertEquals(second, first + 500);
+  }
+
+  @Test
+  public void versionsThatFollowEachOtherDelayARolloutNoLongerThanTheBoundAllows() {
+    WeightsPolicy policy = new WeightsPolicy(BOUND);
+    BackendTable engines = table(engine("a", 1, false));
+    NamedWeights weights = NamedWeights.NONE;
+    for (int version = 2; version < 30; version++) {
+      weights = weights.with(Map.of(MODEL, (long) version), version * 500L);
+    }
+    List<WeightsPolicy.Move> moves = WeightsPolicy.moves(weights, engines);
+    assertEquals(policy.beginAt(weights, moves, 1), policy.startBy(weights, moves, 1));
+  }
+
   @Test
   public void moreRoundsMeanAnEarlierStart() {
     WeightsPolicy policy = new WeightsPolicy(BOUND);
