--- a/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
@@ -154,7 +154,7 @@
       Set<String> begun = suspected ? updatingSuspected : updating;
       boolean due = retryAtMillis.getOrDefault(engine, Long.MIN_VALUE) <= now;
       boolean idle = !updating.contains(engine) && !updatingSuspected.contains(engine);
-      if (due && idle && begun.size() < slots.of(suspected)) {
+      if (due && idle && begun.size() < slots.limit(suspected)) {
         begun.add(engine);
         new EngineUpdate(eventLoop, tools, move, lease, nodeId, time::monotonicMillis)
             .start()
--- a/gateway/src/main/java/org/lockdale/gateway/weights/RolloutSlots.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutSlots.java
@@ -40,8 +40,8 @@
     return new RolloutSlots(sound, 1);
   }
 
-  /** Returns the slots for engines of one kind. */
-  int of(boolean isSuspected) {
+  /** Returns the most moves at once of engines that are suspected, or of those that are not. */
+  int limit(boolean isSuspected) {
     return isSuspected ? suspected : sound;
   }
 }
