--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
@@ -175,7 +175,13 @@
 
   private void publish(long nowMillis) {
     relays = election.relays(nowMillis);
-    coordinator = election.coordinator(nowMillis);
+    Optional<RelayElection.Relay> elected = election.coordinator(nowMillis);
+    if (!elected.map(RelayElection.Relay::id).equals(coordinator.map(RelayElection.Relay::id))) {
+      Logger.info(
+          "event=coordinator-changed coordinator={}",
+          elected.map(RelayElection.Relay::id).orElse("none"));
+    }
+    coordinator = elected;
     if (election.isServing() != serving) {
       serving = election.isServing();
       Logger.info("event=relay-{} relays={}", serving ? "serving" : "retired", relays.size());
--- a/gateway/src/main/java/org/lockdale/gateway/node/OperatorController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/OperatorController.java
@@ -10,6 +10,7 @@
 import org.lockdale.gateway.table.SharedRecords;
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.table.TableRowChange;
+import org.lockdale.gateway.weights.NamedWeights;
 import org.tinylog.Logger;
 
 /**
@@ -71,7 +72,17 @@
   }
 
   private void publishWeights(Map<String, Long> newest) {
-    long notBefore = Math.max(lastProofMillis, time.monotonicMillis() - MAX_UNSEEN_MILLIS);
-    blackboard.weights().publish(blackboard.weights().value().with(newest, notBefore), notBefore);
+    long now = time.monotonicMillis();
+    long notBefore = Math.max(lastProofMillis, now - MAX_UNSEEN_MILLIS);
+    NamedWeights known = blackboard.weights().value();
+    newest.forEach((model, version) -> logNew(known, model, version, now - notBefore));
+    blackboard.weights().publish(known.with(newest, notBefore), notBefore);
+  }
+
+  private static void logNew(NamedWeights known, String model, long version, long ageMillis) {
+    if (known.newest(model).orElse(Long.MIN_VALUE) < version) {
+      Logger.info(
+          "event=weights-named model={} version={} believed-age-ms={}", model, version, ageMillis);
+    }
   }
 }
