--- a/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
@@ -30,6 +30,7 @@
 import org.lockdale.gateway.placement.Placement;
 import org.lockdale.gateway.placement.PlacementDecider;
 import org.lockdale.gateway.placement.PlacementQuery;
+import org.lockdale.gateway.weights.NamedWeights;
 import org.lockdale.gateway.weights.WeightsPolicy;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementQuestion;
@@ -48,11 +49,22 @@
   private static final PlacementQuery QUERY =
       new PlacementQuery("pool", "zone", null, null, List.of(), Set.of());
 
+  private static final String MODEL = "model";
+  private static final long OLD_WEIGHTS = 1;
+  private static final long NEW_WEIGHTS = 2;
+
+  /** Longest time in which older weights may serve. */
+  private static final long WEIGHTS_BOUND_MILLIS = 1_000;
+
+  private static final PlacementQuery QUERY_FOR_MODEL =
+      new PlacementQuery("pool", "zone", MODEL, null, List.of(), Set.of());
+
   private final List<RelayElection.Relay> relays = new ArrayList<>();
   private EventLoopGroup group;
+  private GatewayBlackboard blackboard;
   private PlacementClient client;
 
-  /** Answers each question with the one back end. */
+  /** Answers each question with the first back end, which holds the old weights. */
   private static final class Answering extends IgnoringListener {
     private final DatagramExchange exchange;
 
@@ -62,8 +74,10 @@
 
     @Override
     public void onQuestion(String sender, InetSocketAddress address, PlacementQuestion question) {
+      Long weights = question.getModel() == null ? null : OLD_WEIGHTS;
       exchange.send(
-          address, new PlacementAnswer(question.getNumber(), 1L, "i-1", null, 0L, null, null, 0L));
+          address,
+          new PlacementAnswer(question.getNumber(), 1L, "i-1", weights, 0L, null, null, 0L));
     }
   }
 
@@ -82,7 +96,7 @@
     EventLoop loop = group.next();
     DatagramExchange datagrams = new DatagramExchange("node", freeAddress(), loop);
     datagrams.start(new Asking());
-    GatewayBlackboard blackboard = GatewayBlackboard.empty();
+    blackboard = GatewayBlackboard.empty();
     blackboard.backends().publish(backends(), 0);
     CacheDirectory directory =
         new CacheDirectory(
@@ -92,7 +106,7 @@
             blackboard,
             new BackendChooser(engine -> BackendWork.NONE),
             new CachePlanner(directory, (engine, parts) -> {}),
-            new WeightsPolicy(1_000));
+            new WeightsPolicy(WEIGHTS_BOUND_MILLIS));
     client =
         new PlacementClient(
             new PlacementClient.Context(
@@ -116,7 +130,9 @@
   private static BackendTable backends() {
     InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
     return BackendTable.EMPTY.with(
-        List.of(new Backend("i-1", "pool", address, "zone", 4, false, Map.of())));
+        List.of(
+            new Backend("i-1", "pool", address, "zone", 4, false, Map.of(MODEL, OLD_WEIGHTS)),
+            new Backend("i-2", "pool", address, "zone", 4, false, Map.of(MODEL, NEW_WEIGHTS))));
   }
 
   private static InetSocketAddress freeAddress() throws IOException {
@@ -135,10 +151,20 @@
   }
 
   private Placement place() throws Exception {
-    Optional<Placement> placement = client.place(QUERY).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    return place(QUERY);
+  }
+
+  private Placement place(PlacementQuery query) throws Exception {
+    Optional<Placement> placement = client.place(query).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     return placement.orElseThrow();
   }
 
+  private void nameNewWeights(long ageMillis) {
+    long namedAtMillis = new SystemTime().monotonicMillis() - ageMillis;
+    NamedWeights named = NamedWeights.NONE.with(Map.of(MODEL, NEW_WEIGHTS), namedAtMillis);
+    blackboard.weights().publish(named, namedAtMillis);
+  }
+
   @AfterMethod(alwaysRun = true)
   public void stop() {
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
@@ -165,6 +191,37 @@
     assertNull(place().origin());
   }
 
+  @Test
+  public void aChoiceOnWeightsThatMayStillServeIsTaken() throws Exception {
+    addRelay("senior", true);
+    nameNewWeights(0);
+    Placement placement = place(QUERY_FOR_MODEL);
+    assertEquals(placement.target().backend().id(), "i-1");
+    assertEquals(placement.origin(), new Placement.Origin("senior", 1));
+  }
+
+  /**
+   * Callers were answered on weights that had been replaced 9 s before, 1 s past the bound, for a
+   * few requests of some days. The order of events: new weights were named, a node was restarted,
+   * the relay that placed the requests stopped as planned, and the restarted node took its place.
+   * It could not know when the weights had been named, took them for 4.5 s old, and chose engines
+   * that still held the old ones. The asking node had known the weights all along and sent the
+   * request without a look at its own belief.
+   *
+   * <p>The evidence: in plays with nodes stopped in turn, the log lines of nodes that had never
+   * been restarted read {@code sent-on-outdated-weights weights=1 coordinator=B} from 20 ms after
+   * {@code coordinator-changed coordinator=B} on; B had logged {@code weights-named
+   * believed-age-ms=4500} when the weights were 8 s old.
+   */
+  @Test
+  public void aChoiceOnWeightsThatThisNodeKnowsToBeOutdatedIsNotTaken() throws Exception {
+    addRelay("senior", true);
+    nameNewWeights(WEIGHTS_BOUND_MILLIS);
+    Placement placement = place(QUERY_FOR_MODEL);
+    assertEquals(placement.target().backend().id(), "i-2");
+    assertNull(placement.origin());
+  }
+
   @Test
   public void theNodeDecidesWhereThereIsNoRelay() throws Exception {
     assertNull(place().origin());
