A relay's choice counts only as far as the sender's own belief of the weights allows it

Cause: PlacementClient took every engine that a relay named, if only its record was there and it was not leaving.

Change: the choice is checked against the sender's own belief like its own decisions; one that is outdated is rejected, and the node decides itself. The warning sent-on-outdated-weights of the trace, which told of such a send, can no longer occur and goes; placement-rejected tells of the rejected choice instead, once a second at most.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
@@ -40,6 +40,9 @@
   /** Questions in a row without an answer after which a relay is no longer asked. */
   private static final int MAX_SILENT_QUESTIONS = 3;
 
+  /** Rejected choices are logged this seldom, since each request may bring one, in milliseconds. */
+  private static final long REJECTION_LOG_MILLIS = 1_000;
+
   /** Most back ends that a question excludes. */
   private static final int MAX_EXCLUDED = 12;
 
@@ -77,6 +80,7 @@
   private final Map<Long, Open> open = new ConcurrentHashMap<>();
   private final AtomicLong numbers = new AtomicLong();
   private final AtomicInteger silentQuestions = new AtomicInteger();
+  private final AtomicLong nextRejectionLogMillis = new AtomicLong(Long.MIN_VALUE);
 
   /**
    * Creates a client.
@@ -179,16 +183,17 @@
       return;
     }
     silentQuestions.set(0);
-    Placement placement = placement(sender, answer);
+    Placement placement = placement(sender, question.query(), answer);
     question
         .result()
         .complete(placement == null ? decide(question.query()) : Optional.of(placement));
   }
 
-  private @Nullable Placement placement(String sender, PlacementAnswer answer) {
+  private @Nullable Placement placement(
+      String sender, PlacementQuery query, PlacementAnswer answer) {
     String engine = answer.getEngine();
     TrackedBackend target = engine == null ? null : context.backends().get().find(engine);
-    if (target == null || target.backend().leaving()) {
+    if (target == null || target.backend().leaving() || isOutdated(sender, query, target, answer)) {
       return null;
     }
     CacheTransfer transfer =
@@ -204,6 +209,38 @@
         new Placement.Origin(sender, answer.getPlacement()));
   }
 
+  /**
+   * The sender of a request answers for the weights that it begins on. A relay that started a
+   * moment ago may not know how long the newest ones have been named, so its choice counts only as
+   * far as this node's own belief allows it.
+   */
+  private boolean isOutdated(
+      String relay, PlacementQuery query, TrackedBackend target, PlacementAnswer answer) {
+    String model = query.model();
+    if (model == null) {
+      return false;
+    }
+    long now = context.time().monotonicMillis();
+    Long weights = answer.getWeights() == null ? target.weightsOf(model) : answer.getWeights();
+    boolean outdated = weights != null && context.decider().isOutdated(model, weights, now);
+    if (outdated) {
+      logRejected(relay, target, weights, now);
+    }
+    return outdated;
+  }
+
+  private void logRejected(String relay, TrackedBackend target, long weights, long nowMillis) {
+    long next = nextRejectionLogMillis.get();
+    boolean due = nowMillis >= next;
+    if (due && nextRejectionLogMillis.compareAndSet(next, nowMillis + REJECTION_LOG_MILLIS)) {
+      Logger.info(
+          "event=placement-rejected cause=outdated-weights relay={} backend={} weights={}",
+          relay,
+          target.backend().id(),
+          weights);
+    }
+  }
+
   @Override
   public void opened(Placement placement) {
     Placement.Origin origin = placement.origin();
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -115,24 +115,10 @@
     path.placements().opened(placement);
     attempt.start(path.client());
     if (weights != null) {
-      logOutdated(placement, weights);
       watchWeights(attempt, weights);
     }
   }
 
-  /** Tells who chose an engine that by this node's own belief may no longer serve. */
-  private void logOutdated(Placement placement, long weights) {
-    if (isOutdated(weights)) {
-      Placement.Origin origin = placement.origin();
-      Logger.warn(
-          "event=sent-on-outdated-weights request={} backend={} weights={} coordinator={}",
-          state.request.id(),
-          placement.target().backend().id(),
-          weights,
-          origin == null ? "none" : origin.relay());
-    }
-  }
-
   /**
    * Where more comes than engines can do, a queue in order of arrival makes everything late. A
    * request that would be late in its turn lets those pass that can still be in time.
