Nodes record when weights were named, and a node that starts counts from where it is held to the bound

Cause: the operators' row names a version and not when. A node that started (or came back) took what it found for at most 4.5 s old, a constant that fits one bound of 8 s and one contact time of 3 s, counted from its first reading instead of its start. On a bound of 10 s it required the version 4.8 s after its first reading and is held to it 3 s after its start.

Ruled out: telling it in every heartbeat (nobody is left to tell it when all lose power); requiring the newest version from a node's start on (all engines refuse until the first has loaded after a start of all).

Change: (1) the coordinating relay writes into the nodes' own table when it saw each version named, by the store's clock; every node reads that table at its start anyway. One write a version. (2) Without a record, a node counts from the point from which the bound is reached just when the node is held to it: its start plus node.catch-up (the contact time of the deployment), whatever the bound is.

Tests: OperatorControllerTest.whatANodeFindsAtItsStartIsDueOnceTheNodeIsHeldToTheBound passes (failed before); whatANodeFindsAfterABreak... and WeightsRecorderTest are new and were not run without the change. 42 tests of platform and those of gateway pass.

--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
@@ -4,22 +4,27 @@
 import org.lockdale.gateway.cluster.ClusterTable;
 import org.lockdale.gateway.cluster.NodeRegistry;
 import org.lockdale.gateway.cluster.PeerNode;
+import org.lockdale.gateway.cluster.RecordedWeights;
 import org.lockdale.gateway.table.RowReader;
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.table.TableRowChange;
 
-/** Keeps the registry of nodes from the nodes' own table. */
+/** Passes on what the nodes' own table holds: other nodes, and when weights were named. */
 final class ClusterObserver implements TableFollower.Listener {
 
   private record VersionedNode(PeerNode node, long rowVersion) {}
 
-  private final RowReader<VersionedNode> reader;
+  private final RowReader<VersionedNode> nodeReader;
+  private final RowReader<RecordedWeights> weightsReader;
   private final NodeRegistry nodes;
+  private final WeightsRecorder weights;
 
-  ClusterObserver(ClusterTable table, NodeRegistry nodes) {
-    this.reader =
+  ClusterObserver(ClusterTable table, NodeRegistry nodes, WeightsRecorder weights) {
+    this.nodeReader =
         new RowReader<>(row -> table.node(row).map(node -> new VersionedNode(node, row.version())));
+    this.weightsReader = new RowReader<>(table::weights);
     this.nodes = nodes;
+    this.weights = weights;
   }
 
   @Override
@@ -27,7 +32,8 @@
     if (!changed) {
       return;
     }
-    reader.read(rows).forEach(read -> nodes.observed(read.node(), read.rowVersion()));
+    nodeReader.read(rows).forEach(read -> nodes.observed(read.node(), read.rowVersion()));
+    weightsReader.read(rows).forEach(weights::observed);
     nodes.refresh();
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -59,6 +59,7 @@
   private final NodeReporter reporter;
   private final PlacementDecider decider;
   private final PlacementClient placements;
+  private final WeightsRecorder weightsRecorder;
 
   /**
    * Creates the services; {@link #start} starts them.
@@ -90,8 +91,10 @@
     StoreClock clock = new StoreClock();
     TableFollower.Sources sources =
         new TableFollower.Sources(protocols.feed(), new TableSliceClient(controlClient), clock);
-    followers =
-        followers(sources, settings.get(GatewaySettings.STORE_WAIT), protocols, backendClient);
+    weightsRecorder =
+        new WeightsRecorder(
+            blackboard.weights(), protocols.clusterTable(), clock, this::isCoordinator, time);
+    followers = followers(sources, settings, protocols, backendClient);
     relays =
         new RelayController(
             eventLoop,
@@ -145,9 +148,10 @@
   /** The operators' table stands first, since its proof is what keys are trusted by. */
   private List<TableFollower> followers(
       TableFollower.Sources sources,
-      Duration wait,
+      GatewaySettings settings,
       GatewayProtocols protocols,
       HttpClient backendClient) {
+    Duration wait = settings.get(GatewaySettings.STORE_WAIT);
     Duration quietWait = wait.multipliedBy(QUIET_TABLE_WAITS);
     return List.of(
         new TableFollower(
@@ -155,7 +159,12 @@
             sources,
             new TableFollower.Plan(protocols.records().operatorTable(), wait, Duration.ZERO),
             time,
-            new OperatorController(blackboard, protocols.records(), time)),
+            new OperatorController(
+                blackboard,
+                protocols.records(),
+                time,
+                settings.get(GatewaySettings.WEIGHTS_BOUND),
+                settings.get(GatewaySettings.NODE_CATCH_UP))),
         new TableFollower(
             eventLoop,
             sources,
@@ -169,7 +178,7 @@
             new TableFollower.Plan(
                 protocols.clusterTable().table(), quietWait, CLUSTER_CHANGES_GATHER),
             time,
-            new ClusterObserver(protocols.clusterTable(), nodes)));
+            new ClusterObserver(protocols.clusterTable(), nodes, weightsRecorder)));
   }
 
   /**
@@ -194,6 +203,7 @@
 
   private void upkeep() {
     nodes.refresh();
+    weightsRecorder.tick();
     peerLoads.expire();
     Set<String> engines = new HashSet<>();
     blackboard.backends().value().all().forEach(tracked -> engines.add(tracked.backend().id()));
@@ -233,6 +243,11 @@
     return nodes.peers().size() + 1;
   }
 
+  /** Returns whether this node is the relay that places the requests of all. */
+  private boolean isCoordinator() {
+    return relays.isServing() && relays.coordinator().isEmpty();
+  }
+
   /** Returns whether this node serves others as a relay. */
   boolean isRelay() {
     return relays.isServing();
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
@@ -51,6 +51,14 @@
               + " relays.",
           GatewaySettings::count);
 
+  /** When a node that was away is held to all bounds again. */
+  public static final Setting<Duration> NODE_CATCH_UP =
+      duration(
+          "node.catch-up",
+          "3s",
+          "Time after its start, or after a break, from which this node is held to every bound of"
+              + " time; what it finds then may be older than it can tell.");
+
   /** Threads that serve connections. */
   public static final Setting<Integer> THREADS =
       declare(
@@ -157,6 +165,7 @@
           NODE_ID,
           NODE_ZONE,
           NODE_LINK,
+          NODE_CATCH_UP,
           THREADS,
           CALLERS_ADDRESS,
           CALLERS_START_WAIT,
--- a/gateway/src/main/java/org/lockdale/gateway/node/OperatorController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/OperatorController.java
@@ -1,5 +1,6 @@
 package org.lockdale.gateway.node;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,21 +22,41 @@
 final class OperatorController implements TableFollower.Listener {
 
   /**
-   * A version of weights that is new to this node was named after the last proof that there was no
-   * newer one, but is not taken for older than this: a node that has been out of touch for longer
-   * has time to catch up.
+   * Time from the start of a process until this controller exists, and from the end of a break
+   * until the table is read again. A node with 0.75 of a core logged its start 0.5 to 0.7 s after
+   * its process began.
    */
-  private static final long MAX_UNSEEN_MILLIS = 4_500;
+  private static final long RETURN_MILLIS = 600;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final GatewayBlackboard blackboard;
   private final RowReader<OperatorRecord> reader;
   private final Time time;
-  private long lastProofMillis = Long.MIN_VALUE / 2;
+  private final long startedAtMillis;
+  private final long estimatedAgeMillis;
+  private long lastProofMillis = NEVER;
 
-  OperatorController(GatewayBlackboard blackboard, SharedRecords records, Time time) {
+  /**
+   * Creates a controller.
+   *
+   * @param blackboard where to write
+   * @param records reads the operators' rows
+   * @param time clock
+   * @param weightsBound longest time after new weights were named in which older ones may serve
+   * @param catchUp time after a start or a break from which the node is held to every bound
+   */
+  OperatorController(
+      GatewayBlackboard blackboard,
+      SharedRecords records,
+      Time time,
+      Duration weightsBound,
+      Duration catchUp) {
     this.blackboard = blackboard;
     this.reader = new RowReader<>(records::operatorRecord);
     this.time = time;
+    this.startedAtMillis = time.monotonicMillis();
+    this.estimatedAgeMillis = weightsBound.minus(catchUp).toMillis() + RETURN_MILLIS;
   }
 
   @Override
@@ -73,10 +94,18 @@
 
   private void publishWeights(Map<String, Long> newest) {
     long now = time.monotonicMillis();
-    long notBefore = Math.max(lastProofMillis, now - MAX_UNSEEN_MILLIS);
     NamedWeights known = blackboard.weights().value();
+    // What was named while this node could not look may be due already. It counts such a version
+    // from where the bound is reached just when the node is held to it, however long the bound is:
+    // a fixed age would let a node that has just started serve on old weights past the bound.
+    boolean first = lastProofMillis == NEVER;
+    long estimate = (first ? startedAtMillis : now) - estimatedAgeMillis;
+    boolean witnessed = lastProofMillis >= estimate;
+    long notBefore = witnessed ? lastProofMillis : estimate;
     newest.forEach((model, version) -> logNew(known, model, version, now - notBefore));
-    blackboard.weights().publish(known.with(newest, notBefore), notBefore);
+    NamedWeights named =
+        witnessed ? known.with(newest, notBefore) : known.withEstimate(newest, notBefore);
+    blackboard.weights().publish(named, notBefore);
   }
 
   private static void logNew(NamedWeights known, String model, long version, long ageMillis) {
--- a/gateway/src/main/java/org/lockdale/gateway/weights/NamedWeights.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/NamedWeights.java
@@ -1,10 +1,11 @@
 package org.lockdale.gateway.weights;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
 
 /** The versions of weights that operators have named, newest last, for each model. Immutable. */
 public final class NamedWeights {
@@ -29,21 +30,49 @@
    *     named
    */
   public NamedWeights with(Map<String, Long> newest, long notBeforeMillis) {
+    return with(newest, notBeforeMillis, false);
+  }
+
+  /**
+   * Returns these with the newest versions as read by a node that can't tell since when there is no
+   * older one.
+   *
+   * @param newest newest version of each model
+   * @param countsFromMillis monotonic time from which a version unknown so far is counted
+   */
+  public NamedWeights withEstimate(Map<String, Long> newest, long countsFromMillis) {
+    return with(newest, countsFromMillis, true);
+  }
+
+  private NamedWeights with(Map<String, Long> newest, long notBeforeMillis, boolean estimated) {
+    NamedWeights merged = this;
+    for (Map.Entry<String, Long> entry : newest.entrySet()) {
+      long version = entry.getValue();
+      if (newest(entry.getKey()).orElse(Long.MIN_VALUE) < version) {
+        NamedVersion named = new NamedVersion(version, notBeforeMillis, estimated);
+        merged = merged.withWitnessed(entry.getKey(), List.of(named));
+      }
+    }
+    return merged;
+  }
+
+  /** Returns these with versions of a model as other nodes witnessed them. */
+  public NamedWeights withWitnessed(String model, List<NamedVersion> witnessed) {
+    TreeMap<Long, NamedVersion> versions = new TreeMap<>();
+    versionsOf(model).forEach(named -> versions.put(named.version(), named));
+    witnessed.forEach(named -> versions.merge(named.version(), named, NamedVersion::orBetter));
+    List<NamedVersion> ordered = List.copyOf(versions.values());
+    int surplus = Math.max(0, ordered.size() - MAX_VERSIONS);
     Map<String, List<NamedVersion>> merged = new HashMap<>(byModel);
-    newest.forEach(
-        (model, version) -> {
-          List<NamedVersion> versions = new ArrayList<>(byModel.getOrDefault(model, List.of()));
-          boolean known =
-              !versions.isEmpty() && versions.get(versions.size() - 1).version() >= version;
-          if (!known) {
-            versions.add(new NamedVersion(version, notBeforeMillis));
-            int surplus = Math.max(0, versions.size() - MAX_VERSIONS);
-            merged.put(model, List.copyOf(versions.subList(surplus, versions.size())));
-          }
-        });
+    merged.put(model, ordered.subList(surplus, ordered.size()));
     return new NamedWeights(Map.copyOf(merged));
   }
 
+  /** Returns the models of which a version was named. */
+  public Set<String> models() {
+    return byModel.keySet();
+  }
+
   /** Returns all versions of a model, newest last. */
   public List<NamedVersion> versionsOf(String model) {
     return byModel.getOrDefault(model, List.of());
--- a/gateway/src/test/java/org/lockdale/gateway/node/OperatorControllerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/node/OperatorControllerTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertNull;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import org.lockdale.coordination.time.Time;
@@ -72,7 +73,13 @@
   public void start() {
     now = START;
     blackboard = GatewayBlackboard.empty();
-    controller = new OperatorController(blackboard, new WeightsRows(), new SteppedTime());
+    controller =
+        new OperatorController(
+            blackboard,
+            new WeightsRows(),
+            new SteppedTime(),
+            Duration.ofMillis(BOUND),
+            Duration.ofMillis(CATCH_UP));
   }
 
   private void read(long version) {
@@ -96,6 +103,15 @@
     assertEquals(required(), Long.valueOf(2));
   }
 
+  @Test
+  public void whatANodeFindsAfterABreakIsDueOnceTheNodeIsHeldToTheBoundAgain() {
+    read(1);
+    now += 60_000;
+    read(2);
+    now += CATCH_UP;
+    assertEquals(required(), Long.valueOf(2));
+  }
+
   @Test
   public void whatIsNamedBeforeTheEyesOfANodeIsDueShortlyBeforeTheBound() {
     read(1);
--- a/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
@@ -18,6 +18,7 @@
 import org.lockdale.protocol.generated.ConfigurationChange;
 import org.lockdale.protocol.generated.ConfigurationSnapshot;
 import org.lockdale.protocol.generated.LeaseRecord;
+import org.lockdale.protocol.generated.NamedWeightsRecord;
 import org.lockdale.protocol.generated.NodeDatagram;
 import org.lockdale.protocol.generated.NodeRecord;
 import org.lockdale.protocol.generated.PeerMessage;
@@ -91,6 +92,11 @@
     return forSchema(NodeRecord.getClassSchema());
   }
 
+  /** Returns a codec of when weights were named, as kept in the table service. */
+  public static MessageCodec<NamedWeightsRecord> namedWeights() {
+    return forSchema(NamedWeightsRecord.getClassSchema());
+  }
+
   /** Returns a codec of the datagrams between gateway nodes. */
   public static MessageCodec<NodeDatagram> nodeDatagrams() {
     return forSchema(NodeDatagram.getClassSchema());
