Ports for processes that listen later lie below those that the system hands out

Cause: the build's training run and the tests asked the system for a free port, closed it, and had a process bind it later. In between the system may hand the same port to any outgoing connection.

--- a/gateway/src/main/java/org/lockdale/gateway/command/TrainingRun.java
+++ b/gateway/src/main/java/org/lockdale/gateway/command/TrainingRun.java
@@ -4,18 +4,17 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
@@ -29,6 +28,7 @@
 import org.lockdale.http.HttpRequestMessage;
 import org.lockdale.http.HttpServer;
 import org.lockdale.http.HttpServerSettings;
+import org.lockdale.http.LoopbackPorts;
 
 /**
  * Starts two nodes on loopback before a stand-in of their store and back ends, sends them requests
@@ -40,6 +40,9 @@
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
   private static final int SUCCESS = 200;
 
+  /** One of the stand-in, and three of each of the two nodes. */
+  private static final int ADDRESSES = 7;
+
   /** Enough for a machine that is busy with other work: half a minute. */
   private static final int MAX_READINESS_CALLS = 600;
 
@@ -78,11 +81,13 @@
   }
 
   private void run() throws InterruptedException {
-    InetSocketAddress standIn = freeAddress();
+    Queue<InetSocketAddress> free = new ArrayDeque<>(LoopbackPorts.free(ADDRESSES));
+    InetSocketAddress standIn = free.remove();
     HttpServer server =
         HttpServer.start(
             HttpServerSettings.forAddress(standIn), group, environment.standIn(standIn));
-    List<GatewaySettings> settings = List.of(settings("one", standIn), settings("two", standIn));
+    List<GatewaySettings> settings =
+        List.of(settings("one", standIn, free), settings("two", standIn, free));
     List<GatewayNode> nodes = new ArrayList<>();
     for (GatewaySettings each : settings) {
       nodes.add(GatewayNode.start(each, adapters.apply(each)));
@@ -131,11 +136,12 @@
   }
 
   /** The settings come from a file, as they do where a node is installed. */
-  private static GatewaySettings settings(String node, InetSocketAddress store) {
+  private static GatewaySettings settings(
+      String node, InetSocketAddress store, Queue<InetSocketAddress> free) {
     try {
       Path file = Files.createTempFile("lockdale-training", ".yaml");
       List<String> lines = new ArrayList<>();
-      values(node, store).forEach((key, value) -> lines.add(key + ": " + value));
+      values(node, store, free).forEach((key, value) -> lines.add(key + ": " + value));
       Files.write(file, lines);
       GatewaySettings settings = GatewaySettings.load(file, Map.of());
       Files.delete(file);
@@ -145,30 +151,21 @@
     }
   }
 
-  private static Map<String, String> values(String node, InetSocketAddress store) {
+  private static Map<String, String> values(
+      String node, InetSocketAddress store, Queue<InetSocketAddress> free) {
     Map<String, String> values = new HashMap<>();
     values.put(GatewaySettings.NODE_ID.key(), node);
     values.put(GatewaySettings.NODE_ZONE.key(), "training");
     values.put(GatewaySettings.STOP_GRACE.key(), "300ms");
     // Engines are moved to new weights at once, so that this is trained too.
     values.put(GatewaySettings.WEIGHTS_BOUND.key(), "1s");
-    values.put(GatewaySettings.CALLERS_ADDRESS.key(), text(freeAddress()));
-    values.put(GatewaySettings.READINESS_ADDRESS.key(), text(freeAddress()));
-    values.put(GatewaySettings.PEERS_ADDRESS.key(), text(freeAddress()));
+    values.put(GatewaySettings.CALLERS_ADDRESS.key(), text(free.remove()));
+    values.put(GatewaySettings.READINESS_ADDRESS.key(), text(free.remove()));
+    values.put(GatewaySettings.PEERS_ADDRESS.key(), text(free.remove()));
     values.put(GatewaySettings.STORE_ADDRESS.key(), text(store));
     return values;
   }
 
-  private static InetSocketAddress freeAddress() {
-    InetAddress loopback = InetAddress.getLoopbackAddress();
-    try (ServerSocket stream = new ServerSocket(0, 1, loopback);
-        DatagramSocket datagrams = new DatagramSocket(stream.getLocalPort(), loopback)) {
-      return new InetSocketAddress(loopback, datagrams.getLocalPort());
-    } catch (IOException noPort) {
-      throw new IllegalStateException("there is no free port on loopback: " + noPort, noPort);
-    }
-  }
-
   private static String text(InetSocketAddress address) {
     return address.getAddress().getHostAddress() + ":" + address.getPort();
   }
