--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
@@ -193,7 +193,11 @@
       String sender, PlacementQuery query, PlacementAnswer answer) {
     String engine = answer.getEngine();
     TrackedBackend target = engine == null ? null : context.backends().get().find(engine);
-    if (target == null || target.backend().leaving() || isOutdated(sender, query, target, answer)) {
+    if (target == null || target.backend().leaving()) {
+      return null;
+    }
+    Long weights = weightsOf(query, target, answer);
+    if (weights != null && isOutdated(sender, query, target, weights)) {
       return null;
     }
     CacheTransfer transfer =
@@ -202,7 +206,7 @@
             PlacementMessages.address(answer.getDestination()));
     return new Placement(
         target,
-        answer.getWeights(),
+        weights,
         transfer,
         answer.getComputedTokens(),
         answer.getWaitingTokens(),
@@ -215,20 +219,24 @@
    * far as this node's own belief allows it.
    */
   private boolean isOutdated(
-      String relay, PlacementQuery query, TrackedBackend target, PlacementAnswer answer) {
+      String relay, PlacementQuery query, TrackedBackend target, long weights) {
     String model = query.model();
-    if (model == null) {
-      return false;
-    }
     long now = context.time().monotonicMillis();
-    Long weights = answer.getWeights() == null ? target.weightsOf(model) : answer.getWeights();
-    boolean outdated = weights != null && context.decider().isOutdated(model, weights, now);
+    boolean outdated = model != null && context.decider().isOutdated(model, weights, now);
     if (outdated) {
       logRejected(relay, target, weights, now);
     }
     return outdated;
   }
 
+  /** A relay that does not know an engine's weights leaves it to this node. */
+  private @Nullable Long weightsOf(
+      PlacementQuery query, TrackedBackend target, PlacementAnswer answer) {
+    return answer.getWeights() == null && query.model() != null
+        ? context.decider().expectedWeights(target, query.model())
+        : answer.getWeights();
+  }
+
   private void logRejected(String relay, TrackedBackend target, long weights, long nowMillis) {
     long next = nextRejectionLogMillis.get();
     boolean due = nowMillis >= next;
--- a/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
+++ b/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
@@ -11,6 +11,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
+import org.lockdale.coordination.time.SystemTime;
 import org.lockdale.gateway.node.GatewayNode;
 import org.lockdale.gateway.node.GatewayProtocols;
 import org.lockdale.gateway.node.GatewaySettings;
@@ -75,6 +76,9 @@
               + " (java -XX:ArchiveClassesAtExit=FILE).")
   private boolean trainingRun;
 
+  /** The command is made first of all, so this is the start of the process within its reach. */
+  private final long startedAtMillis = new SystemTime().monotonicMillis();
+
   private GatewayCommand(
       Function<GatewaySettings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols>> adapters,
       TrainingEnvironment training) {
@@ -182,7 +186,8 @@
 
   private void serve(GatewaySettings settings, @Nullable EarlyListener listener)
       throws InterruptedException {
-    GatewayNode node = GatewayNode.start(settings, adapters.apply(settings), listener);
+    GatewayNode node =
+        GatewayNode.start(settings, adapters.apply(settings), listener, startedAtMillis);
     HangupSignal.onSignal(node::reload);
     CountDownLatch stopped = new CountDownLatch(1);
     Runtime.getRuntime()
--- a/gateway/src/main/java/org/lockdale/gateway/limit/RetryBudget.java
+++ b/gateway/src/main/java/org/lockdale/gateway/limit/RetryBudget.java
@@ -55,16 +55,21 @@
    * @param allowance retries that all nodes together may make in a window whatever the number of
    *     requests
    * @param windowMillis length of the window
-   * @param nodes tells the number of nodes
+   * @param nodes tells the number of nodes, or 0 while it is not known; a node that has just
+   *     started would take the whole allowance for its own otherwise
    */
   public static RetryBudget ofDeployment(
       double ratio, double allowance, long windowMillis, IntSupplier nodes) {
     return new RetryBudget(
         ratio * RATIO_SHARE,
-        () -> allowance * ALLOWANCE_SHARE / Math.max(1, nodes.getAsInt()),
+        () -> shareOf(allowance * ALLOWANCE_SHARE, nodes.getAsInt()),
         windowMillis);
   }
 
+  private static double shareOf(double allowance, int nodes) {
+    return nodes == 0 ? 0 : allowance / nodes;
+  }
+
   /** Notes a request for a pool. */
   public synchronized void requested(String pool, long nowMillis) {
     PoolWindow window = window(pool, nowMillis);
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
@@ -17,14 +17,20 @@
   private final RowReader<VersionedNode> nodeReader;
   private final RowReader<RecordedWeights> weightsReader;
   private final NodeRegistry nodes;
-  private final WeightsRecorder weights;
+  private final WeightsRecorder recorder;
+  private final OperatorController operators;
 
-  ClusterObserver(ClusterTable table, NodeRegistry nodes, WeightsRecorder weights) {
+  ClusterObserver(
+      ClusterTable table,
+      NodeRegistry nodes,
+      WeightsRecorder recorder,
+      OperatorController operators) {
     this.nodeReader =
         new RowReader<>(row -> table.node(row).map(node -> new VersionedNode(node, row.version())));
     this.weightsReader = new RowReader<>(table::weights);
     this.nodes = nodes;
-    this.weights = weights;
+    this.recorder = recorder;
+    this.operators = operators;
   }
 
   @Override
@@ -33,7 +39,9 @@
       return;
     }
     nodeReader.read(rows).forEach(read -> nodes.observed(read.node(), read.rowVersion()));
-    weightsReader.read(rows).forEach(weights::observed);
+    for (RecordedWeights row : weightsReader.read(rows)) {
+      operators.onWitnessed(row.model(), recorder.observed(row));
+    }
     nodes.refresh();
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -60,6 +60,7 @@
   private final PlacementDecider decider;
   private final PlacementClient placements;
   private final WeightsRecorder weightsRecorder;
+  private final OperatorController operators;
 
   /**
    * Creates the services; {@link #start} starts them.
@@ -71,6 +72,7 @@
    * @param controlClient calls other nodes
    * @param backendClient told of back ends that are gone
    * @param time clock
+   * @param startedAtMillis monotonic time at which the process began
    */
   ClusterServices(
       EventLoop eventLoop,
@@ -79,7 +81,8 @@
       GatewayProtocols protocols,
       HttpClient controlClient,
       HttpClient backendClient,
-      Time time) {
+      Time time,
+      long startedAtMillis) {
     this.eventLoop = eventLoop;
     this.blackboard = blackboard;
     this.time = time;
@@ -93,7 +96,20 @@
         new TableFollower.Sources(protocols.feed(), new TableSliceClient(controlClient), clock);
     weightsRecorder =
         new WeightsRecorder(
-            blackboard.weights(), protocols.clusterTable(), clock, this::isCoordinator, time);
+            blackboard.weights(),
+            protocols.clusterTable(),
+            clock,
+            this::isCoordinator,
+            eventLoop,
+            time);
+    operators =
+        new OperatorController(
+            blackboard,
+            protocols.records(),
+            time,
+            startedAtMillis,
+            settings.get(GatewaySettings.WEIGHTS_BOUND),
+            settings.get(GatewaySettings.NODE_CATCH_UP));
     followers = followers(sources, settings, protocols, backendClient);
     relays =
         new RelayController(
@@ -159,12 +175,7 @@
             sources,
             new TableFollower.Plan(protocols.records().operatorTable(), wait, Duration.ZERO),
             time,
-            new OperatorController(
-                blackboard,
-                protocols.records(),
-                time,
-                settings.get(GatewaySettings.WEIGHTS_BOUND),
-                settings.get(GatewaySettings.NODE_CATCH_UP))),
+            operators),
         new TableFollower(
             eventLoop,
             sources,
@@ -178,7 +189,7 @@
             new TableFollower.Plan(
                 protocols.clusterTable().table(), quietWait, CLUSTER_CHANGES_GATHER),
             time,
-            new ClusterObserver(protocols.clusterTable(), nodes, weightsRecorder)));
+            new ClusterObserver(protocols.clusterTable(), nodes, weightsRecorder, operators)));
   }
 
   /**
@@ -238,9 +249,10 @@
     parts.forEach(part -> cacheDirectory.engine(engine).expect(part, now));
   }
 
-  /** Returns the number of nodes of the deployment, this one included. */
+  /** Returns the number of nodes of the deployment, this one included, or 0 if not known yet. */
   int size() {
-    return nodes.peers().size() + 1;
+    boolean known = followers.stream().allMatch(TableFollower::isKnown);
+    return known ? nodes.peers().size() + 1 : 0;
   }
 
   /** Returns whether this node is the relay that places the requests of all. */
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -57,7 +57,8 @@
   private GatewayNode(
       GatewaySettings settings,
       BiFunction<EventLoopGroup, HttpClient, GatewayProtocols> adapters,
-      @Nullable EarlyListener listener) {
+      @Nullable EarlyListener listener,
+      long startedAtMillis) {
     this.settings = settings;
     group =
         new MultiThreadIoEventLoopGroup(
@@ -70,7 +71,14 @@
     GatewayProtocols protocols = adapters.apply(controlGroup, controlClient);
     cluster =
         new ClusterServices(
-            controlLoop, settings, blackboard, protocols, controlClient, backendClient, time);
+            controlLoop,
+            settings,
+            blackboard,
+            protocols,
+            controlClient,
+            backendClient,
+            time,
+            startedAtMillis);
     path =
         new RequestPath(
             blackboard,
@@ -103,7 +111,7 @@
    */
   public static GatewayNode start(
       GatewaySettings settings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols> adapters) {
-    return start(settings, adapters, null);
+    return start(settings, adapters, null, new SystemTime().monotonicMillis());
   }
 
   /**
@@ -113,13 +121,15 @@
    * @param adapters makes the adapters of the deployment from the control event loops and a client
    *     that runs on them
    * @param listener the socket, on the callers' address of the settings, or null for none
+   * @param startedAtMillis monotonic time at which the process began
    * @throws org.lockdale.http.HttpBindException if an address can't be bound
    */
   public static GatewayNode start(
       GatewaySettings settings,
       BiFunction<EventLoopGroup, HttpClient, GatewayProtocols> adapters,
-      @Nullable EarlyListener listener) {
-    GatewayNode node = new GatewayNode(settings, adapters, listener);
+      @Nullable EarlyListener listener,
+      long startedAtMillis) {
+    GatewayNode node = new GatewayNode(settings, adapters, listener, startedAtMillis);
     node.cluster.start();
     node.rollout.start();
     Logger.info("event=started node={}", settings.get(GatewaySettings.NODE_ID));
--- a/gateway/src/main/java/org/lockdale/gateway/node/OperatorController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/OperatorController.java
@@ -11,6 +11,7 @@
 import org.lockdale.gateway.table.SharedRecords;
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.table.TableRowChange;
+import org.lockdale.gateway.weights.NamedVersion;
 import org.lockdale.gateway.weights.NamedWeights;
 import org.tinylog.Logger;
 
@@ -22,8 +23,8 @@
 final class OperatorController implements TableFollower.Listener {
 
   /**
-   * Time from the start of a process until this controller exists, and from the end of a break
-   * until the table is read again. A node with 0.75 of a core logged its start 0.5 to 0.7 s after
+   * Time from the start of a process until its first code runs, and from the end of a break until
+   * the table is read again. A node with 0.75 of a core logged its whole start 0.5 to 0.7 s after
    * its process began.
    */
   private static final long RETURN_MILLIS = 600;
@@ -43,6 +44,7 @@
    * @param blackboard where to write
    * @param records reads the operators' rows
    * @param time clock
+   * @param startedAtMillis monotonic time at which the process began, as far as it can tell
    * @param weightsBound longest time after new weights were named in which older ones may serve
    * @param catchUp time after a start or a break from which the node is held to every bound
    */
@@ -50,12 +52,13 @@
       GatewayBlackboard blackboard,
       SharedRecords records,
       Time time,
+      long startedAtMillis,
       Duration weightsBound,
       Duration catchUp) {
     this.blackboard = blackboard;
     this.reader = new RowReader<>(records::operatorRecord);
     this.time = time;
-    this.startedAtMillis = time.monotonicMillis();
+    this.startedAtMillis = startedAtMillis;
     this.estimatedAgeMillis = weightsBound.minus(catchUp).toMillis() + RETURN_MILLIS;
   }
 
@@ -102,16 +105,38 @@
     long estimate = (first ? startedAtMillis : now) - estimatedAgeMillis;
     boolean witnessed = lastProofMillis >= estimate;
     long notBefore = witnessed ? lastProofMillis : estimate;
-    newest.forEach((model, version) -> logNew(known, model, version, now - notBefore));
+    newest.forEach((model, version) -> logNew(known, model, version, now - notBefore, !witnessed));
     NamedWeights named =
         witnessed ? known.with(newest, notBefore) : known.withEstimate(newest, notBefore);
     blackboard.weights().publish(named, notBefore);
   }
 
-  private static void logNew(NamedWeights known, String model, long version, long ageMillis) {
+  private static void logNew(
+      NamedWeights known, String model, long version, long ageMillis, boolean estimated) {
     if (known.newest(model).orElse(Long.MIN_VALUE) < version) {
       Logger.info(
-          "event=weights-named model={} version={} believed-age-ms={}", model, version, ageMillis);
+          "event=weights-named model={} version={} believed-age-ms={} estimated={}",
+          model,
+          version,
+          ageMillis,
+          estimated);
     }
   }
+
+  /** Takes in when other nodes saw the versions of a model named. */
+  void onWitnessed(String model, List<NamedVersion> witnessed) {
+    NamedWeights known = blackboard.weights().value();
+    NamedWeights merged = known.withWitnessed(model, witnessed);
+    if (merged.versionsOf(model).equals(known.versionsOf(model))) {
+      return;
+    }
+    Logger.info(
+        "event=weights-ages-learned model={} versions={} ages-ms={}",
+        model,
+        merged.versionsOf(model).stream().map(NamedVersion::version).toList(),
+        merged.versionsOf(model).stream()
+            .map(named -> time.monotonicMillis() - named.notBeforeMillis())
+            .toList());
+    blackboard.weights().publish(merged, time.monotonicMillis());
+  }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.cache.CacheNamespace;
@@ -53,6 +54,17 @@
     return required != null && weights < required;
   }
 
+  /**
+   * Returns the version that an engine has to hold when a request comes to it: what it is known to
+   * hold, else the newest. An engine of which nothing is known has just come, with the newest; if
+   * not, it turns the request away, which could begin on any version without an expected one.
+   */
+  public @Nullable Long expectedWeights(TrackedBackend engine, String model) {
+    Long held = engine.weightsOf(model);
+    OptionalLong newest = blackboard.weights().value().newest(model);
+    return held == null && newest.isPresent() ? Long.valueOf(newest.getAsLong()) : held;
+  }
+
   /** One decision; surveys of cached prompts are made once for each namespace. */
   private final class Decision {
 
@@ -114,7 +126,7 @@
 
     private @Nullable Long weightsOf(TrackedBackend tracked) {
       String model = query.model();
-      return model == null ? null : tracked.weightsOf(model);
+      return model == null ? null : expectedWeights(tracked, model);
     }
 
     private PrefixNeed needOf(TrackedBackend candidate) {
--- a/gateway/src/main/java/org/lockdale/gateway/weights/NamedVersion.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/NamedVersion.java
@@ -8,13 +8,4 @@
  *     estimated, the time from which this node has to count
  * @param estimated whether no node is known to have witnessed that the version was not named before
  */
-public record NamedVersion(long version, long notBeforeMillis, boolean estimated) {
-
-  /** Returns the better founded of two beliefs about the same version. */
-  NamedVersion orBetter(NamedVersion other) {
-    if (estimated != other.estimated) {
-      return estimated ? other : this;
-    }
-    return other.notBeforeMillis > notBeforeMillis && !estimated ? other : this;
-  }
-}
+public record NamedVersion(long version, long notBeforeMillis, boolean estimated) {}
--- a/gateway/src/main/java/org/lockdale/gateway/weights/NamedWeights.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/NamedWeights.java
@@ -1,5 +1,6 @@
 package org.lockdale.gateway.weights;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -49,25 +50,47 @@
     for (Map.Entry<String, Long> entry : newest.entrySet()) {
       long version = entry.getValue();
       if (newest(entry.getKey()).orElse(Long.MIN_VALUE) < version) {
-        NamedVersion named = new NamedVersion(version, notBeforeMillis, estimated);
-        merged = merged.withWitnessed(entry.getKey(), List.of(named));
+        merged = merged.plus(entry.getKey(), new NamedVersion(version, notBeforeMillis, estimated));
       }
     }
     return merged;
   }
 
-  /** Returns these with versions of a model as other nodes witnessed them. */
-  public NamedWeights withWitnessed(String model, List<NamedVersion> witnessed) {
-    TreeMap<Long, NamedVersion> versions = new TreeMap<>();
-    versionsOf(model).forEach(named -> versions.put(named.version(), named));
-    witnessed.forEach(named -> versions.merge(named.version(), named, NamedVersion::orBetter));
-    List<NamedVersion> ordered = List.copyOf(versions.values());
-    int surplus = Math.max(0, ordered.size() - MAX_VERSIONS);
+  private NamedWeights plus(String model, NamedVersion named) {
+    List<NamedVersion> versions = new ArrayList<>(versionsOf(model));
+    versions.add(named);
+    return replacing(model, versions);
+  }
+
+  private NamedWeights replacing(String model, List<NamedVersion> versions) {
+    int surplus = Math.max(0, versions.size() - MAX_VERSIONS);
     Map<String, List<NamedVersion>> merged = new HashMap<>(byModel);
-    merged.put(model, ordered.subList(surplus, ordered.size()));
+    merged.put(model, List.copyOf(versions.subList(surplus, versions.size())));
     return new NamedWeights(Map.copyOf(merged));
   }
 
+  /**
+   * Returns these with versions of a model as other nodes witnessed them. What this node witnessed
+   * itself stands. An estimate stands for the versions before it as well, which this node may never
+   * have seen, so it goes over to the newest version that the witnesses say nothing about.
+   */
+  public NamedWeights withWitnessed(String model, List<NamedVersion> witnessed) {
+    TreeMap<Long, NamedVersion> versions = new TreeMap<>();
+    witnessed.forEach(named -> versions.put(named.version(), named));
+    for (NamedVersion own : versionsOf(model)) {
+      if (own.estimated()) {
+        long unknown = own.version();
+        while (versions.containsKey(unknown) && !versions.get(unknown).estimated()) {
+          unknown--;
+        }
+        versions.put(unknown, new NamedVersion(unknown, own.notBeforeMillis(), true));
+      } else {
+        versions.put(own.version(), own);
+      }
+    }
+    return replacing(model, List.copyOf(versions.values()));
+  }
+
   /** Returns the models of which a version was named. */
   public Set<String> models() {
     return byModel.keySet();
--- a/gateway/src/test/java/org/lockdale/gateway/limit/RetryBudgetTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/limit/RetryBudgetTest.java
@@ -61,4 +61,10 @@
     assertFalse(budget.tryRetry("pool", WINDOW - 1));
     assertTrue(budget.tryRetry("pool", WINDOW));
   }
+
+  @Test
+  public void aNodeThatDoesNotKnowTheNumberOfNodesTakesNothingOfTheAllowance() {
+    RetryBudget budget = RetryBudget.ofDeployment(0, 50, 10_000, () -> 0);
+    assertFalse(budget.tryRetry("pool", 0));
+  }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/node/OperatorControllerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/node/OperatorControllerTest.java
@@ -78,6 +78,7 @@
             blackboard,
             new WeightsRows(),
             new SteppedTime(),
+            START,
             Duration.ofMillis(BOUND),
             Duration.ofMillis(CATCH_UP));
   }
--- a/gateway/src/test/java/org/lockdale/gateway/node/WeightsRecorderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/node/WeightsRecorderTest.java
@@ -84,7 +84,7 @@
 
     Node(long offset) {
       this.offset = offset;
-      recorder = new WeightsRecorder(weights, table, clock, () -> responsible, this);
+      recorder = new WeightsRecorder(weights, table, clock, () -> responsible, Runnable::run, this);
       clock.observed(0, offset);
     }
 
@@ -121,7 +121,8 @@
   }
 
   private void readByLateNode() {
-    late.recorder.observed(table.written.get(table.written.size() - 1));
+    RecordedWeights row = table.written.get(table.written.size() - 1);
+    late.publish(late.weights.value().withWitnessed(MODEL, late.recorder.observed(row)));
   }
 
   @Test
@@ -164,9 +165,43 @@
     assertEquals(table.written.size(), 0);
     table.down = false;
     witness.recorder.tick();
+    assertEquals(table.written.size(), 0, "it is left in peace for a moment");
+    witness.at(2_500);
+    witness.recorder.tick();
     assertEquals(table.written.size(), 1);
   }
 
+  @Test
+  public void whatThisNodeWitnessedItselfStands() {
+    late.publish(NamedWeights.NONE.with(Map.of(MODEL, 2L), CLOCK_OFFSET + 1_500));
+    witness.recorder.tick();
+    late.at(1_500 + BOUND - 600);
+    readByLateNode();
+    assertEquals(late.required(), Long.valueOf(2));
+  }
+
+  @Test
+  public void aRecordFromTheFutureCountsFromNow() {
+    late.at(5_000);
+    late.publish(NamedWeights.NONE.withEstimate(Map.of(MODEL, 2L), late.monotonicMillis()));
+    RecordedWeights row =
+        new RecordedWeights(MODEL, List.of(new RecordedWeights.Naming(2, 900_000)));
+    late.publish(late.weights.value().withWitnessed(MODEL, late.recorder.observed(row)));
+    late.at(5_000 + BOUND);
+    assertEquals(late.required(), Long.valueOf(2));
+  }
+
+  @Test
+  public void anOlderRowThatComesLateDoesNotMakeItWriteAgain() {
+    witness.recorder.tick();
+    RecordedWeights first = table.written.get(0);
+    witness.publish(witness.weights.value().with(Map.of(MODEL, 3L), 2_500));
+    witness.recorder.tick();
+    witness.recorder.observed(first);
+    witness.recorder.tick();
+    assertEquals(table.written.size(), 2);
+  }
+
   @Test
   public void onlyTheResponsibleNodeWritesAndNeverAnEstimate() {
     witness.responsible = false;
