AnswerHeaders becomes EndToEndHeaders, since it serves requests as well

Cause: the class copies the end-to-end headers of requests and answers alike; its name says answers only. Change: renamed, AnswerHeaders.endToEnd is EndToEndHeaders.of.

--- a/gateway/src/main/java/org/lockdale/gateway/request/AnswerHeaders.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/EndToEndHeaders.java
@@ -5,8 +5,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 
-/** Headers that concern one connection only and are never passed on. */
-public final class AnswerHeaders {
+/**
+ * Headers of a request or an answer that are meant for its final recipient, without those that
+ * concern one connection only.
+ */
+public final class EndToEndHeaders {
 
   private static final List<CharSequence> HOP_BY_HOP =
       List.of(
@@ -21,10 +24,10 @@
           HttpHeaderNames.UPGRADE,
           HttpHeaderNames.CONTENT_LENGTH);
 
-  private AnswerHeaders() {}
+  private EndToEndHeaders() {}
 
   /** Returns a copy without the headers of the connection. */
-  public static HttpHeaders endToEnd(HttpHeaders headers) {
+  public static HttpHeaders of(HttpHeaders headers) {
     HttpHeaders copy =
         DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
     copy.add(headers);
