--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -97,7 +97,7 @@
     this.filters =
         List.of(
             new PhaseFilter(blackboard.phase()),
-            new RouteFilter(),
+            new RouteFilter(backendProtocol::isControlPath),
             new TenantFilter(limits.maxKeyProofAge().toMillis()));
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/request/RouteFilter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RouteFilter.java
@@ -1,6 +1,7 @@
 package org.lockdale.gateway.request;
 
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.configuration.Route;
 
@@ -12,8 +13,22 @@
 
   private static final long RETRY_AFTER_MILLIS = 300;
 
+  private final Predicate<String> controlPaths;
+
+  /**
+   * Creates a filter.
+   *
+   * @param controlPaths tells of a path whether it leads to a back end's own interface
+   */
+  RouteFilter(Predicate<String> controlPaths) {
+    this.controlPaths = controlPaths;
+  }
+
   @Override
   public @Nullable Refusal apply(RequestState state) {
+    if (controlPaths.test(state.request.path())) {
+      return Refusal.of(RefusalKind.NO_ROUTE, "This path is not open to callers.");
+    }
     if (!state.configuration.isKnown()) {
       return new Refusal(
           RefusalKind.NOT_CONFIGURED,
