A node says ready only while it has room for new connections

Cause: the bound of callers' connections was 16,384 whatever the machine's open files (4,100 to 8,192), and readiness didn't look at it. A node out of files, or at its bound, called itself ready and took no caller. Ruled out: the order at the start (the callers' socket listens before the node can be ready). Change: node.open-files, given by the platform's settings; callers get half; ready while an eighth of that is left. Test: aNodeIsReadyOnlyWhileItTakesNewConnections failed before (more than 32 callers at 64 files, and ready); the 9 tests of GatewayControlTest pass, and 26 of settings, command and forwarding.

--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -41,6 +41,9 @@
 
   private static final int TENTHS = 10;
 
+  /** A request may hold a connection of its caller and one to a back end. */
+  private static final int FILES_OF_A_REQUEST = 2;
+
   private final GatewaySettings settings;
   private final GatewayBlackboard blackboard = GatewayBlackboard.empty();
   private final Time time = new SystemTime();
@@ -89,8 +92,10 @@
         server(
             GatewaySettings.PEERS_ADDRESS,
             new TableSliceHandler(controlLoop, cluster.followers(), time));
-    callers = listener == null ? server(GatewaySettings.CALLERS_ADDRESS, path) : callers(listener);
-    readiness = server(GatewaySettings.READINESS_ADDRESS, new ReadinessHandler(blackboard));
+    callers = callers(listener);
+    readiness =
+        server(
+            GatewaySettings.READINESS_ADDRESS, new ReadinessHandler(blackboard, callers::hasRoom));
   }
 
   /**
@@ -152,9 +157,13 @@
         cluster::isRelay);
   }
 
-  private HttpServer callers(EarlyListener listener) {
-    return HttpServer.start(
-        HttpServerSettings.forAddress(listener.address()), group, path, listener);
+  private HttpServer callers(@Nullable EarlyListener listener) {
+    HttpServerSettings bounds =
+        HttpServerSettings.forAddress(settings.get(GatewaySettings.CALLERS_ADDRESS))
+            .withMaxConnections(settings.get(GatewaySettings.OPEN_FILES) / FILES_OF_A_REQUEST);
+    return listener == null
+        ? HttpServer.start(bounds, group, path)
+        : HttpServer.start(bounds, group, path, listener);
   }
 
   private HttpServer server(Setting<InetSocketAddress> address, HttpHandler handler) {
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
@@ -61,6 +61,17 @@
           "Event loops that serve callers and back ends; one for each core.",
           ValueParsers.integer(1, 256));
 
+  /** Open files of the process. */
+  public static final Setting<Integer> OPEN_FILES =
+      declare(
+          "node.open-files",
+          "integer",
+          "16384",
+          "16 to 1000000",
+          "Files that the process may have open. Callers get half of them, since a request may need"
+              + " a connection to a back end as well.",
+          ValueParsers.integer(16, MAX_COUNT));
+
   /** Address for callers. */
   public static final Setting<InetSocketAddress> CALLERS_ADDRESS =
       address("callers.address", "Address on which callers are served.");
@@ -158,6 +169,7 @@
           NODE_ZONE,
           NODE_LINK,
           THREADS,
+          OPEN_FILES,
           CALLERS_ADDRESS,
           CALLERS_START_WAIT,
           READINESS_ADDRESS,
--- a/gateway/src/main/java/org/lockdale/gateway/node/ReadinessHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ReadinessHandler.java
@@ -1,13 +1,14 @@
 package org.lockdale.gateway.node;
 
+import java.util.function.BooleanSupplier;
 import org.lockdale.http.HttpExchange;
 import org.lockdale.http.HttpHandler;
 import org.lockdale.http.HttpProtocolError;
 import org.lockdale.http.HttpReply;
 
 /**
- * Tells whether new connections should come here: once configuration and back ends are known, and
- * until the node stops.
+ * Tells whether new connections should come here: once configuration and back ends are known, while
+ * there is room for more connections, and until the node stops.
  */
 final class ReadinessHandler implements HttpHandler {
 
@@ -15,9 +16,17 @@
   private static final int NOT_READY = 503;
 
   private final GatewayBlackboard blackboard;
-
-  ReadinessHandler(GatewayBlackboard blackboard) {
+  private final BooleanSupplier hasRoom;
+
+  /**
+   * Creates a handler.
+   *
+   * @param blackboard what the node believes
+   * @param hasRoom whether new connections of callers are served
+   */
+  ReadinessHandler(GatewayBlackboard blackboard, BooleanSupplier hasRoom) {
     this.blackboard = blackboard;
+    this.hasRoom = hasRoom;
   }
 
   @Override
@@ -27,7 +36,8 @@
   }
 
   private boolean isReady() {
-    return !blackboard.phase().value().isEnding()
+    return hasRoom.getAsBoolean()
+        && !blackboard.phase().value().isEnding()
         && blackboard.configuration().value().isKnown()
         && !blackboard.backends().value().all().isEmpty();
   }
--- a/http/src/main/java/org/lockdale/http/HttpServer.java
+++ b/http/src/main/java/org/lockdale/http/HttpServer.java
@@ -28,10 +28,18 @@
   /** Netty's own figure for sockets, after which other connections get their turn. */
   private static final int MAX_READS_IN_A_ROW = 16;
 
+  /**
+   * Part of the bound of connections that is kept for those which still come after load balancers
+   * were told to send no more: they take two seconds to notice.
+   */
+  private static final int RESERVED_PART = 8;
+
+  private final HttpServerSettings settings;
   private final Channel listener;
   private final ChannelGroup connections;
 
-  private HttpServer(Channel listener, ChannelGroup connections) {
+  private HttpServer(HttpServerSettings settings, Channel listener, ChannelGroup connections) {
+    this.settings = settings;
     this.listener = listener;
     this.connections = connections;
   }
@@ -103,7 +111,7 @@
     if (!listening.isSuccess()) {
       throw new HttpBindException(settings.listenAddress(), listening.cause());
     }
-    return new HttpServer(listening.channel(), connections);
+    return new HttpServer(settings, listening.channel(), connections);
   }
 
   /** Returns the address that was bound. */
@@ -116,6 +124,12 @@
     return connections.size();
   }
 
+  /** Returns whether new connections are served, with some to spare. */
+  public boolean hasRoom() {
+    int most = settings.maxConnections();
+    return listener.isOpen() && connections.size() < most - most / RESERVED_PART;
+  }
+
   /** Stops accepting connections; open ones go on. */
   public void stopAccepting() {
     listener.close().awaitUninterruptibly();
--- a/http/src/main/java/org/lockdale/http/HttpServerSettings.java
+++ b/http/src/main/java/org/lockdale/http/HttpServerSettings.java
@@ -37,4 +37,15 @@
         DEFAULT_IDLE_TIMEOUT,
         DEFAULT_MAX_CONNECTIONS);
   }
+
+  /** Returns these settings with another bound of connections. */
+  public HttpServerSettings withMaxConnections(int newMaxConnections) {
+    return new HttpServerSettings(
+        listenAddress,
+        maxHeaderBytes,
+        maxBodyBytes,
+        requestTimeout,
+        idleTimeout,
+        newMaxConnections);
+  }
 }
