Servers whose records lapsed with the store are relied on for 1.8 s after its return

Cause: records lapse while the store is away, and servers write them again within two seconds of its return. The first reading after an outage took all lapsed servers as gone; for up to two seconds no server was known. Change: LapsedBackends, a state machine without I/O, believes what is missing for 1.8 s after the first proof that follows an outage (2.5 s without a proof at the default settings), but no record that said it was leaving. 1.8 s is less than the shortest time in use for which a leaving server serves on (2 s), and the end is scheduled, so that it holds if the store goes away again. Not mended: where only servers are cut off from the store, nodes see no outage and take their records as gone.

--- a/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
@@ -1,9 +1,15 @@
 package org.lockdale.gateway.node;
 
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.table.RowReader;
 import org.lockdale.gateway.table.SharedRecords;
 import org.lockdale.gateway.table.TableFollower;
@@ -17,21 +23,58 @@
   private final GatewayBlackboard blackboard;
   private final RowReader<Backend> reader;
   private final HttpClient client;
+  private final EventLoop eventLoop;
+  private final Time time;
+  private final LapsedBackends lapsed;
+  private List<Backend> read = List.of();
+  private long provenAtMillis;
 
-  BackendController(GatewayBlackboard blackboard, SharedRecords records, HttpClient client) {
+  /**
+   * Creates a controller.
+   *
+   * @param eventLoop runs it
+   * @param blackboard what the node believes
+   * @param records reads records
+   * @param client told of back ends that are gone
+   * @param outage time without a proof from which on the store was out of reach
+   * @param time clock
+   */
+  BackendController(
+      EventLoop eventLoop,
+      GatewayBlackboard blackboard,
+      SharedRecords records,
+      HttpClient client,
+      Duration outage,
+      Time time) {
+    this.eventLoop = eventLoop;
     this.blackboard = blackboard;
     this.reader = new RowReader<>(row -> Optional.of(records.backend(row)));
     this.client = client;
+    this.lapsed = new LapsedBackends(outage.toMillis());
+    this.time = time;
   }
 
   @Override
-  public void onTable(Map<String, TableRowChange> rows, boolean changed, long provenAtMillis) {
+  public void onTable(Map<String, TableRowChange> rows, boolean changed, long provenMillis) {
+    lapsed.proven(provenMillis);
+    provenAtMillis = provenMillis;
+    if (changed) {
+      read = reader.read(rows);
+      publish();
+    } else {
+      blackboard.backends().publish(blackboard.backends().value(), provenMillis);
+    }
+  }
+
+  private void publish() {
     BackendTable before = blackboard.backends().value();
-    if (!changed) {
-      blackboard.backends().publish(before, provenAtMillis);
-      return;
+    List<Backend> relied = before.all().stream().map(TrackedBackend::backend).toList();
+    long now = time.monotonicMillis();
+    BackendTable after = before.with(lapsed.complete(relied, read, now));
+    if (lapsed.isBelieving()) {
+      long rest = lapsed.endsAtMillis() - now;
+      eventLoop.schedule(this::publish, rest, TimeUnit.MILLISECONDS);
     }
-    BackendTable after = before.with(reader.read(rows));
     if (after.sameRecordsAs(before)) {
       // Rows hold more than the records do, such as the time of the last sign of life.
       blackboard.backends().publish(before, provenAtMillis);
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -44,6 +44,12 @@
   /** Back ends write their records in bursts, as during a rollout. */
   private static final Duration BACKEND_CHANGES_GATHER = Duration.ofMillis(250);
 
+  /**
+   * The store is out of reach if it proves nothing for the longest wait and this time: an answer
+   * takes some milliseconds, and what back ends write is gathered before the next call.
+   */
+  private static final Duration OUTAGE_MARGIN = Duration.ofMillis(500);
+
   /** Nodes announce themselves in bursts, as after a start of all. */
   private static final Duration CLUSTER_CHANGES_GATHER = Duration.ofMillis(400);
 
@@ -162,7 +168,13 @@
             new TableFollower.Plan(
                 protocols.records().backendTable(), quietWait, BACKEND_CHANGES_GATHER),
             time,
-            new BackendController(blackboard, protocols.records(), backendClient)),
+            new BackendController(
+                eventLoop,
+                blackboard,
+                protocols.records(),
+                backendClient,
+                quietWait.plus(OUTAGE_MARGIN),
+                time)),
         new TableFollower(
             eventLoop,
             sources,
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/node/LapsedBackends.java
@@ -0,0 +1,85 @@
+package org.lockdale.gateway.node;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.lockdale.gateway.backend.Backend;
+
+/**
+ * Back ends renew their records in the store, so that records lapse while the store is out of
+ * reach, though the back ends serve on. They write them again once it is back. Without this, a node
+ * that read the store right after an outage had no back ends for up to two seconds.
+ *
+ * <p>Records that are gone when the store comes back are believed for a time. One that said it was
+ * leaving is not. A state machine without I/O; not safe for use by several threads.
+ */
+final class LapsedBackends {
+
+  /**
+   * Back ends have written their records again within about two seconds. A node may learn a few
+   * hundred milliseconds late that the store is back, and the shortest time in use for which a
+   * leaving back end still serves is two seconds, so this is less.
+   */
+  static final long RETURN_MILLIS = 1_800;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private final long outageMillis;
+  private final Map<String, Backend> believed = new HashMap<>();
+  private long provenAtMillis = NEVER;
+  private long backAtMillis = NEVER;
+
+  /**
+   * Creates it.
+   *
+   * @param outageMillis time without a proof from which on the store was out of reach
+   */
+  LapsedBackends(long outageMillis) {
+    this.outageMillis = outageMillis;
+  }
+
+  /**
+   * Takes in a proof that the records were current.
+   *
+   * @param atMillis monotonic time of the proof
+   */
+  void proven(long atMillis) {
+    if (provenAtMillis != NEVER && atMillis - provenAtMillis > outageMillis) {
+      backAtMillis = atMillis;
+    }
+    provenAtMillis = Math.max(provenAtMillis, atMillis);
+  }
+
+  /**
+   * Returns the records to rely on.
+   *
+   * @param before records that were relied on until now
+   * @param read records as read now
+   * @param nowMillis monotonic time
+   */
+  List<Backend> complete(Collection<Backend> before, Collection<Backend> read, long nowMillis) {
+    Map<String, Backend> complete = new HashMap<>();
+    read.forEach(backend -> complete.put(backend.id(), backend));
+    believed.clear();
+    if (nowMillis < endsAtMillis()) {
+      for (Backend backend : before) {
+        if (!backend.leaving() && !complete.containsKey(backend.id())) {
+          believed.put(backend.id(), backend);
+        }
+      }
+    }
+    complete.putAll(believed);
+    return List.copyOf(complete.values());
+  }
+
+  /** Returns whether any record is relied on that was not read. */
+  boolean isBelieving() {
+    return !believed.isEmpty();
+  }
+
+  /** Returns the monotonic time at which records that are still missing are taken as gone. */
+  long endsAtMillis() {
+    return backAtMillis + RETURN_MILLIS;
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/node/LapsedBackendsTest.java
@@ -0,0 +1,81 @@
+package org.lockdale.gateway.node;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.lockdale.gateway.backend.Backend;
+import org.testng.annotations.Test;
+
+/** Records that lapsed while the store was out of reach are believed for a time. */
+public final class LapsedBackendsTest {
+
+  private static final long OUTAGE = 1_000;
+  private static final long BACK_AT = 10_000;
+
+  private final Backend one = backend("i-1", false);
+  private final Backend two = backend("i-2", false);
+
+  private static Backend backend(String id, boolean leaving) {
+    InetSocketAddress address = InetSocketAddress.createUnresolved("server", 1);
+    return new Backend(id, "pool", address, "zone-a", 4, leaving, Map.of());
+  }
+
+  private static Set<String> ids(List<Backend> backends) {
+    return backends.stream().map(Backend::id).collect(Collectors.toSet());
+  }
+
+  private static LapsedBackends afterAnOutage() {
+    LapsedBackends lapsed = new LapsedBackends(OUTAGE);
+    lapsed.proven(BACK_AT - OUTAGE - 1);
+    lapsed.proven(BACK_AT);
+    return lapsed;
+  }
+
+  @Test
+  public void whatIsMissingAfterAnOutageIsBelievedForATime() {
+    LapsedBackends lapsed = afterAnOutage();
+    long end = lapsed.endsAtMillis();
+    assertEquals(ids(lapsed.complete(List.of(one, two), List.of(), BACK_AT)), Set.of("i-1", "i-2"));
+    assertTrue(lapsed.isBelieving());
+    assertEquals(
+        ids(lapsed.complete(List.of(one, two), List.of(one), end - 1)), Set.of("i-1", "i-2"));
+    assertEquals(ids(lapsed.complete(List.of(one, two), List.of(one), end)), Set.of("i-1"));
+    assertFalse(lapsed.isBelieving());
+  }
+
+  @Test
+  public void whatGoesWhileTheStoreIsInReachIsGoneAtOnce() {
+    LapsedBackends lapsed = new LapsedBackends(OUTAGE);
+    lapsed.proven(BACK_AT - OUTAGE);
+    lapsed.proven(BACK_AT);
+    assertEquals(ids(lapsed.complete(List.of(one, two), List.of(one), BACK_AT)), Set.of("i-1"));
+  }
+
+  @Test
+  public void theFirstReadingIsNoReturn() {
+    LapsedBackends lapsed = new LapsedBackends(OUTAGE);
+    lapsed.proven(BACK_AT);
+    assertEquals(lapsed.complete(List.of(one), List.of(), BACK_AT), List.of());
+  }
+
+  @Test
+  public void aBackendThatSaidItWasLeavingIsNotBelieved() {
+    Backend leaving = backend("i-3", true);
+    assertEquals(afterAnOutage().complete(List.of(leaving), List.of(), BACK_AT), List.of());
+  }
+
+  @Test
+  public void anOlderProofChangesNothing() {
+    LapsedBackends lapsed = afterAnOutage();
+    long end = lapsed.endsAtMillis();
+    lapsed.proven(BACK_AT - OUTAGE / 2);
+    lapsed.proven(BACK_AT + OUTAGE / 2);
+    assertEquals(lapsed.endsAtMillis(), end);
+  }
+}
