--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -97,7 +97,7 @@
     this.filters =
         List.of(
             new PhaseFilter(blackboard.phase()),
-            new RouteFilter(),
+            new RouteFilter(backendProtocol::isControlPath),
             new TenantFilter(limits.maxKeyProofAge().toMillis()));
   }
 
@@ -108,6 +108,10 @@
 
   @Override
   public void handle(HttpExchange exchange) {
+    if (exchange.disconnected().isDone()) {
+      // It left while it waited for the start; servers that run its request would work in vain.
+      return;
+    }
     if (isStarting() && ageMillis(exchange) < startWaitMillis) {
       exchange
           .eventLoop()
--- a/http/src/main/java/org/lockdale/http/HttpServer.java
+++ b/http/src/main/java/org/lockdale/http/HttpServer.java
@@ -1,11 +1,13 @@
 package org.lockdale.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
@@ -23,10 +25,21 @@
 
   static final int LISTEN_BACKLOG = 4096;
 
+  /** Netty's own figure for sockets, after which other connections get their turn. */
+  private static final int MAX_READS_IN_A_ROW = 16;
+
+  /**
+   * Part of the bound of connections that is kept for those which still come after load balancers
+   * were told to send no more: they take two seconds to notice.
+   */
+  private static final int RESERVED_PART = 8;
+
+  private final HttpServerSettings settings;
   private final Channel listener;
   private final ChannelGroup connections;
 
-  private HttpServer(Channel listener, ChannelGroup connections) {
+  private HttpServer(HttpServerSettings settings, Channel listener, ChannelGroup connections) {
+    this.settings = settings;
     this.listener = listener;
     this.connections = connections;
   }
@@ -81,16 +94,24 @@
     return new ServerBootstrap()
         .group(group)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, untilEmpty())
         .childHandler(new ConnectionInitializer(settings, handler, connections));
   }
 
+  /** Reads on until the socket has no more, so that a close is seen together with a request. */
+  private static RecvByteBufAllocator untilEmpty() {
+    return new AdaptiveRecvByteBufAllocator()
+        .respectMaybeMoreData(false)
+        .maxMessagesPerRead(MAX_READS_IN_A_ROW);
+  }
+
   private static HttpServer started(
       HttpServerSettings settings, ChannelFuture listening, ChannelGroup connections) {
     listening.awaitUninterruptibly();
     if (!listening.isSuccess()) {
       throw new HttpBindException(settings.listenAddress(), listening.cause());
     }
-    return new HttpServer(listening.channel(), connections);
+    return new HttpServer(settings, listening.channel(), connections);
   }
 
   /** Returns the address that was bound. */
@@ -103,6 +124,12 @@
     return connections.size();
   }
 
+  /** Returns whether new connections are served, with some to spare. */
+  public boolean hasRoom() {
+    int most = settings.maxConnections();
+    return listener.isOpen() && connections.size() < most - most / RESERVED_PART;
+  }
+
   /** Stops accepting connections; open ones go on. */
   public void stopAccepting() {
     listener.close().awaitUninterruptibly();
