What hangs on a silent connection is given up after a time of its own and done elsewhere where it may be

Cause: connections can go silent for good without a reset. A request on one waited until its deadline (504), and a stream stood still until its caller left. A call to the store or a node ended by its timeout, but the next one took the next pooled connection, which was as silent. Ruled out: calls to the store, relays' tables, reports, orders and cache events without a bound: each has one. Change: a call without an answer in time closes the idle connections to its peer; connections of the pool have TCP keep-alive (1 s, two probes 1 s apart), for where nothing is due; a request that may run twice is sent or resumed elsewhere after half of the time it had (before the answer begins) or four pauses of the objective (after), 1 s at least, if the retry budget and maxAttempts allow it and another server is left. Otherwise it waits on: silence ends no answer sooner. Keep-alive was not seen to matter: loopback drops no packets.

--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -38,6 +38,7 @@
   private @Nullable HttpCall call;
   private @Nullable AnswerHead head;
   private @Nullable StreamRelay relay;
+  private long heardAtMillis;
   private boolean ended;
   private String failure = "";
 
@@ -60,6 +61,7 @@
   }
 
   void start(HttpClient client) {
+    heardAtMillis = time.monotonicMillis();
     call =
         client.send(
             state.exchange.eventLoop(),
@@ -98,6 +100,11 @@
     return stream == null || !stream.hasBegun();
   }
 
+  /** Returns how long nothing has come from the back end, in milliseconds. */
+  long silentMillis() {
+    return time.monotonicMillis() - heardAtMillis;
+  }
+
   TrackedBackend target() {
     return target;
   }
@@ -124,6 +131,7 @@
 
   @Override
   public void onHead(int status, HttpHeaders headers) {
+    heardAtMillis = time.monotonicMillis();
     AnswerHead received = protocol.read(status, headers);
     head = received;
     String model = state.request.model();
@@ -146,6 +154,7 @@
     if (ended) {
       return;
     }
+    heardAtMillis = time.monotonicMillis();
     StreamRelay stream = relay;
     if (stream != null) {
       relayPart(stream, content);
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -31,6 +31,17 @@
 
   private static final long WEIGHTS_CHECK_MILLIS = 150;
 
+  /** No connection is taken for dead before this: links lose packets, and nodes pause. */
+  private static final long LEAST_SILENCE_MILLIS = 1_000;
+
+  /**
+   * Callers wait for eight pauses of the objective at least; half of that leaves time to resume.
+   */
+  private static final int SILENT_GAPS = 4;
+
+  /** Part of the time left after which an answer that has not begun is asked for elsewhere. */
+  private static final int SILENT_PART = 2;
+
   private final RequestPath path;
   private final RequestState state;
   private @Nullable Attempt current;
@@ -114,6 +125,9 @@
     current = attempt;
     path.placements().opened(placement);
     attempt.start(path.client());
+    if (state.route().isRepeatable()) {
+      watchSilence(attempt, plan.remainingMillis() / SILENT_PART);
+    }
     if (weights != null) {
       watchWeights(attempt, weights);
     }
@@ -165,6 +179,61 @@
             TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Looks whether a connection has gone silent for good, which no reset tells. The request is sent
+   * again only where it may run twice and the budget allows it; otherwise it waits on.
+   *
+   * @param waitMillis longest silence before the answer begins
+   */
+  private void watchSilence(Attempt attempt, long waitMillis) {
+    long bound =
+        Math.max(
+            LEAST_SILENCE_MILLIS,
+            attempt.isWaiting()
+                ? waitMillis
+                : state.route().gapObjective().toMillis() * SILENT_GAPS);
+    state
+        .exchange
+        .eventLoop()
+        .schedule(
+            () -> {
+              if (ended || attempt != current) {
+                return;
+              }
+              if (attempt.silentMillis() < bound) {
+                watchSilence(attempt, waitMillis);
+              } else if (hasResumePoint(attempt) && mayRetryAfterAnotherRun()) {
+                leaveSilent(attempt);
+              }
+            },
+            Math.max(1, bound - attempt.silentMillis()),
+            TimeUnit.MILLISECONDS);
+  }
+
+  private boolean hasResumePoint(Attempt attempt) {
+    return attempt.isWaiting() || state.lastEventId != null;
+  }
+
+  private boolean mayRetryAfterAnotherRun() {
+    return state.possibleRuns + 1 < state.route().maxAttempts()
+        && path.hasUntried(state)
+        && path.budget().tryRetry(state.pool, path.nowMillis());
+  }
+
+  private void leaveSilent(Attempt attempt) {
+    Logger.info(
+        "event=connection-silent request={} backend={} millis={}",
+        state.request.id(),
+        attempt.target().backend().id(),
+        attempt.silentMillis());
+    attempt.cancel();
+    attempt.target().health().failed(path.nowMillis());
+    path.client().forget(attempt.target().backend().address());
+    path.report(attempt.target(), AttemptResult.FAILED);
+    state.possibleRuns++;
+    attempt();
+  }
+
   private boolean isOutdated(long weights) {
     String model = state.request.model();
     return model != null && path.decider().isOutdated(model, weights, path.nowMillis());
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -177,6 +177,13 @@
     return decider;
   }
 
+  /** Returns whether a back end of the request's pool was not tried yet. */
+  boolean hasUntried(RequestState state) {
+    return blackboard.backends().value().ofPool(state.pool).stream()
+        .map(TrackedBackend::backend)
+        .anyMatch(backend -> !backend.leaving() && !state.triedBackends.contains(backend.id()));
+  }
+
   /** Returns the zone of this node. */
   String zone() {
     return zone;
--- a/http/src/main/java/org/lockdale/http/ConnectionPool.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.util.AttributeKey;
@@ -18,6 +19,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import jdk.net.ExtendedSocketOptions;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,6 +30,17 @@
 
   private static final int MAX_IDLE_PER_KEY = 256;
 
+  /**
+   * Idle seconds after which the system asks whether the peer still hears, seconds between two
+   * questions, and questions without an answer after which the connection fails. Where nothing is
+   * due on a connection only this tells that it has gone silent. Three seconds in all, as less than
+   * one is not to be had, and links lose packets.
+   */
+  private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
+
+  private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
+  private static final int KEEP_ALIVE_PROBES = 2;
+
   private record Key(EventLoop eventLoop, InetSocketAddress address) {
 
     /** Written out, since a record's own is linked anew in every process that calls it. */
@@ -63,6 +76,12 @@
         .group(eventLoop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
+        .option(
+            NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
+            KEEP_ALIVE_INTERVAL_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
         .handler(
             new ChannelInitializer<SocketChannel>() {
--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -159,6 +159,8 @@
                       ? HttpCallException.Stage.NO_REPLY
                       : HttpCallException.Stage.NOT_SENT;
               if (call.cancel()) {
+                // What made this connection silent may have met all that are open to the peer.
+                pool.forget(address);
                 result.completeExceptionally(
                     new HttpCallException(stage, address + ": no reply within " + timeout));
               }
--- a/http/src/test/java/org/lockdale/http/HttpClientTest.java
+++ b/http/src/test/java/org/lockdale/http/HttpClientTest.java
@@ -1,6 +1,7 @@
 package org.lockdale.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -13,8 +14,11 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -104,6 +108,33 @@
     assertEquals((int) status.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), 200);
   }
 
+  /**
+   * Open connections to a peer may all go silent for good at once, while new ones work. Each pooled
+   * one cost a call its whole time, one after the other.
+   */
+  @Test
+  public void afterACallWithoutAnAnswerNoOlderConnectionIsUsed() throws Exception {
+    try (SilentPeer peer = new SilentPeer()) {
+      HttpClient client = new HttpClient(group);
+      List<CompletableFuture<HttpReply>> calls = new ArrayList<>();
+      for (int call = 0; call < 3; call++) {
+        calls.add(get(client, peer.address()));
+      }
+      peer.awaitConnections(3);
+      peer.answerAll();
+      for (CompletableFuture<HttpReply> call : calls) {
+        assertEquals(call.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).status(), 200);
+      }
+      peer.fallSilent();
+      expectThrows(ExecutionException.class, () -> get(client, peer.address()).get());
+      assertEquals(get(client, peer.address()).get().status(), 200, "on a new connection");
+    }
+  }
+
+  private static CompletableFuture<HttpReply> get(HttpClient client, InetSocketAddress peer) {
+    return client.exchange(peer, HttpRequestMessage.get("/"), Duration.ofMillis(500));
+  }
+
   private static void awaitUninterruptibly(CountDownLatch latch) {
     try {
       latch.await();
