A judge of the soak's histories and seeded plans of faults

Each rule is a function over a history that is indexed anew with each note, so that notes may come in any order; what depends on a missing note waits until all that was written has come.

--- /dev/null
+++ b/soak/src/main/java/org/lockdale/soak/judge/StreamPiece.java
@@ -0,0 +1,47 @@
+package org.lockdale.soak.judge;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One event of a stream as the stand-in engines write it.
+ *
+ * @param id number of the event, from 1 on
+ * @param run run that made it
+ * @param last whether the stream ends with it
+ */
+public record StreamPiece(int id, String run, boolean last) {
+
+  private static final String ID = "id: ";
+  private static final String DATA = "data: ";
+  private static final String LAST = " last";
+
+  /** Returns the event's text. */
+  public String text() {
+    return ID + id + "\n" + DATA + run + (last ? LAST : "") + "\n\n";
+  }
+
+  /** Reads whole events and skips those that carry no number. */
+  public static List<StreamPiece> parse(String body) {
+    List<StreamPiece> pieces = new ArrayList<>();
+    String[] events = body.split("\n\n", -1);
+    for (int index = 0; index < events.length - 1; index++) {
+      int id = 0;
+      String data = "";
+      for (String line : events[index].split("\n")) {
+        if (line.startsWith(ID)) {
+          id = Integer.parseInt(line.substring(ID.length()).trim());
+        } else if (line.startsWith(DATA)) {
+          data = line.substring(DATA.length());
+        }
+      }
+      if (id > 0) {
+        boolean last = data.endsWith(LAST);
+        pieces.add(
+            new StreamPiece(
+                id, last ? data.substring(0, data.length() - LAST.length()) : data, last));
+      }
+    }
+    return pieces;
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/org/lockdale/soak/plan/Fault.java
@@ -0,0 +1,81 @@
+package org.lockdale.soak.plan;
+
+/** Something that is done to the deployment from outside. */
+public sealed interface Fault {
+
+  /** How a link misbehaves. */
+  enum LinkTrouble {
+    /** Bytes arrive late. */
+    DELAYED,
+    /** Open connections are reset. */
+    RESET,
+    /** Nothing passes from the source to the destination. */
+    CUT_FORTH,
+    /** Nothing passes from the destination to the source. */
+    CUT_BACK,
+    /** Open connections pass nothing any more, for good, while new ones work. */
+    SILENCED
+  }
+
+  /** How the store misbehaves. */
+  enum StoreTrouble {
+    /** Calls are answered 503. */
+    DOWN,
+    /** Calls are not answered. */
+    SILENT,
+    /** Calls are answered 429. */
+    THROTTLED,
+    /** Changes so far are forgotten. */
+    FORGETFUL,
+    /** The store's process is paused. */
+    PAUSED
+  }
+
+  /** What a process suffers. */
+  enum ProcessTrouble {
+    /** Stopped by SIGSTOP for a while. */
+    PAUSED,
+    /** Ended by SIGKILL and started again after a while. */
+    KILLED,
+    /** Ended by SIGTERM and started again after a while. */
+    RESTARTED,
+    /** Told by SIGHUP that its settings changed. */
+    TOLD_TO_RELOAD
+  }
+
+  /** What the operator changes. */
+  enum OperatorChange {
+    /** One tenant's key is replaced. */
+    KEY_REPLACED,
+    /** A route goes to another service. */
+    ROUTE_MOVED,
+    /** A route is added. */
+    ROUTE_ADDED,
+    /** The route added last is removed. */
+    ROUTE_REMOVED,
+    /** Newer weights are named. */
+    WEIGHTS_NAMED
+  }
+
+  /**
+   * Trouble on the links between two processes.
+   *
+   * @param source process that connects, or {@link Deployment#ANY}
+   * @param destination process that listens, or {@link Deployment#ANY}
+   * @param lastsMillis how long the trouble lasts, in milliseconds
+   */
+  record OnLink(String source, String destination, LinkTrouble trouble, long lastsMillis)
+      implements Fault {}
+
+  /** Trouble of a process, which lasts so many milliseconds. */
+  record OnProcess(String process, ProcessTrouble trouble, long lastsMillis) implements Fault {}
+
+  /** Trouble of the store, which lasts so many milliseconds. */
+  record OnStore(StoreTrouble trouble, long lastsMillis) implements Fault {}
+
+  /** A change by the operator. */
+  record ByOperator(OperatorChange change) implements Fault {}
+
+  /** A server leaves as planned, after having said so or not, and another takes its place. */
+  record ServerReplaced(String server, boolean announced) implements Fault {}
+}
