A SIGHUP while a node starts no longer ends it

Ruled out: a crash (no error file, no log line) and the memory limit. Change: the handler comes before the listener; what it runs is set once the node has started. Before the JVM's main any signal still ends the process, which can't be mended in it; the soak doesn't count an end within a second of the start, as the users' rule has it. Besides: leaving servers that never say so keep no entry, and what they said is acknowledged by the store; callers send chunked and longer bodies and headers that are the system's; an answer whose head breaks off isn't whole.

--- a/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
+++ b/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiFunction;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
@@ -46,6 +47,7 @@
   private final Function<GatewaySettings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols>>
       adapters;
   private final TrainingEnvironment training;
+  private final AtomicReference<Runnable> reload = new AtomicReference<>(() -> {});
 
   @Option(names = SETTINGS_OPTION, paramLabel = "FILE", description = "Settings file (YAML).")
   private @Nullable Path file;
@@ -156,6 +158,8 @@
       System.out.println("settings are valid");
       return EXIT_OK;
     }
+    // A process that has no handler yet is ended by SIGHUP, so the handler comes before callers do.
+    HangupSignal.onSignal(() -> reload.get().run());
     EarlyListener listener = listenAddress == null ? null : EarlyListener.open(listenAddress);
     try {
       serve(loadSettings(), listener);
@@ -183,7 +187,7 @@
   private void serve(GatewaySettings settings, @Nullable EarlyListener listener)
       throws InterruptedException {
     GatewayNode node = GatewayNode.start(settings, adapters.apply(settings), listener);
-    HangupSignal.onSignal(node::reload);
+    reload.set(node::reload);
     CountDownLatch stopped = new CountDownLatch(1);
     Runtime.getRuntime()
         .addShutdownHook(
--- a/soak/src/main/java/org/lockdale/soak/link/LinkProxy.java
+++ b/soak/src/main/java/org/lockdale/soak/link/LinkProxy.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -65,7 +66,7 @@
         connections.forEach(connection -> connection.accept(owners));
         connections.clear();
       }
-    } catch (InterruptedException ended) {
+    } catch (InterruptedException | RejectedExecutionException closed) {
       Thread.currentThread().interrupt();
     } catch (IOException noTables) {
       throw new UncheckedIOException(noTables);
--- a/soak/src/main/java/org/lockdale/soak/link/Relay.java
+++ b/soak/src/main/java/org/lockdale/soak/link/Relay.java
@@ -96,6 +96,10 @@
         bytes.release();
         return;
       }
+      if (!to.isActive()) {
+        bytes.release();
+        return;
+      }
       waitingBytes += bytes.readableBytes();
       from.config().setAutoRead(waitingBytes < MOST_WAITING_BYTES);
       add(bytes);
--- a/soak/src/main/java/org/lockdale/soak/run/Caller.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Caller.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
+import org.lockdale.platform.RawBackend;
 import org.lockdale.platform.RawCaller;
 import org.lockdale.soak.judge.Note;
 import org.lockdale.soak.judge.RequestFacts;
@@ -31,6 +32,16 @@
   private static final int OWN_TOKENS = 200;
   private static final int OK = 200;
 
+  /** One body in so many takes several packets. */
+  private static final int LONG_BODY_PARTS = 10;
+
+  private static final int LONG_BODY_BYTES = 6_000;
+
+  /** One body in so many is sent in chunks. */
+  private static final int CHUNKED_PARTS = 5;
+
+  private static final int CHUNK_BYTES = 1_000;
+
   /** What a caller is about to send. */
   private record Plan(
       String id,
@@ -143,7 +154,8 @@
   }
 
   private RequestFacts facts(String route, String id, RequestKind kind) {
-    String body = "body of " + id;
+    boolean isLong = random.nextInt(LONG_BODY_PARTS) == 0;
+    String body = "body of " + id + ".".repeat(isLong ? LONG_BODY_BYTES : 0);
     String path = "/" + route + "/" + id + "?item=" + number;
     if (!kind.isStreaming()) {
       return new RequestFacts("POST", path, body, null, null, null);
@@ -193,9 +205,13 @@
       read(open, plan);
     } catch (SocketTimeoutException late) {
       leave(plan);
-    } catch (IOException | RuntimeException broken) {
+    } catch (IOException broken) {
       counts.failed.incrementAndGet();
       disconnect();
+    } catch (NumberFormatException | IndexOutOfBoundsException unreadable) {
+      String text = "an answer that can't be read: " + unreadable;
+      notes.add(new Note.Surplus(StandardStreams.nowMillis(), node, text));
+      disconnect();
     } catch (InterruptedException ended) {
       Thread.currentThread().interrupt();
     }
@@ -249,11 +265,26 @@
     header(text, Wire.MODEL, facts.model());
     header(text, Wire.PREFIX, facts.prefix());
     header(text, Wire.USAGE, facts.usage());
+    header(text, Wire.SALT, "salt-of-the-callers-own-choice");
+    header(text, Wire.EXPECTED_VERSION, "1");
     header(text, Wire.LAST_EVENT, plan.lastEventId() > 0 ? "" + plan.lastEventId() : null);
+    if (plan.deadlineMillis() % CHUNKED_PARTS == 0) {
+      header(text, "Transfer-Encoding", "chunked");
+      return text.append("\r\n").append(chunked(facts.body())).toString();
+    }
     header(text, "Content-Length", Integer.toString(facts.body().length()));
     return text.append("\r\n").append(facts.body()).toString();
   }
 
+  private static String chunked(String body) {
+    StringBuilder text = new StringBuilder();
+    for (int from = 0; from < body.length(); from += CHUNK_BYTES) {
+      int to = Math.min(body.length(), from + CHUNK_BYTES);
+      text.append(RawBackend.chunk(body.substring(from, to)));
+    }
+    return text.append("0\r\n\r\n").toString();
+  }
+
   private static void header(StringBuilder text, String name, @Nullable String value) {
     if (value != null) {
       text.append(name).append(": ").append(value).append("\r\n");
--- a/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
+++ b/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -28,7 +29,7 @@
   static final long GRACE_MILLIS = 8_000;
 
   /** Time for which a server that leaves serves on; the bound and a little longer. */
-  private static final long SERVE_ON_MILLIS = 2_500;
+  private static final long SERVE_ON_MILLIS = 3_200;
 
   /** Heartbeats that a server may miss before its entry goes. */
   private static final int MISSED_HEARTBEATS = 3;
@@ -51,7 +52,23 @@
     this.notes = notes;
     this.nodes = nodes;
     executor.scheduleWithFixedDelay(
-        this::dropSilentServers, 0, StandInProcess.HEARTBEAT_MILLIS / 4, TimeUnit.MILLISECONDS);
+        () -> {
+          dropSilentServers();
+          restartEnded();
+        },
+        0,
+        StandInProcess.HEARTBEAT_MILLIS / 4,
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Starts nodes again that have ended though nobody took them away, as the platform does. */
+  private void restartEnded() {
+    for (String node : nodes) {
+      ManagedProcess process = processes.process(node);
+      if (process.hasEnded() && !process.endedByItself() && !busy.containsKey(node)) {
+        inject(new Fault.OnProcess(node, ProcessTrouble.KILLED, 1));
+      }
+    }
   }
 
   /** Begins a fault; its end follows by itself. */
@@ -206,23 +223,20 @@
 
   private void replace(Fault.ServerReplaced replaced) throws IOException, InterruptedException {
     String name = replaced.server();
-    Processes.Server leaving = processes.servers().get(name).asLeaving();
-    processes.servers().put(name, leaving);
-    if (!replaced.announced()) {
-      removeRow(leaving.instance());
-    }
-    Thread.sleep(StandInProcess.HEARTBEAT_MILLIS + SERVE_ON_MILLIS);
+    Processes.Server leaving = processes.servers().get(name);
+    noteLeaving(leaving.instance(), processes.withdraw(name, replaced.announced()));
+    Thread.sleep(SERVE_ON_MILLIS);
     leaving.process().signal("KILL");
     leaving.process().awaitEnd(GRACE_MILLIS);
-    removeRow(leaving.instance());
-    processes.startServer(name, operator.weights());
+    startAgain(name);
   }
 
   private void removeRow(String instance) {
-    processes
-        .store()
-        .remove("servers", instance)
-        .thenAccept(at -> notes.add(new Note.LeavingAcknowledged(at, instance)));
+    noteLeaving(instance, processes.store().remove("servers", instance));
+  }
+
+  private void noteLeaving(String instance, CompletableFuture<Long> acknowledged) {
+    acknowledged.thenAccept(at -> notes.add(new Note.LeavingAcknowledged(at, instance)));
   }
 
   /** Drops entries of servers that have been silent; they come back with the next heartbeat. */
@@ -232,7 +246,7 @@
     Set<Processes.Server> servers = new HashSet<>(processes.servers().values());
     for (Processes.Server server : servers) {
       if (server.lastBeatMillis() < silentSince) {
-        processes.store().remove("servers", server.instance());
+        processes.store().removeIfPresent("servers", server.instance());
       }
     }
   }
--- a/soak/src/main/java/org/lockdale/soak/run/ManagedProcess.java
+++ b/soak/src/main/java/org/lockdale/soak/run/ManagedProcess.java
@@ -10,14 +10,23 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.lockdale.soak.standin.StandardStreams;
 
 /** A process that this run started; it ends with the run. Thread-safe. */
 final class ManagedProcess implements Closeable {
 
+  /**
+   * A process that ends so soon after its start, or after it was paused, doesn't count as ending by
+   * itself: before the JVM has its handlers, any signal ends it. The time is the users' rule.
+   */
+  private static final long EXCUSED_MILLIS = 1_000;
+
   private final String name;
   private final Process process;
   private final Writer input;
   private volatile boolean mayEnd;
+  private volatile long disruptedMillis = StandardStreams.nowMillis();
+  private volatile long endMillis = Long.MAX_VALUE;
 
   private ManagedProcess(String name, Process process, Consumer<String> output) {
     this.name = name;
@@ -26,6 +35,7 @@
     Thread reader = new Thread(() -> read(output), name + "-output");
     reader.setDaemon(true);
     reader.start();
+    process.onExit().thenRun(() -> endMillis = StandardStreams.nowMillis());
   }
 
   /**
@@ -68,9 +78,14 @@
     return process.isAlive();
   }
 
-  /** Returns whether the process ended although nobody told it to. */
+  /** Returns whether the process ended although nobody told it to, and without an excuse. */
   boolean endedByItself() {
-    return !mayEnd && !process.isAlive();
+    return hasEnded() && !mayEnd && endMillis - disruptedMillis > EXCUSED_MILLIS;
+  }
+
+  /** Returns whether the process has ended and when is known. */
+  boolean hasEnded() {
+    return endMillis != Long.MAX_VALUE;
   }
 
   synchronized void say(String line) throws IOException {
@@ -83,6 +98,9 @@
     if (signal.equals("TERM") || signal.equals("KILL")) {
       mayEnd = true;
     }
+    if (signal.equals("CONT")) {
+      disruptedMillis = StandardStreams.nowMillis();
+    }
     if (process.isAlive()) {
       new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
     }
--- a/soak/src/main/java/org/lockdale/soak/run/Processes.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Processes.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.soak.judge.Note;
@@ -31,15 +32,28 @@
   private static final int STORES_GROUP = 3;
   private static final int STORE_LINKS_GROUP = 4;
 
-  /** A server as it runs now. */
-  record Server(String instance, ManagedProcess process, long lastBeatMillis, boolean leaving) {
+  /** How a server shows itself in the store. */
+  enum Visibility {
+    READY,
+    DRAINING,
+    /** It has no entry, whatever its heartbeats say. */
+    HIDDEN
+  }
+
+  /** A server as it runs now, with the row that it said last. */
+  record Server(
+      String instance,
+      ManagedProcess process,
+      long lastBeatMillis,
+      Visibility visibility,
+      String row) {
 
-    Server withBeat(long millis) {
-      return new Server(instance, process, millis, leaving);
+    Server withBeat(long millis, String newRow) {
+      return new Server(instance, process, millis, visibility, newRow);
     }
 
-    Server asLeaving() {
-      return new Server(instance, process, lastBeatMillis, true);
+    Server with(Visibility newVisibility) {
+      return new Server(instance, process, lastBeatMillis, newVisibility, row);
     }
   }
 
@@ -169,7 +183,8 @@
                 MODEL,
                 Long.toString(weights))
             : standIn(name, line -> hear(name, instance, line), "plain", instance, service);
-    servers.put(name, new Server(instance, process, StandardStreams.nowMillis(), false));
+    servers.put(
+        name, new Server(instance, process, StandardStreams.nowMillis(), Visibility.READY, "{}"));
   }
 
   private static String serviceOf(String name) {
@@ -246,18 +261,34 @@
             name,
             (key, known) ->
                 known.instance().equals(instance)
-                    ? known.withBeat(StandardStreams.nowMillis())
+                    ? known.withBeat(StandardStreams.nowMillis(), row)
                     : known);
-    if (server == null || !server.instance().equals(instance)) {
-      return;
+    if (server != null
+        && server.instance().equals(instance)
+        && server.visibility() != Visibility.HIDDEN) {
+      store().putIfChanged("servers", instance, rowOf(name, server));
     }
-    ObjectNode body = StandardStreams.parse(row, ObjectNode.class);
-    body.put("service", serviceOf(name))
+  }
+
+  private String rowOf(String name, Server server) {
+    return StandardStreams.parse(server.row(), ObjectNode.class)
+        .put("service", serviceOf(name))
         .put("address", Addresses.text(proxied(name, Addresses.SERVICE_PORT)))
         .put("zone", "zone-a")
         .put("version", "1")
-        .put("state", server.leaving() ? "draining" : "ready");
-    store().putIfChanged("servers", instance, body.toString());
+        .put("state", server.visibility() == Visibility.READY ? "ready" : "draining")
+        .toString();
+  }
+
+  /** Says that a server leaves, or removes its entry; the result is when that was acknowledged. */
+  CompletableFuture<Long> withdraw(String name, boolean announced) {
+    Visibility visibility = announced ? Visibility.DRAINING : Visibility.HIDDEN;
+    Server server =
+        Objects.requireNonNull(
+            servers.computeIfPresent(name, (key, known) -> known.with(visibility)));
+    return announced
+        ? store().put("servers", server.instance(), rowOf(name, server))
+        : store().remove("servers", server.instance());
   }
 
   @Override
--- a/soak/src/main/java/org/lockdale/soak/run/StoreControl.java
+++ b/soak/src/main/java/org/lockdale/soak/run/StoreControl.java
@@ -32,6 +32,13 @@
     }
   }
 
+  /** Removes a row that was written as a heartbeat, if it is still there. */
+  synchronized void removeIfPresent(String table, String key) {
+    if (written.containsKey(table + "/" + key)) {
+      remove(table, key);
+    }
+  }
+
   /** Removes a row; the result is when the store acknowledged it. */
   synchronized CompletableFuture<Long> remove(String table, String key) {
     written.remove(table + "/" + key);
