--- a/soak/src/main/java/org/lockdale/soak/link/Relay.java
+++ b/soak/src/main/java/org/lockdale/soak/link/Relay.java
@@ -40,6 +40,8 @@
     source.closeFuture().addListener(closed -> link.remove(this));
     source.pipeline().addLast(forth);
     destination.pipeline().addLast(back);
+    destination.closeFuture().addListener(closed -> forth.discard());
+    source.closeFuture().addListener(closed -> back.discard());
     source.config().setAutoRead(true);
     destination.config().setAutoRead(true);
   }
@@ -92,11 +94,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
       ByteBuf bytes = (ByteBuf) message;
-      if (silent) {
-        bytes.release();
-        return;
-      }
-      if (!to.isActive()) {
+      if (silent || !to.isActive()) {
         bytes.release();
         return;
       }
@@ -122,6 +120,16 @@
       drain();
     }
 
+    /** Drops what waits for a channel that has closed. */
+    void discard() {
+      for (Waiting next : waiting) {
+        if (next.bytes() != null) {
+          next.bytes().release();
+        }
+      }
+      waiting.clear();
+    }
+
     void drain() {
       while (!waiting.isEmpty() && !silent && !link.isCut(isForth)) {
         long left = waiting.peek().dueNanos() - System.nanoTime();
--- a/soak/src/main/java/org/lockdale/soak/plan/FaultPlan.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/FaultPlan.java
@@ -30,6 +30,12 @@
   private static final int SHORTEST_TROUBLE_MILLIS = 200;
   private static final int LONGEST_TROUBLE_MILLIS = 4_000;
 
+  /** Some troubles outlast the bound after which a revoked key may not be served, 5 s. */
+  private static final int LONG_TROUBLE_MILLIS = 9_000;
+
+  /** One trouble in so many is long. */
+  private static final int LONG_TROUBLE_PARTS = 6;
+
   /** Copies the faults. */
   public FaultPlan {
     faults = List.copyOf(faults);
@@ -151,7 +157,9 @@
     }
 
     private long length() {
-      return random.nextInt(SHORTEST_TROUBLE_MILLIS, LONGEST_TROUBLE_MILLIS);
+      return random.nextInt(LONG_TROUBLE_PARTS) == 0
+          ? random.nextInt(LONGEST_TROUBLE_MILLIS, LONG_TROUBLE_MILLIS)
+          : random.nextInt(SHORTEST_TROUBLE_MILLIS, LONGEST_TROUBLE_MILLIS);
     }
 
     private <T> T pick(List<T> items) {
--- a/soak/src/main/java/org/lockdale/soak/run/NoteLog.java
+++ b/soak/src/main/java/org/lockdale/soak/run/NoteLog.java
@@ -27,6 +27,15 @@
     file = Files.newBufferedWriter(path);
   }
 
+  /** Judges the notes that a run has left in a file. */
+  static List<RuleBreak> judge(Bounds bounds, Path path) throws IOException {
+    History history = new History(bounds);
+    for (String line : Files.readAllLines(path)) {
+      history.add(StandardStreams.parse(line, Note.class));
+    }
+    return Judge.breaks(history);
+  }
+
   synchronized void add(Note note) {
     history.add(note);
     try {
--- a/soak/src/main/java/org/lockdale/soak/run/Processes.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Processes.java
@@ -18,6 +18,7 @@
 import org.lockdale.soak.link.LinkProxy;
 import org.lockdale.soak.plan.Deployment;
 import org.lockdale.soak.standin.Addresses;
+import org.lockdale.soak.standin.Guard;
 import org.lockdale.soak.standin.StandInProcess;
 import org.lockdale.soak.standin.StandardStreams;
 
@@ -221,7 +222,9 @@
     program.writeSettings(settings, values);
     notes.add(new Note.Started(StandardStreams.nowMillis(), name));
     Path output = directory.resolve(name + ".out");
-    start(name, program.command(settings, values), line -> append(output, line));
+    ManagedProcess node =
+        start(name, program.command(settings, values), line -> append(output, line));
+    process(Deployment.CACHE_STORE).say(Guard.COMMAND + node.id());
   }
 
   private static void append(Path file, String line) {
--- a/soak/src/main/java/org/lockdale/soak/run/SoakCommand.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakCommand.java
@@ -3,8 +3,11 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.soak.judge.RuleBreak;
 import org.lockdale.soak.plan.Deployment;
 import org.lockdale.soak.plan.FaultPlan;
 import picocli.CommandLine;
@@ -46,6 +49,9 @@
       description = "A wrong bound for the nodes, such as bounds.versionMs=60000.")
   private Map<String, String> told = new HashMap<>();
 
+  @Option(names = "--judge", description = "Judges a kept notes.jsonl again and runs nothing.")
+  private @Nullable Path kept;
+
   @Option(names = "--directory", defaultValue = "target/soak", description = "For logs.")
   private Path directory;
 
@@ -56,6 +62,11 @@
 
   @Override
   public Integer call() throws Exception {
+    if (kept != null) {
+      List<RuleBreak> breaks = NoteLog.judge(SoakRun.BOUNDS, kept);
+      breaks.forEach(System.out::println);
+      return breaks.isEmpty() ? 0 : BROKEN;
+    }
     long first = seed == null ? System.currentTimeMillis() : seed;
     long end = System.nanoTime() + Duration.ofMillis((long) (minutes * 60_000)).toNanos();
     Deployment deployment = new Deployment(nodes, engines, 1);
--- a/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
@@ -29,7 +29,8 @@
   /** Time after the last request until all notes of it have come and weigh with the judge. */
   private static final long SETTLE_MILLIS = 3_000;
 
-  private static final Bounds BOUNDS = Bounds.standard().withRetrySlack(RETRY_SLACK);
+  /** Bounds that runs are judged by. */
+  static final Bounds BOUNDS = Bounds.standard().withRetrySlack(RETRY_SLACK);
 
   private final FaultPlan plan;
   private final Deployment deployment;
--- a/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
@@ -43,7 +43,7 @@
     Thread beat = new Thread(() -> beat(heartbeatMillis), "heartbeat");
     beat.setDaemon(true);
     beat.start();
-    StandardStreams.obey(line -> {});
+    StandardStreams.obey(Guard::take);
   }
 
   private void beat(long heartbeatMillis) {
--- a/soak/src/main/java/org/lockdale/soak/standin/StandardStreams.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/StandardStreams.java
@@ -76,6 +76,7 @@
     for (String line = commands.readLine(); line != null; line = commands.readLine()) {
       command.accept(line);
     }
+    Guard.endNodes();
     Runtime.getRuntime().halt(0);
   }
 }
