--- a/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
+++ b/gateway/src/main/java/org/lockdale/gateway/command/GatewayCommand.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiFunction;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
@@ -47,6 +48,7 @@
   private final Function<GatewaySettings, BiFunction<EventLoopGroup, HttpClient, GatewayProtocols>>
       adapters;
   private final TrainingEnvironment training;
+  private final AtomicReference<Runnable> reload = new AtomicReference<>(() -> {});
 
   @Option(names = SETTINGS_OPTION, paramLabel = "FILE", description = "Settings file (YAML).")
   private @Nullable Path file;
@@ -160,6 +162,8 @@
       System.out.println("settings are valid");
       return EXIT_OK;
     }
+    // A process that has no handler yet is ended by SIGHUP, so the handler comes before callers do.
+    HangupSignal.onSignal(() -> reload.get().run());
     EarlyListener listener = listenAddress == null ? null : EarlyListener.open(listenAddress);
     try {
       serve(loadSettings(), listener);
@@ -188,7 +192,7 @@
       throws InterruptedException {
     GatewayNode node =
         GatewayNode.start(settings, adapters.apply(settings), listener, startedAtMillis);
-    HangupSignal.onSignal(node::reload);
+    reload.set(node::reload);
     CountDownLatch stopped = new CountDownLatch(1);
     Runtime.getRuntime()
         .addShutdownHook(
