When to come back is told from the wait at the pool, not by a constant

Cause: every final answer that promised not to have run said "come back after 250 ms", whether the pool's requests begin each millisecond or have not begun for seconds. Who came back then found the same queue.

Change: QueueForecast counts this node's requests that wait at a pool and how often one of them begins (Little's law), and takes a pause to last as long again as it has lasted. 250 ms are told only where nothing of this node waits at the pool. PoolWaits holds it and the estimate by rank, which moves out of RequestExecution.

Searched for others of the kind: no bound in the gateway is set from a part of an objective. The 300 ms of RouteFilter and TenantFilter concern a configuration that is not proven current, which no queue tells of; they stay.

--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -21,7 +21,6 @@
 final class RequestExecution {
 
   private static final int MAX_CONNECT_FAILURES = 3;
-  private static final long RETRY_AFTER_MILLIS = 250;
 
   /** A back end that takes no request is left alone for this long. */
   private static final long NOT_RUN_PAUSE_MILLIS = 150;
@@ -34,6 +33,7 @@
   private final RequestPath path;
   private final RequestState state;
   private @Nullable Attempt current;
+  private QueueForecast.@Nullable Place queued;
   private @Nullable ScheduledFuture<?> timeout;
   private boolean ended;
 
@@ -90,7 +90,9 @@
     state.backend = target.backend().id();
     state.sharedTokensToCompute = placement.computedTokens();
     state.waitingTokens = placement.waitingTokens();
-    state.deferred = wouldBeLate();
+    state.deferred = path.waits().wouldBeLate(state);
+    QueueForecast.Place place = path.waits().sent(state);
+    queued = place;
     long sentAtMillis = path.nowMillis();
     AttemptPlan plan =
         new AttemptPlan(
@@ -109,7 +111,7 @@
             plan,
             path.backendProtocol(),
             path.time(),
-            () -> begun(sentAtMillis),
+            () -> begun(place, sentAtMillis),
             this::concluded);
     current = attempt;
     path.placements().opened(placement);
@@ -119,30 +121,10 @@
     }
   }
 
-  /**
-   * Where more comes than engines can do, a queue in order of arrival makes everything late. A
-   * request that would be late in its turn lets those pass that can still be in time.
-   */
-  private boolean wouldBeLate() {
-    if (state.prompt == null) {
-      return false;
-    }
-    double wait =
-        path.waits()
-            .predictMillis(state.ownPriority(), state.waitingTokens + state.computedTokens());
-    long elapsed = path.nowMillis() - state.arrivedAtMillis;
-    return elapsed + wait > state.route().latencyObjective().toMillis();
-  }
-
-  private void begun(long sentAtMillis) {
+  private void begun(QueueForecast.Place place, long sentAtMillis) {
+    place.begin();
+    path.waits().begun(state, sentAtMillis);
     path.workChanged();
-    if (!state.deferred) {
-      path.waits()
-          .observe(
-              state.ownPriority(),
-              state.waitingTokens + state.computedTokens(),
-              path.nowMillis() - sentAtMillis);
-    }
   }
 
   /** Takes a request back that waits at an engine whose weights become too old to begin on. */
@@ -180,6 +162,7 @@
     if (ended || attempt != current) {
       return;
     }
+    leaveQueue(result == AttemptResult.COMPLETE);
     note(attempt, result);
     switch (result) {
       case COMPLETE -> end(RequestPath.COMPLETE);
@@ -189,6 +172,15 @@
     }
   }
 
+  private void leaveQueue(boolean served) {
+    QueueForecast.Place place = queued;
+    if (place != null && served) {
+      place.begin();
+    } else if (place != null) {
+      place.leave();
+    }
+  }
+
   private void note(Attempt attempt, AttemptResult result) {
     long now = path.nowMillis();
     var health = attempt.target().health();
@@ -263,7 +255,7 @@
           new Refusal(
               RefusalKind.UNAVAILABLE,
               "The request was not run: " + reason + ".",
-              RETRY_AFTER_MILLIS));
+              path.waits().comeBackMillis(state)));
     }
   }
 
@@ -306,6 +298,7 @@
 
   private void end(String outcome) {
     ended = true;
+    leaveQueue(false);
     if (timeout != null) {
       timeout.cancel(false);
     }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -51,7 +51,7 @@
   private final Time time;
   private final SplitSelector splits = new SplitSelector();
   private final List<RequestFilter> filters;
-  private final WaitEstimate waits = new WaitEstimate();
+  private final PoolWaits waits;
   private final AtomicInteger openRequests = new AtomicInteger();
 
   /**
@@ -94,6 +94,7 @@
             limits.retryRatio(), limits.retryAllowance(), limits.retryWindow().toMillis(), nodes);
     this.startWaitMillis = limits.startWait().toMillis();
     this.time = time;
+    this.waits = new PoolWaits(time);
     this.filters =
         List.of(
             new PhaseFilter(blackboard.phase()),
@@ -234,7 +235,7 @@
     return backendProtocol;
   }
 
-  WaitEstimate waits() {
+  PoolWaits waits() {
     return waits;
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
@@ -90,6 +90,11 @@
     return prompt == null ? 0 : prompt.ownTokens() + sharedTokensToCompute;
   }
 
+  /** Returns the prompt tokens that the chosen engine computes before its first event. */
+  long tokensUntilFirstEvent() {
+    return waitingTokens + computedTokens();
+  }
+
   /** Returns the tokens that others have to wait for at the chosen engine. */
   long queuedTokens() {
     return deferred ? 0 : computedTokens();
