Tenants are kept to their limits over all nodes

Cause: ratePerS, burst, unit and plainTokens of tenants were not read; nothing was refused with 429.

Change: after the filters, a request of a tenant with a limit asks the relay that decides (LimitClient, LimitResponder, one datagram each way); beyond the limit it gets 429 with the time after which it may fit. What no server ran is given back. Heartbeats carry the relay's life and clock, so that loans end by its own clock. Settings tenants.limit-window, -overshoot, -slack, filled from the platform's bounds. Without limits nothing is sent and no timer is added.

Found on the way by GatewayLimitTest.severalNodesKeepToOneLimit, which failed (200, 429 expected): for up to half a second after its start a node had a configuration and no buckets, and let everything through. Buckets are now made before the first request.

--- a/gateway/src/main/java/org/lockdale/gateway/caller/CallerRequest.java
+++ b/gateway/src/main/java/org/lockdale/gateway/caller/CallerRequest.java
@@ -16,6 +16,7 @@
  * @param deadlineMillis how long the caller waits from the request's arrival, in milliseconds
  * @param model model that is asked for, or null
  * @param promptParts parts of the prompt in order; empty where there is none
+ * @param tokens tokens of the prompt and of the longest answer together, or null if not told
  * @param lastEventId id of the last event the caller holds of a stream to be continued, or null
  * @param headers all headers as sent
  * @param body whole body
@@ -30,6 +31,7 @@
     long deadlineMillis,
     @Nullable String model,
     List<PromptPart> promptParts,
+    @Nullable Long tokens,
     @Nullable String lastEventId,
     HttpHeaders headers,
     byte[] body) {}
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
@@ -16,11 +16,16 @@
 import org.jspecify.annotations.Nullable;
 import org.lockdale.http.HttpBindException;
 import org.lockdale.protocol.MessageCodec;
+import org.lockdale.protocol.generated.AdmissionAnswer;
+import org.lockdale.protocol.generated.AdmissionQuestion;
 import org.lockdale.protocol.generated.NodeDatagram;
 import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementQuestion;
 import org.lockdale.protocol.generated.RelayHeartbeat;
+import org.lockdale.protocol.generated.ShareLoan;
+import org.lockdale.protocol.generated.ShareRecall;
+import org.lockdale.protocol.generated.ShareReleased;
 import org.tinylog.Logger;
 
 /**
@@ -114,6 +119,16 @@
         listener.onQuestion(sender, from, question);
       } else if (body instanceof PlacementAnswer answer) {
         listener.onAnswer(sender, answer);
+      } else if (body instanceof AdmissionQuestion question) {
+        listener.onAdmissionQuestion(from, question);
+      } else if (body instanceof AdmissionAnswer answer) {
+        listener.onAdmissionAnswer(answer);
+      } else if (body instanceof ShareLoan loan) {
+        listener.onLoan(sender, loan);
+      } else if (body instanceof ShareRecall recall) {
+        listener.onRecall(sender, from, recall);
+      } else if (body instanceof ShareReleased released) {
+        listener.onReleased(sender, released);
       }
     }
 
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramListener.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramListener.java
@@ -1,10 +1,15 @@
 package org.lockdale.gateway.cluster;
 
 import java.net.InetSocketAddress;
+import org.lockdale.protocol.generated.AdmissionAnswer;
+import org.lockdale.protocol.generated.AdmissionQuestion;
 import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementQuestion;
 import org.lockdale.protocol.generated.RelayHeartbeat;
+import org.lockdale.protocol.generated.ShareLoan;
+import org.lockdale.protocol.generated.ShareRecall;
+import org.lockdale.protocol.generated.ShareReleased;
 
 /** Receives the datagrams of other nodes, on the event loop of their exchange. */
 public interface DatagramListener {
@@ -20,4 +25,19 @@
 
   /** A relay answers a question of this node. */
   void onAnswer(String sender, PlacementAnswer answer);
+
+  /** A node lends its share of the tenants' limits. */
+  void onLoan(String sender, ShareLoan loan);
+
+  /** A node wants its share back. */
+  void onRecall(String sender, InetSocketAddress address, ShareRecall recall);
+
+  /** A relay gives this node's share back. */
+  void onReleased(String sender, ShareReleased released);
+
+  /** A node asks whether a request lies within its tenant's limit. */
+  void onAdmissionQuestion(InetSocketAddress address, AdmissionQuestion question);
+
+  /** A relay answers such a question of this node. */
+  void onAdmissionAnswer(AdmissionAnswer answer);
 }
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/LimitResponder.java
@@ -0,0 +1,126 @@
+package org.lockdale.gateway.cluster;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.configuration.GatewayConfiguration;
+import org.lockdale.gateway.configuration.TenantLimit;
+import org.lockdale.gateway.limit.Allowance;
+import org.lockdale.gateway.limit.LimitBound;
+import org.lockdale.gateway.limit.ShareLender;
+import org.lockdale.gateway.limit.TenantBuckets;
+import org.lockdale.protocol.generated.AdmissionAnswer;
+import org.lockdale.protocol.generated.AdmissionQuestion;
+import org.lockdale.protocol.generated.ShareLoan;
+import org.lockdale.protocol.generated.ShareRecall;
+import org.lockdale.protocol.generated.ShareReleased;
+import org.tinylog.Logger;
+
+/**
+ * Decides for the nodes that lend this node their shares whether requests lie within their tenants'
+ * limits. Runs on one event loop.
+ */
+public final class LimitResponder {
+
+  private final DatagramExchange datagrams;
+  private final Supplier<GatewayConfiguration> configuration;
+  private final LimitBound bound;
+  private final long life;
+  private final Time time;
+  private final TenantBuckets buckets;
+  private long limitsVersion = GatewayConfiguration.NONE.version();
+
+  /**
+   * Creates a responder.
+   *
+   * @param datagrams sends the answers
+   * @param configuration the configuration in force
+   * @param bound how far tenants may go beyond their limits
+   * @param life tells the lives of this node apart
+   * @param time clock
+   */
+  public LimitResponder(
+      DatagramExchange datagrams,
+      Supplier<GatewayConfiguration> configuration,
+      LimitBound bound,
+      long life,
+      Time time) {
+    this.datagrams = datagrams;
+    this.configuration = configuration;
+    this.bound = bound;
+    this.life = life;
+    this.time = time;
+    this.buckets = new TenantBuckets(bound.window().toMillis(), time.monotonicMillis());
+  }
+
+  /**
+   * Takes in the limits of the configuration in force; to be called whenever it may be a new one.
+   */
+  public void refresh() {
+    GatewayConfiguration inForce = configuration.get();
+    if (inForce.version() == limitsVersion) {
+      return;
+    }
+    limitsVersion = inForce.version();
+    Map<String, TenantLimit> limits = inForce.tenantLimits();
+    Map<String, Allowance> allowances = new HashMap<>();
+    limits.forEach((tenant, limit) -> allowances.put(tenant, Allowance.of(limit, bound)));
+    buckets.limit(allowances, time.monotonicMillis());
+    Logger.info("event=limits-in-force version={} tenants={}", limitsVersion, limits.size());
+  }
+
+  /** Takes in the loan of a node. */
+  void borrow(String node, ShareLoan loan) {
+    if (loan.getLife() != life) {
+      return;
+    }
+    long now = time.monotonicMillis();
+    long until = loan.getSentAt() + ShareLender.TERM_MILLIS;
+    if (loan.getReserve()) {
+      buckets.reserveLent(node, loan.getShare(), until, now);
+    } else {
+      buckets.lent(node, loan.getShare(), until, now);
+    }
+  }
+
+  /** Gives the share of a node back, and tells it so. */
+  void release(String node, InetSocketAddress address, ShareRecall recall) {
+    if (recall.getLife() == life) {
+      release(node, recall);
+      datagrams.send(address, new ShareReleased(life, recall.getSentAt(), recall.getReserve()));
+    }
+  }
+
+  /** Gives the share of a node back. */
+  void release(String node, ShareRecall recall) {
+    long until = recall.getSentAt() + ShareLender.TERM_MILLIS;
+    if (recall.getReserve()) {
+      buckets.releaseReserve(node, until, time.monotonicMillis());
+    } else {
+      buckets.release(node, until, time.monotonicMillis());
+    }
+  }
+
+  /** Answers the question of a node. */
+  void answer(InetSocketAddress address, AdmissionQuestion question) {
+    OptionalLong retryAfter = take(question.getTenant(), question.getAmount());
+    datagrams.send(
+        address,
+        new AdmissionAnswer(question.getNumber(), retryAfter.isEmpty(), retryAfter.orElse(0)));
+  }
+
+  /** Counts a request; empty where it lies within the limit, else when to come back. */
+  OptionalLong take(String tenant, double amount) {
+    // A limit that came a moment ago must have its bucket before its first request.
+    refresh();
+    return buckets.take(tenant, amount, time.monotonicMillis());
+  }
+
+  /** Returns what tells the lives of this node apart. */
+  long life() {
+    return life;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/LoanSender.java
@@ -0,0 +1,135 @@
+package org.lockdale.gateway.cluster;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.limit.ShareLender;
+import org.lockdale.protocol.generated.ShareLoan;
+import org.lockdale.protocol.generated.ShareRecall;
+import org.lockdale.protocol.generated.ShareReleased;
+
+/**
+ * Lends this node's share of the tenants' limits, or of the reserves beside them, to one relay or
+ * to this node itself. Runs on one event loop.
+ */
+final class LoanSender {
+
+  /**
+   * A relay whose heartbeat was heard.
+   *
+   * @param address where it is reached
+   * @param heartbeat its latest heartbeat
+   */
+  record Relay(InetSocketAddress address, ShareLender.Heartbeat heartbeat) {}
+
+  /**
+   * Where a node finds what it needs to lend.
+   *
+   * @param selfId id of this node
+   * @param eventLoop runs the timers
+   * @param datagrams carries loans
+   * @param responder takes the loans to this node itself
+   * @param nodes tells the number of nodes, or 0 where it is not known yet
+   * @param time clock
+   */
+  record Context(
+      String selfId,
+      EventLoop eventLoop,
+      DatagramExchange datagrams,
+      LimitResponder responder,
+      IntSupplier nodes,
+      Time time) {}
+
+  private final Context context;
+  private final boolean reserve;
+  private final Runnable onFree;
+  private final ShareLender lender;
+  private ShareLender.@Nullable Heartbeat answered;
+  private @Nullable Relay borrower;
+  private boolean waiting;
+
+  /**
+   * Creates a sender.
+   *
+   * @param context where it finds what it needs
+   * @param reserve whether it lends the share of the reserves
+   * @param onFree run when a share that was lent elsewhere may be lent anew
+   */
+  LoanSender(Context context, boolean reserve, Runnable onFree) {
+    this.context = context;
+    this.reserve = reserve;
+    this.onFree = onFree;
+    this.lender = new ShareLender(context.time().monotonicMillis());
+  }
+
+  /** Lends to this node itself. */
+  void lendToSelf() {
+    long now = context.time().monotonicMillis();
+    recall(context.selfId(), now);
+    ShareLender.Heartbeat heartbeat =
+        new ShareLender.Heartbeat(context.selfId(), context.responder().life(), now, now);
+    int nodes = context.nodes().getAsInt();
+    if (nodes > 0 && lender.lend(heartbeat, now)) {
+      context.responder().borrow(context.selfId(), loan(heartbeat, nodes));
+    }
+  }
+
+  /** Lends to a relay; each heartbeat is answered once. */
+  void lendTo(Relay relay) {
+    ShareLender.Heartbeat heartbeat = relay.heartbeat();
+    long now = context.time().monotonicMillis();
+    recall(heartbeat.relay(), now);
+    int nodes = context.nodes().getAsInt();
+    if (nodes > 0 && !heartbeat.equals(answered) && lender.lend(heartbeat, now)) {
+      answered = heartbeat;
+      borrower = relay;
+      context.datagrams().send(relay.address(), loan(heartbeat, nodes));
+    }
+  }
+
+  private ShareLoan loan(ShareLender.Heartbeat heartbeat, int nodes) {
+    return new ShareLoan(heartbeat.life(), heartbeat.sentAtMillis(), 1.0 / nodes, reserve);
+  }
+
+  /** A share is free sooner where the relay that had it gives it back. */
+  private void recall(String relay, long nowMillis) {
+    Optional<ShareLender.Heartbeat> loan = lender.recall(relay, nowMillis);
+    if (loan.isEmpty()) {
+      return;
+    }
+    long sentAt = loan.get().sentAtMillis();
+    ShareRecall recall = new ShareRecall(loan.get().life(), sentAt, reserve);
+    Relay former = borrower;
+    if (loan.get().relay().equals(context.selfId())) {
+      context.responder().release(context.selfId(), recall);
+      lender.released(context.selfId(), loan.get().life(), sentAt, nowMillis);
+    } else if (former != null) {
+      context.datagrams().send(former.address(), recall);
+    }
+    awaitEnd(nowMillis);
+  }
+
+  private void awaitEnd(long nowMillis) {
+    long left = lender.lentUntilMillis() - nowMillis;
+    if (left > 0 && !waiting) {
+      waiting = true;
+      context.eventLoop().schedule(this::ended, left, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void ended() {
+    waiting = false;
+    onFree.run();
+  }
+
+  /** Takes in that a relay no longer uses this node's share. */
+  void released(String relay, ShareReleased released) {
+    long now = context.time().monotonicMillis();
+    lender.released(relay, released.getLife(), released.getSentAt(), now);
+    onFree.run();
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.limit.ShareLender;
 import org.lockdale.gateway.table.StoreClock;
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.table.TableProof;
@@ -33,6 +34,7 @@
   private final DatagramExchange datagrams;
   private final List<TableFollower> followers;
   private final StoreClock clock;
+  private final long life;
   private final Time time;
   private final Consumer<Boolean> onServing;
   private final RelayElection election;
@@ -52,6 +54,7 @@
    *     store
    * @param clock the store's clock
    * @param maxProofAge age of its proof from which on a relay is taken to have lost the store
+   * @param life tells the lives of this node apart
    * @param time clock
    * @param onServing told whether this node serves as a relay, whenever that changes
    */
@@ -62,6 +65,7 @@
       List<TableFollower> followers,
       StoreClock clock,
       Duration maxProofAge,
+      long life,
       Time time,
       Consumer<Boolean> onServing) {
     this.eventLoop = eventLoop;
@@ -69,6 +73,7 @@
     this.datagrams = datagrams;
     this.followers = followers;
     this.clock = clock;
+    this.life = life;
     this.time = time;
     this.onServing = onServing;
     this.election = new RelayElection(nodes.self().id(), maxProofAge.toMillis());
@@ -107,10 +112,23 @@
     return coordinator;
   }
 
+  /**
+   * Returns the ids of the relays that may decide on limits, the one to ask first; this node where
+   * there is none. To be called on the event loop.
+   */
+  public List<String> deciders() {
+    return election.deciders(ShareLender.TERM_MILLIS, time.monotonicMillis());
+  }
+
   /** Takes in that a relay does not answer; to be called on the event loop. */
   public void failed(RelayElection.Relay relay) {
+    silent(relay.id());
+  }
+
+  /** Takes in that a relay does not answer; to be called on the event loop. */
+  public void silent(String relay) {
     long now = time.monotonicMillis();
-    election.failed(relay.id(), now);
+    election.failed(relay, now);
     publish(now);
   }
 
@@ -196,7 +214,8 @@
       proofs.add(new TableProofRecord(proof.table(), proof.lastChange(), proof.storeMillis()));
     }
     List<InetSocketAddress> receivers = nodes.peers().stream().map(PeerNode::address).toList();
-    datagrams.send(receivers, new RelayHeartbeat(election.servingSinceMillis(), retiring, proofs));
+    datagrams.send(
+        receivers, new RelayHeartbeat(election.servingSinceMillis(), retiring, life, now, proofs));
     heartbeats.sent(changes(), now);
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -5,11 +5,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.cache.CacheDirectory;
 import org.lockdale.gateway.cache.CachePlanner;
 import org.lockdale.gateway.cluster.DatagramExchange;
+import org.lockdale.gateway.cluster.LimitClient;
+import org.lockdale.gateway.cluster.LimitResponder;
 import org.lockdale.gateway.cluster.NodeListener;
 import org.lockdale.gateway.cluster.NodeRegistry;
 import org.lockdale.gateway.cluster.NodeReporter;
@@ -20,6 +23,8 @@
 import org.lockdale.gateway.cluster.RelayController;
 import org.lockdale.gateway.cluster.ReportReceiver;
 import org.lockdale.gateway.cluster.TableSliceClient;
+import org.lockdale.gateway.limit.LimitBound;
+import org.lockdale.gateway.limit.TenantLimiter;
 import org.lockdale.gateway.placement.BackendChooser;
 import org.lockdale.gateway.placement.PlacementDecider;
 import org.lockdale.gateway.placement.PlacementService;
@@ -35,6 +40,9 @@
 
   private static final long UPKEEP_MILLIS = 500;
 
+  /** Place of the table of nodes among the followers. */
+  private static final int CLUSTER_FOLLOWER = 2;
+
   /** A proof may be older than one wait by the time until the next heartbeat, and a lost one. */
   private static final Duration PROOF_MARGIN = Duration.ofMillis(1_000);
 
@@ -59,6 +67,8 @@
   private final NodeReporter reporter;
   private final PlacementDecider decider;
   private final PlacementClient placements;
+  private final LimitResponder limits;
+  private final LimitClient limitClient;
 
   /**
    * Creates the services; {@link #start} starts them.
@@ -85,6 +95,7 @@
     peerLoads = new PeerLoads(time);
     cacheDirectory = cacheDirectory(protocols);
     PeerNode self = self(settings);
+    long life = ThreadLocalRandom.current().nextLong();
     nodes = new NodeRegistry(eventLoop, protocols.clusterTable(), self, time);
     datagrams = new DatagramExchange(self.id(), self.address(), eventLoop);
     StoreClock clock = new StoreClock();
@@ -100,6 +111,7 @@
             followers,
             clock,
             settings.get(GatewaySettings.STORE_WAIT).plus(PROOF_MARGIN),
+            life,
             time,
             cacheDirectory::follow);
     reporter =
@@ -113,6 +125,10 @@
             new WeightsPolicy(settings.get(GatewaySettings.WEIGHTS_BOUND).toMillis()));
     placements =
         new PlacementClient(placementContext(), PlacementClient.ANSWER_TIME, relays::failed);
+    LimitBound bound = limitBound(settings);
+    limits =
+        new LimitResponder(datagrams, () -> blackboard.configuration().value(), bound, life, time);
+    limitClient = new LimitClient(limitContext(bound));
   }
 
   private static PeerNode self(GatewaySettings settings) {
@@ -122,6 +138,26 @@
         settings.get(GatewaySettings.NODE_LINK));
   }
 
+  private static LimitBound limitBound(GatewaySettings settings) {
+    return new LimitBound(
+        settings.get(GatewaySettings.LIMITS_WINDOW),
+        settings.get(GatewaySettings.LIMITS_OVERSHOOT),
+        settings.get(GatewaySettings.LIMITS_SLACK));
+  }
+
+  private LimitClient.Context limitContext(LimitBound bound) {
+    return new LimitClient.Context(
+        nodes.self().id(),
+        eventLoop,
+        datagrams,
+        relays::deciders,
+        relays::silent,
+        limits,
+        this::knownSize,
+        bound,
+        time);
+  }
+
   private CacheDirectory cacheDirectory(GatewayProtocols protocols) {
     return new CacheDirectory(
         eventLoop,
@@ -182,7 +218,8 @@
         new ReportReceiver(
             () -> blackboard.backends().value(), peerLoads, time, this::moved, this::expectParts);
     PlacementResponder responder = new PlacementResponder(datagrams, decider, peerLoads, time);
-    datagrams.start(new NodeListener(relays, reports, responder, placements::answered));
+    datagrams.start(
+        new NodeListener(relays, reports, responder, placements::answered, limits, limitClient));
     nodes.start();
     followers.forEach(TableFollower::start);
     relays.start();
@@ -193,6 +230,8 @@
   }
 
   private void upkeep() {
+    limits.refresh();
+    limitClient.lend(!blackboard.configuration().value().tenantLimits().isEmpty());
     nodes.refresh();
     peerLoads.expire();
     Set<String> engines = new HashSet<>();
@@ -233,6 +272,16 @@
     return nodes.peers().size() + 1;
   }
 
+  /** Returns the number of nodes, or 0 while the table of nodes was not read yet. */
+  private int knownSize() {
+    return followers.get(CLUSTER_FOLLOWER).isKnown() ? size() : 0;
+  }
+
+  /** Returns what keeps tenants to their limits. */
+  TenantLimiter limiter() {
+    return limitClient;
+  }
+
   /** Returns whether this node serves others as a relay. */
   boolean isRelay() {
     return relays.isServing();
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -79,6 +79,7 @@
             backendClient,
             limits(),
             cluster::size,
+            cluster.limiter(),
             cluster.placements(),
             cluster.decider(),
             settings.get(GatewaySettings.NODE_ZONE),
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
@@ -20,6 +20,9 @@
   private static final Duration HOUR = Duration.ofHours(1);
   private static final int MAX_COUNT = 1_000_000;
 
+  /** Tokens in a window; far beyond any deployment. */
+  private static final int MAX_AMOUNT = 1_000_000_000;
+
   /** Id of the node. */
   public static final Setting<String> NODE_ID =
       declare(
@@ -132,6 +135,34 @@
   public static final Setting<Duration> RETRY_WINDOW =
       duration("retries.window", "10s", "Sliding window in which retries are counted.");
 
+  /** Window of the limits of tenants. */
+  public static final Setting<Duration> LIMITS_WINDOW =
+      duration(
+          "tenants.limit-window",
+          "8s",
+          "Sliding window in which what the tenants send is counted against their limits.");
+
+  /** Share of a limit that may run beyond it. */
+  public static final Setting<Double> LIMITS_OVERSHOOT =
+      declare(
+          "tenants.limit-overshoot",
+          "number",
+          "0.1",
+          "0 to 1",
+          "Part of a tenant's limit that may run beyond it in a window; the room is used while nodes"
+              + " are out of touch, and for requests larger than what is left of the limit.",
+          GatewaySettings::share);
+
+  /** What may run beyond a limit whatever the limit. */
+  public static final Setting<Double> LIMITS_SLACK =
+      declare(
+          "tenants.limit-slack",
+          "number",
+          "0",
+          "0 to 1000000000",
+          "What may run beyond a tenant's limit in a window besides, in the unit of the limit.",
+          text -> number(text, MAX_AMOUNT));
+
   /** Bound of a rollout of weights. */
   public static final Setting<Duration> WEIGHTS_BOUND =
       duration(
@@ -169,6 +200,9 @@
           RETRY_RATIO,
           RETRY_ALLOWANCE,
           RETRY_WINDOW,
+          LIMITS_WINDOW,
+          LIMITS_OVERSHOOT,
+          LIMITS_SLACK,
           WEIGHTS_BOUND,
           LEASE_GUARD,
           CONNECT_TIMEOUT,
--- a/gateway/src/main/java/org/lockdale/gateway/request/RefusalKind.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RefusalKind.java
@@ -10,6 +10,8 @@
   NO_ROUTE(404, false),
   /** No configuration was read yet, or the one at hand is too old to rely on. */
   NOT_CONFIGURED(503, true),
+  /** The tenant is beyond its limit; no back end was asked. */
+  BEYOND_LIMIT(429, true),
   /** No back end takes the request now; none has begun to work on it. */
   UNAVAILABLE(503, true),
   /** A back end failed and may have run the request. */
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -301,6 +301,9 @@
 
   private void refuse(Refusal refusal) {
     state.exchange.reply(path.render(refusal));
+    if (refusal.kind().isNotRun()) {
+      path.notRun(state);
+    }
     end(refusal.kind().name());
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -14,6 +14,7 @@
 import org.lockdale.gateway.caller.MalformedRequestException;
 import org.lockdale.gateway.configuration.GatewayConfiguration;
 import org.lockdale.gateway.limit.RetryBudget;
+import org.lockdale.gateway.limit.TenantLimiter;
 import org.lockdale.gateway.node.GatewayBlackboard;
 import org.lockdale.gateway.placement.PlacementDecider;
 import org.lockdale.gateway.placement.PlacementService;
@@ -51,6 +52,7 @@
   private final Time time;
   private final SplitSelector splits = new SplitSelector();
   private final List<RequestFilter> filters;
+  private final TenantLimitStep tenantLimits;
   private final WaitEstimate waits = new WaitEstimate();
   private final AtomicInteger openRequests = new AtomicInteger();
 
@@ -63,6 +65,7 @@
    * @param client sends requests
    * @param limits bounds that the path keeps
    * @param nodes tells the number of nodes of the deployment
+   * @param limiter keeps tenants to their limits
    * @param placements tells where requests are served
    * @param decider what this node believes itself
    * @param zone zone of the node
@@ -76,6 +79,7 @@
       HttpClient client,
       RequestLimits limits,
       IntSupplier nodes,
+      TenantLimiter limiter,
       PlacementService placements,
       PlacementDecider decider,
       String zone,
@@ -94,6 +98,7 @@
             limits.retryRatio(), limits.retryAllowance(), limits.retryWindow().toMillis(), nodes);
     this.startWaitMillis = limits.startWait().toMillis();
     this.time = time;
+    this.tenantLimits = new TenantLimitStep(limiter);
     this.filters =
         List.of(
             new PhaseFilter(blackboard.phase()),
@@ -155,11 +160,19 @@
     for (RequestFilter filter : filters) {
       Refusal refusal = filter.apply(state);
       if (refusal != null) {
-        state.exchange.reply(render(refusal));
-        ended(state, refusal.kind().name());
+        refuse(state, refusal);
         return;
       }
     }
+    tenantLimits.apply(state, () -> proceed(state), refusal -> refuse(state, refusal));
+  }
+
+  private void refuse(RequestState state, Refusal refusal) {
+    state.exchange.reply(render(refusal));
+    ended(state, refusal.kind().name());
+  }
+
+  private void proceed(RequestState state) {
     state.pool = splits.next(state.route());
     budget.requested(state.pool, time.monotonicMillis());
     new RequestExecution(this, state).start();
@@ -203,6 +216,11 @@
     return callerProtocol.render(refusal);
   }
 
+  /** Notes that no back end has run a request or ever will. */
+  void notRun(RequestState state) {
+    tenantLimits.giveBack(state);
+  }
+
   void ended(RequestState state, String outcome) {
     openRequests.decrementAndGet();
     boolean late = state.route != null && state.isLateStream();
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
@@ -7,6 +7,7 @@
 import org.lockdale.gateway.configuration.GatewayConfiguration;
 import org.lockdale.gateway.configuration.Route;
 import org.lockdale.gateway.configuration.Tenant;
+import org.lockdale.gateway.limit.Admission;
 import org.lockdale.gateway.placement.PromptPlacement;
 import org.lockdale.http.HttpExchange;
 
@@ -33,6 +34,9 @@
 
   @Nullable Tenant tenant;
 
+  /** What the request counts in its tenant's limit, or null where there is none. */
+  Admission.@Nullable Granted granted;
+
   /** Attempts after which the back end may have run the request. */
   int possibleRuns;
 
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/IgnoringListener.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/IgnoringListener.java
@@ -1,10 +1,15 @@
 package org.lockdale.gateway.cluster;
 
 import java.net.InetSocketAddress;
+import org.lockdale.protocol.generated.AdmissionAnswer;
+import org.lockdale.protocol.generated.AdmissionQuestion;
 import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementQuestion;
 import org.lockdale.protocol.generated.RelayHeartbeat;
+import org.lockdale.protocol.generated.ShareLoan;
+import org.lockdale.protocol.generated.ShareRecall;
+import org.lockdale.protocol.generated.ShareReleased;
 
 /** Ignores all datagrams; tests override what they look at. */
 class IgnoringListener implements DatagramListener {
@@ -20,4 +25,19 @@
 
   @Override
   public void onAnswer(String sender, PlacementAnswer answer) {}
+
+  @Override
+  public void onLoan(String sender, ShareLoan loan) {}
+
+  @Override
+  public void onRecall(String sender, InetSocketAddress address, ShareRecall recall) {}
+
+  @Override
+  public void onReleased(String sender, ShareReleased released) {}
+
+  @Override
+  public void onAdmissionQuestion(InetSocketAddress address, AdmissionQuestion question) {}
+
+  @Override
+  public void onAdmissionAnswer(AdmissionAnswer answer) {}
 }
