Limits: a relay that has most shares is kept, buckets never owe, callers come back soon

Cause, found by reading the sum again: a bucket could go below zero by 3/8 of the headroom, and that debt was forgotten when another relay followed, which could make it again in the same window.

Change: buckets stay at or above zero, and small requests wait up to a second for a large one that was refused. The time to come back is reckoned with all shares, at least 300 ms where most are missing. A relay that has more than half of the shares is kept though a more senior one comes back; one without the store decides for 10 s more.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/LimitClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/LimitClient.java
@@ -15,6 +15,7 @@
 import org.lockdale.gateway.configuration.TenantLimit;
 import org.lockdale.gateway.limit.Admission;
 import org.lockdale.gateway.limit.Allowance;
+import org.lockdale.gateway.limit.Deciders;
 import org.lockdale.gateway.limit.LimitBound;
 import org.lockdale.gateway.limit.ReturnedAmounts;
 import org.lockdale.gateway.limit.ShareLender;
@@ -44,7 +45,7 @@
    * @param selfId id of this node
    * @param eventLoop runs the client
    * @param datagrams carries questions and loans
-   * @param deciders tells the ids of the relays that may decide, the one to ask first; this node
+   * @param deciders tells the ids of the relays that may decide, the most senior first; this node
    *     where there is none
    * @param onSilent told of a relay that no longer answers
    * @param responder decides where there is no relay
@@ -109,7 +110,8 @@
         relay,
         new LoanSender.Relay(
             address,
-            new ShareLender.Heartbeat(relay, heartbeat.getLife(), heartbeat.getSentAt(), now)));
+            new ShareLender.Heartbeat(relay, heartbeat.getLife(), heartbeat.getSentAt(), now),
+            heartbeat.getLentShare()));
     lend();
   }
 
@@ -118,11 +120,20 @@
     if (!lending) {
       return;
     }
-    List<String> deciders = context.deciders().get();
+    List<String> deciders = deciders();
     lend(shares, deciders.get(0));
     lend(reserves, deciders.get(Math.min(1, deciders.size() - 1)));
   }
 
+  private List<String> deciders() {
+    return Deciders.inOrder(context.deciders().get(), this::shareOf);
+  }
+
+  private double shareOf(String relay) {
+    LoanSender.Relay known = heard.get(relay);
+    return known == null ? context.responder().share() : known.share();
+  }
+
   private void lend(LoanSender sender, String decider) {
     LoanSender.Relay relay = heard.get(decider);
     if (decider.equals(context.selfId())) {
@@ -154,7 +165,7 @@
   }
 
   private void ask(Open question) {
-    String decider = context.deciders().get().get(0);
+    String decider = deciders().get(0);
     LoanSender.Relay relay = heard.get(decider);
     if (relay == null) {
       decided(question, context.responder().take(question.tenant(), question.amount()));
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/LimitResponder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/LimitResponder.java
@@ -119,6 +119,11 @@
     return buckets.take(tenant, amount, time.monotonicMillis());
   }
 
+  /** Returns the sum of the shares that are lent to this node, from 0 to 1. */
+  public double share() {
+    return buckets.share(time.monotonicMillis());
+  }
+
   /** Returns what tells the lives of this node apart. */
   long life() {
     return life;
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/LoanSender.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/LoanSender.java
@@ -23,8 +23,9 @@
    *
    * @param address where it is reached
    * @param heartbeat its latest heartbeat
+   * @param share the shares that it had then
    */
-  record Relay(InetSocketAddress address, ShareLender.Heartbeat heartbeat) {}
+  record Relay(InetSocketAddress address, ShareLender.Heartbeat heartbeat, double share) {}
 
   /**
    * Where a node finds what it needs to lend.
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.limit.ShareLender;
 import org.lockdale.gateway.table.StoreClock;
@@ -37,6 +38,7 @@
   private final long life;
   private final Time time;
   private final Consumer<Boolean> onServing;
+  private final DoubleSupplier lentShare;
   private final RelayElection election;
   private final HeartbeatSchedule heartbeats = new HeartbeatSchedule();
   private volatile Optional<RelayElection.Relay> coordinator = Optional.empty();
@@ -56,6 +58,7 @@
    * @param maxProofAge age of its proof from which on a relay is taken to have lost the store
    * @param life tells the lives of this node apart
    * @param time clock
+   * @param lentShare tells the sum of the shares of limits that are lent to this node
    * @param onServing told whether this node serves as a relay, whenever that changes
    */
   public RelayController(
@@ -67,6 +70,7 @@
       Duration maxProofAge,
       long life,
       Time time,
+      DoubleSupplier lentShare,
       Consumer<Boolean> onServing) {
     this.eventLoop = eventLoop;
     this.nodes = nodes;
@@ -76,6 +80,7 @@
     this.life = life;
     this.time = time;
     this.onServing = onServing;
+    this.lentShare = lentShare;
     this.election = new RelayElection(nodes.self().id(), maxProofAge.toMillis());
   }
 
@@ -113,7 +118,7 @@
   }
 
   /**
-   * Returns the ids of the relays that may decide on limits, the one to ask first; this node where
+   * Returns the ids of the relays that may decide on limits, the most senior first; this node where
    * there is none. To be called on the event loop.
    */
   public List<String> deciders() {
@@ -215,7 +220,9 @@
     }
     List<InetSocketAddress> receivers = nodes.peers().stream().map(PeerNode::address).toList();
     datagrams.send(
-        receivers, new RelayHeartbeat(election.servingSinceMillis(), retiring, life, now, proofs));
+        receivers,
+        new RelayHeartbeat(
+            election.servingSinceMillis(), retiring, life, now, lentShare.getAsDouble(), proofs));
     heartbeats.sent(changes(), now);
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RelayElection.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RelayElection.java
@@ -38,6 +38,12 @@
   /** Nodes with the best links wait for this part of the delay only. */
   private static final int PREFERRED_DIVISOR = 10;
 
+  /**
+   * Age of its proof from which on a relay no longer decides on limits: another one may have read
+   * newer limits, but each change of the relay costs what its buckets hold.
+   */
+  private static final long MAX_LIMITS_PROOF_AGE_MILLIS = 10_000;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** This node needs no address of itself. */
@@ -209,17 +215,20 @@
 
   /**
    * Returns the ids of the relays that may decide on limits, the most senior first; this node where
-   * there is none. One that has fallen silent is left sooner than for placement. Where no relay
-   * reaches the store, all that are heard may decide, since limits need no store.
+   * there is none. One that has fallen silent is left sooner than for placement, and one that has
+   * lost the store later, as it can keep to limits without it. Where no relay reaches the store,
+   * all that are heard may decide.
    *
    * @param maxSilenceMillis longest time since a relay's last heartbeat
    * @param nowMillis monotonic time
    */
   public List<String> deciders(long maxSilenceMillis, long nowMillis) {
-    List<Relay> candidates = heardWithin(maxSilenceMillis, usable(nowMillis), nowMillis);
-    if (candidates.isEmpty()) {
-      List<Relay> all = heard.values().stream().map(Heard::relay).toList();
-      candidates = heardWithin(maxSilenceMillis, all, nowMillis);
+    List<Relay> candidates = heardWithin(maxSilenceMillis, nowMillis);
+    List<Relay> proven = new ArrayList<>(candidates);
+    proven.removeIf(
+        relay -> nowMillis - heard.get(relay.id()).provenAtMillis() > MAX_LIMITS_PROOF_AGE_MILLIS);
+    if (!proven.isEmpty()) {
+      candidates = proven;
     }
     if (serving || candidates.isEmpty()) {
       candidates.add(new Relay(selfId, NOWHERE, servingSinceMillis));
@@ -227,12 +236,14 @@
     return candidates.stream().sorted(BY_SENIORITY).map(Relay::id).toList();
   }
 
-  private List<Relay> heardWithin(long maxSilenceMillis, List<Relay> relays, long nowMillis) {
-    List<Relay> within = new ArrayList<>(relays);
-    within.removeIf(
-        relay ->
-            distrustedUntil.containsKey(relay.id())
-                || nowMillis - heard.get(relay.id()).heardAtMillis() >= maxSilenceMillis);
+  private List<Relay> heardWithin(long maxSilenceMillis, long nowMillis) {
+    List<Relay> within = new ArrayList<>();
+    for (Heard entry : heard.values()) {
+      boolean silent = nowMillis - entry.heardAtMillis() >= maxSilenceMillis;
+      if (!silent && !distrustedUntil.containsKey(entry.relay().id())) {
+        within.add(entry.relay());
+      }
+    }
     return within;
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/limit/TenantBuckets.java
+++ b/gateway/src/main/java/org/lockdale/gateway/limit/TenantBuckets.java
@@ -8,17 +8,32 @@
  * Token buckets of all tenants with a limit, at a node that decides for others. Nodes lend it their
  * shares of the limits: a bucket gains and holds no more than the shares at hand allow, so that all
  * such nodes together keep to the limits, however many there are. Buckets begin empty: a restart
- * gains nothing. Besides, nodes lend their parts of a reserve, which serves once in a window where
- * a bucket has nothing. Without I/O; time is injected; not safe for use by several threads.
+ * gains nothing, and they never go below zero, since what a relay owes would be forgotten when
+ * another one follows it. Besides, nodes lend their parts of a reserve, which serves once in a
+ * window where a bucket has nothing. Without I/O; time is injected; not safe for use by several
+ * threads.
  */
 public final class TenantBuckets {
 
-  /** Refused requests come back after this time at most, as shares may come in meanwhile. */
+  /** Refused requests come back after this time at most; a limit may be raised meanwhile. */
   static final long MAX_RETRY_MILLIS = 5_000;
 
   /** Refused requests come back no sooner than this. */
   static final long MIN_RETRY_MILLIS = 50;
 
+  /**
+   * Refused requests come back no sooner where most shares are missing, a third of a loan's term.
+   */
+  static final long RETRY_WITHOUT_SHARES_MILLIS = 300;
+
+  private static final double MOST_SHARES = 0.5;
+
+  /**
+   * Small requests wait this long for a large one that was refused: at the limit, they would always
+   * come before it otherwise.
+   */
+  private static final long AWAIT_MILLIS = 1_000;
+
   private static final class Bucket {
     Allowance allowance;
     double level;
@@ -29,10 +44,27 @@
     double reserveUsed;
     long reserveUsedAtMillis;
 
+    /** Largest request that was refused not long ago. */
+    private double awaited;
+
+    private long awaitedUntilMillis;
+
     Bucket(Allowance allowance, double lentMillis) {
       this.allowance = allowance;
       this.lentMillis = lentMillis;
     }
+
+    /** Returns the level up to which others wait for a large request. */
+    double awaited(long nowMillis) {
+      return nowMillis < awaitedUntilMillis ? awaited : 0;
+    }
+
+    void await(double amount, long nowMillis) {
+      if (amount > awaited(nowMillis)) {
+        awaited = amount;
+        awaitedUntilMillis = nowMillis + AWAIT_MILLIS;
+      }
+    }
   }
 
   private final ShareLoans shares = new ShareLoans();
@@ -121,15 +153,16 @@
       return OptionalLong.empty();
     }
     settle(bucket, shares.share());
-    double debt = bucket.allowance.debt() * shares.share();
-    if (bucket.level > 0 && amount <= bucket.level + debt) {
+    double needed = Math.max(amount, bucket.awaited(nowMillis));
+    if (needed <= bucket.level) {
       bucket.level -= amount;
       return OptionalLong.empty();
     }
     if (takeReserve(bucket, amount, nowMillis)) {
       return OptionalLong.empty();
     }
-    return OptionalLong.of(retryAfter(bucket, amount, debt));
+    bucket.await(needed, nowMillis);
+    return OptionalLong.of(retryAfter(bucket, needed));
   }
 
   /**
@@ -142,26 +175,26 @@
     }
     double part = reserves.shareSince(nowMillis - reserveRestMillis);
     double left = bucket.allowance.reserve() * part - bucket.reserveUsed;
-    double positive = Math.max(0, bucket.level);
-    if (amount > positive + left) {
+    double ofReserve = Math.min(left, amount);
+    if (ofReserve <= 0 || amount - ofReserve > bucket.level) {
       return false;
     }
-    double ofLevel = Math.min(positive, amount);
-    bucket.level -= ofLevel;
-    bucket.reserveUsed += amount - ofLevel;
+    bucket.level -= amount - ofReserve;
+    bucket.reserveUsed += ofReserve;
     bucket.reserveUsedAtMillis = nowMillis;
     return true;
   }
 
-  private long retryAfter(Bucket bucket, double amount, double debt) {
-    double missing = Math.max(-bucket.level, amount - debt - bucket.level);
-    double rate = bucket.allowance.ratePerMilli() * shares.share();
-    double wait = rate <= 0 ? MAX_RETRY_MILLIS : Math.ceil(missing / rate);
-    return (long) Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, wait));
+  private long retryAfter(Bucket bucket, double needed) {
+    // Shares that are missing now are mostly back before the request is.
+    double wait = Math.ceil((needed - bucket.level) / bucket.allowance.ratePerMilli());
+    long least = shares.share() < MOST_SHARES ? RETRY_WITHOUT_SHARES_MILLIS : MIN_RETRY_MILLIS;
+    return (long) Math.max(least, Math.min(MAX_RETRY_MILLIS, wait));
   }
 
   /** Returns the sum of the shares at hand, from 0 to 1. */
-  public double share() {
+  public double share(long nowMillis) {
+    advance(nowMillis);
     return shares.share();
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -98,6 +98,9 @@
     long life = ThreadLocalRandom.current().nextLong();
     nodes = new NodeRegistry(eventLoop, protocols.clusterTable(), self, time);
     datagrams = new DatagramExchange(self.id(), self.address(), eventLoop);
+    LimitBound bound = limitBound(settings);
+    limits =
+        new LimitResponder(datagrams, () -> blackboard.configuration().value(), bound, life, time);
     StoreClock clock = new StoreClock();
     TableFollower.Sources sources =
         new TableFollower.Sources(protocols.feed(), new TableSliceClient(controlClient), clock);
@@ -113,6 +116,7 @@
             settings.get(GatewaySettings.STORE_WAIT).plus(PROOF_MARGIN),
             life,
             time,
+            limits::share,
             cacheDirectory::follow);
     reporter =
         new NodeReporter(
@@ -125,9 +129,6 @@
             new WeightsPolicy(settings.get(GatewaySettings.WEIGHTS_BOUND).toMillis()));
     placements =
         new PlacementClient(placementContext(), PlacementClient.ANSWER_TIME, relays::failed);
-    LimitBound bound = limitBound(settings);
-    limits =
-        new LimitResponder(datagrams, () -> blackboard.configuration().value(), bound, life, time);
     limitClient = new LimitClient(limitContext(bound));
   }
 
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RelayElectionTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RelayElectionTest.java
@@ -164,4 +164,33 @@
     asking.election.failed(first, now);
     assertTrue(!asking.election.coordinator(now).orElseThrow().id().equals(first));
   }
+
+  private static RelayElection hearing(long firstProvenAt, long secondProvenAt, long heardAt) {
+    RelayElection election = new RelayElection("node-3", 2_000);
+    election.heard("node-1", ADDRESS, 10, firstProvenAt, heardAt);
+    election.heard("node-2", ADDRESS, 20, secondProvenAt, heardAt);
+    return election;
+  }
+
+  @Test
+  public void theMostSeniorRelayDecidesAndTheOthersFollowIt() {
+    RelayElection election = hearing(5_000, 5_000, 5_000);
+    assertEquals(election.deciders(900, 5_000), List.of("node-1", "node-2"));
+    election.failed("node-1", 5_001);
+    assertEquals(election.deciders(900, 5_001), List.of("node-2"));
+  }
+
+  @Test
+  public void aRelayWithoutTheStoreDecidesForAWhileAndWhereNoneReachesIt() {
+    long now = 50_000;
+    List<String> both = List.of("node-1", "node-2");
+    assertEquals(hearing(now - 10_000, now, now).deciders(900, now), both);
+    assertEquals(hearing(now - 10_001, now, now).deciders(900, now), List.of("node-2"));
+    assertEquals(hearing(0, 0, now).deciders(900, now), both);
+  }
+
+  @Test
+  public void aNodeThatHasHeardNoRelayForAWhileDecidesItself() {
+    assertEquals(hearing(5_000, 5_000, 5_000).deciders(900, 5_900), List.of("node-3"));
+  }
 }
