--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RelayElection.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RelayElection.java
@@ -38,8 +38,20 @@
   /** Nodes with the best links wait for this part of the delay only. */
   private static final int PREFERRED_DIVISOR = 10;
 
+  /**
+   * Age of its proof from which on a relay no longer decides on limits: another one may have read
+   * newer limits, but each change of the relay costs what its buckets hold.
+   */
+  private static final long MAX_LIMITS_PROOF_AGE_MILLIS = 10_000;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
+  /** This node needs no address of itself. */
+  private static final InetSocketAddress NOWHERE = new InetSocketAddress(0);
+
+  private static final Comparator<Relay> BY_SENIORITY =
+      Comparator.comparingLong(Relay::sinceMillis).thenComparing(Relay::id);
+
   /**
    * A relay as last heard.
    *
@@ -197,10 +209,44 @@
   /** Returns the other relays that can be relied on, the most senior first. */
   public List<Relay> relays(long nowMillis) {
     List<Relay> relays = usable(nowMillis);
-    relays.sort(Comparator.comparingLong(Relay::sinceMillis).thenComparing(Relay::id));
+    relays.sort(BY_SENIORITY);
     return relays;
   }
 
+  /**
+   * Returns the ids of the relays that may decide on limits, the most senior first; this node where
+   * there is none. One that has fallen silent is left sooner than for placement, and one that has
+   * lost the store later, as it can keep to limits without it. Where no relay reaches the store,
+   * all that are heard may decide.
+   *
+   * @param maxSilenceMillis longest time since a relay's last heartbeat
+   * @param nowMillis monotonic time
+   */
+  public List<String> deciders(long maxSilenceMillis, long nowMillis) {
+    List<Relay> candidates = heardWithin(maxSilenceMillis, nowMillis);
+    List<Relay> proven = new ArrayList<>(candidates);
+    proven.removeIf(
+        relay -> nowMillis - heard.get(relay.id()).provenAtMillis() > MAX_LIMITS_PROOF_AGE_MILLIS);
+    if (!proven.isEmpty()) {
+      candidates = proven;
+    }
+    if (serving || candidates.isEmpty()) {
+      candidates.add(new Relay(selfId, NOWHERE, servingSinceMillis));
+    }
+    return candidates.stream().sorted(BY_SENIORITY).map(Relay::id).toList();
+  }
+
+  private List<Relay> heardWithin(long maxSilenceMillis, long nowMillis) {
+    List<Relay> within = new ArrayList<>();
+    for (Heard entry : heard.values()) {
+      boolean silent = nowMillis - entry.heardAtMillis() >= maxSilenceMillis;
+      if (!silent && !distrustedUntil.containsKey(entry.relay().id())) {
+        within.add(entry.relay());
+      }
+    }
+    return within;
+  }
+
   /** Returns the relay that places requests, or empty where this node does so itself. */
   public Optional<Relay> coordinator(long nowMillis) {
     List<Relay> relays = relays(nowMillis);
