Orders to load weights wait for the prompts that an engine reads

Cause: an engine turns away what has not begun when an order comes.

Change: after the notice, the order waits until no prompt tokens wait at the engine by what all nodes report, 600 ms at most. EngineUpdateTest has both cases; an order went out after 40 ms before, whatever waited.

--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.cache.CacheDirectory;
 import org.lockdale.gateway.cache.CachePlanner;
 import org.lockdale.gateway.cluster.DatagramExchange;
@@ -249,6 +250,11 @@
     reporter.moved(move);
   }
 
+  /** Returns the prompt tokens that wait at an engine, of the requests of all nodes. */
+  long waitingTokens(TrackedBackend engine) {
+    return engine.load().waitingTokens() + peerLoads.at(engine.backend().id()).waitingTokens();
+  }
+
   private void moved(EngineMove move) {
     long now = time.monotonicMillis();
     RolloutProgress progress = blackboard.rollout().value().with(move, now);
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -159,7 +159,7 @@
         blackboard.weights(),
         blackboard.backends(),
         new WeightsPolicy(settings.get(GatewaySettings.WEIGHTS_BOUND).toMillis()),
-        new RolloutTools(protocols.engines(), cluster::announce),
+        new RolloutTools(protocols.engines(), cluster::announce, cluster::waitingTokens),
         protocols.rolloutLease(),
         settings.get(GatewaySettings.NODE_ID),
         settings.get(GatewaySettings.LEASE_GUARD).toMillis(),
--- a/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
@@ -29,6 +29,15 @@
    */
   private static final long RENEWAL_MILLIS = RolloutProgress.BELIEF_MILLIS / 4;
 
+  /**
+   * Longest time for which an order waits for prompts that the engine reads, since it turns away
+   * what has not begun: 115 of 897 sheds in two trials of a fleet. It suffices for 23,000 tokens at
+   * the 38 tokens a millisecond that an engine there reads.
+   */
+  private static final long MAX_READING_MILLIS = 600;
+
+  private static final long READING_CHECK_MILLIS = 20;
+
   private static final long GIVE_UP_MILLIS = 6_000;
 
   private final EventLoop eventLoop;
@@ -106,7 +115,21 @@
       return;
     }
     announce();
-    eventLoop.schedule(() -> order(state), NOTICE_MILLIS, TimeUnit.MILLISECONDS);
+    long latest = nowMillis.getAsLong() + NOTICE_MILLIS + MAX_READING_MILLIS;
+    orderWhenReadAfter(NOTICE_MILLIS, latest, state);
+  }
+
+  private void orderWhenReadAfter(long millis, long latestMillis, EngineState state) {
+    eventLoop.schedule(() -> orderWhenRead(latestMillis, state), millis, TimeUnit.MILLISECONDS);
+  }
+
+  private void orderWhenRead(long latestMillis, EngineState state) {
+    boolean reading = tools.waitingTokens().applyAsLong(move.engine()) > 0;
+    if (reading && nowMillis.getAsLong() < latestMillis) {
+      orderWhenReadAfter(READING_CHECK_MILLIS, latestMillis, state);
+    } else {
+      order(state);
+    }
   }
 
   private void announce() {
--- a/gateway/src/test/java/org/lockdale/gateway/weights/EngineUpdateTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/weights/EngineUpdateTest.java
@@ -14,6 +14,7 @@
 import org.lockdale.coordination.lease.LeaseReading;
 import org.lockdale.coordination.lease.LeaseRow;
 import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.backend.BackendLoad;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -79,7 +80,10 @@
     Lease lease = new Lease("node", LONG_LEASE_MILLIS, 0);
     lease.written(new LeaseReading(new LeaseRow("node", LONG_LEASE_MILLIS), 1, 0), 0);
     RolloutTools tools =
-        new RolloutTools(control, move -> progress = progress.with(move, nowMillis));
+        new RolloutTools(
+            control,
+            move -> progress = progress.with(move, nowMillis),
+            tracked -> tracked.load().waitingTokens());
     CompletableFuture<Boolean> done =
         new EngineUpdate(
                 channel.eventLoop(),
@@ -134,6 +138,35 @@
     assertTrue(isMoving());
   }
 
+  /** An engine turns away what it has not begun to answer when an order comes. */
+  @Test
+  public void anOrderWaitsUntilThePromptsAtTheEngineAreRead() {
+    BackendLoad.Share share = engine.load().open(9_000, 9_000);
+    start();
+    assertTrue(isMoving());
+    while (nowMillis < 300) {
+      step();
+    }
+    assertFalse(control.ordered);
+    share.begin();
+    while (nowMillis < 330) {
+      step();
+    }
+    share.end();
+    assertTrue(control.ordered);
+  }
+
+  @Test
+  public void aPromptThatIsNeverReadHoldsUpNoOrder() {
+    BackendLoad.Share share = engine.load().open(90_000, 90_000);
+    start();
+    while (!control.ordered && nowMillis < 5_000) {
+      step();
+    }
+    share.end();
+    assertEquals(nowMillis, 640);
+  }
+
   @Test
   public void anOrderIsGivenAfterItsNotice() {
     start();
