A request that is taken back from a silent server leaves the queue that tells others when to come back

Cause: two parts that were built apart met in RequestExecution. leaveSilent cancels an attempt without a result, so the place of its request in the forecast of waits was never left, and each such request made the predicted wait longer for good. Found by reading the joined code. Change: it leaves its place there.

Test: SilentConnectionTest.whatWasTakenBackDoesNotCountAsWaiting failed before (a refused request was told to come back after a second or more though nothing waited) and passes.

--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -206,6 +206,7 @@
         attempt.target().backend().id(),
         attempt.silentMillis());
     attempt.cancel();
+    leaveQueue(false);
     attempt.target().health().failed(path.nowMillis());
     path.client().forget(attempt.target().backend().address());
     path.report(attempt.target(), AttemptResult.FAILED);
