--- a/gateway/src/test/java/org/lockdale/gateway/limit/LimitSimulationTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/limit/LimitSimulationTest.java
@@ -31,7 +31,7 @@
   private static final long FAULT_FROM = 14_000;
   private static final long FAULT_SPREAD = 20_000;
 
-  /** A lower limit is in force this long after all nodes are in touch. */
+  /** Time for a lower limit to reach every node once all of them are connected. */
   private static final long APPLY_MILLIS = 3_000;
 
   /** Longest time for which a fault keeps nodes out of touch. */
