A connection that is accepted while its server closes is closed as well

Cause: HttpServer.close closes the connections of a group; one that had been accepted but was set up on its event loop only afterwards joined the group after that and stayed open with nobody to serve it. A call over it never ended, as the heap dump of the listed FaultsTest showed (open connection, no byte of an answer, no request at any server). Ruled out: connections not yet accepted are reset with the listener. Change: the group stays closed once it was closed. dropConnections, after which the server goes on, closes its connections one by one. Before: HttpServerTest.aConnectionAcceptedWhileTheServerClosesIsClosed fails (read timed out after 10 s); after: passes. The order is brought about on purpose: one event loop is held while the server closes.

--- a/http/src/main/java/org/lockdale/http/HttpServer.java
+++ b/http/src/main/java/org/lockdale/http/HttpServer.java
@@ -55,7 +55,7 @@
    */
   public static HttpServer start(
       HttpServerSettings settings, EventLoopGroup group, HttpHandler handler) {
-    ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    ChannelGroup connections = openConnections();
     ServerBootstrap bootstrap =
         bootstrap(settings, group, handler, connections)
             .channel(NioServerSocketChannel.class)
@@ -79,13 +79,21 @@
       EventLoopGroup group,
       HttpHandler handler,
       EarlyListener listener) {
-    ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    ChannelGroup connections = openConnections();
     ServerBootstrap bootstrap =
         bootstrap(settings, group, handler, connections)
             .channelFactory(() -> new NioServerSocketChannel(listener.channel()));
     return started(settings, bootstrap.register(), connections);
   }
 
+  /**
+   * Once closed, the group closes what joins it: a connection that was accepted just before a close
+   * joins after it, and would stay open with nobody to serve it.
+   */
+  private static ChannelGroup openConnections() {
+    return new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+  }
+
   private static ServerBootstrap bootstrap(
       HttpServerSettings settings,
       EventLoopGroup group,
@@ -137,7 +145,7 @@
 
   /** Closes the open connections and goes on accepting new ones, as a failing network would. */
   public void dropConnections() {
-    connections.close().awaitUninterruptibly();
+    connections.forEach(connection -> connection.close().awaitUninterruptibly());
   }
 
   /** Closes the connections on which no request is open or under way. */
--- a/http/src/test/java/org/lockdale/http/HttpServerTest.java
+++ b/http/src/test/java/org/lockdale/http/HttpServerTest.java
@@ -1,6 +1,7 @@
 package org.lockdale.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -11,6 +12,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -100,6 +102,38 @@
     assertEquals(handled, List.of("/block", "/stays"));
   }
 
+  /**
+   * A call to a node that was killed waited for an answer for good: its connection had been
+   * accepted but was set up only after the server had closed its connections, so it stayed open
+   * with nobody to serve it.
+   */
+  @Test(timeOut = 60_000)
+  public void aConnectionAcceptedWhileTheServerClosesIsClosed() throws Exception {
+    server.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    // Connections take turns on two event loops; the listener shares the second one's.
+    group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    server = HttpServer.start(HttpServerSettings.forAddress(anyPort), group, new Noting());
+    try (Socket blocking = send("/block")) {
+      await(blocked);
+      try (Socket served = send("/served");
+          Socket waiting = send("/waiting");
+          Socket served2 = send("/served2")) {
+        assertEquals(served.getInputStream().read(), 'H');
+        // Connections are accepted in order, so the one before this has been accepted as well.
+        assertEquals(served2.getInputStream().read(), 'H');
+        CompletableFuture<Void> closed = CompletableFuture.runAsync(server::close);
+        served.getInputStream().readAllBytes();
+        served2.getInputStream().readAllBytes();
+        mayGoOn.countDown();
+        closed.join();
+        assertEquals(waiting.getInputStream().readAllBytes().length, 0);
+      }
+    }
+    assertFalse(handled.contains("/waiting"));
+  }
+
   @Test
   public void requestsSentAheadAreHandledInOrder() throws IOException {
     try (Socket connection = send("/first")) {
