--- a/coordination/src/main/java/org/lockdale/coordination/claim/RunOnceClaims.java
+++ b/coordination/src/main/java/org/lockdale/coordination/claim/RunOnceClaims.java
@@ -202,7 +202,7 @@
   }
 
   private ClaimRecord ended(ClaimRecord record, ClaimState state) {
-    ClaimRecord ended = ClaimRecord.newBuilder(record).build();
+    ClaimRecord ended = record.copy();
     ended.setState(state);
     ended.setUpdatedAtMillis(time.wallMillis());
     return ended;
--- a/coordination/src/test/java/org/lockdale/coordination/claim/RunOnceClaimsTest.java
+++ b/coordination/src/test/java/org/lockdale/coordination/claim/RunOnceClaimsTest.java
@@ -175,7 +175,8 @@
     ClaimRecord first =
         new ClaimRecord(
             "a", "n", "e", "l", 1L, ClaimState.CLAIMED, 0L, 0, "", ByteBuffer.allocate(0));
-    ClaimRecord second = ClaimRecord.newBuilder(first).setAttemptId("b").build();
+    ClaimRecord second = first.copy();
+    second.setAttemptId("b");
     second.setRequestFingerprint(2L);
     List<ClaimDecision> decisions = new ArrayList<>();
     RunOnceClaims claims =
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
@@ -12,9 +12,9 @@
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.List;
-import org.apache.avro.specific.SpecificRecordBase;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.http.HttpBindException;
+import org.lockdale.protocol.Message;
 import org.lockdale.protocol.MessageCodec;
 import org.lockdale.protocol.generated.AdmissionAnswer;
 import org.lockdale.protocol.generated.AdmissionQuestion;
@@ -73,12 +73,12 @@
   }
 
   /** Sends a message to one node. */
-  public void send(InetSocketAddress receiver, SpecificRecordBase body) {
+  public void send(InetSocketAddress receiver, Message body) {
     send(List.of(receiver), body);
   }
 
   /** Sends a message to several nodes. */
-  public void send(Collection<InetSocketAddress> receivers, SpecificRecordBase body) {
+  public void send(Collection<InetSocketAddress> receivers, Message body) {
     Channel bound = channel;
     if (bound == null || receivers.isEmpty()) {
       return;
--- a/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
@@ -3,17 +3,13 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.HashMap;
-import java.util.Map;
 import org.apache.avro.Schema;
 import org.apache.avro.SchemaNormalization;
+import org.apache.avro.io.BinaryDecoder;
 import org.apache.avro.io.BinaryEncoder;
 import org.apache.avro.io.DecoderFactory;
 import org.apache.avro.io.EncoderFactory;
-import org.apache.avro.specific.SpecificDatumReader;
-import org.apache.avro.specific.SpecificDatumWriter;
-import org.apache.avro.specific.SpecificRecordBase;
-import org.apache.avro.util.ClassSecurityValidator;
+import org.jspecify.annotations.Nullable;
 import org.lockdale.protocol.generated.ClaimRecord;
 import org.lockdale.protocol.generated.ConfigurationChange;
 import org.lockdale.protocol.generated.ConfigurationSnapshot;
@@ -30,91 +26,79 @@
  * fingerprint of the writer's schema, so that a reader can tell a schema it does not know from
  * damaged bytes and can read those of earlier versions.
  *
+ * <p>The fingerprints of the current schemas stand here, as to compute them a node would have to
+ * parse the schemas at each start, which takes longer than all else that it does to speak.
+ *
  * @param <T> the generated class
  */
-public final class MessageCodec<T extends SpecificRecordBase> {
+public final class MessageCodec<T extends Message> {
 
   /** Bytes of the schema fingerprint in front of every encoding. */
   public static final int FINGERPRINT_BYTES = Long.BYTES;
 
-  static {
-    // Avro instantiates only classes it is told to trust; the predicate of before is kept, since an
-    // embedding program may trust classes of its own.
-    ClassSecurityValidator.setGlobal(
-        ClassSecurityValidator.composite(
-            ClassSecurityValidator.getGlobal(),
-            type -> type.getPackageName().equals(PeerMessage.class.getPackageName())));
-  }
-
-  private final SchemaHistory history;
-  private final SpecificDatumWriter<T> writer;
-  private final Schema readerSchema;
   private final long fingerprint;
+  private final MessageReader<T> reader;
+  private final @Nullable SchemaEvolution evolution;
 
-  /** Readers are costly to resolve and not safe for use by several threads. */
-  private final ThreadLocal<Map<Long, SpecificDatumReader<T>>> readers =
-      ThreadLocal.withInitial(HashMap::new);
-
-  private MessageCodec(Schema schema, SchemaHistory history) {
-    this.history = history;
-    this.readerSchema = schema;
-    this.writer = new SpecificDatumWriter<>(schema);
-    this.fingerprint = SchemaNormalization.parsingFingerprint64(schema);
+  private MessageCodec(
+      long fingerprint, MessageReader<T> reader, @Nullable SchemaEvolution evolution) {
+    this.fingerprint = fingerprint;
+    this.reader = reader;
+    this.evolution = evolution;
   }
 
   /** Returns a codec of node-to-node messages. */
   public static MessageCodec<PeerMessage> peerMessages() {
-    return forSchema(PeerMessage.getClassSchema());
+    return of(0x5CF394A6AF069A45L, PeerMessage::readFrom);
   }
 
   /** Returns a codec of configuration changes as kept in the table service. */
   public static MessageCodec<ConfigurationChange> configurationChanges() {
-    return forSchema(ConfigurationChange.getClassSchema());
+    return of(0x56907747370F7963L, ConfigurationChange::readFrom);
   }
 
   /** Returns a codec of configuration snapshots as kept in the table service. */
   public static MessageCodec<ConfigurationSnapshot> configurationSnapshots() {
-    return forSchema(ConfigurationSnapshot.getClassSchema());
+    return of(0x95258D1037DA97E1L, ConfigurationSnapshot::readFrom);
   }
 
   /** Returns a codec of run-once claims as kept in the table service. */
   public static MessageCodec<ClaimRecord> claims() {
-    return forSchema(ClaimRecord.getClassSchema());
+    return of(0x0538B6FEB55CE614L, ClaimRecord::readFrom);
   }
 
   /** Returns a codec of leases as kept in the table service. */
   public static MessageCodec<LeaseRecord> leases() {
-    return forSchema(LeaseRecord.getClassSchema());
+    return of(0xC284EF05DD9EB602L, LeaseRecord::readFrom);
   }
 
   /** Returns a codec of the addresses of nodes as kept in the table service. */
   public static MessageCodec<NodeRecord> nodes() {
-    return forSchema(NodeRecord.getClassSchema());
+    return of(0xAFE9B37CEB77CDC8L, NodeRecord::readFrom);
   }
 
   /** Returns a codec of when weights were named, as kept in the table service. */
   public static MessageCodec<NamedWeightsRecord> namedWeights() {
-    return forSchema(NamedWeightsRecord.getClassSchema());
+    return of(0x57EF1CA75E9A5A1BL, NamedWeightsRecord::readFrom);
   }
 
   /** Returns a codec of the datagrams between gateway nodes. */
   public static MessageCodec<NodeDatagram> nodeDatagrams() {
-    return forSchema(NodeDatagram.getClassSchema());
+    return of(0x28AAA1C060EB0C7BL, NodeDatagram::readFrom);
   }
 
   /** Returns a codec of requests for parts of tables. */
   public static MessageCodec<TableSliceRequest> tableSliceRequests() {
-    return forSchema(TableSliceRequest.getClassSchema());
+    return of(0x0C683A7793431464L, TableSliceRequest::readFrom);
   }
 
   /** Returns a codec of parts of tables. */
   public static MessageCodec<TableSlice> tableSlices() {
-    return forSchema(TableSlice.getClassSchema());
+    return of(0x245A8AF11C5A66E6L, TableSlice::readFrom);
   }
 
-  /** Returns a codec that writes a schema and reads it alone. */
-  public static <T extends SpecificRecordBase> MessageCodec<T> forSchema(Schema schema) {
-    return forSchema(schema, SchemaHistory.of(schema));
+  private static <T extends Message> MessageCodec<T> of(long fingerprint, MessageReader<T> reader) {
+    return new MessageCodec<>(fingerprint, reader, null);
   }
 
   /**
@@ -122,10 +106,19 @@
    *
    * @param schema the schema to write, and to read into
    * @param history all schemas whose encodings are understood
+   * @param reader reads what was written with the schema
    */
-  public static <T extends SpecificRecordBase> MessageCodec<T> forSchema(
-      Schema schema, SchemaHistory history) {
-    return new MessageCodec<>(schema, history);
+  public static <T extends Message> MessageCodec<T> forSchema(
+      Schema schema, SchemaHistory history, MessageReader<T> reader) {
+    return new MessageCodec<>(
+        SchemaNormalization.parsingFingerprint64(schema),
+        reader,
+        new SchemaEvolution(schema, history));
+  }
+
+  /** Returns the fingerprint of the schema that is written. */
+  long fingerprint() {
+    return fingerprint;
   }
 
   /** Encodes a message. */
@@ -134,7 +127,7 @@
     BinaryEncoder encoder = EncoderFactory.get().directBinaryEncoder(bytes, null);
     try {
       writeFingerprint(bytes);
-      writer.write(message, encoder);
+      message.writeTo(encoder);
       encoder.flush();
     } catch (IOException impossible) {
       throw new UncheckedIOException(impossible);
@@ -157,25 +150,27 @@
     if (bytes.length < FINGERPRINT_BYTES) {
       throw new MessageFormatException("the message is shorter than its schema fingerprint");
     }
-    SpecificDatumReader<T> reader = readerOf(readFingerprint(bytes));
+    long writer = readFingerprint(bytes);
     try {
-      return reader.read(
-          null,
-          DecoderFactory.get()
-              .binaryDecoder(bytes, FINGERPRINT_BYTES, bytes.length - FINGERPRINT_BYTES, null));
+      return reader.read(writer == fingerprint ? after(bytes) : ofAnotherVersion(writer, bytes));
+    } catch (MessageFormatException unknown) {
+      throw unknown;
     } catch (IOException | RuntimeException damaged) {
       throw new MessageFormatException("the message is damaged: " + damaged);
     }
   }
 
-  private SpecificDatumReader<T> readerOf(long writerFingerprint) {
-    Map<Long, SpecificDatumReader<T>> known = readers.get();
-    SpecificDatumReader<T> reader = known.get(writerFingerprint);
-    if (reader == null) {
-      reader = new SpecificDatumReader<>(history.find(writerFingerprint), readerSchema);
-      known.put(writerFingerprint, reader);
+  private static BinaryDecoder after(byte[] bytes) {
+    return DecoderFactory.get()
+        .binaryDecoder(bytes, FINGERPRINT_BYTES, bytes.length - FINGERPRINT_BYTES, null);
+  }
+
+  private BinaryDecoder ofAnotherVersion(long writer, byte[] bytes) throws IOException {
+    if (evolution == null) {
+      throw MessageFormatException.unknownSchema(writer);
     }
-    return reader;
+    byte[] current = evolution.toCurrent(writer, after(bytes));
+    return DecoderFactory.get().binaryDecoder(current, null);
   }
 
   private static long readFingerprint(byte[] bytes) {
--- a/protocol/src/main/java/org/lockdale/protocol/MessageFormatException.java
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageFormatException.java
@@ -11,4 +11,9 @@
             + "; check that only lockdale nodes send to this port and that their versions are at"
             + " most one release apart.");
   }
+
+  static MessageFormatException unknownSchema(long fingerprint) {
+    return new MessageFormatException(
+        "the message has the unknown schema " + Long.toHexString(fingerprint));
+  }
 }
--- /dev/null
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageReader.java
@@ -0,0 +1,16 @@
+package org.lockdale.protocol;
+
+import java.io.IOException;
+import org.apache.avro.io.Decoder;
+
+/**
+ * Reads one type of message.
+ *
+ * @param <T> the generated class
+ */
+@FunctionalInterface
+public interface MessageReader<T extends Message> {
+
+  /** Reads a message that was written with the schema of its class. */
+  T read(Decoder in) throws IOException;
+}
--- a/protocol/src/main/java/org/lockdale/protocol/SchemaHistory.java
+++ b/protocol/src/main/java/org/lockdale/protocol/SchemaHistory.java
@@ -26,8 +26,7 @@
   Schema find(long fingerprint) {
     Schema schema = byFingerprint.get(fingerprint);
     if (schema == null) {
-      throw new MessageFormatException(
-          "the message has the unknown schema " + Long.toHexString(fingerprint));
+      throw MessageFormatException.unknownSchema(fingerprint);
     }
     return schema;
   }
--- a/protocol/src/test/java/org/lockdale/protocol/MessageCodecTest.java
+++ b/protocol/src/test/java/org/lockdale/protocol/MessageCodecTest.java
@@ -8,14 +8,40 @@
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.apache.avro.Schema;
 import org.apache.avro.SchemaNormalization;
 import org.apache.avro.generic.GenericData;
+import org.apache.avro.generic.GenericDatumReader;
 import org.apache.avro.generic.GenericDatumWriter;
 import org.apache.avro.io.BinaryEncoder;
+import org.apache.avro.io.DecoderFactory;
 import org.apache.avro.io.EncoderFactory;
+import org.lockdale.protocol.generated.AttemptOutcome;
+import org.lockdale.protocol.generated.AttemptVerdict;
+import org.lockdale.protocol.generated.ClaimRecord;
+import org.lockdale.protocol.generated.ConfigurationChange;
+import org.lockdale.protocol.generated.ConfigurationSnapshot;
+import org.lockdale.protocol.generated.EngineLoad;
+import org.lockdale.protocol.generated.EngineMoveRecord;
+import org.lockdale.protocol.generated.ExpectedParts;
+import org.lockdale.protocol.generated.LeaseRecord;
 import org.lockdale.protocol.generated.MemberStatus;
 import org.lockdale.protocol.generated.MemberUpdate;
+import org.lockdale.protocol.generated.NamedWeightsRecord;
+import org.lockdale.protocol.generated.NodeDatagram;
+import org.lockdale.protocol.generated.NodeRecord;
+import org.lockdale.protocol.generated.NodeReport;
+import org.lockdale.protocol.generated.PeerMessage;
+import org.lockdale.protocol.generated.PlacementQuestion;
+import org.lockdale.protocol.generated.QueryPart;
+import org.lockdale.protocol.generated.RelayHeartbeat;
+import org.lockdale.protocol.generated.TableProofRecord;
+import org.lockdale.protocol.generated.TableSlice;
+import org.lockdale.protocol.generated.TableSliceRequest;
 import org.testng.annotations.Test;
 
 /** Messages survive the way, and nodes one version apart understand each other. */
@@ -37,7 +63,8 @@
   }
 
   private static MessageCodec<MemberUpdate> codec(Schema... understood) {
-    return MessageCodec.forSchema(MemberUpdate.getClassSchema(), SchemaHistory.of(understood));
+    return MessageCodec.forSchema(
+        MemberUpdate.getClassSchema(), SchemaHistory.of(understood), MemberUpdate::readFrom);
   }
 
   /** What is encoded is decoded. */
@@ -78,6 +105,73 @@
     return bytes.toByteArray();
   }
 
+  /** The numbers that stand in the code are those of the schemas. */
+  @Test
+  public void fingerprintsAreThoseOfTheSchemas() {
+    Map<MessageCodec<?>, Schema> schemas =
+        Map.of(
+            MessageCodec.peerMessages(), PeerMessage.getClassSchema(),
+            MessageCodec.configurationChanges(), ConfigurationChange.getClassSchema(),
+            MessageCodec.configurationSnapshots(), ConfigurationSnapshot.getClassSchema(),
+            MessageCodec.claims(), ClaimRecord.getClassSchema(),
+            MessageCodec.leases(), LeaseRecord.getClassSchema(),
+            MessageCodec.nodes(), NodeRecord.getClassSchema(),
+            MessageCodec.namedWeights(), NamedWeightsRecord.getClassSchema(),
+            MessageCodec.nodeDatagrams(), NodeDatagram.getClassSchema(),
+            MessageCodec.tableSliceRequests(), TableSliceRequest.getClassSchema(),
+            MessageCodec.tableSlices(), TableSlice.getClassSchema());
+    Map<String, String> wrong = new TreeMap<>();
+    schemas.forEach(
+        (codec, schema) -> {
+          long expected = SchemaNormalization.parsingFingerprint64(schema);
+          if (codec.fingerprint() != expected) {
+            wrong.put(schema.getName(), Long.toHexString(expected));
+          }
+        });
+    assertEquals(wrong.toString(), "{}");
+  }
+
+  private static Stream<Message> datagramBodies() {
+    return Stream.of(
+        new RelayHeartbeat(1L, true, 2L, 3L, 0.5, List.of(new TableProofRecord("table", 4L, 5L))),
+        new NodeReport(
+            6L,
+            List.of(new EngineLoad("engine", 7L, 8L, 9), new EngineLoad("other", 0L, 0L, 0)),
+            List.of(new ExpectedParts("engine", List.of(10L, -11L))),
+            List.of(new AttemptOutcome("engine", AttemptVerdict.REJECTED)),
+            List.of(new EngineMoveRecord("engine", "model", 12L, true))),
+        new PlacementQuestion(
+            13L,
+            "pool",
+            "zone",
+            null,
+            "tenant",
+            List.of(new QueryPart("part", 14), new QueryPart("own", 15)),
+            List.of("excluded")));
+  }
+
+  /** What is written is what Avro writes by the schema, and Avro's own is read. */
+  @Test
+  public void theEncodingIsAvros() throws IOException {
+    MessageCodec<NodeDatagram> codec = MessageCodec.nodeDatagrams();
+    Schema schema = NodeDatagram.getClassSchema();
+    for (Message body : datagramBodies().toList()) {
+      NodeDatagram message = new NodeDatagram("node", body);
+      byte[] encoded = codec.encode(message);
+      GenericData.Record read =
+          new GenericDatumReader<GenericData.Record>(schema)
+              .read(
+                  null,
+                  DecoderFactory.get()
+                      .binaryDecoder(
+                          Arrays.copyOfRange(
+                              encoded, MessageCodec.FINGERPRINT_BYTES, encoded.length),
+                          null));
+      assertEquals(encode(schema, read), encoded);
+      assertEquals(codec.decode(encode(schema, read)), message);
+    }
+  }
+
   /** Bytes of an unknown schema, cut ones and noise are refused by type. */
   @Test
   public void otherBytesAreRefused() {
--- a/settings/src/main/java/org/lockdale/settings/SettingsLoader.java
+++ b/settings/src/main/java/org/lockdale/settings/SettingsLoader.java
@@ -1,8 +1,9 @@
 package org.lockdale.settings;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -48,8 +49,8 @@
   }
 
   private void readFile(Path file) {
-    try {
-      JsonNode root = new YAMLMapper().readTree(Files.readString(file));
+    try (JsonParser parser = new YAMLFactory().createParser(Files.readString(file))) {
+      JsonNode root = Trees.read(parser);
       if (!root.isObject()) {
         problems.add(file + ": write one 'key: value' a line.");
         return;
--- /dev/null
+++ b/settings/src/test/java/org/lockdale/settings/TreesTest.java
@@ -0,0 +1,65 @@
+package org.lockdale.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.StringWriter;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Trees are read and written as an object mapper reads and writes them. */
+public final class TreesTest {
+
+  private static final JsonFactory JSON = new JsonFactory();
+
+  @DataProvider
+  public Object[] values() {
+    return new Object[] {
+      "{}",
+      "[]",
+      "null",
+      "\"text \\\" \\u00e9\"",
+      "[1,-2,3000000000,90000000000000000000,0.25,true,false,null]",
+      "{\"a\":{\"b\":[{},{\"c\":\"d\"}]},\"e\":[[]],\"a2\":1.5e10}",
+    };
+  }
+
+  private static JsonNode read(String text) throws IOException {
+    try (JsonParser parser = JSON.createParser(text)) {
+      return Trees.read(parser);
+    }
+  }
+
+  @Test(dataProvider = "values")
+  public void aValueIsReadAndWrittenAsByAnObjectMapper(String text) throws IOException {
+    JsonNode value = read(text);
+    assertEquals(value, new ObjectMapper().readTree(text));
+    StringWriter written = new StringWriter();
+    try (JsonGenerator out = JSON.createGenerator(written)) {
+      Trees.write(value, out);
+    }
+    assertEquals(written.toString(), new ObjectMapper().writeValueAsString(value));
+  }
+
+  @DataProvider
+  public Object[] malformed() {
+    return new Object[] {"{", "[1,", "{\"a\":", "{\"a\" 1}", "]", "nul", "{\"a\":1"};
+  }
+
+  @Test(dataProvider = "malformed")
+  public void whatIsCutOrMalformedIsRefused(String text) {
+    expectThrows(IOException.class, () -> read(text));
+  }
+
+  @Test
+  public void nothingIsAMissingNode() throws IOException {
+    assertTrue(read("").isMissingNode());
+  }
+}
