Prompts go to engines with the newest weights first; the lease is taken while versions settle

An engine was chosen without regard to it until the bound was near, so new requests went to old weights in proportion for as long as the rollout took, and kept the engines busy that were to move next. The lease was asked for when the first order was due: stagger, reading and write came on top. Ruled out: a fifth of the engines is enough for the load there, so no order has to wait for slack; more moves at once load slower (over 16, by the site). Change: from 1.3 s after a version was named an engine without it costs 4,000 tokens more, and the sets for long and short prompts are made among those that have it. The lease is taken up to 0.5 s before the first order.

--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -1,8 +1,10 @@
 package org.lockdale.gateway.placement;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.ToDoubleFunction;
 import org.jspecify.annotations.Nullable;
@@ -60,6 +62,16 @@
   /** Cost of serving a prompt at an engine that is preferred for prompts of the other length. */
   private static final double OTHER_SET_COST = 4_000;
 
+  /**
+   * Cost of serving on replaced weights, in tokens, besides that of the other set. An answer on
+   * them is worth a fifth less, a late one two thirds less, so the engines with new weights are
+   * filled first, up to a queue that they compute in 0.2 s at 38 tokens a millisecond; the
+   * objectives are three times that and more. They take the load off the others meanwhile, which
+   * then move sooner. In a simulated rollout over 63 engines with 28% of their places taken, 0
+   * instead of 30 in 100 of the prompts that came later than 1.5 s began on replaced weights.
+   */
+  private static final double OUTDATED_COST = 4_000;
+
   private static final double TIE_BREAK = 1.0;
 
   private final RemoteLoads remoteLoads;
@@ -103,14 +115,20 @@
       PromptPlacement prompt,
       long nowMillis) {
     double shortShare = mix.shareAfter(request.pool(), prompt);
-    List<TrackedBackend> preferred = EngineSets.split(choice, shortShare).preferredFor(prompt);
+    List<TrackedBackend> current = new ArrayList<>(choice);
+    current.removeIf(request.outdated());
+    boolean allOutdated = current.isEmpty();
+    List<TrackedBackend> preferred =
+        EngineSets.split(allOutdated ? choice : current, shortShare).preferredFor(prompt);
+    Set<TrackedBackend> inSet = new HashSet<>(preferred);
     TrackedBackend home = home(preferred, prompt.affinityKey());
     return least(
         choice,
         candidate ->
             promptCost(candidate, request.needOf().apply(candidate), candidate == home)
                 + sharedCost(candidate, request.zone(), nowMillis)
-                + (preferred.contains(candidate) ? 0 : OTHER_SET_COST));
+                + (inSet.contains(candidate) ? 0 : OTHER_SET_COST)
+                + (!allOutdated && request.outdated().test(candidate) ? OUTDATED_COST : 0));
   }
 
   private static Optional<TrackedBackend> least(
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
@@ -73,17 +73,31 @@
     private final List<TrackedBackend> candidates;
     private final Map<String, PrefixSurvey> surveys = new HashMap<>();
 
+    /** The newest version that answers are expected to be on by now, or null for none. */
+    private final @Nullable Long due;
+
     Decision(PlacementQuery query, long nowMillis) {
       this.query = query;
       this.nowMillis = nowMillis;
       this.candidates = candidates();
+      String model = query.model();
+      this.due =
+          model == null
+              ? null
+              : weightsPolicy.dueVersion(blackboard.weights().value(), model, nowMillis);
     }
 
     Optional<Placement> decide() {
       PromptPlacement prompt = query.parts().isEmpty() ? null : PromptPlacement.of(query.parts());
       PlacementRequest request =
           new PlacementRequest(
-              query.pool(), query.zone(), candidates, query.excluded(), prompt, this::needOf);
+              query.pool(),
+              query.zone(),
+              candidates,
+              query.excluded(),
+              prompt,
+              this::needOf,
+              this::isReplaced);
       return chooser.choose(request, nowMillis).map(target -> placed(target, prompt));
     }
 
@@ -129,6 +143,12 @@
       return model == null ? null : expectedWeights(tracked, model);
     }
 
+    /** An engine that is behind serves on, but those with the weights that are due go first. */
+    private boolean isReplaced(TrackedBackend tracked) {
+      Long held = weightsOf(tracked);
+      return held != null && due != null && held < due;
+    }
+
     private PrefixNeed needOf(TrackedBackend candidate) {
       return cachePlanner.need(candidate, surveyFor(candidate), nowMillis);
     }
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementRequest.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementRequest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.cache.PrefixNeed;
@@ -16,6 +17,7 @@
  * @param excluded ids of back ends that were tried already
  * @param prompt the prompt, or null for a request without one
  * @param needOf estimates what a candidate lacks of the prompt's shared parts
+ * @param outdated tells candidates that may serve on weights which newer ones have replaced
  */
 public record PlacementRequest(
     String pool,
@@ -23,4 +25,17 @@
     List<TrackedBackend> candidates,
     Set<String> excluded,
     @Nullable PromptPlacement prompt,
-    Function<TrackedBackend, PrefixNeed> needOf) {}
+    Function<TrackedBackend, PrefixNeed> needOf,
+    Predicate<TrackedBackend> outdated) {
+
+  /** Creates a request for which all candidates hold current weights. */
+  public PlacementRequest(
+      String pool,
+      String zone,
+      List<TrackedBackend> candidates,
+      Set<String> excluded,
+      @Nullable PromptPlacement prompt,
+      Function<TrackedBackend, PrefixNeed> needOf) {
+    this(pool, zone, candidates, excluded, prompt, needOf, candidate -> false);
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
@@ -38,6 +38,13 @@
   private static final long LEASE_DURATION_MILLIS = 1_500;
   private static final long RENEWAL_MILLIS = 500;
   private static final long CONTENTION_MILLIS = 300;
+
+  /**
+   * The lease is taken while the versions settle. To take it when the first order was due made that
+   * up to half a second late: the stagger of the nodes, a reading and a write.
+   */
+  private static final long LEASE_AHEAD_MILLIS = 500;
+
   private static final long ENGINE_RETRY_MILLIS = 400;
 
   /** Nodes spread their first attempts over this many ticks, so that they do not all collide. */
@@ -122,7 +129,8 @@
     long now = time.monotonicMillis();
     List<WeightsPolicy.Move> moves = WeightsPolicy.moves(weights.value(), backends.value());
     RolloutSlots slots = RolloutSlots.of(backends.value());
-    if (moves.isEmpty() || now < beginAt(moves, slots)) {
+    long beginAt = moves.isEmpty() ? Long.MAX_VALUE : beginAt(moves, slots);
+    if (now < beginAt - LEASE_AHEAD_MILLIS) {
       pending = false;
       return;
     }
@@ -131,7 +139,7 @@
       nextLeaseCallMillis = now + Math.floorMod(nodeId.hashCode(), STAGGER_TICKS) * TICK_MILLIS;
     }
     keepLease(now);
-    if (lease.mayAct(now)) {
+    if (now >= beginAt && lease.mayAct(now)) {
       startUpdates(moves, slots, now);
     }
   }
--- a/gateway/src/main/java/org/lockdale/gateway/weights/WeightsPolicy.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/WeightsPolicy.java
@@ -19,6 +19,12 @@
   /** Requests are kept from old weights, and taken back, this long before the bound. */
   private static final long QUEUE_MARGIN_MILLIS = 700;
 
+  /**
+   * Answers that begin later than 1.5 s after newer weights were named are worth less. A request is
+   * placed some milliseconds before its answer begins, and waits at times.
+   */
+  private static final long DUE_MILLIS = 1_300;
+
   /** Time that one group of engines takes, from the order to the new weights. */
   private static final long LOAD_MILLIS = 1_900;
 
@@ -43,6 +49,12 @@
     return required.isPresent() ? required.getAsLong() : null;
   }
 
+  /** Returns the newest version that answers are expected to be on by now, or null for none. */
+  public @Nullable Long dueVersion(NamedWeights weights, String model, long nowMillis) {
+    OptionalLong due = weights.newestOfAge(model, DUE_MILLIS, nowMillis);
+    return due.isPresent() ? due.getAsLong() : null;
+  }
+
   private static long heldBy(Move move) {
     Long held = move.engine().weightsOf(move.model());
     return held == null ? Long.MIN_VALUE : held;
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/FleetPlacementTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/FleetPlacementTest.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -38,6 +39,7 @@
   private static final long GATHER_MICROS = 10_000;
   private static final long MAX_DELAY_MICROS = 20_000;
   private static final long REPEAT_MICROS = 500_000;
+  private static final long LOAD_MICROS = 800_000;
   private static final double LOST_REPORTS = 0.01;
   private static final double HOT_SHARE = 0.36;
   private static final int SEEDS = 5;
@@ -61,6 +63,15 @@
     private long placements;
     private int sheds;
 
+    /** Engines that turn everything away while they end their runs and load new weights. */
+    private final Set<String> moving = new HashSet<>();
+
+    private final Set<String> moved = new HashSet<>();
+    private boolean preferCurrent = true;
+    private boolean due;
+    private int placedWhenDue;
+    private int placedOnReplaced;
+
     Fleet(long seed) {
       random = new Random(seed);
       for (int index = 0; index < ENGINES; index++) {
@@ -95,11 +106,21 @@
     }
 
     private void place(int sender, PromptPlacement prompt, long runMicros) {
+      List<TrackedBackend> candidates = new ArrayList<>(engines);
+      candidates.removeIf(engine -> moving.contains(engine.backend().id()));
       PlacementRequest request =
           new PlacementRequest(
-              "pool", "zone", engines, Set.of(), prompt, engine -> needOf(engine, prompt));
+              "pool",
+              "zone",
+              candidates,
+              Set.of(),
+              prompt,
+              engine -> needOf(engine, prompt),
+              engine -> preferCurrent && due && !moved.contains(engine.backend().id()));
       TrackedBackend chosen = chooser.choose(request, time.monotonicMillis()).orElseThrow();
       String engine = chosen.backend().id();
+      placedWhenDue += due ? 1 : 0;
+      placedOnReplaced += due && !moved.contains(engine) ? 1 : 0;
       long number = ++placements;
       loads.placed("node-" + sender, number, engine, prompt.ownTokens());
       held.computeIfAbsent(engine, id -> new HashSet<>()).add(prompt.affinityKey());
@@ -141,6 +162,39 @@
           });
     }
 
+    void startRollout() {
+      for (int engine = 0; engine < (ENGINES + 2) / 3; engine++) {
+        moveNext();
+      }
+    }
+
+    private void moveNext() {
+      engines.stream()
+          .map(engine -> engine.backend().id())
+          .filter(id -> !moving.contains(id) && !moved.contains(id))
+          .min(Comparator.comparingInt(id -> running.getOrDefault(id, 0)))
+          .ifPresent(
+              id -> {
+                moving.add(id);
+                loadWhenIdle(id);
+              });
+    }
+
+    private void loadWhenIdle(String engine) {
+      if (running.getOrDefault(engine, 0) > 0) {
+        time.schedule(GATHER_MICROS, () -> loadWhenIdle(engine));
+        return;
+      }
+      time.schedule(
+          LOAD_MICROS,
+          () -> {
+            moving.remove(engine);
+            moved.add(engine);
+            held.remove(engine);
+            moveNext();
+          });
+    }
+
     private void changed(int sender, String engine) {
       nodes.get(sender).changed.add(engine);
       time.schedule(GATHER_MICROS, () -> report(sender));
@@ -180,6 +234,36 @@
     }
   }
 
+  /**
+   * New weights are named, and the engines load them, as many at once as a rollout takes, the least
+   * busy first. What begins on replaced weights later than 1.5 s after that is worth less: 30% of
+   * the prompts where engines are chosen without regard to it, 0% as it is.
+   */
+  @Test
+  public void aRolloutLeavesFewPromptsToReplacedWeights() {
+    int before = 0;
+    int after = 0;
+    int sheds = 0;
+    for (int seed = 0; seed < SEEDS; seed++) {
+      Fleet indifferent = new Fleet(seed);
+      indifferent.preferCurrent = false;
+      before += percentOnReplaced(indifferent);
+      Fleet preferring = new Fleet(seed);
+      after += percentOnReplaced(preferring);
+      sheds += preferring.sheds;
+    }
+    assertTrue(before / SEEDS >= 25, "the load is as described: " + before / SEEDS + "%");
+    assertTrue(after / SEEDS <= 2, after / SEEDS + "% of the prompts");
+    assertTrue(sheds < 0.02 * SEEDS * REQUESTS, sheds + " sheds");
+  }
+
+  private static int percentOnReplaced(Fleet fleet) {
+    fleet.time.schedule(5_000_000 + 700_000, fleet::startRollout);
+    fleet.time.schedule(5_000_000 + 1_500_000, () -> fleet.due = true);
+    fleet.time.runUntil(5_000_000 + 1_500_000 + 4_000_000);
+    return 100 * fleet.placedOnReplaced / fleet.placedWhenDue;
+  }
+
   @Test
   public void fewRequestsAreTurnedAwayWhileThereArePlaces() {
     for (int seed = 0; seed < SEEDS; seed++) {
--- a/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
@@ -1,6 +1,7 @@
 package org.lockdale.gateway.placement;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -114,6 +115,42 @@
     assertEquals(chosen, holder);
   }
 
+  @Test
+  public void enginesWithCurrentWeightsGoFirstUntilTheyAreBusy() {
+    List<TrackedBackend> engines = engines(8);
+    List<TrackedBackend> current = engines.subList(2, 5);
+    for (int prefix = 0; prefix < 50; prefix++) {
+      assertTrue(current.contains(choose(engines, current, prompt("p" + prefix))));
+    }
+    current.forEach(engine -> engine.load().open(12_000, 12_000));
+    for (int prefix = 0; prefix < 50; prefix++) {
+      assertFalse(current.contains(choose(engines, current, prompt("p" + prefix))));
+    }
+  }
+
+  private static TrackedBackend choose(
+      List<TrackedBackend> engines, List<TrackedBackend> current, PromptPlacement prompt) {
+    PlacementRequest request =
+        new PlacementRequest(
+            "pool",
+            "zone-a",
+            engines,
+            Set.of(),
+            prompt,
+            engine -> newPrefix(prompt),
+            engine -> !current.contains(engine));
+    return CHOOSER.choose(request, 0).orElseThrow();
+  }
+
+  @Test
+  public void whereAllWeightsAreOutdatedPromptsGoToTheirHomes() {
+    List<TrackedBackend> engines = engines(8);
+    for (int prefix = 0; prefix < 50; prefix++) {
+      PromptPlacement prompt = prompt("p" + prefix);
+      assertEquals(choose(engines, List.of(), prompt), choose(engines, prompt));
+    }
+  }
+
   @Test
   public void workThatOtherNodesToldKeepsPromptsAway() {
     List<TrackedBackend> engines = engines(4);
