A time without relays is no outage of the store: what is gone then is gone at once

Cause: records that are missing after 2.5 s without a proof were believed for 1.8 s, as if they had lapsed while the store was out of reach. A node whose relays were both lost hears nothing for as long, while the store is sound and tells others who has left, so it could send to a server that is gone for longer than servers serve on after they have said that they leave. Ruled out: nodes that were frozen or cut off themselves are not held to it. Change: the store must have been seen to fail since the last proof, by a call of the node's own or by a relay that tells an old proof.

--- a/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
@@ -56,7 +56,7 @@
 
   @Override
   public void onTable(Map<String, TableRowChange> rows, boolean changed, long provenMillis) {
-    lapsed.proven(provenMillis);
+    lapsed.proven(provenMillis, time.monotonicMillis());
     provenAtMillis = provenMillis;
     if (changed) {
       read = reader.read(rows);
@@ -66,6 +66,11 @@
     }
   }
 
+  @Override
+  public void onUnreachable() {
+    lapsed.unreachable();
+  }
+
   private void publish() {
     BackendTable before = blackboard.backends().value();
     List<Backend> relied = before.all().stream().map(TrackedBackend::backend).toList();
--- a/gateway/src/main/java/org/lockdale/gateway/node/LapsedBackends.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/LapsedBackends.java
@@ -12,7 +12,11 @@
  * that read the store right after an outage had no back ends for up to two seconds.
  *
  * <p>Records that are gone when the store comes back are believed for a time. One that said it was
- * leaving is not. A state machine without I/O; not safe for use by several threads.
+ * leaving is not. A time without proofs alone is no outage: a node whose relays were lost hears
+ * nothing for seconds, while the store goes on to tell others who has left. It would send to back
+ * ends that are gone for as long again as they may still be sent to. So the store must have been
+ * seen to fail: by a call of this node, or by a relay that tells an old proof. A state machine
+ * without I/O; not safe for use by several threads.
  */
 final class LapsedBackends {
 
@@ -29,6 +33,7 @@
   private final Map<String, Backend> believed = new HashMap<>();
   private long provenAtMillis = NEVER;
   private long backAtMillis = NEVER;
+  private boolean failureSeen;
 
   /**
    * Creates it.
@@ -43,12 +48,20 @@
    * Takes in a proof that the records were current.
    *
    * @param atMillis monotonic time of the proof
+   * @param nowMillis monotonic time
    */
-  void proven(long atMillis) {
-    if (provenAtMillis != NEVER && atMillis - provenAtMillis > outageMillis) {
+  void proven(long atMillis, long nowMillis) {
+    boolean outage = provenAtMillis != NEVER && atMillis - provenAtMillis > outageMillis;
+    if (outage && failureSeen) {
       backAtMillis = atMillis;
     }
     provenAtMillis = Math.max(provenAtMillis, atMillis);
+    failureSeen = nowMillis - provenAtMillis > outageMillis;
+  }
+
+  /** Takes in that the store did not answer this node. */
+  void unreachable() {
+    failureSeen = true;
   }
 
   /**
--- a/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
@@ -35,6 +35,9 @@
      * @param provenAtMillis monotonic time at which the copy was current
      */
     void onTable(Map<String, TableRowChange> rows, boolean changed, long provenAtMillis);
+
+    /** Called when the store did not answer a call for the table. */
+    default void onUnreachable() {}
   }
 
   /**
@@ -296,6 +299,9 @@
 
   private void retry(Throwable failure, Runnable again) {
     failures++;
+    if (kindOf(failure) != TableServiceException.Kind.HISTORY_LOST) {
+      listener.onUnreachable();
+    }
     if (failures == 1) {
       Logger.warn("event=store-failed table={} cause={}", table, failure.getMessage());
     }
--- a/gateway/src/test/java/org/lockdale/gateway/node/LapsedBackendsTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/node/LapsedBackendsTest.java
@@ -32,11 +32,48 @@
 
   private static LapsedBackends afterAnOutage() {
     LapsedBackends lapsed = new LapsedBackends(OUTAGE);
-    lapsed.proven(BACK_AT - OUTAGE - 1);
-    lapsed.proven(BACK_AT);
+    proven(lapsed, BACK_AT - OUTAGE - 1);
+    lapsed.unreachable();
+    proven(lapsed, BACK_AT);
     return lapsed;
   }
 
+  private static void proven(LapsedBackends lapsed, long atMillis) {
+    lapsed.proven(atMillis, atMillis);
+  }
+
+  /**
+   * Both relays of a node were lost, and it heard nothing for longer than an outage takes to
+   * notice; a server said meanwhile that it was leaving, and left. The node sent to it for 1.8 s
+   * more.
+   */
+  @Test
+  public void whatIsGoneAfterATimeWithoutRelaysIsGoneAtOnce() {
+    LapsedBackends lapsed = new LapsedBackends(OUTAGE);
+    proven(lapsed, BACK_AT - OUTAGE - 1);
+    proven(lapsed, BACK_AT);
+    assertEquals(ids(lapsed.complete(List.of(one, two), List.of(one), BACK_AT)), Set.of("i-1"));
+  }
+
+  @Test
+  public void aRelayThatTellsAnOldProofShowsAnOutage() {
+    LapsedBackends lapsed = new LapsedBackends(OUTAGE);
+    long last = BACK_AT - 2 * OUTAGE;
+    lapsed.proven(last, last);
+    lapsed.proven(last, last + OUTAGE + 1);
+    proven(lapsed, BACK_AT);
+    assertEquals(ids(lapsed.complete(List.of(one), List.of(), BACK_AT)), Set.of("i-1"));
+  }
+
+  @Test
+  public void aFailureBeforeTheLastProofShowsNoOutage() {
+    LapsedBackends lapsed = new LapsedBackends(OUTAGE);
+    lapsed.unreachable();
+    proven(lapsed, BACK_AT - OUTAGE - 1);
+    proven(lapsed, BACK_AT);
+    assertEquals(lapsed.complete(List.of(one), List.of(), BACK_AT), List.of());
+  }
+
   @Test
   public void whatIsMissingAfterAnOutageIsBelievedForATime() {
     LapsedBackends lapsed = afterAnOutage();
@@ -52,15 +89,17 @@
   @Test
   public void whatGoesWhileTheStoreIsInReachIsGoneAtOnce() {
     LapsedBackends lapsed = new LapsedBackends(OUTAGE);
-    lapsed.proven(BACK_AT - OUTAGE);
-    lapsed.proven(BACK_AT);
+    proven(lapsed, BACK_AT - OUTAGE);
+    lapsed.unreachable();
+    proven(lapsed, BACK_AT);
     assertEquals(ids(lapsed.complete(List.of(one, two), List.of(one), BACK_AT)), Set.of("i-1"));
   }
 
   @Test
   public void theFirstReadingIsNoReturn() {
     LapsedBackends lapsed = new LapsedBackends(OUTAGE);
-    lapsed.proven(BACK_AT);
+    lapsed.unreachable();
+    proven(lapsed, BACK_AT);
     assertEquals(lapsed.complete(List.of(one), List.of(), BACK_AT), List.of());
   }
 
@@ -74,8 +113,8 @@
   public void anOlderProofChangesNothing() {
     LapsedBackends lapsed = afterAnOutage();
     long end = lapsed.endsAtMillis();
-    lapsed.proven(BACK_AT - OUTAGE / 2);
-    lapsed.proven(BACK_AT + OUTAGE / 2);
+    lapsed.proven(BACK_AT - OUTAGE / 2, BACK_AT);
+    proven(lapsed, BACK_AT + OUTAGE / 2);
     assertEquals(lapsed.endsAtMillis(), end);
   }
 }
