--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayBlackboard.java
+++ b/gateway/src/main/java/org/lockdale/gateway/blackboard/GatewayBlackboard.java
@@ -1,4 +1,4 @@
-package org.lockdale.gateway.node;
+package org.lockdale.gateway.blackboard;
 
 import org.lockdale.coordination.blackboard.Section;
 import org.lockdale.gateway.backend.BackendTable;
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayPhase.java
+++ b/gateway/src/main/java/org/lockdale/gateway/blackboard/GatewayPhase.java
@@ -1,4 +1,4 @@
-package org.lockdale.gateway.node;
+package org.lockdale.gateway.blackboard;
 
 /** Phase in the life of a node. */
 public enum GatewayPhase {
--- a/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
@@ -10,6 +10,7 @@
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.blackboard.GatewayBlackboard;
 import org.lockdale.gateway.table.RowReader;
 import org.lockdale.gateway.table.SharedRecords;
 import org.lockdale.gateway.table.TableFollower;
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.blackboard.GatewayBlackboard;
 import org.lockdale.gateway.cache.CacheDirectory;
 import org.lockdale.gateway.cache.CachePlanner;
 import org.lockdale.gateway.cluster.DatagramExchange;
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -11,6 +11,8 @@
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.time.SystemTime;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.blackboard.GatewayBlackboard;
+import org.lockdale.gateway.blackboard.GatewayPhase;
 import org.lockdale.gateway.cluster.TableSliceHandler;
 import org.lockdale.gateway.request.RequestLimits;
 import org.lockdale.gateway.request.RequestPath;
--- a/gateway/src/main/java/org/lockdale/gateway/node/OperatorController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/OperatorController.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.blackboard.GatewayBlackboard;
 import org.lockdale.gateway.configuration.GatewayConfiguration;
 import org.lockdale.gateway.configuration.OperatorRecord;
 import org.lockdale.gateway.table.RowReader;
--- a/gateway/src/main/java/org/lockdale/gateway/node/ReadinessHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ReadinessHandler.java
@@ -1,6 +1,7 @@
 package org.lockdale.gateway.node;
 
 import java.util.function.BooleanSupplier;
+import org.lockdale.gateway.blackboard.GatewayBlackboard;
 import org.lockdale.http.HttpExchange;
 import org.lockdale.http.HttpHandler;
 import org.lockdale.http.HttpProtocolError;
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
@@ -8,12 +8,12 @@
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.blackboard.GatewayBlackboard;
 import org.lockdale.gateway.cache.CacheNamespace;
 import org.lockdale.gateway.cache.CachePlanner;
 import org.lockdale.gateway.cache.CacheTransfer;
 import org.lockdale.gateway.cache.PrefixNeed;
 import org.lockdale.gateway.cache.PrefixSurvey;
-import org.lockdale.gateway.node.GatewayBlackboard;
 import org.lockdale.gateway.weights.WeightsPolicy;
 
 /** Decides from what this node believes where a request is served. */
--- a/gateway/src/main/java/org/lockdale/gateway/request/PhaseFilter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/PhaseFilter.java
@@ -2,7 +2,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.blackboard.Section;
-import org.lockdale.gateway.node.GatewayPhase;
+import org.lockdale.gateway.blackboard.GatewayPhase;
 
 /** Refuses requests that come so late in a planned stop that they might be cut off. */
 final class PhaseFilter implements RequestFilter {
--- a/gateway/src/test/java/org/lockdale/gateway/node/OperatorControllerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/node/OperatorControllerTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.blackboard.GatewayBlackboard;
 import org.lockdale.gateway.configuration.OperatorRecord;
 import org.lockdale.gateway.table.SharedRecords;
 import org.lockdale.gateway.table.TableRowChange;
