The watch over an attempt has a class of its own

RequestExecution did two jobs: the order of attempts, and timers that look after the current one. No change of behaviour.

--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -25,16 +25,6 @@
   /** An attempt with less time than this left is not worth sending. */
   private static final long LEAST_ATTEMPT_MILLIS = 20;
 
-  private static final long WEIGHTS_CHECK_MILLIS = 150;
-
-  /** No connection is taken for dead before this: links lose packets, and nodes pause. */
-  private static final long LEAST_SILENCE_MILLIS = 1_000;
-
-  /**
-   * Callers wait for eight pauses of the objective at least; half of that leaves time to resume.
-   */
-  private static final int SILENT_GAPS = 4;
-
   /** Part of the time left after which an answer that has not begun is asked for elsewhere. */
   private static final int SILENT_PART = 2;
 
@@ -124,11 +114,12 @@
     current = attempt;
     path.placements().opened(placement);
     attempt.start(path.client());
+    AttemptWatch watch = new AttemptWatch(state, attempt, () -> !ended && attempt == current);
     if (state.route().isRepeatable()) {
-      watchSilence(attempt, plan.remainingMillis() / SILENT_PART);
+      watch.onSilence(plan.remainingMillis() / SILENT_PART, () -> silent(attempt));
     }
     if (weights != null) {
-      watchWeights(attempt, weights);
+      watch.onOutdatedWeights(() -> isOutdated(weights));
     }
   }
 
@@ -138,55 +129,11 @@
     path.workChanged();
   }
 
-  /** Takes a request back that waits at an engine whose weights become too old to begin on. */
-  private void watchWeights(Attempt attempt, long weights) {
-    state
-        .exchange
-        .eventLoop()
-        .schedule(
-            () -> {
-              if (ended || attempt != current || !attempt.isWaiting()) {
-                return;
-              }
-              if (isOutdated(weights)) {
-                attempt.abandonWaiting("its weights are out of date");
-              } else {
-                watchWeights(attempt, weights);
-              }
-            },
-            WEIGHTS_CHECK_MILLIS,
-            TimeUnit.MILLISECONDS);
-  }
-
-  /**
-   * Looks whether a connection has gone silent for good, which no reset tells. The request is sent
-   * again only where it may run twice and the budget allows it; otherwise it waits on.
-   *
-   * @param waitMillis longest silence before the answer begins
-   */
-  private void watchSilence(Attempt attempt, long waitMillis) {
-    long bound =
-        Math.max(
-            LEAST_SILENCE_MILLIS,
-            attempt.isWaiting()
-                ? waitMillis
-                : state.route().gapObjective().toMillis() * SILENT_GAPS);
-    state
-        .exchange
-        .eventLoop()
-        .schedule(
-            () -> {
-              if (ended || attempt != current) {
-                return;
-              }
-              if (attempt.silentMillis() < bound) {
-                watchSilence(attempt, waitMillis);
-              } else if (hasResumePoint(attempt) && mayRetryAfterAnotherRun()) {
-                leaveSilent(attempt);
-              }
-            },
-            Math.max(1, bound - attempt.silentMillis()),
-            TimeUnit.MILLISECONDS);
+  /** The request is sent again only where it may run twice and the budget allows it. */
+  private void silent(Attempt attempt) {
+    if (hasResumePoint(attempt) && mayRetryAfterAnotherRun()) {
+      leaveSilent(attempt);
+    }
   }
 
   private boolean hasResumePoint(Attempt attempt) {
