A node that comes back and is on record as it was does not announce itself at once

Ruled out: the scans of the three tables, which a node needs. Change: a node announces itself once it has read the table, and only then if its row is missing or differs; else at a random time within the usual period, so that one which restarts often still renews its row. Tests: NodeRegistryTest; by the code before every start announced at once.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/NodeRegistry.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/NodeRegistry.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.lockdale.coordination.time.Time;
 
@@ -13,11 +14,19 @@
  * time to time; one that has not done so for long is no longer told anything. That a node is gone
  * harms nobody, so this needs no failure detection. Runs on one event loop; the list may be read
  * from any thread.
+ *
+ * <p>A node that comes back and finds itself on record as it is does not announce itself at once:
+ * where all of N nodes come back at the same moment, N announcements would each be read by all N,
+ * in the seconds in which they have the least time for it.
  */
 public final class NodeRegistry {
 
   private static final long ANNOUNCE_MILLIS = 600_000;
   private static final long RETRY_MILLIS = 500;
+
+  /** A node that can't read the table within this time announces itself without knowing it. */
+  private static final long FIRST_READING_MILLIS = 1_000;
+
   private static final long FORGET_MILLIS = 1_900_000;
 
   private record Seen(PeerNode node, long rowVersion, long atMillis) {}
@@ -28,6 +37,8 @@
   private final Time time;
   private final Map<String, Seen> seen = new ConcurrentHashMap<>();
   private volatile List<PeerNode> peers = List.of();
+  private boolean onRecord;
+  private boolean announcing;
 
   /** Creates a registry; {@link #start} starts to announce. */
   public NodeRegistry(EventLoop eventLoop, ClusterTable table, PeerNode self, Time time) {
@@ -37,9 +48,24 @@
     this.time = time;
   }
 
-  /** Starts to announce this node. */
+  /** Starts to announce this node, once it is known what the table says of it. */
   public void start() {
-    eventLoop.execute(this::announce);
+    eventLoop.schedule(this::tableRead, FIRST_READING_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Takes in that all rows were {@link #observed}; to be called on the event loop. */
+  public void tableRead() {
+    if (announcing) {
+      return;
+    }
+    announcing = true;
+    if (onRecord) {
+      // At any time within the usual period, so that one which restarts often renews its row too.
+      long delay = ThreadLocalRandom.current().nextLong(ANNOUNCE_MILLIS);
+      eventLoop.schedule(this::announce, delay, TimeUnit.MILLISECONDS);
+    } else {
+      announce();
+    }
   }
 
   private void announce() {
@@ -56,8 +82,12 @@
 
   /** Takes in the row of a node. */
   public void observed(PeerNode node, long rowVersion) {
+    if (node.id().equals(self.id())) {
+      onRecord = node.address().equals(self.address()) && node.linkMbps() == self.linkMbps();
+      return;
+    }
     Seen before = seen.get(node.id());
-    if (!node.id().equals(self.id()) && (before == null || before.rowVersion() != rowVersion)) {
+    if (before == null || before.rowVersion() != rowVersion) {
       seen.put(node.id(), new Seen(node, rowVersion, time.monotonicMillis()));
     }
   }
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
@@ -43,5 +43,6 @@
       operators.onWitnessed(row.model(), recorder.observed(row));
     }
     nodes.refresh();
+    nodes.tableRead();
   }
 }
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/NodeRegistryTest.java
@@ -0,0 +1,119 @@
+package org.lockdale.gateway.cluster;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.coordination.simulation.VirtualTime;
+import org.lockdale.gateway.table.TableRowChange;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** When a node announces itself. */
+public final class NodeRegistryTest {
+
+  private static final PeerNode SELF = node("self", 1, 20);
+
+  private final AtomicInteger announcements = new AtomicInteger();
+  private EventLoop eventLoop;
+  private NodeRegistry registry;
+
+  private final class CountingTable implements ClusterTable {
+
+    @Override
+    public String table() {
+      return "nodes";
+    }
+
+    @Override
+    public CompletableFuture<@Nullable Void> announce(PeerNode node) {
+      announcements.incrementAndGet();
+      return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<@Nullable Void> record(RecordedWeights weights) {
+      throw new AssertionError("no weights are recorded");
+    }
+
+    @Override
+    public Optional<RecordedWeights> weights(TableRowChange row) {
+      return Optional.empty();
+    }
+
+    @Override
+    public Optional<PeerNode> node(TableRowChange row) {
+      return Optional.empty();
+    }
+  }
+
+  private static PeerNode node(String id, int port, double link) {
+    return new PeerNode(id, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), link);
+  }
+
+  @BeforeMethod
+  public void start() {
+    announcements.set(0);
+    eventLoop = new DefaultEventLoop();
+    registry = new NodeRegistry(eventLoop, new CountingTable(), SELF, new VirtualTime());
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    eventLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private int announcementsAfterReading(PeerNode... rows) {
+    eventLoop
+        .submit(
+            () -> {
+              for (PeerNode row : rows) {
+                registry.observed(row, 7);
+              }
+              registry.tableRead();
+              registry.tableRead();
+            })
+        .syncUninterruptibly();
+    return announcements.get();
+  }
+
+  @Test
+  public void aNodeThatIsNotOnRecordAnnouncesItselfOnce() {
+    assertEquals(announcementsAfterReading(node("other", 2, 20)), 1);
+  }
+
+  /** All nodes came back after a loss of power; each read the row of each other twice. */
+  @Test
+  public void aNodeThatComesBackAsItWasDoesNotAnnounceItselfAtOnce() {
+    assertEquals(announcementsAfterReading(node("other", 2, 20), SELF), 0);
+  }
+
+  @Test
+  public void aNodeThatComesBackElsewhereAnnouncesItself() {
+    assertEquals(announcementsAfterReading(node("self", 3, 20)), 1);
+    setUpAgain();
+    assertEquals(announcementsAfterReading(node("self", 1, 200)), 1);
+  }
+
+  private void setUpAgain() {
+    stop();
+    start();
+  }
+
+  @Test(timeOut = 60_000)
+  public void aNodeThatCantReadTheTableAnnouncesItselfAllTheSame() throws InterruptedException {
+    registry.start();
+    while (announcements.get() == 0) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+    assertEquals(announcements.get(), 1);
+  }
+}
