--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RelayElectionTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RelayElectionTest.java
@@ -188,6 +188,63 @@
     }
   }
 
+  /**
+   * The store turns a third of the nodes away, both relays among them, and serves the others. Keys
+   * are trusted for 4.5 s after the last proof at the shortest bound in use.
+   */
+  @Test
+  public void relaysThatTheStoreTurnsAwayAreReplacedBeforeProofsAreTooOld() {
+    for (long seed = 0; seed < 200; seed++) {
+      startNodes(100, 15, seed);
+      run(8_000);
+      List<Node> relays = serving();
+      relays.forEach(node -> node.reachesStore = false);
+      nodes.stream()
+          .filter(node -> !relays.contains(node))
+          .limit(31)
+          .forEach(node -> node.reachesStore = false);
+      run(4_000);
+      assertTrue(servingWithStore() >= RelayElection.WANTED, "seed " + seed);
+      run(5_000);
+      nodes.forEach(node -> node.reachesStore = true);
+      run(4_000);
+      assertTrue(agreeWithin(6_000), "seed " + seed);
+    }
+  }
+
+  /**
+   * Returns whether there is a moment at which as many relays serve as are wanted and all nodes
+   * follow the same one. Where two heartbeats in a row are lost a node differs until the next one.
+   */
+  private boolean agreeWithin(long millis) {
+    long end = now + millis;
+    boolean agree = false;
+    while (!agree && now < end) {
+      run(TICK);
+      boolean one = nodes.stream().map(node -> node.coordinator).distinct().count() == 1;
+      agree = one && serving().size() == RelayElection.WANTED;
+    }
+    return agree;
+  }
+
+  private long servingWithStore() {
+    return serving().stream().filter(node -> node.reachesStore).count();
+  }
+
+  /** The machine of the senior relay is removed for good, and a new one comes elsewhere. */
+  @Test
+  public void aRelayThatIsReplacedForGoodIsFollowedByOneThatAllAgreeOn() {
+    for (long seed = 0; seed < 200; seed++) {
+      startNodes(100, 15, seed);
+      run(8_000);
+      String gone = nodes.get(99).coordinator;
+      nodes.removeIf(node -> node.id.equals(gone));
+      nodes.add(new Node(100, true));
+      run(4_000);
+      assertTrue(agreeWithin(6_000), "seed " + seed);
+    }
+  }
+
   @Test
   public void aNodeThatHearsNobodyServesItselfAndCeasesWhenItIsBack() {
     startNodes(10, 10, 1);
