Newest weights go first only once a quarter of the engines has them

Change: the preference holds from a quarter of the candidates on; a rollout moves a third at once. Tests: whereFewEnginesHaveCurrentWeightsPromptsGoToTheirHomes fails without it.

--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -67,11 +67,20 @@
    * them is worth a fifth less, a late one two thirds less, so the engines with new weights are
    * filled first, up to a queue that they compute in 0.2 s at 38 tokens a millisecond; the
    * objectives are three times that and more. They take the load off the others meanwhile, which
-   * then move sooner. In a simulated rollout over 63 engines with 28% of their places taken, 0
+   * then move sooner. In a simulated rollout over 63 engines with 28% of their places taken, 3
    * instead of 30 in 100 of the prompts that came later than 1.5 s began on replaced weights.
    */
   private static final double OUTDATED_COST = 4_000;
 
+  /**
+   * Engines with new weights go first once they are one in this many. A rollout moves a third at
+   * once; where engines crash or carry orders out late, the few that have moved would get all
+   * prompts, keep none of their places, and lose all streams with the next crash. In 18 s of a
+   * fleet's day with three crashes of 30% of the engines, one play each without processor time, the
+   * whole day's share was 0.874 with no preference, 0.834 from the first engine on, 0.881 so.
+   */
+  private static final int LEAST_CURRENT_PART = 4;
+
   private static final double TIE_BREAK = 1.0;
 
   private final RemoteLoads remoteLoads;
@@ -117,9 +126,9 @@
     double shortShare = mix.shareAfter(request.pool(), prompt);
     List<TrackedBackend> current = new ArrayList<>(choice);
     current.removeIf(request.outdated());
-    boolean allOutdated = current.isEmpty();
+    boolean currentFirst = current.size() * LEAST_CURRENT_PART >= choice.size();
     List<TrackedBackend> preferred =
-        EngineSets.split(allOutdated ? choice : current, shortShare).preferredFor(prompt);
+        EngineSets.split(currentFirst ? current : choice, shortShare).preferredFor(prompt);
     Set<TrackedBackend> inSet = new HashSet<>(preferred);
     TrackedBackend home = home(preferred, prompt.affinityKey());
     return least(
@@ -128,7 +137,7 @@
             promptCost(candidate, request.needOf().apply(candidate), candidate == home)
                 + sharedCost(candidate, request.zone(), nowMillis)
                 + (inSet.contains(candidate) ? 0 : OTHER_SET_COST)
-                + (!allOutdated && request.outdated().test(candidate) ? OUTDATED_COST : 0));
+                + (currentFirst && request.outdated().test(candidate) ? OUTDATED_COST : 0));
   }
 
   private static Optional<TrackedBackend> least(
