--- a/coordination/src/main/java/org/lockdale/coordination/simulation/VirtualTime.java
+++ b/coordination/src/main/java/org/lockdale/coordination/simulation/VirtualTime.java
@@ -1,5 +1,6 @@
 package org.lockdale.coordination.simulation;
 
+import java.time.Instant;
 import java.util.Comparator;
 import java.util.PriorityQueue;
 import org.lockdale.coordination.time.Time;
@@ -9,8 +10,9 @@
  */
 public final class VirtualTime implements Time {
 
-  /** Wall clock time at the start of every simulation: 2026-01-01T00:00Z. */
-  private static final long WALL_START_MILLIS = 1_767_225_600_000L;
+  /** Wall clock time at the start of every simulation; any fixed time would do. */
+  private static final long WALL_START_MILLIS =
+      Instant.parse("2026-01-01T00:00:00Z").toEpochMilli();
 
   private record Event(long atMicros, long order, Runnable action) {}
 
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/NodeRegistryTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/NodeRegistryTest.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
@@ -21,6 +22,7 @@
   private static final PeerNode SELF = node("self", 1, 20);
 
   private final AtomicInteger announcements = new AtomicInteger();
+  private CountDownLatch announced;
   private EventLoop eventLoop;
   private NodeRegistry registry;
 
@@ -29,6 +31,7 @@
     @Override
     public CompletableFuture<@Nullable Void> announce(PeerNode node) {
       announcements.incrementAndGet();
+      announced.countDown();
       return super.announce(node);
     }
   }
@@ -40,6 +43,7 @@
   @BeforeMethod
   public void start() {
     announcements.set(0);
+    announced = new CountDownLatch(1);
     eventLoop = new DefaultEventLoop();
     registry = new NodeRegistry(eventLoop, new CountingTable(), SELF, new VirtualTime());
   }
@@ -89,9 +93,7 @@
   @Test(timeOut = 60_000)
   public void aNodeThatCantReadTheTableAnnouncesItselfAllTheSame() throws InterruptedException {
     registry.start();
-    while (announcements.get() == 0) {
-      TimeUnit.MILLISECONDS.sleep(5);
-    }
+    announced.await();
     assertEquals(announcements.get(), 1);
   }
 }
