A back end is its server and its start: lives of one server are told apart

Cause: ends, weights, load, failures, held parts, moves and reports hung on the server's id, which it keeps over a restart now. Ruled out: keys of two fields in every message; the schema of the datagrams would change, and nodes of the earlier version could read none. Change: Incarnation, made in the adapter from the id and the start that a server tells; its text form is the key that all else already used, in rows and datagrams as well. Names without a start (nodes or servers of earlier versions) mean the present life. A late word of a former life changes nothing (LifeOrder); a clock that was set back is believed once the former life is known to be over, or after 3 s. Former lives aren't believed beside the next one after an outage. Entries with fields missing or of another type, or an unknown state, name no server.

--- a/gateway/src/main/java/org/lockdale/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/Backend.java
@@ -6,7 +6,7 @@
 /**
  * What the record of a back end says.
  *
- * @param id id of this incarnation; a restart brings a new one
+ * @param incarnation the server and which of its lives; a restart begins a new one
  * @param pool pool that it belongs to
  * @param address where it is reached
  * @param zone zone it stands in
@@ -15,7 +15,7 @@
  * @param weights version of the weights of each model that it runs
  */
 public record Backend(
-    String id,
+    Incarnation incarnation,
     String pool,
     InetSocketAddress address,
     String zone,
@@ -23,11 +23,28 @@
     boolean leaving,
     Map<String, Long> weights) {
 
+  /** Creates the record of an incarnation that is named by its text form. */
+  public Backend(
+      String id,
+      String pool,
+      InetSocketAddress address,
+      String zone,
+      int slots,
+      boolean leaving,
+      Map<String, Long> weights) {
+    this(Incarnation.parse(id), pool, address, zone, slots, leaving, weights);
+  }
+
+  /** Returns the text form of the incarnation, by which all that is learned of it is kept. */
+  public String id() {
+    return incarnation.toString();
+  }
+
   /** Written out, since a record's own is linked anew in every process that calls it. */
   @Override
   public boolean equals(Object other) {
     return other instanceof Backend backend
-        && id.equals(backend.id)
+        && incarnation.equals(backend.incarnation)
         && pool.equals(backend.pool)
         && address.equals(backend.address)
         && zone.equals(backend.zone)
@@ -38,6 +55,6 @@
 
   @Override
   public int hashCode() {
-    return id.hashCode();
+    return incarnation.hashCode();
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/BackendTable.java
@@ -14,16 +14,19 @@
   public static final BackendTable EMPTY = new BackendTable(Map.of());
 
   private final Map<String, TrackedBackend> byId;
+  private final Map<String, TrackedBackend> byServer = new HashMap<>();
   private final Map<String, List<TrackedBackend>> byPool = new HashMap<>();
 
   private BackendTable(Map<String, TrackedBackend> byId) {
     this.byId = byId;
     byId.values()
         .forEach(
-            tracked ->
-                byPool
-                    .computeIfAbsent(tracked.backend().pool(), name -> new ArrayList<>())
-                    .add(tracked));
+            tracked -> {
+              byServer.put(tracked.backend().incarnation().server(), tracked);
+              byPool
+                  .computeIfAbsent(tracked.backend().pool(), name -> new ArrayList<>())
+                  .add(tracked);
+            });
   }
 
   /** Returns the table of newer records; what was learned about an incarnation is kept. */
@@ -55,11 +58,21 @@
     return byPool.getOrDefault(pool, List.of());
   }
 
-  /** Returns the back end of an id, or null where it is not on record. */
+  /** Returns the back end of an incarnation's text form, or null where it is not on record. */
   public @Nullable TrackedBackend find(String id) {
     return byId.get(id);
   }
 
+  /**
+   * Returns the back end that another node names, or null where it is not on record. A node of an
+   * earlier version names the server alone, and means its present life.
+   */
+  public @Nullable TrackedBackend named(String name) {
+    TrackedBackend exact = byId.get(name);
+    boolean tellsNoStart = Incarnation.parse(name).startedAtMillis().isEmpty();
+    return exact == null && tellsNoStart ? byServer.get(name) : exact;
+  }
+
   /** Returns all back ends. */
   public Collection<TrackedBackend> all() {
     return byId.values();
--- a/gateway/src/main/java/org/lockdale/gateway/backend/TrackedBackend.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/TrackedBackend.java
@@ -1,7 +1,9 @@
 package org.lockdale.gateway.backend;
 
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.placement.Rendezvous;
@@ -17,6 +19,7 @@
   private final BackendLoad load;
   private final Map<String, Long> observedWeights;
   private final AtomicLong aliveAtMillis;
+  private final AtomicBoolean over;
   private final long identity;
 
   private TrackedBackend(
@@ -24,13 +27,17 @@
       BackendHealth health,
       BackendLoad load,
       Map<String, Long> observedWeights,
-      AtomicLong aliveAtMillis) {
+      AtomicLong aliveAtMillis,
+      AtomicBoolean over) {
     this.backend = backend;
     this.health = health;
     this.load = load;
     this.observedWeights = observedWeights;
     this.aliveAtMillis = aliveAtMillis;
-    this.identity = Rendezvous.identityOf(backend.id());
+    this.over = over;
+    // A server's rank outlives a restart, so that the prefixes of other servers stay where they
+    // are.
+    this.identity = Rendezvous.identityOf(backend.incarnation().server());
   }
 
   /** Returns a back end of which nothing is known but its record. */
@@ -40,12 +47,33 @@
         new BackendHealth(),
         new BackendLoad(),
         new ConcurrentHashMap<>(),
-        new AtomicLong(Long.MIN_VALUE));
+        new AtomicLong(Long.MIN_VALUE),
+        new AtomicBoolean());
   }
 
-  /** Returns the same incarnation with a newer record. */
+  /**
+   * Returns the same incarnation with a newer record. Where it is reached at another address, that
+   * somebody else answers at the former one says nothing any more.
+   */
   public TrackedBackend with(Backend newer) {
-    return new TrackedBackend(newer, health, load, observedWeights, aliveAtMillis);
+    boolean moved = !newer.address().equals(backend.address());
+    return new TrackedBackend(
+        newer, health, load, observedWeights, aliveAtMillis, moved ? new AtomicBoolean() : over);
+  }
+
+  /**
+   * Notes that this life is over, as shown by another instance that answers at its address. Its
+   * record may stand for seconds more.
+   *
+   * @return whether that was not known
+   */
+  public boolean end() {
+    return over.compareAndSet(false, true);
+  }
+
+  /** Returns whether this life is known to be over; nothing is sent to it any more. */
+  public boolean isOver() {
+    return over.get();
   }
 
   /** Returns the record. */
@@ -53,6 +81,14 @@
     return backend;
   }
 
+  /**
+   * Returns whether a list of back ends names this one. Nodes of an earlier version name servers,
+   * whichever life is meant.
+   */
+  public boolean isAmong(Set<String> named) {
+    return named.contains(backend.id()) || named.contains(backend.incarnation().server());
+  }
+
   /** Returns the work that this node has sent to it. */
   public BackendLoad load() {
     return load;
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
@@ -192,7 +192,7 @@
   private @Nullable Placement placement(
       String sender, PlacementQuery query, PlacementAnswer answer) {
     String engine = answer.getEngine();
-    TrackedBackend target = engine == null ? null : context.backends().get().find(engine);
+    TrackedBackend target = engine == null ? null : context.backends().get().named(engine);
     if (target == null || target.backend().leaving()) {
       return null;
     }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/ReportReceiver.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/ReportReceiver.java
@@ -51,24 +51,34 @@
     for (EngineLoad load : report.getLoads()) {
       BackendWork work =
           new BackendWork(load.getWaitingTokens(), load.getRunningTokens(), load.getOpenRequests());
-      loads.told(sender, load.getEngine(), work);
+      loads.told(sender, incarnationOf(load.getEngine()), work);
     }
     if (!report.getLoads().isEmpty()) {
       loads.counted(sender, report.getLatestPlacement());
     }
     for (ExpectedParts expected : report.getExpectations()) {
-      onExpected.accept(expected.getEngine(), expected.getParts());
+      onExpected.accept(incarnationOf(expected.getEngine()), expected.getParts());
     }
     for (EngineMoveRecord move : report.getMoves()) {
       onMove.accept(
-          new EngineMove(move.getEngine(), move.getModel(), move.getVersion(), move.getMoving()));
+          new EngineMove(
+              incarnationOf(move.getEngine()),
+              move.getModel(),
+              move.getVersion(),
+              move.getMoving()));
     }
     report.getOutcomes().forEach(this::accept);
   }
 
+  /** Returns the key of a back end that another node names. */
+  private String incarnationOf(String name) {
+    TrackedBackend tracked = backends.get().named(name);
+    return tracked == null ? name : tracked.backend().id();
+  }
+
   /** A failure that another node saw may be of its own links, so it counts like any one failure. */
   private void accept(AttemptOutcome outcome) {
-    TrackedBackend tracked = backends.get().find(outcome.getEngine());
+    TrackedBackend tracked = backends.get().named(outcome.getEngine());
     if (tracked == null) {
       return;
     }
--- a/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.Backend;
@@ -27,7 +28,9 @@
   private final EventLoop eventLoop;
   private final Time time;
   private final LapsedBackends lapsed;
+  private final LifeOrder lives = new LifeOrder();
   private List<Backend> read = List.of();
+  private Set<String> present = Set.of();
   private long provenAtMillis;
 
   /**
@@ -61,6 +64,7 @@
     provenAtMillis = provenMillis;
     if (changed) {
       read = reader.read(rows);
+      present = Set.copyOf(rows.keySet());
       publish();
     } else {
       blackboard.backends().publish(blackboard.backends().value(), provenMillis);
@@ -72,15 +76,27 @@
     lapsed.unreachable();
   }
 
+  /** Returns whether a life is known to be over, though its record stands. */
+  private boolean isOver(Backend backend) {
+    TrackedBackend tracked = blackboard.backends().value().find(backend.id());
+    return tracked != null && tracked.isOver();
+  }
+
+  private void decideAgain(long nowMillis) {
+    long lapsedAt = lapsed.isBelieving() ? lapsed.endsAtMillis() : Long.MAX_VALUE;
+    long due = Math.min(lapsedAt, lives.decidesAtMillis());
+    if (due != Long.MAX_VALUE) {
+      eventLoop.schedule(this::publish, due - nowMillis, TimeUnit.MILLISECONDS);
+    }
+  }
+
   private void publish() {
     BackendTable before = blackboard.backends().value();
     List<Backend> relied = before.all().stream().map(TrackedBackend::backend).toList();
     long now = time.monotonicMillis();
-    BackendTable after = before.with(lapsed.complete(relied, read, now));
-    if (lapsed.isBelieving()) {
-      long rest = lapsed.endsAtMillis() - now;
-      eventLoop.schedule(this::publish, rest, TimeUnit.MILLISECONDS);
-    }
+    List<Backend> current = lives.order(read, this::isOver, now);
+    BackendTable after = before.with(lapsed.complete(relied, current, present, now));
+    decideAgain(now);
     if (after.sameRecordsAs(before)) {
       // Rows hold more than the records do, such as the time of the last sign of life.
       blackboard.backends().publish(before, provenAtMillis);
--- a/gateway/src/main/java/org/lockdale/gateway/node/LapsedBackends.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/LapsedBackends.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.lockdale.gateway.backend.Backend;
 
 /**
@@ -69,15 +70,19 @@
    *
    * @param before records that were relied on until now
    * @param read records as read now
+   * @param present servers with an entry, also one that can't be read or is of another life: theirs
+   *     have not lapsed
    * @param nowMillis monotonic time
    */
-  List<Backend> complete(Collection<Backend> before, Collection<Backend> read, long nowMillis) {
+  List<Backend> complete(
+      Collection<Backend> before, Collection<Backend> read, Set<String> present, long nowMillis) {
     Map<String, Backend> complete = new HashMap<>();
     read.forEach(backend -> complete.put(backend.id(), backend));
     believed.clear();
     if (nowMillis < endsAtMillis()) {
       for (Backend backend : before) {
-        if (!backend.leaving() && !complete.containsKey(backend.id())) {
+        boolean lapsed = !present.contains(backend.incarnation().server());
+        if (lapsed && !backend.leaving()) {
           believed.put(backend.id(), backend);
         }
       }
--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -106,7 +106,7 @@
     List<TrackedBackend> usable = new ArrayList<>(request.candidates().size());
     List<TrackedBackend> ejected = new ArrayList<>();
     for (TrackedBackend candidate : request.candidates()) {
-      if (!request.excluded().contains(candidate.backend().id())) {
+      if (!candidate.isAmong(request.excluded())) {
         (candidate.health().isEjected(nowMillis) ? ejected : usable).add(candidate);
       }
     }
--- a/gateway/src/test/java/org/lockdale/gateway/node/LapsedBackendsTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/node/LapsedBackendsTest.java
@@ -30,6 +30,11 @@
     return backends.stream().map(Backend::id).collect(Collectors.toSet());
   }
 
+  private static List<Backend> complete(
+      LapsedBackends lapsed, List<Backend> before, List<Backend> read, long nowMillis) {
+    return lapsed.complete(before, read, ids(read), nowMillis);
+  }
+
   private static LapsedBackends afterAnOutage() {
     LapsedBackends lapsed = new LapsedBackends(OUTAGE);
     proven(lapsed, BACK_AT - OUTAGE - 1);
@@ -52,7 +57,7 @@
     LapsedBackends lapsed = new LapsedBackends(OUTAGE);
     proven(lapsed, BACK_AT - OUTAGE - 1);
     proven(lapsed, BACK_AT);
-    assertEquals(ids(lapsed.complete(List.of(one, two), List.of(one), BACK_AT)), Set.of("i-1"));
+    assertEquals(ids(complete(lapsed, List.of(one, two), List.of(one), BACK_AT)), Set.of("i-1"));
   }
 
   @Test
@@ -62,7 +67,7 @@
     lapsed.proven(last, last);
     lapsed.proven(last, last + OUTAGE + 1);
     proven(lapsed, BACK_AT);
-    assertEquals(ids(lapsed.complete(List.of(one), List.of(), BACK_AT)), Set.of("i-1"));
+    assertEquals(ids(complete(lapsed, List.of(one), List.of(), BACK_AT)), Set.of("i-1"));
   }
 
   @Test
@@ -71,18 +76,19 @@
     lapsed.unreachable();
     proven(lapsed, BACK_AT - OUTAGE - 1);
     proven(lapsed, BACK_AT);
-    assertEquals(lapsed.complete(List.of(one), List.of(), BACK_AT), List.of());
+    assertEquals(complete(lapsed, List.of(one), List.of(), BACK_AT), List.of());
   }
 
   @Test
   public void whatIsMissingAfterAnOutageIsBelievedForATime() {
     LapsedBackends lapsed = afterAnOutage();
     long end = lapsed.endsAtMillis();
-    assertEquals(ids(lapsed.complete(List.of(one, two), List.of(), BACK_AT)), Set.of("i-1", "i-2"));
+    assertEquals(
+        ids(complete(lapsed, List.of(one, two), List.of(), BACK_AT)), Set.of("i-1", "i-2"));
     assertTrue(lapsed.isBelieving());
     assertEquals(
-        ids(lapsed.complete(List.of(one, two), List.of(one), end - 1)), Set.of("i-1", "i-2"));
-    assertEquals(ids(lapsed.complete(List.of(one, two), List.of(one), end)), Set.of("i-1"));
+        ids(complete(lapsed, List.of(one, two), List.of(one), end - 1)), Set.of("i-1", "i-2"));
+    assertEquals(ids(complete(lapsed, List.of(one, two), List.of(one), end)), Set.of("i-1"));
     assertFalse(lapsed.isBelieving());
   }
 
@@ -92,7 +98,7 @@
     proven(lapsed, BACK_AT - OUTAGE);
     lapsed.unreachable();
     proven(lapsed, BACK_AT);
-    assertEquals(ids(lapsed.complete(List.of(one, two), List.of(one), BACK_AT)), Set.of("i-1"));
+    assertEquals(ids(complete(lapsed, List.of(one, two), List.of(one), BACK_AT)), Set.of("i-1"));
   }
 
   @Test
@@ -100,13 +106,13 @@
     LapsedBackends lapsed = new LapsedBackends(OUTAGE);
     lapsed.unreachable();
     proven(lapsed, BACK_AT);
-    assertEquals(lapsed.complete(List.of(one), List.of(), BACK_AT), List.of());
+    assertEquals(complete(lapsed, List.of(one), List.of(), BACK_AT), List.of());
   }
 
   @Test
   public void aBackendThatSaidItWasLeavingIsNotBelieved() {
     Backend leaving = backend("i-3", true);
-    assertEquals(afterAnOutage().complete(List.of(leaving), List.of(), BACK_AT), List.of());
+    assertEquals(complete(afterAnOutage(), List.of(leaving), List.of(), BACK_AT), List.of());
   }
 
   @Test
@@ -117,4 +123,20 @@
     proven(lapsed, BACK_AT + OUTAGE / 2);
     assertEquals(lapsed.endsAtMillis(), end);
   }
+
+  /** A server that crashed while the store was away is back under its id, as another life. */
+  @Test
+  public void aFormerLifeIsNotBelievedBesideTheNextOne() {
+    Backend former = backend("i-1@100", false);
+    Backend next = backend("i-1@200", false);
+    List<Backend> relied =
+        afterAnOutage().complete(List.of(former), List.of(next), Set.of("i-1"), BACK_AT);
+    assertEquals(ids(relied), Set.of("i-1@200"));
+  }
+
+  @Test
+  public void aServerWhoseEntryCannotBeReadHasNotLapsed() {
+    assertEquals(
+        afterAnOutage().complete(List.of(one), List.of(), Set.of("i-1"), BACK_AT), List.of());
+  }
 }
