An answer that was not meant for the back end shows that its life is over, to all nodes

Cause: the record of a back end that crashed stands for seconds; while another instance has its address, each request sent there costs a round trip. Requests that ran on a former life waited for their whole time, since nothing closes a connection behind a cut. Change: LifeWatch. A 421 to a request that named the instance alone is proof; where weights were named too, the engine's state tells its start and weights. All nodes hear of it by a datagram of its own kind, which earlier versions drop; they read all others as before. What waits at a life that is over, or replaced on record, ends at once and counts for the suspects. Orders are given only to the life on record, and weights that an engine was taken back to are believed. GET /backends shows what a node relies on.

--- a/gateway/src/main/java/org/lockdale/gateway/backend/TrackedBackend.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/TrackedBackend.java
@@ -14,27 +14,42 @@
  */
 public final class TrackedBackend {
 
+  /**
+   * A version of weights that was seen.
+   *
+   * @param exact whether the engine holds no newer one, whatever its record says
+   */
+  private record ObservedWeights(long version, boolean exact) {
+
+    ObservedWeights newer(ObservedWeights other) {
+      return other.version > version ? other : this;
+    }
+  }
+
   private final Backend backend;
   private final BackendHealth health;
   private final BackendLoad load;
-  private final Map<String, Long> observedWeights;
+  private final Map<String, ObservedWeights> observedWeights;
   private final AtomicLong aliveAtMillis;
   private final AtomicBoolean over;
+  private final Set<Runnable> whenOver;
   private final long identity;
 
   private TrackedBackend(
       Backend backend,
       BackendHealth health,
       BackendLoad load,
-      Map<String, Long> observedWeights,
+      Map<String, ObservedWeights> observedWeights,
       AtomicLong aliveAtMillis,
-      AtomicBoolean over) {
+      AtomicBoolean over,
+      Set<Runnable> whenOver) {
     this.backend = backend;
     this.health = health;
     this.load = load;
     this.observedWeights = observedWeights;
     this.aliveAtMillis = aliveAtMillis;
     this.over = over;
+    this.whenOver = whenOver;
     // A server's rank outlives a restart, so that the prefixes of other servers stay where they
     // are.
     this.identity = Rendezvous.identityOf(backend.incarnation().server());
@@ -48,7 +63,8 @@
         new BackendLoad(),
         new ConcurrentHashMap<>(),
         new AtomicLong(Long.MIN_VALUE),
-        new AtomicBoolean());
+        new AtomicBoolean(),
+        ConcurrentHashMap.newKeySet());
   }
 
   /**
@@ -58,17 +74,37 @@
   public TrackedBackend with(Backend newer) {
     boolean moved = !newer.address().equals(backend.address());
     return new TrackedBackend(
-        newer, health, load, observedWeights, aliveAtMillis, moved ? new AtomicBoolean() : over);
+        newer,
+        health,
+        load,
+        observedWeights,
+        aliveAtMillis,
+        moved ? new AtomicBoolean() : over,
+        whenOver);
   }
 
   /**
-   * Notes that this life is over, as shown by another instance that answers at its address. Its
-   * record may stand for seconds more.
+   * Notes that this life is over, as shown by another instance that answers at its address, or by
+   * the record of the server's next life. Its own record may stand for seconds more.
    *
    * @return whether that was not known
    */
   public boolean end() {
-    return over.compareAndSet(false, true);
+    boolean news = over.compareAndSet(false, true);
+    if (news) {
+      whenOver.forEach(Runnable::run);
+    }
+    return news;
+  }
+
+  /** Runs an action, on any thread, once this life is known to be over. */
+  public void whenOver(Runnable action) {
+    whenOver.add(action);
+  }
+
+  /** Takes an action back. */
+  public void forget(Runnable action) {
+    whenOver.remove(action);
   }
 
   /** Returns whether this life is known to be over; nothing is sent to it any more. */
@@ -120,16 +156,27 @@
 
   /** Notes the version of weights that an answer told. */
   public void observeWeights(String model, long version) {
-    observedWeights.merge(model, version, Math::max);
+    observedWeights.merge(model, new ObservedWeights(version, false), ObservedWeights::newer);
+  }
+
+  /**
+   * Notes the version that the engine itself tells after it has turned a request away as meant for
+   * other weights. An order to an earlier life that is carried out late takes it back to older
+   * ones; believed to hold newer ones, it would turn each request away.
+   */
+  public void correctWeights(String model, long version) {
+    observedWeights.put(model, new ObservedWeights(version, true));
   }
 
   /** Returns the newest version known of a model's weights, or null where none is known. */
   public @Nullable Long weightsOf(String model) {
     Long listed = backend.weights().get(model);
-    Long observed = observedWeights.get(model);
-    if (listed == null || observed == null) {
-      return listed == null ? observed : listed;
+    ObservedWeights observed = observedWeights.get(model);
+    if (observed == null) {
+      return listed;
     }
-    return Math.max(listed, observed);
+    return listed == null || observed.exact()
+        ? Long.valueOf(observed.version())
+        : Long.valueOf(Math.max(listed, observed.version()));
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
@@ -18,7 +18,9 @@
 import org.lockdale.protocol.MessageCodec;
 import org.lockdale.protocol.generated.AdmissionAnswer;
 import org.lockdale.protocol.generated.AdmissionQuestion;
+import org.lockdale.protocol.generated.LifeOverNotice;
 import org.lockdale.protocol.generated.NodeDatagram;
+import org.lockdale.protocol.generated.NodeNotice;
 import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementQuestion;
@@ -39,6 +41,7 @@
   private final InetSocketAddress address;
   private final EventLoop eventLoop;
   private final MessageCodec<NodeDatagram> codec = MessageCodec.nodeDatagrams();
+  private final MessageCodec<NodeNotice> noticeCodec = MessageCodec.nodeNotices();
   private @Nullable Channel channel;
 
   /**
@@ -80,11 +83,23 @@
 
   /** Sends a message to several nodes. */
   public void send(Collection<InetSocketAddress> receivers, Message body) {
+    if (!receivers.isEmpty()) {
+      sendBytes(receivers, codec.encode(new NodeDatagram(nodeId, body)));
+    }
+  }
+
+  /** Sends a notice to several nodes; those of an earlier version drop it. */
+  public void sendNotice(Collection<InetSocketAddress> receivers, Message body) {
+    if (!receivers.isEmpty()) {
+      sendBytes(receivers, noticeCodec.encode(new NodeNotice(nodeId, body)));
+    }
+  }
+
+  private void sendBytes(Collection<InetSocketAddress> receivers, byte[] message) {
     Channel bound = channel;
-    if (bound == null || receivers.isEmpty()) {
+    if (bound == null) {
       return;
     }
-    byte[] message = codec.encode(new NodeDatagram(nodeId, body));
     for (InetSocketAddress receiver : receivers) {
       bound.write(
           new DatagramPacket(Unpooled.wrappedBuffer(message), receiver), bound.voidPromise());
@@ -103,12 +118,23 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
       try {
-        dispatch(codec.decode(ByteBufUtil.getBytes(packet.content())), packet.sender());
+        byte[] message = ByteBufUtil.getBytes(packet.content());
+        if (noticeCodec.wrote(message)) {
+          dispatch(noticeCodec.decode(message));
+        } else {
+          dispatch(codec.decode(message), packet.sender());
+        }
       } catch (RuntimeException malformed) {
         Logger.debug("event=datagram-rejected sender={}", packet.sender());
       }
     }
 
+    private void dispatch(NodeNotice notice) {
+      if (notice.getBody() instanceof LifeOverNotice lives) {
+        listener.onLivesOver(lives);
+      }
+    }
+
     private void dispatch(NodeDatagram datagram, InetSocketAddress from) {
       String sender = datagram.getSender();
       Object body = datagram.getBody();
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramListener.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramListener.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import org.lockdale.protocol.generated.AdmissionAnswer;
 import org.lockdale.protocol.generated.AdmissionQuestion;
+import org.lockdale.protocol.generated.LifeOverNotice;
 import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementQuestion;
@@ -44,4 +45,7 @@
 
   /** A node tells of requests under which back ends ended. */
   void onSuspects(SuspectReport report);
+
+  /** A node tells of lives of back ends that are over. */
+  void onLivesOver(LifeOverNotice notice);
 }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/NodeListener.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/NodeListener.java
@@ -8,6 +8,7 @@
 import org.lockdale.gateway.quarantine.SuspectMessages;
 import org.lockdale.protocol.generated.AdmissionAnswer;
 import org.lockdale.protocol.generated.AdmissionQuestion;
+import org.lockdale.protocol.generated.LifeOverNotice;
 import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementQuestion;
@@ -27,6 +28,7 @@
  * @param limits decides on limits of tenants for other nodes
  * @param limitClient asks others to decide
  * @param onSuspects takes requests under which back ends ended
+ * @param onLivesOver takes lives of back ends that are over, by their text forms
  */
 public record NodeListener(
     RelayController relays,
@@ -35,7 +37,8 @@
     BiConsumer<String, PlacementAnswer> onAnswer,
     LimitResponder limits,
     LimitClient limitClient,
-    Consumer<List<Suspect>> onSuspects)
+    Consumer<List<Suspect>> onSuspects,
+    Consumer<List<String>> onLivesOver)
     implements DatagramListener {
 
   @Override
@@ -88,4 +91,9 @@
   public void onSuspects(SuspectReport report) {
     onSuspects.accept(report.getSuspects().stream().map(SuspectMessages::read).toList());
   }
+
+  @Override
+  public void onLivesOver(LifeOverNotice notice) {
+    onLivesOver.accept(notice.getEngines());
+  }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
@@ -193,7 +193,7 @@
       String sender, PlacementQuery query, PlacementAnswer answer) {
     String engine = answer.getEngine();
     TrackedBackend target = engine == null ? null : context.backends().get().named(engine);
-    if (target == null || target.backend().leaving()) {
+    if (target == null || target.backend().leaving() || target.isOver()) {
       return null;
     }
     Long weights = weightsOf(query, target, answer);
--- a/gateway/src/main/java/org/lockdale/gateway/node/LifeOrder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/life/LifeOrder.java
@@ -1,4 +1,4 @@
-package org.lockdale.gateway.node;
+package org.lockdale.gateway.life;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -16,7 +16,7 @@
  * two lives: the later life is known to be over, or the record has stood for longer than the server
  * takes to write again. A state machine without I/O; not safe for use by several threads.
  */
-final class LifeOrder {
+public final class LifeOrder {
 
   /** Servers write their records each 1.2 s; one write may be lost. */
   static final long LATE_WORD_MILLIS = 3_000;
@@ -33,7 +33,7 @@
    * @param isOver whether a life is known to be over
    * @param nowMillis monotonic time
    */
-  List<Backend> order(Collection<Backend> read, Predicate<Backend> isOver, long nowMillis) {
+  public List<Backend> order(Collection<Backend> read, Predicate<Backend> isOver, long nowMillis) {
     Map<String, Backend> next = new HashMap<>();
     for (Backend record : read) {
       String server = record.incarnation().server();
@@ -61,7 +61,7 @@
   }
 
   /** Returns the monotonic time at which to decide again, or {@link Long#MAX_VALUE} for none. */
-  long decidesAtMillis() {
+  public long decidesAtMillis() {
     long earliest = NEVER;
     for (long since : earlierSince.values()) {
       earliest = Math.min(earliest, since + LATE_WORD_MILLIS);
--- a/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
@@ -12,6 +12,7 @@
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.blackboard.GatewayBlackboard;
+import org.lockdale.gateway.life.LifeOrder;
 import org.lockdale.gateway.table.RowReader;
 import org.lockdale.gateway.table.SharedRecords;
 import org.lockdale.gateway.table.TableFollower;
@@ -76,6 +77,13 @@
     lapsed.unreachable();
   }
 
+  /** Requests that run on a former life would wait for an answer that can't come. */
+  private static void endIfReplaced(TrackedBackend gone, BackendTable after) {
+    if (after.named(gone.backend().incarnation().server()) != null) {
+      gone.end();
+    }
+  }
+
   /** Returns whether a life is known to be over, though its record stands. */
   private boolean isOver(Backend backend) {
     TrackedBackend tracked = blackboard.backends().value().find(backend.id());
@@ -104,9 +112,12 @@
     }
     after.all().forEach(blackboard.rollout().value()::observe);
     blackboard.backends().publish(after, provenAtMillis);
-    before.all().stream()
-        .filter(gone -> after.find(gone.backend().id()) == null)
-        .forEach(gone -> client.forget(gone.backend().address()));
+    for (TrackedBackend gone : before.all()) {
+      if (after.find(gone.backend().id()) == null) {
+        client.forget(gone.backend().address());
+        endIfReplaced(gone, after);
+      }
+    }
     Logger.info("event=backends-changed count={}", after.all().size());
   }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/node/BackendsHandler.java
@@ -0,0 +1,52 @@
+package org.lockdale.gateway.node;
+
+import org.lockdale.coordination.blackboard.Section;
+import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.http.HttpExchange;
+import org.lockdale.http.HttpHandler;
+import org.lockdale.http.HttpProtocolError;
+import org.lockdale.http.HttpReply;
+
+/** Shows operators the back ends that this node relies on, a line each. */
+final class BackendsHandler implements HttpHandler {
+
+  static final String PATH = "/backends";
+
+  private static final int OK = 200;
+
+  private final Section<BackendTable> backends;
+
+  BackendsHandler(Section<BackendTable> backends) {
+    this.backends = backends;
+  }
+
+  @Override
+  public void handle(HttpExchange exchange) {
+    StringBuilder lines = new StringBuilder();
+    for (TrackedBackend tracked : backends.value().all()) {
+      Backend backend = tracked.backend();
+      lines
+          .append("backend=")
+          .append(backend.id())
+          .append(" pool=")
+          .append(backend.pool())
+          .append(" address=")
+          .append(backend.address())
+          .append(" leaving=")
+          .append(backend.leaving())
+          .append(" over=")
+          .append(tracked.isOver())
+          .append(" open-requests=")
+          .append(tracked.load().openRequests())
+          .append('\n');
+    }
+    exchange.reply(HttpReply.text(OK, lines.toString()));
+  }
+
+  @Override
+  public HttpReply renderProtocolError(HttpProtocolError error) {
+    return HttpReply.text(error.status(), error.remedy());
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -25,6 +25,7 @@
 import org.lockdale.gateway.cluster.RelayController;
 import org.lockdale.gateway.cluster.ReportReceiver;
 import org.lockdale.gateway.cluster.TableSliceClient;
+import org.lockdale.gateway.life.LifeWatch;
 import org.lockdale.gateway.limit.LimitBound;
 import org.lockdale.gateway.limit.TenantLimiter;
 import org.lockdale.gateway.placement.BackendChooser;
@@ -39,6 +40,7 @@
 import org.lockdale.gateway.weights.RolloutProgress;
 import org.lockdale.gateway.weights.WeightsPolicy;
 import org.lockdale.http.HttpClient;
+import org.lockdale.protocol.generated.LifeOverNotice;
 import org.lockdale.protocol.generated.SuspectReport;
 import org.tinylog.Logger;
 
@@ -67,6 +69,7 @@
   private final LimitResponder limits;
   private final LimitClient limitClient;
   private final Quarantine quarantine;
+  private final LifeWatch lives;
   private long suspendedMillis;
 
   /**
@@ -140,6 +143,13 @@
             quarantineContext(protocols, controlClient),
             blackboard.suspects(),
             settings.get(GatewaySettings.QUARANTINE_HOLD).toMillis());
+    lives =
+        new LifeWatch(
+            eventLoop,
+            protocols.engines(),
+            () -> blackboard.backends().value(),
+            this::tellLifeOver,
+            time);
   }
 
   private static PeerNode self(GatewaySettings settings) {
@@ -186,6 +196,11 @@
         new SuspectReport(suspects.stream().map(SuspectMessages::write).toList()));
   }
 
+  private void tellLifeOver(String life) {
+    datagrams.sendNotice(
+        nodes.peers().stream().map(PeerNode::address).toList(), new LifeOverNotice(List.of(life)));
+  }
+
   /** The followers are made before the quarantine, and read after it. */
   private void suspectsOnRecord(List<Suspect> suspects) {
     quarantine.observed(suspects);
@@ -268,7 +283,8 @@
             placements::answered,
             limits,
             limitClient,
-            quarantine::told));
+            quarantine::told,
+            lives::told));
     quarantine.start();
     nodes.start();
     tables.all().forEach(TableFollower::start);
@@ -372,6 +388,11 @@
     return quarantine;
   }
 
+  /** Returns what finds out that lives of back ends are over. */
+  LifeWatch lives() {
+    return lives;
+  }
+
   /** Returns what tells the relays of this node's requests. */
   NodeReporter reporter() {
     return reporter;
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -97,6 +97,7 @@
             cluster.placements(),
             cluster.decider(),
             cluster.quarantine(),
+            cluster.lives(),
             settings.get(GatewaySettings.NODE_ZONE),
             cluster.reporter(),
             time);
@@ -106,7 +107,8 @@
             GatewaySettings.PEERS_ADDRESS,
             new PeersHandler(
                 new TableSliceHandler(controlLoop, cluster.followers(), time),
-                new QuarantineHandler(cluster.quarantine(), controlLoop, time)));
+                new QuarantineHandler(cluster.quarantine(), controlLoop, time),
+                new BackendsHandler(blackboard.backends())));
     callers = callers(listener);
     readiness =
         server(
@@ -166,7 +168,11 @@
         blackboard.weights(),
         blackboard.backends(),
         new WeightsPolicy(settings.get(GatewaySettings.WEIGHTS_BOUND).toMillis()),
-        new RolloutTools(protocols.engines(), cluster::announce, cluster::waitingTokens),
+        new RolloutTools(
+            protocols.engines(),
+            cluster::announce,
+            cluster::waitingTokens,
+            cluster.lives()::replaced),
         protocols.rolloutLease(),
         settings.get(GatewaySettings.NODE_ID),
         settings.get(GatewaySettings.LEASE_GUARD).toMillis(),
--- a/gateway/src/main/java/org/lockdale/gateway/node/PeersHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/PeersHandler.java
@@ -12,18 +12,26 @@
 
   private final TableSliceHandler tables;
   private final QuarantineHandler quarantine;
+  private final BackendsHandler backends;
 
-  PeersHandler(TableSliceHandler tables, QuarantineHandler quarantine) {
+  PeersHandler(TableSliceHandler tables, QuarantineHandler quarantine, BackendsHandler backends) {
     this.tables = tables;
     this.quarantine = quarantine;
+    this.backends = backends;
   }
 
   @Override
   public void handle(HttpExchange exchange) {
-    String path = exchange.path();
-    boolean operators =
+    handlerOf(exchange.path()).handle(exchange);
+  }
+
+  private HttpHandler handlerOf(String path) {
+    if (path.equals(BackendsHandler.PATH)) {
+      return backends;
+    }
+    boolean held =
         path.equals(QuarantineHandler.PATH) || path.startsWith(QuarantineHandler.PATH + "/");
-    (operators ? quarantine : tables).handle(exchange);
+    return held ? quarantine : tables;
   }
 
   @Override
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
@@ -121,7 +121,8 @@
               : weightsPolicy.requiredVersion(blackboard.weights().value(), model, nowMillis);
       List<TrackedBackend> usable = new ArrayList<>();
       for (TrackedBackend tracked : blackboard.backends().value().ofPool(query.pool())) {
-        if (!tracked.backend().leaving() && !isMoving(tracked) && holds(tracked, required)) {
+        boolean serves = !tracked.backend().leaving() && !tracked.isOver() && !isMoving(tracked);
+        if (serves && holds(tracked, required)) {
           usable.add(tracked);
         }
       }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/EndDetector.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/EndDetector.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.backend.Incarnation;
 import org.lockdale.gateway.backend.TrackedBackend;
 
 /**
@@ -53,6 +54,10 @@
     if (known != null) {
       return new BackendEnd(backend, known.evidence(), List.of(attempt));
     }
+    if (isReplaced(backend, backends)) {
+      ended.put(backend, new Ended(EndEvidence.REPLACED, nowMillis));
+      return new BackendEnd(backend, EndEvidence.REPLACED, List.of(attempt));
+    }
     TrackedBackend tracked = backends.find(backend);
     if (tracked == null || tracked.backend().leaving()) {
       return null;
@@ -63,6 +68,14 @@
     return null;
   }
 
+  /** Returns whether another life of the server is on record, or answers at its address. */
+  private static boolean isReplaced(String backend, BackendTable backends) {
+    TrackedBackend tracked = backends.find(backend);
+    return tracked == null
+        ? backends.named(Incarnation.parse(backend).server()) != null
+        : tracked.isOver();
+  }
+
   /** Returns whether it is not known what became of any back end. */
   boolean isWaiting() {
     return !open.isEmpty();
@@ -96,11 +109,12 @@
       String backend = entry.getKey();
       Open broken = entry.getValue();
       TrackedBackend tracked = backends.find(backend);
-      if (tracked == null) {
+      if (tracked == null || tracked.isOver()) {
         each.remove();
         boolean replaced =
-            backends.all().stream()
-                .anyMatch(other -> other.backend().address().equals(broken.address));
+            isReplaced(backend, backends)
+                || backends.all().stream()
+                    .anyMatch(other -> other.backend().address().equals(broken.address));
         EndEvidence evidence = replaced ? EndEvidence.REPLACED : EndEvidence.RECORD_GONE;
         ends.add(end(backend, broken, evidence, nowMillis));
       } else if (isSettled(tracked, broken, nowMillis)) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -46,6 +46,7 @@
   private long begunAtMillis = NOT_BEGUN;
   private boolean connectionLost;
   private boolean ended;
+  private final Runnable lifeOver;
   private String failure = "";
 
   Attempt(
@@ -63,6 +64,7 @@
     this.time = time;
     this.onBegun = onBegun;
     this.onResult = onResult;
+    this.lifeOver = () -> state.exchange.eventLoop().execute(this::lifeOver);
     this.share = target.load().open(state.queuedTokens(), state.promptTokens());
   }
 
@@ -70,6 +72,7 @@
     sentAtMillis = time.steadyMillis();
     sentAtMonotonicMillis = time.monotonicMillis();
     heardAtMillis = sentAtMillis;
+    target.whenOver(lifeOver);
     call =
         client.send(
             state.exchange.eventLoop(),
@@ -90,8 +93,7 @@
     }
     ended = true;
     current.cancel();
-    closeRelay();
-    share.end();
+    release();
     return current.wasSent();
   }
 
@@ -102,6 +104,14 @@
     }
   }
 
+  /** Nothing comes any more from a life that is over, though no close or reset may tell so. */
+  private void lifeOver() {
+    if (!ended) {
+      connectionLost = true;
+      abandon(brokenResult(), "its back end has started again");
+    }
+  }
+
   /** Returns whether no event of the answer has come yet. */
   boolean isWaiting() {
     StreamRelay stream = relay;
@@ -132,6 +142,10 @@
     return target;
   }
 
+  AttemptPlan plan() {
+    return plan;
+  }
+
   /** Returns why the attempt failed, in words. */
   String failure() {
     return failure;
@@ -265,12 +279,13 @@
   private void finish(AttemptResult result, String reason) {
     ended = true;
     failure = reason;
-    closeRelay();
-    share.end();
+    release();
     onResult.accept(this, result);
   }
 
-  private void closeRelay() {
+  private void release() {
+    target.forget(lifeOver);
+    share.end();
     if (relay != null) {
       relay.close();
     }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -224,6 +224,10 @@
     if (attempt.isConnectionLost()) {
       tellLost(attempt);
     }
+    if (result == AttemptResult.MISDIRECTED) {
+      path.lives()
+          .misdirected(attempt.target(), state.request.model(), attempt.plan().expectedWeights());
+    }
     if (isOwnOfRequest(attempt)) {
       path.workChanged();
     } else {
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -14,6 +14,7 @@
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.caller.MalformedRequestException;
 import org.lockdale.gateway.configuration.GatewayConfiguration;
+import org.lockdale.gateway.life.LifeWatch;
 import org.lockdale.gateway.limit.RetryBudget;
 import org.lockdale.gateway.limit.TenantLimiter;
 import org.lockdale.gateway.placement.PlacementDecider;
@@ -47,6 +48,7 @@
   private final PlacementService placements;
   private final PlacementDecider decider;
   private final Quarantine quarantine;
+  private final LifeWatch lives;
   private final String zone;
   private final AttemptObserver observer;
   private final RetryBudget budget;
@@ -71,6 +73,7 @@
    * @param placements tells where requests are served
    * @param decider what this node believes itself
    * @param quarantine tells which requests are held back
+   * @param lives told of requests that were not meant for whoever answered
    * @param zone zone of the node
    * @param observer told of the progress of attempts
    * @param time clock
@@ -86,6 +89,7 @@
       PlacementService placements,
       PlacementDecider decider,
       Quarantine quarantine,
+      LifeWatch lives,
       String zone,
       AttemptObserver observer,
       Time time) {
@@ -96,6 +100,7 @@
     this.placements = placements;
     this.decider = decider;
     this.quarantine = quarantine;
+    this.lives = lives;
     this.zone = zone;
     this.observer = observer;
     this.budget =
@@ -202,9 +207,14 @@
     return quarantine;
   }
 
+  LifeWatch lives() {
+    return lives;
+  }
+
   /** Returns whether a back end of the request's pool was not tried yet. */
   boolean hasUntried(RequestState state) {
     return blackboard.backends().value().ofPool(state.pool).stream()
+        .filter(tracked -> !tracked.isOver())
         .map(TrackedBackend::backend)
         .anyMatch(backend -> !backend.leaving() && !state.triedBackends.contains(backend.id()));
   }
--- a/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.lockdale.coordination.concurrent.Failures;
 import org.lockdale.coordination.lease.Lease;
 import org.tinylog.Logger;
 
@@ -84,18 +85,34 @@
         .whenCompleteAsync(
             (state, failure) -> {
               if (failure != null) {
-                Logger.info(
-                    "event=engine-state-failed backend={} cause={}",
-                    move.engine().backend().id(),
-                    failure.getMessage());
-                done.complete(false);
-              } else {
+                stateFailed(Failures.causeOf(failure));
+              } else if (state.isOf(move.engine().backend())) {
                 decide(state);
+              } else {
+                replaced();
               }
             },
             eventLoop);
   }
 
+  private void stateFailed(Throwable cause) {
+    if (cause instanceof ReplacedEngineException) {
+      replaced();
+      return;
+    }
+    Logger.info(
+        "event=engine-state-failed backend={} cause={}",
+        move.engine().backend().id(),
+        cause.getMessage());
+    done.complete(false);
+  }
+
+  /** Orders are counted from a start on, so one that was meant for a former life could fit. */
+  private void replaced() {
+    tools.onReplaced().accept(move.engine());
+    done.complete(false);
+  }
+
   private void decide(EngineState state) {
     state.weights().forEach(move.engine()::observeWeights);
     if (state.weights().getOrDefault(move.model(), 0L) >= move.version()) {
--- a/gateway/src/main/java/org/lockdale/gateway/weights/RolloutTools.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutTools.java
@@ -11,8 +11,10 @@
  * @param announcer tells who places requests which engines move
  * @param waitingTokens prompt tokens at an engine, of the requests of all nodes, whose answers have
  *     not begun
+ * @param onReplaced told of an engine in whose place another life of it answers
  */
 public record RolloutTools(
     EngineControl control,
     Consumer<EngineMove> announcer,
-    ToLongFunction<TrackedBackend> waitingTokens) {}
+    ToLongFunction<TrackedBackend> waitingTokens,
+    Consumer<TrackedBackend> onReplaced) {}
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/IgnoringListener.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/IgnoringListener.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import org.lockdale.protocol.generated.AdmissionAnswer;
 import org.lockdale.protocol.generated.AdmissionQuestion;
+import org.lockdale.protocol.generated.LifeOverNotice;
 import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementQuestion;
@@ -44,4 +45,7 @@
 
   @Override
   public void onSuspects(SuspectReport report) {}
+
+  @Override
+  public void onLivesOver(LifeOverNotice notice) {}
 }
--- a/gateway/src/test/java/org/lockdale/gateway/node/LifeOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/life/LifeOrderTest.java
@@ -1,4 +1,4 @@
-package org.lockdale.gateway.node;
+package org.lockdale.gateway.life;
 
 import static org.testng.Assert.assertEquals;
 
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/life/LifeWatchTest.java
@@ -0,0 +1,171 @@
+package org.lockdale.gateway.life;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.lockdale.coordination.simulation.VirtualTime;
+import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.backend.Incarnation;
+import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.quarantine.VirtualExecutor;
+import org.lockdale.gateway.weights.EngineControl;
+import org.lockdale.gateway.weights.EngineState;
+import org.lockdale.gateway.weights.LoadOrder;
+import org.lockdale.gateway.weights.OrderOutcome;
+import org.lockdale.gateway.weights.ReplacedEngineException;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * A back end crashed behind a cut and its address was in use again; for two seconds seven nodes
+ * sent some 20 requests to its record and were told each time that it was not meant. The first such
+ * answer shows that this life is over.
+ */
+public final class LifeWatchTest {
+
+  private static final String MODEL = "model";
+
+  private final VirtualTime time = new VirtualTime();
+  private BackendTable table;
+  private TrackedBackend target;
+  private List<String> told;
+  private CompletableFuture<EngineState> state;
+  private int questions;
+  private LifeWatch watch;
+
+  private final class Engine implements EngineControl {
+    @Override
+    public CompletableFuture<EngineState> state(Backend engine) {
+      questions++;
+      return state;
+    }
+
+    @Override
+    public CompletableFuture<OrderOutcome> load(Backend engine, LoadOrder order) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  @BeforeMethod
+  public void create() {
+    InetSocketAddress address = InetSocketAddress.createUnresolved("server", 1);
+    table =
+        BackendTable.EMPTY.with(
+            List.of(new Backend("i-1@7", "pool", address, "zone", 4, false, Map.of(MODEL, 5L))));
+    target = table.find("i-1@7");
+    told = new ArrayList<>();
+    questions = 0;
+    state = new CompletableFuture<>();
+    watch = new LifeWatch(new VirtualExecutor(time), new Engine(), () -> table, told::add, time);
+  }
+
+  private void misdirected(Long weights) {
+    watch.misdirected(target, MODEL, weights);
+    time.runMillis(1);
+  }
+
+  private void answers(EngineState answer) {
+    state.complete(answer);
+    time.runMillis(1);
+  }
+
+  private static EngineState tells(Long start, long version) {
+    return new EngineState(Incarnation.of("i-1", start), Map.of(MODEL, version), false, 0);
+  }
+
+  @Test
+  public void aRequestForTheInstanceAloneThatWasNotMeantShowsTheEnd() {
+    misdirected(null);
+    assertTrue(target.isOver());
+    assertEquals(told, List.of("i-1@7"));
+    misdirected(null);
+    assertEquals(told.size(), 1, "all nodes are told once");
+  }
+
+  @Test
+  public void whereWeightsWereAskedForTheEngineTellsWhichItWas() {
+    misdirected(5L);
+    assertFalse(target.isOver(), "the weights may be the reason");
+    answers(tells(8L, 5));
+    assertTrue(target.isOver());
+    assertEquals(told, List.of("i-1@7"));
+  }
+
+  @Test
+  public void anotherServerAtTheAddressShowsTheEnd() {
+    misdirected(5L);
+    state.completeExceptionally(new ReplacedEngineException("i-1@7"));
+    time.runMillis(1);
+    assertTrue(target.isOver());
+  }
+
+  @Test
+  public void anEngineThatWasTakenBackToOlderWeightsIsBelieved() {
+    target.observeWeights(MODEL, 6);
+    misdirected(6L);
+    answers(tells(7L, 4));
+    assertFalse(target.isOver());
+    assertEquals(target.weightsOf(MODEL), Long.valueOf(4));
+    target.observeWeights(MODEL, 6);
+    assertEquals(target.weightsOf(MODEL), Long.valueOf(6));
+  }
+
+  @Test
+  public void anEngineThatDoesNotAnswerShowsNothing() {
+    misdirected(5L);
+    state.completeExceptionally(new IllegalStateException("no answer"));
+    time.runMillis(1);
+    assertFalse(target.isOver());
+  }
+
+  @Test
+  public void manyMisdirectedRequestsAskOnce() {
+    for (int request = 0; request < 20; request++) {
+      misdirected(5L);
+    }
+    assertEquals(questions, 1);
+    time.runMillis(500);
+    misdirected(5L);
+    assertEquals(questions, 2);
+  }
+
+  @Test
+  public void whatOtherNodesFoundOutHoldsForThatLifeOnly() {
+    watch.told(List.of("i-1@6", "i-1", "i-2@7"));
+    assertFalse(target.isOver());
+    watch.told(List.of("i-1@7"));
+    assertTrue(target.isOver());
+    assertEquals(told, List.of(), "who found out told all");
+  }
+
+  /** Its record moved it to another address; who answers at the former one proves nothing. */
+  @Test
+  public void aLifeThatIsReachedElsewhereGoesOn() {
+    misdirected(null);
+    InetSocketAddress other = InetSocketAddress.createUnresolved("server", 2);
+    table =
+        table.with(
+            List.of(new Backend("i-1@7", "pool", other, "zone", 4, false, Map.of(MODEL, 5L))));
+    assertFalse(table.find("i-1@7").isOver());
+  }
+
+  @Test
+  public void whoWaitsForAnAnswerOfItIsToldOnce() {
+    List<String> waiting = new ArrayList<>();
+    Runnable action = () -> waiting.add("over");
+    Runnable ended = () -> waiting.add("ended before");
+    target.whenOver(action);
+    target.whenOver(ended);
+    target.forget(ended);
+    misdirected(null);
+    target.end();
+    assertEquals(waiting, List.of("over"));
+  }
+}
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/EndDetectorTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/EndDetectorTest.java
@@ -119,4 +119,36 @@
     assertTrue(detector.observe(table, EndDetector.FORGET_MILLIS + 1).isEmpty());
     assertFalse(detector.isWaiting());
   }
+
+  /** Without the start an answer of the next life would have settled the end of the former. */
+  @Test
+  public void theNextLifeUnderTheSameIdShowsTheEnd() {
+    table = BackendTable.EMPTY.with(List.of(backend("i-1@1", ADDRESS, false)));
+    detector.lost(lostAt("i-1@1", "r1"), table, 0);
+    BackendTable after = table.with(List.of(backend("i-1@2", ADDRESS, false)));
+    after.find("i-1@2").answered(100);
+    assertEquals(detector.observe(after, 250).get(0).evidence(), EndEvidence.REPLACED);
+  }
+
+  @Test
+  public void whatIsLostAtTheNextLifeIsNoPartOfTheFormerOnesEnd() {
+    table = BackendTable.EMPTY.with(List.of(backend("i-1@1", ADDRESS, false)));
+    detector.lost(lostAt("i-1@1", "r1"), table, 0);
+    detector.refused("i-1@1", 20);
+    BackendTable after = table.with(List.of(backend("i-1@2", ADDRESS, false)));
+    assertNull(detector.lost(lostAt("i-1@2", "r2"), after, 400));
+    assertTrue(detector.isWaitingFor("i-1@2"));
+  }
+
+  @Test
+  public void anotherInstanceThatAnswersShowsTheEndBeforeTheRecordDoes() {
+    lose("r1", 0);
+    table.find("i-1").end();
+    assertEquals(detector.observe(table, 250).get(0).evidence(), EndEvidence.REPLACED);
+    assertEquals(lose("r2", 300).lost().get(0).request().id(), "r2");
+  }
+
+  private static LostAttempt lostAt(String life, String requestId) {
+    return new LostAttempt(life, ADDRESS, Requests.of(requestId, "/a", "body"), "tenant", 0);
+  }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/VirtualExecutor.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/VirtualExecutor.java
@@ -9,12 +9,13 @@
 import org.lockdale.coordination.simulation.VirtualTime;
 
 /** An event loop of a simulated node, under simulated time. */
-final class VirtualExecutor extends AbstractExecutorService implements ScheduledExecutorService {
+public final class VirtualExecutor extends AbstractExecutorService
+    implements ScheduledExecutorService {
 
   private final VirtualTime time;
   private boolean stopped;
 
-  VirtualExecutor(VirtualTime time) {
+  public VirtualExecutor(VirtualTime time) {
     this.time = time;
   }
 
--- a/gateway/src/test/java/org/lockdale/gateway/weights/EngineUpdateTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/weights/EngineUpdateTest.java
@@ -15,6 +15,7 @@
 import org.lockdale.coordination.lease.LeaseRow;
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendLoad;
+import org.lockdale.gateway.backend.Incarnation;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -27,16 +28,7 @@
   private static final long LONG_LEASE_MILLIS = 60_000;
   private static final long STEP_MILLIS = 10;
 
-  private final TrackedBackend engine =
-      TrackedBackend.of(
-          new Backend(
-              "i-1",
-              "pool",
-              new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
-              "zone",
-              16,
-              false,
-              Map.of(MODEL, 1L)));
+  private TrackedBackend engine;
 
   private EmbeddedChannel channel;
   private SlowEngine control;
@@ -47,12 +39,17 @@
   private static final class SlowEngine implements EngineControl {
     private boolean ordered;
     private boolean done;
+    private long startedAtMillis = 1;
 
     @Override
     public CompletableFuture<EngineState> state(Backend backend) {
       long held = done ? 2 : 1;
       return CompletableFuture.completedFuture(
-          new EngineState(Map.of(MODEL, held), ordered && !done, ordered ? 1 : 0));
+          new EngineState(
+              Incarnation.of("i-1", startedAtMillis),
+              Map.of(MODEL, held),
+              ordered && !done,
+              ordered ? 1 : 0));
     }
 
     @Override
@@ -64,6 +61,16 @@
 
   @BeforeMethod
   public void create() {
+    engine =
+        TrackedBackend.of(
+            new Backend(
+                "i-1@1",
+                "pool",
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+                "zone",
+                16,
+                false,
+                Map.of(MODEL, 1L)));
     channel = new EmbeddedChannel();
     channel.freezeTime();
     control = new SlowEngine();
@@ -83,7 +90,8 @@
         new RolloutTools(
             control,
             move -> progress = progress.with(move, nowMillis),
-            tracked -> tracked.load().waitingTokens());
+            tracked -> tracked.load().waitingTokens(),
+            replaced -> replaced.end());
     CompletableFuture<Boolean> done =
         new EngineUpdate(
                 channel.eventLoop(),
@@ -177,4 +185,15 @@
     }
     assertEquals(nowMillis, 40);
   }
+
+  /** An order that counts from the former life's orders could fit the next one. */
+  @Test
+  public void noOrderIsGivenToAnotherLifeOfTheEngine() {
+    control.startedAtMillis = 2;
+    CompletableFuture<Boolean> done = start();
+    step();
+    assertFalse(done.join());
+    assertFalse(control.ordered);
+    assertTrue(engine.isOver());
+  }
 }
--- a/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
@@ -16,6 +16,7 @@
 import org.lockdale.protocol.generated.LeaseRecord;
 import org.lockdale.protocol.generated.NamedWeightsRecord;
 import org.lockdale.protocol.generated.NodeDatagram;
+import org.lockdale.protocol.generated.NodeNotice;
 import org.lockdale.protocol.generated.NodeRecord;
 import org.lockdale.protocol.generated.PeerMessage;
 import org.lockdale.protocol.generated.SuspectRecord;
@@ -93,6 +94,11 @@
     return of(0xBCC127BBA5988424L, NodeDatagram::readFrom);
   }
 
+  /** Returns a codec of the datagrams between gateway nodes that earlier versions don't know. */
+  public static MessageCodec<NodeNotice> nodeNotices() {
+    return of(0xA8D3FB67B66BFA9AL, NodeNotice::readFrom);
+  }
+
   /** Returns a codec of requests for parts of tables. */
   public static MessageCodec<TableSliceRequest> tableSliceRequests() {
     return of(0x0C683A7793431464L, TableSliceRequest::readFrom);
@@ -147,6 +153,11 @@
     }
   }
 
+  /** Returns whether bytes are a message of exactly the schema that this codec writes. */
+  public boolean wrote(byte[] bytes) {
+    return bytes.length >= FINGERPRINT_BYTES && readFingerprint(bytes) == fingerprint;
+  }
+
   /**
    * Decodes a message.
    *
--- a/protocol/src/test/java/org/lockdale/protocol/MessageCodecTest.java
+++ b/protocol/src/test/java/org/lockdale/protocol/MessageCodecTest.java
@@ -1,6 +1,9 @@
 package org.lockdale.protocol;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
 import java.io.ByteArrayOutputStream;
@@ -29,10 +32,12 @@
 import org.lockdale.protocol.generated.EngineMoveRecord;
 import org.lockdale.protocol.generated.ExpectedParts;
 import org.lockdale.protocol.generated.LeaseRecord;
+import org.lockdale.protocol.generated.LifeOverNotice;
 import org.lockdale.protocol.generated.MemberStatus;
 import org.lockdale.protocol.generated.MemberUpdate;
 import org.lockdale.protocol.generated.NamedWeightsRecord;
 import org.lockdale.protocol.generated.NodeDatagram;
+import org.lockdale.protocol.generated.NodeNotice;
 import org.lockdale.protocol.generated.NodeRecord;
 import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.PeerMessage;
@@ -122,6 +127,7 @@
             Map.entry(MessageCodec.nodes(), NodeRecord.getClassSchema()),
             Map.entry(MessageCodec.namedWeights(), NamedWeightsRecord.getClassSchema()),
             Map.entry(MessageCodec.nodeDatagrams(), NodeDatagram.getClassSchema()),
+            Map.entry(MessageCodec.nodeNotices(), NodeNotice.getClassSchema()),
             Map.entry(MessageCodec.suspects(), SuspectRecord.getClassSchema()),
             Map.entry(MessageCodec.tableSliceRequests(), TableSliceRequest.getClassSchema()),
             Map.entry(MessageCodec.tableSlices(), TableSlice.getClassSchema()));
@@ -136,6 +142,23 @@
     assertEquals(wrong.toString(), "{}");
   }
 
+  /** During a rolling update nodes of an earlier version read all other datagrams as ever. */
+  @Test
+  public void aNoticeIsToldFromTheDatagramsThatEarlierVersionsRead() {
+    byte[] notice =
+        MessageCodec.nodeNotices()
+            .encode(new NodeNotice("node", new LifeOverNotice(List.of("i-1@2"))));
+    byte[] datagram =
+        MessageCodec.nodeDatagrams().encode(new NodeDatagram("node", new SuspectReport(List.of())));
+    assertTrue(MessageCodec.nodeNotices().wrote(notice));
+    assertFalse(MessageCodec.nodeNotices().wrote(datagram));
+    assertFalse(MessageCodec.nodeNotices().wrote(new byte[3]));
+    assertThrows(MessageFormatException.class, () -> MessageCodec.nodeDatagrams().decode(notice));
+    assertEquals(
+        ((LifeOverNotice) MessageCodec.nodeNotices().decode(notice).getBody()).getEngines(),
+        List.of("i-1@2"));
+  }
+
   private static Stream<Message> datagramBodies() {
     return Stream.of(
         new RelayHeartbeat(1L, true, 2L, 3L, 0.5, List.of(new TableProofRecord("table", 4L, 5L))),
