--- a/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +13,8 @@
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.blackboard.GatewayBlackboard;
+import org.lockdale.gateway.configuration.GatewayConfiguration;
+import org.lockdale.gateway.configuration.Pool;
 import org.lockdale.gateway.life.LifeOrder;
 import org.lockdale.gateway.table.RowReader;
 import org.lockdale.gateway.table.SharedRecords;
@@ -77,6 +80,29 @@
     lapsed.unreachable();
   }
 
+  /** Takes in that a newer configuration is in force. */
+  void onConfiguration() {
+    publish();
+  }
+
+  /**
+   * Returns the records that belong to a pool of the configuration; those of a pool of engines run
+   * one of its models. Others may come from another writer, and a thousand of them would take the
+   * places of a rollout and of the followers of caches.
+   */
+  private List<Backend> inConfiguredPools() {
+    GatewayConfiguration configuration = blackboard.configuration().value();
+    return read.stream()
+        .filter(
+            record ->
+                configuration.pool(record.pool()).filter(pool -> serves(record, pool)).isPresent())
+        .toList();
+  }
+
+  private static boolean serves(Backend record, Pool pool) {
+    return !pool.hasEngines() || !Collections.disjoint(pool.models(), record.weights().keySet());
+  }
+
   /** Requests that run on a former life would wait for an answer that can't come. */
   private static void endIfReplaced(TrackedBackend gone, BackendTable after) {
     if (after.named(gone.backend().incarnation().server()) != null) {
@@ -102,7 +128,7 @@
     BackendTable before = blackboard.backends().value();
     List<Backend> relied = before.all().stream().map(TrackedBackend::backend).toList();
     long now = time.monotonicMillis();
-    List<Backend> current = lives.order(read, this::isOver, now);
+    List<Backend> current = lives.order(inConfiguredPools(), this::isOver, now);
     BackendTable after = before.with(lapsed.complete(relied, current, present, now));
     decideAgain(now);
     if (after.sameRecordsAs(before)) {
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -20,6 +20,7 @@
 import org.lockdale.gateway.cluster.NodeReporter;
 import org.lockdale.gateway.cluster.PeerLoads;
 import org.lockdale.gateway.cluster.PeerNode;
+import org.lockdale.gateway.cluster.PeerNotices;
 import org.lockdale.gateway.cluster.PlacementClient;
 import org.lockdale.gateway.cluster.PlacementResponder;
 import org.lockdale.gateway.cluster.RelayController;
@@ -33,16 +34,12 @@
 import org.lockdale.gateway.placement.PlacementService;
 import org.lockdale.gateway.quarantine.Quarantine;
 import org.lockdale.gateway.quarantine.Suspect;
-import org.lockdale.gateway.quarantine.SuspectMessages;
 import org.lockdale.gateway.table.StoreClock;
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.weights.EngineMove;
 import org.lockdale.gateway.weights.RolloutProgress;
 import org.lockdale.gateway.weights.WeightsPolicy;
 import org.lockdale.http.HttpClient;
-import org.lockdale.protocol.generated.LifeOverNotice;
-import org.lockdale.protocol.generated.SuspectReport;
-import org.tinylog.Logger;
 
 /** What a node does together with the other nodes: copies of tables, relays, placement. */
 final class ClusterServices {
@@ -66,11 +63,12 @@
   private final PlacementClient placements;
   private final WeightsRecorder weightsRecorder;
   private final OperatorController operators;
+  private final BackendController backends;
   private final LimitResponder limits;
   private final LimitClient limitClient;
   private final Quarantine quarantine;
   private final LifeWatch lives;
-  private long suspendedMillis;
+  private final SuspensionLog suspensions;
 
   /**
    * Creates the services; {@link #start} starts them.
@@ -96,6 +94,7 @@
     this.eventLoop = eventLoop;
     this.blackboard = blackboard;
     this.time = time;
+    suspensions = new SuspensionLog(time);
     peerLoads = new PeerLoads(time);
     cacheDirectory = cacheDirectory(protocols);
     PeerNode self = self(settings);
@@ -116,15 +115,9 @@
             this::isCoordinator,
             eventLoop,
             time);
-    operators =
-        new OperatorController(
-            blackboard,
-            protocols.records(),
-            time,
-            startedAtMillis,
-            settings.get(GatewaySettings.WEIGHTS_BOUND),
-            settings.get(GatewaySettings.NODE_CATCH_UP));
-    tables = tables(sources, settings, protocols, backendClient);
+    operators = operators(settings, protocols, startedAtMillis);
+    backends = backends(settings, protocols, backendClient);
+    tables = tables(sources, settings, protocols);
     relays = relays(settings, clock, life);
     reporter =
         new NodeReporter(
@@ -143,13 +136,44 @@
             quarantineContext(protocols, controlClient),
             blackboard.suspects(),
             settings.get(GatewaySettings.QUARANTINE_HOLD).toMillis());
-    lives =
-        new LifeWatch(
-            eventLoop,
-            protocols.engines(),
-            () -> blackboard.backends().value(),
-            this::tellLifeOver,
-            time);
+    lives = lives(protocols);
+  }
+
+  private OperatorController operators(
+      GatewaySettings settings, GatewayProtocols protocols, long startedAtMillis) {
+    return new OperatorController(
+        blackboard,
+        protocols.records(),
+        time,
+        startedAtMillis,
+        settings.get(GatewaySettings.WEIGHTS_BOUND),
+        settings.get(GatewaySettings.NODE_CATCH_UP),
+        this::configurationChanged);
+  }
+
+  private BackendController backends(
+      GatewaySettings settings, GatewayProtocols protocols, HttpClient backendClient) {
+    return new BackendController(
+        eventLoop,
+        blackboard,
+        protocols.records(),
+        backendClient,
+        TableFollowers.outage(settings),
+        time);
+  }
+
+  private LifeWatch lives(GatewayProtocols protocols) {
+    return new LifeWatch(
+        eventLoop,
+        protocols.engines(),
+        () -> blackboard.backends().value(),
+        new PeerNotices(nodes, datagrams)::lifeOver,
+        time);
+  }
+
+  /** The operators' table is followed after all is made. */
+  private void configurationChanged() {
+    backends.onConfiguration();
   }
 
   private static PeerNode self(GatewaySettings settings) {
@@ -185,22 +209,11 @@
         client::probe,
         () -> blackboard.backends().value(),
         protocols.suspects(),
-        this::tellSuspects,
+        new PeerNotices(nodes, datagrams)::suspects,
         this::isCoordinator,
         time);
   }
 
-  private void tellSuspects(List<Suspect> suspects) {
-    datagrams.send(
-        nodes.peers().stream().map(PeerNode::address).toList(),
-        new SuspectReport(suspects.stream().map(SuspectMessages::write).toList()));
-  }
-
-  private void tellLifeOver(String life) {
-    datagrams.sendNotice(
-        nodes.peers().stream().map(PeerNode::address).toList(), new LifeOverNotice(List.of(life)));
-  }
-
   /** The followers are made before the quarantine, and read after it. */
   private void suspectsOnRecord(List<Suspect> suspects) {
     quarantine.observed(suspects);
@@ -241,18 +254,7 @@
   }
 
   private TableFollowers tables(
-      TableFollower.Sources sources,
-      GatewaySettings settings,
-      GatewayProtocols protocols,
-      HttpClient backendClient) {
-    BackendController backends =
-        new BackendController(
-            eventLoop,
-            blackboard,
-            protocols.records(),
-            backendClient,
-            TableFollowers.outage(settings),
-            time);
+      TableFollower.Sources sources, GatewaySettings settings, GatewayProtocols protocols) {
     ClusterObserver cluster =
         new ClusterObserver(
             protocols.clusterTable(),
@@ -296,7 +298,7 @@
   }
 
   private void upkeep() {
-    logSuspension();
+    suspensions.tick();
     limits.refresh();
     limitClient.lend(!blackboard.configuration().value().tenantLimits().isEmpty());
     nodes.refresh();
@@ -307,14 +309,6 @@
     reporter.retain(engines);
   }
 
-  private void logSuspension() {
-    long suspended = time.suspendedMillis();
-    if (suspended > suspendedMillis) {
-      Logger.warn("event=machine-suspended millis={}", suspended - suspendedMillis);
-      suspendedMillis = suspended;
-    }
-  }
-
   /** Ceases to serve other nodes, as before a planned stop. */
   void retire() {
     relays.retire();
--- a/gateway/src/main/java/org/lockdale/gateway/node/OperatorController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/OperatorController.java
@@ -37,6 +37,7 @@
   private final Time time;
   private final long startedAtMillis;
   private final long estimatedAgeMillis;
+  private final Runnable onConfiguration;
   private long lastProofMillis = NEVER;
 
   /**
@@ -48,6 +49,7 @@
    * @param startedAtMillis monotonic time at which the process began, as far as it can tell
    * @param weightsBound longest time after new weights were named in which older ones may serve
    * @param catchUp time after a start or a break from which the node is held to every bound
+   * @param onConfiguration runs once a newer configuration is in force
    */
   OperatorController(
       GatewayBlackboard blackboard,
@@ -55,22 +57,25 @@
       Time time,
       long startedAtMillis,
       Duration weightsBound,
-      Duration catchUp) {
+      Duration catchUp,
+      Runnable onConfiguration) {
     this.blackboard = blackboard;
     this.reader = new RowReader<>(records::operatorRecord);
     this.time = time;
     this.startedAtMillis = startedAtMillis;
+    this.onConfiguration = onConfiguration;
     this.estimatedAgeMillis = weightsBound.minus(catchUp).toMillis() + RETURN_MILLIS;
   }
 
   @Override
   public void onTable(Map<String, TableRowChange> rows, boolean changed, long provenAtMillis) {
-    GatewayConfiguration inForce = blackboard.configuration().value();
-    if (changed) {
-      inForce = accept(inForce, reader.read(rows));
-    }
+    GatewayConfiguration before = blackboard.configuration().value();
+    GatewayConfiguration inForce = changed ? accept(before, reader.read(rows)) : before;
     blackboard.configuration().publish(inForce, provenAtMillis);
     lastProofMillis = provenAtMillis;
+    if (inForce != before) {
+      onConfiguration.run();
+    }
   }
 
   private GatewayConfiguration accept(GatewayConfiguration inForce, List<OperatorRecord> records) {
--- a/gateway/src/main/java/org/lockdale/gateway/table/RowReader.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/RowReader.java
@@ -17,6 +17,15 @@
  */
 public final class RowReader<T> {
 
+  /**
+   * Rejected rows that are logged in one reading; a table is read a few times a second. Another
+   * writer may put thousands of rows there.
+   */
+  private static final int MAX_LOGGED = 3;
+
+  /** Longest text of a rejected row that is logged, in characters. */
+  private static final int MAX_LOGGED_TEXT = 200;
+
   private record Reading<T>(long version, Optional<T> record) {}
 
   private final Function<TableRowChange, Optional<T>> parser;
@@ -36,24 +45,42 @@
   public List<T> read(Map<String, TableRowChange> rows) {
     Map<String, Reading<T>> current = new HashMap<>();
     List<T> records = new ArrayList<>(rows.size());
+    int rejected = 0;
     for (TableRowChange row : rows.values()) {
       Reading<T> reading = readings.get(row.key());
       if (reading == null || reading.version() != row.version()) {
-        reading = new Reading<>(row.version(), parse(row));
+        Optional<T> record = Optional.empty();
+        try {
+          record = parser.apply(row);
+        } catch (MalformedRecordException malformed) {
+          rejected++;
+          logRejected(row, malformed, rejected);
+        }
+        reading = new Reading<>(row.version(), record);
       }
       current.put(row.key(), reading);
       reading.record().ifPresent(records::add);
     }
+    if (rejected > MAX_LOGGED) {
+      Logger.warn("event=rows-rejected count={}", rejected);
+    }
     readings = current;
     return records;
   }
 
-  private Optional<T> parse(TableRowChange row) {
-    try {
-      return parser.apply(row);
-    } catch (MalformedRecordException malformed) {
-      Logger.warn("event=row-rejected key={} cause=\"{}\"", row.key(), malformed.getMessage());
-      return Optional.empty();
+  private static void logRejected(
+      TableRowChange row, MalformedRecordException malformed, int rejected) {
+    if (rejected <= MAX_LOGGED) {
+      Logger.warn(
+          "event=row-rejected key={} cause=\"{}\"",
+          printable(row.key()),
+          printable(malformed.getMessage()));
     }
   }
+
+  /** Returns one short line, whatever bytes another writer has put into a row. */
+  private static String printable(String text) {
+    String start = text.length() <= MAX_LOGGED_TEXT ? text : text.substring(0, MAX_LOGGED_TEXT);
+    return start.replaceAll("[^\\x20-\\x7e]", "?");
+  }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/node/OperatorControllerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/node/OperatorControllerTest.java
@@ -81,7 +81,8 @@
             new SteppedTime(),
             START,
             Duration.ofMillis(BOUND),
-            Duration.ofMillis(CATCH_UP));
+            Duration.ofMillis(CATCH_UP),
+            () -> {});
   }
 
   private void read(long version) {
