Soak: servers start again under their ids, and another writer puts entries into their table

Cause: each start of a stand-in had a new id, and nobody else wrote to the servers' table. Change: of three servers that were ended two keep id and weights, with a new start in all that they tell; notes and rules tell lives apart. FaultPlanTest covers them.

--- a/soak/src/main/java/org/lockdale/soak/plan/Fault.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/Fault.java
@@ -76,6 +76,15 @@
   /** A change by the operator. */
   record ByOperator(OperatorChange change) implements Fault {}
 
+  /**
+   * Another writer puts an entry into the servers' table that names no server to use.
+   *
+   * @param key key of the entry
+   * @param value what it holds, without spaces
+   * @param lastsMillis how long it stands, in milliseconds
+   */
+  record ForeignEntry(String key, String value, long lastsMillis) implements Fault {}
+
   /** A server leaves as planned, after having said so or not, and another takes its place. */
   record ServerReplaced(String server, boolean announced) implements Fault {}
 }
--- a/soak/src/main/java/org/lockdale/soak/plan/FaultPlan.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/FaultPlan.java
@@ -54,6 +54,7 @@
         }
       }
     }
+    faults.addAll(ForeignEntries.draw(seed, QUIET_START_MILLIS, last));
     faults.sort(Comparator.comparingLong(PlannedFault::atMillis));
     return new FaultPlan(seed, lengthMillis, faults);
   }
--- a/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
+++ b/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.lockdale.soak.judge.History;
 import org.lockdale.soak.judge.Note;
 import org.lockdale.soak.plan.Deployment;
@@ -42,11 +43,14 @@
 
   private static final int THREADS = 24;
 
+  private static final int RESTARTS_TO_A_NEW_ID = 3;
+
   private final Processes processes;
   private final Operator operator;
   private final NoteLog notes;
   private final List<String> nodes;
   private final Map<String, ProcessTrouble> busy = new ConcurrentHashMap<>();
+  private final AtomicInteger restarts = new AtomicInteger();
   private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(THREADS);
 
   FaultInjector(Processes processes, Operator operator, NoteLog notes, List<String> nodes) {
@@ -99,6 +103,8 @@
       harm(link);
     } else if (fault instanceof Fault.OnStore onStore) {
       harmStore(onStore);
+    } else if (fault instanceof Fault.ForeignEntry entry) {
+      writeForeign(entry);
     } else if (fault instanceof Fault.ByOperator change) {
       operator.change(change.change());
     } else if (fault instanceof Fault.ServerReplaced replaced) {
@@ -226,7 +232,17 @@
       processes.startNode(name);
       return;
     }
-    removeRow(processes.servers().get(name).instance());
+    // Of three servers that were ended two keep their ids; a replacement has one of its own.
+    if (restarts.incrementAndGet() % RESTARTS_TO_A_NEW_ID == 0) {
+      startUnderANewId(name);
+    } else {
+      processes.startServerAgain(name);
+    }
+  }
+
+  private void startUnderANewId(String name) throws IOException {
+    Processes.Server ended = processes.servers().get(name);
+    noteLeaving(ended.instance(), processes.store().remove("servers", ended.id()));
     processes.startServer(name, operator.weights());
   }
 
@@ -237,11 +253,14 @@
     Thread.sleep(SERVE_ON_MILLIS);
     leaving.process().signal("KILL");
     leaving.process().awaitEnd(GRACE_MILLIS);
-    startAgain(name);
+    startUnderANewId(name);
   }
 
-  private void removeRow(String instance) {
-    noteLeaving(instance, processes.store().remove("servers", instance));
+  /** Writes an entry that names no server into the servers' table, and takes it away again. */
+  private void writeForeign(Fault.ForeignEntry entry) throws InterruptedException {
+    processes.store().put("servers", entry.key(), entry.value());
+    Thread.sleep(entry.lastsMillis());
+    processes.store().remove("servers", entry.key());
   }
 
   private void noteLeaving(String instance, CompletableFuture<Long> acknowledged) {
@@ -255,7 +274,7 @@
     Set<Processes.Server> servers = new HashSet<>(processes.servers().values());
     for (Processes.Server server : servers) {
       if (server.lastBeatMillis() < silentSince) {
-        processes.store().removeIfPresent("servers", server.instance());
+        processes.store().removeIfPresent("servers", server.id());
       }
     }
   }
--- a/soak/src/main/java/org/lockdale/soak/run/Processes.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Processes.java
@@ -22,6 +22,7 @@
 import org.lockdale.soak.plan.Deployment;
 import org.lockdale.soak.standin.Addresses;
 import org.lockdale.soak.standin.Guard;
+import org.lockdale.soak.standin.ServerBase;
 import org.lockdale.soak.standin.StandInProcess;
 import org.lockdale.soak.standin.StandardStreams;
 
@@ -46,18 +47,33 @@
 
   /** A server as it runs now, with the row that it said last. */
   record Server(
-      String instance,
+      String id,
+      long startedAtMillis,
       ManagedProcess process,
       long lastBeatMillis,
       Visibility visibility,
       String row) {
 
     Server withBeat(long millis, String newRow) {
-      return new Server(instance, process, millis, visibility, newRow);
+      return new Server(id, startedAtMillis, process, millis, visibility, newRow);
     }
 
     Server with(Visibility newVisibility) {
-      return new Server(instance, process, lastBeatMillis, newVisibility, row);
+      return new Server(id, startedAtMillis, process, lastBeatMillis, newVisibility, row);
+    }
+
+    /** Returns the name of this life in notes. */
+    String instance() {
+      return ServerBase.nameOf(id, startedAtMillis);
+    }
+
+    /** Returns the version of the weights that it told last, or 0 for none. */
+    long weights() {
+      return StandardStreams.parse(row, ObjectNode.class)
+          .path("models")
+          .path(0)
+          .path("version")
+          .asLong();
     }
   }
 
@@ -169,12 +185,24 @@
   }
 
   void startCacheStore() throws IOException {
-    standIn(Deployment.CACHE_STORE, line -> {}, "cache-store", Deployment.CACHE_STORE);
+    standIn(Deployment.CACHE_STORE, line -> {}, "cache-store", Deployment.CACHE_STORE, "1");
   }
 
-  /** Starts a server in a new incarnation. */
+  /** Starts a server under a new id. */
   void startServer(String name, long weights) throws IOException {
-    String instance = name + "." + incarnations.merge(name, 1, Integer::sum);
+    startServer(name, name + "." + incarnations.merge(name, 1, Integer::sum), weights);
+  }
+
+  /** Starts a server again under the id that it had, with the weights that it had. */
+  void startServerAgain(String name) throws IOException {
+    Server before = Objects.requireNonNull(servers.get(name));
+    startServer(name, before.id(), Math.max(1, before.weights()));
+  }
+
+  private void startServer(String name, String id, long weights) throws IOException {
+    long startedAt = System.currentTimeMillis();
+    String start = Long.toString(startedAt);
+    String instance = ServerBase.nameOf(id, startedAt);
     String service = serviceOf(name);
     ManagedProcess process =
         name.startsWith("engine")
@@ -182,13 +210,15 @@
                 name,
                 line -> hear(name, instance, line),
                 "engine",
-                instance,
+                id,
+                start,
                 service,
                 MODEL,
                 Long.toString(weights))
-            : standIn(name, line -> hear(name, instance, line), "plain", instance, service);
+            : standIn(name, line -> hear(name, instance, line), "plain", id, start, service);
     servers.put(
-        name, new Server(instance, process, StandardStreams.nowMillis(), Visibility.READY, "{}"));
+        name,
+        new Server(id, startedAt, process, StandardStreams.nowMillis(), Visibility.READY, "{}"));
   }
 
   private static String serviceOf(String name) {
@@ -270,7 +300,7 @@
     if (server != null
         && server.instance().equals(instance)
         && server.visibility() != Visibility.HIDDEN) {
-      store().putIfChanged("servers", instance, rowOf(name, server));
+      store().putIfChanged("servers", server.id(), rowOf(name, server));
     }
   }
 
@@ -291,8 +321,8 @@
         Objects.requireNonNull(
             servers.computeIfPresent(name, (key, known) -> known.with(visibility)));
     return announced
-        ? store().put("servers", server.instance(), rowOf(name, server))
-        : store().remove("servers", server.instance());
+        ? store().put("servers", server.id(), rowOf(name, server))
+        : store().remove("servers", server.id());
   }
 
   @Override
--- a/soak/src/main/java/org/lockdale/soak/standin/CacheStoreServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/CacheStoreServer.java
@@ -9,8 +9,8 @@
 
   private final CachedParts cache = new CachedParts();
 
-  CacheStoreServer(String instance) {
-    super(instance, "prompts");
+  CacheStoreServer(Life life) {
+    super(life, "prompts");
   }
 
   @Override
--- a/soak/src/main/java/org/lockdale/soak/standin/EngineServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/EngineServer.java
@@ -43,15 +43,15 @@
   private long orders;
   private long highestFence;
 
-  EngineServer(String instance, String service, String model, long weights) {
-    super(instance, service);
+  EngineServer(Life life, String service, String model, long weights) {
+    super(life, service);
     this.model = model;
     this.weights = weights;
   }
 
   @Override
   synchronized String row() {
-    ObjectNode row = StandardStreams.MAPPER.createObjectNode().put("slots", SLOTS);
+    ObjectNode row = rowOf(SLOTS);
     row.put("stage", "colocated");
     row.putArray("models").addObject().put("name", model).put("version", weights);
     return row.toString();
@@ -65,7 +65,7 @@
     } else if (path.equals("/order")) {
       answer(connection, order(request), "", "");
     } else if (path.equals("/health")) {
-      answer(connection, OK, "", "", "Lockdale-Instance-Id: " + instance());
+      answer(connection, OK, "", "", "Lockdale-Instance-Id: " + id());
     } else {
       return CacheCalls.serve(cache, request, connection);
     }
@@ -73,7 +73,7 @@
   }
 
   private synchronized String report() {
-    ObjectNode body = StandardStreams.MAPPER.createObjectNode().put("stage", "colocated");
+    ObjectNode body = self().put("stage", "colocated");
     body.putArray("models").addObject().put("name", model).put("version", weights);
     return body.put("busy", busy)
         .put("seq", orders)
@@ -84,7 +84,7 @@
 
   private synchronized int order(Received request) throws IOException {
     String target = request.header(Wire.TARGET);
-    if (target != null && !target.equals(instance())) {
+    if (target != null && !target.equals(id())) {
       return MISDIRECTED;
     }
     JsonNode body = StandardStreams.MAPPER.readTree(request.body());
--- a/soak/src/main/java/org/lockdale/soak/standin/PlainServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/PlainServer.java
@@ -18,13 +18,13 @@
 
   private int running;
 
-  PlainServer(String instance, String service) {
-    super(instance, service);
+  PlainServer(Life life, String service) {
+    super(life, service);
   }
 
   @Override
   String row() {
-    return StandardStreams.MAPPER.createObjectNode().put("slots", SLOTS).toString();
+    return rowOf(SLOTS).toString();
   }
 
   @Override
@@ -32,7 +32,7 @@
     if (!request.line().startsWith("GET /health")) {
       return false;
     }
-    answer(connection, OK, "", "", "Lockdale-Instance-Id: " + instance());
+    answer(connection, OK, "", "", "Lockdale-Instance-Id: " + id());
     return true;
   }
 
--- a/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
@@ -1,5 +1,6 @@
 package org.lockdale.soak.standin;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -23,21 +24,40 @@
 
   private static final long CRASH_MILLIS = 40;
 
-  private final String instance;
+  private final Life life;
   private final String service;
   private final AtomicLong runs = new AtomicLong();
 
-  ServerBase(String instance, String service) {
-    this.instance = instance;
+  /**
+   * One life of a server.
+   *
+   * @param id id of the server, which it keeps when it starts again
+   * @param startedAtMillis Unix time of its start
+   */
+  record Life(String id, long startedAtMillis) {
+
+    /** Returns the name by which notes tell lives apart. */
+    String name() {
+      return nameOf(id, startedAtMillis);
+    }
+  }
+
+  ServerBase(Life life, String service) {
+    this.life = life;
     this.service = service;
   }
 
+  /** Returns the name by which notes tell the lives of servers apart. */
+  public static String nameOf(String id, long startedAtMillis) {
+    return id + "@" + startedAtMillis;
+  }
+
   /** Serves until the driver has gone, and says so to the store at every heartbeat. */
   final void run(InetSocketAddress address, long heartbeatMillis) throws IOException {
     RawBackend[] backend = new RawBackend[1];
     backend[0] =
         new RawBackend(
-            instance,
+            life.id(),
             address,
             (request, connection) -> {
               if (backend[0] != null) {
@@ -67,8 +87,24 @@
     StandardStreams.say(StandardStreams.ROW + row());
   }
 
+  /** Returns the name of this life in notes. */
   final String instance() {
-    return instance;
+    return life.name();
+  }
+
+  /** Returns the id by which it is meant on the wire. */
+  final String id() {
+    return life.id();
+  }
+
+  /** Returns what this server says of itself in all answers about itself. */
+  final ObjectNode self() {
+    return StandardStreams.MAPPER.createObjectNode().put("born", life.startedAtMillis());
+  }
+
+  /** Returns the part of its row that all servers have. */
+  final ObjectNode rowOf(int slots) {
+    return self().put("slots", slots).put("coldRemainingMs", 0).put("seq", 1);
   }
 
   final String service() {
@@ -95,9 +131,9 @@
       return;
     }
     StandardStreams.note(
-        new Note.Arrived(StandardStreams.nowMillis(), instance, service, request.id()));
+        new Note.Arrived(StandardStreams.nowMillis(), instance(), service, request.id()));
     String target = request.header(Wire.TARGET);
-    if (target != null && !target.equals(instance)) {
+    if (target != null && !target.equals(life.id())) {
       reject(request, connection, MISDIRECTED);
       return;
     }
@@ -107,13 +143,13 @@
   /** Answers that a request was not run. */
   final void reject(Received request, Socket connection, int status) throws IOException {
     StandardStreams.note(
-        new Note.Rejected(StandardStreams.nowMillis(), instance, request.id(), status));
+        new Note.Rejected(StandardStreams.nowMillis(), instance(), request.id(), status));
     answer(connection, status, request.id(), "", Wire.NOT_EXECUTED + ": 1");
   }
 
   /** Notes that a run begins and returns its id. */
   final String begin(Received request, long weights, long plannedMillis) {
-    String run = instance + "/" + runs.incrementAndGet();
+    String run = instance() + "/" + runs.incrementAndGet();
     String[] line = request.line().split(" ");
     RequestFacts facts =
         new RequestFacts(
@@ -126,7 +162,7 @@
     StandardStreams.note(
         new Note.Begun(
             StandardStreams.nowMillis(),
-            instance,
+            instance(),
             service,
             request.id(),
             run,
@@ -149,7 +185,7 @@
             () -> {
               pause(CRASH_MILLIS);
               StandardStreams.note(
-                  new Note.Crashed(StandardStreams.nowMillis(), instance, requestId));
+                  new Note.Crashed(StandardStreams.nowMillis(), instance(), requestId));
               Runtime.getRuntime().halt(1);
             },
             "crash");
--- a/soak/src/main/java/org/lockdale/soak/standin/StandInProcess.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/StandInProcess.java
@@ -6,8 +6,8 @@
 import java.util.logging.Logger;
 
 /**
- * Runs one stand-in: {@code store IP PORT}, {@code engine IP PORT INSTANCE SERVICE MODEL VERSION},
- * {@code plain IP PORT INSTANCE SERVICE} or {@code cache-store IP PORT INSTANCE}.
+ * Runs one stand-in: {@code store IP PORT}, {@code engine IP PORT ID START SERVICE MODEL VERSION},
+ * {@code plain IP PORT ID START SERVICE} or {@code cache-store IP PORT ID START}.
  */
 public final class StandInProcess {
 
@@ -23,11 +23,17 @@
     switch (arguments[0]) {
       case "store" -> StoreProcess.run(address);
       case "engine" ->
-          new EngineServer(arguments[3], arguments[4], arguments[5], Long.parseLong(arguments[6]))
+          new EngineServer(
+                  lifeOf(arguments), arguments[5], arguments[6], Long.parseLong(arguments[7]))
               .run(address, HEARTBEAT_MILLIS);
-      case "plain" -> new PlainServer(arguments[3], arguments[4]).run(address, HEARTBEAT_MILLIS);
-      case "cache-store" -> new CacheStoreServer(arguments[3]).run(address, HEARTBEAT_MILLIS);
+      case "plain" ->
+          new PlainServer(lifeOf(arguments), arguments[5]).run(address, HEARTBEAT_MILLIS);
+      case "cache-store" -> new CacheStoreServer(lifeOf(arguments)).run(address, HEARTBEAT_MILLIS);
       default -> throw new IllegalArgumentException("there is no stand-in " + arguments[0]);
     }
   }
+
+  private static ServerBase.Life lifeOf(String... arguments) {
+    return new ServerBase.Life(arguments[3], Long.parseLong(arguments[4]));
+  }
 }
--- a/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
+++ b/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
@@ -67,6 +67,9 @@
     if (fault instanceof Fault.ByOperator byOperator) {
       return byOperator.change();
     }
+    if (fault instanceof Fault.ForeignEntry entry) {
+      return entry.value();
+    }
     return ((Fault.ServerReplaced) fault).announced();
   }
 }
