--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/life/LifeSimulationTest.java
@@ -0,0 +1,32 @@
+package org.lockdale.gateway.life;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.Reporter;
+import org.testng.annotations.Test;
+
+/** All nodes come to know which life of each server there is, whatever happened before. */
+public final class LifeSimulationTest {
+
+  /** A few seeds in CI; {@code -Dlife.seeds=200} by hand. */
+  private static final int SEEDS = Integer.getInteger("life.seeds", 4);
+
+  @Test
+  public void allNodesComeToKnowTheLivesThereAre() {
+    long sends = 0;
+    long misdirected = 0;
+    for (int seed = 0; seed < SEEDS; seed++) {
+      LifeSimulation.Result result = new LifeSimulation(seed).run();
+      String what = "seed " + seed + ": " + result;
+      assertEquals(result.wrongAtTheEnd(), 0, what);
+      assertEquals(result.wronglyOver(), 0, what);
+      assertEquals(result.newerThanHeld(), 0, what);
+      assertEquals(result.workLeft(), 0, what);
+      sends += result.sends();
+      misdirected += result.misdirected();
+    }
+    Reporter.log(SEEDS + " seeds: " + misdirected + " of " + sends + " turned away", true);
+    assertTrue(misdirected < sends / 10, misdirected + " of " + sends);
+  }
+}
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
@@ -47,7 +47,7 @@
     private final Set<Run> runs = new LinkedHashSet<>();
 
     Server(int index) {
-      id = "s" + index + "-0";
+      id = "s" + index + "@0";
       address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1_000 + index);
     }
 
@@ -68,7 +68,8 @@
     }
 
     private void startAgain() {
-      id = id.substring(0, id.indexOf('-') + 1) + ends;
+      // The server keeps its id; its start tells the next life.
+      id = id.substring(0, id.indexOf('@') + 1) + ends;
       up = true;
       nodes.forEach(Node::readServers);
     }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulationTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulationTest.java
@@ -20,6 +20,7 @@
   public Object[][] plans() {
     Waves third = new Waves(0.33, 3_000, 3_000);
     Waves half = new Waves(0.5, 3_000, 3_000);
+    Waves quick = new Waves(0.33, 2_000, 800);
     Waves flapping = new Waves(0.33, 400, 300);
     return new Object[][] {
       // Nodes, guilty requests, copies at once, repeats of innocent callers, waves, disturbed.
@@ -30,6 +31,7 @@
       {"flapping servers", new SimulationPlan(7, 1, 1, 8, flapping, false), 0.06},
       {"disturbed nodes", new SimulationPlan(7, 2, 1, 1, Waves.NONE, true), 0.002},
       {"all at once", new SimulationPlan(7, 2, 2, 3, third, true), 0.002},
+      {"back within a second", new SimulationPlan(7, 2, 1, 3, quick, true), 0.01},
       {"twenty nodes", new SimulationPlan(20, 2, 3, 3, third, true), 0.002},
     };
   }
