A connection that is closed at once, twice in a row, shows that a back end has ended

Ruled out: one closed connection as evidence, since full servers do that now and then. Change: the probe waits 30 ms for a close; two in a row are evidence, which an answer to a later attempt takes back as ever.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/EndDetector.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/EndDetector.java
@@ -86,10 +86,14 @@
     return open.containsKey(backend);
   }
 
-  /** Takes in that the address of a back end refuses connections. */
-  @Nullable BackendEnd refused(String backend, long nowMillis) {
+  /**
+   * Takes in what the address of a back end does with new connections.
+   *
+   * @param evidence what shows that nothing listens there
+   */
+  @Nullable BackendEnd unreachable(String backend, EndEvidence evidence, long nowMillis) {
     Open broken = open.remove(backend);
-    return broken == null ? null : end(backend, broken, EndEvidence.REFUSES_CONNECTIONS, nowMillis);
+    return broken == null ? null : end(backend, broken, evidence, nowMillis);
   }
 
   private BackendEnd end(String backend, Open broken, EndEvidence evidence, long nowMillis) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/EndWatch.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/EndWatch.java
@@ -69,22 +69,37 @@
     if (known != null) {
       tell(known);
     } else if (first && detector.isWaitingFor(attempt.backend())) {
-      eventLoop.schedule(() -> probe(attempt), PROBE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+      probeAfterDelay(attempt, false);
     } else if (first) {
       Logger.info(
           "event=backend-left backend={} request={}", attempt.backend(), attempt.request().id());
     }
   }
 
-  private void probe(LostAttempt attempt) {
+  private void probeAfterDelay(LostAttempt attempt, boolean closedBefore) {
+    eventLoop.schedule(
+        () -> probe(attempt, closedBefore), PROBE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void probe(LostAttempt attempt, boolean closedBefore) {
     prober
         .apply(attempt.address())
-        .thenAcceptAsync(reachability -> probed(attempt.backend(), reachability), eventLoop);
+        .thenAcceptAsync(reachability -> probed(attempt, reachability, closedBefore), eventLoop);
   }
 
-  private void probed(String backend, Reachability reachability) {
+  private void probed(LostAttempt attempt, Reachability reachability, boolean closedBefore) {
+    String backend = attempt.backend();
+    long now = time.monotonicMillis();
     if (reachability == Reachability.REFUSES) {
-      tell(detector.refused(backend, time.monotonicMillis()));
+      tell(detector.unreachable(backend, EndEvidence.REFUSES_CONNECTIONS, now));
+      return;
+    }
+    if (reachability == Reachability.CLOSES && !closedBefore) {
+      probeAfterDelay(attempt, true);
+      return;
+    }
+    if (reachability == Reachability.CLOSES) {
+      tell(detector.unreachable(backend, EndEvidence.CLOSES_CONNECTIONS, now));
       return;
     }
     // A process that listens may be the next one already; its record will tell.
--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -24,6 +24,9 @@
 /** An HTTP/1.1 client with pooled connections, one exchange a connection at a time. */
 public final class HttpClient {
 
+  /** A proxy learns within a round trip of its own that nobody listens behind it. */
+  private static final long CLOSED_AT_ONCE_MILLIS = 30;
+
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final int MAX_REPLY_BYTES = 64 * 1024 * 1024;
 
@@ -149,8 +152,7 @@
         .addListener(
             (Future<Channel> connected) -> {
               if (connected.isSuccess()) {
-                connected.getNow().close();
-                result.complete(Reachability.ACCEPTS);
+                awaitClose(connected.getNow(), result);
               } else {
                 result.complete(reachabilityOf(connected.cause()));
               }
@@ -158,6 +160,19 @@
     return result;
   }
 
+  private static void awaitClose(Channel channel, CompletableFuture<Reachability> result) {
+    channel.closeFuture().addListener(closed -> result.complete(Reachability.CLOSES));
+    channel
+        .eventLoop()
+        .schedule(
+            () -> {
+              result.complete(Reachability.ACCEPTS);
+              channel.close();
+            },
+            CLOSED_AT_ONCE_MILLIS,
+            TimeUnit.MILLISECONDS);
+  }
+
   private static Reachability reachabilityOf(Throwable cause) {
     boolean unanswered =
         cause instanceof ConnectTimeoutException
--- a/http/src/test/java/org/lockdale/http/HttpClientTest.java
+++ b/http/src/test/java/org/lockdale/http/HttpClientTest.java
@@ -11,8 +11,10 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -143,6 +145,28 @@
     }
   }
 
+  /** As a proxy does before a process that is gone. */
+  @Test
+  public void aProbeTellsThatConnectionsAreClosedAtOnce() throws Exception {
+    try (ServerSocket proxy = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      Thread closer =
+          new Thread(
+              () -> {
+                try {
+                  proxy.accept().close();
+                } catch (IOException ended) {
+                  // The test is over.
+                }
+              });
+      closer.start();
+      InetSocketAddress address = (InetSocketAddress) proxy.getLocalSocketAddress();
+      assertEquals(
+          new HttpClient(group).probe(address).get(TIMEOUT_SECONDS, TimeUnit.SECONDS),
+          Reachability.CLOSES);
+      closer.join();
+    }
+  }
+
   @Test
   public void aProbeTellsWhetherAProcessListens() throws Exception {
     HttpClient client = new HttpClient(group);
