--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -24,8 +24,11 @@
 /** An HTTP/1.1 client with pooled connections, one exchange a connection at a time. */
 public final class HttpClient {
 
-  /** A proxy learns within a round trip of its own that nobody listens behind it. */
-  private static final long CLOSED_AT_ONCE_MILLIS = 30;
+  /**
+   * A proxy learns within a round trip that nobody listens behind it. One that looks up first whose
+   * connection it is took longer than 30 ms for 88 of 88 probes in a loaded soak.
+   */
+  private static final long CLOSED_AT_ONCE_MILLIS = 250;
 
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final int MAX_REPLY_BYTES = 64 * 1024 * 1024;
