--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/EndEvidence.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/EndEvidence.java
@@ -5,9 +5,9 @@
   /** Its address refuses connections; seen within milliseconds. */
   REFUSES_CONNECTIONS,
   /**
-   * Its address takes connections and closes them at once, twice in a row; seen within a tenth of a
-   * second. A server with all connections it takes does the same, so an answer to a later attempt
-   * takes the end back.
+   * Its address takes connections and closes them at once, twice in a row; seen within 0.6 s. A
+   * server with all connections it takes does the same, so an answer to a later attempt takes the
+   * end back.
    */
   CLOSES_CONNECTIONS,
   /** Another incarnation is on record at its address; seen seconds later. */
--- a/gateway/src/main/java/org/lockdale/gateway/table/TableCopy.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableCopy.java
@@ -110,8 +110,8 @@
 
   /**
    * Returns whether this copy no longer knows what changed after a version, and holds so many rows
-   * that to tell them all to each node would fill a link: 300 nodes were sent 115 MB after a start
-   * of all, where each lacked one row of 3,000.
+   * that to tell them all to each node would fill a link: 115 MB for 300 nodes, calculated, of
+   * which half lack one row of 3,000 after a start of all.
    */
   boolean hasTooMuchToTellAfter(long version) {
     return version != UNKNOWN && version < historyFrom && rows.size() > MOST_TOLD_ROWS;
