--- a/gateway/src/test/java/org/lockdale/gateway/table/TableCopyHerdTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/table/TableCopyHerdTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.testng.annotations.Test;
 
@@ -73,4 +74,16 @@
     small.replace(Map.of("i-1", row(1, 10_000)), 10_000);
     assertFalse(small.hasTooMuchToTellAfter(9_999));
   }
+
+  /**
+   * Servers that start at the same time as the nodes do are changes, and all nodes lack them all.
+   */
+  @Test
+  public void aRelayDoesNotTellThousandsOfChangesToEachNode() {
+    TableCopy relay = new TableCopy();
+    relay.replace(Map.of(), 0);
+    relay.apply(List.copyOf(table(SERVERS).values()));
+    long bytes = NODES * bytesTold(relay, 0);
+    assertTrue(bytes <= MOST_BYTES, bytes + " bytes for " + NODES + " nodes");
+  }
 }
