Processor time by thread and bytes by kind of message are logged each ten seconds

Change: ProcessorTimes reads the system's files of the threads (the JVM's own beans don't know the compiler), TrafficMeter counts datagrams by type, slices of tables by table and calls of the control client by path; two lines each ten seconds and before a planned stop. Event loops are named requests and control.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
@@ -13,6 +13,7 @@
 import java.util.Collection;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.lockdale.gateway.usage.TrafficMeter;
 import org.lockdale.http.HttpBindException;
 import org.lockdale.protocol.Message;
 import org.lockdale.protocol.MessageCodec;
@@ -40,6 +41,7 @@
   private final String nodeId;
   private final InetSocketAddress address;
   private final EventLoop eventLoop;
+  private final TrafficMeter meter;
   private final MessageCodec<NodeDatagram> codec = MessageCodec.nodeDatagrams();
   private final MessageCodec<NodeNotice> noticeCodec = MessageCodec.nodeNotices();
   private @Nullable Channel channel;
@@ -50,11 +52,14 @@
    * @param nodeId id of this node
    * @param address where this node takes datagrams
    * @param eventLoop runs the exchange
+   * @param meter counts what is sent and received
    */
-  public DatagramExchange(String nodeId, InetSocketAddress address, EventLoop eventLoop) {
+  public DatagramExchange(
+      String nodeId, InetSocketAddress address, EventLoop eventLoop, TrafficMeter meter) {
     this.nodeId = nodeId;
     this.address = address;
     this.eventLoop = eventLoop;
+    this.meter = meter;
   }
 
   /**
@@ -84,22 +89,27 @@
   /** Sends a message to several nodes. */
   public void send(Collection<InetSocketAddress> receivers, Message body) {
     if (!receivers.isEmpty()) {
-      sendBytes(receivers, codec.encode(new NodeDatagram(nodeId, body)));
+      sendBytes(receivers, kindOf(body), codec.encode(new NodeDatagram(nodeId, body)));
     }
   }
 
   /** Sends a notice to several nodes; those of an earlier version drop it. */
   public void sendNotice(Collection<InetSocketAddress> receivers, Message body) {
     if (!receivers.isEmpty()) {
-      sendBytes(receivers, noticeCodec.encode(new NodeNotice(nodeId, body)));
+      sendBytes(receivers, kindOf(body), noticeCodec.encode(new NodeNotice(nodeId, body)));
     }
   }
 
-  private void sendBytes(Collection<InetSocketAddress> receivers, byte[] message) {
+  private static String kindOf(Object body) {
+    return body.getClass().getSimpleName();
+  }
+
+  private void sendBytes(Collection<InetSocketAddress> receivers, String kind, byte[] message) {
     Channel bound = channel;
     if (bound == null) {
       return;
     }
+    meter.sent(kind, (long) receivers.size() * message.length);
     for (InetSocketAddress receiver : receivers) {
       bound.write(
           new DatagramPacket(Unpooled.wrappedBuffer(message), receiver), bound.voidPromise());
@@ -120,9 +130,13 @@
       try {
         byte[] message = ByteBufUtil.getBytes(packet.content());
         if (noticeCodec.wrote(message)) {
-          dispatch(noticeCodec.decode(message));
+          NodeNotice notice = noticeCodec.decode(message);
+          meter.received(kindOf(notice.getBody()), message.length);
+          dispatch(notice);
         } else {
-          dispatch(codec.decode(message), packet.sender());
+          NodeDatagram datagram = codec.decode(message);
+          meter.received(kindOf(datagram.getBody()), message.length);
+          dispatch(datagram, packet.sender());
         }
       } catch (RuntimeException malformed) {
         Logger.debug("event=datagram-rejected sender={}", packet.sender());
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/TableSliceHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/TableSliceHandler.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.table.TableFollower;
+import org.lockdale.gateway.usage.TrafficMeter;
 import org.lockdale.http.HttpExchange;
 import org.lockdale.http.HttpHandler;
 import org.lockdale.http.HttpProtocolError;
@@ -35,6 +36,7 @@
   private final EventLoop eventLoop;
   private final List<TableFollower> followers;
   private final Time time;
+  private final TrafficMeter meter;
   private final MessageCodec<TableSliceRequest> requests = MessageCodec.tableSliceRequests();
   private final MessageCodec<TableSlice> slices = MessageCodec.tableSlices();
 
@@ -44,11 +46,14 @@
    * @param eventLoop event loop of the followers
    * @param followers copies of tables
    * @param time clock
+   * @param meter counts what is told, by table
    */
-  public TableSliceHandler(EventLoop eventLoop, List<TableFollower> followers, Time time) {
+  public TableSliceHandler(
+      EventLoop eventLoop, List<TableFollower> followers, Time time, TrafficMeter meter) {
     this.eventLoop = eventLoop;
     this.followers = followers;
     this.time = time;
+    this.meter = meter;
   }
 
   @Override
@@ -74,7 +79,9 @@
     if (mayAskTheStore && follower.get().hasTooMuchToTellAfter(request.getAfterChange())) {
       return HttpReply.text(GONE, "The changes are no longer known here; ask the store for them.");
     }
-    return HttpReply.of(OK, MEDIA_TYPE, slices.encode(slice(follower.get(), request)));
+    byte[] slice = slices.encode(slice(follower.get(), request));
+    meter.sent("slice-" + request.getTable(), slice.length);
+    return HttpReply.of(OK, MEDIA_TYPE, slice);
   }
 
   private TableSlice slice(TableFollower follower, TableSliceRequest request) {
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -36,6 +36,7 @@
 import org.lockdale.gateway.quarantine.Suspect;
 import org.lockdale.gateway.table.StoreClock;
 import org.lockdale.gateway.table.TableFollower;
+import org.lockdale.gateway.usage.TrafficMeter;
 import org.lockdale.gateway.weights.EngineMove;
 import org.lockdale.gateway.weights.RolloutProgress;
 import org.lockdale.gateway.weights.WeightsPolicy;
@@ -79,6 +80,7 @@
    * @param protocols adapters of the deployment
    * @param controlClient calls other nodes
    * @param backendClient told of back ends that are gone
+   * @param meter counts what is exchanged with other nodes
    * @param time clock
    * @param startedAtMillis monotonic time at which the process began
    */
@@ -89,6 +91,7 @@
       GatewayProtocols protocols,
       HttpClient controlClient,
       HttpClient backendClient,
+      TrafficMeter meter,
       Time time,
       long startedAtMillis) {
     this.eventLoop = eventLoop;
@@ -100,7 +103,7 @@
     PeerNode self = self(settings);
     long life = ThreadLocalRandom.current().nextLong();
     nodes = new NodeRegistry(eventLoop, protocols.clusterTable(), self, time);
-    datagrams = new DatagramExchange(self.id(), self.address(), eventLoop);
+    datagrams = new DatagramExchange(self.id(), self.address(), eventLoop, meter);
     LimitBound bound = limitBound(settings);
     limits =
         new LimitResponder(datagrams, () -> blackboard.configuration().value(), bound, life, time);
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +18,9 @@
 import org.lockdale.gateway.quarantine.QuarantineHandler;
 import org.lockdale.gateway.request.RequestLimits;
 import org.lockdale.gateway.request.RequestPath;
+import org.lockdale.gateway.usage.ProcessorTimes;
+import org.lockdale.gateway.usage.TrafficMeter;
+import org.lockdale.gateway.usage.UsageLog;
 import org.lockdale.gateway.weights.RolloutController;
 import org.lockdale.gateway.weights.RolloutTools;
 import org.lockdale.gateway.weights.WeightsPolicy;
@@ -47,7 +51,16 @@
   /** A request may hold a connection of its caller and one to a back end. */
   private static final int FILES_OF_A_REQUEST = 2;
 
+  /**
+   * A line each ten seconds costs nothing that can be measured, and a day of half a minute on which
+   * processor time runs out still has some.
+   */
+  private static final long USAGE_MILLIS = 10_000;
+
   private final GatewaySettings settings;
+  private final TrafficMeter meter = new TrafficMeter();
+  private final UsageLog usage =
+      new UsageLog(ProcessorTimes.ofThisProcess()::millisByThread, meter::totals);
   private final GatewayBlackboard blackboard = GatewayBlackboard.empty();
   private final Time time = SystemTime.instance();
   private final EventLoopGroup group;
@@ -66,14 +79,12 @@
       @Nullable EarlyListener listener,
       long startedAtMillis) {
     this.settings = settings;
-    group =
-        new MultiThreadIoEventLoopGroup(
-            settings.get(GatewaySettings.THREADS), NioIoHandler.newFactory());
-    EventLoopGroup controlGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    group = eventLoops("requests", settings.get(GatewaySettings.THREADS));
+    EventLoopGroup controlGroup = eventLoops("control", 1);
     controlLoop = controlGroup.next();
     HttpClient backendClient = new HttpClient(group, settings.get(GatewaySettings.CONNECT_TIMEOUT));
     HttpClient controlClient =
-        new HttpClient(controlGroup, settings.get(GatewaySettings.CONNECT_TIMEOUT));
+        new HttpClient(controlGroup, settings.get(GatewaySettings.CONNECT_TIMEOUT), meter::called);
     GatewayProtocols protocols = adapters.apply(controlGroup, controlClient);
     cluster =
         new ClusterServices(
@@ -83,6 +94,7 @@
             protocols,
             controlClient,
             backendClient,
+            meter,
             time,
             startedAtMillis);
     path =
@@ -106,7 +118,7 @@
         server(
             GatewaySettings.PEERS_ADDRESS,
             new PeersHandler(
-                new TableSliceHandler(controlLoop, cluster.followers(), time),
+                new TableSliceHandler(controlLoop, cluster.followers(), time, meter),
                 new QuarantineHandler(cluster.quarantine(), controlLoop, time),
                 new BackendsHandler(blackboard.backends())));
     callers = callers(listener);
@@ -146,10 +158,18 @@
     GatewayNode node = new GatewayNode(settings, adapters, listener, startedAtMillis);
     node.cluster.start();
     node.rollout.start();
+    node.controlLoop.scheduleAtFixedRate(
+        node.usage::log, USAGE_MILLIS, USAGE_MILLIS, TimeUnit.MILLISECONDS);
     Logger.info("event=started node={}", settings.get(GatewaySettings.NODE_ID));
     return node;
   }
 
+  /** Names threads by what they do, as the log of processor time tells them. */
+  private static EventLoopGroup eventLoops(String name, int threads) {
+    return new MultiThreadIoEventLoopGroup(
+        threads, new DefaultThreadFactory(name), NioIoHandler.newFactory());
+  }
+
   private RequestLimits limits() {
     return new RequestLimits(
         settings.get(GatewaySettings.RETRY_RATIO),
@@ -217,6 +237,7 @@
     }
     boolean idle = noticed && path.openRequests() == 0;
     if (idle || elapsed >= grace) {
+      usage.log();
       Logger.info("event=stopped open-requests={}", path.openRequests());
       cluster.close();
       readiness.close();
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/NodeReporterTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/NodeReporterTest.java
@@ -25,6 +25,7 @@
 import org.lockdale.gateway.backend.BackendLoad;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.BackendWork;
+import org.lockdale.gateway.usage.TrafficMeter;
 import org.lockdale.gateway.weights.EngineMove;
 import org.lockdale.protocol.generated.AttemptVerdict;
 import org.lockdale.protocol.generated.NodeReport;
@@ -70,7 +71,8 @@
     moves.clear();
     startRelay();
     EventLoop loop = group.next();
-    DatagramExchange datagrams = new DatagramExchange("node-1", freeAddress(), loop);
+    DatagramExchange datagrams =
+        new DatagramExchange("node-1", freeAddress(), loop, new TrafficMeter());
     datagrams.start(new IgnoringListener());
     List<RelayElection.Relay> relays = List.of(new RelayElection.Relay("node-2", relayAddress, 0));
     sender =
@@ -86,7 +88,8 @@
             SystemTime.instance(),
             moves::add,
             (engine, parts) -> expected.add(engine + parts));
-    new DatagramExchange("node-2", relayAddress, group.next()).start(new Receiving(receiver));
+    new DatagramExchange("node-2", relayAddress, group.next(), new TrafficMeter())
+        .start(new Receiving(receiver));
   }
 
   private static final class Receiving extends IgnoringListener {
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
@@ -29,6 +29,7 @@
 import org.lockdale.gateway.placement.Placement;
 import org.lockdale.gateway.placement.PlacementDecider;
 import org.lockdale.gateway.placement.PlacementQuery;
+import org.lockdale.gateway.usage.TrafficMeter;
 import org.lockdale.gateway.weights.NamedWeights;
 import org.lockdale.gateway.weights.WeightsPolicy;
 import org.lockdale.http.LoopbackPorts;
@@ -94,7 +95,8 @@
     group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     relays.clear();
     EventLoop loop = group.next();
-    DatagramExchange datagrams = new DatagramExchange("node", LoopbackPorts.free(), loop);
+    DatagramExchange datagrams =
+        new DatagramExchange("node", LoopbackPorts.free(), loop, new TrafficMeter());
     datagrams.start(new Asking());
     blackboard = GatewayBlackboard.empty();
     blackboard.backends().publish(backends(), 0);
@@ -139,7 +141,8 @@
     InetSocketAddress address = LoopbackPorts.free();
     relays.add(new RelayElection.Relay(id, address, 0));
     if (answers) {
-      DatagramExchange exchange = new DatagramExchange(id, address, group.next());
+      DatagramExchange exchange =
+          new DatagramExchange(id, address, group.next(), new TrafficMeter());
       exchange.start(new Answering(exchange));
     }
   }
--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -33,8 +33,22 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final int MAX_REPLY_BYTES = 64 * 1024 * 1024;
 
+  /** Told of each exchange that brought a whole reply. */
+  @FunctionalInterface
+  public interface ExchangeListener {
+    /**
+     * Called on any thread.
+     *
+     * @param path path of the request with its query
+     * @param sentBytes bytes of the request's body
+     * @param receivedBytes bytes of the reply's body
+     */
+    void onExchange(String path, long sentBytes, long receivedBytes);
+  }
+
   private final EventLoopGroup group;
   private final ConnectionPool pool;
+  private final ExchangeListener exchanges;
 
   /**
    * Creates a client.
@@ -55,6 +69,17 @@
     this(group, new ConnectionPool(connectTimeout));
   }
 
+  /**
+   * Creates a client.
+   *
+   * @param group event loops for calls that name none
+   * @param connectTimeout longest time for a connection to come up
+   * @param exchanges told of what {@link #exchange} has read
+   */
+  public HttpClient(EventLoopGroup group, Duration connectTimeout, ExchangeListener exchanges) {
+    this(group, new ConnectionPool(connectTimeout), exchanges);
+  }
+
   /**
    * Creates a client.
    *
@@ -62,8 +87,13 @@
    * @param pool idle connections
    */
   HttpClient(EventLoopGroup group, ConnectionPool pool) {
+    this(group, pool, (path, sentBytes, receivedBytes) -> {});
+  }
+
+  private HttpClient(EventLoopGroup group, ConnectionPool pool, ExchangeListener exchanges) {
     this.group = group;
     this.pool = pool;
+    this.exchanges = exchanges;
   }
 
   /**
@@ -218,6 +248,8 @@
             timeout.toMillis(),
             TimeUnit.MILLISECONDS);
     result.whenComplete((reply, failure) -> timer.cancel(false));
+    result.thenAccept(
+        reply -> exchanges.onExchange(request.path(), request.body().length, reply.body().length));
     return result;
   }
 
