A lease's row that can't be read is free a term and the guard after it was first read

Symptom: no rollout any more, weights grow too old, if another writer spoils the row of the rollout's lease. Cause: each reading of the row failed with the decoding, so no node ever claimed the lease (ForeignAnswersTest showed it). Change: such a row is a reading without a known holder. Who held the lease before can't renew it, so it is free a term and the guard after the first reading; it is written over under its version.

--- a/coordination/src/main/java/org/lockdale/coordination/lease/Lease.java
+++ b/coordination/src/main/java/org/lockdale/coordination/lease/Lease.java
@@ -15,6 +15,9 @@
   /** Time before the written end at which a holder stops acting, for actions under way. */
   private static final long SAFETY_MARGIN_MILLIS = 150;
 
+  /** No node has this id; an own row that can't be read is waited for like any other. */
+  private static final String UNKNOWN_HOLDER = "";
+
   private final String nodeId;
   private final long durationMillis;
   private final long guardMillis;
@@ -48,10 +51,25 @@
     if (known != null && reading.version() != known.version()) {
       held = false;
     }
-    known = reading;
+    known = reading.isUnreadable() ? believed(reading) : reading;
     knownAskedAtMillis = askedAtMillis;
   }
 
+  /**
+   * A row that nobody can read would keep the lease from all nodes for ever. Who held it before it
+   * was spoilt can't renew it any more, and the hold ends a whole term after that moment at the
+   * latest, so it is free a term after the first reading.
+   */
+  private LeaseReading believed(LeaseReading unreadable) {
+    LeaseReading before = known;
+    boolean seen = before != null && before.version() == unreadable.version();
+    LeaseRow row =
+        seen && before.row() != null
+            ? before.row()
+            : new LeaseRow(UNKNOWN_HOLDER, unreadable.storeMillis() + durationMillis);
+    return new LeaseReading(row, unreadable.version(), unreadable.storeMillis());
+  }
+
   /** Takes in that this node's write took effect. */
   public void written(LeaseReading reading, long askedAtMillis) {
     if (isOutdated(reading)) {
--- a/coordination/src/test/java/org/lockdale/coordination/lease/LeaseTest.java
+++ b/coordination/src/test/java/org/lockdale/coordination/lease/LeaseTest.java
@@ -61,6 +61,18 @@
       events.add(new Event(millis, order++, action));
     }
 
+    /** Another writer spoils the row from time to time; nobody can read it then. */
+    Simulation spoiling() {
+      at(3_000, this::spoil);
+      return this;
+    }
+
+    private void spoil() {
+      row = null;
+      version++;
+      at(now + 6_000 + random.nextInt(6_000), this::spoil);
+    }
+
     List<Action> run() {
       while (!events.isEmpty() && now < RUN_MILLIS) {
         Event next = events.poll();
@@ -185,6 +197,44 @@
     assertEquals(lease.claim().orElseThrow().holder(), "b");
   }
 
+  /**
+   * A row that nobody could read failed each reading, so the lease was never taken over. It is free
+   * a term and the guard after it was first read, for whoever held it before.
+   */
+  @Test
+  public void aRowThatCannotBeReadIsTakenOverAfterTheLongestHold() {
+    Lease lease = new Lease("b", DURATION, GUARD);
+    lease.observed(new LeaseReading(new LeaseRow("a", 10_000), 7, 9_000), 0);
+    lease.observed(new LeaseReading(null, 8, 9_500), 500);
+    assertTrue(lease.claim().isEmpty());
+    lease.observed(new LeaseReading(null, 8, 9_500 + DURATION + GUARD - 1), 5_000);
+    assertTrue(lease.claim().isEmpty());
+    assertEquals(lease.millisUntilFree(), 1);
+    lease.observed(new LeaseReading(null, 8, 9_500 + DURATION + GUARD), 5_001);
+    assertEquals(lease.claim().orElseThrow().holder(), "b");
+    assertEquals(lease.expectedVersion(), 8);
+  }
+
+  @Test
+  public void aHolderWhoseRowIsSpoiltCeases() {
+    Lease lease = new Lease("a", DURATION, GUARD);
+    lease.written(new LeaseReading(new LeaseRow("a", 10_000), 7, 9_000), 0);
+    assertTrue(lease.mayAct(100));
+    lease.observed(new LeaseReading(null, 8, 9_100), 100);
+    assertFalse(lease.mayAct(100));
+  }
+
+  @Test
+  public void rowsThatAreSpoiltLetNoTwoHoldersActAndStopNobodyForEver() {
+    for (long seed = 0; seed < SEEDS; seed++) {
+      Simulation simulation = new Simulation(seed, GUARD).spoiling();
+      List<Action> actions = simulation.run();
+      assertEquals(simulation.violation(), null, "seed " + seed);
+      long last = actions.get(actions.size() - 1).atMillis();
+      assertTrue(last > RUN_MILLIS - 20_000, "seed " + seed + ": nobody since " + last);
+    }
+  }
+
   @Test
   public void aHolderStopsBeforeTheEndThatItWrote() {
     Lease lease = new Lease("a", DURATION, GUARD);
