What was given up a moment before a back end ended counts as lost with the rest; nodes that start ask what others suspect

Same fault elsewhere: a caller that leaves 30 ms after it has sent a request that ends servers after 40 ms; no connection of it was left to close. Change: attempts that a node gives up are kept for a second (6 s where the record alone tells); if their back end's other connections close, or its record goes, they count as lost with those. Nothing is asked or told of them before.

--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -25,6 +25,7 @@
 import org.lockdale.gateway.cluster.PlacementResponder;
 import org.lockdale.gateway.cluster.RelayController;
 import org.lockdale.gateway.cluster.ReportReceiver;
+import org.lockdale.gateway.cluster.SuspectCatchUp;
 import org.lockdale.gateway.cluster.TableSliceClient;
 import org.lockdale.gateway.life.LifeWatch;
 import org.lockdale.gateway.limit.LimitBound;
@@ -68,6 +69,7 @@
   private final LimitResponder limits;
   private final LimitClient limitClient;
   private final Quarantine quarantine;
+  private final SuspectCatchUp suspectCatchUp;
   private final LifeWatch lives;
   private final SuspensionLog suspensions;
 
@@ -139,6 +141,7 @@
             quarantineContext(protocols, controlClient),
             blackboard.suspects(),
             settings.get(GatewaySettings.QUARANTINE_HOLD).toMillis());
+    suspectCatchUp = new SuspectCatchUp(eventLoop, controlClient, nodes::peers, quarantine::told);
     lives = lives(protocols);
   }
 
@@ -151,7 +154,8 @@
         startedAtMillis,
         settings.get(GatewaySettings.WEIGHTS_BOUND),
         settings.get(GatewaySettings.NODE_CATCH_UP),
-        this::configurationChanged);
+        // The operators' table is followed after all is made.
+        () -> backends.onConfiguration());
   }
 
   private BackendController backends(
@@ -174,11 +178,6 @@
         time);
   }
 
-  /** The operators' table is followed after all is made. */
-  private void configurationChanged() {
-    backends.onConfiguration();
-  }
-
   private static PeerNode self(GatewaySettings settings) {
     return new PeerNode(
         settings.get(GatewaySettings.NODE_ID),
@@ -291,6 +290,7 @@
             quarantine::told,
             lives::told));
     quarantine.start();
+    suspectCatchUp.start();
     nodes.start();
     tables.all().forEach(TableFollower::start);
     relays.start();
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -14,6 +14,7 @@
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.blackboard.GatewayBlackboard;
 import org.lockdale.gateway.blackboard.GatewayPhase;
+import org.lockdale.gateway.cluster.SuspectListHandler;
 import org.lockdale.gateway.cluster.TableSliceHandler;
 import org.lockdale.gateway.quarantine.QuarantineHandler;
 import org.lockdale.gateway.request.RequestLimits;
@@ -120,6 +121,8 @@
             new PeersHandler(
                 new TableSliceHandler(controlLoop, cluster.followers(), time, meter),
                 new QuarantineHandler(cluster.quarantine(), controlLoop, time),
+                new SuspectListHandler(
+                    settings.get(GatewaySettings.NODE_ID), cluster.quarantine(), controlLoop),
                 new BackendsHandler(blackboard.backends())));
     callers = callers(listener);
     readiness =
--- a/gateway/src/main/java/org/lockdale/gateway/node/PeersHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/PeersHandler.java
@@ -1,5 +1,6 @@
 package org.lockdale.gateway.node;
 
+import org.lockdale.gateway.cluster.SuspectListHandler;
 import org.lockdale.gateway.cluster.TableSliceHandler;
 import org.lockdale.gateway.quarantine.QuarantineHandler;
 import org.lockdale.http.HttpExchange;
@@ -12,11 +13,17 @@
 
   private final TableSliceHandler tables;
   private final QuarantineHandler quarantine;
+  private final SuspectListHandler suspects;
   private final BackendsHandler backends;
 
-  PeersHandler(TableSliceHandler tables, QuarantineHandler quarantine, BackendsHandler backends) {
+  PeersHandler(
+      TableSliceHandler tables,
+      QuarantineHandler quarantine,
+      SuspectListHandler suspects,
+      BackendsHandler backends) {
     this.tables = tables;
     this.quarantine = quarantine;
+    this.suspects = suspects;
     this.backends = backends;
   }
 
@@ -29,6 +36,9 @@
     if (path.equals(BackendsHandler.PATH)) {
       return backends;
     }
+    if (path.equals(SuspectListHandler.PATH)) {
+      return suspects;
+    }
     boolean held =
         path.equals(QuarantineHandler.PATH) || path.startsWith(QuarantineHandler.PATH + "/");
     return held ? quarantine : tables;
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/EndDetector.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/EndDetector.java
@@ -1,7 +1,9 @@
 package org.lockdale.gateway.quarantine;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -25,14 +27,59 @@
    */
   static final long FORGET_MILLIS = 10_000;
 
+  /**
+   * An attempt that was given up shortly before its back end was seen to end may have run at that
+   * moment: a request ends back ends within 40 to 80 ms, and a loaded node learns of a closed
+   * connection up to 0.9 s late. By the record an end is seen up to 4.6 s later.
+   */
+  private static final long GIVEN_UP_MILLIS = 1_000;
+
+  private static final long GIVEN_UP_BY_RECORD_MILLIS = 6_000;
+
+  /** Callers that leave in a burst must not fill the memory; the oldest are left out. */
+  private static final int MAX_GIVEN_UP = 64;
+
+  private record GivenUp(LostAttempt attempt, long atMillis) {}
+
   private static final class Open {
     private final InetSocketAddress address;
     private final List<LostAttempt> lost = new ArrayList<>();
+    private final Deque<GivenUp> givenUp = new ArrayDeque<>();
     private long latestMillis;
 
     Open(InetSocketAddress address) {
       this.address = address;
     }
+
+    void add(LostAttempt attempt, long nowMillis) {
+      latestMillis = nowMillis;
+      if (!attempt.isGivenUp()) {
+        lost.add(attempt);
+        return;
+      }
+      givenUp.add(new GivenUp(attempt, nowMillis));
+      if (givenUp.size() > MAX_GIVEN_UP) {
+        givenUp.remove();
+      }
+    }
+
+    /** Returns and forgets the attempts given up since a moment, and forgets those before it. */
+    List<LostAttempt> takeGivenUp(long sinceMillis) {
+      List<LostAttempt> taken = new ArrayList<>();
+      for (GivenUp each : givenUp) {
+        if (each.atMillis() >= sinceMillis) {
+          taken.add(each.attempt());
+        }
+      }
+      givenUp.clear();
+      return taken;
+    }
+
+    List<LostAttempt> allLost(long givenUpSinceMillis) {
+      List<LostAttempt> all = new ArrayList<>(lost);
+      all.addAll(takeGivenUp(givenUpSinceMillis));
+      return all;
+    }
   }
 
   private record Ended(EndEvidence evidence, long atMillis) {}
@@ -63,11 +110,24 @@
       return null;
     }
     Open broken = open.computeIfAbsent(backend, id -> new Open(attempt.address()));
-    broken.lost.add(attempt);
-    broken.latestMillis = nowMillis;
+    broken.add(attempt, nowMillis);
     return null;
   }
 
+  /**
+   * Returns the attempts at a back end that were given up a moment ago, as its connections close:
+   * they count as lost with those.
+   */
+  List<LostAttempt> givenUpBefore(String backend, long nowMillis) {
+    Open broken = open.get(backend);
+    if (broken == null) {
+      return List.of();
+    }
+    List<LostAttempt> taken = broken.takeGivenUp(nowMillis - GIVEN_UP_MILLIS);
+    broken.lost.addAll(taken);
+    return taken;
+  }
+
   /** Returns whether another life of the server is on record, or answers at its address. */
   private static boolean isReplaced(String backend, BackendTable backends) {
     TrackedBackend tracked = backends.find(backend);
@@ -93,12 +153,15 @@
    */
   @Nullable BackendEnd unreachable(String backend, EndEvidence evidence, long nowMillis) {
     Open broken = open.remove(backend);
-    return broken == null ? null : end(backend, broken, evidence, nowMillis);
+    return broken == null
+        ? null
+        : end(backend, broken.allLost(nowMillis - GIVEN_UP_MILLIS), evidence, nowMillis);
   }
 
-  private BackendEnd end(String backend, Open broken, EndEvidence evidence, long nowMillis) {
+  private BackendEnd end(
+      String backend, List<LostAttempt> lost, EndEvidence evidence, long nowMillis) {
     ended.put(backend, new Ended(evidence, nowMillis));
-    return new BackendEnd(backend, evidence, broken.lost);
+    return new BackendEnd(backend, evidence, lost);
   }
 
   /**
@@ -120,7 +183,10 @@
                 || backends.all().stream()
                     .anyMatch(other -> other.backend().address().equals(broken.address));
         EndEvidence evidence = replaced ? EndEvidence.REPLACED : EndEvidence.RECORD_GONE;
-        ends.add(end(backend, broken, evidence, nowMillis));
+        List<LostAttempt> lost = broken.allLost(nowMillis - GIVEN_UP_BY_RECORD_MILLIS);
+        if (!lost.isEmpty()) {
+          ends.add(end(backend, lost, evidence, nowMillis));
+        }
       } else if (isSettled(tracked, broken, nowMillis)) {
         each.remove();
       }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/EndWatch.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/EndWatch.java
@@ -1,6 +1,8 @@
 package org.lockdale.gateway.quarantine;
 
 import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -43,6 +45,7 @@
   private final Listener listener;
   private final Time time;
   private final EndDetector detector = new EndDetector();
+  private final Set<String> probing = new HashSet<>();
   private boolean looking;
 
   /**
@@ -73,20 +76,29 @@
   }
 
   private void accept(LostAttempt attempt) {
-    boolean first = !detector.isWaitingFor(attempt.backend());
+    String backend = attempt.backend();
     BackendEnd known = detector.lost(attempt, backends.get(), time.monotonicMillis());
     if (known != null) {
       tell(known);
-    } else if (detector.isWaitingFor(attempt.backend())) {
-      if (attempt.closed()) {
-        listener.onClosed(attempt);
-      }
-      if (first) {
-        probeAfterDelay(attempt, false);
+    } else if (!detector.isWaitingFor(backend)) {
+      if (!attempt.isGivenUp()) {
+        Logger.info("event=backend-left backend={} request={}", backend, attempt.request().id());
       }
-    } else if (first) {
-      Logger.info(
-          "event=backend-left backend={} request={}", attempt.backend(), attempt.request().id());
+    } else if (attempt.isGivenUp()) {
+      // Nothing speaks for an end yet, so its address isn't asked.
+      look();
+    } else {
+      broken(attempt);
+    }
+  }
+
+  private void broken(LostAttempt attempt) {
+    if (attempt.isClosed()) {
+      listener.onClosed(attempt);
+      detector.givenUpBefore(attempt.backend(), time.monotonicMillis()).forEach(listener::onClosed);
+    }
+    if (probing.add(attempt.backend())) {
+      probeAfterDelay(attempt, false);
     }
   }
 
@@ -104,12 +116,14 @@
   private void probed(LostAttempt attempt, Reachability reachability, boolean closedBefore) {
     String backend = attempt.backend();
     long now = time.monotonicMillis();
-    if (reachability == Reachability.REFUSES) {
-      tell(detector.unreachable(backend, EndEvidence.REFUSES_CONNECTIONS, now));
+    boolean again = reachability == Reachability.CLOSES && !closedBefore;
+    if (again) {
+      probeAfterDelay(attempt, true);
       return;
     }
-    if (reachability == Reachability.CLOSES && !closedBefore) {
-      probeAfterDelay(attempt, true);
+    probing.remove(backend);
+    if (reachability == Reachability.REFUSES) {
+      tell(detector.unreachable(backend, EndEvidence.REFUSES_CONNECTIONS, now));
       return;
     }
     if (reachability == Reachability.CLOSES) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/LostAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/LostAttempt.java
@@ -4,15 +4,15 @@
 import org.lockdale.gateway.caller.CallerRequest;
 
 /**
- * An attempt that broke off without the back end's word: its connection closed, or fell silent.
+ * An attempt that ended without the back end's word: its connection closed or fell silent, or this
+ * node gave it up.
  *
  * @param backend id of the back end's incarnation
  * @param address where it was reached
  * @param request the request
  * @param caller name of the tenant, or the key where there is none
  * @param answerMillis how long its answer had been coming, in milliseconds; 0 before its begin
- * @param closed whether its connection was closed, as a process that ends does; otherwise nothing
- *     came for too long, as from one that is overloaded
+ * @param loss how it ended
  */
 public record LostAttempt(
     String backend,
@@ -20,4 +20,28 @@
     CallerRequest request,
     String caller,
     long answerMillis,
-    boolean closed) {}
+    Loss loss) {
+
+  /** How an attempt ended. */
+  public enum Loss {
+    /** The connection was closed from the back end's side, as by a process that ends. */
+    CLOSED,
+    /** Nothing came for too long, as from a back end that is overloaded. */
+    SILENT,
+    /**
+     * This node gave it up, since its caller left or its time ran out, so nobody saw what became of
+     * its connection.
+     */
+    GIVEN_UP
+  }
+
+  /** Returns whether its connection was closed from the back end's side. */
+  boolean isClosed() {
+    return loss == Loss.CLOSED;
+  }
+
+  /** Returns whether this node gave it up. */
+  boolean isGivenUp() {
+    return loss == Loss.GIVEN_UP;
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -252,6 +253,18 @@
     return suspect.weight() >= SuspectLedger.WATCHED_WEIGHT;
   }
 
+  /**
+   * Returns what a node that has just started should know, at most so many of the requests that
+   * most speaks against; on the event loop.
+   */
+  public List<Suspect> heaviest(int most) {
+    return ledger.all().stream()
+        .filter(suspect -> suspect.weight() > 0)
+        .sorted(Comparator.comparingInt(Suspect::weight).reversed())
+        .limit(most)
+        .toList();
+  }
+
   /** Takes in all suspects on record; on the event loop. */
   public void observed(Collection<Suspect> rows) {
     boolean news = false;
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -12,6 +12,7 @@
 import org.lockdale.gateway.backend.BackendProtocol;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.configuration.RouteKind;
+import org.lockdale.gateway.quarantine.LostAttempt;
 import org.lockdale.http.HttpCall;
 import org.lockdale.http.HttpCallException;
 import org.lockdale.http.HttpClient;
@@ -44,8 +45,7 @@
   private long sentAtMillis;
   private long sentAtMonotonicMillis;
   private long begunAtMillis = NOT_BEGUN;
-  private boolean connectionLost;
-  private boolean closedByBackend;
+  private LostAttempt.@Nullable Loss loss;
   private boolean ended;
   private final Runnable lifeOver;
   private String failure = "";
@@ -101,6 +101,7 @@
   /** Gives an attempt up whose answer has not begun; the back end may have received it. */
   void abandonWaiting(String reason) {
     if (!ended) {
+      loss = LostAttempt.Loss.GIVEN_UP;
       abandon(AttemptResult.FAILED, reason);
     }
   }
@@ -108,7 +109,7 @@
   /** Nothing comes any more from a life that is over, though no close or reset may tell so. */
   private void lifeOver() {
     if (!ended) {
-      connectionLost = true;
+      loss = LostAttempt.Loss.SILENT;
       abandon(brokenResult(), "its back end has started again");
     }
   }
@@ -124,14 +125,9 @@
     return time.steadyMillis() - heardAtMillis;
   }
 
-  /** Returns whether its connection closed before the answer was whole. */
-  boolean isConnectionLost() {
-    return connectionLost;
-  }
-
-  /** Returns whether its connection was closed from the back end's side. */
-  boolean isClosedByBackend() {
-    return closedByBackend;
+  /** Returns how the answer was lost before it was whole; null where the back end ended it. */
+  LostAttempt.@Nullable Loss loss() {
+    return loss;
   }
 
   /**
@@ -263,8 +259,9 @@
       return;
     }
     head = null;
-    connectionLost = cause.stage() != HttpCallException.Stage.NOT_SENT;
-    closedByBackend = connectionLost && cause.isClosedByPeer();
+    if (cause.stage() != HttpCallException.Stage.NOT_SENT) {
+      loss = cause.isClosedByPeer() ? LostAttempt.Loss.CLOSED : LostAttempt.Loss.SILENT;
+    }
     AttemptResult result =
         cause.stage() == HttpCallException.Stage.NOT_SENT ? AttemptResult.NOT_SENT : brokenResult();
     finish(result, cause.getMessage());
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -159,7 +159,7 @@
         attempt.target().backend().id(),
         attempt.silentMillis());
     attempt.cancel();
-    tellLost(attempt);
+    tellLost(attempt, LostAttempt.Loss.SILENT);
     leaveQueue(false);
     attempt.target().health().failed(path.nowMillis());
     path.client().forget(attempt.target().backend().address());
@@ -221,8 +221,9 @@
         }
       }
     }
-    if (attempt.isConnectionLost()) {
-      tellLost(attempt);
+    LostAttempt.Loss loss = attempt.loss();
+    if (loss != null) {
+      tellLost(attempt, loss);
     }
     if (result == AttemptResult.MISDIRECTED) {
       path.lives()
@@ -244,7 +245,7 @@
   }
 
   /** The back end may have ended, and this request may be the cause. */
-  private void tellLost(Attempt attempt) {
+  private void tellLost(Attempt attempt, LostAttempt.Loss loss) {
     path.quarantine()
         .lost(
             new LostAttempt(
@@ -253,7 +254,7 @@
                 state.request,
                 state.caller(),
                 attempt.answerMillis(),
-                attempt.isClosedByBackend()));
+                loss));
   }
 
   /**
@@ -325,6 +326,7 @@
     }
     Attempt attempt = current;
     if (attempt != null && attempt.cancel()) {
+      tellLost(attempt, LostAttempt.Loss.GIVEN_UP);
       path.workChanged();
       state.possibleRuns++;
       attempt.target().health().failed(path.nowMillis());
@@ -345,7 +347,9 @@
     }
     Attempt attempt = current;
     if (attempt != null) {
-      attempt.cancel();
+      if (attempt.cancel()) {
+        tellLost(attempt, LostAttempt.Loss.GIVEN_UP);
+      }
       path.workChanged();
     }
     end("caller-left");
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/EndDetectorTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/EndDetectorTest.java
@@ -36,7 +36,8 @@
   }
 
   private static LostAttempt lost(String requestId) {
-    return new LostAttempt("i-1", ADDRESS, Requests.of(requestId, "/a", "body"), "tenant", 0, true);
+    return new LostAttempt(
+        "i-1", ADDRESS, Requests.of(requestId, "/a", "body"), "tenant", 0, LostAttempt.Loss.CLOSED);
   }
 
   private BackendEnd lose(String requestId, long nowMillis) {
@@ -149,6 +150,7 @@
   }
 
   private static LostAttempt lostAt(String life, String requestId) {
-    return new LostAttempt(life, ADDRESS, Requests.of(requestId, "/a", "body"), "tenant", 0, true);
+    return new LostAttempt(
+        life, ADDRESS, Requests.of(requestId, "/a", "body"), "tenant", 0, LostAttempt.Loss.CLOSED);
   }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/EndWatchTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/EndWatchTest.java
@@ -62,12 +62,12 @@
 
   private void lose(Reachability... found) {
     answers.addAll(List.of(found));
-    watch.lost(lost("r1", true));
+    watch.lost(lost("r1", LostAttempt.Loss.CLOSED));
     time.runMillis(100);
   }
 
-  private static LostAttempt lost(String id, boolean isClosed) {
-    return new LostAttempt("i-1@1", ADDRESS, Requests.of(id, "/a", "body"), "tenant", 0, isClosed);
+  private static LostAttempt lost(String id, LostAttempt.Loss loss) {
+    return new LostAttempt("i-1@1", ADDRESS, Requests.of(id, "/a", "body"), "tenant", 0, loss);
   }
 
   private List<EndEvidence> evidence() {
@@ -102,8 +102,8 @@
   @Test
   public void aClosedConnectionIsToldAtOnce() {
     answers.add(Reachability.ACCEPTS);
-    watch.lost(lost("r1", true));
-    watch.lost(lost("r2", true));
+    watch.lost(lost("r1", LostAttempt.Loss.CLOSED));
+    watch.lost(lost("r2", LostAttempt.Loss.CLOSED));
     time.runMillis(1);
     assertEquals(closed, List.of("r1", "r2"));
     time.runMillis(100);
@@ -113,8 +113,36 @@
   @Test
   public void silenceIsNotTaken() {
     answers.add(Reachability.ACCEPTS);
-    watch.lost(lost("r1", false));
+    watch.lost(lost("r1", LostAttempt.Loss.SILENT));
     time.runMillis(100);
     assertEquals(closed, List.of());
   }
+
+  /**
+   * A caller leaves 30 ms after it has sent its request, and 10 ms later the back end ends of it;
+   * only the connections of other requests show that.
+   */
+  @Test
+  public void whatWasGivenUpAMomentBeforeOthersCloseIsLostWithThem() {
+    answers.add(Reachability.REFUSES);
+    watch.lost(lost("left", LostAttempt.Loss.GIVEN_UP));
+    time.runMillis(500);
+    assertEquals(closed, List.of(), "nothing speaks for an end yet");
+    watch.lost(lost("neighbour", LostAttempt.Loss.CLOSED));
+    time.runMillis(1);
+    assertEquals(closed, List.of("neighbour", "left"));
+    time.runMillis(100);
+    assertEquals(ends.get(0).lost().size(), 2);
+  }
+
+  @Test
+  public void whatWasGivenUpLongBeforeIsNot() {
+    answers.add(Reachability.REFUSES);
+    watch.lost(lost("left", LostAttempt.Loss.GIVEN_UP));
+    time.runMillis(1_500);
+    watch.lost(lost("neighbour", LostAttempt.Loss.CLOSED));
+    time.runMillis(100);
+    assertEquals(closed, List.of("neighbour"));
+    assertEquals(ends.get(0).lost().size(), 1);
+  }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
@@ -99,6 +99,7 @@
     private final CallerRequest request;
     private final long begunAtMillis = time.monotonicMillis();
     private final int triesLeft;
+    private boolean givenUp;
 
     Run(Node node, Server server, Contents contents, CallerRequest request, int triesLeft) {
       this.node = node;
@@ -109,6 +110,28 @@
       server.runs.add(this);
       long micros = contents.guilty ? GUILTY_RUN_MICROS : 50_000 + random.nextInt(3_000_000);
       time.schedule(micros, this::done);
+      if (plan.evidence().callersLeave() > 0
+          && random.nextDouble() < plan.evidence().callersLeave()) {
+        time.schedule(random.nextInt((int) micros), this::giveUp);
+      }
+    }
+
+    /** A server may work on for a moment after its caller has left. */
+    private void giveUp() {
+      if (server.runs.contains(this)) {
+        givenUp = true;
+        node.quarantine.lost(
+            new LostAttempt(
+                server.id,
+                server.address,
+                request,
+                "tenant",
+                time.monotonicMillis() - begunAtMillis,
+                LostAttempt.Loss.GIVEN_UP));
+        if (!contents.guilty) {
+          server.runs.remove(this);
+        }
+      }
     }
 
     private void done() {
@@ -126,12 +149,16 @@
     }
 
     private void lost() {
+      if (givenUp) {
+        return;
+      }
       long answerMillis = time.monotonicMillis() - begunAtMillis;
       if (!contents.guilty) {
         lostRuns++;
       }
       node.quarantine.lost(
-          new LostAttempt(server.id, server.address, request, "tenant", answerMillis, true));
+          new LostAttempt(
+              server.id, server.address, request, "tenant", answerMillis, LostAttempt.Loss.CLOSED));
       if (!contents.guilty && triesLeft > 0) {
         time.schedule(2_000, () -> send(contents, triesLeft - 1));
       }
@@ -204,6 +231,22 @@
       executor.shutdown();
       disturbedUntilMillis = time.monotonicMillis();
       begin();
+      catchUp();
+    }
+
+    /** Two other nodes tell what they know, as they do over the network. */
+    private void catchUp() {
+      for (int asked = 0; asked < 2; asked++) {
+        Node other = nodes.get(random.nextInt(nodes.size()));
+        Quarantine life = quarantine;
+        time.schedule(
+            1_000 + random.nextInt((int) MAX_DELAY_MICROS),
+            () -> {
+              if (other != this && quarantine == life && !cut && !other.cut) {
+                life.told(other.quarantine.heaviest(64));
+              }
+            });
+      }
     }
 
     boolean isInTouch(long nowMillis) {
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulationTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulationTest.java
@@ -28,6 +28,8 @@
     Evidence killed = new Evidence(false, true, 0);
     Evidence takenAndKilled = new Evidence(true, true, 0);
     Evidence resets = new Evidence(true, false, 0.2);
+    Evidence leaving = new Evidence(false, false, 0, 0.9);
+    Evidence leavingAndMore = new Evidence(true, true, 0.05, 0.5);
     return new Object[][] {
       // Nodes, guilty requests, copies at once, repeats of innocent callers, waves, disturbed.
       {"one guilty request", new SimulationPlan(7, 1, 1, 1, Waves.NONE, false), 0.0},
@@ -44,6 +46,8 @@
       {"both", new SimulationPlan(7, 1, 1, 1, back, false, takenAndKilled), 0.0},
       {"both, three nodes", new SimulationPlan(3, 1, 1, 1, back, false, takenAndKilled), 0.0},
       {"both, disturbed", new SimulationPlan(20, 2, 2, 3, third, true, takenAndKilled), 0.002},
+      {"callers that leave", new SimulationPlan(7, 1, 1, 1, back, false, leaving), 0.0},
+      {"they leave, all else", new SimulationPlan(7, 2, 2, 3, third, true, leavingAndMore), 0.002},
       {"resets", new SimulationPlan(7, 1, 1, 3, back, false, resets), 0.002},
       {"resets and waves", new SimulationPlan(7, 1, 1, 3, third, true, resets), 0.002},
     };
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
@@ -94,14 +94,14 @@
     return Requests.of("r", "/a", "body");
   }
 
-  private void lose(int backend, boolean closed) {
+  private void lose(int backend, LostAttempt.Loss loss) {
     quarantine.lost(
-        new LostAttempt(idOf(backend), addressOf(backend), request(), "tenant", 0, closed));
+        new LostAttempt(idOf(backend), addressOf(backend), request(), "tenant", 0, loss));
   }
 
-  private void loseAtThree(boolean closed) {
+  private void loseAtThree(LostAttempt.Loss loss) {
     for (int backend = 0; backend < 3; backend++) {
-      lose(backend, closed);
+      lose(backend, loss);
     }
     time.runMillis(SOON_MILLIS);
   }
@@ -112,14 +112,14 @@
 
   @Test
   public void closedConnectionsAtThreeBackendsHoldARequestBackBeforeItIsKnownWhetherTheyEnded() {
-    loseAtThree(true);
+    loseAtThree(LostAttempt.Loss.CLOSED);
     assertTrue(isHeld());
   }
 
   /** The next node to decide must know what this one saw, whatever becomes of it. */
   @Test
   public void aClosedConnectionIsToldToOtherNodesAtOnce() {
-    lose(0, true);
+    lose(0, LostAttempt.Loss.CLOSED);
     time.runMillis(15);
     assertEquals(told.size(), 1);
     assertEquals(told.get(0).weight(), 3);
@@ -127,7 +127,7 @@
 
   @Test
   public void backendsThatAnswerAgainSpeakAgainstItNoMore() {
-    loseAtThree(true);
+    loseAtThree(LostAttempt.Loss.CLOSED);
     backends.find(idOf(1)).answered(time.monotonicMillis() + 1);
     time.runMillis(500);
     assertFalse(isHeld());
@@ -140,7 +140,7 @@
   @Test
   public void recordsThatStandShowThatServersWhichCloseConnectionsLive() {
     addresses = Reachability.CLOSES;
-    loseAtThree(true);
+    loseAtThree(LostAttempt.Loss.CLOSED);
     assertTrue(isHeld());
     time.runMillis(RECORD_MILLIS);
     assertFalse(isHeld());
@@ -149,7 +149,7 @@
   /** While the store is away, the records of ended servers stand for ever. */
   @Test
   public void recordsThatMayBeOutOfDateShowNothing() {
-    loseAtThree(true);
+    loseAtThree(LostAttempt.Loss.CLOSED);
     tableIsCurrent = false;
     time.runMillis(5 * RECORD_MILLIS);
     assertTrue(isHeld());
@@ -162,7 +162,7 @@
 
   @Test
   public void endsThatTheRecordsShowStayCounted() {
-    loseAtThree(true);
+    loseAtThree(LostAttempt.Loss.CLOSED);
     backends = backends.with(List.of(backend(3)));
     time.runMillis(5 * RECORD_MILLIS);
     assertTrue(isHeld());
@@ -171,7 +171,26 @@
   /** Engines that are overloaded are silent for seconds, and answer nobody sooner. */
   @Test
   public void silenceAtThreeBackendsHoldsNothingBack() {
-    loseAtThree(false);
+    loseAtThree(LostAttempt.Loss.SILENT);
+    assertFalse(isHeld());
+  }
+
+  /** Callers that leave early let nobody see what their requests do. */
+  @Test
+  public void whatIsGivenUpAtThreeBackendsBeforeTheirRecordsAreGoneIsHeldBack() {
+    loseAtThree(LostAttempt.Loss.GIVEN_UP);
+    assertFalse(isHeld());
+    backends = backends.with(List.of(backend(3)));
+    time.runMillis(500);
+    assertTrue(isHeld());
+  }
+
+  @Test
+  public void whatIsGivenUpAtBackendsThatGoOnIsNeverHeldBack() {
+    loseAtThree(LostAttempt.Loss.GIVEN_UP);
+    time.runMillis(5 * RECORD_MILLIS);
+    backends = backends.with(List.of(backend(3)));
+    time.runMillis(500);
     assertFalse(isHeld());
   }
 
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/SimulationPlan.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/SimulationPlan.java
@@ -33,9 +33,16 @@
    *     of its end
    * @param resets share of the running requests whose connections break each second while their
    *     servers live
+   * @param callersLeave share of the callers that leave before their answer, of guilty requests a
+   *     moment before the end
    */
-  record Evidence(boolean addressesTaken, boolean witnessesKilled, double resets) {
-    static final Evidence PLAIN = new Evidence(false, false, 0);
+  record Evidence(
+      boolean addressesTaken, boolean witnessesKilled, double resets, double callersLeave) {
+    static final Evidence PLAIN = new Evidence(false, false, 0, 0);
+
+    Evidence(boolean addressesTaken, boolean witnessesKilled, double resets) {
+      this(addressesTaken, witnessesKilled, resets, 0);
+    }
   }
 
   /**
