A relay tells a node that lacks more than 256 changes to ask the store; a node's loans of an earlier life end a term after its process began

Cause, tables: where 3,000 servers start with 300 nodes their entries are changes, and a relay told all of them to each node, 230 MB (calculated; TableCopyHerdTest.aRelayDoesNotTellThousandsOfChangesToEachNode failed with 229,991,100 bytes). Change: the same answer as for a whole copy, from 257 changes on. Cause, limits: a node that has started lends nothing for the term of its earlier life's loans, counted from when the lender was made, not from when its process began; until shares are lent callers within their limits get 429. Change: counted from the process's begin, which its earlier life did not outlive.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/LimitClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/LimitClient.java
@@ -51,6 +51,7 @@
    * @param responder decides where there is no relay
    * @param nodes tells the number of nodes, or 0 where it is not known yet
    * @param bound how far tenants may go beyond their limits
+   * @param startedAtMillis monotonic time at which the process began
    * @param time clock
    */
   public record Context(
@@ -62,6 +63,7 @@
       LimitResponder responder,
       IntSupplier nodes,
       LimitBound bound,
+      long startedAtMillis,
       Time time) {}
 
   private record Open(
@@ -92,6 +94,7 @@
             context.datagrams(),
             context.responder(),
             context.nodes(),
+            context.startedAtMillis(),
             context.time());
     this.shares = new LoanSender(loans, false, this::lend);
     this.reserves = new LoanSender(loans, true, this::lend);
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/LoanSender.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/LoanSender.java
@@ -35,6 +35,7 @@
    * @param datagrams carries loans
    * @param responder takes the loans to this node itself
    * @param nodes tells the number of nodes, or 0 where it is not known yet
+   * @param startedAtMillis monotonic time at which the process began
    * @param time clock
    */
   record Context(
@@ -43,6 +44,7 @@
       DatagramExchange datagrams,
       LimitResponder responder,
       IntSupplier nodes,
+      long startedAtMillis,
       Time time) {}
 
   private final Context context;
@@ -64,7 +66,7 @@
     this.context = context;
     this.reserve = reserve;
     this.onFree = onFree;
-    this.lender = new ShareLender(context.time().monotonicMillis());
+    this.lender = new ShareLender(context.startedAtMillis());
   }
 
   /** Lends to this node itself. */
--- a/gateway/src/main/java/org/lockdale/gateway/limit/ShareLender.java
+++ b/gateway/src/main/java/org/lockdale/gateway/limit/ShareLender.java
@@ -35,10 +35,11 @@
    * Creates the lender of a node that has just started: what an earlier life of it lent may still
    * hold.
    *
-   * @param nowMillis monotonic time
+   * @param startedAtMillis monotonic time at which the process began; its earlier life had ended by
+   *     then, and on a slow machine much of the term has passed before the first loan is asked for
    */
-  public ShareLender(long nowMillis) {
-    this.lentUntilMillis = nowMillis + TERM_MILLIS;
+  public ShareLender(long startedAtMillis) {
+    this.lentUntilMillis = startedAtMillis + TERM_MILLIS;
   }
 
   /**
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -135,7 +135,7 @@
             new WeightsPolicy(settings.get(GatewaySettings.WEIGHTS_BOUND).toMillis()));
     placements =
         new PlacementClient(placementContext(), PlacementClient.ANSWER_TIME, relays::failed);
-    limitClient = new LimitClient(limitContext(bound));
+    limitClient = new LimitClient(limitContext(bound, startedAtMillis));
     quarantine =
         new Quarantine(
             quarantineContext(protocols, controlClient),
@@ -192,7 +192,7 @@
         settings.get(GatewaySettings.LIMITS_SLACK));
   }
 
-  private LimitClient.Context limitContext(LimitBound bound) {
+  private LimitClient.Context limitContext(LimitBound bound, long startedAtMillis) {
     return new LimitClient.Context(
         nodes.self().id(),
         eventLoop,
@@ -202,6 +202,7 @@
         limits,
         this::size,
         bound,
+        startedAtMillis,
         time);
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/table/TableCopy.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableCopy.java
@@ -109,12 +109,22 @@
   }
 
   /**
-   * Returns whether this copy no longer knows what changed after a version, and holds so many rows
-   * that to tell them all to each node would fill a link: 115 MB for 300 nodes, calculated, of
-   * which half lack one row of 3,000 after a start of all.
+   * Returns whether so much changed after a version that to tell it to each node would fill a link.
+   * Where this copy no longer knows what changed, that is all rows: 115 MB for 300 nodes,
+   * calculated, of which half lack one row of 3,000 after a start of all. Where 3,000 servers start
+   * with the nodes it is their entries, 230 MB for 300 nodes, calculated.
    */
   boolean hasTooMuchToTellAfter(long version) {
-    return version != UNKNOWN && version < historyFrom && rows.size() > MOST_TOLD_ROWS;
+    if (version == UNKNOWN) {
+      return false;
+    }
+    long told = version < historyFrom ? rows.size() : changesSince(version);
+    return told > MOST_TOLD_ROWS;
+  }
+
+  private long changesSince(long version) {
+    return rows.values().stream().filter(row -> row.version() > version).count()
+        + removals.values().stream().filter(row -> row.version() > version).count();
   }
 
   /**
