A version is its era and its number: nodes follow a store that comes back from an older copy

What came later was taken for older than what was known: rows that were gone stayed, later configurations, revoked keys and servers were ignored, no node took the rollout's lease, and a condition of before the drill could fit a row written since. Answers of a former era that come late are rejected; conditions and feeds of a former era fail before they are sent or once the answer tells another era. A lease is claimed no sooner than a term and the guard after the new history was first seen. Rows of nodes and of named weights that the copy lacks are written again; suspects' rows were already. A life that was seen to leave stays so for 4 s after a drill; records that the copy lacks are believed for 1.8 s, as after an outage. Ruled out: a type of its own in every message, which a former build could not read.

--- a/coordination/src/main/java/org/lockdale/coordination/lease/Lease.java
+++ b/coordination/src/main/java/org/lockdale/coordination/lease/Lease.java
@@ -67,7 +67,8 @@
         seen && before.row() != null
             ? before.row()
             : new LeaseRow(UNKNOWN_HOLDER, unreadable.storeMillis() + durationMillis);
-    return new LeaseReading(row, unreadable.version(), unreadable.storeMillis());
+    return new LeaseReading(
+        row, unreadable.version(), unreadable.storeMillis(), unreadable.historyAgeMillis());
   }
 
   /** Takes in that this node's write took effect. */
@@ -116,7 +117,7 @@
    */
   public Optional<LeaseRow> claim() {
     LeaseReading current = known;
-    if (current == null) {
+    if (current == null || millisUntilHoldsOfFormerHistoryEnd(current) > 0) {
       return Optional.empty();
     }
     LeaseRow row = current.row();
@@ -130,9 +131,22 @@
   /** Returns how long a contender should wait before it reads the row again, in milliseconds. */
   public long millisUntilFree() {
     LeaseReading current = known;
-    if (current == null || current.row() == null) {
+    if (current == null) {
       return 0;
     }
-    return Math.max(0, current.row().expiresAtMillis() + guardMillis - current.storeMillis());
+    long former = millisUntilHoldsOfFormerHistoryEnd(current);
+    LeaseRow row = current.row();
+    return row == null
+        ? former
+        : Math.max(former, row.expiresAtMillis() + guardMillis - current.storeMillis());
+  }
+
+  /**
+   * Where the store has come back from an older copy the row of a holder may be gone, or be an
+   * earlier one, while the holder acts until the end that it wrote: a whole term after the store
+   * came back at the latest. Whoever knew the row acts no sooner, so nobody has to.
+   */
+  private long millisUntilHoldsOfFormerHistoryEnd(LeaseReading reading) {
+    return Math.max(0, durationMillis + guardMillis - reading.historyAgeMillis());
   }
 }
--- a/coordination/src/test/java/org/lockdale/coordination/lease/LeaseTest.java
+++ b/coordination/src/test/java/org/lockdale/coordination/lease/LeaseTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import org.lockdale.coordination.table.StoreVersion;
 import org.testng.annotations.Test;
 
 /**
@@ -43,6 +44,10 @@
     private final Lease[] leases = new Lease[NODES];
     private LeaseRow row;
     private long version;
+    private final List<LeaseReading> copies = new ArrayList<>();
+    private final long[] eraSeen = new long[NODES];
+    private final long[] eraSeenAt = new long[NODES];
+    private long era;
     private long now;
     private long order;
 
@@ -73,6 +78,41 @@
       at(now + 6_000 + random.nextInt(6_000), this::spoil);
     }
 
+    /** The store comes back from copies of one to ten seconds before, also twice in a row. */
+    Simulation comingBackFromCopies() {
+      at(500, this::copy);
+      at(5_000, this::comeBack);
+      return this;
+    }
+
+    private void copy() {
+      copies.add(new LeaseReading(row, version, now));
+      at(now + 500, this::copy);
+    }
+
+    private void comeBack() {
+      LeaseReading copy = copies.get(Math.max(0, copies.size() - 2 - random.nextInt(18)));
+      row = copy.row();
+      version = copy.version();
+      era++;
+      copies.clear();
+      copy();
+      at(now + (random.nextInt(3) == 0 ? 800 : 8_000 + random.nextInt(8_000)), this::comeBack);
+    }
+
+    private long historyAge(int node) {
+      return eraSeen[node] == 0 ? Long.MAX_VALUE : now - eraSeenAt[node];
+    }
+
+    /** Returns whether an answer is taken; one of a former history that comes late is not. */
+    private boolean takes(int node, long answered) {
+      if (answered > eraSeen[node]) {
+        eraSeen[node] = answered;
+        eraSeenAt[node] = now;
+      }
+      return answered == eraSeen[node];
+    }
+
     List<Action> run() {
       while (!events.isEmpty() && now < RUN_MILLIS) {
         Event next = events.poll();
@@ -119,12 +159,25 @@
       at(
           now + delay(),
           () -> {
-            LeaseReading reading = new LeaseReading(row, version, now);
+            LeaseReading reading = reading();
             at(now + delay(), () -> onNode(node, () -> readDone(node, reading, asked)));
           });
     }
 
-    private void readDone(int node, LeaseReading reading, long asked) {
+    private LeaseReading reading() {
+      return new LeaseReading(row, new StoreVersion(era, version).packed(), now);
+    }
+
+    private LeaseReading asReadBy(int node, LeaseReading answer) {
+      return new LeaseReading(
+          answer.row(), answer.version(), answer.storeMillis(), historyAge(node));
+    }
+
+    private void readDone(int node, LeaseReading answer, long asked) {
+      if (!takes(node, StoreVersion.ofPacked(answer.version()).era())) {
+        return;
+      }
+      LeaseReading reading = asReadBy(node, answer);
       leases[node].observed(reading, asked);
       Optional<LeaseRow> claim = leases[node].claim();
       if (claim.isEmpty()) {
@@ -135,19 +188,28 @@
       at(
           now + delay(),
           () -> {
-            if (version == reading.version()) {
+            // The store compares numbers, which are given out again in a later era.
+            StoreVersion expected = StoreVersion.ofPacked(reading.version());
+            if (version == expected.number()) {
               row = claim.get();
               version++;
-              LeaseReading written = new LeaseReading(row, version, now);
+              LeaseReading written = reading();
+              boolean sameEra = era == expected.era();
               if (!answerLost) {
                 at(
                     now + delay(),
-                    () -> onNode(node, () -> leases[node].written(written, writeAsked)));
+                    () -> onNode(node, () -> writeDone(node, written, sameEra, writeAsked)));
               }
             }
           });
     }
 
+    private void writeDone(int node, LeaseReading answer, boolean sameEra, long asked) {
+      if (takes(node, StoreVersion.ofPacked(answer.version()).era()) && sameEra) {
+        leases[node].written(asReadBy(node, answer), asked);
+      }
+    }
+
     /** Returns the first pair of actions that breaks the invariant, or null. */
     String violation() {
       for (int index = 1; index < actions.size(); index++) {
@@ -235,6 +297,34 @@
     }
   }
 
+  /**
+   * A store that came back from an older copy gives versions out again: with these alone a lease
+   * that had been read at version 100 was taken by nobody until the store had passed 100 again.
+   */
+  @Test
+  public void aStoreThatComesBackFromCopiesLetsNoTwoHoldersActAndFencesOnlyRise() {
+    int acted = 0;
+    for (long seed = 0; seed < SEEDS; seed++) {
+      Simulation simulation = new Simulation(seed, GUARD).comingBackFromCopies();
+      acted += simulation.run().size();
+      assertEquals(simulation.violation(), null, "seed " + seed);
+    }
+    assertTrue(acted > SEEDS * 50, "the lease was hardly ever held: " + acted);
+  }
+
+  @Test
+  public void aRowThatIsGoneWithItsHistoryIsTakenOnceFormerHoldsHaveEnded() {
+    Lease lease = new Lease("b", DURATION, GUARD);
+    lease.observed(new LeaseReading(new LeaseRow("a", 10_000), 100, 9_000), 0);
+    long none = new StoreVersion(1, 0).packed();
+    lease.observed(new LeaseReading(null, none, 9_500, 0), 500);
+    assertTrue(lease.claim().isEmpty());
+    assertEquals(lease.millisUntilFree(), DURATION + GUARD);
+    lease.observed(new LeaseReading(null, none, 14_000, DURATION + GUARD), 5_000);
+    assertEquals(lease.claim().orElseThrow().holder(), "b");
+    assertEquals(lease.expectedVersion(), none);
+  }
+
   @Test
   public void aHolderStopsBeforeTheEndThatItWrote() {
     Lease lease = new Lease("a", DURATION, GUARD);
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/NodeRegistry.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/NodeRegistry.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.lockdale.coordination.time.Time;
+import org.tinylog.Logger;
 
 /**
  * Nodes of the deployment. Each node announces itself in the shared table when it starts and from
@@ -24,6 +25,9 @@
   private static final long ANNOUNCE_MILLIS = 600_000;
   private static final long RETRY_MILLIS = 500;
 
+  /** A row that was lost is written again no more often than this. */
+  private static final long AGAIN_MILLIS = 1_000;
+
   /** A node that can't read the table within this time announces itself without knowing it. */
   private static final long FIRST_READING_MILLIS = 1_000;
 
@@ -39,6 +43,8 @@
   private volatile List<PeerNode> peers = List.of();
   private boolean onRecord;
   private boolean announcing;
+  private boolean ownRowRead;
+  private long announcedAtMillis;
 
   /** Creates a registry; {@link #start} starts to announce. */
   public NodeRegistry(EventLoop eventLoop, ClusterTable table, PeerNode self, Time time) {
@@ -55,7 +61,10 @@
 
   /** Takes in that all rows were {@link #observed}; to be called on the event loop. */
   public void tableRead() {
+    boolean present = ownRowRead;
+    ownRowRead = false;
     if (announcing) {
+      announceAgainUnless(present);
       return;
     }
     announcing = true;
@@ -68,7 +77,32 @@
     }
   }
 
+  /** A store that came back from an older copy may have lost the row of this node. */
+  private void announceAgainUnless(boolean present) {
+    if (present || !onRecord) {
+      return;
+    }
+    onRecord = false;
+    long wait = announcedAtMillis + AGAIN_MILLIS - time.monotonicMillis();
+    eventLoop.schedule(this::announceLostRow, Math.max(0, wait), TimeUnit.MILLISECONDS);
+  }
+
+  private void announceLostRow() {
+    announcedAtMillis = time.monotonicMillis();
+    Logger.info("event=node-row-lost node={}", self.id());
+    table
+        .announce(self)
+        .whenCompleteAsync(
+            (done, failure) -> {
+              if (failure != null) {
+                eventLoop.schedule(this::announceLostRow, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+              }
+            },
+            eventLoop);
+  }
+
   private void announce() {
+    announcedAtMillis = time.monotonicMillis();
     table
         .announce(self)
         .whenCompleteAsync(
@@ -84,6 +118,7 @@
   public void observed(PeerNode node, long rowVersion) {
     if (node.id().equals(self.id())) {
       onRecord = node.address().equals(self.address()) && node.linkMbps() == self.linkMbps();
+      ownRowRead = true;
       return;
     }
     Seen before = seen.get(node.id());
--- a/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/BackendController.java
@@ -26,6 +26,12 @@
 /** Keeps the section {@code backends} from the back ends' table. */
 final class BackendController implements TableFollower.Listener {
 
+  /**
+   * After the store has come back from an older copy back ends have written again within two
+   * seconds; until then the record of one that leaves may say that it is ready.
+   */
+  private static final long WRITTEN_AGAIN_MILLIS = 4_000;
+
   private final GatewayBlackboard blackboard;
   private final RowReader<Backend> reader;
   private final HttpClient client;
@@ -36,6 +42,7 @@
   private List<Backend> read = List.of();
   private Set<String> present = Set.of();
   private long provenAtMillis;
+  private long copyMayBeOldUntilMillis = Long.MIN_VALUE;
 
   /**
    * Creates a controller.
@@ -80,6 +87,21 @@
     lapsed.unreachable();
   }
 
+  @Override
+  public void onHistoryReplaced() {
+    long now = time.monotonicMillis();
+    copyMayBeOldUntilMillis = now + WRITTEN_AGAIN_MILLIS;
+    lapsed.historyReplaced(now);
+    eventLoop.schedule(this::publish, WRITTEN_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** A life that was seen to leave is not used again since an older copy of its record is back. */
+  private Backend stillLeaving(Backend read, BackendTable before) {
+    TrackedBackend known = before.find(read.id());
+    boolean left = known != null && known.backend().leaving() && !read.leaving();
+    return left ? known.backend() : read;
+  }
+
   /** Takes in that a newer configuration is in force. */
   void onConfiguration() {
     publish();
@@ -129,6 +151,9 @@
     List<Backend> relied = before.all().stream().map(TrackedBackend::backend).toList();
     long now = time.monotonicMillis();
     List<Backend> current = lives.order(inConfiguredPools(), this::isOver, now);
+    if (now < copyMayBeOldUntilMillis) {
+      current = current.stream().map(record -> stillLeaving(record, before)).toList();
+    }
     BackendTable after = before.with(lapsed.complete(relied, current, present, now));
     decideAgain(now);
     if (after.sameRecordsAs(before)) {
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
@@ -28,6 +28,7 @@
   private final WeightsRecorder recorder;
   private final OperatorController operators;
   private final Consumer<List<Suspect>> onSuspects;
+  private boolean historyReplaced;
 
   ClusterObserver(
       ClusterTable table,
@@ -46,13 +47,23 @@
     this.operators = operators;
   }
 
+  @Override
+  public void onHistoryReplaced() {
+    historyReplaced = true;
+  }
+
   @Override
   public void onTable(Map<String, TableRowChange> rows, boolean changed, long provenAtMillis) {
     if (!changed) {
       return;
     }
     nodeReader.read(rows).forEach(read -> nodes.observed(read.node(), read.rowVersion()));
-    for (RecordedWeights row : weightsReader.read(rows)) {
+    List<RecordedWeights> recorded = weightsReader.read(rows);
+    if (historyReplaced) {
+      historyReplaced = false;
+      recorder.historyReplaced(recorded);
+    }
+    for (RecordedWeights row : recorded) {
       operators.onWitnessed(row.model(), recorder.observed(row));
     }
     onSuspects.accept(suspectReader.read(rows));
--- a/gateway/src/main/java/org/lockdale/gateway/node/LapsedBackends.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/LapsedBackends.java
@@ -60,6 +60,11 @@
     failureSeen = nowMillis - provenAtMillis > outageMillis;
   }
 
+  /** Takes in that the store has come back from an older copy, which lacks what is newer. */
+  void historyReplaced(long nowMillis) {
+    backAtMillis = nowMillis;
+  }
+
   /** Takes in that the store did not answer this node. */
   void unreachable() {
     failureSeen = true;
--- a/gateway/src/main/java/org/lockdale/gateway/node/WeightsRecorder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/WeightsRecorder.java
@@ -88,6 +88,22 @@
     return witnessed;
   }
 
+  /**
+   * Takes in that the store has come back from an older copy: what it lacks is recorded again.
+   *
+   * @param rows what it holds
+   */
+  void historyReplaced(List<RecordedWeights> rows) {
+    recorded.clear();
+    rows.forEach(
+        row ->
+            row.namings()
+                .forEach(
+                    naming ->
+                        recordedOf(row.model())
+                            .put(naming.version(), naming.notBeforeStoreMillis())));
+  }
+
   private TreeMap<Long, Long> recordedOf(String model) {
     return recorded.computeIfAbsent(model, name -> new TreeMap<>());
   }
--- a/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.concurrent.Failures;
+import org.lockdale.coordination.table.StoreVersion;
 import org.lockdale.coordination.table.TableServiceException;
 import org.lockdale.coordination.time.Time;
 import org.tinylog.Logger;
@@ -23,6 +24,7 @@
 
   private static final long FIRST_RETRY_MILLIS = 50;
   private static final long MAX_RETRY_MILLIS = 400;
+  private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** Receives the copy. */
   @FunctionalInterface
@@ -36,6 +38,12 @@
      */
     void onTable(Map<String, TableRowChange> rows, boolean changed, long provenAtMillis);
 
+    /**
+     * Called before {@link #onTable} where the store has come back from an older copy: rows may be
+     * missing, or be earlier ones, until their writers have written them again.
+     */
+    default void onHistoryReplaced() {}
+
     /** Called when the store did not answer a call for the table. */
     default void onUnreachable() {}
   }
@@ -68,7 +76,8 @@
   private final TableCopy copy = new TableCopy();
   private long followedTo;
   private long provenStoreMillis;
-  private long provenAtMillis = Long.MIN_VALUE / 2;
+  private long provenAtMillis = NEVER;
+  private long provenEra;
   private int failures;
   private boolean following;
   private boolean callOpen;
@@ -199,7 +208,19 @@
         .feed()
         .changes(table, followedTo, Duration.ZERO)
         .thenAcceptAsync(page -> acceptFromStore(page, sentAtMillis), eventLoop)
-        .exceptionallyComposeAsync(unanswered -> readFrom(relay, TableCopy.UNKNOWN), eventLoop);
+        .exceptionallyComposeAsync(failure -> readAllAfter(failure, relay), eventLoop);
+  }
+
+  /** All rows are read from the store where it can tell them, since they would fill a link. */
+  private CompletableFuture<@Nullable Void> readAllAfter(
+      Throwable failure, InetSocketAddress relay) {
+    if (kindOf(failure) != TableServiceException.Kind.HISTORY_LOST) {
+      return readFrom(relay, TableCopy.UNKNOWN);
+    }
+    if (!callOpen) {
+      scan();
+    }
+    return CompletableFuture.completedFuture(null);
   }
 
   private void acceptFromStore(TablePage page, long sentAtMillis) {
@@ -232,6 +253,12 @@
   }
 
   private void prove(long storeMillis, long atMillis, boolean changed) {
+    long era = StoreVersion.ofPacked(Math.max(0, copy.lastChange())).era();
+    if (era > provenEra && provenAtMillis != NEVER) {
+      Logger.info("event=table-history-replaced table={} era={}", table, era);
+      listener.onHistoryReplaced();
+    }
+    provenEra = Math.max(provenEra, era);
     provenStoreMillis = Math.max(provenStoreMillis, storeMillis);
     provenAtMillis = Math.max(provenAtMillis, atMillis);
     listener.onTable(copy.rows(), changed, provenAtMillis);
