The soak's proxy and servers tell when they are late themselves; a late arrival on such a link is not the node's

Change: the proxy notes connections that it held up for more than 125 ms, by link, and its event loop's stalls; servers note theirs. The check for requests still at work is unchanged.

--- a/soak/src/main/java/org/lockdale/soak/judge/History.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/History.java
@@ -19,6 +19,9 @@
   /** Subject of a disruption of the whole machine that the soak runs on. */
   public static final String EVERYTHING = "*";
 
+  /** Subject of the time in which the soak's proxy was not run. */
+  public static final String PROXY = "proxy";
+
   /**
    * Notes reach the judge through a pipe; after this time a note that has not come was not written.
    * Ten times the longest way seen on a machine with twice as many busy threads as cores.
@@ -179,6 +182,29 @@
     return disruptions.isFree(machine, from - bounds.contactMillis(), until);
   }
 
+  /** Returns the subject of the time in which the soak's proxy held a link's connections up. */
+  public static String linkHeldUp(String source, String destination) {
+    return source + ">" + destination;
+  }
+
+  /** Returns the subject of the time in which a server's process was not run. */
+  public static String stalled(String server) {
+    return "stalled " + processOf(server);
+  }
+
+  /** Returns the name of a server's process, whatever its life. */
+  private static String processOf(String server) {
+    int end = server.indexOf('.');
+    return end < 0 ? server : server.substring(0, end);
+  }
+
+  /** Returns whether the soak itself passed nothing on late from a node to a server. */
+  boolean isPassedInTime(String node, String server, long from, long until) {
+    return undisrupted(PROXY, from, until)
+        && undisrupted(linkHeldUp(node, processOf(server)), from, until)
+        && undisrupted(stalled(server), from, until);
+  }
+
   /** Returns whether a machine was undisrupted within a span. */
   boolean undisrupted(String machine, long from, long until) {
     return disruptions.isFree(machine, from, until);
--- a/soak/src/main/java/org/lockdale/soak/link/LinkProxy.java
+++ b/soak/src/main/java/org/lockdale/soak/link/LinkProxy.java
@@ -31,8 +31,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.lockdale.soak.judge.History;
 import org.lockdale.soak.plan.Deployment;
 import org.lockdale.soak.plan.Fault.LinkTrouble;
+import org.lockdale.soak.standin.StallWatch;
+import org.lockdale.soak.standin.StandardStreams;
 
 /** Passes connections and datagrams between processes and harms them as told. */
 public final class LinkProxy implements Closeable {
@@ -40,6 +43,17 @@
   /** How late bytes are on a delayed link; ten times a link between zones of one region. */
   private static final long DELAY_MILLIS = 150;
 
+  /** How often the proxy looks whether it is run. */
+  private static final long LOOK_MILLIS = 50;
+
+  /** Told of what the proxy itself passes on late. */
+  @FunctionalInterface
+  public interface DelayListener {
+
+    /** Takes in that a link, or all of them, was held up since a moment until now. */
+    void onHeldUp(String what, long sinceMillis);
+  }
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final BlockingQueue<Consumer<ConnectionOwners>> waiting = new LinkedBlockingQueue<>();
@@ -50,10 +64,24 @@
   private final Map<InetSocketAddress, String> datagramSenders = new ConcurrentHashMap<>();
   private final Map<String, Channel> datagramSockets = new ConcurrentHashMap<>();
 
+  private final DelayListener delays;
+  private long lookedAtMillis = StandardStreams.nowMillis();
+
   /** Creates a proxy that passes nothing yet. */
-  public LinkProxy() {
+  public LinkProxy(DelayListener delays) {
+    this.delays = delays;
     lookups.setDaemon(true);
     lookups.start();
+    group.scheduleAtFixedRate(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Notices when the event loop that passes all bytes was not run in time. */
+  private void look() {
+    long now = StandardStreams.nowMillis();
+    if (now - lookedAtMillis > LOOK_MILLIS + StallWatch.STALL_MILLIS) {
+      delays.onHeldUp(History.PROXY, lookedAtMillis);
+    }
+    lookedAtMillis = now;
   }
 
   private void lookUp() {
@@ -184,10 +212,10 @@
 
     @Override
     protected void initChannel(Channel accepted) {
+      long acceptedAtMillis = StandardStreams.nowMillis();
       accepted.pipeline().addLast(new FailureHandler());
       if (source != null) {
-        LinkState link = link(source, destination);
-        accepted.eventLoop().execute(() -> connect(accepted, link));
+        accepted.eventLoop().execute(() -> connect(accepted, source, acceptedAtMillis));
         return;
       }
       int port = ((InetSocketAddress) accepted.remoteAddress()).getPort();
@@ -198,12 +226,20 @@
             if (owner == null) {
               unknownOwners.incrementAndGet();
             }
-            LinkState link = link(owner == null ? "unknown" : owner, destination);
-            accepted.eventLoop().execute(() -> connect(accepted, link));
+            String name = owner == null ? "unknown" : owner;
+            accepted.eventLoop().execute(() -> connect(accepted, name, acceptedAtMillis));
           });
     }
 
-    private void connect(Channel accepted, LinkState link) {
+    /** Looking up whose connection it is takes long on a busy machine. */
+    private void connected(String owner, long acceptedAtMillis) {
+      if (StandardStreams.nowMillis() - acceptedAtMillis > StallWatch.STALL_MILLIS) {
+        delays.onHeldUp(History.linkHeldUp(owner, destination), acceptedAtMillis);
+      }
+    }
+
+    private void connect(Channel accepted, String owner, long acceptedAtMillis) {
+      LinkState link = link(owner, destination);
       ChannelFuture connecting =
           new Bootstrap()
               .group(accepted.eventLoop())
@@ -214,6 +250,7 @@
               .connect(real);
       connecting.addListener(
           connected -> {
+            connected(owner, acceptedAtMillis);
             if (connected.isSuccess()) {
               new Relay(link, accepted, connecting.channel()).start();
             } else {
--- a/soak/src/main/java/org/lockdale/soak/run/NoteLog.java
+++ b/soak/src/main/java/org/lockdale/soak/run/NoteLog.java
@@ -64,6 +64,19 @@
     add(new Note.DisruptionEnded(StandardStreams.nowMillis(), id));
   }
 
+  /**
+   * Notes that the machine didn't run the driver, which counts as a disruption of everything: other
+   * work on it must not look like a node's fault.
+   */
+  void machineStalled(long sinceMillis) {
+    disruptionEnds(disruptionBegan(sinceMillis, History.EVERYTHING, true));
+  }
+
+  /** Notes that the soak itself passed something on late, which no node could hasten. */
+  void heldUp(String what, long sinceMillis) {
+    disruptionEnds(disruptionBegan(sinceMillis, what, false));
+  }
+
   @Override
   public synchronized void close() throws IOException {
     file.close();
--- a/soak/src/main/java/org/lockdale/soak/run/Processes.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Processes.java
@@ -78,7 +78,7 @@
   }
 
   private final Addresses addresses = Addresses.claim();
-  private final LinkProxy proxy = new LinkProxy();
+  private final LinkProxy proxy;
   private final Deployment deployment;
   private final GatewayProgram program;
   private final Map<String, String> bounds;
@@ -101,6 +101,7 @@
     this.bounds = bounds;
     this.directory = directory;
     this.notes = notes;
+    this.proxy = new LinkProxy(notes::heldUp);
     place(deployment.nodeNames(), NODES_GROUP);
     place(deployment.serverNames(), SERVERS_GROUP);
     place(List.of(Deployment.STORE, Deployment.CACHE_STORE), STORES_GROUP);
--- a/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
@@ -14,6 +14,7 @@
 import org.lockdale.soak.plan.FaultPlan;
 import org.lockdale.soak.plan.PlannedFault;
 import org.lockdale.soak.standin.Addresses;
+import org.lockdale.soak.standin.StallWatch;
 import org.lockdale.soak.standin.StandardStreams;
 
 /** One run: a deployment, traffic, the faults of a plan, and the judge beside them. */
@@ -91,7 +92,7 @@
       processes.startNode(node);
     }
     try (Entrance entrance = new Entrance(processes, deployment.nodeNames());
-        StallWatch watch = new StallWatch(notes)) {
+        StallWatch watch = new StallWatch(notes::machineStalled)) {
       await(entrance::allServe);
       deployment
           .nodeNames()
--- a/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
@@ -5,10 +5,12 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.platform.RawBackend;
 import org.lockdale.platform.RawBackend.Received;
+import org.lockdale.soak.judge.History;
 import org.lockdale.soak.judge.Note;
 import org.lockdale.soak.judge.RequestFacts;
 
@@ -68,7 +70,17 @@
     Thread beat = new Thread(() -> beat(heartbeatMillis), "heartbeat");
     beat.setDaemon(true);
     beat.start();
-    StandardStreams.obey(Guard::take);
+    try (StallWatch watch = new StallWatch(this::stalled)) {
+      StandardStreams.obey(Guard::take);
+    }
+  }
+
+  /** Tells the judge that the machine didn't run this server, so that it read requests late. */
+  private void stalled(long sinceMillis) {
+    long id = ThreadLocalRandom.current().nextLong(Long.MIN_VALUE, 0);
+    StandardStreams.note(
+        new Note.DisruptionBegan(sinceMillis, id, History.stalled(instance()), false));
+    StandardStreams.note(new Note.DisruptionEnded(StandardStreams.nowMillis(), id));
   }
 
   private void beat(long heartbeatMillis) {
--- a/soak/src/main/java/org/lockdale/soak/run/StallWatch.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/StallWatch.java
@@ -1,25 +1,29 @@
-package org.lockdale.soak.run;
+package org.lockdale.soak.standin;
 
 import java.io.Closeable;
-import org.lockdale.soak.judge.History;
-import org.lockdale.soak.standin.StandardStreams;
 
-/**
- * Notices when the machine doesn't run this process in time, which the judge counts as a disruption
- * of everything: other work on the machine must not look like a node's fault.
- */
-final class StallWatch implements Closeable {
+/** Notices when the machine doesn't run a process in time. */
+public final class StallWatch implements Closeable {
+
+  /** Half of the shortest bound that the judge knows, the one of a configuration falling back. */
+  public static final long STALL_MILLIS = 125;
 
   private static final long STEP_MILLIS = 50;
 
-  /** Half of the shortest bound that the judge knows, the one of a configuration falling back. */
-  private static final long STALL_MILLIS = 125;
+  /** Told of stalls. */
+  @FunctionalInterface
+  public interface Listener {
+
+    /** Takes in that the process wasn't run since a moment, and is now. */
+    void onStall(long sinceMillis);
+  }
 
-  private final NoteLog notes;
+  private final Listener listener;
   private final Thread thread = new Thread(this::watch, "stall-watch");
 
-  StallWatch(NoteLog notes) {
-    this.notes = notes;
+  /** Starts to watch. */
+  public StallWatch(Listener listener) {
+    this.listener = listener;
     thread.setDaemon(true);
     thread.start();
   }
@@ -30,7 +34,7 @@
         long before = StandardStreams.nowMillis();
         Thread.sleep(STEP_MILLIS);
         if (StandardStreams.nowMillis() - before > STEP_MILLIS + STALL_MILLIS) {
-          notes.disruptionEnds(notes.disruptionBegan(before, History.EVERYTHING, true));
+          listener.onStall(before);
         }
       }
     } catch (InterruptedException ended) {
