--- a/gateway/src/main/java/org/lockdale/gateway/cluster/NodeRegistry.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/NodeRegistry.java
@@ -25,9 +25,6 @@
   private static final long ANNOUNCE_MILLIS = 600_000;
   private static final long RETRY_MILLIS = 500;
 
-  /** A row that was lost is written again no more often than this. */
-  private static final long AGAIN_MILLIS = 1_000;
-
   /** A node that can't read the table within this time announces itself without knowing it. */
   private static final long FIRST_READING_MILLIS = 1_000;
 
@@ -44,7 +41,7 @@
   private boolean onRecord;
   private boolean announcing;
   private boolean ownRowRead;
-  private long announcedAtMillis;
+  private boolean rowMayBeLost;
 
   /** Creates a registry; {@link #start} starts to announce. */
   public NodeRegistry(EventLoop eventLoop, ClusterTable table, PeerNode self, Time time) {
@@ -61,10 +58,13 @@
 
   /** Takes in that all rows were {@link #observed}; to be called on the event loop. */
   public void tableRead() {
-    boolean present = ownRowRead;
+    boolean lost = rowMayBeLost && !ownRowRead;
     ownRowRead = false;
+    rowMayBeLost = false;
     if (announcing) {
-      announceAgainUnless(present);
+      if (lost) {
+        announceLostRow();
+      }
       return;
     }
     announcing = true;
@@ -77,18 +77,15 @@
     }
   }
 
-  /** A store that came back from an older copy may have lost the row of this node. */
-  private void announceAgainUnless(boolean present) {
-    if (present || !onRecord) {
-      return;
-    }
-    onRecord = false;
-    long wait = announcedAtMillis + AGAIN_MILLIS - time.monotonicMillis();
-    eventLoop.schedule(this::announceLostRow, Math.max(0, wait), TimeUnit.MILLISECONDS);
+  /**
+   * Takes in that the store has come back from an older copy, which may lack the row of this node;
+   * the next reading tells. To be called on the event loop.
+   */
+  public void historyReplaced() {
+    rowMayBeLost = true;
   }
 
   private void announceLostRow() {
-    announcedAtMillis = time.monotonicMillis();
     Logger.info("event=node-row-lost node={}", self.id());
     table
         .announce(self)
@@ -102,7 +99,6 @@
   }
 
   private void announce() {
-    announcedAtMillis = time.monotonicMillis();
     table
         .announce(self)
         .whenCompleteAsync(
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
@@ -50,6 +50,7 @@
   @Override
   public void onHistoryReplaced() {
     historyReplaced = true;
+    nodes.historyReplaced();
   }
 
   @Override
