--- a/soak/src/main/java/org/lockdale/soak/run/ManagedProcess.java
+++ b/soak/src/main/java/org/lockdale/soak/run/ManagedProcess.java
@@ -83,6 +83,11 @@
     return hasEnded() && !mayEnd && endMillis - disruptedMillis > EXCUSED_MILLIS;
   }
 
+  /** Returns the exit status of a process that has ended: over 128, it and a signal's number. */
+  int exitStatus() {
+    return process.exitValue();
+  }
+
   /** Notes that the process ends by what it was sent. */
   void expectEnd() {
     mayEnd = true;
--- a/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
@@ -146,7 +146,11 @@
   private static List<RuleBreak> breaks(NoteLog notes, Processes processes) {
     for (ManagedProcess process : processes.running()) {
       if (process.endedByItself()) {
-        return List.of(new RuleBreak("FAULT", process.name(), "the process ended by itself"));
+        return List.of(
+            new RuleBreak(
+                "FAULT",
+                process.name(),
+                "the process ended by itself with status " + process.exitStatus()));
       }
     }
     return notes.breaks();
