Nodes read the rate that a server names, and log it; nothing else follows from it yet

What is missing to tell the hypotheses apart: whether a node reads what a server names, when, and how many requests it sends there since. Change: the header is read in platform/ into RateStatement; StatedRates orders answers (later only if its request was sent after the other was heard; of answers in either order the least rate holds, and none ends nothing). Log lines rate-named, rate-ended, rate-unreadable, rate-sends. Ruled out: one belief with the newest time; where answers always overlap, a raise would never have been believed (StatedRatesTest).

--- a/gateway/src/main/java/org/lockdale/gateway/backend/AnswerHead.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/AnswerHead.java
@@ -14,6 +14,7 @@
  * @param authentic whether it carries the back end's proof that the answer is its own
  * @param events whether the body is a stream of events
  * @param weights version of the weights that serve the request, or null where not told
+ * @param rate what it says of the rate at which the back end takes requests
  */
 public record AnswerHead(
     int status,
@@ -22,7 +23,8 @@
     boolean misdirected,
     boolean authentic,
     boolean events,
-    @Nullable Long weights) {
+    @Nullable Long weights,
+    RateStatement rate) {
 
   private static final Set<Integer> PROMISING_STATUSES = Set.of(408, 421, 429, 503);
   private static final int SUCCESS_CLASS = 2;
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -13,8 +13,6 @@
 import org.lockdale.gateway.cache.CacheDirectory;
 import org.lockdale.gateway.cache.CachePlanner;
 import org.lockdale.gateway.cluster.DatagramExchange;
-import org.lockdale.gateway.cluster.LimitClient;
-import org.lockdale.gateway.cluster.LimitResponder;
 import org.lockdale.gateway.cluster.NodeListener;
 import org.lockdale.gateway.cluster.NodeRegistry;
 import org.lockdale.gateway.cluster.NodeReporter;
@@ -28,13 +26,13 @@
 import org.lockdale.gateway.cluster.SuspectCatchUp;
 import org.lockdale.gateway.cluster.TableSliceClient;
 import org.lockdale.gateway.life.LifeWatch;
-import org.lockdale.gateway.limit.LimitBound;
 import org.lockdale.gateway.limit.TenantLimiter;
 import org.lockdale.gateway.placement.BackendChooser;
 import org.lockdale.gateway.placement.PlacementDecider;
 import org.lockdale.gateway.placement.PlacementService;
 import org.lockdale.gateway.quarantine.Quarantine;
 import org.lockdale.gateway.quarantine.Suspect;
+import org.lockdale.gateway.rate.BackendRates;
 import org.lockdale.gateway.table.StoreClock;
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.usage.TrafficMeter;
@@ -66,8 +64,7 @@
   private final WeightsRecorder weightsRecorder;
   private final OperatorController operators;
   private final BackendController backends;
-  private final LimitResponder limits;
-  private final LimitClient limitClient;
+  private final LimitServices limits;
   private final Quarantine quarantine;
   private final SuspectCatchUp suspectCatchUp;
   private final LifeWatch lives;
@@ -106,9 +103,15 @@
     long life = ThreadLocalRandom.current().nextLong();
     nodes = new NodeRegistry(eventLoop, protocols.clusterTable(), self, time);
     datagrams = new DatagramExchange(self.id(), self.address(), eventLoop, meter);
-    LimitBound bound = limitBound(settings);
     limits =
-        new LimitResponder(datagrams, () -> blackboard.configuration().value(), bound, life, time);
+        new LimitServices(
+            eventLoop,
+            settings,
+            blackboard,
+            new LimitServices.Cluster(
+                self.id(), life, datagrams, this::deciders, this::silent, this::size),
+            time,
+            startedAtMillis);
     StoreClock clock = new StoreClock();
     TableFollower.Sources sources =
         new TableFollower.Sources(protocols.feed(), new TableSliceClient(controlClient), clock);
@@ -135,7 +138,6 @@
             new WeightsPolicy(settings.get(GatewaySettings.WEIGHTS_BOUND).toMillis()));
     placements =
         new PlacementClient(placementContext(), PlacementClient.ANSWER_TIME, relays::failed);
-    limitClient = new LimitClient(limitContext(bound, startedAtMillis));
     quarantine =
         new Quarantine(
             quarantineContext(protocols, controlClient),
@@ -185,25 +187,13 @@
         settings.get(GatewaySettings.NODE_LINK));
   }
 
-  private static LimitBound limitBound(GatewaySettings settings) {
-    return new LimitBound(
-        settings.get(GatewaySettings.LIMITS_WINDOW),
-        settings.get(GatewaySettings.LIMITS_OVERSHOOT),
-        settings.get(GatewaySettings.LIMITS_SLACK));
+  /** The limits are made before the relays, and decided on after both. */
+  private List<String> deciders() {
+    return relays.deciders();
   }
 
-  private LimitClient.Context limitContext(LimitBound bound, long startedAtMillis) {
-    return new LimitClient.Context(
-        nodes.self().id(),
-        eventLoop,
-        datagrams,
-        relays::deciders,
-        relays::silent,
-        limits,
-        this::size,
-        bound,
-        startedAtMillis,
-        time);
+  private void silent(String relay) {
+    relays.silent(relay);
   }
 
   private Quarantine.Context quarantineContext(GatewayProtocols protocols, HttpClient client) {
@@ -252,7 +242,7 @@
         settings.get(GatewaySettings.STORE_WAIT).plus(PROOF_MARGIN),
         life,
         time,
-        limits::share,
+        limits.responder()::share,
         cacheDirectory::follow);
   }
 
@@ -286,8 +276,8 @@
             reports,
             responder,
             placements::answered,
-            limits,
-            limitClient,
+            limits.responder(),
+            limits.client(),
             quarantine::told,
             lives::told));
     quarantine.start();
@@ -303,14 +293,13 @@
 
   private void upkeep() {
     suspensions.tick();
-    limits.refresh();
-    limitClient.lend(!blackboard.configuration().value().tenantLimits().isEmpty());
     nodes.refresh();
     weightsRecorder.tick();
     peerLoads.expire();
     Set<String> engines = new HashSet<>();
     blackboard.backends().value().all().forEach(tracked -> engines.add(tracked.backend().id()));
     reporter.retain(engines);
+    limits.upkeep(engines);
   }
 
   /** Ceases to serve other nodes, as before a planned stop. */
@@ -358,7 +347,7 @@
 
   /** Returns what keeps tenants to their limits. */
   TenantLimiter limiter() {
-    return limitClient;
+    return limits.client();
   }
 
   /** Returns whether this node serves others as a relay. */
@@ -391,6 +380,11 @@
     return lives;
   }
 
+  /** Returns what is known of the rates that back ends name. */
+  BackendRates rates() {
+    return limits.rates();
+  }
+
   /** Returns what tells the relays of this node's requests. */
   NodeReporter reporter() {
     return reporter;
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -111,6 +111,7 @@
             cluster.decider(),
             cluster.quarantine(),
             cluster.lives(),
+            cluster.rates(),
             settings.get(GatewaySettings.NODE_ZONE),
             cluster.reporter(),
             time);
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -13,6 +13,7 @@
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.configuration.RouteKind;
 import org.lockdale.gateway.quarantine.LostAttempt;
+import org.lockdale.gateway.rate.BackendRates;
 import org.lockdale.http.HttpCall;
 import org.lockdale.http.HttpCallException;
 import org.lockdale.http.HttpClient;
@@ -33,6 +34,7 @@
   private final TrackedBackend target;
   private final AttemptPlan plan;
   private final BackendProtocol protocol;
+  private final BackendRates rates;
   private final Time time;
   private final Runnable onBegun;
   private final BiConsumer<Attempt, AttemptResult> onResult;
@@ -55,6 +57,7 @@
       TrackedBackend target,
       AttemptPlan plan,
       BackendProtocol protocol,
+      BackendRates rates,
       Time time,
       Runnable onBegun,
       BiConsumer<Attempt, AttemptResult> onResult) {
@@ -62,6 +65,7 @@
     this.target = target;
     this.plan = plan;
     this.protocol = protocol;
+    this.rates = rates;
     this.time = time;
     this.onBegun = onBegun;
     this.onResult = onResult;
@@ -74,6 +78,7 @@
     sentAtMonotonicMillis = time.monotonicMillis();
     heardAtMillis = sentAtMillis;
     target.whenOver(lifeOver);
+    rates.sent(target.backend().id());
     call =
         client.send(
             state.exchange.eventLoop(),
@@ -179,6 +184,7 @@
     }
     if (!received.misdirected()) {
       target.answered(sentAtMonotonicMillis);
+      rates.stated(target.backend().id(), received.rate(), sentAtMonotonicMillis);
     }
     if (received.misdirected()) {
       finish(AttemptResult.MISDIRECTED, "it is not the back end that was meant");
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -114,6 +114,7 @@
             target,
             plan,
             path.backendProtocol(),
+            path.rates(),
             path.time(),
             () -> begun(place, sentAtMillis),
             this::concluded);
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -21,6 +21,7 @@
 import org.lockdale.gateway.placement.PlacementService;
 import org.lockdale.gateway.placement.SplitSelector;
 import org.lockdale.gateway.quarantine.Quarantine;
+import org.lockdale.gateway.rate.BackendRates;
 import org.lockdale.http.HttpClient;
 import org.lockdale.http.HttpExchange;
 import org.lockdale.http.HttpHandler;
@@ -49,6 +50,7 @@
   private final PlacementDecider decider;
   private final Quarantine quarantine;
   private final LifeWatch lives;
+  private final BackendRates rates;
   private final String zone;
   private final AttemptObserver observer;
   private final RetryBudget budget;
@@ -74,6 +76,7 @@
    * @param decider what this node believes itself
    * @param quarantine tells which requests are held back
    * @param lives told of requests that were not meant for whoever answered
+   * @param rates what is known of the rates that back ends name
    * @param zone zone of the node
    * @param observer told of the progress of attempts
    * @param time clock
@@ -90,6 +93,7 @@
       PlacementDecider decider,
       Quarantine quarantine,
       LifeWatch lives,
+      BackendRates rates,
       String zone,
       AttemptObserver observer,
       Time time) {
@@ -101,6 +105,7 @@
     this.decider = decider;
     this.quarantine = quarantine;
     this.lives = lives;
+    this.rates = rates;
     this.zone = zone;
     this.observer = observer;
     this.budget =
@@ -211,6 +216,10 @@
     return lives;
   }
 
+  BackendRates rates() {
+    return rates;
+  }
+
   /** Returns whether a back end of the request's pool was not tried yet. */
   boolean hasUntried(RequestState state) {
     return blackboard.backends().value().ofPool(state.pool).stream()
