--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
@@ -24,7 +24,11 @@
 import org.lockdale.protocol.generated.NodeNotice;
 import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
+import org.lockdale.protocol.generated.PlacementDelay;
 import org.lockdale.protocol.generated.PlacementQuestion;
+import org.lockdale.protocol.generated.RateDatagram;
+import org.lockdale.protocol.generated.RateGrant;
+import org.lockdale.protocol.generated.RateReport;
 import org.lockdale.protocol.generated.RelayHeartbeat;
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
@@ -38,12 +42,16 @@
  */
 public final class DatagramExchange {
 
+  /** Tells loans of rates' shares from those of tenants' limits in the log of traffic. */
+  private static final String RATES = "rates-";
+
   private final String nodeId;
   private final InetSocketAddress address;
   private final EventLoop eventLoop;
   private final TrafficMeter meter;
   private final MessageCodec<NodeDatagram> codec = MessageCodec.nodeDatagrams();
   private final MessageCodec<NodeNotice> noticeCodec = MessageCodec.nodeNotices();
+  private final MessageCodec<RateDatagram> rateCodec = MessageCodec.rateDatagrams();
   private @Nullable Channel channel;
 
   /**
@@ -100,6 +108,13 @@
     }
   }
 
+  /** Sends a message about the rates of back ends; nodes of an earlier version drop it. */
+  public void sendOfRates(Collection<InetSocketAddress> receivers, Message body) {
+    if (!receivers.isEmpty()) {
+      sendBytes(receivers, RATES + kindOf(body), rateCodec.encode(new RateDatagram(nodeId, body)));
+    }
+  }
+
   private static String kindOf(Object body) {
     return body.getClass().getSimpleName();
   }
@@ -133,6 +148,10 @@
           NodeNotice notice = noticeCodec.decode(message);
           meter.received(kindOf(notice.getBody()), message.length);
           dispatch(notice);
+        } else if (rateCodec.wrote(message)) {
+          RateDatagram datagram = rateCodec.decode(message);
+          meter.received(RATES + kindOf(datagram.getBody()), message.length);
+          dispatch(datagram, packet.sender());
         } else {
           NodeDatagram datagram = codec.decode(message);
           meter.received(kindOf(datagram.getBody()), message.length);
@@ -149,6 +168,24 @@
       }
     }
 
+    private void dispatch(RateDatagram datagram, InetSocketAddress from) {
+      String sender = datagram.getSender();
+      Object body = datagram.getBody();
+      if (body instanceof RateReport report) {
+        listener.onRates(sender, report);
+      } else if (body instanceof RateGrant grant) {
+        listener.onGrant(sender, grant);
+      } else if (body instanceof PlacementDelay delay) {
+        listener.onDelay(sender, delay);
+      } else if (body instanceof ShareLoan loan) {
+        listener.onRateLoan(sender, loan);
+      } else if (body instanceof ShareRecall recall) {
+        listener.onRateRecall(sender, from, recall);
+      } else if (body instanceof ShareReleased released) {
+        listener.onRateReleased(sender, released);
+      }
+    }
+
     private void dispatch(NodeDatagram datagram, InetSocketAddress from) {
       String sender = datagram.getSender();
       Object body = datagram.getBody();
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramListener.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramListener.java
@@ -6,7 +6,10 @@
 import org.lockdale.protocol.generated.LifeOverNotice;
 import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
+import org.lockdale.protocol.generated.PlacementDelay;
 import org.lockdale.protocol.generated.PlacementQuestion;
+import org.lockdale.protocol.generated.RateGrant;
+import org.lockdale.protocol.generated.RateReport;
 import org.lockdale.protocol.generated.RelayHeartbeat;
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
@@ -46,6 +49,24 @@
   /** A node tells of requests under which back ends ended. */
   void onSuspects(SuspectReport report);
 
+  /** A node tells of the rates that back ends name. */
+  void onRates(String sender, RateReport report);
+
+  /** A relay has counted a placement in the rate of its back end. */
+  void onGrant(String sender, RateGrant grant);
+
+  /** A relay answers a question of this node: the back ends take no more now. */
+  void onDelay(String sender, PlacementDelay delay);
+
+  /** A node lends its share of the back ends' rates. */
+  void onRateLoan(String sender, ShareLoan loan);
+
+  /** A node wants its share of the back ends' rates back. */
+  void onRateRecall(String sender, InetSocketAddress address, ShareRecall recall);
+
+  /** A relay gives this node's share of the back ends' rates back. */
+  void onRateReleased(String sender, ShareReleased released);
+
   /** A node tells of lives of back ends that are over. */
   void onLivesOver(LifeOverNotice notice);
 }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/LimitClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/LimitClient.java
@@ -91,7 +91,7 @@
         new LoanSender.Context(
             context.selfId(),
             context.eventLoop(),
-            context.datagrams(),
+            context.datagrams()::send,
             context.responder(),
             context.nodes(),
             context.startedAtMillis(),
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/LimitResponder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/LimitResponder.java
@@ -23,7 +23,7 @@
  * Decides for the nodes that lend this node their shares whether requests lie within their tenants'
  * limits. Runs on one event loop.
  */
-public final class LimitResponder {
+public final class LimitResponder implements ShareBorrower {
 
   private final DatagramExchange datagrams;
   private final Supplier<GatewayConfiguration> configuration;
@@ -75,7 +75,8 @@
   }
 
   /** Takes in the loan of a node. */
-  void borrow(String node, ShareLoan loan) {
+  @Override
+  public void borrow(String node, ShareLoan loan) {
     if (loan.getLife() != life) {
       return;
     }
@@ -97,7 +98,8 @@
   }
 
   /** Gives the share of a node back. */
-  void release(String node, ShareRecall recall) {
+  @Override
+  public void release(String node, ShareRecall recall) {
     long until = recall.getSentAt() + ShareLender.TERM_MILLIS;
     if (recall.getReserve()) {
       buckets.releaseReserve(node, until, nowMillis());
@@ -137,8 +139,8 @@
     return now;
   }
 
-  /** Returns what tells the lives of this node apart. */
-  long life() {
+  @Override
+  public long life() {
     return life;
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/LoanSender.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/LoanSender.java
@@ -1,20 +1,23 @@
 package org.lockdale.gateway.cluster;
 
-import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.IntSupplier;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.limit.ShareLender;
+import org.lockdale.protocol.Message;
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
 import org.lockdale.protocol.generated.ShareReleased;
 
 /**
- * Lends this node's share of the tenants' limits, or of the reserves beside them, to one relay or
- * to this node itself. Runs on one event loop.
+ * Lends this node's share of what all nodes may do together to one relay or to this node itself: of
+ * the tenants' limits, of the reserves beside them, or of the back ends' rates. Runs on one event
+ * loop.
  */
 final class LoanSender {
 
@@ -31,18 +34,18 @@
    * Where a node finds what it needs to lend.
    *
    * @param selfId id of this node
-   * @param eventLoop runs the timers
-   * @param datagrams carries loans
-   * @param responder takes the loans to this node itself
+   * @param executor runs the timers
+   * @param sender sends loans and recalls to a relay
+   * @param borrower takes the loans to this node itself
    * @param nodes tells the number of nodes, or 0 where it is not known yet
    * @param startedAtMillis monotonic time at which the process began
    * @param time clock
    */
   record Context(
       String selfId,
-      EventLoop eventLoop,
-      DatagramExchange datagrams,
-      LimitResponder responder,
+      ScheduledExecutorService executor,
+      BiConsumer<InetSocketAddress, Message> sender,
+      ShareBorrower borrower,
       IntSupplier nodes,
       long startedAtMillis,
       Time time) {}
@@ -74,10 +77,10 @@
     long now = context.time().monotonicMillis();
     recall(context.selfId(), now);
     ShareLender.Heartbeat heartbeat =
-        new ShareLender.Heartbeat(context.selfId(), context.responder().life(), now, now);
+        new ShareLender.Heartbeat(context.selfId(), context.borrower().life(), now, now);
     int nodes = context.nodes().getAsInt();
     if (nodes > 0 && lender.lend(heartbeat, now)) {
-      context.responder().borrow(context.selfId(), loan(heartbeat, nodes));
+      context.borrower().borrow(context.selfId(), loan(heartbeat, nodes));
     }
   }
 
@@ -90,7 +93,7 @@
     if (nodes > 0 && !heartbeat.equals(answered) && lender.lend(heartbeat, now)) {
       answered = heartbeat;
       borrower = relay;
-      context.datagrams().send(relay.address(), loan(heartbeat, nodes));
+      context.sender().accept(relay.address(), loan(heartbeat, nodes));
     }
   }
 
@@ -108,10 +111,10 @@
     ShareRecall recall = new ShareRecall(loan.get().life(), sentAt, reserve);
     Relay former = borrower;
     if (loan.get().relay().equals(context.selfId())) {
-      context.responder().release(context.selfId(), recall);
+      context.borrower().release(context.selfId(), recall);
       lender.released(context.selfId(), loan.get().life(), sentAt, nowMillis);
     } else if (former != null) {
-      context.datagrams().send(former.address(), recall);
+      context.sender().accept(former.address(), recall);
     }
     awaitEnd(nowMillis);
   }
@@ -120,7 +123,7 @@
     long left = lender.lentUntilMillis() - nowMillis;
     if (left > 0 && !waiting) {
       waiting = true;
-      context.eventLoop().schedule(this::ended, left, TimeUnit.MILLISECONDS);
+      context.executor().schedule(this::ended, left, TimeUnit.MILLISECONDS);
     }
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/NodeListener.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/NodeListener.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.lockdale.gateway.quarantine.Suspect;
 import org.lockdale.gateway.quarantine.SuspectMessages;
@@ -11,7 +10,10 @@
 import org.lockdale.protocol.generated.LifeOverNotice;
 import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
+import org.lockdale.protocol.generated.PlacementDelay;
 import org.lockdale.protocol.generated.PlacementQuestion;
+import org.lockdale.protocol.generated.RateGrant;
+import org.lockdale.protocol.generated.RateReport;
 import org.lockdale.protocol.generated.RelayHeartbeat;
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
@@ -24,9 +26,10 @@
  * @param relays takes heartbeats
  * @param reports takes reports
  * @param responder answers questions
- * @param onAnswer takes answers, with the relay that sent them
  * @param limits decides on limits of tenants for other nodes
  * @param limitClient asks others to decide
+ * @param rates keeps requests within the rates of back ends
+ * @param placements takes answers
  * @param onSuspects takes requests under which back ends ended
  * @param onLivesOver takes lives of back ends that are over, by their text forms
  */
@@ -34,9 +37,10 @@
     RelayController relays,
     ReportReceiver reports,
     PlacementResponder responder,
-    BiConsumer<String, PlacementAnswer> onAnswer,
     LimitResponder limits,
     LimitClient limitClient,
+    RateExchange rates,
+    PlacementClient placements,
     Consumer<List<Suspect>> onSuspects,
     Consumer<List<String>> onLivesOver)
     implements DatagramListener {
@@ -45,6 +49,7 @@
   public void onHeartbeat(String sender, InetSocketAddress address, RelayHeartbeat heartbeat) {
     relays.heard(sender, address, heartbeat);
     limitClient.heard(sender, address, heartbeat);
+    rates.heard(sender, address, heartbeat);
   }
 
   @Override
@@ -59,7 +64,7 @@
 
   @Override
   public void onAnswer(String sender, PlacementAnswer answer) {
-    onAnswer.accept(sender, answer);
+    placements.answered(sender, answer);
   }
 
   @Override
@@ -92,6 +97,36 @@
     onSuspects.accept(report.getSuspects().stream().map(SuspectMessages::read).toList());
   }
 
+  @Override
+  public void onRates(String sender, RateReport report) {
+    rates.told(sender, report);
+  }
+
+  @Override
+  public void onGrant(String sender, RateGrant grant) {
+    placements.granted(sender, grant);
+  }
+
+  @Override
+  public void onDelay(String sender, PlacementDelay delay) {
+    placements.delayed(sender, delay);
+  }
+
+  @Override
+  public void onRateLoan(String sender, ShareLoan loan) {
+    rates.borrow(sender, loan);
+  }
+
+  @Override
+  public void onRateRecall(String sender, InetSocketAddress address, ShareRecall recall) {
+    rates.release(sender, address, recall);
+  }
+
+  @Override
+  public void onRateReleased(String sender, ShareReleased released) {
+    rates.released(sender, released);
+  }
+
   @Override
   public void onLivesOver(LifeOverNotice notice) {
     onLivesOver.accept(notice.getEngines());
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
@@ -6,11 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -21,10 +23,13 @@
 import org.lockdale.gateway.placement.Placement;
 import org.lockdale.gateway.placement.PlacementDecider;
 import org.lockdale.gateway.placement.PlacementQuery;
+import org.lockdale.gateway.placement.PlacementResult;
 import org.lockdale.gateway.placement.PlacementService;
 import org.lockdale.protocol.generated.PlacementAnswer;
+import org.lockdale.protocol.generated.PlacementDelay;
 import org.lockdale.protocol.generated.PlacementQuestion;
 import org.lockdale.protocol.generated.QueryPart;
+import org.lockdale.protocol.generated.RateGrant;
 import org.tinylog.Logger;
 
 /**
@@ -49,7 +54,7 @@
   private record Open(
       String relay,
       PlacementQuery query,
-      CompletableFuture<Optional<Placement>> result,
+      CompletableFuture<PlacementResult> result,
       boolean isRepeat) {}
 
   /**
@@ -61,6 +66,7 @@
    * @param relays the other relays that can be relied on, the most senior first
    * @param backends back ends on record
    * @param decider decides where no relay answers
+   * @param onUncounted told of a relay and a back end that it chose without regard to its rate
    * @param reporter told of requests that count in a back end's load
    * @param time clock
    */
@@ -71,6 +77,7 @@
       Supplier<List<RelayElection.Relay>> relays,
       Supplier<BackendTable> backends,
       PlacementDecider decider,
+      BiConsumer<String, String> onUncounted,
       NodeReporter reporter,
       Time time) {}
 
@@ -78,6 +85,7 @@
   private final Duration answerTime;
   private final Consumer<RelayElection.Relay> onSilent;
   private final Map<Long, Open> open = new ConcurrentHashMap<>();
+  private final Set<Long> granted = ConcurrentHashMap.newKeySet();
   private final AtomicLong numbers = new AtomicLong();
   private final AtomicInteger silentQuestions = new AtomicInteger();
   private final AtomicLong nextRejectionLogMillis = new AtomicLong(Long.MIN_VALUE);
@@ -97,24 +105,24 @@
   }
 
   @Override
-  public CompletableFuture<Optional<Placement>> place(PlacementQuery query) {
+  public CompletableFuture<PlacementResult> place(PlacementQuery query) {
     Optional<RelayElection.Relay> coordinator = context.coordinator().get();
     if (coordinator.isEmpty()) {
       return CompletableFuture.completedFuture(decide(query));
     }
-    CompletableFuture<Optional<Placement>> result = new CompletableFuture<>();
+    CompletableFuture<PlacementResult> result = new CompletableFuture<>();
     ask(coordinator.get(), query, result, false);
     return result;
   }
 
-  private Optional<Placement> decide(PlacementQuery query) {
+  private PlacementResult decide(PlacementQuery query) {
     return context.decider().decide(query, context.time().monotonicMillis());
   }
 
   private void ask(
       RelayElection.Relay relay,
       PlacementQuery query,
-      CompletableFuture<Optional<Placement>> result,
+      CompletableFuture<PlacementResult> result,
       boolean isRepeat) {
     long number = numbers.incrementAndGet();
     open.put(number, new Open(relay.id(), query, result, isRepeat));
@@ -153,6 +161,7 @@
 
   private void unanswered(long number, RelayElection.Relay relay) {
     Open question = open.remove(number);
+    granted.remove(number);
     if (question == null) {
       return;
     }
@@ -183,14 +192,37 @@
       return;
     }
     silentQuestions.set(0);
-    Placement placement = placement(sender, question.query(), answer);
+    boolean isGranted = granted.remove(answer.getNumber());
+    Placement placement = placement(sender, question.query(), answer, isGranted);
     question
         .result()
-        .complete(placement == null ? decide(question.query()) : Optional.of(placement));
+        .complete(
+            placement == null ? decide(question.query()) : new PlacementResult.Placed(placement));
+  }
+
+  /**
+   * Takes in that a placement, which comes next, counts in the rate of its back end. A relay of an
+   * earlier version, or one that has just started and knows nothing of rates, never says so.
+   */
+  void granted(String sender, RateGrant grant) {
+    Open question = open.get(grant.getNumber());
+    if (question != null && question.relay().equals(sender)) {
+      granted.add(grant.getNumber());
+    }
+  }
+
+  /** Takes in that the back ends which could serve a request take no more now. */
+  void delayed(String sender, PlacementDelay delay) {
+    Open question = open.get(delay.getNumber());
+    if (question != null && question.relay().equals(sender)) {
+      open.remove(delay.getNumber());
+      silentQuestions.set(0);
+      question.result().complete(new PlacementResult.AtRate(delay.getWaitMillis()));
+    }
   }
 
   private @Nullable Placement placement(
-      String sender, PlacementQuery query, PlacementAnswer answer) {
+      String sender, PlacementQuery query, PlacementAnswer answer, boolean isGranted) {
     String engine = answer.getEngine();
     TrackedBackend target = engine == null ? null : context.backends().get().named(engine);
     if (target == null || target.backend().leaving() || target.isOver()) {
@@ -200,6 +232,10 @@
     if (weights != null && isOutdated(sender, query, target, weights)) {
       return null;
     }
+    if (!isGranted && !context.decider().tryCount(target)) {
+      context.onUncounted().accept(sender, target.backend().id());
+      return null;
+    }
     CacheTransfer transfer =
         new CacheTransfer(
             PlacementMessages.address(answer.getSource()),
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementResponder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementResponder.java
@@ -1,12 +1,15 @@
 package org.lockdale.gateway.cluster;
 
 import java.net.InetSocketAddress;
-import java.util.Optional;
+import java.util.List;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.placement.Placement;
 import org.lockdale.gateway.placement.PlacementDecider;
+import org.lockdale.gateway.placement.PlacementResult;
 import org.lockdale.protocol.generated.PlacementAnswer;
+import org.lockdale.protocol.generated.PlacementDelay;
 import org.lockdale.protocol.generated.PlacementQuestion;
+import org.lockdale.protocol.generated.RateGrant;
 
 /** Answers the questions of other nodes, and counts what it places. Runs on one event loop. */
 public final class PlacementResponder {
@@ -39,12 +42,23 @@
   }
 
   void answer(String sender, InetSocketAddress address, PlacementQuestion question) {
-    Optional<Placement> placement =
+    PlacementResult result =
         decider.decide(PlacementMessages.query(question), time.monotonicMillis());
+    if (result instanceof PlacementResult.AtRate atRate) {
+      // A node of an earlier version drops this one and takes the next; others the first that
+      // comes.
+      datagrams.sendOfRates(
+          List.of(address), new PlacementDelay(question.getNumber(), atRate.waitMillis()));
+    }
+    if (result instanceof PlacementResult.Placed placed
+        && decider.isCounted(placed.placement().target())) {
+      datagrams.sendOfRates(List.of(address), new RateGrant(question.getNumber()));
+    }
     datagrams.send(
         address,
-        placement
-            .map(p -> placed(sender, question, p))
+        result
+            .placed()
+            .map(placement -> placed(sender, question, placement))
             .orElseGet(() -> PlacementMessages.none(question.getNumber())));
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/limit/ShareLoans.java
+++ b/gateway/src/main/java/org/lockdale/gateway/limit/ShareLoans.java
@@ -7,7 +7,7 @@
  * Shares that other nodes have lent, each until its time. Messages may come late, twice and in any
  * order. Without I/O; time is injected; not safe for use by several threads.
  */
-final class ShareLoans {
+public final class ShareLoans {
 
   /** What sums of shares may lack to 1 by rounding. */
   private static final double ROUNDING = 1e-9;
@@ -23,12 +23,12 @@
   private long nextEndMillis = Long.MAX_VALUE;
 
   /** Returns the sum of the shares, from 0 to 1. */
-  double share() {
+  public double share() {
     return share;
   }
 
   /** Returns the sum of those shares that have been here for some time without a break. */
-  double shareSince(long sinceMillis) {
+  public double shareSince(long sinceMillis) {
     double sum = 0;
     for (Loan loan : loans.values()) {
       sum += loan.sinceMillis() <= sinceMillis ? loan.share() : 0;
@@ -37,12 +37,17 @@
   }
 
   /** Returns when the next loan ends. */
-  long nextEndMillis() {
+  public long nextEndMillis() {
     return nextEndMillis;
   }
 
+  /** Returns whether a node has lent its share. */
+  public boolean isLentBy(String node) {
+    return loans.containsKey(node);
+  }
+
   /** Takes in a loan in place of the node's earlier one; loans up to now must have been ended. */
-  void lent(String node, double part, long untilMillis, long nowMillis) {
+  public void lent(String node, double part, long untilMillis, long nowMillis) {
     Loan before = loans.get(node);
     boolean outdated = before != null && untilMillis < before.untilMillis();
     boolean givenBack = untilMillis <= released.getOrDefault(node, Long.MIN_VALUE);
@@ -54,7 +59,7 @@
   }
 
   /** Gives a share back; a loan that ends no later and comes in after this is ignored. */
-  void release(String node, long untilMillis) {
+  public void release(String node, long untilMillis) {
     released.merge(node, untilMillis, Math::max);
     Loan loan = loans.get(node);
     if (loan != null && loan.untilMillis() <= untilMillis) {
@@ -64,7 +69,7 @@
   }
 
   /** Ends the loans whose time has come. */
-  void end(long nowMillis) {
+  public void end(long nowMillis) {
     loans.values().removeIf(loan -> loan.untilMillis() <= nowMillis);
     released.values().removeIf(until -> until <= nowMillis);
     sum();
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -105,13 +105,7 @@
     datagrams = new DatagramExchange(self.id(), self.address(), eventLoop, meter);
     limits =
         new LimitServices(
-            eventLoop,
-            settings,
-            blackboard,
-            new LimitServices.Cluster(
-                self.id(), life, datagrams, this::deciders, this::silent, this::size),
-            time,
-            startedAtMillis);
+            eventLoop, settings, blackboard, limitCluster(self.id(), life), time, startedAtMillis);
     StoreClock clock = new StoreClock();
     TableFollower.Sources sources =
         new TableFollower.Sources(protocols.feed(), new TableSliceClient(controlClient), clock);
@@ -135,7 +129,8 @@
             blackboard,
             new BackendChooser(peerLoads),
             new CachePlanner(cacheDirectory, reporter::expect),
-            new WeightsPolicy(settings.get(GatewaySettings.WEIGHTS_BOUND).toMillis()));
+            new WeightsPolicy(settings.get(GatewaySettings.WEIGHTS_BOUND).toMillis()),
+            limits.rates());
     placements =
         new PlacementClient(placementContext(), PlacementClient.ANSWER_TIME, relays::failed);
     quarantine =
@@ -188,12 +183,17 @@
   }
 
   /** The limits are made before the relays, and decided on after both. */
-  private List<String> deciders() {
-    return relays.deciders();
-  }
-
-  private void silent(String relay) {
-    relays.silent(relay);
+  private LimitServices.Cluster limitCluster(String selfId, long life) {
+    return new LimitServices.Cluster(
+        selfId,
+        life,
+        datagrams,
+        () -> relays.deciders(),
+        relay -> relays.silent(relay),
+        () -> relays.coordinator(),
+        () -> relays.relays(),
+        nodes::peers,
+        this::size);
   }
 
   private Quarantine.Context quarantineContext(GatewayProtocols protocols, HttpClient client) {
@@ -228,6 +228,7 @@
         relays::relays,
         () -> blackboard.backends().value(),
         decider,
+        limits.rateExchange()::uncounted,
         reporter,
         time);
   }
@@ -275,9 +276,10 @@
             relays,
             reports,
             responder,
-            placements::answered,
             limits.responder(),
             limits.client(),
+            limits.rateExchange(),
+            placements,
             quarantine::told,
             lives::told));
     quarantine.start();
--- a/gateway/src/main/java/org/lockdale/gateway/node/LimitServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/LimitServices.java
@@ -1,7 +1,9 @@
 package org.lockdale.gateway.node;
 
 import io.netty.channel.EventLoop;
+import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
@@ -11,6 +13,9 @@
 import org.lockdale.gateway.cluster.DatagramExchange;
 import org.lockdale.gateway.cluster.LimitClient;
 import org.lockdale.gateway.cluster.LimitResponder;
+import org.lockdale.gateway.cluster.PeerNode;
+import org.lockdale.gateway.cluster.RateExchange;
+import org.lockdale.gateway.cluster.RelayElection;
 import org.lockdale.gateway.limit.LimitBound;
 import org.lockdale.gateway.rate.BackendRates;
 
@@ -21,6 +26,7 @@
   private final LimitResponder responder;
   private final LimitClient client;
   private final BackendRates rates;
+  private final RateExchange rateExchange;
 
   /**
    * Where the services find the other nodes.
@@ -30,6 +36,9 @@
    * @param datagrams carries questions and loans
    * @param deciders tells the ids of the relays that may decide, the most senior first
    * @param onSilent told of a relay that no longer answers
+   * @param coordinator the relay that places requests, or empty where this node does so itself
+   * @param relays the other relays that can be relied on
+   * @param peers the other nodes
    * @param nodes tells the number of nodes, or 0 where it is not known yet
    */
   record Cluster(
@@ -38,6 +47,9 @@
       DatagramExchange datagrams,
       Supplier<List<String>> deciders,
       Consumer<String> onSilent,
+      Supplier<Optional<RelayElection.Relay>> coordinator,
+      Supplier<List<RelayElection.Relay>> relays,
+      Supplier<? extends Collection<PeerNode>> peers,
       IntSupplier nodes) {}
 
   /**
@@ -84,6 +96,20 @@
                 startedAtMillis,
                 time));
     rates = new BackendRates(time);
+    rateExchange =
+        new RateExchange(
+            new RateExchange.Context(
+                cluster.selfId(),
+                cluster.life(),
+                eventLoop,
+                cluster.datagrams()::sendOfRates,
+                cluster.coordinator(),
+                cluster.relays(),
+                cluster.peers(),
+                cluster.nodes(),
+                rates,
+                startedAtMillis,
+                time));
   }
 
   /**
@@ -95,6 +121,7 @@
     responder.refresh();
     client.lend(!blackboard.configuration().value().tenantLimits().isEmpty());
     rates.tick(backends);
+    rateExchange.tick();
   }
 
   /** Returns what decides on tenants' limits for other nodes. */
@@ -107,6 +134,11 @@
     return client;
   }
 
+  /** Returns what keeps requests within the rates of back ends, with the other nodes. */
+  RateExchange rateExchange() {
+    return rateExchange;
+  }
+
   /** Returns what is known of the rates that back ends name. */
   BackendRates rates() {
     return rates;
--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -112,14 +112,17 @@
     }
     // With no back end known to be sound, one that may have recovered is better than none.
     List<TrackedBackend> choice = usable.isEmpty() ? ejected : usable;
+    List<TrackedBackend> open = new ArrayList<>(choice);
+    open.removeIf(request.atRate());
     PromptPlacement prompt = request.prompt();
     return prompt == null
-        ? least(choice, candidate -> plainCost(candidate, request.zone(), nowMillis))
-        : cheapest(choice, request, prompt, nowMillis);
+        ? least(open, candidate -> plainCost(candidate, request.zone(), nowMillis))
+        : cheapest(choice, open, request, prompt, nowMillis);
   }
 
   private Optional<TrackedBackend> cheapest(
       List<TrackedBackend> choice,
+      List<TrackedBackend> open,
       PlacementRequest request,
       PromptPlacement prompt,
       long nowMillis) {
@@ -132,7 +135,7 @@
     Set<TrackedBackend> inSet = new HashSet<>(preferred);
     TrackedBackend home = home(preferred, prompt.affinityKey());
     return least(
-        choice,
+        open,
         candidate ->
             promptCost(candidate, request.needOf().apply(candidate), candidate == home)
                 + sharedCost(candidate, request.zone(), nowMillis)
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.blackboard.GatewayBlackboard;
@@ -14,6 +16,7 @@
 import org.lockdale.gateway.cache.CacheTransfer;
 import org.lockdale.gateway.cache.PrefixNeed;
 import org.lockdale.gateway.cache.PrefixSurvey;
+import org.lockdale.gateway.rate.BackendRates;
 import org.lockdale.gateway.weights.WeightsPolicy;
 
 /** Decides from what this node believes where a request is served. */
@@ -23,6 +26,7 @@
   private final BackendChooser chooser;
   private final CachePlanner cachePlanner;
   private final WeightsPolicy weightsPolicy;
+  private final BackendRates rates;
 
   /**
    * Creates a decider.
@@ -31,23 +35,47 @@
    * @param chooser weighs back ends
    * @param cachePlanner plans moves of cached prompts
    * @param weightsPolicy which weights may serve
+   * @param rates what may be sent to back ends that name rates
    */
   public PlacementDecider(
       GatewayBlackboard blackboard,
       BackendChooser chooser,
       CachePlanner cachePlanner,
-      WeightsPolicy weightsPolicy) {
+      WeightsPolicy weightsPolicy,
+      BackendRates rates) {
     this.blackboard = blackboard;
     this.chooser = chooser;
     this.cachePlanner = cachePlanner;
     this.weightsPolicy = weightsPolicy;
+    this.rates = rates;
   }
 
-  /** Returns where a request is served, or empty where no back end is left for it. */
-  public Optional<Placement> decide(PlacementQuery query, long nowMillis) {
+  /**
+   * Returns where a request is served. A placement at a back end that names a rate counts there
+   * from now on, whether or not the request is sent.
+   */
+  public PlacementResult decide(PlacementQuery query, long nowMillis) {
     return new Decision(query, nowMillis).decide();
   }
 
+  /** Returns whether a placement at a back end counts in a rate that it names. */
+  public boolean isCounted(TrackedBackend target) {
+    return rates.isLimited(target.backend().id());
+  }
+
+  /**
+   * Counts a request that another node has placed without counting it, as one does that knows
+   * nothing of the back end's rate. Nothing is counted where it is long ago that this node heard of
+   * a rate: whoever places may know that it has ended.
+   *
+   * @param target where it was placed
+   * @return whether it may be sent there by what this node may send by itself
+   */
+  public boolean tryCount(TrackedBackend target) {
+    String id = target.backend().id();
+    return !rates.wasNamedLately(id) || rates.tryTake(id);
+  }
+
   /** Returns whether a version of weights is too old for a request to begin on it now. */
   public boolean isOutdated(String model, long weights, long nowMillis) {
     Long required = weightsPolicy.requiredVersion(blackboard.weights().value(), model, nowMillis);
@@ -73,6 +101,9 @@
     private final List<TrackedBackend> candidates;
     private final Map<String, PrefixSurvey> surveys = new HashMap<>();
 
+    /** Candidates that turned out to take no more now, as another thread took the last place. */
+    private final Set<TrackedBackend> takenMeanwhile = new HashSet<>();
+
     /** The newest version that answers are expected to be on by now, or null for none. */
     private final @Nullable Long due;
 
@@ -87,7 +118,7 @@
               : weightsPolicy.dueVersion(blackboard.weights().value(), model, nowMillis);
     }
 
-    Optional<Placement> decide() {
+    PlacementResult decide() {
       PromptPlacement prompt = query.parts().isEmpty() ? null : PromptPlacement.of(query.parts());
       PlacementRequest request =
           new PlacementRequest(
@@ -97,8 +128,33 @@
               query.excluded(),
               prompt,
               this::needOf,
-              this::isReplaced);
-      return chooser.choose(request, nowMillis).map(target -> placed(target, prompt));
+              this::isReplaced,
+              this::isAtRate);
+      Optional<TrackedBackend> chosen = chooser.choose(request, nowMillis);
+      while (chosen.isPresent() && !rates.tryTake(chosen.get().backend().id())) {
+        takenMeanwhile.add(chosen.get());
+        chosen = chooser.choose(request, nowMillis);
+      }
+      return chosen.isPresent()
+          ? new PlacementResult.Placed(placed(chosen.get(), prompt))
+          : noneOpen();
+    }
+
+    private boolean isAtRate(TrackedBackend candidate) {
+      return !rates.hasRoom(candidate.backend().id()) || takenMeanwhile.contains(candidate);
+    }
+
+    /** A back end that takes more in a moment is better than one that is known to fail. */
+    private PlacementResult noneOpen() {
+      List<String> atRate = new ArrayList<>();
+      for (TrackedBackend candidate : candidates) {
+        if (isAtRate(candidate) && !candidate.isAmong(query.excluded())) {
+          atRate.add(candidate.backend().id());
+        }
+      }
+      return atRate.isEmpty()
+          ? PlacementResult.NONE_LEFT
+          : new PlacementResult.AtRate(rates.comeBackMillis(query.pool(), atRate));
     }
 
     private Placement placed(TrackedBackend target, @Nullable PromptPlacement prompt) {
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementRequest.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementRequest.java
@@ -18,6 +18,8 @@
  * @param prompt the prompt, or null for a request without one
  * @param needOf estimates what a candidate lacks of the prompt's shared parts
  * @param outdated tells candidates that may serve on weights which newer ones have replaced
+ * @param atRate tells candidates that take no more now; they keep their prefixes, so that a rate
+ *     that comes and goes moves none
  */
 public record PlacementRequest(
     String pool,
@@ -26,9 +28,10 @@
     Set<String> excluded,
     @Nullable PromptPlacement prompt,
     Function<TrackedBackend, PrefixNeed> needOf,
-    Predicate<TrackedBackend> outdated) {
+    Predicate<TrackedBackend> outdated,
+    Predicate<TrackedBackend> atRate) {
 
-  /** Creates a request for which all candidates hold current weights. */
+  /** Creates a request for which all candidates hold current weights and take more. */
   public PlacementRequest(
       String pool,
       String zone,
@@ -36,6 +39,6 @@
       Set<String> excluded,
       @Nullable PromptPlacement prompt,
       Function<TrackedBackend, PrefixNeed> needOf) {
-    this(pool, zone, candidates, excluded, prompt, needOf, candidate -> false);
+    this(pool, zone, candidates, excluded, prompt, needOf, candidate -> false, candidate -> false);
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/rate/StatedRates.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/StatedRates.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.lockdale.gateway.backend.RateStatement;
@@ -31,8 +32,14 @@
 
   private static final double NO_LIMIT = Double.POSITIVE_INFINITY;
 
-  /** What an answer said. */
-  private record Statement(double perSecond, long sentAtMillis, long heardAtMillis) {
+  /**
+   * What an answer said.
+   *
+   * @param perSecond requests a second that its back end takes, or positive infinity
+   * @param sentAtMillis monotonic time at which its request was sent
+   * @param heardAtMillis monotonic time at which it began to be heard
+   */
+  public record Statement(double perSecond, long sentAtMillis, long heardAtMillis) {
 
     boolean isLaterThan(Statement other) {
       return sentAtMillis > other.heardAtMillis;
@@ -84,29 +91,46 @@
   }
 
   private double rateOf(String backend) {
-    double least = NO_LIMIT;
-    for (Statement statement : latest.getOrDefault(backend, List.of())) {
-      least = Math.min(least, statement.perSecond());
+    return named(backend).map(Statement::perSecond).orElse(NO_LIMIT);
+  }
+
+  /**
+   * Returns what the least of a back end's latest answers said, or empty where it names no rate.
+   */
+  public Optional<Statement> named(String backend) {
+    return least(latest.getOrDefault(backend, List.of()));
+  }
+
+  private static Optional<Statement> least(List<Statement> statements) {
+    Statement least = null;
+    for (Statement statement : statements) {
+      boolean limits = statement.perSecond() < NO_LIMIT;
+      if (limits && (least == null || statement.perSecond() < least.perSecond())) {
+        least = statement;
+      }
     }
-    return least;
+    return Optional.ofNullable(least);
   }
 
   /** Returns the requests a second that a back end takes, or empty where it names no rate. */
   public OptionalDouble perSecond(String backend) {
-    double rate = rateOf(backend);
-    return rate == NO_LIMIT ? OptionalDouble.empty() : OptionalDouble.of(rate);
+    return named(backend).stream().mapToDouble(Statement::perSecond).findAny();
   }
 
-  /** Returns the back ends that name a rate, with the requests a second that they take. */
-  public Map<String, Double> limited() {
-    Map<String, Double> limited = new HashMap<>();
-    latest
-        .keySet()
-        .forEach(
-            backend -> perSecond(backend).ifPresent(perSecond -> limited.put(backend, perSecond)));
+  /** Returns the back ends that name a rate, with what the least of their latest answers said. */
+  public Map<String, Statement> limited() {
+    Map<String, Statement> limited = new HashMap<>();
+    latest.forEach(
+        (backend, statements) ->
+            least(statements).ifPresent(statement -> limited.put(backend, statement)));
     return limited;
   }
 
+  /** Returns whether a back end names a rate or has ceased to not long ago. */
+  public boolean isKnown(String backend) {
+    return latest.containsKey(backend);
+  }
+
   /** Returns whether nothing is believed of any back end. */
   public boolean isEmpty() {
     return latest.isEmpty();
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -11,6 +11,7 @@
 import org.lockdale.gateway.configuration.Tenant;
 import org.lockdale.gateway.placement.Placement;
 import org.lockdale.gateway.placement.PlacementQuery;
+import org.lockdale.gateway.placement.PlacementResult;
 import org.lockdale.gateway.quarantine.LostAttempt;
 import org.lockdale.http.HttpReply;
 import org.tinylog.Logger;
@@ -31,14 +32,19 @@
 
   private final RequestPath path;
   private final RequestState state;
+  private final AttemptNotes notes;
   private @Nullable Attempt current;
   private QueueForecast.@Nullable Place queued;
   private @Nullable ScheduledFuture<?> timeout;
   private boolean ended;
 
+  /** When the caller is to come back, in milliseconds, where rates of back ends tell. */
+  private @Nullable Long comeBackMillis;
+
   RequestExecution(RequestPath path, RequestState state) {
     this.path = path;
     this.state = state;
+    this.notes = new AttemptNotes(path, state);
   }
 
   void start() {
@@ -53,7 +59,7 @@
   }
 
   private void attempt() {
-    CompletableFuture<Optional<Placement>> placed = path.placements().place(query());
+    CompletableFuture<PlacementResult> placed = path.placements().place(query());
     if (placed.isDone()) {
       placed(placed.join());
     } else {
@@ -71,10 +77,15 @@
         state.triedBackends);
   }
 
-  private void placed(Optional<Placement> placement) {
+  private void placed(PlacementResult result) {
     if (ended) {
       return;
     }
+    if (result instanceof PlacementResult.AtRate atRate) {
+      atRate(atRate.waitMillis());
+      return;
+    }
+    Optional<Placement> placement = result.placed();
     if (placement.isEmpty() || state.endsAtMillis() - path.nowMillis() < LEAST_ATTEMPT_MILLIS) {
       giveUp("no back end of pool " + state.pool + " is left to try", null);
       return;
@@ -87,6 +98,30 @@
     send(placement.get());
   }
 
+  /**
+   * Back ends that name rates take no more for a time. A request that can still be in time waits;
+   * one that can't is better off elsewhere or later, and is told when.
+   */
+  private void atRate(long waitMillis) {
+    long now = path.nowMillis();
+    if (now + waitMillis <= Math.min(state.waitsUntilMillis(), state.endsAtMillis())) {
+      state
+          .exchange
+          .eventLoop()
+          .schedule(
+              () -> {
+                if (!ended) {
+                  attempt();
+                }
+              },
+              waitMillis,
+              TimeUnit.MILLISECONDS);
+      return;
+    }
+    comeBackMillis = waitMillis;
+    giveUp("the back ends of pool " + state.pool + " take no more requests now", null);
+  }
+
   private void send(Placement placement) {
     TrackedBackend target = placement.target();
     Long weights = placement.weights();
@@ -160,7 +195,7 @@
         attempt.target().backend().id(),
         attempt.silentMillis());
     attempt.cancel();
-    tellLost(attempt, LostAttempt.Loss.SILENT);
+    notes.lost(attempt, LostAttempt.Loss.SILENT);
     leaveQueue(false);
     attempt.target().health().failed(path.nowMillis());
     path.client().forget(attempt.target().backend().address());
@@ -185,7 +220,7 @@
       return;
     }
     leaveQueue(result == AttemptResult.COMPLETE);
-    note(attempt, result);
+    notes.concluded(attempt, result);
     switch (result) {
       case COMPLETE -> {
         path.quarantine().answered(state.request, state.caller());
@@ -206,67 +241,6 @@
     }
   }
 
-  private void note(Attempt attempt, AttemptResult result) {
-    long now = path.nowMillis();
-    var health = attempt.target().health();
-    if (result != AttemptResult.NOT_SENT) {
-      state.sends++;
-    }
-    switch (result) {
-      case COMPLETE -> health.succeeded();
-      case NOT_SENT -> health.unreachable(now);
-      case NOT_RUN, MISDIRECTED -> health.rejected(now);
-      default -> {
-        if (!isOwnOfRequest(attempt)) {
-          health.failed(now);
-        }
-      }
-    }
-    LostAttempt.Loss loss = attempt.loss();
-    if (loss != null) {
-      tellLost(attempt, loss);
-    }
-    if (result == AttemptResult.MISDIRECTED) {
-      path.lives()
-          .misdirected(attempt.target(), state.request.model(), attempt.plan().expectedWeights());
-    }
-    if (isOwnOfRequest(attempt)) {
-      path.workChanged();
-    } else {
-      path.report(attempt.target(), result);
-    }
-    if (result != AttemptResult.COMPLETE) {
-      Logger.info(
-          "event=attempt-failed request={} backend={} result={} reason=\"{}\"",
-          state.request.id(),
-          attempt.target().backend().id(),
-          result,
-          attempt.failure());
-    }
-  }
-
-  /** The back end may have ended, and this request may be the cause. */
-  private void tellLost(Attempt attempt, LostAttempt.Loss loss) {
-    path.quarantine()
-        .lost(
-            new LostAttempt(
-                attempt.target().backend().id(),
-                attempt.target().backend().address(),
-                state.request,
-                state.caller(),
-                attempt.answerMillis(),
-                loss));
-  }
-
-  /**
-   * Returns whether a back end answered with a failure after another one had failed too, which
-   * tells of the request rather than of the back end. Where these counted, the back ends that got
-   * only repeats seemed to fail most, and 65 to 94% of a service's requests went to one of three.
-   */
-  private boolean isOwnOfRequest(Attempt attempt) {
-    return state.possibleRuns > 0 && attempt.ownFailureReply() != null;
-  }
-
   private void afterNotSent(Attempt attempt) {
     state.connectFailures++;
     if (state.connectFailures < MAX_CONNECT_FAILURES) {
@@ -317,7 +291,7 @@
           new Refusal(
               RefusalKind.UNAVAILABLE,
               "The request was not run: " + reason + ".",
-              path.waits().comeBackMillis(state)));
+              comeBackMillis == null ? path.waits().comeBackMillis(state) : comeBackMillis));
     }
   }
 
@@ -327,7 +301,7 @@
     }
     Attempt attempt = current;
     if (attempt != null && attempt.cancel()) {
-      tellLost(attempt, LostAttempt.Loss.GIVEN_UP);
+      notes.lost(attempt, LostAttempt.Loss.GIVEN_UP);
       path.workChanged();
       state.possibleRuns++;
       attempt.target().health().failed(path.nowMillis());
@@ -349,7 +323,7 @@
     Attempt attempt = current;
     if (attempt != null) {
       if (attempt.cancel()) {
-        tellLost(attempt, LostAttempt.Loss.GIVEN_UP);
+        notes.lost(attempt, LostAttempt.Loss.GIVEN_UP);
       }
       path.workChanged();
     }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
@@ -17,6 +17,14 @@
   /** Rank of a request that goes behind all others. */
   private static final int LAST_PRIORITY = 9;
 
+  /** Part of the latency objective for which a request may wait before it is sent. */
+  private static final int WAITING_PART = 2;
+
+  /**
+   * Callers wait for eight pauses of the objective at least; half of that is left for the answer.
+   */
+  private static final int WAITING_GAPS = 4;
+
   final HttpExchange exchange;
   final CallerRequest request;
   final GatewayConfiguration configuration;
@@ -146,6 +154,16 @@
     return arrivedAtMillis + Math.min(request.deadlineMillis(), route().timeout().toMillis());
   }
 
+  /**
+   * Returns until when the request may wait for a back end that takes more in a moment, by the
+   * monotonic clock. What is left of the objective is for the answer.
+   */
+  long waitsUntilMillis() {
+    return answerStarted
+        ? latestEventAtMillis + route().gapObjective().toMillis() * WAITING_GAPS
+        : arrivedAtMillis + route().latencyObjective().toMillis() / WAITING_PART;
+  }
+
   /**
    * Returns the rank at the back end: that of the request, or the last one where it is deferred.
    */
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/FleetPlacementTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/FleetPlacementTest.java
@@ -116,7 +116,8 @@
               Set.of(),
               prompt,
               engine -> needOf(engine, prompt),
-              engine -> preferCurrent && due && !moved.contains(engine.backend().id()));
+              engine -> preferCurrent && due && !moved.contains(engine.backend().id()),
+              engine -> false);
       TrackedBackend chosen = chooser.choose(request, time.monotonicMillis()).orElseThrow();
       String engine = chosen.backend().id();
       placedWhenDue += due ? 1 : 0;
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/IgnoringListener.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/IgnoringListener.java
@@ -6,7 +6,10 @@
 import org.lockdale.protocol.generated.LifeOverNotice;
 import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
+import org.lockdale.protocol.generated.PlacementDelay;
 import org.lockdale.protocol.generated.PlacementQuestion;
+import org.lockdale.protocol.generated.RateGrant;
+import org.lockdale.protocol.generated.RateReport;
 import org.lockdale.protocol.generated.RelayHeartbeat;
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
@@ -46,6 +49,24 @@
   @Override
   public void onSuspects(SuspectReport report) {}
 
+  @Override
+  public void onRates(String sender, RateReport report) {}
+
+  @Override
+  public void onGrant(String sender, RateGrant grant) {}
+
+  @Override
+  public void onDelay(String sender, PlacementDelay delay) {}
+
+  @Override
+  public void onRateLoan(String sender, ShareLoan loan) {}
+
+  @Override
+  public void onRateRecall(String sender, InetSocketAddress address, ShareRecall recall) {}
+
+  @Override
+  public void onRateReleased(String sender, ShareReleased released) {}
+
   @Override
   public void onLivesOver(LifeOverNotice notice) {}
 }
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
@@ -14,7 +14,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.lockdale.coordination.time.SystemTime;
@@ -29,6 +28,7 @@
 import org.lockdale.gateway.placement.Placement;
 import org.lockdale.gateway.placement.PlacementDecider;
 import org.lockdale.gateway.placement.PlacementQuery;
+import org.lockdale.gateway.rate.BackendRates;
 import org.lockdale.gateway.usage.TrafficMeter;
 import org.lockdale.gateway.weights.NamedWeights;
 import org.lockdale.gateway.weights.WeightsPolicy;
@@ -108,7 +108,8 @@
             blackboard,
             new BackendChooser(engine -> BackendWork.NONE),
             new CachePlanner(directory, (engine, parts) -> {}),
-            new WeightsPolicy(WEIGHTS_BOUND_MILLIS));
+            new WeightsPolicy(WEIGHTS_BOUND_MILLIS),
+            new BackendRates(SystemTime.instance()));
     client =
         new PlacementClient(
             new PlacementClient.Context(
@@ -118,6 +119,7 @@
                 () -> relays,
                 () -> blackboard.backends().value(),
                 decider,
+                (relay, backend) -> {},
                 new NodeReporter(
                     loop,
                     datagrams,
@@ -152,8 +154,7 @@
   }
 
   private Placement place(PlacementQuery query) throws Exception {
-    Optional<Placement> placement = client.place(query).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-    return placement.orElseThrow();
+    return client.place(query).get(TIMEOUT_SECONDS, TimeUnit.SECONDS).placed().orElseThrow();
   }
 
   private void nameNewWeights(long ageMillis) {
--- a/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
@@ -138,7 +138,8 @@
             Set.of(),
             prompt,
             engine -> newPrefix(prompt),
-            engine -> !current.contains(engine));
+            engine -> !current.contains(engine),
+            engine -> false);
     return CHOOSER.choose(request, 0).orElseThrow();
   }
 
--- a/gateway/src/test/java/org/lockdale/gateway/placement/PlacementDeciderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/PlacementDeciderTest.java
@@ -17,6 +17,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.lockdale.coordination.time.SystemTime;
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.BackendWork;
@@ -28,6 +29,7 @@
 import org.lockdale.gateway.cache.HeldParts;
 import org.lockdale.gateway.cache.SilentHolders;
 import org.lockdale.gateway.caller.PromptPart;
+import org.lockdale.gateway.rate.BackendRates;
 import org.lockdale.gateway.weights.EngineMove;
 import org.lockdale.gateway.weights.NamedWeights;
 import org.lockdale.gateway.weights.WeightsPolicy;
@@ -84,7 +86,8 @@
               new BackendChooser(
                   engine -> new BackendWork(random.nextInt(50_000), 0, random.nextInt(30))),
               new CachePlanner(directory, (engine, parts) -> {}),
-              new WeightsPolicy(BOUND));
+              new WeightsPolicy(BOUND),
+              new BackendRates(SystemTime.instance()));
     }
 
     private Backend engine(String id) {
@@ -127,8 +130,9 @@
               new PromptPart("shared-" + random.nextInt(5), 100 + random.nextInt(9_000)),
               new PromptPart("own", 10 + random.nextInt(3_000)));
       String tenant = random.nextBoolean() ? "isolated" : null;
-      return decider.decide(
-          new PlacementQuery(POOL, "zone-a", MODEL, tenant, parts, excluded), NOW);
+      return decider
+          .decide(new PlacementQuery(POOL, "zone-a", MODEL, tenant, parts, excluded), NOW)
+          .placed();
     }
 
     boolean isAllowed(TrackedBackend tracked) {
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/VirtualExecutor.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/VirtualExecutor.java
@@ -9,8 +9,7 @@
 import org.lockdale.coordination.simulation.VirtualTime;
 
 /** An event loop of a simulated node, under simulated time. */
-public final class VirtualExecutor extends AbstractExecutorService
-    implements ScheduledExecutorService {
+public class VirtualExecutor extends AbstractExecutorService implements ScheduledExecutorService {
 
   private final VirtualTime time;
   private boolean stopped;
@@ -24,7 +23,8 @@
     after(0, task);
   }
 
-  private void after(long micros, Runnable task) {
+  /** Runs a task after a time, unless the node has ended by then. */
+  protected void after(long micros, Runnable task) {
     time.schedule(
         micros,
         () -> {
--- a/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
@@ -19,6 +19,7 @@
 import org.lockdale.protocol.generated.NodeNotice;
 import org.lockdale.protocol.generated.NodeRecord;
 import org.lockdale.protocol.generated.PeerMessage;
+import org.lockdale.protocol.generated.RateDatagram;
 import org.lockdale.protocol.generated.SuspectRecord;
 import org.lockdale.protocol.generated.TableSlice;
 import org.lockdale.protocol.generated.TableSliceRequest;
@@ -99,6 +100,11 @@
     return of(0xA8D3FB67B66BFA9AL, NodeNotice::readFrom);
   }
 
+  /** Returns a codec of the datagrams between gateway nodes about the rates of back ends. */
+  public static MessageCodec<RateDatagram> rateDatagrams() {
+    return of(0xF59EEF35DA66E803L, RateDatagram::readFrom);
+  }
+
   /** Returns a codec of requests for parts of tables. */
   public static MessageCodec<TableSliceRequest> tableSliceRequests() {
     return of(0x0C683A7793431464L, TableSliceRequest::readFrom);
--- a/protocol/src/test/java/org/lockdale/protocol/MessageCodecTest.java
+++ b/protocol/src/test/java/org/lockdale/protocol/MessageCodecTest.java
@@ -43,6 +43,7 @@
 import org.lockdale.protocol.generated.PeerMessage;
 import org.lockdale.protocol.generated.PlacementQuestion;
 import org.lockdale.protocol.generated.QueryPart;
+import org.lockdale.protocol.generated.RateDatagram;
 import org.lockdale.protocol.generated.RelayHeartbeat;
 import org.lockdale.protocol.generated.SuspectEndRecord;
 import org.lockdale.protocol.generated.SuspectRecord;
@@ -128,6 +129,7 @@
             Map.entry(MessageCodec.namedWeights(), NamedWeightsRecord.getClassSchema()),
             Map.entry(MessageCodec.nodeDatagrams(), NodeDatagram.getClassSchema()),
             Map.entry(MessageCodec.nodeNotices(), NodeNotice.getClassSchema()),
+            Map.entry(MessageCodec.rateDatagrams(), RateDatagram.getClassSchema()),
             Map.entry(MessageCodec.suspects(), SuspectRecord.getClassSchema()),
             Map.entry(MessageCodec.tableSliceRequests(), TableSliceRequest.getClassSchema()),
             Map.entry(MessageCodec.tableSlices(), TableSlice.getClassSchema()));
