What ran at a server's next life counts there, no longer with the former life's end

Cause: a server that starts again under its id takes what was meant for its former life until its new record is read; its second end was counted with the first one, so no row was written, and all nodes were killed 1.3 s later. Change: EndDetector notes when a life's connections first closed; an attempt whose answer began after that counts at the life that is on record now, as closed until that one is heard. Left open: attempts without any answer can't be told apart. Ruled out: counting it as given up there (the end would be known by the record alone, seconds later).

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/EndDetector.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/EndDetector.java
@@ -87,6 +87,30 @@
   private final Map<String, Open> open = new HashMap<>();
   private final Map<String, Ended> ended = new HashMap<>();
 
+  /** When the connections of back ends first closed, by their ids. */
+  private final Map<String, Long> closedAt = new HashMap<>();
+
+  /**
+   * Returns an attempt with the life that it ran at. A server may start again under its id before
+   * its new record is read, and take what was meant for the life before. An answer that began after
+   * that life's connections had closed is the next one's; were its end taken for the same one, two
+   * ends would count as one.
+   */
+  LostAttempt atItsLife(LostAttempt attempt, BackendTable backends, long nowMillis) {
+    Long closed = closedAt.get(attempt.backend());
+    if (attempt.isClosed()) {
+      closedAt.putIfAbsent(attempt.backend(), nowMillis);
+    }
+    boolean beganLater = closed != null && nowMillis - attempt.answerMillis() > closed;
+    if (!beganLater || attempt.answerMillis() == 0) {
+      return attempt;
+    }
+    TrackedBackend present = backends.named(Incarnation.parse(attempt.backend()).server());
+    return present == null || present.backend().id().equals(attempt.backend())
+        ? attempt
+        : attempt.closedAt(present.backend().id());
+  }
+
   /**
    * Takes in an attempt that broke off.
    *
@@ -192,6 +216,7 @@
       }
     }
     ended.values().removeIf(end -> nowMillis - end.atMillis() > FORGET_MILLIS);
+    closedAt.values().removeIf(at -> nowMillis - at > FORGET_MILLIS);
     return ends;
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/EndWatch.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/EndWatch.java
@@ -75,9 +75,11 @@
     eventLoop.execute(() -> accept(attempt));
   }
 
-  private void accept(LostAttempt attempt) {
+  private void accept(LostAttempt lost) {
+    long now = time.monotonicMillis();
+    LostAttempt attempt = detector.atItsLife(lost, backends.get(), now);
     String backend = attempt.backend();
-    BackendEnd known = detector.lost(attempt, backends.get(), time.monotonicMillis());
+    BackendEnd known = detector.lost(attempt, backends.get(), now);
     if (known != null) {
       tell(known);
     } else if (!detector.isWaitingFor(backend)) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/LostAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/LostAttempt.java
@@ -35,6 +35,14 @@
     GIVEN_UP
   }
 
+  /**
+   * Returns the attempt as one that ran at another life of its server. Nobody sees what becomes of
+   * it there, since this node cut it; so it counts as closed until that life is heard.
+   */
+  LostAttempt closedAt(String life) {
+    return new LostAttempt(life, address, request, caller, answerMillis, Loss.CLOSED);
+  }
+
   /** Returns whether its connection was closed from the back end's side. */
   boolean isClosed() {
     return loss == Loss.CLOSED;
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
@@ -202,6 +202,8 @@
    * for that of the former life, so two ends counted as one, stood in no row, and were forgotten
    * when all nodes were killed 1.3 s later. The answer had been coming for 104 ms when the end was
    * seen, 2.9 s after the connections of the former life had closed.
+   *
+   * <p>The cause: an attempt counted at the life that its node had meant, whichever life ran it.
    */
   @Test
   public void whatRanAtTheNextLifeIsNoPartOfTheFormerOnesEnd() {
