--- a/soak/src/main/java/org/lockdale/soak/judge/History.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/History.java
@@ -36,6 +36,8 @@
   private final List<Note.Ordered> orders = new ArrayList<>();
   private final List<Note.Crashed> crashes = new ArrayList<>();
   private final List<Note.Surplus> surplus = new ArrayList<>();
+  private final List<Note.RateNamed> ratesNamed = new ArrayList<>();
+  private final List<Note.RateTold> ratesTold = new ArrayList<>();
   private final Map<Long, ConfigurationFacts> configurations = new LinkedHashMap<>();
   private final Map<Long, Long> configurationAcks = new HashMap<>();
   private final Map<Long, Long> weightAcks = new HashMap<>();
@@ -77,6 +79,8 @@
       crashes.add(crashed);
     } else if (note instanceof Note.Surplus bytes) {
       surplus.add(bytes);
+    } else if (note instanceof Note.RateTold told) {
+      ratesTold.add(told);
     } else {
       return note instanceof Note.Rejected;
     }
@@ -96,6 +100,8 @@
       leavingAcks.merge(leaving.server(), leaving.atMillis(), Math::min);
     } else if (note instanceof Note.Started started) {
       starts.computeIfAbsent(started.node(), node -> new TreeSet<>()).add(started.atMillis());
+    } else if (note instanceof Note.RateNamed named) {
+      ratesNamed.add(named);
     } else if (note instanceof Note.DisruptionBegan began) {
       disruptions.began(began);
     } else if (note instanceof Note.DisruptionEnded ended) {
@@ -103,7 +109,7 @@
     }
   }
 
-  private RequestStory request(String id) {
+  RequestStory request(String id) {
     return requests.computeIfAbsent(id, RequestStory::new);
   }
 
@@ -139,6 +145,14 @@
     return surplus;
   }
 
+  List<Note.RateNamed> ratesNamed() {
+    return ratesNamed;
+  }
+
+  List<Note.RateTold> ratesTold() {
+    return ratesTold;
+  }
+
   Collection<ConfigurationFacts> configurations() {
     return configurations.values();
   }
--- a/soak/src/main/java/org/lockdale/soak/judge/Judge.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/Judge.java
@@ -27,6 +27,7 @@
           LoadRules::deadlines,
           LoadRules::gone,
           CrashRules::repeats,
+          RateRules::limit,
           OrderRules::one);
 
   private Judge() {}
--- a/soak/src/main/java/org/lockdale/soak/judge/Note.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/Note.java
@@ -93,6 +93,16 @@
    */
   record Ended(long atMillis, String run, int status, String body, boolean whole) implements Note {}
 
+  /**
+   * A server names a rate from now on.
+   *
+   * @param perSecond requests a second that it takes from all nodes, or null for no rate any more
+   */
+  record RateNamed(long atMillis, String server, @Nullable Double perSecond) implements Note {}
+
+  /** A server named its rate in its answer to a request. */
+  record RateTold(long atMillis, String server, String request) implements Note {}
+
   /** A server ended of a request that it had begun to run. */
   record Crashed(long atMillis, String server, String request) implements Note {}
 
--- /dev/null
+++ b/soak/src/main/java/org/lockdale/soak/judge/RateRules.java
@@ -0,0 +1,126 @@
+package org.lockdale.soak.judge;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What may reach a server that names a rate. */
+final class RateRules {
+
+  private static final long WINDOW_MILLIS = 4_000;
+
+  /** Nodes that have passed such an answer on keep to the rate from this time on. */
+  private static final long OBEY_MILLIS = 500;
+
+  private static final double BORNE_PART = 1.5;
+  private static final double BORNE_REQUESTS = 5;
+
+  private record Arrival(long atMillis, String node) {}
+
+  private RateRules() {}
+
+  static List<RuleBreak> limit(History history) {
+    if (history.ratesNamed().isEmpty()) {
+      return List.of();
+    }
+    Map<String, List<Note.RateNamed>> named = new HashMap<>();
+    history
+        .ratesNamed()
+        .forEach(note -> named.computeIfAbsent(note.server(), id -> new ArrayList<>()).add(note));
+    Map<String, List<Arrival>> arrivals = arrivals(history);
+    List<RuleBreak> breaks = new ArrayList<>();
+    named.forEach(
+        (server, rates) -> {
+          rates.sort(Comparator.comparingLong(Note.RateNamed::atMillis));
+          Map<String, Long> toldAt = toldAt(history, server);
+          breaks.addAll(
+              breaks(history, server, rates, toldAt, arrivals.getOrDefault(server, List.of())));
+        });
+    return breaks;
+  }
+
+  private static Map<String, List<Arrival>> arrivals(History history) {
+    Map<String, List<Arrival>> arrivals = new HashMap<>();
+    for (RequestStory request : history.requests()) {
+      Note.Sent sent = request.sent();
+      for (Note.Arrived arrived : request.arrivals()) {
+        if (sent != null) {
+          arrivals
+              .computeIfAbsent(arrived.server(), id -> new ArrayList<>())
+              .add(new Arrival(arrived.atMillis(), sent.node()));
+        }
+      }
+    }
+    arrivals.values().forEach(each -> each.sort(Comparator.comparingLong(Arrival::atMillis)));
+    return arrivals;
+  }
+
+  /** Returns when each node was first given an answer that names the rate. */
+  private static Map<String, Long> toldAt(History history, String server) {
+    Map<String, Long> toldAt = new HashMap<>();
+    for (Note.RateTold told : history.ratesTold()) {
+      Note.Sent sent = history.request(told.request()).sent();
+      if (told.server().equals(server) && sent != null) {
+        toldAt.merge(sent.node(), told.atMillis(), Math::min);
+      }
+    }
+    return toldAt;
+  }
+
+  private static List<RuleBreak> breaks(
+      History history,
+      String server,
+      List<Note.RateNamed> rates,
+      Map<String, Long> toldAt,
+      List<Arrival> arrivals) {
+    List<RuleBreak> breaks = new ArrayList<>();
+    long bound = rates.get(0).atMillis() + history.bounds().contactMillis();
+    for (int last = 0; last < arrivals.size(); last++) {
+      long until = arrivals.get(last).atMillis();
+      double rate = greatestRate(rates, until - WINDOW_MILLIS, until);
+      if (until < bound || Double.isInfinite(rate)) {
+        continue;
+      }
+      int count = 0;
+      for (int each = last;
+          each >= 0 && arrivals.get(each).atMillis() > until - WINDOW_MILLIS;
+          each--) {
+        count += counts(history, arrivals.get(each), toldAt, until) ? 1 : 0;
+      }
+      double borne = BORNE_PART * rate * WINDOW_MILLIS / 1_000 + BORNE_REQUESTS;
+      if (count > borne) {
+        String what = count + " requests in 4 s, " + borne + " are borne";
+        breaks.add(new RuleBreak("LIMIT", server, what));
+      }
+    }
+    return breaks;
+  }
+
+  /** A node that was disrupted is not bound, as it may not know what it was told. */
+  private static boolean counts(
+      History history, Arrival arrival, Map<String, Long> toldAt, long until) {
+    Long told = toldAt.get(arrival.node());
+    return told != null
+        && arrival.atMillis() >= told + OBEY_MILLIS
+        && history.inTouch(arrival.node(), arrival.atMillis(), until);
+  }
+
+  /**
+   * Returns the greatest rate that was named in a span, or positive infinity where none was named
+   * at some moment after the first one.
+   */
+  private static double greatestRate(List<Note.RateNamed> rates, long from, long until) {
+    double greatest = Double.NEGATIVE_INFINITY;
+    for (int index = 0; index < rates.size(); index++) {
+      Note.RateNamed rate = rates.get(index);
+      long end = index + 1 < rates.size() ? rates.get(index + 1).atMillis() : Long.MAX_VALUE;
+      if (rate.atMillis() <= until && end > from) {
+        Double perSecond = rate.perSecond();
+        greatest = Math.max(greatest, perSecond == null ? Double.POSITIVE_INFINITY : perSecond);
+      }
+    }
+    return greatest == Double.NEGATIVE_INFINITY ? Double.POSITIVE_INFINITY : greatest;
+  }
+}
--- a/soak/src/main/java/org/lockdale/soak/plan/Fault.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/Fault.java
@@ -85,6 +85,14 @@
    */
   record ForeignEntry(String key, String value, long lastsMillis) implements Fault {}
 
+  /**
+   * A server in need names in its answers the rate that it takes from all nodes together.
+   *
+   * @param perSecond requests a second
+   * @param lastsMillis for how long it does so, in milliseconds
+   */
+  record RateNamed(String server, double perSecond, long lastsMillis) implements Fault {}
+
   /** A server leaves as planned, after having said so or not, and another takes its place. */
   record ServerReplaced(String server, boolean announced) implements Fault {}
 }
--- a/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
+++ b/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
@@ -19,6 +19,7 @@
 import org.lockdale.soak.plan.Fault;
 import org.lockdale.soak.plan.Fault.ProcessTrouble;
 import org.lockdale.soak.plan.Fault.StoreTrouble;
+import org.lockdale.soak.standin.ServerBase;
 import org.lockdale.soak.standin.StandInProcess;
 import org.lockdale.soak.standin.StandardStreams;
 import org.tinylog.Logger;
@@ -105,6 +106,8 @@
       harmStore(onStore);
     } else if (fault instanceof Fault.ForeignEntry entry) {
       writeForeign(entry);
+    } else if (fault instanceof Fault.RateNamed named) {
+      nameRate(named);
     } else if (fault instanceof Fault.ByOperator change) {
       operator.change(change.change());
     } else if (fault instanceof Fault.ServerReplaced replaced) {
@@ -263,6 +266,18 @@
     processes.store().remove("servers", entry.key());
   }
 
+  /** A server that is started again meanwhile names no rate. */
+  private void nameRate(Fault.RateNamed named) throws IOException, InterruptedException {
+    ManagedProcess process = processes.process(named.server());
+    if (!process.hasEnded()) {
+      process.say(ServerBase.RATE + named.perSecond());
+      Thread.sleep(named.lastsMillis());
+    }
+    if (!process.hasEnded()) {
+      process.say(ServerBase.RATE);
+    }
+  }
+
   private void noteLeaving(String instance, CompletableFuture<Long> acknowledged) {
     acknowledged.thenAccept(at -> notes.add(new Note.LeavingAcknowledged(at, instance)));
   }
--- a/soak/src/main/java/org/lockdale/soak/standin/EngineServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/EngineServer.java
@@ -241,9 +241,7 @@
         + ": "
         + request.id()
         + "\r\n"
-        + Wire.SIGNATURE
-        + ": "
-        + run
+        + signed(request, run)
         + "\r\n"
         + Wire.WEIGHTS
         + ": "
--- a/soak/src/main/java/org/lockdale/soak/standin/PlainServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/PlainServer.java
@@ -72,7 +72,7 @@
 
   private void finish(Received request, Socket connection, String run, String body, int failure)
       throws IOException {
-    String signature = Wire.SIGNATURE + ": " + run;
+    String signature = signed(request, run);
     int status = failure == 0 ? SERVER_ERROR : OK;
     end(run, status, body, failure != 1);
     switch (failure) {
--- a/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
@@ -24,12 +24,18 @@
   /** How the body of a request begins that ends each server which runs it. */
   public static final String CRASHING = "ends servers";
 
+  /** Begins a line with the rate that a server is to name; nothing follows for none. */
+  public static final String RATE = "rate ";
+
   private static final long CRASH_MILLIS = 40;
 
   private final Life life;
   private final String service;
   private final AtomicLong runs = new AtomicLong();
 
+  /** Requests a second that it takes, or null for no rate. */
+  private volatile @Nullable Double perSecond;
+
   /**
    * One life of a server.
    *
@@ -71,8 +77,31 @@
     beat.setDaemon(true);
     beat.start();
     try (StallWatch watch = new StallWatch(this::stalled)) {
-      StandardStreams.obey(Guard::take);
+      StandardStreams.obey(this::take);
+    }
+  }
+
+  private void take(String line) {
+    if (line.startsWith(RATE)) {
+      String rate = line.substring(RATE.length());
+      perSecond = rate.isEmpty() ? null : Double.valueOf(rate);
+      StandardStreams.note(new Note.RateNamed(StandardStreams.nowMillis(), instance(), perSecond));
+    } else {
+      Guard.take(line);
+    }
+  }
+
+  /**
+   * Returns the headers of each answer to a request: the signature, and the rate if one is named.
+   */
+  final String signed(Received request, String run) {
+    String signature = Wire.SIGNATURE + ": " + run;
+    Double named = perSecond;
+    if (named == null) {
+      return signature;
     }
+    StandardStreams.note(new Note.RateTold(StandardStreams.nowMillis(), instance(), request.id()));
+    return signature + "\r\n" + Wire.SERVER_LIMIT + ": " + named;
   }
 
   /** Tells the judge that the machine didn't run this server, so that it read requests late. */
--- a/soak/src/main/java/org/lockdale/soak/standin/Wire.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/Wire.java
@@ -51,5 +51,8 @@
   /** Version of the weights that answered. */
   public static final String WEIGHTS = "Lockdale-Weight-Versions";
 
+  /** Requests a second that a server takes from all nodes together. */
+  public static final String SERVER_LIMIT = "Server-Limit";
+
   private Wire() {}
 }
--- a/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
+++ b/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
@@ -52,6 +52,7 @@
     assertTrue(kinds.containsAll(Set.of(Fault.ProcessTrouble.values())));
     assertTrue(kinds.containsAll(Set.of(Fault.OperatorChange.values())));
     assertTrue(kinds.containsAll(Set.of(true, false)));
+    assertTrue(kinds.contains(Fault.RateNamed.class));
   }
 
   private static Object kindOf(Fault fault) {
@@ -70,6 +71,9 @@
     if (fault instanceof Fault.ForeignEntry entry) {
       return entry.value();
     }
+    if (fault instanceof Fault.RateNamed) {
+      return Fault.RateNamed.class;
+    }
     return ((Fault.ServerReplaced) fault).announced();
   }
 }
