What a relay of an earlier build chooses shows no rate to be over

Cause: a node that had not heard of a rate for 15 s took it for ended where the placing relay didn't count its choice; one of an earlier build never counts. Change: that holds for relays that have shown to know of rates; for others the node goes by its own share. The test failed before the change.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -66,7 +65,7 @@
    * @param relays the other relays that can be relied on, the most senior first
    * @param backends back ends on record
    * @param decider decides where no relay answers
-   * @param onUncounted told of a relay and a back end that it chose without regard to its rate
+   * @param rates what the other nodes know of rates
    * @param reporter told of requests that count in a back end's load
    * @param time clock
    */
@@ -77,7 +76,7 @@
       Supplier<List<RelayElection.Relay>> relays,
       Supplier<BackendTable> backends,
       PlacementDecider decider,
-      BiConsumer<String, String> onUncounted,
+      RateKnowledge rates,
       NodeReporter reporter,
       Time time) {}
 
@@ -232,8 +231,9 @@
     if (weights != null && isOutdated(sender, query, target, weights)) {
       return null;
     }
-    if (!isGranted && !context.decider().tryCount(target)) {
-      context.onUncounted().accept(sender, target.backend().id());
+    boolean knowsRates = context.rates().knowsRates(sender);
+    if (!isGranted && !context.decider().tryCount(target, knowsRates)) {
+      context.rates().uncounted(sender, target.backend().id());
       return null;
     }
     CacheTransfer transfer =
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RateExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RateExchange.java
@@ -4,13 +4,13 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -37,7 +37,7 @@
  * relay that places for all tells the others what is new. Sends nothing while no back end names a
  * rate. What this node hears may be told from any thread; the rest runs on one event loop.
  */
-public final class RateExchange implements ShareBorrower {
+public final class RateExchange implements ShareBorrower, RateKnowledge {
 
   /** What is heard within this time goes into one message. */
   private static final long GATHER_MILLIS = 10;
@@ -94,7 +94,7 @@
   private final Map<String, LoanSender.Relay> heartbeats = new HashMap<>();
 
   /** Nodes whose build counts what it places; those of an earlier version never say a word. */
-  private final Set<String> keepers = new HashSet<>();
+  private final Set<String> keepers = ConcurrentHashMap.newKeySet();
 
   /** News that all nodes are to be told, the latest of each back end. */
   private final Map<String, Heard> news = new HashMap<>();
@@ -119,7 +119,12 @@
     context.rates().tell(this::heard);
   }
 
-  /** Tells a relay of a rate by which it did not go; it may have just started. */
+  @Override
+  public boolean knowsRates(String node) {
+    return keepers.contains(node);
+  }
+
+  @Override
   public void uncounted(String relay, String backend) {
     context.executor().execute(() -> tell(relay, backend));
   }
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -228,7 +228,7 @@
         relays::relays,
         () -> blackboard.backends().value(),
         decider,
-        limits.rateExchange()::uncounted,
+        limits.rateExchange(),
         reporter,
         time);
   }
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
@@ -66,14 +66,15 @@
   /**
    * Counts a request that another node has placed without counting it, as one does that knows
    * nothing of the back end's rate. Nothing is counted where it is long ago that this node heard of
-   * a rate: whoever places may know that it has ended.
+   * the rate, and the other one knows of rates: it may know that this one has ended.
    *
    * @param target where it was placed
+   * @param knowsRates whether the other node knows of rates at all
    * @return whether it may be sent there by what this node may send by itself
    */
-  public boolean tryCount(TrackedBackend target) {
+  public boolean tryCount(TrackedBackend target, boolean knowsRates) {
     String id = target.backend().id();
-    return !rates.wasNamedLately(id) || rates.tryTake(id);
+    return knowsRates && !rates.wasNamedLately(id) || rates.tryTake(id);
   }
 
   /** Returns whether a version of weights is too old for a request to begin on it now. */
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
@@ -60,6 +60,17 @@
   private static final PlacementQuery QUERY_FOR_MODEL =
       new PlacementQuery("pool", "zone", MODEL, null, List.of(), Set.of());
 
+  private static final RateKnowledge NO_RATES =
+      new RateKnowledge() {
+        @Override
+        public boolean knowsRates(String node) {
+          return false;
+        }
+
+        @Override
+        public void uncounted(String relay, String backend) {}
+      };
+
   private final List<RelayElection.Relay> relays = new ArrayList<>();
   private EventLoopGroup group;
   private GatewayBlackboard blackboard;
@@ -119,7 +130,7 @@
                 () -> relays,
                 () -> blackboard.backends().value(),
                 decider,
-                (relay, backend) -> {},
+                NO_RATES,
                 new NodeReporter(
                     loop,
                     datagrams,
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulation.java
@@ -248,7 +248,7 @@
     private void answered(Node relay, Optional<RatedBackend> chosen, boolean isGranted) {
       if (chosen.isEmpty()) {
         refused++;
-      } else if (isFormerBuild || isGranted || tryCount(chosen.get().id())) {
+      } else if (isFormerBuild || isGranted || tryCount(relay, chosen.get().id())) {
         run(chosen.get());
       } else {
         exchange.uncounted(relay.id, chosen.get().id());
@@ -260,8 +260,9 @@
       return !isFormerBuild && rates.isLimited(backend.id());
     }
 
-    private boolean tryCount(String backend) {
-      return !rates.wasNamedLately(backend) || rates.tryTake(backend);
+    private boolean tryCount(Node relay, String backend) {
+      boolean knowsRates = exchange.knowsRates(relay.id);
+      return knowsRates && !rates.wasNamedLately(backend) || rates.tryTake(backend);
     }
 
     private void unanswered(Node relay, boolean isRepeat) {
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulationTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulationTest.java
@@ -78,6 +78,18 @@
     assertTrue(broken.isEmpty(), broken.size() + " broken: " + broken);
   }
 
+  /**
+   * Half of the nodes ran an earlier build, one of which placed the requests of all, while rates
+   * changed; a back end that took 0.05 a second got 7.7 in four seconds where 5.3 are borne. The
+   * others had not heard of its rate for fifteen seconds, took it for ended by what the placing
+   * node knew, and that one knew nothing of rates.
+   */
+  @Test
+  public void whatARelayOfAnEarlierBuildChoosesShowsNoRateToBeOver() {
+    Result result = play(79, 199, Fault.RATES_CHANGE, Fault.FORMER_BUILDS);
+    assertTrue(result.worstExcess() <= 0, result.worstExcess() + " above the bound");
+  }
+
   /** The judge of these plays finds nodes that don't keep to a rate. */
   @Test
   public void nodesThatPassAnswersOnAndSendOnAreFound() {
