A former build runs beside the present one in the soak

Rates of servers bind the present build only (a former one can't read them), all other rules bind both.

--- a/soak/src/main/java/org/lockdale/soak/judge/History.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/History.java
@@ -201,6 +201,11 @@
     return source + ">" + destination;
   }
 
+  /** Returns the subject of the time in which a node runs a former build. */
+  public static String former(String node) {
+    return "former " + node;
+  }
+
   /** Returns the subject of the time in which a server's process was not run. */
   public static String stalled(String server) {
     return "stalled " + processOf(server);
--- a/soak/src/main/java/org/lockdale/soak/run/Processes.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Processes.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.lockdale.soak.judge.History;
 import org.lockdale.soak.judge.Note;
 import org.lockdale.soak.link.LinkProxy;
 import org.lockdale.soak.plan.Deployment;
@@ -80,7 +81,7 @@
   private final Addresses addresses = Addresses.claim();
   private final LinkProxy proxy;
   private final Deployment deployment;
-  private final GatewayProgram program;
+  private final NodeBuilds builds;
   private final Map<String, String> bounds;
   private final Path directory;
   private final NoteLog notes;
@@ -88,16 +89,20 @@
   private final Map<String, ManagedProcess> all = new ConcurrentHashMap<>();
   private final Map<String, Server> servers = new ConcurrentHashMap<>();
   private final Map<String, Integer> incarnations = new ConcurrentHashMap<>();
+
+  /** Ids of the notes that nodes run a former build. */
+  private final Map<String, Long> formerNotes = new ConcurrentHashMap<>();
+
   private volatile @Nullable StoreControl store;
 
   Processes(
       Deployment deployment,
-      GatewayProgram program,
+      NodeBuilds builds,
       Map<String, String> bounds,
       Path directory,
       NoteLog notes) {
     this.deployment = deployment;
-    this.program = program;
+    this.builds = builds;
     this.bounds = bounds;
     this.directory = directory;
     this.notes = notes;
@@ -236,7 +241,7 @@
     command.add(StandInProcess.class.getName());
     command.addAll(List.of(kind, real.getAddress().getHostAddress(), "" + real.getPort()));
     command.addAll(List.of(arguments));
-    return start(name, command, output);
+    return start(name, builds.root(), command, output);
   }
 
   /** Starts a gateway node. */
@@ -252,14 +257,30 @@
     values.put("listen.ready", Addresses.text(at(name, Addresses.READY_PORT)));
     values.put("internalPortRange.0", Integer.toString(Addresses.PEERS_PORT));
     values.put("platform.address", Addresses.text(storeOf(name)));
-    program.writeSettings(settings, values);
+    NodeBuilds.Build build = builds.next(name);
+    build.program().writeSettings(settings, values);
+    noteBuild(name, build);
     notes.add(new Note.Started(StandardStreams.nowMillis(), name));
     Path output = directory.resolve(name + ".out");
     ManagedProcess node =
-        start(name, program.command(settings, values), line -> append(output, line));
+        start(
+            name,
+            build.program().root(),
+            build.program().command(settings, values),
+            line -> append(output, line));
     process(Deployment.CACHE_STORE).say(Guard.COMMAND + node.id());
   }
 
+  private void noteBuild(String node, NodeBuilds.Build build) {
+    Long before = formerNotes.remove(node);
+    if (before != null) {
+      notes.disruptionEnds(before);
+    }
+    if (build.isFormer()) {
+      formerNotes.put(node, notes.disruptionBegins(History.former(node), false));
+    }
+  }
+
   private static void append(Path file, String line) {
     try {
       Files.writeString(file, line + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
@@ -268,11 +289,10 @@
     }
   }
 
-  private ManagedProcess start(String name, List<String> command, Consumer<String> output)
-      throws IOException {
+  private ManagedProcess start(
+      String name, Path root, List<String> command, Consumer<String> output) throws IOException {
     ManagedProcess process =
-        ManagedProcess.start(
-            name, command, program.root(), directory.resolve(name + ".log"), output);
+        ManagedProcess.start(name, command, root, directory.resolve(name + ".log"), output);
     all.put(name, process);
     proxy.setProcess(name, process.id());
     return process;
--- a/soak/src/main/java/org/lockdale/soak/run/SoakCommand.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakCommand.java
@@ -49,6 +49,11 @@
       description = "A wrong bound for the nodes, such as bounds.versionMs=60000.")
   private Map<String, String> told = new HashMap<>();
 
+  @Option(
+      names = "--former",
+      description = "Root of a former build, which runs beside the present one.")
+  private @Nullable Path former;
+
   @Option(names = "--judge", description = "Judges a kept notes.jsonl again and runs nothing.")
   private @Nullable Path kept;
 
@@ -75,7 +80,7 @@
       FaultPlan plan = FaultPlan.draw(first + index, seconds * 1_000, deployment);
       Path place = directory.toAbsolutePath().resolve("seed-" + (first + index));
       SoakResult result =
-          new SoakRun(plan, deployment, Path.of("").toAbsolutePath(), place, told).run();
+          new SoakRun(plan, deployment, Path.of("").toAbsolutePath(), place, told, former).run();
       System.out.print(result.text());
       if (!result.breaks().isEmpty()) {
         broken++;
--- a/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import org.jspecify.annotations.Nullable;
 import org.lockdale.soak.judge.Bounds;
 import org.lockdale.soak.judge.Note;
 import org.lockdale.soak.judge.RuleBreak;
@@ -38,6 +39,7 @@
   private final Path root;
   private final Path directory;
   private final Map<String, String> told;
+  private final @Nullable Path former;
 
   /**
    * Creates a run.
@@ -46,14 +48,21 @@
    *     deployment's settings; with wrong ones a run shows that the judge catches what follows
    * @param root directory of the repository, with the built gateway
    * @param directory where plan, notes and logs are written
+   * @param former directory of a former build that runs beside the present one, or null for none
    */
   public SoakRun(
-      FaultPlan plan, Deployment deployment, Path root, Path directory, Map<String, String> told) {
+      FaultPlan plan,
+      Deployment deployment,
+      Path root,
+      Path directory,
+      Map<String, String> told,
+      @Nullable Path former) {
     this.plan = plan;
     this.deployment = deployment;
     this.root = root;
     this.directory = directory;
     this.told = Map.copyOf(told);
+    this.former = former;
   }
 
   /** Runs the plan and returns what was broken; stops at the first break. */
@@ -63,7 +72,8 @@
         directory.resolve("plan.txt"), plan.faults().stream().map(Object::toString).toList());
     try (NoteLog notes = new NoteLog(BOUNDS, directory.resolve("notes.jsonl"));
         Processes processes =
-            new Processes(deployment, GatewayProgram.read(root), settings(), directory, notes)) {
+            new Processes(
+                deployment, NodeBuilds.read(root, former), settings(), directory, notes)) {
       Thread cleaning = new Thread(processes::close, "cleaning");
       Runtime.getRuntime().addShutdownHook(cleaning);
       try {
