A copy of a table refuses what is of a former history of the store

By reading (KNOWN): a reading of a former history that is taken in after one of the new one added the rows that the new one lacks, for good: a server that is gone is sent to, a key that was taken away serves. Only the boundary's check of eras stood before it; whether a scan of several pages, or an answer applied after another's rise, can pass that was not found out. Change: TableCopy.replace and apply drop what is of an earlier era than the copy. The test failed before ([a] expected, [a, lost] found).

--- a/gateway/src/main/java/org/lockdale/gateway/table/TableCopy.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableCopy.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.lockdale.coordination.table.StoreVersion;
 
 /**
  * Copy of one table, without I/O. Invariant: the copy holds all changes up to {@link #lastChange},
@@ -43,12 +44,16 @@
 
   /**
    * Takes in a reading of the whole table. One that is older than the copy adds what it has, but
-   * removes nothing, since what it lacks may have come later.
+   * removes nothing, since what it lacks may have come later. One of a former history of the store
+   * changes nothing: what only that one has was lost with it.
    *
    * @param whole all rows by key
    * @param version version of the store at the reading
    */
   void replace(Map<String, TableRowChange> whole, long version) {
+    if (isOfFormerHistory(version)) {
+      return;
+    }
     if (version >= lastChange) {
       rows.keySet().retainAll(whole.keySet());
       removals.clear();
@@ -63,13 +68,21 @@
     }
   }
 
+  private boolean isOfFormerHistory(long version) {
+    return lastChange != UNKNOWN
+        && StoreVersion.ofPacked(version).era() < StoreVersion.ofPacked(lastChange).era();
+  }
+
   private static TableRowChange newer(TableRowChange before, TableRowChange row) {
     return before.version() > row.version() ? before : row;
   }
 
-  /** Takes in changes that follow what is known. */
+  /** Takes in changes that follow what is known; those of a former history change nothing. */
   void apply(List<TableRowChange> changes) {
     for (TableRowChange change : changes) {
+      if (isOfFormerHistory(change.version())) {
+        continue;
+      }
       TableRowChange before = rows.get(change.key());
       if (before == null || before.version() <= change.version()) {
         applyNewer(change);
--- a/gateway/src/test/java/org/lockdale/gateway/table/TableCopyTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/table/TableCopyTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import org.lockdale.coordination.table.StoreVersion;
 import org.testng.annotations.Test;
 
 /** A copy gives others exactly what they lack, and never goes back. */
@@ -57,6 +58,24 @@
     assertEquals(copy.lastChange(), 6);
   }
 
+  /**
+   * The store came back from an older copy, and a reading of its former history is taken in after
+   * one of the new history, as one whose pages came in turn may be. A row that the new history
+   * lacks was added and stood for good: a server that is gone, or a key that was taken away.
+   */
+  @Test
+  public void whatIsOfAFormerHistoryChangesNothing() {
+    long former = new StoreVersion(0, 100).packed();
+    long present = new StoreVersion(1, 90).packed();
+    TableCopy copy = new TableCopy();
+    copy.replace(whole(row("a", present - 1, false)), present);
+    copy.replace(whole(row("a", former - 2, false), row("lost", former - 1, false)), former);
+    assertEquals(copy.rows().keySet(), java.util.Set.of("a"));
+    copy.apply(List.of(row("lost", former - 1, false), row("a", former, true)));
+    assertEquals(copy.rows().keySet(), java.util.Set.of("a"));
+    assertEquals(copy.lastChange(), present);
+  }
+
   /** Readers that ask at random times, of copies that began at random times, see the same table. */
   @Test
   public void readersOfReadersEndWithTheSameTable() {
