--- a/gateway/src/main/java/org/lockdale/gateway/node/BackendsHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/BackendsHandler.java
@@ -4,6 +4,7 @@
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.rate.BackendRates;
 import org.lockdale.http.HttpExchange;
 import org.lockdale.http.HttpHandler;
 import org.lockdale.http.HttpProtocolError;
@@ -17,9 +18,11 @@
   private static final int OK = 200;
 
   private final Section<BackendTable> backends;
+  private final BackendRates rates;
 
-  BackendsHandler(Section<BackendTable> backends) {
+  BackendsHandler(Section<BackendTable> backends, BackendRates rates) {
     this.backends = backends;
+    this.rates = rates;
   }
 
   @Override
@@ -40,11 +43,17 @@
           .append(tracked.isOver())
           .append(" open-requests=")
           .append(tracked.load().openRequests())
+          .append(" rate=")
+          .append(rateOf(backend.id()))
           .append('\n');
     }
     exchange.reply(HttpReply.text(OK, lines.toString()));
   }
 
+  private String rateOf(String backend) {
+    return rates.named(backend).map(named -> Double.toString(named.perSecond())).orElse("none");
+  }
+
   @Override
   public HttpReply renderProtocolError(HttpProtocolError error) {
     return HttpReply.text(error.status(), error.remedy());
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -124,7 +124,7 @@
                 new QuarantineHandler(cluster.quarantine(), controlLoop, time),
                 new SuspectListHandler(
                     settings.get(GatewaySettings.NODE_ID), cluster.quarantine(), controlLoop),
-                new BackendsHandler(blackboard.backends())));
+                new BackendsHandler(blackboard.backends(), cluster.rates())));
     callers = callers(listener);
     readiness =
         server(
