--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -124,7 +124,8 @@
                 new QuarantineHandler(cluster.quarantine(), controlLoop, time),
                 new SuspectListHandler(
                     settings.get(GatewaySettings.NODE_ID), cluster.quarantine(), controlLoop),
-                new BackendsHandler(blackboard.backends(), cluster.rates())));
+                new BackendsHandler(blackboard.backends(), cluster.rates()),
+                metrics()));
     callers = callers(listener);
     readiness =
         server(
@@ -174,6 +175,16 @@
         threads, new DefaultThreadFactory(name), NioIoHandler.newFactory());
   }
 
+  private MetricsHandler metrics() {
+    return new MetricsHandler(
+        new MetricsHandler.Sources(
+            path::openRequests,
+            path::endedByOutcome,
+            ProcessorTimes.ofThisProcess()::millisByThread,
+            meter::totals,
+            cluster.rates()));
+  }
+
   private RequestLimits limits() {
     return new RequestLimits(
         settings.get(GatewaySettings.RETRY_RATIO),
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/node/MetricsHandler.java
@@ -0,0 +1,77 @@
+package org.lockdale.gateway.node;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+import org.lockdale.gateway.rate.BackendRates;
+import org.lockdale.http.HttpExchange;
+import org.lockdale.http.HttpHandler;
+import org.lockdale.http.HttpProtocolError;
+import org.lockdale.http.HttpReply;
+
+/** Tells a node's counters and gauges as text, a line each: name, labels in braces, value. */
+final class MetricsHandler implements HttpHandler {
+
+  static final String PATH = "/metrics";
+
+  private static final int OK = 200;
+
+  /**
+   * What is told.
+   *
+   * @param openRequests tells the number of requests without a final answer
+   * @param requestsByOutcome tells the requests that have ended
+   * @param processorMillis tells processor time by kind of thread
+   * @param trafficBytes tells bytes exchanged beside the requests, by kind of message
+   * @param rates what is known of the rates that back ends name
+   */
+  record Sources(
+      IntSupplier openRequests,
+      Supplier<Map<String, Long>> requestsByOutcome,
+      Supplier<Map<String, Long>> processorMillis,
+      Supplier<Map<String, Long>> trafficBytes,
+      BackendRates rates) {}
+
+  private final Sources sources;
+
+  MetricsHandler(Sources sources) {
+    this.sources = sources;
+  }
+
+  @Override
+  public void handle(HttpExchange exchange) {
+    StringBuilder text = new StringBuilder();
+    add(text, "lockdale_open_requests", sources.openRequests().getAsInt());
+    addAll(text, "lockdale_requests_total", "outcome", sources.requestsByOutcome().get());
+    addAll(
+        text, "lockdale_processor_milliseconds_total", "thread", sources.processorMillis().get());
+    addAll(text, "lockdale_traffic_bytes_total", "kind", sources.trafficBytes().get());
+    addRates(text, sources.rates());
+    exchange.reply(HttpReply.text(OK, text.toString()));
+  }
+
+  private static void addRates(StringBuilder text, BackendRates rates) {
+    Map<String, Double> limits = new TreeMap<>();
+    rates.limited().forEach((backend, named) -> limits.put(backend, named.perSecond()));
+    add(text, "lockdale_rate_share", rates.share());
+    addAll(text, "lockdale_backend_rate_per_second", "backend", limits);
+    addAll(text, "lockdale_backend_rate_sends_total", "backend", rates.sends());
+    add(text, "lockdale_rate_delays_total", rates.delays());
+  }
+
+  private static void addAll(
+      StringBuilder text, String name, String label, Map<String, ? extends Number> values) {
+    values.forEach(
+        (value, number) -> add(text, name + '{' + label + "=\"" + value + "\"}", number));
+  }
+
+  private static void add(StringBuilder text, String name, Number value) {
+    text.append(name).append(' ').append(value).append('\n');
+  }
+
+  @Override
+  public HttpReply renderProtocolError(HttpProtocolError error) {
+    return HttpReply.text(error.status(), error.remedy());
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/node/PeersHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/PeersHandler.java
@@ -15,16 +15,19 @@
   private final QuarantineHandler quarantine;
   private final SuspectListHandler suspects;
   private final BackendsHandler backends;
+  private final MetricsHandler metrics;
 
   PeersHandler(
       TableSliceHandler tables,
       QuarantineHandler quarantine,
       SuspectListHandler suspects,
-      BackendsHandler backends) {
+      BackendsHandler backends,
+      MetricsHandler metrics) {
     this.tables = tables;
     this.quarantine = quarantine;
     this.suspects = suspects;
     this.backends = backends;
+    this.metrics = metrics;
   }
 
   @Override
@@ -36,6 +39,9 @@
     if (path.equals(BackendsHandler.PATH)) {
       return backends;
     }
+    if (path.equals(MetricsHandler.PATH)) {
+      return metrics;
+    }
     if (path.equals(SuspectListHandler.PATH)) {
       return suspects;
     }
--- a/gateway/src/main/java/org/lockdale/gateway/rate/BackendRates.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/BackendRates.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.RateStatement;
 import org.tinylog.Logger;
@@ -49,9 +50,11 @@
   private final StatedRates stated = new StatedRates();
   private final RateAllowances allowances;
   private final ComeBackSchedule comeBacks = new ComeBackSchedule();
-  private final Map<String, Integer> sends = new HashMap<>();
+  private final Map<String, Long> sends = new HashMap<>();
+  private final Map<String, Long> loggedSends = new HashMap<>();
   private volatile Listener listener = (backend, statement, sentAt, heardAt, isNews) -> {};
   private long loggedAtMillis;
+  private long delays;
 
   /** Whether a back end names a rate or did so a moment ago. */
   private volatile boolean any;
@@ -190,6 +193,7 @@
    * @param backends its back ends that could serve the caller but for their rates
    */
   public synchronized long comeBackMillis(String pool, Collection<String> backends) {
+    delays++;
     long now = time.monotonicMillis();
     double soonest = Double.POSITIVE_INFINITY;
     double perSecond = 0;
@@ -232,7 +236,7 @@
 
   private synchronized void count(String backend) {
     if (stated.perSecond(backend).isPresent()) {
-      sends.merge(backend, 1, Integer::sum);
+      sends.merge(backend, 1L, Long::sum);
     }
   }
 
@@ -245,19 +249,35 @@
     stated.retain(backends, now);
     allowances.retain(backends);
     any = !stated.isEmpty();
+    sends.keySet().retainAll(backends);
+    loggedSends.keySet().retainAll(backends);
     if (now - loggedAtMillis >= LOG_MILLIS) {
       loggedAtMillis = now;
-      sends.entrySet().stream().limit(MAX_LOGGED).forEach(this::log);
-      sends.clear();
+      sends.entrySet().stream()
+          .filter(sent -> sent.getValue() > loggedSends.getOrDefault(sent.getKey(), 0L))
+          .limit(MAX_LOGGED)
+          .forEach(this::log);
+      loggedSends.putAll(sends);
     }
   }
 
-  private void log(Map.Entry<String, Integer> sent) {
+  private void log(Map.Entry<String, Long> sent) {
+    String backend = sent.getKey();
     Logger.info(
         "event=rate-sends backend={} per-second={} sends={} share={}",
-        sent.getKey(),
-        stated.perSecond(sent.getKey()).orElse(Double.NaN),
-        sent.getValue(),
+        backend,
+        stated.perSecond(backend).orElse(Double.NaN),
+        sent.getValue() - loggedSends.getOrDefault(backend, 0L),
         allowances.share(time.monotonicMillis()));
   }
+
+  /** Returns what this node has sent to back ends while they named rates, by their ids. */
+  public synchronized Map<String, Long> sends() {
+    return new TreeMap<>(sends);
+  }
+
+  /** Returns how often this node could place nothing since back ends took no more. */
+  public synchronized long delays() {
+    return delays;
+  }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntSupplier;
@@ -22,6 +23,7 @@
 import org.lockdale.gateway.placement.SplitSelector;
 import org.lockdale.gateway.quarantine.Quarantine;
 import org.lockdale.gateway.rate.BackendRates;
+import org.lockdale.gateway.usage.RequestCounter;
 import org.lockdale.http.HttpClient;
 import org.lockdale.http.HttpExchange;
 import org.lockdale.http.HttpHandler;
@@ -61,6 +63,7 @@
   private final PoolWaits waits;
   private final TenantLimitStep tenantLimits;
   private final AtomicInteger openRequests = new AtomicInteger();
+  private final RequestCounter ended = new RequestCounter();
 
   /**
    * Creates the path.
@@ -128,6 +131,11 @@
     return openRequests.get();
   }
 
+  /** Returns the requests that have ended so far, by outcome. */
+  public Map<String, Long> endedByOutcome() {
+    return ended.totals();
+  }
+
   @Override
   public void handle(HttpExchange exchange) {
     if (exchange.disconnected().isDone()) {
@@ -267,6 +275,7 @@
 
   void ended(RequestState state, String outcome) {
     openRequests.decrementAndGet();
+    ended.ended(outcome);
     boolean late = state.route != null && state.isLateStream();
     if (late || !outcome.equals(COMPLETE)) {
       Logger.info(
