--- a/gateway/src/main/java/org/lockdale/gateway/backend/BackendHealth.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/BackendHealth.java
@@ -18,8 +18,8 @@
   private static final int FAILURES_TO_EJECT = 2;
 
   /**
-   * Set by hand between the 10 ms in which all who place requests hear of a rejection and the 900
-   * ms that the shortest load of weights took in a fleet's trial.
+   * Longer than all who place requests take to hear of a rejection, and shorter than a load of
+   * weights.
    */
   private static final long FIRST_REJECTION_PAUSE_MILLIS = 150;
 
@@ -31,9 +31,8 @@
 
   /**
    * Time in which the failure rate halves where nothing is sent; else a back end that failed last
-   * is avoided for good, as it gets no request that could lower its rate. In a fleet's trial 767 of
-   * 819 requests went to one of three back ends that all failed some. Set by hand: a back end that
-   * fails half of its requests is tried again after some 8 s.
+   * is avoided for good, as it gets no request that could lower its rate, and another one that
+   * fails as often gets all of them.
    */
   private static final double RATE_HALF_LIFE_MILLIS = 2_000;
 
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/SuspectCatchUp.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/SuspectCatchUp.java
@@ -23,9 +23,8 @@
 
 /**
  * Asks other nodes, once after the start of this one, which requests are suspected of ending back
- * ends. Rows tell those with two ends and more; a first end is known to the nodes that ran then. In
- * a soak run one of three nodes knew it for 1.5 s while both others started, told them nothing, and
- * was killed. Runs on one event loop.
+ * ends. Rows tell those with two ends and more; a first end is known to the nodes that ran then,
+ * and is lost with them if they tell no node that starts. Runs on one event loop.
  */
 public final class SuspectCatchUp {
 
--- a/gateway/src/main/java/org/lockdale/gateway/life/LifeWatch.java
+++ b/gateway/src/main/java/org/lockdale/gateway/life/LifeWatch.java
@@ -19,8 +19,7 @@
 /**
  * Finds out from answers that a life of a back end is over, and lets all nodes know. The record of
  * a back end that crashed stands for seconds; while its address is in use again, each request sent
- * there costs a round trip and is turned away. In a recorded day seven nodes sent some 20 requests
- * to one such record within two seconds.
+ * there costs a round trip and is turned away.
  *
  * <p>That a request was not meant for whoever answered is proof where only the instance was asked
  * for. Where weights were asked for as well, they may be the reason, so the engine is asked for its
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -53,8 +53,8 @@
   private static final int FILES_OF_A_REQUEST = 2;
 
   /**
-   * A line each ten seconds costs nothing that can be measured, and a day of half a minute on which
-   * processor time runs out still has some.
+   * Long enough to cost nothing, and short enough that a node which runs out of processor time has
+   * told some of it.
    */
   private static final long USAGE_MILLIS = 10_000;
 
--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -42,12 +42,12 @@
 
   /**
    * Cost of waiting for a place, in tokens: more than that of an engine which is preferred for
-   * prompts of the other length. Without it 369 of 2,861 prompts in 12 s of a fleet's day went to
-   * engines with all of their 16 places taken, while others had free ones.
+   * prompts of the other length. Without it prompts go to engines with all of their places taken
+   * while others have free ones.
    */
   private static final double FULL_COST = 8_000;
 
-  /** Cost of each request that waits for a place already, in tokens; set by hand. */
+  /** Cost of each request that waits for a place already, in tokens. */
   private static final double QUEUED_COST = 200;
 
   /** Cost of crossing zones, in tokens. */
@@ -65,19 +65,15 @@
   /**
    * Cost of serving on replaced weights, in tokens, besides that of the other set. An answer on
    * them is worth a fifth less, a late one two thirds less, so the engines with new weights are
-   * filled first, up to a queue that they compute in 0.2 s at 38 tokens a millisecond; the
-   * objectives are three times that and more. They take the load off the others meanwhile, which
-   * then move sooner. In a simulated rollout over 63 engines with 28% of their places taken, 3
-   * instead of 30 in 100 of the prompts that came later than 1.5 s began on replaced weights.
+   * filled first, up to a short queue. They take the load off the others meanwhile, which then move
+   * sooner.
    */
   private static final double OUTDATED_COST = 4_000;
 
   /**
    * Engines with new weights go first once they are one in this many. A rollout moves a third at
    * once; where engines crash or carry orders out late, the few that have moved would get all
-   * prompts, keep none of their places, and lose all streams with the next crash. In 18 s of a
-   * fleet's day with three crashes of 30% of the engines, one play each without processor time, the
-   * whole day's share was 0.874 with no preference, 0.834 from the first engine on, 0.881 so.
+   * prompts, keep none of their places, and lose all streams with the next crash.
    */
   private static final int LEAST_CURRENT_PART = 4;
 
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
@@ -29,16 +29,14 @@
 
   /**
    * Weight of five such ends, which it takes while many requests come to three: servers that end
-   * all the time end under any request. With three ends it would take, 12% of the innocent requests
-   * were held back in a simulation in which a third of the servers ended each 0.4 s and callers
-   * repeated up to eight times at once. Two sends beyond the third end are borne by the
-   * deployments, which allow three.
+   * all the time end under any request, and innocent ones would be held back. Two sends beyond the
+   * third end are borne by the deployments, which allow three.
    */
   private static final int HELD_WEIGHT_IN_CROWD = 15;
 
   /**
    * With less, three requests that end servers in several copies, and their neighbours, make a
-   * crowd: at 8 such a request was sent six times beyond its third end.
+   * crowd, and go on beyond their third end.
    */
   private static final int CROWD = 32;
 
--- a/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
@@ -25,15 +25,13 @@
   /**
    * How often the other nodes are told again of an engine that is still on its way, a quarter of
    * the time for which they believe it. An engine that first ends its runs takes up to 7.5 s for an
-   * order: believed to be back after 4 s, two such engines looked idle and drew 89 of the 1,553
-   * requests for engines in 8 s of a fleet's day, each turned away.
+   * order: believed to be back sooner, it looks idle and draws requests, each turned away.
    */
   private static final long RENEWAL_MILLIS = RolloutProgress.BELIEF_MILLIS / 4;
 
   /**
    * Longest time for which an order waits for prompts that the engine reads, since it turns away
-   * what has not begun: 115 of 897 sheds in two trials of a fleet. It suffices for 23,000 tokens at
-   * the 38 tokens a millisecond that an engine there reads.
+   * what has not begun. An engine reads 23,000 tokens in it at 38 tokens a millisecond.
    */
   private static final long MAX_READING_MILLIS = 600;
 
--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -26,7 +26,7 @@
 
   /**
    * A proxy learns within a round trip that nobody listens behind it. One that looks up first whose
-   * connection it is took longer than 30 ms for 88 of 88 probes in a loaded soak.
+   * connection it is takes longer, and all the more on a loaded machine.
    */
   private static final long CLOSED_AT_ONCE_MILLIS = 250;
 
