--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulation.java
@@ -86,7 +86,7 @@
     void start() {
       up = true;
       life++;
-      executor = new AwakeExecutor(this);
+      executor = new AwakeExecutor(time, () -> frozenUntilMicros);
       election = new RelayElection(id, MAX_PROOF_AGE_MILLIS);
       rates = new BackendRates(this);
       exchange =
@@ -322,29 +322,6 @@
     }
   }
 
-  /** Runs nothing while its node is frozen. */
-  private final class AwakeExecutor extends VirtualExecutor {
-    private final Node node;
-
-    AwakeExecutor(Node node) {
-      super(time);
-      this.node = node;
-    }
-
-    @Override
-    protected void after(long micros, Runnable task) {
-      super.after(micros, () -> runAwake(task));
-    }
-
-    private void runAwake(Runnable task) {
-      if (node.isAwake()) {
-        task.run();
-      } else {
-        super.after(node.frozenUntilMicros - time.nowMicros(), () -> runAwake(task));
-      }
-    }
-  }
-
   final VirtualTime time = new VirtualTime();
   final Random random;
   final List<Node> nodes = new ArrayList<>();
