A placement makes no second list while no server names a rate

Cause: the choice among open candidates copied the list each time. Change: the list is copied where a candidate is at its rate only.

--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.placement.Rendezvous;
@@ -108,14 +109,26 @@
     }
     // With no back end known to be sound, one that may have recovered is better than none.
     List<TrackedBackend> choice = usable.isEmpty() ? ejected : usable;
-    List<TrackedBackend> open = new ArrayList<>(choice);
-    open.removeIf(request.atRate());
+    List<TrackedBackend> open = openOf(choice, request.atRate());
     PromptPlacement prompt = request.prompt();
     return prompt == null
         ? least(open, candidate -> plainCost(candidate, request.zone(), nowMillis))
         : cheapest(choice, open, request, prompt, nowMillis);
   }
 
+  /** Mostly no back end names a rate, and each decision would make a list in vain. */
+  private static List<TrackedBackend> openOf(
+      List<TrackedBackend> choice, Predicate<TrackedBackend> atRate) {
+    for (TrackedBackend candidate : choice) {
+      if (atRate.test(candidate)) {
+        List<TrackedBackend> open = new ArrayList<>(choice);
+        open.removeIf(atRate);
+        return open;
+      }
+    }
+    return choice;
+  }
+
   private Optional<TrackedBackend> cheapest(
       List<TrackedBackend> choice,
       List<TrackedBackend> open,
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
@@ -103,7 +103,7 @@
     private final Map<String, PrefixSurvey> surveys = new HashMap<>();
 
     /** Candidates that turned out to take no more now, as another thread took the last place. */
-    private final Set<TrackedBackend> takenMeanwhile = new HashSet<>();
+    private Set<TrackedBackend> takenMeanwhile = Set.of();
 
     /** The newest version that answers are expected to be on by now, or null for none. */
     private final @Nullable Long due;
@@ -133,7 +133,7 @@
               this::isAtRate);
       Optional<TrackedBackend> chosen = chooser.choose(request, nowMillis);
       while (chosen.isPresent() && !rates.tryTake(chosen.get().backend().id())) {
-        takenMeanwhile.add(chosen.get());
+        takenMeanwhile = with(takenMeanwhile, chosen.get());
         chosen = chooser.choose(request, nowMillis);
       }
       return chosen.isPresent()
@@ -141,6 +141,12 @@
           : noneOpen();
     }
 
+    private static Set<TrackedBackend> with(Set<TrackedBackend> some, TrackedBackend another) {
+      Set<TrackedBackend> more = new HashSet<>(some);
+      more.add(another);
+      return more;
+    }
+
     private boolean isAtRate(TrackedBackend candidate) {
       return !rates.hasRoom(candidate.backend().id()) || takenMeanwhile.contains(candidate);
     }
