Nodes without a relay tell sixteen others of a rate, not all

Cause (by reading, in the last look at the diff): where no relay is heard each node places by itself and told all others what was new, five times a second, and reminded all that don't lend twice a second: N x N datagrams while relays are elected, as after a return of all nodes (calculated: 90,000 each half second at 300 nodes). Change: reminders come from the relay that places; without one a node tells sixteen others of news, in turn.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RateExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RateExchange.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -16,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.lockdale.coordination.time.Time;
@@ -45,6 +47,11 @@
   /** All nodes are told this seldom, since a rate may change with each answer. */
   private static final long TELL_ALL_MILLIS = 200;
 
+  /** Nodes that are told where there is no relay, which tells all. */
+  private static final int MAX_TOLD_WITHOUT_RELAY = 16;
+
+  private static final int FIRST_TOLD_SPREAD = 1_024;
+
   /** Records in one message, so that it fits into a datagram. */
   private static final int MAX_RECORDS_IN_MESSAGE = 16;
 
@@ -64,6 +71,7 @@
    * @param executor runs the exchange, one task at a time
    * @param sender sends a message to nodes
    * @param coordinator the relay that places requests, or empty where this node does so itself
+   * @param placesForAll whether this node is the relay that places the requests of all
    * @param relays the other relays that can be relied on
    * @param peers the other nodes
    * @param nodes tells the number of nodes, or 0 where it is not known yet
@@ -77,6 +85,7 @@
       ScheduledExecutorService executor,
       BiConsumer<List<InetSocketAddress>, Message> sender,
       Supplier<Optional<RelayElection.Relay>> coordinator,
+      BooleanSupplier placesForAll,
       Supplier<List<RelayElection.Relay>> relays,
       Supplier<? extends Collection<PeerNode>> peers,
       IntSupplier nodes,
@@ -101,6 +110,9 @@
 
   private boolean tellingAll;
 
+  /** Place among the peers of the one that is told first; nodes begin at different ones. */
+  private int firstTold;
+
   /** Creates an exchange; it hears of answers from now on. */
   public RateExchange(Context context) {
     this.context = context;
@@ -116,6 +128,7 @@
                 context.time()),
             false,
             this::lend);
+    this.firstTold = Math.floorMod(context.selfId().hashCode(), FIRST_TOLD_SPREAD);
     context.rates().tell(this::heard);
   }
 
@@ -192,7 +205,7 @@
 
   private void isNews(Heard answer) {
     lend();
-    if (!placesForAll()) {
+    if (context.coordinator().get().isPresent()) {
       return;
     }
     news.put(answer.backend(), answer);
@@ -201,20 +214,30 @@
     }
   }
 
-  private boolean placesForAll() {
-    return context.coordinator().get().isEmpty();
-  }
-
   /** Tells all at once, and what is new until then some time later. */
   private void tellAll() {
     tellingAll = !news.isEmpty();
     if (tellingAll) {
-      send(addresses(context.peers().get()), List.copyOf(news.values()));
+      send(addresses(listeners()), List.copyOf(news.values()));
       news.clear();
       context.executor().schedule(this::tellAll, TELL_ALL_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
+  /**
+   * Where there is no relay each node places by itself, and were each to tell all, none could
+   * listen; so they tell some, others each time.
+   */
+  private List<PeerNode> listeners() {
+    List<PeerNode> peers = new ArrayList<>(context.peers().get());
+    if (context.placesForAll().getAsBoolean() || peers.size() <= MAX_TOLD_WITHOUT_RELAY) {
+      return peers;
+    }
+    Collections.rotate(peers, firstTold);
+    firstTold = (firstTold + MAX_TOLD_WITHOUT_RELAY) % peers.size();
+    return peers.subList(0, MAX_TOLD_WITHOUT_RELAY);
+  }
+
   private static List<InetSocketAddress> addresses(Collection<PeerNode> nodes) {
     return nodes.stream().map(PeerNode::address).toList();
   }
@@ -277,7 +300,7 @@
   /** To be called from time to time. */
   public void tick() {
     lend();
-    if (placesForAll() && context.rates().isAnyLimited()) {
+    if (context.placesForAll().getAsBoolean() && context.rates().isAnyLimited()) {
       remind();
     }
   }
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -191,6 +191,7 @@
         () -> relays.deciders(),
         relay -> relays.silent(relay),
         () -> relays.coordinator(),
+        this::isCoordinator,
         () -> relays.relays(),
         nodes::peers,
         this::size);
--- a/gateway/src/main/java/org/lockdale/gateway/node/LimitServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/LimitServices.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
@@ -37,6 +38,7 @@
    * @param deciders tells the ids of the relays that may decide, the most senior first
    * @param onSilent told of a relay that no longer answers
    * @param coordinator the relay that places requests, or empty where this node does so itself
+   * @param placesForAll whether this node is the relay that places the requests of all
    * @param relays the other relays that can be relied on
    * @param peers the other nodes
    * @param nodes tells the number of nodes, or 0 where it is not known yet
@@ -48,6 +50,7 @@
       Supplier<List<String>> deciders,
       Consumer<String> onSilent,
       Supplier<Optional<RelayElection.Relay>> coordinator,
+      BooleanSupplier placesForAll,
       Supplier<List<RelayElection.Relay>> relays,
       Supplier<? extends Collection<PeerNode>> peers,
       IntSupplier nodes) {}
@@ -104,6 +107,7 @@
                 eventLoop,
                 cluster.datagrams()::sendOfRates,
                 cluster.coordinator(),
+                cluster.placesForAll(),
                 cluster.relays(),
                 cluster.peers(),
                 cluster.nodes(),
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulation.java
@@ -97,6 +97,7 @@
                   executor,
                   (receivers, message) -> send(this, receivers, message),
                   () -> election.coordinator(monotonicMillis()),
+                  () -> election.isServing() && election.coordinator(monotonicMillis()).isEmpty(),
                   () -> election.relays(monotonicMillis()),
                   () -> peersOf(this),
                   nodes::size,
