The soak's judge counts from the naming that a node was told of, not from one that had ended

Trace: the engine had named 2.8 a second at 3.1 s and none from 7.2 s on; it named 0.23 at 20.1 s. Nothing reached it from 13 s to 25.4 s. Seven requests of node-2, sent by its callers by 25.1 s, arrived from 25.41 to 26.01 s; node-2 logged rate-named by an answer at 25.43 s. It had passed on answers of the first naming only, at 3.6 s. Change: a node counts from half a second after an answer of the present naming. Why this is allowed: a server that names no rate any more is not limited, and nobody can know the next naming before it is told; the same history with an answer of that naming is broken (RateRulesTest.whatWasToldBeforeAPauseBindsNobodyAfterIt).

--- a/soak/src/main/java/org/lockdale/soak/judge/RateRules.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/RateRules.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Optional;
+import java.util.TreeSet;
 
 /** What may reach a server that names a rate. */
 final class RateRules {
@@ -35,7 +37,7 @@
     named.forEach(
         (server, rates) -> {
           rates.sort(Comparator.comparingLong(Note.RateNamed::atMillis));
-          Map<String, Long> toldAt = toldAt(history, server);
+          Map<String, NavigableSet<Long>> toldAt = toldAt(history, server);
           worst(history, server, rates, toldAt, arrivals.getOrDefault(server, List.of()))
               .ifPresent(breaks::add);
         });
@@ -58,24 +60,38 @@
     return arrivals;
   }
 
-  /** Returns when each node was first given an answer that names the rate. */
-  private static Map<String, Long> toldAt(History history, String server) {
-    Map<String, Long> toldAt = new HashMap<>();
+  /** Returns when each node was given answers that name the rate. */
+  private static Map<String, NavigableSet<Long>> toldAt(History history, String server) {
+    Map<String, NavigableSet<Long>> toldAt = new HashMap<>();
     for (Note.RateTold told : history.ratesTold()) {
       Note.Sent sent = history.request(told.request()).sent();
       if (told.server().equals(server) && sent != null) {
-        toldAt.merge(sent.node(), told.atMillis(), Math::min);
+        toldAt.computeIfAbsent(sent.node(), node -> new TreeSet<>()).add(told.atMillis());
       }
     }
     return toldAt;
   }
 
+  /** Returns since when a server has named rates without a pause at a moment. */
+  private static long namedSince(List<Note.RateNamed> rates, long moment) {
+    long since = Long.MAX_VALUE;
+    boolean names = false;
+    for (Note.RateNamed rate : rates) {
+      if (rate.atMillis() > moment) {
+        break;
+      }
+      since = names ? since : rate.atMillis();
+      names = rate.perSecond() != null;
+    }
+    return names ? since : Long.MAX_VALUE;
+  }
+
   /** Returns the window of a server that lies furthest over what it bears. */
   private static Optional<RuleBreak> worst(
       History history,
       String server,
       List<Note.RateNamed> rates,
-      Map<String, Long> toldAt,
+      Map<String, NavigableSet<Long>> toldAt,
       List<Arrival> arrivals) {
     RuleBreak worst = null;
     double worstExcess = 0;
@@ -90,7 +106,11 @@
       for (int each = last;
           each >= 0 && arrivals.get(each).atMillis() > until - WINDOW_MILLIS;
           each--) {
-        count += counts(history, arrivals.get(each), toldAt, until) ? 1 : 0;
+        Arrival arrival = arrivals.get(each);
+        boolean counts =
+            isTold(arrival, namedSince(rates, arrival.atMillis()), toldAt)
+                && isBound(history, arrival, until);
+        count += counts ? 1 : 0;
       }
       double borne = BORNE_PART * rate * WINDOW_MILLIS / 1_000 + BORNE_REQUESTS;
       if (count - borne > worstExcess) {
@@ -101,13 +121,16 @@
     return Optional.ofNullable(worst);
   }
 
+  /** What a node was told before a server ceased to name rates says nothing of the next one. */
+  private static boolean isTold(
+      Arrival arrival, long namedSinceMillis, Map<String, NavigableSet<Long>> toldAt) {
+    Long told = toldAt.getOrDefault(arrival.node(), new TreeSet<>()).ceiling(namedSinceMillis);
+    return told != null && arrival.atMillis() >= told + OBEY_MILLIS;
+  }
+
   /** A node that was disrupted may not know what it was told; a former build can't keep to it. */
-  private static boolean counts(
-      History history, Arrival arrival, Map<String, Long> toldAt, long until) {
-    Long told = toldAt.get(arrival.node());
-    return told != null
-        && arrival.atMillis() >= told + OBEY_MILLIS
-        && history.undisrupted(History.former(arrival.node()), arrival.atMillis(), until)
+  private static boolean isBound(History history, Arrival arrival, long until) {
+    return history.undisrupted(History.former(arrival.node()), arrival.atMillis(), until)
         && history.inTouch(arrival.node(), arrival.atMillis(), until);
   }
 
--- a/soak/src/test/java/org/lockdale/soak/judge/RateRulesTest.java
+++ b/soak/src/test/java/org/lockdale/soak/judge/RateRulesTest.java
@@ -50,6 +50,29 @@
     assertEquals(isBroken(untold), false);
   }
 
+  /**
+   * In a loaded run a server named a rate again 13 s after it had ceased to, and nothing was sent
+   * there meanwhile; seven requests were under way when the first answer told the node of it.
+   */
+  @Test
+  public void whatWasToldBeforeAPauseBindsNobodyAfterIt() {
+    Notes notes = new Notes();
+    notes.add(new Note.RateNamed(T - 50_000, SERVER, 2.0));
+    notes.add(new Note.RateNamed(T - 40_000, SERVER, null));
+    notes.add(new Note.RateNamed(T, SERVER, 2.0));
+    notes.add(Notes.sentTo("node-1", T - 45_000, "told-before", RequestKind.SAFE));
+    notes.add(new Note.RateTold(T - 45_000, SERVER, "told-before"));
+    for (int request = 0; request < 18; request++) {
+      String id = "r" + request;
+      notes.add(Notes.sentTo("node-1", T + 4_000, id, RequestKind.SAFE));
+      notes.add(new Note.Arrived(T + 4_100 + request, SERVER, "pool", id));
+    }
+    assertEquals(isBroken(notes), false);
+    notes.add(Notes.sentTo("node-1", T + 3_000, "told-again", RequestKind.SAFE));
+    notes.add(new Note.RateTold(T + 3_100, SERVER, "told-again"));
+    assertEquals(isBroken(notes), true);
+  }
+
   @Test
   public void aServerThatNamesNoRateAnyMoreIsNotCounted() {
     assertEquals(isBroken(history(18).add(new Note.RateNamed(T + 2_000, SERVER, null))), false);
