The soak plays recorded plans, counts late sends, and judges that an ended server is not said to live

The result prints ends, late sends and wrong proofs of life. New rule ENDS: a node says in its log that a server lives a second or more after the server's own note that it ended of a request; nodes of former builds aren't bound. A wrong history and two right ones in JudgeTest.

--- a/soak/src/main/java/org/lockdale/soak/judge/CrashRules.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/CrashRules.java
@@ -17,8 +17,14 @@
   /** Sends that may follow. */
   private static final int MOST_RETRIES = 3;
 
+  /**
+   * What a node believes rests on what it heard before, and it looks at its beliefs four times a
+   * second; a loaded node does so later.
+   */
+  private static final long BELIEF_MILLIS = 1_000;
+
   /** A request whatever the id of its try. */
-  private record Contents(String method, String path, String body, @Nullable String key) {
+  record Contents(String method, String path, String body, @Nullable String key) {
 
     static Contents of(Note.Sent sent) {
       RequestFacts facts = sent.facts();
@@ -29,8 +35,53 @@
   private CrashRules() {}
 
   static List<RuleBreak> repeats(History history) {
+    List<RuleBreak> breaks = new ArrayList<>();
+    lateSends(history, history.bounds().contactMillis(), true)
+        .forEach(
+            (what, number) -> {
+              if (number > MOST_RETRIES) {
+                breaks.add(
+                    new RuleBreak(
+                        "BUDGET", what.path(), number + " sends after it had ended three servers"));
+              }
+            });
+    return breaks;
+  }
+
+  /**
+   * A server that ended of a request must not be said to live, by whatever answers in its place.
+   */
+  static List<RuleBreak> revived(History history) {
+    Map<String, Long> endedAt = new HashMap<>();
+    history.crashes().forEach(crash -> endedAt.putIfAbsent(crash.server(), crash.atMillis()));
+    List<RuleBreak> breaks = new ArrayList<>();
+    for (Note.SaidToLive said : history.saidToLive()) {
+      Long ended = endedAt.get(said.server());
+      boolean late =
+          ended != null
+              && said.atMillis() > ended + BELIEF_MILLIS
+              && history.undisrupted(History.former(said.node()), said.atMillis(), said.atMillis());
+      if (late) {
+        long after = said.atMillis() - ended;
+        breaks.add(
+            new RuleBreak(
+                "ENDS",
+                said.server(),
+                "said to live by " + said.node() + " " + after + " ms after it ended"));
+      }
+    }
+    return breaks;
+  }
+
+  /**
+   * Returns how often requests reached servers after their third end.
+   *
+   * @param afterMillis time from the third end on that doesn't count
+   * @param bound whether only sends by nodes in touch count
+   */
+  static Map<Contents, Integer> lateSends(History history, long afterMillis, boolean bound) {
     if (history.crashes().isEmpty()) {
-      return List.of();
+      return Map.of();
     }
     Map<String, Contents> contents = new HashMap<>();
     for (RequestStory request : history.requests()) {
@@ -39,24 +90,16 @@
       }
     }
     Map<Contents, Long> thirdEnds = thirdEnds(history, contents);
-    Map<Contents, Integer> retries = new HashMap<>();
+    Map<Contents, Integer> sends = new HashMap<>();
     for (RequestStory request : history.requests()) {
       Note.Sent sent = request.sent();
       Long third = sent == null ? null : thirdEnds.get(Contents.of(sent));
       if (third != null) {
-        retries.merge(Contents.of(sent), lateSends(history, request, sent, third), Integer::sum);
+        int late = lateSends(history, request, sent, third + afterMillis, bound);
+        sends.merge(Contents.of(sent), late, Integer::sum);
       }
     }
-    List<RuleBreak> breaks = new ArrayList<>();
-    retries.forEach(
-        (what, number) -> {
-          if (number > MOST_RETRIES) {
-            breaks.add(
-                new RuleBreak(
-                    "BUDGET", what.path(), number + " sends after it had ended three servers"));
-          }
-        });
-    return breaks;
+    return sends;
   }
 
   private static Map<Contents, Long> thirdEnds(History history, Map<String, Contents> contents) {
@@ -75,14 +118,16 @@
   }
 
   private static int lateSends(
-      History history, RequestStory request, Note.Sent sent, long thirdEndMillis) {
-    long known = thirdEndMillis + history.bounds().contactMillis();
+      History history, RequestStory request, Note.Sent sent, long afterMillis, boolean bound) {
     int sends = 0;
     for (Note.Arrived arrived : request.arrivals()) {
       long at = arrived.atMillis();
-      boolean bound = history.inTouch(sent.node(), at, at) && history.inTouch(History.CORE, at, at);
-      sends += at > known && bound ? 1 : 0;
+      sends += at > afterMillis && (!bound || isBound(history, sent.node(), at)) ? 1 : 0;
     }
     return sends;
   }
+
+  private static boolean isBound(History history, String node, long at) {
+    return history.inTouch(node, at, at) && history.inTouch(History.CORE, at, at);
+  }
 }
--- a/soak/src/main/java/org/lockdale/soak/judge/History.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/History.java
@@ -35,6 +35,7 @@
   private final List<Note.PartsUsed> partsUsed = new ArrayList<>();
   private final List<Note.Ordered> orders = new ArrayList<>();
   private final List<Note.Crashed> crashes = new ArrayList<>();
+  private final List<Note.SaidToLive> saidToLive = new ArrayList<>();
   private final List<Note.Surplus> surplus = new ArrayList<>();
   private final List<Note.RateNamed> ratesNamed = new ArrayList<>();
   private final List<Note.RateTold> ratesTold = new ArrayList<>();
@@ -79,6 +80,8 @@
       partsUsed.add(used);
     } else if (note instanceof Note.Crashed crashed) {
       crashes.add(crashed);
+    } else if (note instanceof Note.SaidToLive said) {
+      saidToLive.add(said);
     } else if (note instanceof Note.Surplus bytes) {
       surplus.add(bytes);
     } else if (note instanceof Note.RateTold told) {
@@ -147,6 +150,10 @@
     return crashes;
   }
 
+  List<Note.SaidToLive> saidToLive() {
+    return saidToLive;
+  }
+
   List<Note.Surplus> surplus() {
     return surplus;
   }
--- a/soak/src/main/java/org/lockdale/soak/judge/Judge.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/Judge.java
@@ -27,6 +27,7 @@
           LoadRules::deadlines,
           LoadRules::gone,
           CrashRules::repeats,
+          CrashRules::revived,
           RateRules::limit,
           StatementRules::leaving,
           StatementRules::rest,
--- a/soak/src/main/java/org/lockdale/soak/judge/Note.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/Note.java
@@ -116,6 +116,9 @@
   /** A server ended of a request that it had begun to run. */
   record Crashed(long atMillis, String server, String request) implements Note {}
 
+  /** A node said in its log of a server whose end it had counted that it lives. */
+  record SaidToLive(long atMillis, String node, String server) implements Note {}
+
   /**
    * A run used cached parts of an earlier request.
    *
--- a/soak/src/main/java/org/lockdale/soak/plan/Fault.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/Fault.java
@@ -1,6 +1,9 @@
 package org.lockdale.soak.plan;
 
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
 /** Something that is done to the deployment from outside. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "fault")
 public sealed interface Fault {
 
   /** How a link misbehaves. */
--- a/soak/src/main/java/org/lockdale/soak/run/NoteLog.java
+++ b/soak/src/main/java/org/lockdale/soak/run/NoteLog.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import org.lockdale.soak.judge.Bounds;
+import org.lockdale.soak.judge.CrashCounts;
 import org.lockdale.soak.judge.History;
 import org.lockdale.soak.judge.Judge;
 import org.lockdale.soak.judge.Note;
@@ -27,13 +28,18 @@
     file = Files.newBufferedWriter(path);
   }
 
-  /** Judges the notes that a run has left in a file. */
-  static List<RuleBreak> judge(Bounds bounds, Path path) throws IOException {
+  /** Reads the notes that a run has left in a file. */
+  static History read(Bounds bounds, Path path) throws IOException {
     History history = new History(bounds);
     for (String line : Files.readAllLines(path)) {
       history.add(StandardStreams.parse(line, Note.class));
     }
-    return Judge.breaks(history);
+    return history;
+  }
+
+  /** Returns what requests that end servers have done. */
+  synchronized CrashCounts crashCounts() {
+    return CrashCounts.of(history);
   }
 
   synchronized void add(Note note) {
--- /dev/null
+++ b/soak/src/main/java/org/lockdale/soak/run/PlanFile.java
@@ -0,0 +1,46 @@
+package org.lockdale.soak.run;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.lockdale.soak.plan.Deployment;
+import org.lockdale.soak.plan.FaultPlan;
+import org.lockdale.soak.plan.PlannedFault;
+import org.lockdale.soak.standin.StandardStreams;
+
+/**
+ * A plan of faults as a file: a line of JSON with the seed, the length and the deployment, then one
+ * for each fault. Played again it is the same plan, whatever is drawn from its seed by then.
+ *
+ * @param plan the plan
+ * @param deployment processes that it was drawn for
+ */
+record PlanFile(FaultPlan plan, Deployment deployment) {
+
+  /** Name of the file in the directory of a run. */
+  static final String NAME = "plan.jsonl";
+
+  private record Head(long seed, long lengthMillis, Deployment deployment) {}
+
+  /** Reads a plan. */
+  static PlanFile read(Path path) throws IOException {
+    List<String> lines = Files.readAllLines(path);
+    Head head = StandardStreams.parse(lines.get(0), Head.class);
+    List<PlannedFault> faults =
+        lines.stream()
+            .skip(1)
+            .map(line -> StandardStreams.parse(line, PlannedFault.class))
+            .toList();
+    return new PlanFile(new FaultPlan(head.seed(), head.lengthMillis(), faults), head.deployment());
+  }
+
+  /** Writes the plan. */
+  void write(Path path) throws IOException {
+    List<String> lines = new ArrayList<>();
+    lines.add(StandardStreams.json(new Head(plan.seed(), plan.lengthMillis(), deployment)));
+    plan.faults().forEach(fault -> lines.add(StandardStreams.json(fault)));
+    Files.write(path, lines);
+  }
+}
--- a/soak/src/main/java/org/lockdale/soak/run/Processes.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Processes.java
@@ -3,11 +3,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.Closeable;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -261,13 +258,12 @@
     build.program().writeSettings(settings, values);
     noteBuild(name, build);
     notes.add(new Note.Started(StandardStreams.nowMillis(), name));
-    Path output = directory.resolve(name + ".out");
     ManagedProcess node =
         start(
             name,
             build.program().root(),
             build.program().command(settings, values),
-            line -> append(output, line));
+            new NodeOutput(name, directory.resolve(name + ".out"), notes));
     process(Deployment.CACHE_STORE).say(Guard.COMMAND + node.id());
   }
 
@@ -281,14 +277,6 @@
     }
   }
 
-  private static void append(Path file, String line) {
-    try {
-      Files.writeString(file, line + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
-    } catch (IOException full) {
-      throw new UncheckedIOException(full);
-    }
-  }
-
   private ManagedProcess start(
       String name, Path root, List<String> command, Consumer<String> output) throws IOException {
     ManagedProcess process =
--- a/soak/src/main/java/org/lockdale/soak/run/SoakCommand.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakCommand.java
@@ -1,5 +1,6 @@
 package org.lockdale.soak.run;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashMap;
@@ -7,6 +8,9 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import org.jspecify.annotations.Nullable;
+import org.lockdale.soak.judge.CrashCounts;
+import org.lockdale.soak.judge.History;
+import org.lockdale.soak.judge.Judge;
 import org.lockdale.soak.judge.RuleBreak;
 import org.lockdale.soak.plan.Deployment;
 import org.lockdale.soak.plan.FaultPlan;
@@ -54,6 +58,9 @@
       description = "Root of a former build, which runs beside the present one.")
   private @Nullable Path former;
 
+  @Option(names = "--plan", description = "Plays a kept plan.jsonl, whatever its seed draws now.")
+  private @Nullable Path planFile;
+
   @Option(names = "--judge", description = "Judges a kept notes.jsonl again and runs nothing.")
   private @Nullable Path kept;
 
@@ -68,23 +75,22 @@
   @Override
   public Integer call() throws Exception {
     if (kept != null) {
-      List<RuleBreak> breaks = NoteLog.judge(SoakRun.BOUNDS, kept);
-      breaks.forEach(System.out::println);
-      return breaks.isEmpty() ? 0 : BROKEN;
+      return judgeKept(kept);
+    }
+    if (planFile != null) {
+      PlanFile read = PlanFile.read(planFile);
+      String name = planFile.getFileName().toString().replace(".jsonl", "");
+      return play(read.plan(), read.deployment(), name) ? 0 : BROKEN;
     }
     long first = seed == null ? System.currentTimeMillis() : seed;
     long end = System.nanoTime() + Duration.ofMillis((long) (minutes * 60_000)).toNanos();
     Deployment deployment = new Deployment(nodes, engines, 1);
     int broken = 0;
     for (int index = 0; index < seeds && System.nanoTime() < end; index++) {
-      FaultPlan plan = FaultPlan.draw(first + index, seconds * 1_000, deployment);
-      Path place = directory.toAbsolutePath().resolve("seed-" + (first + index));
-      SoakResult result =
-          new SoakRun(plan, deployment, Path.of("").toAbsolutePath(), place, told, former).run();
-      System.out.print(result.text());
-      if (!result.breaks().isEmpty()) {
+      long drawn = first + index;
+      FaultPlan plan = FaultPlan.draw(drawn, seconds * 1_000, deployment);
+      if (!play(plan, deployment, "seed-" + drawn)) {
         broken++;
-        System.out.println("kept: " + place);
         if (!goOn) {
           return BROKEN;
         }
@@ -92,4 +98,26 @@
     }
     return broken > 0 ? BROKEN : 0;
   }
+
+  private static int judgeKept(Path notes) throws IOException {
+    History history = NoteLog.read(SoakRun.BOUNDS, notes);
+    List<RuleBreak> breaks = Judge.breaks(history);
+    System.out.println(CrashCounts.of(history));
+    breaks.forEach(System.out::println);
+    return breaks.isEmpty() ? 0 : BROKEN;
+  }
+
+  /** Plays a plan and returns whether no rule was broken. */
+  private boolean play(FaultPlan plan, Deployment deployment, String name)
+      throws IOException, InterruptedException {
+    Path place = directory.toAbsolutePath().resolve(name);
+    SoakResult result =
+        new SoakRun(plan, deployment, Path.of("").toAbsolutePath(), place, told, former).run();
+    System.out.print(result.text());
+    if (result.breaks().isEmpty()) {
+      return true;
+    }
+    System.out.println("kept: " + place);
+    return false;
+  }
 }
--- a/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
@@ -68,8 +68,7 @@
   /** Runs the plan and returns what was broken; stops at the first break. */
   public SoakResult run() throws IOException, InterruptedException {
     Files.createDirectories(directory);
-    Files.write(
-        directory.resolve("plan.txt"), plan.faults().stream().map(Object::toString).toList());
+    new PlanFile(plan, deployment).write(directory.resolve(PlanFile.NAME));
     try (NoteLog notes = new NoteLog(BOUNDS, directory.resolve("notes.jsonl"));
         Processes processes =
             new Processes(
@@ -146,7 +145,11 @@
               next,
               callers.counts().sent.get(),
               callers.counts().served.get(),
-              callers.counts() + " unknown-links=" + processes.proxy().unknownOwners(),
+              callers.counts()
+                  + " unknown-links="
+                  + processes.proxy().unknownOwners()
+                  + " "
+                  + notes.crashCounts(),
               breaks);
       Files.writeString(directory.resolve("result.txt"), result.text());
       return result;
--- a/soak/src/main/java/org/lockdale/soak/standin/StandardStreams.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/StandardStreams.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.lockdale.soak.judge.Note;
+import org.lockdale.soak.plan.Fault;
 
 /**
  * What a stand-in and the driver say to each other: lines of a word and its content. A note is
@@ -35,6 +36,7 @@
   private static ObjectMapper mapper() {
     ObjectMapper mapper = new ObjectMapper();
     mapper.registerSubtypes(Note.class.getPermittedSubclasses());
+    mapper.registerSubtypes(Fault.class.getPermittedSubclasses());
     return mapper;
   }
 
--- a/soak/src/test/java/org/lockdale/soak/judge/JudgeTest.java
+++ b/soak/src/test/java/org/lockdale/soak/judge/JudgeTest.java
@@ -5,6 +5,7 @@
 import static org.lockdale.soak.judge.LoadHistories.crashing;
 import static org.lockdale.soak.judge.LoadHistories.deadlines;
 import static org.lockdale.soak.judge.LoadHistories.repeats;
+import static org.lockdale.soak.judge.LoadHistories.revived;
 import static org.lockdale.soak.judge.LoadHistories.sentAfterClose;
 import static org.lockdale.soak.judge.Notes.KEY;
 import static org.lockdale.soak.judge.Notes.OTHER_KEY;
@@ -126,6 +127,7 @@
       {"BUDGET", "too many repeated sends", repeats(30)},
       {"BUDGET", "too many servers at once", attempts(4, 3)},
       {"BUDGET", "sent on after it has ended three servers", crashing(4, 3_001)},
+      {"ENDS", "said to live after it has ended", revived("server-1", 1_001)},
       {"BUDGET", "servers get more time than is left", deadlines(21, 9_000)},
       {"GONE", "sent on after the close", sentAfterClose(4)},
       {"GONE", "still at work after the close", atWorkAfterClose(4, 600)},
@@ -184,6 +186,8 @@
       {"many servers for few requests", attempts(3, 3)},
       {"a few sends after it has ended three servers", crashing(3, 3_001)},
       {"sends before all nodes have to know", crashing(4, 2_900)},
+      {"said to live by what was heard before it ended", revived("server-1", 900)},
+      {"said to live while it does", revived("server-9", 5_000)},
       {"servers get what is left", deadlines(21, 8_400)},
       {"few sent on after the close", sentAfterClose(3)},
       {"stopped soon after the close", atWorkAfterClose(4, 400)},
--- a/soak/src/test/java/org/lockdale/soak/judge/LoadHistories.java
+++ b/soak/src/test/java/org/lockdale/soak/judge/LoadHistories.java
@@ -38,6 +38,13 @@
     return notes;
   }
 
+  /** A server ends of a request, and a node says later that it lives. */
+  static Notes revived(String server, long afterMillis) {
+    Notes notes = crashing(0, 0);
+    notes.add(new Note.SaidToLive(T + 50 + afterMillis, "node-1", server));
+    return notes;
+  }
+
   static Notes attempts(int requests, int servers) {
     Notes notes = new Notes();
     for (int number = 0; number < requests; number++) {
--- a/soak/src/test/java/org/lockdale/soak/run/SoakRunTest.java
+++ b/soak/src/test/java/org/lockdale/soak/run/SoakRunTest.java
@@ -9,12 +9,12 @@
 import java.util.Map;
 import org.lockdale.soak.plan.Deployment;
 import org.lockdale.soak.plan.FaultPlan;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
- * A short run of fixed seeds with the built gateway. A seed that failed is added here with a line
- * on its cause; where its plan is drawn differently now, a test of the order of events stands for
- * it: {@link NodeSignalsTest} for two seeds in which SIGHUP came while a node started.
+ * Short runs of fixed seeds and of recorded plans with the built gateway. The plan of a seed that
+ * failed is kept as a resource, since other faults may be drawn from the same seed later.
  */
 public final class SoakRunTest {
 
@@ -31,14 +31,36 @@
     play(2);
   }
 
+  /** Plans by what happened when they were first played. */
+  @DataProvider(parallel = true)
+  public static Object[][] recordedPlans() {
+    return new Object[][] {
+      {"witnesses-of-ends-killed"},
+      {"next-life-answers-for-the-former"},
+      {"ends-taken-back-out-of-touch"},
+      {"callers-gone"},
+      {"hangup-at-start-1"},
+      {"hangup-at-start-2"},
+    };
+  }
+
+  @Test(dataProvider = "recordedPlans")
+  public void noRuleIsBrokenByARecordedPlan(String name) throws Exception {
+    PlanFile file = PlanFile.read(Path.of("src", "test", "resources", "plans", name + ".jsonl"));
+    play(file.plan(), file.deployment(), name);
+  }
+
   private static void play(long seed) throws Exception {
+    Deployment deployment = Deployment.small();
+    play(FaultPlan.draw(seed, LENGTH_MILLIS, deployment), deployment, "seed-" + seed);
+  }
+
+  private static void play(FaultPlan plan, Deployment deployment, String name) throws Exception {
     Path root = Path.of("..").toAbsolutePath().normalize();
     assertTrue(
         Files.exists(root.resolve("target/lockdale-gateway.jar")),
         "the gateway is built by mvn package at the root");
-    Deployment deployment = Deployment.small();
-    FaultPlan plan = FaultPlan.draw(seed, LENGTH_MILLIS, deployment);
-    Path directory = Path.of("target", "soak", "seed-" + seed).toAbsolutePath();
+    Path directory = Path.of("target", "soak", name).toAbsolutePath();
     SoakResult result = new SoakRun(plan, deployment, root, directory, Map.of(), null).run();
     assertEquals(result.breaks(), List.of(), result.text());
     assertTrue(result.served() > 0, result.text());
