A first end is put on record at once, so that it outlives all nodes that know of it

What callers saw: a request that had ended servers was sent on by nodes that had started since.

Change: a request with one end before its answer began gets a row, 32 such rows at the most, none for an end learned more than 20 s before, gone after 30 s or 15 s after it was taken back, without a second write. Rows of second ends are counted apart, so that first ones take no room from them.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
@@ -43,6 +43,12 @@
    */
   private static final int CROWD = 32;
 
+  /**
+   * Weight of one such end. All that run there get it, so it says little of each, but the nodes
+   * that know of it may all be gone by the next.
+   */
+  static final int FIRST_WEIGHT = 3;
+
   /** Weight of two such ends: the next may decide, so all nodes have to know by then. */
   static final int WATCHED_WEIGHT = 6;
 
@@ -141,6 +147,12 @@
     return Optional.ofNullable(entries.get(fingerprint)).map(entry -> entry.suspect);
   }
 
+  /** Returns when the latest end of a request was learned; never for one that is not known. */
+  long lastEndAtMillis(RequestFingerprint fingerprint) {
+    Entry entry = entries.get(fingerprint);
+    return entry == null ? Long.MIN_VALUE / 2 : entry.newEndAtMillis;
+  }
+
   /** Returns all requests that are remembered. */
   List<Suspect> all() {
     return entries.values().stream().map(entry -> entry.suspect).toList();
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectRecorder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectRecorder.java
@@ -34,6 +34,18 @@
   /** Rows that say nothing any more are removed once all nodes have read them. */
   private static final long REMOVE_AFTER_MILLIS = 15_000;
 
+  /**
+   * Rows of requests with a first end, as long as no more is known of them. Servers end with some
+   * twenty requests each, of which a few had no answer yet.
+   */
+  private static final int MAX_FIRST_ROWS = 32;
+
+  /** A row of a first end is removed then; the same request ends servers again within seconds. */
+  private static final long FIRST_ROW_MILLIS = 30_000;
+
+  /** Less than a row stands, so that none is written again that was just removed. */
+  private static final long FIRST_WRITE_MILLIS = 20_000;
+
   /**
    * Rows of requests that are not held back yet. While servers end all the time many innocent
    * requests come to two ends, and each row is a call of the store and is read by all nodes.
@@ -110,10 +122,15 @@
 
   private void findMissing(List<Suspect> known, long nowMillis) {
     Set<RequestFingerprint> found = new HashSet<>();
+    int watched = (int) recorded.values().stream().filter(SuspectRecorder::isWatched).count();
     for (Suspect suspect : known) {
       Suspect row = recorded.get(suspect.fingerprint());
-      boolean wanted = row != null || hasRoomFor(suspect, recorded.size() + found.size());
-      if (wanted && (row == null || !row.includes(suspect))) {
+      boolean wanted =
+          row == null
+              ? hasRoomFor(suspect, recorded.size() + found.size(), watched, nowMillis)
+              : !row.includes(suspect) && !isIdle(suspect, row);
+      if (wanted) {
+        watched += row == null && isWatched(suspect) ? 1 : 0;
         found.add(suspect.fingerprint());
         Missing before = missing.get(suspect.fingerprint());
         long since = before == null ? nowMillis : before.sinceMillis();
@@ -123,10 +140,30 @@
     missing.keySet().retainAll(found);
   }
 
-  private static boolean hasRoomFor(Suspect suspect, int rows) {
+  private boolean hasRoomFor(Suspect suspect, int rows, int watchedRows, long nowMillis) {
     int weight = suspect.weight();
-    return weight >= SuspectLedger.HELD_WEIGHT && rows < MAX_ROWS
-        || weight >= SuspectLedger.WATCHED_WEIGHT && rows < MAX_WATCHED_ROWS;
+    if (weight >= SuspectLedger.HELD_WEIGHT) {
+      return rows < MAX_ROWS;
+    }
+    if (weight >= SuspectLedger.WATCHED_WEIGHT) {
+      return watchedRows < MAX_WATCHED_ROWS;
+    }
+    return weight >= SuspectLedger.FIRST_WEIGHT
+        && rows < MAX_FIRST_ROWS
+        && ageOf(suspect.fingerprint(), nowMillis) < FIRST_WRITE_MILLIS;
+  }
+
+  private long ageOf(RequestFingerprint fingerprint, long nowMillis) {
+    return nowMillis - ledger.lastEndAtMillis(fingerprint);
+  }
+
+  private static boolean isWatched(Suspect suspect) {
+    return suspect.weight() >= SuspectLedger.WATCHED_WEIGHT;
+  }
+
+  /** A first end that is taken back needs no call of its own; its row goes with the others. */
+  private static boolean isIdle(Suspect suspect, Suspect row) {
+    return suspect.weight() == 0 && !isWatched(row);
   }
 
   private long waitOf(RequestFingerprint fingerprint) {
@@ -166,11 +203,11 @@
     failing = failure != null;
   }
 
-  /** Rows of requests that nothing speaks against any more, or that the ledger has forgotten. */
+  /** Rows that say nothing any more, or that the ledger has forgotten. */
   private void removeIdle(long nowMillis) {
     for (RequestFingerprint fingerprint : List.copyOf(recorded.keySet())) {
       Optional<Suspect> known = ledger.find(fingerprint);
-      if (known.isPresent() && known.get().weight() > 0) {
+      if (known.isPresent() && isNeeded(known.get(), nowMillis)) {
         idleSince.remove(fingerprint);
         continue;
       }
@@ -184,6 +221,11 @@
     idleSince.keySet().retainAll(recorded.keySet());
   }
 
+  private boolean isNeeded(Suspect suspect, long nowMillis) {
+    return suspect.weight() > 0
+        && (isWatched(suspect) || ageOf(suspect.fingerprint(), nowMillis) < FIRST_ROW_MILLIS);
+  }
+
   private void removed(RequestFingerprint fingerprint, @Nullable Throwable failure) {
     if (failure == null) {
       recorded.remove(fingerprint);
