Attempts of suspected requests stand on record while they are under way

What callers saw: a request that had ended servers went on to others after all nodes that knew of it had been killed. Nothing that is told after an end can outlive that.

Change: a node that sends a request with an end against it puts the attempt on record first (a row, not waited for) and takes it away when it is concluded, ten seconds later if it was lost. A node that reads a row nobody has concluded counts it as an end once that life of the server is over: another life on record, or none for five seconds. At most 32 rows a node; those of nodes that are gone are removed after 30 s.

--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
@@ -2,12 +2,13 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.lockdale.gateway.cluster.ClusterTable;
 import org.lockdale.gateway.cluster.NodeRegistry;
 import org.lockdale.gateway.cluster.PeerNode;
 import org.lockdale.gateway.cluster.RecordedWeights;
 import org.lockdale.gateway.quarantine.Suspect;
+import org.lockdale.gateway.quarantine.SuspectAttempt;
 import org.lockdale.gateway.quarantine.SuspectTable;
 import org.lockdale.gateway.table.RowReader;
 import org.lockdale.gateway.table.TableFollower;
@@ -24,10 +25,11 @@
   private final RowReader<VersionedNode> nodeReader;
   private final RowReader<RecordedWeights> weightsReader;
   private final RowReader<Suspect> suspectReader;
+  private final RowReader<SuspectAttempt> attemptReader;
   private final NodeRegistry nodes;
   private final WeightsRecorder recorder;
   private final OperatorController operators;
-  private final Consumer<List<Suspect>> onSuspects;
+  private final BiConsumer<List<Suspect>, List<SuspectAttempt>> onSuspects;
   private boolean historyReplaced;
 
   ClusterObserver(
@@ -36,11 +38,12 @@
       NodeRegistry nodes,
       WeightsRecorder recorder,
       OperatorController operators,
-      Consumer<List<Suspect>> onSuspects) {
+      BiConsumer<List<Suspect>, List<SuspectAttempt>> onSuspects) {
     this.nodeReader =
         new RowReader<>(row -> table.node(row).map(node -> new VersionedNode(node, row.version())));
     this.weightsReader = new RowReader<>(table::weights);
     this.suspectReader = new RowReader<>(suspects::suspect);
+    this.attemptReader = new RowReader<>(suspects::attempt);
     this.onSuspects = onSuspects;
     this.nodes = nodes;
     this.recorder = recorder;
@@ -67,7 +70,7 @@
     for (RecordedWeights row : recorded) {
       operators.onWitnessed(row.model(), recorder.observed(row));
     }
-    onSuspects.accept(suspectReader.read(rows));
+    onSuspects.accept(suspectReader.read(rows), attemptReader.read(rows));
     nodes.refresh();
     nodes.tableRead();
   }
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -31,6 +31,7 @@
 import org.lockdale.gateway.placement.PlacementService;
 import org.lockdale.gateway.quarantine.Quarantine;
 import org.lockdale.gateway.quarantine.Suspect;
+import org.lockdale.gateway.quarantine.SuspectAttempt;
 import org.lockdale.gateway.rate.BackendRates;
 import org.lockdale.gateway.table.StoreClock;
 import org.lockdale.gateway.table.TableFollower;
@@ -203,8 +204,8 @@
   }
 
   /** The followers are made before the quarantine, and read after it. */
-  private void suspectsOnRecord(List<Suspect> suspects) {
-    quarantine.observed(suspects);
+  private void suspectsOnRecord(List<Suspect> suspects, List<SuspectAttempt> attempts) {
+    quarantine.observed(suspects, attempts);
   }
 
   private CacheDirectory cacheDirectory(GatewayProtocols protocols) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -62,6 +62,7 @@
   private final SuspectLedger ledger;
   private final SuspectRecorder recorder;
   private final SuspectSender sender;
+  private final AttemptJournal journal;
   private final LifeEvidence lives;
 
   private Collection<HeldRequest> heldBefore = List.of();
@@ -86,6 +87,7 @@
         new SuspectRecorder(
             ledger, context.table(), context.coordinator(), context.eventLoop(), context.time());
     this.lives = new LifeEvidence(context.backends());
+    this.journal = new AttemptJournal(context.table(), context.eventLoop(), context.time());
     this.sender = new SuspectSender(context.eventLoop(), ledger, context.sender());
   }
 
@@ -101,6 +103,37 @@
     return lives;
   }
 
+  /**
+   * Takes in that a request is about to be sent; from any thread.
+   *
+   * @param request the request
+   * @param caller name of the tenant, or the key where there is none
+   * @param backend id of the back end's incarnation
+   * @return what {@link #concluded} is to be told of; empty where nothing speaks against it
+   */
+  public Optional<SuspectAttempt> sending(CallerRequest request, String caller, String backend) {
+    Optional<SuspectAttempt> attempt = section.value().attempt(request, caller, backend);
+    attempt.ifPresent(each -> context.eventLoop().execute(() -> begin(each)));
+    return attempt;
+  }
+
+  private void begin(SuspectAttempt attempt) {
+    ledger
+        .find(attempt.fingerprint())
+        .filter(suspect -> suspect.weight() > 0)
+        .ifPresent(suspect -> journal.begin(attempt));
+  }
+
+  /**
+   * Takes in that an attempt has been concluded; from any thread.
+   *
+   * @param attempt the attempt
+   * @param doubtful whether it was lost, so that its back end may have ended of it
+   */
+  public void concluded(SuspectAttempt attempt, boolean doubtful) {
+    context.eventLoop().execute(() -> journal.conclude(attempt, doubtful));
+  }
+
   /** Takes in an attempt that broke off; from any thread. */
   public void lost(LostAttempt attempt) {
     watch.lost(attempt);
@@ -243,9 +276,15 @@
         .toList();
   }
 
-  /** Takes in all suspects on record; on the event loop. */
-  public void observed(Collection<Suspect> rows) {
-    boolean news = false;
+  /**
+   * Takes in all that is on record; on the event loop.
+   *
+   * @param rows suspects
+   * @param attempts attempts of suspects
+   */
+  public void observed(Collection<Suspect> rows, Collection<SuspectAttempt> attempts) {
+    journal.observed(attempts);
+    boolean news = countUnconcluded();
     for (Suspect row : recorder.observed(rows)) {
       news |= merge(row);
     }
@@ -258,9 +297,28 @@
     }
   }
 
+  /** Counts what nodes that have ended had sent to back ends that have ended since. */
+  private boolean countUnconcluded() {
+    boolean news = false;
+    for (SuspectAttempt attempt : journal.ended(backends())) {
+      Logger.info(
+          "event=backend-ended-under backend={} fingerprint={} evidence=unconcluded",
+          attempt.backend(),
+          attempt.fingerprint());
+      Map<String, SuspectEnd> ends = Map.of(attempt.backend(), new SuspectEnd(true, false));
+      Suspect suspect = new Suspect(attempt.fingerprint(), attempt.sketch(), ends);
+      if (merge(suspect)) {
+        changedHere(suspect);
+        news = true;
+      }
+    }
+    return news;
+  }
+
   private void upkeep() {
     long now = context.time().monotonicMillis();
-    boolean changed = doubtEnds(now);
+    boolean changed = doubtEnds(now) | countUnconcluded();
+    journal.tick(context.coordinator().getAsBoolean());
     for (Suspect released : ledger.expire(now)) {
       Logger.info(
           "event=suspect-cleared fingerprint={} reason=held-long-enough", released.fingerprint());
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTable.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTable.java
@@ -23,4 +23,17 @@
    * @throws org.lockdale.gateway.table.MalformedRecordException if it can't be read
    */
   Optional<Suspect> suspect(TableRowChange row);
+
+  /** Records that a suspected request is being sent to a back end. */
+  CompletableFuture<@Nullable Void> recordAttempt(SuspectAttempt attempt);
+
+  /** Removes what is recorded of an attempt. */
+  CompletableFuture<@Nullable Void> removeAttempt(SuspectAttempt attempt);
+
+  /**
+   * Reads an attempt of a suspected request; empty where the row is of another kind.
+   *
+   * @throws org.lockdale.gateway.table.MalformedRecordException if it can't be read
+   */
+  Optional<SuspectAttempt> attempt(TableRowChange row);
 }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspects.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspects.java
@@ -57,6 +57,15 @@
     return Optional.of(RequestFingerprint.of(request, caller)).filter(suspected::contains);
   }
 
+  /** Returns an attempt of a request under which back ends ended; empty for all others. */
+  Optional<SuspectAttempt> attempt(CallerRequest request, String caller, String backend) {
+    return suspected(request, caller)
+        .map(
+            fingerprint ->
+                new SuspectAttempt(
+                    fingerprint, RequestFingerprint.sketchOf(request, caller), backend));
+  }
+
   /** Returns the requests that are held back. */
   public Collection<HeldRequest> held() {
     return List.copyOf(held.values());
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptNotes.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptNotes.java
@@ -1,6 +1,8 @@
 package org.lockdale.gateway.request;
 
+import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.quarantine.LostAttempt;
+import org.lockdale.gateway.quarantine.SuspectAttempt;
 import org.tinylog.Logger;
 
 /** Passes on what the attempts of one request show of their back ends. */
@@ -9,11 +11,34 @@
   private final RequestPath path;
   private final RequestState state;
 
+  /** Attempt that is on record while it is under way; null for none. */
+  private @Nullable SuspectAttempt recorded;
+
   AttemptNotes(RequestPath path, RequestState state) {
     this.path = path;
     this.state = state;
   }
 
+  /** Notes that an attempt is about to be sent. */
+  void sending(Attempt attempt) {
+    unrecord(false);
+    String backend = attempt.target().backend().id();
+    recorded = path.quarantine().sending(state.request, state.caller(), backend).orElse(null);
+  }
+
+  /** Notes that the request has ended, with whatever attempt was under way. */
+  void ended() {
+    unrecord(false);
+  }
+
+  private void unrecord(boolean doubtful) {
+    SuspectAttempt attempt = recorded;
+    if (attempt != null) {
+      recorded = null;
+      path.quarantine().concluded(attempt, doubtful);
+    }
+  }
+
   /** Notes how an attempt ended. */
   void concluded(Attempt attempt, AttemptResult result) {
     long now = path.nowMillis();
@@ -36,6 +61,7 @@
     if (loss != null) {
       lost(attempt, loss);
     }
+    unrecord(false);
     if (result == AttemptResult.MISDIRECTED) {
       path.lives()
           .misdirected(attempt.target(), state.request.model(), attempt.plan().expectedWeights());
@@ -57,6 +83,7 @@
 
   /** The back end may have ended, and this request may be the cause. */
   void lost(Attempt attempt, LostAttempt.Loss loss) {
+    unrecord(true);
     path.quarantine()
         .lost(
             new LostAttempt(
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -168,6 +168,7 @@
             this::concluded);
     current = attempt;
     path.placements().opened(placement);
+    notes.sending(attempt);
     attempt.start(path.client(), path.mostConnections(state));
     AttemptWatch watch = new AttemptWatch(state, attempt, () -> !ended && attempt == current);
     if (state.route().isRepeatable()) {
@@ -365,6 +366,7 @@
   private void end(String outcome) {
     ended = true;
     leaveQueue(false);
+    notes.ended();
     if (timeout != null) {
       timeout.cancel(false);
     }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
@@ -159,6 +159,7 @@
     private final CallerRequest request;
     private final long begunAtMillis = time.monotonicMillis();
     private final long connectedAtMillis;
+    private final Optional<SuspectAttempt> recorded;
     private final int triesLeft;
     private boolean givenUp;
 
@@ -173,6 +174,7 @@
       this.server = server;
       this.believed = believed;
       this.connectedAtMillis = node.connect(server);
+      this.recorded = node.quarantine.sending(request, "tenant", believed);
       this.contents = contents;
       this.request = request;
       this.triesLeft = triesLeft;
@@ -189,6 +191,7 @@
     private void giveUp() {
       if (server.runs.contains(this)) {
         givenUp = true;
+        recorded.ifPresent(attempt -> node.quarantine.concluded(attempt, true));
         node.quarantine.lost(
             new LostAttempt(
                 believed,
@@ -215,6 +218,7 @@
       server.runs.remove(this);
       node.answered(this);
       node.quarantine.answered(request, "tenant");
+      recorded.ifPresent(attempt -> node.quarantine.concluded(attempt, false));
     }
 
     void lost() {
@@ -222,6 +226,7 @@
         return;
       }
       long answerMillis = time.monotonicMillis() - begunAtMillis;
+      recorded.ifPresent(attempt -> node.quarantine.concluded(attempt, true));
       if (!contents.guilty) {
         lostRuns++;
       }
@@ -413,7 +418,7 @@
 
     void readTable() {
       if (reachesStore()) {
-        quarantine.observed(List.copyOf(rows.values()));
+        quarantine.observed(List.copyOf(rows.values()), List.copyOf(attemptRows));
       } else {
         executor.schedule(
             this::readTable, TABLE_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS);
@@ -446,6 +451,21 @@
     public Optional<Suspect> suspect(TableRowChange row) {
       throw new UnsupportedOperationException();
     }
+
+    @Override
+    public CompletableFuture<Void> recordAttempt(SuspectAttempt attempt) {
+      return write(() -> attemptRows.add(attempt));
+    }
+
+    @Override
+    public CompletableFuture<Void> removeAttempt(SuspectAttempt attempt) {
+      return write(() -> attemptRows.remove(attempt));
+    }
+
+    @Override
+    public Optional<SuspectAttempt> attempt(TableRowChange row) {
+      throw new UnsupportedOperationException();
+    }
   }
 
   private final Random random;
@@ -455,6 +475,7 @@
   final List<Node> nodes = new ArrayList<>();
   private final List<Contents> contents = new ArrayList<>();
   private final Map<RequestFingerprint, Suspect> rows = new LinkedHashMap<>();
+  private final Set<SuspectAttempt> attemptRows = new LinkedHashSet<>();
   boolean storeDown;
   long storeDisturbedUntilMillis = -CONTACT_MILLIS;
   private int ends;
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectRecorderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectRecorderTest.java
@@ -39,6 +39,21 @@
       return CompletableFuture.completedFuture(null);
     }
 
+    @Override
+    public CompletableFuture<Void> recordAttempt(SuspectAttempt attempt) {
+      return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> removeAttempt(SuspectAttempt attempt) {
+      return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public Optional<SuspectAttempt> attempt(TableRowChange row) {
+      return Optional.empty();
+    }
+
     @Override
     public Optional<Suspect> suspect(TableRowChange row) {
       throw new UnsupportedOperationException();
