What is lost over a connection younger than the server's next life counts at that life

What callers saw: a request that had ended servers was held back an end later than it should.

Cause: an attempt counted at the life that its node meant, unless its answer had begun after that life's connections had closed there.

Change: a loss tells when its connection came up. One that came up after the start of the server's next life counts there; where that record is not read yet and the former life is known to have ended before the connection came up, it waits for the record, ten seconds at the most, and counts at the life that was meant if none comes or the next one started later: a proxy may take a connection for a server that is down.

Tests: anEndOfTheNextLifeBeforeItsRecordIsReadIsNoPartOfTheFormerOnesEnd, anEndOverAConnectionThatIsYoungerThanTheNextLifeIsThatOnes (both failed before), whatReachedNobodyIsNoEndOfALifeThatStartedLater. The simulation's lives start by the time of day.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/EndDetector.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/EndDetector.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.Incarnation;
 import org.lockdale.gateway.backend.TrackedBackend;
@@ -87,31 +88,49 @@
 
   private record Ended(EndEvidence evidence, long atMillis) {}
 
+  private record Unplaced(LostAttempt attempt, long atMillis) {}
+
   private final Map<String, Open> open = new HashMap<>();
   private final Map<String, Ended> ended = new HashMap<>();
 
+  /** Attempts that ran at lives whose records have not been read yet. */
+  private final List<Unplaced> unplaced = new ArrayList<>();
+
   /** When the connections of back ends first closed, by their ids. */
   private final Map<String, Long> closedAt = new HashMap<>();
 
   /**
    * Returns an attempt with the life that it ran at. A server may start again under its id before
-   * its new record is read, and take what was meant for the life before. An answer that began after
-   * that life's connections had closed is the next one's; were its end taken for the same one, two
-   * ends would count as one.
+   * its new record is read, and take what was meant for the life before: over a connection that
+   * came up since, or with an answer that began after that life's connections had closed. Were its
+   * end taken for the same one, two ends would count as one.
+   *
+   * @param wallMillis time of day, as the starts of lives are told
    */
-  LostAttempt atItsLife(LostAttempt attempt, BackendTable backends, long nowMillis) {
+  LostAttempt atItsLife(
+      LostAttempt attempt, BackendTable backends, long nowMillis, long wallMillis) {
     Long closed = closedAt.get(attempt.backend());
     if (attempt.isClosed()) {
       closedAt.putIfAbsent(attempt.backend(), nowMillis);
     }
-    boolean beganLater = closed != null && nowMillis - attempt.answerMillis() > closed;
-    if (!beganLater || attempt.answerMillis() == 0) {
+    TrackedBackend present = backends.named(Incarnation.parse(attempt.backend()).server());
+    if (present == null || present.backend().id().equals(attempt.backend())) {
       return attempt;
     }
-    TrackedBackend present = backends.named(Incarnation.parse(attempt.backend()).server());
-    return present == null || present.backend().id().equals(attempt.backend())
-        ? attempt
-        : attempt.closedAt(present.backend().id());
+    boolean beganLater = closed != null && nowMillis - attempt.answerMillis() > closed;
+    boolean answeredThere = beganLater && attempt.answerMillis() != 0;
+    long connectedAtWallMillis = wallMillis - (nowMillis - attempt.connectedAtMillis());
+    return answeredThere || isStartedBy(present.backend(), connectedAtWallMillis)
+        ? lostAt(present.backend(), attempt)
+        : attempt;
+  }
+
+  private static boolean isStartedBy(Backend life, long wallMillis) {
+    return life.incarnation().startedAtMillis().orElse(Long.MAX_VALUE) < wallMillis;
+  }
+
+  private static LostAttempt lostAt(Backend life, LostAttempt attempt) {
+    return attempt.isGivenUp() ? attempt.givenUpAt(life.id()) : attempt.closedAt(life.id());
   }
 
   /**
@@ -125,6 +144,10 @@
   @Nullable BackendEnd lost(LostAttempt attempt, BackendTable backends, long nowMillis) {
     String backend = attempt.backend();
     Ended known = ended.get(backend);
+    if (known != null && cameUpAfterTheEnd(attempt, known) && !hasNextLife(backend, backends)) {
+      unplaced.add(new Unplaced(attempt, nowMillis));
+      return null;
+    }
     if (known != null) {
       return new BackendEnd(backend, known.evidence(), List.of(attempt));
     }
@@ -170,9 +193,46 @@
         : tracked.isOver();
   }
 
-  /** Returns whether it is not known what became of any back end. */
+  /** The connections of an ended life closed before its end was shown. */
+  private boolean cameUpAfterTheEnd(LostAttempt attempt, Ended known) {
+    long endedAt = closedAt.getOrDefault(attempt.backend(), known.atMillis());
+    return attempt.connectedAtMillis() > endedAt;
+  }
+
+  /**
+   * Returns the attempts that waited for the record of the life that they reached: it has been
+   * read, or none is there after a while.
+   */
+  List<LostAttempt> placed(BackendTable backends, long nowMillis) {
+    List<LostAttempt> placed = new ArrayList<>();
+    for (Iterator<Unplaced> each = unplaced.iterator(); each.hasNext(); ) {
+      Unplaced waiting = each.next();
+      LostAttempt attempt = waiting.attempt();
+      if (hasNextLife(attempt.backend(), backends)) {
+        each.remove();
+        placed.add(attempt);
+      } else if (nowMillis - waiting.atMillis() > FORGET_MILLIS) {
+        each.remove();
+        placed.add(attempt.atMeantLife());
+      }
+    }
+    return placed;
+  }
+
+  private static boolean hasNextLife(String backend, BackendTable backends) {
+    Incarnation meant = Incarnation.parse(backend);
+    TrackedBackend present = backends.named(meant.server());
+    return present != null && meant.isBefore(present.backend().incarnation());
+  }
+
+  /** Returns whether it is not known what became of any back end, or which one it was. */
   boolean isWaiting() {
-    return !open.isEmpty();
+    return !open.isEmpty() || !unplaced.isEmpty();
+  }
+
+  /** Returns whether the life at which an attempt ran is not on record yet. */
+  boolean isUnplaced(LostAttempt attempt) {
+    return unplaced.stream().anyMatch(each -> each.attempt() == attempt);
   }
 
   /** Returns whether it is not known what became of a back end. */
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/EndWatch.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/EndWatch.java
@@ -77,11 +77,13 @@
 
   private void accept(LostAttempt lost) {
     long now = time.monotonicMillis();
-    LostAttempt attempt = detector.atItsLife(lost, backends.get(), now);
+    LostAttempt attempt = detector.atItsLife(lost, backends.get(), now, time.wallMillis());
     String backend = attempt.backend();
     BackendEnd known = detector.lost(attempt, backends.get(), now);
     if (known != null) {
       tell(known);
+    } else if (detector.isUnplaced(attempt)) {
+      look();
     } else if (!detector.isWaitingFor(backend)) {
       if (!attempt.isGivenUp()) {
         Logger.info("event=backend-left backend={} request={}", backend, attempt.request().id());
@@ -149,6 +151,7 @@
   private void looked() {
     looking = false;
     detector.observe(backends.get(), time.monotonicMillis()).forEach(this::tell);
+    detector.placed(backends.get(), time.monotonicMillis()).forEach(this::accept);
     if (detector.isWaiting()) {
       look();
     }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/LostAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/LostAttempt.java
@@ -13,6 +13,7 @@
  * @param caller name of the tenant, or the key where there is none
  * @param answerMillis how long its answer had been coming, in milliseconds; 0 before its begin
  * @param loss how it ended
+ * @param connectedAtMillis monotonic time at which the connection came up that carried it
  */
 public record LostAttempt(
     String backend,
@@ -20,7 +21,10 @@
     CallerRequest request,
     String caller,
     long answerMillis,
-    Loss loss) {
+    Loss loss,
+    long connectedAtMillis) {
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** How an attempt ended. */
   public enum Loss {
@@ -40,7 +44,22 @@
    * it there, since this node cut it; so it counts as closed until that life is heard.
    */
   LostAttempt closedAt(String life) {
-    return new LostAttempt(life, address, request, caller, answerMillis, Loss.CLOSED);
+    return at(life, Loss.CLOSED);
+  }
+
+  /** Returns the attempt as one that this node gave up at another life of its server. */
+  LostAttempt givenUpAt(String life) {
+    return at(life, Loss.GIVEN_UP);
+  }
+
+  private LostAttempt at(String life, Loss lossThere) {
+    return new LostAttempt(
+        life, address, request, caller, answerMillis, lossThere, connectedAtMillis);
+  }
+
+  /** Returns the attempt as one that reached the life that was meant, whenever it connected. */
+  LostAttempt atMeantLife() {
+    return new LostAttempt(backend, address, request, caller, answerMillis, loss, NEVER);
   }
 
   /** Returns whether its connection was closed from the back end's side. */
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -162,7 +162,7 @@
   }
 
   /** Returns when the connection that carries it came up, by the monotonic clock. */
-  private long connectedAtMillis() {
+  long connectedAtMillis() {
     HttpCall current = call;
     return time.monotonicMillis() - (current == null ? 0 : current.connectionAgeMillis());
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptNotes.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptNotes.java
@@ -92,7 +92,8 @@
                 state.request,
                 state.caller(),
                 attempt.answerMillis(),
-                loss));
+                loss,
+                attempt.connectedAtMillis()));
   }
 
   /**
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/EndDetectorTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/EndDetectorTest.java
@@ -37,7 +37,13 @@
 
   private static LostAttempt lost(String requestId) {
     return new LostAttempt(
-        "i-1", ADDRESS, Requests.of(requestId, "/a", "body"), "tenant", 0, LostAttempt.Loss.CLOSED);
+        "i-1",
+        ADDRESS,
+        Requests.of(requestId, "/a", "body"),
+        "tenant",
+        0,
+        LostAttempt.Loss.CLOSED,
+        0);
   }
 
   private BackendEnd lose(String requestId, long nowMillis) {
@@ -161,6 +167,12 @@
 
   private static LostAttempt lostAt(String life, String requestId) {
     return new LostAttempt(
-        life, ADDRESS, Requests.of(requestId, "/a", "body"), "tenant", 0, LostAttempt.Loss.CLOSED);
+        life,
+        ADDRESS,
+        Requests.of(requestId, "/a", "body"),
+        "tenant",
+        0,
+        LostAttempt.Loss.CLOSED,
+        0);
   }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/EndWatchTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/EndWatchTest.java
@@ -68,7 +68,7 @@
   }
 
   private static LostAttempt lost(String id, LostAttempt.Loss loss) {
-    return new LostAttempt("i-1@1", ADDRESS, Requests.of(id, "/a", "body"), "tenant", 0, loss);
+    return new LostAttempt("i-1@1", ADDRESS, Requests.of(id, "/a", "body"), "tenant", 0, loss, 0);
   }
 
   private List<EndEvidence> evidence() {
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
@@ -80,7 +80,7 @@
     final Set<Run> runs = new LinkedHashSet<>();
 
     Server(int index) {
-      id = "s" + index + "@0";
+      id = "s" + index + "@" + time.wallMillis();
       address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1_000 + index);
     }
 
@@ -141,7 +141,7 @@
 
     private void startAgain() {
       // The server keeps its id; its start tells the next life.
-      id = id.substring(0, id.indexOf('@') + 1) + ends;
+      id = id.substring(0, id.indexOf('@') + 1) + time.wallMillis();
       up = true;
       onRecord = true;
       nodes.forEach(Node::readServers);
@@ -199,7 +199,8 @@
                 request,
                 "tenant",
                 time.monotonicMillis() - begunAtMillis,
-                LostAttempt.Loss.GIVEN_UP));
+                LostAttempt.Loss.GIVEN_UP,
+                connectedAtMillis));
         if (!contents.guilty) {
           server.runs.remove(this);
         }
@@ -232,7 +233,13 @@
       }
       node.quarantine.lost(
           new LostAttempt(
-              believed, server.address, request, "tenant", answerMillis, LostAttempt.Loss.CLOSED));
+              believed,
+              server.address,
+              request,
+              "tenant",
+              answerMillis,
+              LostAttempt.Loss.CLOSED,
+              connectedAtMillis));
       node.avoid(server);
       if (!contents.guilty && triesLeft > 0) {
         time.schedule(2_000, () -> send(contents, triesLeft - 1));
@@ -567,7 +574,13 @@
       // Whoever takes connections for it closes them.
       node.quarantine.lost(
           new LostAttempt(
-              believed.id(), server.address, request, "tenant", 0, LostAttempt.Loss.CLOSED));
+              believed.id(),
+              server.address,
+              request,
+              "tenant",
+              0,
+              LostAttempt.Loss.CLOSED,
+              time.monotonicMillis()));
     }
     if (!what.guilty && triesLeft > 0) {
       time.schedule(2_000, () -> send(what, triesLeft - 1));
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
@@ -99,7 +99,7 @@
 
   private void lose(int backend, LostAttempt.Loss loss) {
     quarantine.lost(
-        new LostAttempt(idOf(backend), addressOf(backend), request(), "tenant", 0, loss));
+        new LostAttempt(idOf(backend), addressOf(backend), request(), "tenant", 0, loss, 0));
   }
 
   private void loseAtThree(LostAttempt.Loss loss) {
@@ -224,11 +224,76 @@
     backends =
         backends.with(List.of(new Backend(next, "pool", addressOf(0), "zone", 4, false, Map.of())));
     quarantine.lost(
-        new LostAttempt(idOf(0), addressOf(0), request(), "tenant", 104, LostAttempt.Loss.SILENT));
+        new LostAttempt(
+            idOf(0), addressOf(0), request(), "tenant", 104, LostAttempt.Loss.SILENT, 0));
     time.runMillis(SOON_MILLIS);
+    assertEquals(toldEnds(), Set.of(idOf(0), next));
+  }
+
+  private void loseOverConnectionOf(long connectedAtMillis) {
+    quarantine.lost(
+        new LostAttempt(
+            idOf(0),
+            addressOf(0),
+            request(),
+            "tenant",
+            0,
+            LostAttempt.Loss.CLOSED,
+            connectedAtMillis));
+    time.runMillis(SOON_MILLIS);
+  }
+
+  private Set<String> toldEnds() {
     Set<String> ends = new TreeSet<>();
     told.forEach(suspect -> ends.addAll(suspect.ends().keySet()));
-    assertEquals(ends, Set.of(idOf(0), next));
+    return ends;
+  }
+
+  /**
+   * The next life ended of a request before its record was read and before it answered anything.
+   */
+  @Test
+  public void anEndOfTheNextLifeBeforeItsRecordIsReadIsNoPartOfTheFormerOnesEnd() {
+    addresses = Reachability.REFUSES;
+    lose(0, LostAttempt.Loss.CLOSED);
+    time.runMillis(1_000);
+    long startedAt = time.wallMillis();
+    time.runMillis(500);
+    loseOverConnectionOf(time.monotonicMillis() - 50);
+    assertEquals(toldEnds(), Set.of(idOf(0)));
+    String next = "i-0@" + startedAt;
+    backends =
+        backends.with(List.of(new Backend(next, "pool", addressOf(0), "zone", 4, false, Map.of())));
+    time.runMillis(500);
+    assertEquals(toldEnds(), Set.of(idOf(0), next));
+  }
+
+  /** Nothing had closed here when the former life ended; its next one ended of the request. */
+  @Test
+  public void anEndOverAConnectionThatIsYoungerThanTheNextLifeIsThatOnes() {
+    lose(0, LostAttempt.Loss.SILENT);
+    time.runMillis(1_000);
+    String next = "i-0@" + time.wallMillis();
+    time.runMillis(500);
+    backends =
+        backends.with(List.of(new Backend(next, "pool", addressOf(0), "zone", 4, false, Map.of())));
+    loseOverConnectionOf(time.monotonicMillis() - 100);
+    assertEquals(toldEnds(), Set.of(idOf(0), next));
+  }
+
+  /** A proxy takes connections for a server that has ended, and closes them. */
+  @Test
+  public void whatReachedNobodyIsNoEndOfALifeThatStartedLater() {
+    addresses = Reachability.REFUSES;
+    lose(0, LostAttempt.Loss.CLOSED);
+    time.runMillis(1_000);
+    loseOverConnectionOf(time.monotonicMillis() - 50);
+    time.runMillis(1_000);
+    String next = "i-0@" + time.wallMillis();
+    backends =
+        backends.with(List.of(new Backend(next, "pool", addressOf(0), "zone", 4, false, Map.of())));
+    time.runMillis(500);
+    assertEquals(toldEnds(), Set.of(idOf(0)));
   }
 
   /** A table that takes and tells nothing. */
