Operators of the race test read the same version before they offer; a soak that ends leaves no process behind

Its log has the versions 2 to 38 in force 5 ms after each other: the three operators' threads were run one after the other, so nobody raced. Now all read, wait for each other, and offer; the check stays.

Soak: 'FAULT node-2 ended by itself' in 4 runs at a load of 47 to 62, with status 1 and 'Can't listen on 127.16.1.2:8782 (Address already in use)', all on the first network, before any fault. The run before them on that network had ended on a break with faults still due: a node that was due to start again was started after the run had closed its processes, and stayed. Its holder was not seen by id; by the order of the runs nothing else was left there. Now nothing is started once a run has closed, and the close waits until killed processes are gone.

--- a/cli/src/test/java/org/lockdale/cli/ConfigurationRaceTest.java
+++ b/cli/src/test/java/org/lockdale/cli/ConfigurationRaceTest.java
@@ -13,10 +13,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.BrokenBarrierException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CyclicBarrier;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.lockdale.emulator.history.HistoryChecker;
 import org.lockdale.emulator.history.HistoryEvent;
 import org.lockdale.emulator.history.HistoryRecorder;
@@ -49,11 +53,14 @@
       ScheduledExecutorService sampler = Executors.newSingleThreadScheduledExecutor();
       sampler.scheduleAtFixedRate(() -> sample(cluster), 0, SAMPLE_MILLIS, TimeUnit.MILLISECONDS);
       cluster.platform().setFaults(new PlatformFaults(false, 0, 300, 0, 1_000));
+      ExecutorService threads = Executors.newFixedThreadPool(cluster.nodes().size());
+      CyclicBarrier allHaveRead = new CyclicBarrier(cluster.nodes().size());
       List<CompletableFuture<Void>> operators = new ArrayList<>();
       for (RouterNode node : cluster.nodes()) {
-        operators.add(CompletableFuture.runAsync(() -> edit(client, node)));
+        operators.add(CompletableFuture.runAsync(() -> edit(client, node, allHaveRead), threads));
       }
       operators.forEach(CompletableFuture::join);
+      threads.shutdown();
       long newest = accepted.stream().mapToLong(Long::longValue).max().orElseThrow();
       for (RouterNode node : cluster.nodes()) {
         ProcessCluster.await(
@@ -79,15 +86,25 @@
     }
   }
 
-  private void edit(HttpClient client, RouterNode node) {
+  /** On a loaded machine operators that don't wait for each other edit one after the other. */
+  private void edit(HttpClient client, RouterNode node, CyclicBarrier allHaveRead) {
     for (int edit = 0; edit < EDITS; edit++) {
       JsonNode configuration = read(client, node);
       long base = configuration.path("version").asLong();
+      await(allHaveRead);
       HttpReply reply = offer(client, node, base, "value-" + edit);
       note(base, reply);
     }
   }
 
+  private static void await(CyclicBarrier barrier) {
+    try {
+      barrier.await(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+    } catch (InterruptedException | BrokenBarrierException | TimeoutException stopped) {
+      throw new AssertionError("an operator has not come as far", stopped);
+    }
+  }
+
   private synchronized void note(long base, HttpReply reply) {
     if (reply.status() == 200) {
       assertTrue(accepted.add(base + 1), "version " + (base + 1) + " was accepted twice");
--- a/soak/src/main/java/org/lockdale/soak/run/ManagedProcess.java
+++ b/soak/src/main/java/org/lockdale/soak/run/ManagedProcess.java
@@ -21,6 +21,9 @@
    */
   private static final long EXCUSED_MILLIS = 1_000;
 
+  /** The system ends a killed process at once; a busy one takes longer to hand back its memory. */
+  private static final long KILLED_MILLIS = 5_000;
+
   private final String name;
   private final Process process;
   private final Writer input;
@@ -124,6 +127,15 @@
     }
   }
 
+  /** Waits until a process that was killed is gone, and its ports are free. */
+  void awaitKilled() {
+    try {
+      process.waitFor(KILLED_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Kills the process, paused or not. */
   @Override
   public void close() {
--- a/soak/src/main/java/org/lockdale/soak/run/Processes.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Processes.java
@@ -84,6 +84,7 @@
   private final NoteLog notes;
   private final Map<String, InetSocketAddress> reals = new HashMap<>();
   private final Map<String, ManagedProcess> all = new ConcurrentHashMap<>();
+  private boolean closed;
   private final Map<String, Server> servers = new ConcurrentHashMap<>();
   private final Map<String, Integer> incarnations = new ConcurrentHashMap<>();
 
@@ -277,8 +278,12 @@
     }
   }
 
-  private ManagedProcess start(
+  /** Once closed, nothing is started any more: a fault that is due later would leave it behind. */
+  private synchronized ManagedProcess start(
       String name, Path root, List<String> command, Consumer<String> output) throws IOException {
+    if (closed) {
+      throw new IOException("the run has ended, so " + name + " is not started");
+    }
     ManagedProcess process =
         ManagedProcess.start(name, command, root, directory.resolve(name + ".log"), output);
     all.put(name, process);
@@ -335,8 +340,10 @@
   }
 
   @Override
-  public void close() {
+  public synchronized void close() {
+    closed = true;
     all.values().forEach(ManagedProcess::close);
+    all.values().forEach(ManagedProcess::awaitKilled);
     proxy.close();
   }
 }
