Few attempts wait for the record of a next life

Read in the diff before the landing: each attempt that waits keeps its request, and callers may go on sending to the address of an ended server for as long as a proxy takes them. 64 wait at the most; others count at the life that was meant, as before. Test: fewAttemptsWaitForTheRecordOfTheNextLife.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/EndDetector.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/EndDetector.java
@@ -43,6 +43,9 @@
   /** Callers that leave in a burst must not fill the memory; the oldest are left out. */
   private static final int MAX_GIVEN_UP = 64;
 
+  /** Each keeps its request; further ones count at the life that was meant. */
+  private static final int MAX_UNPLACED = 64;
+
   private record GivenUp(LostAttempt attempt, long atMillis) {}
 
   private static final class Open {
@@ -144,7 +147,7 @@
   @Nullable BackendEnd lost(LostAttempt attempt, BackendTable backends, long nowMillis) {
     String backend = attempt.backend();
     Ended known = ended.get(backend);
-    if (known != null && cameUpAfterTheEnd(attempt, known) && !hasNextLife(backend, backends)) {
+    if (known != null && reachedUnknownLife(attempt, known, backends)) {
       unplaced.add(new Unplaced(attempt, nowMillis));
       return null;
     }
@@ -178,7 +181,7 @@
     return taken;
   }
 
-  /** Returns since when attempts at a back end whose connections close were given up too late. */
+  /** Returns since when attempts were given up that may have run as a back end ended just now. */
   private static long doubtfulSince(String backend, BackendTable backends, long nowMillis) {
     TrackedBackend tracked = backends.find(backend);
     long outlived = tracked == null ? 0 : tracked.aliveAtMillis() - OUTLIVED_MILLIS;
@@ -194,9 +197,11 @@
   }
 
   /** The connections of an ended life closed before its end was shown. */
-  private boolean cameUpAfterTheEnd(LostAttempt attempt, Ended known) {
+  private boolean reachedUnknownLife(LostAttempt attempt, Ended known, BackendTable backends) {
     long endedAt = closedAt.getOrDefault(attempt.backend(), known.atMillis());
-    return attempt.connectedAtMillis() > endedAt;
+    return attempt.connectedAtMillis() > endedAt
+        && !hasNextLife(attempt.backend(), backends)
+        && unplaced.size() < MAX_UNPLACED;
   }
 
   /**
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/EndDetectorTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/EndDetectorTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.caller.CallerRequest;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -60,6 +61,21 @@
     assertFalse(detector.isWaiting());
   }
 
+  /** Callers go on sending to the address of a server that has ended while a proxy takes them. */
+  @Test
+  public void fewAttemptsWaitForTheRecordOfTheNextLife() {
+    lose("r", 0);
+    detector.unreachable("i-1", EndEvidence.REFUSES_CONNECTIONS, table, 20);
+    int counted = 0;
+    for (int number = 0; number < 100; number++) {
+      CallerRequest request = Requests.of("r" + number, "/a", "body");
+      LostAttempt later =
+          new LostAttempt("i-1", ADDRESS, request, "tenant", 0, LostAttempt.Loss.CLOSED, 50);
+      counted += detector.lost(later, table, 60) == null ? 0 : 1;
+    }
+    assertEquals(counted, 100 - 64);
+  }
+
   @Test
   public void anAttemptThatIsToldAfterTheEndIsPartOfIt() {
     lose("r1", 0);
