--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/EmptySuspectTable.java
@@ -0,0 +1,39 @@
+package org.lockdale.gateway.quarantine;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.lockdale.gateway.table.TableRowChange;
+
+/** A table that takes everything and holds nothing. */
+class EmptySuspectTable implements SuspectTable {
+
+  @Override
+  public CompletableFuture<Void> record(Suspect suspect) {
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public CompletableFuture<Void> remove(RequestFingerprint fingerprint) {
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public Optional<Suspect> suspect(TableRowChange row) {
+    return Optional.empty();
+  }
+
+  @Override
+  public CompletableFuture<Void> recordAttempt(SuspectAttempt attempt) {
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public CompletableFuture<Void> removeAttempt(SuspectAttempt attempt) {
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public Optional<SuspectAttempt> attempt(TableRowChange row) {
+    return Optional.empty();
+  }
+}
