Each attempt of a suspect has a row of its own

What callers saw: a request that ends servers was sent on after its third end, and each end took some twenty other streams along. Found by forced orders of events.

Cause: the key of an attempt's row was the request and the back end, so all copies, nodes and processes shared one row. Whoever's attempt ended without having run (refused, 421, withdrawn) removed the row of the one that ended the server and whose node was killed; nodes that had read it forgot it too. A removal under way could reach the store after the next write. A failed write was dropped.

Change: an attempt has an id (process, number, node) at the end of its key. A row is written once and removed once, after its write is done; a write that failed is repeated while the attempt is in progress. AttemptJournalTest recorded the same attempt twice, which is no longer possible: two attempts take its place, and its double keeps one row a key.

--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -30,8 +30,7 @@
 import org.lockdale.gateway.placement.PlacementDecider;
 import org.lockdale.gateway.placement.PlacementService;
 import org.lockdale.gateway.quarantine.Quarantine;
-import org.lockdale.gateway.quarantine.Suspect;
-import org.lockdale.gateway.quarantine.SuspectAttempt;
+import org.lockdale.gateway.quarantine.QuarantineContext;
 import org.lockdale.gateway.rate.BackendRates;
 import org.lockdale.gateway.table.StoreClock;
 import org.lockdale.gateway.table.TableFollower;
@@ -200,22 +199,18 @@
         this::size);
   }
 
-  private Quarantine.Context quarantineContext(GatewayProtocols protocols, HttpClient client) {
-    return new Quarantine.Context(
+  private QuarantineContext quarantineContext(GatewayProtocols protocols, HttpClient client) {
+    return new QuarantineContext(
         eventLoop,
         client::probe,
         () -> blackboard.backends().snapshot(),
         protocols.suspects(),
+        nodes.self().id(),
         new PeerBroadcaster(nodes, datagrams)::broadcastSuspects,
         this::isCoordinator,
         time);
   }
 
-  /** Refers to the quarantine lazily, since the followers of tables are created before it. */
-  private void onSuspectRows(List<Suspect> suspects, List<SuspectAttempt> attempts) {
-    quarantine.updateFromTable(suspects, attempts);
-  }
-
   private CacheDirectory cacheDirectory(GatewayProtocols protocols) {
     return new CacheDirectory(
         eventLoop,
@@ -260,7 +255,8 @@
             nodes,
             versionRecorder,
             operators,
-            this::onSuspectRows);
+            // Called only after start(), when all fields are set.
+            (suspects, attempts) -> quarantine.updateFromTable(suspects, attempts));
     return TableFollowers.of(
         eventLoop, sources, settings, protocols, time, operators, backends, cluster);
   }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
@@ -2,12 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.time.Time;
@@ -16,10 +15,10 @@
 import org.lockdale.gateway.backend.TrackedBackend;
 
 /**
- * Records in the shared store to which backends suspect requests are being sent. If a node is
- * killed before it learns the outcome of an attempt, the row of the attempt remains; once the
- * incarnation that it was sent to is known to have ended, this counts as a crash of the backend
- * while it ran the request. Runs on one event loop.
+ * Records in the shared store to which backends suspect requests are being sent. Each attempt has a
+ * row of its own. If a node is killed before it learns the outcome of an attempt, the row remains;
+ * once the incarnation that it was sent to is known to have ended, this counts as a crash of the
+ * backend while it ran the request. Runs on one event loop.
  */
 final class AttemptJournal {
 
@@ -44,39 +43,72 @@
    */
   private static final long MISSING_RECORD_MILLIS = 5_000;
 
+  /** The row of an attempt of this process. */
+  private static final class OwnRow {
+    private boolean inProgress = true;
+    private boolean written;
+    private boolean writing;
+
+    /** Whether the backend may have crashed because of the attempt. */
+    private boolean uncertain;
+
+    /** Monotonic time at which the attempt started, or was concluded if it has been. */
+    private long sinceMillis;
+
+    OwnRow(long startedAtMillis) {
+      this.sinceMillis = startedAtMillis;
+    }
+
+    boolean isDue(long nowMillis) {
+      long retention = uncertain ? UNCERTAIN_RETENTION_MILLIS : 0;
+      return !inProgress && !writing && nowMillis - sinceMillis >= retention;
+    }
+  }
+
   private final SuspectTable table;
+  private final AttemptIds ids;
   private final Executor eventLoop;
   private final Time time;
 
-  /** Number of attempts in progress on this node. */
-  private final Map<SuspectAttempt, Integer> inFlight = new HashMap<>();
-
-  /** Monotonic times at which rows of attempts that this node has concluded are to be removed. */
-  private final Map<SuspectAttempt, Long> removeAt = new HashMap<>();
+  private final Map<SuspectAttempt, OwnRow> own = new LinkedHashMap<>();
 
-  /**
-   * Monotonic times at which rows written by other nodes, or by this one before it restarted, were
-   * first read.
-   */
-  private final Map<SuspectAttempt, Long> firstReadAt = new HashMap<>();
+  /** Monotonic times at which rows of other nodes or of earlier processes were first read. */
+  private final Map<SuspectAttempt, Long> firstReadAt = new LinkedHashMap<>();
 
   private final Set<SuspectAttempt> reported = new HashSet<>();
 
-  AttemptJournal(SuspectTable table, Executor eventLoop, Time time) {
+  /** Rows whose removal is in progress. */
+  private final Set<SuspectAttempt> removing = new HashSet<>();
+
+  AttemptJournal(SuspectTable table, AttemptIds ids, Executor eventLoop, Time time) {
     this.table = table;
+    this.ids = ids;
     this.eventLoop = eventLoop;
     this.time = time;
   }
 
   /** Records that an attempt is about to be sent. */
   void recordStart(SuspectAttempt attempt) {
-    if (inFlight.size() >= MAX_IN_FLIGHT && !inFlight.containsKey(attempt)) {
+    long inFlight = own.values().stream().filter(row -> row.inProgress).count();
+    if (inFlight >= MAX_IN_FLIGHT) {
       return;
     }
-    removeAt.remove(attempt);
-    if (inFlight.merge(attempt, 1, Integer::sum) == 1) {
-      table.recordAttempt(attempt);
-    }
+    OwnRow row = new OwnRow(time.monotonicMillis());
+    own.put(attempt, row);
+    write(attempt, row);
+  }
+
+  private void write(SuspectAttempt attempt, OwnRow row) {
+    row.writing = true;
+    table
+        .recordAttempt(attempt)
+        .whenCompleteAsync(
+            (done, failure) -> {
+              row.writing = false;
+              row.written = failure == null;
+              removeDue();
+            },
+            eventLoop);
   }
 
   /**
@@ -85,14 +117,14 @@
    * @param uncertain whether its backend may have crashed because of it
    */
   void recordConclusion(SuspectAttempt attempt, boolean uncertain) {
-    if (!inFlight.containsKey(attempt)) {
+    OwnRow row = own.get(attempt);
+    if (row == null || !row.inProgress) {
       return;
     }
-    if (inFlight.merge(attempt, -1, Integer::sum) == 0) {
-      inFlight.remove(attempt);
-      removeAt.put(attempt, time.monotonicMillis() + (uncertain ? UNCERTAIN_RETENTION_MILLIS : 0));
-      removeDue();
-    }
+    row.inProgress = false;
+    row.uncertain = uncertain;
+    row.sinceMillis = time.monotonicMillis();
+    removeDue();
   }
 
   /** Processes all rows of the store. */
@@ -102,7 +134,7 @@
     reported.retainAll(present);
     long now = time.monotonicMillis();
     for (SuspectAttempt row : rows) {
-      if (!inFlight.containsKey(row) && !removeAt.containsKey(row)) {
+      if (!ids.isOfThisProcess(row.id())) {
         firstReadAt.putIfAbsent(row, now);
       }
     }
@@ -116,13 +148,13 @@
    */
   List<SuspectAttempt> takeCrashed(BackendTable backends) {
     List<SuspectAttempt> crashed = new ArrayList<>();
-    for (Map.Entry<SuspectAttempt, Long> each : firstReadAt.entrySet()) {
-      boolean unreported = !reported.contains(each.getKey());
-      if (unreported && hasEnded(each.getKey().backend(), backends, each.getValue())) {
-        reported.add(each.getKey());
-        crashed.add(each.getKey());
-      }
-    }
+    firstReadAt.forEach(
+        (attempt, readAtMillis) -> {
+          if (!reported.contains(attempt) && hasEnded(attempt.backend(), backends, readAtMillis)) {
+            reported.add(attempt);
+            crashed.add(attempt);
+          }
+        });
     return crashed;
   }
 
@@ -141,45 +173,51 @@
   }
 
   /**
-   * Removes rows that are due; to be called periodically.
+   * Writes and removes rows that are due; to be called periodically.
    *
    * @param coordinator whether this node removes rows that other nodes have left behind
    */
   void tick(boolean coordinator) {
+    for (Map.Entry<SuspectAttempt, OwnRow> each : List.copyOf(own.entrySet())) {
+      OwnRow row = each.getValue();
+      if (row.inProgress && !row.written && !row.writing) {
+        write(each.getKey(), row);
+      }
+    }
     removeDue();
     if (coordinator) {
       long now = time.monotonicMillis();
-      firstReadAt.forEach(
-          (attempt, at) -> {
-            if (now - at >= ORPHAN_RETENTION_MILLIS) {
-              removeAt.putIfAbsent(attempt, now);
-            }
-          });
+      for (Map.Entry<SuspectAttempt, Long> each : List.copyOf(firstReadAt.entrySet())) {
+        if (now - each.getValue() >= ORPHAN_RETENTION_MILLIS) {
+          remove(each.getKey());
+        }
+      }
     }
   }
 
   private void removeDue() {
     long now = time.monotonicMillis();
-    for (Map.Entry<SuspectAttempt, Long> each : List.copyOf(removeAt.entrySet())) {
-      if (now >= each.getValue()) {
+    for (Map.Entry<SuspectAttempt, OwnRow> each : List.copyOf(own.entrySet())) {
+      if (each.getValue().isDue(now)) {
         remove(each.getKey());
       }
     }
   }
 
   private void remove(SuspectAttempt attempt) {
-    // Prevents a second removal while this one is in progress.
-    removeAt.put(attempt, Long.MAX_VALUE);
-    CompletableFuture<@Nullable Void> removed = table.removeAttempt(attempt);
-    removed.whenCompleteAsync(
-        (done, failure) -> {
-          if (failure == null) {
-            removeAt.remove(attempt);
-            firstReadAt.remove(attempt);
-          } else {
-            removeAt.replace(attempt, time.monotonicMillis());
-          }
-        },
-        eventLoop);
+    if (!removing.add(attempt)) {
+      return;
+    }
+    table
+        .removeAttempt(attempt)
+        .whenCompleteAsync(
+            (@Nullable Void done, @Nullable Throwable failure) -> {
+              removing.remove(attempt);
+              if (failure == null) {
+                own.remove(attempt);
+                firstReadAt.remove(attempt);
+              }
+            },
+            eventLoop);
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -1,26 +1,15 @@
 package org.lockdale.gateway.quarantine;
 
-import java.net.InetSocketAddress;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
-import java.util.function.Function;
-import java.util.function.Supplier;
 import org.lockdale.coordination.blackboard.Section;
-import org.lockdale.coordination.blackboard.Snapshot;
-import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.life.LivenessEvidence;
-import org.lockdale.http.Reachability;
 import org.tinylog.Logger;
 
 /**
@@ -39,27 +28,7 @@
    */
   private static final long GATHER_MILLIS = 10;
 
-  /**
-   * Dependencies of a quarantine.
-   *
-   * @param eventLoop runs it
-   * @param prober determines how an address responds to a new connection
-   * @param backends backends that have a record, and when that was last known to be current
-   * @param table rows of the suspects that all nodes have to know
-   * @param sender sends suspects to all other nodes
-   * @param coordinator whether this node is the relay node, which is elected to act for all nodes
-   * @param time clock
-   */
-  public record Context(
-      ScheduledExecutorService eventLoop,
-      Function<InetSocketAddress, CompletableFuture<Reachability>> prober,
-      Supplier<Snapshot<BackendTable>> backends,
-      SuspectTable table,
-      Consumer<List<Suspect>> sender,
-      BooleanSupplier coordinator,
-      Time time) {}
-
-  private final Context context;
+  private final QuarantineContext context;
   private final Section<Suspects> section;
   private final CrashWatch watch;
   private final SuspectLedger ledger;
@@ -67,6 +36,7 @@
   private final SuspectSender sender;
   private final AttemptJournal journal;
   private final LivenessEvidence livenessEvidence;
+  private final AttemptIds attemptIds;
 
   private Collection<QuarantinedRequest> previouslyQuarantined = List.of();
   private boolean tableRead;
@@ -79,7 +49,7 @@
    * @param section where it publishes to the request path which requests are quarantined
    * @param holdMillis time in milliseconds after the last crash for which a request is quarantined
    */
-  public Quarantine(Context context, Section<Suspects> section, long holdMillis) {
+  public Quarantine(QuarantineContext context, Section<Suspects> section, long holdMillis) {
     this.context = context;
     this.section = section;
     this.ledger = new SuspectLedger(holdMillis);
@@ -90,7 +60,9 @@
         new SuspectRecorder(
             ledger, context.table(), context.coordinator(), context.eventLoop(), context.time());
     this.livenessEvidence = new LivenessEvidence(context.backends());
-    this.journal = new AttemptJournal(context.table(), context.eventLoop(), context.time());
+    this.attemptIds = new AttemptIds(context.node());
+    this.journal =
+        new AttemptJournal(context.table(), attemptIds, context.eventLoop(), context.time());
     this.sender = new SuspectSender(context.eventLoop(), ledger, context.sender());
   }
 
@@ -117,7 +89,8 @@
    */
   public Optional<SuspectAttempt> attemptStarting(
       CallerRequest request, String caller, String backend) {
-    Optional<SuspectAttempt> attempt = section.value().attempt(request, caller, backend);
+    Optional<SuspectAttempt> attempt =
+        section.value().attempt(request, caller, backend, attemptIds);
     attempt.ifPresent(each -> context.eventLoop().execute(() -> recordStart(each)));
     return attempt;
   }
@@ -184,7 +157,7 @@
   }
 
   private boolean forgive(RequestFingerprint fingerprint, String reason) {
-    boolean significant = ledger.find(fingerprint).filter(Quarantine::isSignificant).isPresent();
+    boolean significant = ledger.find(fingerprint).filter(Suspect::isSignificant).isPresent();
     Optional<Suspect> forgiven = ledger.forgive(fingerprint);
     if (forgiven.isEmpty()) {
       return false;
@@ -260,7 +233,7 @@
       Optional<Suspect> known = ledger.find(suspect.fingerprint());
       // A node that knows of more crashes of a significant suspect broadcasts them, so that no
       // node decides without them.
-      if (known.isPresent() && !suspect.includes(known.get()) && isSignificant(suspect)) {
+      if (known.isPresent() && !suspect.includes(known.get()) && suspect.isSignificant()) {
         propagate(known.get());
       }
     }
@@ -269,10 +242,6 @@
     }
   }
 
-  private static boolean isSignificant(Suspect suspect) {
-    return suspect.weight() >= SuspectLedger.SIGNIFICANT_WEIGHT;
-  }
-
   /**
    * Returns the suspects with the greatest weights, for a node that has just started; to be called
    * on the event loop.
@@ -280,11 +249,7 @@
    * @param max maximum number of suspects to return
    */
   public List<Suspect> heaviest(int max) {
-    return ledger.all().stream()
-        .filter(suspect -> suspect.weight() > 0)
-        .sorted(Comparator.comparingInt(Suspect::weight).reversed())
-        .limit(max)
-        .toList();
+    return ledger.heaviest(max);
   }
 
   /**
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspect.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspect.java
@@ -28,6 +28,11 @@
     return weight;
   }
 
+  /** Returns whether its next crash may quarantine it. */
+  boolean isSignificant() {
+    return weight() >= SuspectLedger.SIGNIFICANT_WEIGHT;
+  }
+
   /** Returns the union of two views of the same request. */
   Suspect merge(Suspect other) {
     Map<String, CrashInvolvement> merged = new TreeMap<>(crashes);
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
@@ -176,6 +176,16 @@
     return entries.values().stream().map(entry -> entry.suspect).toList();
   }
 
+  /** Returns the suspects with the greatest weights, a limited number of them. */
+  List<Suspect> heaviest(int max) {
+    return entries.values().stream()
+        .map(entry -> entry.suspect)
+        .filter(suspect -> suspect.weight() > 0)
+        .sorted(Comparator.comparingInt(Suspect::weight).reversed())
+        .limit(max)
+        .toList();
+  }
+
   /**
    * Forgives all crashes of a request that got a successful response or was released.
    *
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectRecorder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectRecorder.java
@@ -148,8 +148,7 @@
 
   private void findMissing(List<Suspect> known, long nowMillis) {
     Set<RequestFingerprint> found = new HashSet<>();
-    int significant =
-        (int) recorded.values().stream().filter(SuspectRecorder::isSignificant).count();
+    int significant = (int) recorded.values().stream().filter(Suspect::isSignificant).count();
     for (Suspect suspect : known) {
       Suspect row = recorded.get(suspect.fingerprint());
       boolean wanted =
@@ -157,7 +156,7 @@
               ? hasRoomFor(suspect, recorded.size() + found.size(), significant, nowMillis)
               : !row.includes(suspect) && !needsNoUpdate(suspect, row);
       if (wanted) {
-        significant += row == null && isSignificant(suspect) ? 1 : 0;
+        significant += row == null && suspect.isSignificant() ? 1 : 0;
         found.add(suspect.fingerprint());
         Missing before = missing.get(suspect.fingerprint());
         long since = before == null ? nowMillis : before.sinceMillis();
@@ -184,16 +183,12 @@
     return nowMillis - ledger.lastCrashAtMillis(fingerprint);
   }
 
-  private static boolean isSignificant(Suspect suspect) {
-    return suspect.weight() >= SuspectLedger.SIGNIFICANT_WEIGHT;
-  }
-
   /**
    * Returns whether a retracted single crash needs no separate write; its row is removed with the
    * others that are no longer needed.
    */
   private static boolean needsNoUpdate(Suspect suspect, Suspect row) {
-    return suspect.weight() == 0 && !isSignificant(row);
+    return suspect.weight() == 0 && !row.isSignificant();
   }
 
   private long writeDelayOf(RequestFingerprint fingerprint) {
@@ -253,7 +248,7 @@
 
   private boolean isNeeded(Suspect suspect, long nowMillis) {
     return suspect.weight() > 0
-        && (isSignificant(suspect)
+        && (suspect.isSignificant()
             || ageOf(suspect.fingerprint(), nowMillis) < SINGLE_CRASH_ROW_MILLIS);
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspects.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspects.java
@@ -57,13 +57,17 @@
     return Optional.of(RequestFingerprint.of(request, caller)).filter(suspected::contains);
   }
 
-  /** Returns an attempt of a request if it is a suspect, or empty. */
-  Optional<SuspectAttempt> attempt(CallerRequest request, String caller, String backend) {
+  /** Returns a new attempt of a request if it is a suspect, or empty. */
+  Optional<SuspectAttempt> attempt(
+      CallerRequest request, String caller, String backend, AttemptIds ids) {
     return fingerprintIfSuspect(request, caller)
         .map(
             fingerprint ->
                 new SuspectAttempt(
-                    fingerprint, RequestFingerprint.sketchOf(request, caller), backend));
+                    fingerprint,
+                    RequestFingerprint.sketchOf(request, caller),
+                    backend,
+                    ids.next()));
   }
 
   /** Returns the requests that are quarantined. */
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/AttemptJournalTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/AttemptJournalTest.java
@@ -4,8 +4,10 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.lockdale.coordination.simulation.VirtualTime;
 import org.lockdale.gateway.backend.Backend;
@@ -19,13 +21,26 @@
  */
 public final class AttemptJournalTest {
 
+  private static final AttemptIds IDS = new AttemptIds("node");
   private static final SuspectAttempt ATTEMPT = attempt(1);
 
-  private final class Rows extends EmptySuspectTable {
-    private final List<SuspectAttempt> present = new ArrayList<>();
+  /** Keeps one row a key, as the shared store does. */
+  private static final class Rows extends EmptySuspectTable {
+    private final Set<SuspectAttempt> present = new LinkedHashSet<>();
+    private final List<Runnable> delayed = new ArrayList<>();
+    private boolean slow;
     private boolean unavailable;
 
     private CompletableFuture<Void> change(Runnable change) {
+      if (slow) {
+        CompletableFuture<Void> changed = new CompletableFuture<>();
+        delayed.add(
+            () -> {
+              change.run();
+              changed.complete(null);
+            });
+        return changed;
+      }
       if (unavailable) {
         return CompletableFuture.failedFuture(new IllegalStateException("unavailable"));
       }
@@ -52,11 +67,23 @@
   public void start() {
     time = new VirtualTime();
     rows = new Rows();
-    journal = new AttemptJournal(rows, Runnable::run, time);
+    journal = newJournal(IDS);
+  }
+
+  private AttemptJournal newJournal(AttemptIds ids) {
+    return new AttemptJournal(rows, ids, Runnable::run, time);
   }
 
   private static SuspectAttempt attempt(int number) {
-    return new SuspectAttempt(new RequestFingerprint(number, number), number, "i-1@1");
+    return attempt(number, IDS);
+  }
+
+  private static SuspectAttempt attempt(int number, AttemptIds ids) {
+    return new SuspectAttempt(new RequestFingerprint(number, number), number, "i-1@1", ids.next());
+  }
+
+  private List<SuspectAttempt> rows() {
+    return List.copyOf(rows.present);
   }
 
   private static BackendTable table(String... ids) {
@@ -82,8 +109,8 @@
   @Test
   public void attemptOfAKilledNodeCountsOnceItsBackendHasALaterIncarnation() {
     journal.recordStart(ATTEMPT);
-    AttemptJournal next = new AttemptJournal(rows, Runnable::run, time);
-    next.update(rows.present);
+    AttemptJournal next = newJournal(new AttemptIds("other"));
+    next.update(rows());
     assertEquals(next.takeCrashed(table("i-1@1")), List.of());
     assertEquals(next.takeCrashed(table("i-1@2")), List.of(ATTEMPT));
     assertEquals(next.takeCrashed(table("i-1@2")), List.of(), "reported once");
@@ -91,6 +118,7 @@
 
   @Test
   public void anIncarnationWithoutARecordCountsAsEndedAfterAWhile() {
+    journal = newJournal(new AttemptIds("other"));
     journal.update(List.of(ATTEMPT));
     assertEquals(journal.takeCrashed(table("i-2@1")), List.of(), "its record may not be read yet");
     time.runMillis(5_000);
@@ -101,6 +129,7 @@
   /** A table that was read before the incarnation started contains the previous one. */
   @Test
   public void aRecordOfAnEarlierIncarnationShowsNothing() {
+    journal = newJournal(new AttemptIds("other"));
     journal.update(List.of(ATTEMPT));
     time.runMillis(5_000);
     assertEquals(journal.takeCrashed(table("i-1@0")), List.of());
@@ -108,12 +137,45 @@
 
   @Test
   public void aConcludedAttemptLeavesNoRow() {
+    SuspectAttempt second = attempt(1);
     journal.recordStart(ATTEMPT);
+    journal.recordStart(second);
+    journal.recordConclusion(ATTEMPT, false);
+    assertEquals(rows(), List.of(second), "one is still in progress");
+    journal.recordConclusion(second, false);
+    assertEquals(rows(), List.of());
+  }
+
+  /** Two nodes had sent a request to one backend; the row of both was removed by the first. */
+  @Test
+  public void aConcludedAttemptLeavesTheRowsOfOtherNodes() {
+    AttemptIds otherIds = new AttemptIds("other");
+    SuspectAttempt ofOther = attempt(1, otherIds);
     journal.recordStart(ATTEMPT);
+    newJournal(otherIds).recordStart(ofOther);
     journal.recordConclusion(ATTEMPT, false);
-    assertEquals(rows.present, List.of(ATTEMPT), "one is still in progress");
+    journal.update(rows());
+    assertEquals(journal.takeCrashed(table("i-1@2")), List.of(ofOther));
+  }
+
+  @Test
+  public void aRowIsRemovedOnlyAfterItsWriteIsDone() {
+    rows.slow = true;
+    journal.recordStart(ATTEMPT);
     journal.recordConclusion(ATTEMPT, false);
-    assertEquals(rows.present, List.of());
+    assertEquals(rows.delayed.size(), 1, "the removal might otherwise reach the store first");
+    rows.slow = false;
+    rows.delayed.forEach(Runnable::run);
+    assertEquals(rows(), List.of());
+  }
+
+  @Test
+  public void aRowThatTheStoreDidNotTakeIsWrittenLater() {
+    rows.unavailable = true;
+    journal.recordStart(ATTEMPT);
+    rows.unavailable = false;
+    tickFor(500, false);
+    assertEquals(rows(), List.of(ATTEMPT));
   }
 
   @Test
@@ -121,9 +183,9 @@
     journal.recordStart(ATTEMPT);
     journal.recordConclusion(ATTEMPT, true);
     tickFor(9_000, false);
-    assertEquals(rows.present, List.of(ATTEMPT));
+    assertEquals(rows(), List.of(ATTEMPT));
     tickFor(2_000, false);
-    assertEquals(rows.present, List.of());
+    assertEquals(rows(), List.of());
   }
 
   @Test
@@ -133,17 +195,18 @@
     journal.recordConclusion(ATTEMPT, false);
     rows.unavailable = false;
     tickFor(500, false);
-    assertEquals(rows.present, List.of());
+    assertEquals(rows(), List.of());
   }
 
   @Test
   public void rowsOfNodesThatAreGoneAreRemovedByTheCoordinator() {
+    journal = newJournal(new AttemptIds("other"));
     rows.present.add(ATTEMPT);
-    journal.update(rows.present);
+    journal.update(rows());
     tickFor(29_000, true);
-    assertEquals(rows.present, List.of(ATTEMPT));
+    assertEquals(rows(), List.of(ATTEMPT));
     tickFor(2_000, true);
-    assertEquals(rows.present, List.of());
+    assertEquals(rows(), List.of());
   }
 
   @Test
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
@@ -329,12 +329,13 @@
     private void initialize() {
       executor = new VirtualExecutor(time);
       section = new Section<>(Suspects.NONE);
-      Quarantine.Context context =
-          new Quarantine.Context(
+      QuarantineContext context =
+          new QuarantineContext(
               executor,
               this::probe,
               this::servers,
               this,
+              "n" + number,
               suspects -> broadcast(this, suspects),
               () -> number == 0,
               time);
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
@@ -57,12 +57,13 @@
     section = new Section<>(Suspects.NONE);
     addresses = Reachability.ACCEPTS;
     tableIsCurrent = true;
-    Quarantine.Context context =
-        new Quarantine.Context(
+    QuarantineContext context =
+        new QuarantineContext(
             new VirtualExecutor(time),
             address -> CompletableFuture.completedFuture(addresses),
             this::records,
             new EmptySuspectTable(),
+            "node",
             broadcast::addAll,
             () -> false,
             time);
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
@@ -0,0 +1,300 @@
+package org.lockdale.gateway.quarantine;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.lockdale.coordination.blackboard.Section;
+import org.lockdale.coordination.blackboard.Snapshot;
+import org.lockdale.coordination.simulation.VirtualTime;
+import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.caller.CallerRequest;
+import org.lockdale.gateway.table.TableRowChange;
+import org.lockdale.http.Reachability;
+
+/**
+ * Nodes, servers and a shared store whose events a test orders itself, in virtual time. The store
+ * keeps one row per key, with the keys of the production table.
+ */
+final class SuspectFleet {
+
+  /** Time in milliseconds until a change of the store has been read by all nodes. */
+  static final long READ_MILLIS = 20;
+
+  private static final String TENANT = "tenant";
+
+  final VirtualTime time = new VirtualTime();
+
+  /** Rows of the store, by key. */
+  final Map<String, Object> rows = new TreeMap<>();
+
+  /** Start times of the incarnations on record, by server. */
+  private final Map<String, Long> records = new TreeMap<>();
+
+  /** First servers at the addresses of those that replaced them, by the replacing server. */
+  private final Map<String, String> formerIds = new TreeMap<>();
+
+  private final List<Node> nodes = new ArrayList<>();
+  private int startedNodes;
+  boolean datagramsLost;
+  boolean storeDown;
+
+  /** Changes of the store that are in progress while a test delays them. */
+  private final List<Runnable> delayedChanges = new ArrayList<>();
+
+  boolean delayingWrites;
+  boolean delayingRemovals;
+
+  SuspectFleet(String... servers) {
+    for (String server : servers) {
+      records.put(server, 1L);
+    }
+  }
+
+  Node startNode() {
+    Node node = new Node();
+    node.readBackends();
+    node.readTable();
+    nodes.add(node);
+    run(READ_MILLIS);
+    return node;
+  }
+
+  /** Starts a node that has read neither table yet. */
+  Node startNodeWithoutTables() {
+    Node node = new Node();
+    nodes.add(node);
+    return node;
+  }
+
+  void run(long millis) {
+    time.runMillis(millis);
+  }
+
+  /** Puts an incarnation on record, in place of the previous one of its server. */
+  void putOnRecord(String server, long startedAtMillis) {
+    records.put(server, startedAtMillis);
+    nodes.forEach(Node::readBackends);
+  }
+
+  /** Puts a server on record at the address of another one. */
+  void putOnRecordAt(String former, String server, long startedAtMillis) {
+    formerIds.put(server, formerIds.getOrDefault(former, former));
+    putOnRecord(server, startedAtMillis);
+  }
+
+  void removeRecord(String server) {
+    records.remove(server);
+    nodes.forEach(Node::readBackends);
+  }
+
+  static CallerRequest guilty() {
+    return Requests.of("r", "/a", "guilty");
+  }
+
+  static CallerRequest innocent(int number) {
+    return Requests.of("r", "/a", "innocent " + number);
+  }
+
+  static RequestFingerprint fingerprint() {
+    return RequestFingerprint.of(guilty(), TENANT);
+  }
+
+  /** Applies the delayed changes in the order in which they were requested. */
+  void applyDelayedChanges() {
+    delayingWrites = false;
+    delayingRemovals = false;
+    List<Runnable> due = List.copyOf(delayedChanges);
+    delayedChanges.clear();
+    due.forEach(Runnable::run);
+    run(READ_MILLIS);
+  }
+
+  private CompletableFuture<Void> change(boolean delayed, Runnable change) {
+    if (storeDown) {
+      return CompletableFuture.failedFuture(new IllegalStateException("the store is unreachable"));
+    }
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    Runnable apply =
+        () -> {
+          change.run();
+          done.complete(null);
+          nodes.forEach(node -> time.schedule(READ_MILLIS * 500, node::readTable));
+        };
+    if (delayed) {
+      delayedChanges.add(apply);
+    } else {
+      apply.run();
+    }
+    return done;
+  }
+
+  final class Node implements SuspectTable {
+    private final VirtualExecutor executor = new VirtualExecutor(time);
+    private final Quarantine quarantine;
+    private final String id = "node-" + ++startedNodes;
+    private BackendTable backends = BackendTable.EMPTY;
+    private boolean running = true;
+    boolean readsBackends = true;
+
+    Node() {
+      QuarantineContext context =
+          new QuarantineContext(
+              executor,
+              address -> CompletableFuture.completedFuture(Reachability.ACCEPTS),
+              () -> new Snapshot<>(backends, 0, time.monotonicMillis()),
+              this,
+              id,
+              this::broadcast,
+              () -> false,
+              time);
+      quarantine = new Quarantine(context, new Section<>(Suspects.NONE), 3_600_000);
+      quarantine.start();
+    }
+
+    void kill() {
+      running = false;
+      executor.shutdown();
+      nodes.remove(this);
+    }
+
+    void readBackends() {
+      if (!readsBackends) {
+        return;
+      }
+      List<Backend> read = new ArrayList<>();
+      records.forEach((server, startedAt) -> read.add(backend(server, startedAt)));
+      backends = backends.with(read);
+    }
+
+    private Backend backend(String server, long startedAt) {
+      return new Backend(
+          server + "@" + startedAt, "pool", addressOf(server), "zone", 4, false, Map.of());
+    }
+
+    void readTable() {
+      if (!running || storeDown) {
+        return;
+      }
+      List<Suspect> suspects = new ArrayList<>();
+      List<SuspectAttempt> attempts = new ArrayList<>();
+      for (Object row : rows.values()) {
+        if (row instanceof Suspect suspect) {
+          suspects.add(suspect);
+        } else if (row instanceof SuspectAttempt attempt) {
+          attempts.add(attempt);
+        }
+      }
+      quarantine.updateFromTable(suspects, attempts);
+    }
+
+    private void broadcast(List<Suspect> suspects) {
+      List<Suspect> message = List.copyOf(suspects);
+      for (Node other : List.copyOf(nodes)) {
+        if (other != this && !datagramsLost) {
+          other.executor.after(1_000, () -> other.quarantine.receive(message));
+        }
+      }
+    }
+
+    void send(CallerRequest request, String backend) {
+      quarantine.attemptStarting(request, TENANT, backend);
+      run(1);
+    }
+
+    /** Reports that the connection of an attempt of another request was closed. */
+    void lose(CallerRequest request, String backend) {
+      InetSocketAddress address = addressOf(backend.substring(0, backend.indexOf('@')));
+      quarantine.attemptLost(
+          new LostAttempt(backend, address, request, TENANT, 0, LostAttempt.Loss.CLOSED, 0));
+      run(1);
+    }
+
+    /** Reports that the guilty request is about to be sent, as the request path does. */
+    Optional<SuspectAttempt> send(String backend) {
+      Optional<SuspectAttempt> attempt = quarantine.attemptStarting(guilty(), TENANT, backend);
+      run(1);
+      return attempt;
+    }
+
+    /** Concludes an attempt that its backend did not run: refused, rejected or withdrawn. */
+    void concludeNotRun(Optional<SuspectAttempt> attempt) {
+      attempt.ifPresent(each -> quarantine.attemptConcluded(each, false));
+      run(1);
+    }
+
+    /** Concludes an attempt that was lost. */
+    void lose(Optional<SuspectAttempt> attempt, String backend, LostAttempt.Loss loss) {
+      attempt.ifPresent(each -> quarantine.attemptConcluded(each, true));
+      InetSocketAddress address = addressOf(backend.substring(0, backend.indexOf('@')));
+      quarantine.attemptLost(new LostAttempt(backend, address, guilty(), TENANT, 0, loss, 0));
+      run(1);
+    }
+
+    /** Reports that an incarnation has ended, as another node has found. */
+    void markEnded(String backend) {
+      backends.find(backend).markEnded();
+    }
+
+    boolean refuses() {
+      return quarantine.quarantined(guilty(), TENANT).isPresent();
+    }
+
+    /** Returns the weight of the crashes that count against the guilty request on this node. */
+    int knownWeight() {
+      return quarantine.heaviest(64).stream()
+          .filter(suspect -> suspect.fingerprint().equals(fingerprint()))
+          .mapToInt(Suspect::weight)
+          .sum();
+    }
+
+    @Override
+    public CompletableFuture<Void> record(Suspect suspect) {
+      return change(delayingWrites, () -> rows.put("suspect/" + suspect.fingerprint(), suspect));
+    }
+
+    @Override
+    public CompletableFuture<Void> remove(RequestFingerprint fingerprint) {
+      return change(delayingRemovals, () -> rows.remove("suspect/" + fingerprint));
+    }
+
+    @Override
+    public CompletableFuture<Void> recordAttempt(SuspectAttempt attempt) {
+      return change(delayingWrites, () -> rows.put(keyOf(attempt), attempt));
+    }
+
+    @Override
+    public CompletableFuture<Void> removeAttempt(SuspectAttempt attempt) {
+      return change(delayingRemovals, () -> rows.remove(keyOf(attempt)));
+    }
+
+    private static String keyOf(SuspectAttempt attempt) {
+      return "suspect-attempt/"
+          + attempt.fingerprint()
+          + "/"
+          + attempt.backend()
+          + "/"
+          + attempt.id();
+    }
+
+    @Override
+    public Optional<Suspect> readSuspect(TableRowChange row) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Optional<SuspectAttempt> readAttempt(TableRowChange row) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  private InetSocketAddress addressOf(String server) {
+    return new InetSocketAddress(
+        InetAddress.getLoopbackAddress(), 7_000 + formerIds.getOrDefault(server, server).charAt(0));
+  }
+}
