An attempt whose outcome nobody knows counts as a crash until its back end is seen to live

What callers saw: a request that ends servers was sent again up to 13 s after its third end, and each end took some twenty other streams along.

Cause: the row that a killed node leaves counted only once the server had a next incarnation on record, or none at all for five seconds after *this process* first read the row. Every third server of the soak comes back under another id, and nodes that are killed begin to wait anew: nodes that live for less than five seconds never counted it. An attempt that a node had given up counted at others by the same proof alone.

Change: the burden is reversed. An attempt that was lost, or whose node is not known to have it in progress, is unresolved; while it would quarantine the request if it had ended its server, the request is withheld: 503 with the time by which it is known. Its node is asked (GET /suspects/attempts/ID); no answer counts as no. It is resolved when the incarnation has ended, or was alive a second later.

Why it works: nothing has to happen in a node's life before the row counts; a node that starts counts all rows of its first reading.

--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -12,6 +12,7 @@
 import org.lockdale.gateway.blackboard.GatewayBlackboard;
 import org.lockdale.gateway.cache.CacheDirectory;
 import org.lockdale.gateway.cache.CachePlanner;
+import org.lockdale.gateway.cluster.AttemptOwnerClient;
 import org.lockdale.gateway.cluster.DatagramDispatcher;
 import org.lockdale.gateway.cluster.DatagramExchange;
 import org.lockdale.gateway.cluster.NodeRegistry;
@@ -207,6 +208,7 @@
         protocols.suspects(),
         nodes.self().id(),
         new PeerBroadcaster(nodes, datagrams)::broadcastSuspects,
+        new AttemptOwnerClient(client, nodes::peers),
         this::isCoordinator,
         time);
   }
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -14,6 +14,7 @@
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.blackboard.GatewayBlackboard;
 import org.lockdale.gateway.blackboard.GatewayPhase;
+import org.lockdale.gateway.cluster.SuspectAttemptHandler;
 import org.lockdale.gateway.cluster.SuspectListHandler;
 import org.lockdale.gateway.cluster.TableSliceHandler;
 import org.lockdale.gateway.quarantine.QuarantineHandler;
@@ -127,6 +128,7 @@
                 new QuarantineHandler(cluster.quarantine(), controlLoop, time),
                 new SuspectListHandler(
                     settings.get(GatewaySettings.NODE_ID), cluster.quarantine(), controlLoop),
+                new SuspectAttemptHandler(cluster.quarantine(), controlLoop),
                 new BackendsHandler(blackboard.backends(), cluster.rates(), time),
                 metrics()));
     callers = callers(listener);
--- a/gateway/src/main/java/org/lockdale/gateway/node/PeersHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/PeersHandler.java
@@ -1,5 +1,6 @@
 package org.lockdale.gateway.node;
 
+import org.lockdale.gateway.cluster.SuspectAttemptHandler;
 import org.lockdale.gateway.cluster.SuspectListHandler;
 import org.lockdale.gateway.cluster.TableSliceHandler;
 import org.lockdale.gateway.quarantine.QuarantineHandler;
@@ -14,6 +15,7 @@
   private final TableSliceHandler tables;
   private final QuarantineHandler quarantine;
   private final SuspectListHandler suspects;
+  private final SuspectAttemptHandler attempts;
   private final BackendsHandler backends;
   private final MetricsHandler metrics;
 
@@ -21,11 +23,13 @@
       TableSliceHandler tables,
       QuarantineHandler quarantine,
       SuspectListHandler suspects,
+      SuspectAttemptHandler attempts,
       BackendsHandler backends,
       MetricsHandler metrics) {
     this.tables = tables;
     this.quarantine = quarantine;
     this.suspects = suspects;
+    this.attempts = attempts;
     this.backends = backends;
     this.metrics = metrics;
   }
@@ -45,6 +49,9 @@
     if (path.equals(SuspectListHandler.PATH)) {
       return suspects;
     }
+    if (path.startsWith(SuspectAttemptHandler.PATH)) {
+      return attempts;
+    }
     boolean quarantined =
         path.equals(QuarantineHandler.PATH) || path.startsWith(QuarantineHandler.PATH + "/");
     return quarantined ? quarantine : tables;
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptIds.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptIds.java
@@ -31,6 +31,11 @@
     return id.startsWith(process);
   }
 
+  /** Returns whether this node created an id, in this process or an earlier one. */
+  boolean isOfThisNode(String id) {
+    return nodeOf(id).equals(node);
+  }
+
   /** Returns the id of the node that created an id; empty if an earlier version created it. */
   public static String nodeOf(String id) {
     return id.substring(id.indexOf(NODE_SEPARATOR) + 1);
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
@@ -2,23 +2,28 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.ToLongFunction;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.Incarnation;
 import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.life.LivenessEvidence;
 
 /**
  * Records in the shared store to which backends suspect requests are being sent. Each attempt has a
- * row of its own. If a node is killed before it learns the outcome of an attempt, the row remains;
- * once the incarnation that it was sent to is known to have ended, this counts as a crash of the
- * backend while it ran the request. Runs on one event loop.
+ * row of its own, from before it is sent until its outcome is known. If a node is killed before
+ * that, the row remains. An attempt that was lost, or whose node is not known to run, is unresolved
+ * until it is known whether the backend crashed; once the incarnation that it was sent to is known
+ * to have ended, it counts as a crash of the backend while it ran the request. Runs on one event
+ * loop.
  */
 final class AttemptJournal {
 
@@ -43,6 +48,25 @@
    */
   private static final long MISSING_RECORD_MILLIS = 5_000;
 
+  /**
+   * Delay before the node that recorded an attempt is asked about it. Within this time a node that
+   * runs has concluded most attempts, or has notified the others of a crash.
+   */
+  private static final long ASK_DELAY_MILLIS = 250;
+
+  /** Interval at which a node is asked again, as it may have been killed since. */
+  private static final long ASK_INTERVAL_MILLIS = 500;
+
+  /** Maximum number of questions in progress, since a crash may leave many suspects. */
+  private static final int MAX_QUESTIONS = 16;
+
+  /**
+   * Time after its row was read within which an attempt is resolved: by the record of its backend
+   * at the latest, while the store is available.
+   */
+  private static final long RESOLUTION_MILLIS =
+      LivenessEvidence.RECORD_EXPIRY_MILLIS + CrashDetector.OUTLIVED_MILLIS;
+
   /** The row of an attempt of this process. */
   private static final class OwnRow {
     private boolean inProgress = true;
@@ -65,6 +89,32 @@
     }
   }
 
+  /** The row of an attempt of another process. */
+  private static final class ForeignRow {
+    private final long readAtMillis;
+
+    /** Whether the attempt is not known to be in progress. */
+    private boolean orphaned;
+
+    /** Monotonic time since which the outcome of the attempt is unknown. */
+    private long unknownSinceMillis;
+
+    private long askAtMillis;
+    private boolean asking;
+
+    /** Whether the backend has ended. */
+    private boolean ended;
+
+    private boolean reported;
+
+    ForeignRow(long nowMillis, boolean orphaned) {
+      this.readAtMillis = nowMillis;
+      this.unknownSinceMillis = nowMillis;
+      this.askAtMillis = nowMillis + ASK_DELAY_MILLIS;
+      this.orphaned = orphaned;
+    }
+  }
+
   private final SuspectTable table;
   private final AttemptIds ids;
   private final Executor eventLoop;
@@ -72,10 +122,10 @@
 
   private final Map<SuspectAttempt, OwnRow> own = new LinkedHashMap<>();
 
-  /** Monotonic times at which rows of other nodes or of earlier processes were first read. */
-  private final Map<SuspectAttempt, Long> firstReadAt = new LinkedHashMap<>();
+  /** Rows of other nodes, or of earlier processes of this one. */
+  private final Map<SuspectAttempt, ForeignRow> foreign = new LinkedHashMap<>();
 
-  private final Set<SuspectAttempt> reported = new HashSet<>();
+  private boolean tableRead;
 
   /** Rows whose removal is in progress. */
   private final Set<SuspectAttempt> removing = new HashSet<>();
@@ -127,31 +177,143 @@
     removeDue();
   }
 
+  /** Returns whether an attempt of this process is in progress. */
+  boolean isInProgress(String id) {
+    return own.entrySet().stream()
+        .anyMatch(each -> each.getKey().id().equals(id) && each.getValue().inProgress);
+  }
+
   /** Processes all rows of the store. */
   void update(Collection<SuspectAttempt> rows) {
-    Set<SuspectAttempt> present = new HashSet<>(rows);
-    firstReadAt.keySet().retainAll(present);
-    reported.retainAll(present);
+    foreign.keySet().retainAll(new HashSet<>(rows));
     long now = time.monotonicMillis();
     for (SuspectAttempt row : rows) {
       if (!ids.isOfThisProcess(row.id())) {
-        firstReadAt.putIfAbsent(row, now);
+        // A process that has just started may have missed the notification of a crash.
+        boolean orphaned = !tableRead || ids.isOfThisNode(row.id());
+        foreign.computeIfAbsent(row, key -> new ForeignRow(now, orphaned));
+      }
+    }
+    tableRead = true;
+  }
+
+  /**
+   * Asks the nodes that recorded attempts of some requests, or on backends that have ended, whether
+   * these are still in progress.
+   *
+   * @param requests the requests
+   * @param owners the other nodes
+   * @param onChange called if {@link #unresolved} changes
+   */
+  void askOwners(Set<RequestFingerprint> requests, AttemptOwners owners, Runnable onChange) {
+    long now = time.monotonicMillis();
+    int asking = (int) foreign.values().stream().filter(row -> row.asking).count();
+    for (Map.Entry<SuspectAttempt, ForeignRow> each : List.copyOf(foreign.entrySet())) {
+      SuspectAttempt attempt = each.getKey();
+      ForeignRow row = each.getValue();
+      boolean due = !row.asking && now >= row.askAtMillis && !ids.isOfThisNode(attempt.id());
+      boolean matters = requests.contains(attempt.fingerprint()) || (row.ended && !row.reported);
+      if (due && matters && asking < MAX_QUESTIONS) {
+        asking++;
+        ask(attempt, row, owners, onChange);
       }
     }
   }
 
+  private void ask(
+      SuspectAttempt attempt, ForeignRow row, AttemptOwners owners, Runnable onChange) {
+    row.asking = true;
+    owners
+        .isInProgress(attempt)
+        .thenAcceptAsync(
+            inProgress -> {
+              row.asking = false;
+              row.askAtMillis = time.monotonicMillis() + ASK_INTERVAL_MILLIS;
+              if (inProgress) {
+                row.unknownSinceMillis = time.monotonicMillis();
+              }
+              if (row.orphaned == inProgress) {
+                row.orphaned = !inProgress;
+                onChange.run();
+              }
+            },
+            eventLoop);
+  }
+
+  /**
+   * Returns the unresolved attempts, by request: those that were lost or whose nodes are not known
+   * to run, on backends that have not been known to be alive since.
+   *
+   * @param lastAliveAtMillis returns the latest monotonic time at which a backend is known to have
+   *     been alive
+   */
+  Map<RequestFingerprint, UnresolvedAttempts> unresolved(ToLongFunction<String> lastAliveAtMillis) {
+    return unresolved(lastAliveAtMillis, true);
+  }
+
+  /**
+   * Returns the attempts that would be unresolved, by request, if none of them were in progress.
+   *
+   * @param lastAliveAtMillis see {@link #unresolved}
+   */
+  Map<RequestFingerprint, UnresolvedAttempts> possiblyUnresolved(
+      ToLongFunction<String> lastAliveAtMillis) {
+    return unresolved(lastAliveAtMillis, false);
+  }
+
+  private Map<RequestFingerprint, UnresolvedAttempts> unresolved(
+      ToLongFunction<String> lastAliveAtMillis, boolean onlyOrphaned) {
+    Map<RequestFingerprint, UnresolvedAttempts> unresolved = new HashMap<>();
+    own.forEach(
+        (attempt, row) -> {
+          if (row.uncertain
+              && !hasOutlived(attempt.backend(), row.sinceMillis, lastAliveAtMillis)) {
+            add(attempt, row.sinceMillis, unresolved);
+          }
+        });
+    foreign.forEach(
+        (attempt, row) -> {
+          boolean counts = row.orphaned || !onlyOrphaned;
+          if (counts
+              && !hasOutlived(attempt.backend(), row.unknownSinceMillis, lastAliveAtMillis)) {
+            add(attempt, row.unknownSinceMillis, unresolved);
+          }
+        });
+    return unresolved;
+  }
+
+  private static boolean hasOutlived(
+      String backend, long sinceMillis, ToLongFunction<String> lastAliveAtMillis) {
+    return lastAliveAtMillis.applyAsLong(backend) > sinceMillis + CrashDetector.OUTLIVED_MILLIS;
+  }
+
+  private static void add(
+      SuspectAttempt attempt,
+      long sinceMillis,
+      Map<RequestFingerprint, UnresolvedAttempts> unresolved) {
+    UnresolvedAttempts added =
+        new UnresolvedAttempts(
+            attempt.fingerprint(),
+            attempt.sketch(),
+            Set.of(attempt.backend()),
+            sinceMillis + RESOLUTION_MILLIS);
+    unresolved.merge(attempt.fingerprint(), added, UnresolvedAttempts::merge);
+  }
+
   /**
-   * Returns attempts of other nodes, or of this one before it restarted, that have not been
-   * concluded and whose backends have ended, each attempt once; to be called periodically.
+   * Returns attempts of other processes whose backends have ended and which are not known to be in
+   * progress, each attempt once; to be called periodically.
    *
    * @param backends backends that have a record
    */
   List<SuspectAttempt> takeCrashed(BackendTable backends) {
     List<SuspectAttempt> crashed = new ArrayList<>();
-    firstReadAt.forEach(
-        (attempt, readAtMillis) -> {
-          if (!reported.contains(attempt) && hasEnded(attempt.backend(), backends, readAtMillis)) {
-            reported.add(attempt);
+    foreign.forEach(
+        (attempt, row) -> {
+          row.ended = row.ended || hasEnded(attempt.backend(), backends, row.readAtMillis);
+          boolean isUnclaimed = row.orphaned || attempt.id().isEmpty();
+          if (row.ended && isUnclaimed && !row.reported) {
+            row.reported = true;
             crashed.add(attempt);
           }
         });
@@ -187,8 +349,8 @@
     removeDue();
     if (coordinator) {
       long now = time.monotonicMillis();
-      for (Map.Entry<SuspectAttempt, Long> each : List.copyOf(firstReadAt.entrySet())) {
-        if (now - each.getValue() >= ORPHAN_RETENTION_MILLIS) {
+      for (Map.Entry<SuspectAttempt, ForeignRow> each : List.copyOf(foreign.entrySet())) {
+        if (now - each.getValue().readAtMillis >= ORPHAN_RETENTION_MILLIS) {
           remove(each.getKey());
         }
       }
@@ -215,7 +377,7 @@
               removing.remove(attempt);
               if (failure == null) {
                 own.remove(attempt);
-                firstReadAt.remove(attempt);
+                foreign.remove(attempt);
               }
             },
             eventLoop);
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashDetector.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashDetector.java
@@ -43,7 +43,7 @@
   /**
    * A backend that was alive this long after an attempt was given up did not crash because of it.
    */
-  private static final long OUTLIVED_MILLIS = 1_000;
+  static final long OUTLIVED_MILLIS = 1_000;
 
   /**
    * Limits the memory that a burst of disconnecting callers can use; the oldest attempts are
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.lockdale.coordination.blackboard.Section;
 import org.lockdale.gateway.backend.BackendTable;
@@ -36,9 +37,10 @@
   private final SuspectSender sender;
   private final AttemptJournal journal;
   private final LivenessEvidence livenessEvidence;
+
+  private final SuspectPublisher publisher;
   private final AttemptIds attemptIds;
 
-  private Collection<QuarantinedRequest> previouslyQuarantined = List.of();
   private boolean tableRead;
   private boolean publishing;
 
@@ -63,6 +65,7 @@
     this.attemptIds = new AttemptIds(context.node());
     this.journal =
         new AttemptJournal(context.table(), attemptIds, context.eventLoop(), context.time());
+    this.publisher = new SuspectPublisher(section, ledger, context.time());
     this.sender = new SuspectSender(context.eventLoop(), ledger, context.sender());
   }
 
@@ -162,7 +165,7 @@
     if (forgiven.isEmpty()) {
       return false;
     }
-    if (significant) {
+    if (significant || publisher.isQuarantinedOrWithheld(fingerprint)) {
       // If it was not significant, other nodes receive this state when they report a second crash.
       Logger.info("event=suspect-cleared fingerprint={} reason={}", fingerprint, reason);
       propagate(forgiven.get());
@@ -264,6 +267,7 @@
     for (Suspect row : recorder.update(rows)) {
       changed |= merge(row);
     }
+    changed |= publisher.isOutdated(unresolved());
     if (changed || !tableRead) {
       // The first reading also signals to the request path that it may start.
       tableRead = true;
@@ -305,6 +309,8 @@
       propagate(released);
       changed = true;
     }
+    askOwners();
+    changed |= publisher.isOutdated(unresolved());
     if (changed) {
       publish();
     } else {
@@ -312,15 +318,39 @@
     }
   }
 
+  /** Asks other nodes about the attempts of requests that may have to be withheld. */
+  private void askOwners() {
+    Set<RequestFingerprint> requests =
+        ledger.withheld(journal.possiblyUnresolved(this::lastAliveAtMillis));
+    journal.askOwners(requests, context.owners(), this::publishSoon);
+  }
+
+  /**
+   * Returns whether an attempt that this process has recorded is in progress; to be called on the
+   * event loop.
+   *
+   * @param attemptId id of the attempt
+   */
+  public boolean isAttemptInProgress(String attemptId) {
+    return journal.isInProgress(attemptId);
+  }
+
+  private Map<RequestFingerprint, UnresolvedAttempts> unresolved() {
+    return journal.unresolved(this::lastAliveAtMillis);
+  }
+
+  private long lastAliveAtMillis(String backend) {
+    TrackedBackend tracked = backends().find(backend);
+    return tracked == null ? Long.MIN_VALUE : livenessEvidence.lastAliveAtMillis(tracked);
+  }
+
   /** Retracts crashes of backends that are known to have been alive later. */
   private boolean retractCrashes(long nowMillis) {
     livenessEvidence.observe();
     boolean changed = false;
-    BackendTable table = backends();
     for (String backend : ledger.crashedBackends()) {
-      TrackedBackend tracked = table.find(backend);
-      long aliveAtMillis =
-          tracked == null ? Long.MIN_VALUE : livenessEvidence.lastAliveAtMillis(tracked);
+      TrackedBackend tracked = backends().find(backend);
+      long aliveAtMillis = lastAliveAtMillis(backend);
       List<Suspect> forgiven = ledger.recordAlive(backend, aliveAtMillis);
       if (!forgiven.isEmpty()) {
         boolean answered = tracked != null && tracked.lastKnownAliveMillis() == aliveAtMillis;
@@ -345,20 +375,7 @@
 
   private void publish() {
     publishing = false;
-    List<QuarantinedRequest> quarantined = ledger.quarantined();
-    for (QuarantinedRequest request : quarantined) {
-      boolean before =
-          previouslyQuarantined.stream()
-              .anyMatch(other -> other.fingerprint().equals(request.fingerprint()));
-      if (!before) {
-        Logger.warn(
-            "event=request-quarantined fingerprint={} backends={}",
-            request.fingerprint(),
-            request.crashedBackends());
-      }
-    }
-    previouslyQuarantined = quarantined;
-    section.publish(new Suspects(ledger.all(), quarantined), context.time().monotonicMillis());
+    publisher.publish(unresolved());
     recorder.tick();
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/QuarantineContext.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/QuarantineContext.java
@@ -22,6 +22,7 @@
  * @param table rows of the suspects that all nodes have to know
  * @param node id of this node
  * @param sender sends suspects to all other nodes
+ * @param owners asks other nodes about the attempts that they have recorded
  * @param coordinator whether this node is the relay node, which is elected to act for all nodes
  * @param time clock
  */
@@ -32,5 +33,6 @@
     SuspectTable table,
     String node,
     Consumer<List<Suspect>> sender,
+    AttemptOwners owners,
     BooleanSupplier coordinator,
     Time time) {}
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/QuarantineHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/QuarantineHandler.java
@@ -9,7 +9,7 @@
 import org.lockdale.http.HttpProtocolError;
 import org.lockdale.http.HttpReply;
 
-/** Lists the quarantined requests for operators, and releases them on all nodes. */
+/** Lists the quarantined and withheld requests for operators, and releases them on all nodes. */
 public final class QuarantineHandler implements HttpHandler {
 
   /**
@@ -65,6 +65,8 @@
           .append(request.fingerprint())
           .append(" backends=")
           .append(request.crashedBackends())
+          .append(" unresolved=")
+          .append(request.unresolvedBackends())
           .append(" remaining-ms=")
           .append(request.untilMillis() - now)
           .append('\n');
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
@@ -3,18 +3,21 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decides which requests are quarantined because backends crash while they run them. A crash
  * affects all requests that run on the backend, of which at most one is its cause, so one crash is
  * weak evidence against a request, and crashes of several backends that ran the same request are
- * strong evidence.
+ * strong evidence. An attempt whose outcome is unknown, as after its node was killed, counts as a
+ * crash until it is resolved.
  *
  * <p>A request is quarantined from its third crash on, if at each its response had not started or
  * had started only shortly before, and from its fourth or fifth crash on otherwise, since a crash
@@ -249,23 +252,89 @@
     return released;
   }
 
-  /** Returns the requests that are quarantined. */
+  /** Returns the requests that are quarantined because of their crashes alone. */
   List<QuarantinedRequest> quarantined() {
-    List<Entry> candidates =
+    return quarantined(Map.of());
+  }
+
+  /**
+   * Returns the requests that are quarantined, and those that are withheld since they would be
+   * quarantined if the backends of their unresolved attempts had crashed.
+   *
+   * @param unresolved unresolved attempts, by request
+   */
+  List<QuarantinedRequest> quarantined(Map<RequestFingerprint, UnresolvedAttempts> unresolved) {
+    List<QuarantinedRequest> quarantined = new ArrayList<>();
+    int requiredWeight = requiredWeight();
+    for (Entry entry : entries.values()) {
+      if (entry.suspect.weight() >= requiredWeight) {
+        quarantined.add(quarantined(entry));
+      }
+    }
+    for (UnresolvedAttempts attempts : unresolved.values()) {
+      Entry entry = entries.get(attempts.fingerprint());
+      Set<String> uncounted = uncounted(attempts.backends(), entry);
+      int weight = knownWeight(entry);
+      boolean isSuspect = weight > 0 && weight < requiredWeight;
+      if (isSuspect && weight + uncounted.size() * SINGLE_CRASH_WEIGHT >= requiredWeight) {
+        quarantined.add(withheld(attempts, entry, uncounted));
+      }
+    }
+    return quarantined;
+  }
+
+  /**
+   * Returns the requests that are withheld because of their unresolved attempts.
+   *
+   * @param unresolved unresolved attempts, by request
+   */
+  Set<RequestFingerprint> withheld(Map<RequestFingerprint, UnresolvedAttempts> unresolved) {
+    Set<RequestFingerprint> withheld = new HashSet<>();
+    if (!unresolved.isEmpty()) {
+      quarantined(unresolved).stream()
+          .filter(QuarantinedRequest::isWithheld)
+          .forEach(request -> withheld.add(request.fingerprint()));
+    }
+    return withheld;
+  }
+
+  private int requiredWeight() {
+    long candidates =
         entries.values().stream()
             .filter(entry -> entry.suspect.weight() >= QUARANTINE_WEIGHT)
-            .toList();
-    int requiredWeight =
-        candidates.size() > CROWD_THRESHOLD ? QUARANTINE_WEIGHT_IN_CROWD : QUARANTINE_WEIGHT;
-    return candidates.stream()
-        .filter(entry -> entry.suspect.weight() >= requiredWeight)
-        .map(this::quarantined)
-        .toList();
+            .count();
+    return candidates > CROWD_THRESHOLD ? QUARANTINE_WEIGHT_IN_CROWD : QUARANTINE_WEIGHT;
+  }
+
+  /**
+   * Returns the weight of a request of which an attempt is recorded. Only attempts of suspects are
+   * recorded, so if this node knows of no crash, it has missed one at least.
+   */
+  private static int knownWeight(@Nullable Entry entry) {
+    return entry == null ? SINGLE_CRASH_WEIGHT : entry.suspect.weight();
+  }
+
+  private static Set<String> uncounted(Set<String> backends, @Nullable Entry entry) {
+    Set<String> uncounted = new TreeSet<>(backends);
+    uncounted.removeIf(backend -> entry != null && entry.suspect.crashes().containsKey(backend));
+    return uncounted;
+  }
+
+  private static QuarantinedRequest withheld(
+      UnresolvedAttempts attempts, @Nullable Entry entry, Set<String> uncounted) {
+    return new QuarantinedRequest(
+        attempts.fingerprint(),
+        entry == null ? Set.of() : entry.suspect.crashes().keySet(),
+        uncounted,
+        attempts.resolvedByMillis());
   }
 
   private QuarantinedRequest quarantined(Entry entry) {
     Suspect suspect = entry.suspect;
     return new QuarantinedRequest(
-        suspect.fingerprint(), suspect.crashes().keySet(), entry.lastCrashAtMillis + holdMillis);
+        suspect.fingerprint(),
+        suspect.crashes().keySet(),
+        Set.of(),
+        entry.lastCrashAtMillis + holdMillis);
   }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectPublisher.java
@@ -0,0 +1,70 @@
+package org.lockdale.gateway.quarantine;
+
+import java.util.List;
+import java.util.Map;
+import org.lockdale.coordination.blackboard.Section;
+import org.lockdale.coordination.time.Time;
+import org.tinylog.Logger;
+
+/**
+ * Publishes to the request path which requests are suspects, and which of them are quarantined or
+ * withheld. Runs on one event loop.
+ */
+final class SuspectPublisher {
+
+  private final Section<Suspects> section;
+  private final SuspectLedger ledger;
+  private final Time time;
+  private Map<RequestFingerprint, UnresolvedAttempts> published = Map.of();
+  private List<QuarantinedRequest> previouslyQuarantined = List.of();
+
+  SuspectPublisher(Section<Suspects> section, SuspectLedger ledger, Time time) {
+    this.section = section;
+    this.ledger = ledger;
+    this.time = time;
+  }
+
+  /** Returns whether unresolved attempts differ from those that were published last. */
+  boolean isOutdated(Map<RequestFingerprint, UnresolvedAttempts> unresolved) {
+    return !unresolved.equals(published);
+  }
+
+  /** Returns whether a request was quarantined or withheld when suspects were published last. */
+  boolean isQuarantinedOrWithheld(RequestFingerprint fingerprint) {
+    return previouslyQuarantined.stream()
+        .anyMatch(request -> request.fingerprint().equals(fingerprint));
+  }
+
+  /** Publishes the state of the ledger with unresolved attempts. */
+  void publish(Map<RequestFingerprint, UnresolvedAttempts> unresolved) {
+    published = unresolved;
+    List<QuarantinedRequest> quarantined = ledger.quarantined(unresolved);
+    quarantined.forEach(this::logIfNew);
+    previouslyQuarantined = quarantined;
+    section.publish(
+        new Suspects(ledger.all(), unresolved.values(), quarantined), time.monotonicMillis());
+  }
+
+  private void logIfNew(QuarantinedRequest request) {
+    if (previouslyQuarantined.stream().anyMatch(other -> isSameState(request, other))) {
+      return;
+    }
+    if (request.isWithheld()) {
+      Logger.info(
+          "event=request-withheld fingerprint={} backends={} unresolved={}",
+          request.fingerprint(),
+          request.crashedBackends(),
+          request.unresolvedBackends());
+    } else {
+      Logger.warn(
+          "event=request-quarantined fingerprint={} backends={}",
+          request.fingerprint(),
+          request.crashedBackends());
+    }
+  }
+
+  private static boolean isSameState(QuarantinedRequest request, QuarantinedRequest other) {
+    return other.fingerprint().equals(request.fingerprint())
+        && other.isWithheld() == request.isWithheld();
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspects.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspects.java
@@ -10,24 +10,31 @@
 import org.lockdale.gateway.caller.CallerRequest;
 
 /**
- * The requests that backends ran when they crashed, and which of them are quarantined, as the
- * request path reads them. Immutable.
+ * The requests that backends ran when they crashed, and which of them are quarantined or withheld,
+ * as the request path reads them. Immutable.
  */
 public final class Suspects {
 
   /** No suspects. */
-  public static final Suspects NONE = new Suspects(Set.of(), List.of());
+  public static final Suspects NONE = new Suspects(Set.of(), Set.of(), List.of());
 
   private final Set<Integer> sketches = new HashSet<>();
   private final Set<RequestFingerprint> suspected;
   private final Map<RequestFingerprint, QuarantinedRequest> quarantined = new HashMap<>();
 
-  Suspects(Collection<Suspect> suspects, Collection<QuarantinedRequest> quarantined) {
+  Suspects(
+      Collection<Suspect> suspects,
+      Collection<UnresolvedAttempts> unresolved,
+      Collection<QuarantinedRequest> quarantined) {
     Set<RequestFingerprint> fingerprints = new HashSet<>();
     for (Suspect suspect : suspects) {
       sketches.add(suspect.sketch());
       fingerprints.add(suspect.fingerprint());
     }
+    for (UnresolvedAttempts attempts : unresolved) {
+      sketches.add(attempts.sketch());
+      fingerprints.add(attempts.fingerprint());
+    }
     this.suspected = fingerprints;
     quarantined.forEach(request -> this.quarantined.put(request.fingerprint(), request));
   }
@@ -70,7 +77,7 @@
                     ids.next()));
   }
 
-  /** Returns the requests that are quarantined. */
+  /** Returns the requests that are quarantined or withheld. */
   public Collection<QuarantinedRequest> quarantined() {
     return List.copyOf(quarantined.values());
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/QuarantineFilter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/QuarantineFilter.java
@@ -44,17 +44,23 @@
 
   private Refusal refusal(RequestState state, QuarantinedRequest quarantined) {
     Logger.info(
-        "event=request-held-back request={} fingerprint={} backends={}",
+        "event=request-held-back request={} fingerprint={} backends={} unresolved={}",
         state.request.id(),
         quarantined.fingerprint(),
-        quarantined.crashedBackends());
-    return new Refusal(
-        RefusalKind.HELD_BACK,
-        "Servers crashed each time this request ran, so it was not run again. Change it, or ask the"
-            + " operators to release "
-            + quarantined.fingerprint()
-            + ".",
-        retryAfterMillis(quarantined));
+        quarantined.crashedBackends(),
+        quarantined.unresolvedBackends());
+    return new Refusal(RefusalKind.HELD_BACK, reason(quarantined), retryAfterMillis(quarantined));
+  }
+
+  private static String reason(QuarantinedRequest quarantined) {
+    if (quarantined.isWithheld()) {
+      return "Servers crashed, or may have crashed, while this request ran, so it was not run"
+          + " again. Retry when it is known whether they did.";
+    }
+    return "Servers crashed each time this request ran, so it was not run again. Change it, or ask"
+        + " the operators to release "
+        + quarantined.fingerprint()
+        + ".";
   }
 
   private long retryAfterMillis(QuarantinedRequest quarantined) {
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/AttemptJournalTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/AttemptJournalTest.java
@@ -1,6 +1,8 @@
 package org.lockdale.gateway.quarantine;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -62,12 +64,14 @@
   private VirtualTime time;
   private Rows rows;
   private AttemptJournal journal;
+  private int changes;
 
   @BeforeMethod
   public void start() {
     time = new VirtualTime();
     rows = new Rows();
     journal = newJournal(IDS);
+    changes = 0;
   }
 
   private AttemptJournal newJournal(AttemptIds ids) {
@@ -86,6 +90,12 @@
     return List.copyOf(rows.present);
   }
 
+  private Set<String> unresolvedBackends(long lastAliveAtMillis) {
+    UnresolvedAttempts attempts =
+        journal.unresolved(backend -> lastAliveAtMillis).get(ATTEMPT.fingerprint());
+    return attempts == null ? Set.of() : attempts.backends();
+  }
+
   private static BackendTable table(String... ids) {
     List<Backend> backends = new ArrayList<>();
     for (String id : ids) {
@@ -178,6 +188,89 @@
     assertEquals(rows(), List.of(ATTEMPT));
   }
 
+  @Test
+  public void anAttemptOfAnotherNodeIsUnresolvedUntilItsBackendHasOutlivedIt() {
+    journal = newJournal(new AttemptIds("other"));
+    long readAtMillis = time.monotonicMillis();
+    journal.update(List.of(ATTEMPT));
+    assertEquals(unresolvedBackends(readAtMillis), Set.of("i-1@1"));
+    assertEquals(unresolvedBackends(readAtMillis + 1_001), Set.of());
+  }
+
+  private void askOwner(boolean runs) {
+    journal.askOwners(
+        Set.of(ATTEMPT.fingerprint()),
+        attempt -> CompletableFuture.completedFuture(runs),
+        () -> changes++);
+  }
+
+  private void readAfterStart() {
+    journal = newJournal(new AttemptIds("other"));
+    journal.update(List.of());
+    journal.update(List.of(ATTEMPT));
+  }
+
+  @Test
+  public void anAttemptIsUnresolvedOnceItsNodeDoesNotHaveItInProgress() {
+    readAfterStart();
+    askOwner(false);
+    assertEquals(unresolvedBackends(0), Set.of(), "its node is not asked at once");
+    time.runMillis(250);
+    askOwner(true);
+    assertEquals(unresolvedBackends(0), Set.of());
+    time.runMillis(500);
+    askOwner(false);
+    assertEquals(unresolvedBackends(0), Set.of("i-1@1"));
+    assertEquals(changes, 1);
+  }
+
+  /** The backend may have crashed after it was known to be alive, when the node was killed. */
+  @Test
+  public void aBackendHasOutlivedAnAttemptOnlyIfItWasAliveAfterItWasLastInProgress() {
+    readAfterStart();
+    time.runMillis(9_000);
+    askOwner(true);
+    time.runMillis(500);
+    askOwner(false);
+    assertEquals(unresolvedBackends(time.monotonicMillis()), Set.of("i-1@1"));
+  }
+
+  @Test
+  public void attemptsOfAnEarlierProcessOfThisNodeAreUnresolvedAtOnce() {
+    journal = newJournal(new AttemptIds("node"));
+    journal.update(List.of());
+    journal.update(List.of(ATTEMPT));
+    assertEquals(unresolvedBackends(0), Set.of("i-1@1"));
+  }
+
+  @Test
+  public void anAttemptIsInProgressOnlyInTheProcessThatRecordedIt() {
+    journal.recordStart(ATTEMPT);
+    assertTrue(journal.isInProgress(ATTEMPT.id()));
+    AttemptJournal next = newJournal(new AttemptIds("node"));
+    next.update(rows());
+    assertFalse(next.isInProgress(ATTEMPT.id()));
+  }
+
+  /** The caller had left, and the backend crashed afterwards. */
+  @Test
+  public void aLostAttemptIsUnresolvedUntilItsBackendHasOutlivedIt() {
+    journal.recordStart(ATTEMPT);
+    assertEquals(unresolvedBackends(0), Set.of(), "it is in progress");
+    journal.recordConclusion(ATTEMPT, true);
+    assertFalse(journal.isInProgress(ATTEMPT.id()));
+    assertEquals(unresolvedBackends(time.monotonicMillis()), Set.of("i-1@1"));
+    assertEquals(unresolvedBackends(time.monotonicMillis() + 1_001), Set.of());
+  }
+
+  @Test
+  public void anAttemptThatWasAnsweredIsResolved() {
+    journal.recordStart(ATTEMPT);
+    journal.recordConclusion(ATTEMPT, false);
+    journal.update(List.of(ATTEMPT));
+    assertEquals(unresolvedBackends(0), Set.of(), "the row was read before it was removed");
+  }
+
   @Test
   public void aLostAttemptStaysRecordedUntilItsBackendsFateIsKnown() {
     journal.recordStart(ATTEMPT);
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
@@ -0,0 +1,231 @@
+package org.lockdale.gateway.quarantine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Optional;
+import org.lockdale.gateway.quarantine.LostAttempt.Loss;
+import org.lockdale.gateway.quarantine.SuspectFleet.Node;
+import org.testng.annotations.Test;
+
+/** Tests that a crash counts in whatever order nodes learn of it. */
+public final class CrashEvidenceOrderTest extends ThirdCrashScenario {
+
+  @Test
+  public void aRowWhoseWriteFailedIsWrittenOnceTheStoreIsBack() {
+    fleet.storeDown = true;
+    witness.send("c@1");
+    fleet.storeDown = false;
+    fleet.run(1_000);
+    witness.kill();
+    assertCountedOnceNextIncarnationIsOnRecord();
+  }
+
+  @Test
+  public void aLossReadAfterTheRecordHasGoneCounts() {
+    witness.kill();
+    Optional<SuspectAttempt> attempt = survivor.send("c@1");
+    fleet.run(RUN_MILLIS);
+    fleet.removeRecord("c");
+    survivor.lose(attempt, "c@1", Loss.CLOSED);
+    assertCountedOnceNextIncarnationIsOnRecord();
+  }
+
+  @Test
+  public void aLossReadBeforeTheRecordHasGoneCounts() {
+    witness.kill();
+    Optional<SuspectAttempt> attempt = survivor.send("c@1");
+    fleet.run(RUN_MILLIS);
+    survivor.lose(attempt, "c@1", Loss.CLOSED);
+    fleet.removeRecord("c");
+    assertCountedOnceNextIncarnationIsOnRecord();
+  }
+
+  @Test
+  public void aNodeThatStartsCountsAllRowsBeforeItSends() {
+    crashAndKillWitness("c@1");
+    fleet.run(DOWN_MILLIS);
+    survivor.kill();
+    fleet.putOnRecord("c", 2);
+    Node next = fleet.startNodeWithoutTables();
+    fleet.run(10);
+    next.readTable();
+    fleet.run(10);
+    next.readBackends();
+    fleet.run(10);
+    assertTrue(next.refuses(), "sends until it looks at the rows again");
+  }
+
+  @Test
+  public void aNodeThatStartsAndReadsTheBackendsFirstCountsAllRowsBeforeItSends() {
+    crashAndKillWitness("c@1");
+    fleet.run(DOWN_MILLIS);
+    survivor.kill();
+    fleet.putOnRecord("c", 2);
+    Node next = fleet.startNodeWithoutTables();
+    next.readBackends();
+    next.readTable();
+    fleet.run(10);
+    assertTrue(next.refuses());
+  }
+
+  @Test
+  public void aServerThatStaysAwayCountsAlthoughEachNodeRunsForFourSeconds() {
+    crashAndKillWitness("c@1");
+    fleet.run(3_600);
+    fleet.removeRecord("c");
+    for (int process = 0; process < 4; process++) {
+      survivor.kill();
+      survivor = fleet.startNode();
+      fleet.run(4_000);
+    }
+    assertTrue(survivor.refuses(), "twenty seconds after the crash");
+  }
+
+  @Test
+  public void aCrashCountsAlthoughTheNextIncarnationIsGoneBeforeANodeStarts() {
+    crashAndKillWitness("c@1");
+    survivor.kill();
+    fleet.run(DOWN_MILLIS);
+    fleet.putOnRecord("c", 2);
+    fleet.run(500);
+    fleet.removeRecord("c");
+    survivor = fleet.startNode();
+    fleet.run(3_000);
+    assertTrue(survivor.refuses());
+  }
+
+  /** Two nodes overwrite each other's row of the suspect, and both are killed. */
+  @Test
+  public void aCrashWhoseSuspectRowWasOverwrittenCountsByTheRowOfItsAttempt() {
+    fleet.datagramsLost = true;
+    fleet.delayingWrites = false;
+    Optional<SuspectAttempt> atThird = witness.send("c@1");
+    Optional<SuspectAttempt> atFourth = survivor.send("d@1");
+    fleet.delayingWrites = true;
+    witness.lose(atThird, "c@1", Loss.CLOSED);
+    fleet.run(300);
+    survivor.lose(atFourth, "d@1", Loss.CLOSED);
+    fleet.run(300);
+    witness.kill();
+    survivor.kill();
+    fleet.applyDelayedChanges();
+    survivor = fleet.startNode();
+    assertTrue(survivor.refuses(), "the row that was written last has three crashes");
+    fleet.putOnRecord("c", 2);
+    fleet.run(COUNTED_MILLIS);
+    assertEquals(survivor.knownWeight(), 4 * SuspectLedger.SINGLE_CRASH_WEIGHT);
+  }
+
+  @Test
+  public void aCrashWhoseOnlyWitnessIsKilledCountsWithinASecond() {
+    crashAndKillWitness("c@1");
+    fleet.run(1_000);
+    assertTrue(survivor.refuses(), "the record of the crashed server still stands");
+  }
+
+  @Test
+  public void aCrashBroadcastJustBeforeItsWitnessIsKilledCountsAtOnce() {
+    Optional<SuspectAttempt> attempt = witness.send("c@1");
+    fleet.run(RUN_MILLIS);
+    witness.lose(attempt, "c@1", Loss.CLOSED);
+    fleet.run(15);
+    witness.kill();
+    fleet.run(50);
+    assertTrue(survivor.refuses());
+  }
+
+  @Test
+  public void aCrashReadButNotBroadcastWhenItsWitnessIsKilledCounts() {
+    Optional<SuspectAttempt> attempt = witness.send("c@1");
+    fleet.run(RUN_MILLIS);
+    witness.lose(attempt, "c@1", Loss.CLOSED);
+    witness.kill();
+    assertCountedOnceNextIncarnationIsOnRecord();
+  }
+
+  @Test
+  public void allNodesKilledAtTheCrashCountItByItsRow() {
+    crashAndKillWitness("c@1");
+    survivor.kill();
+    fleet.run(500);
+    survivor = fleet.startNode();
+    assertCountedOnceNextIncarnationIsOnRecord();
+  }
+
+  @Test
+  public void aNextIncarnationWhoseClockWasSetBackShowsTheCrash() {
+    fleet.putOnRecord("c", 9);
+    crashAndKillWitness("c@9");
+    assertCountedOnceNextIncarnationIsOnRecord();
+  }
+
+  /** A server is replaced by one with another id, at its address; its own record expires. */
+  private void replaceUnderAnotherId() {
+    fleet.run(DOWN_MILLIS);
+    fleet.putOnRecordAt("c", "e", 2);
+    fleet.run(1_600);
+    fleet.removeRecord("c");
+    fleet.run(400);
+  }
+
+  @Test
+  public void aCrashOfAServerReplacedUnderAnotherIdCountsOnceItsRecordHasGone() {
+    crashAndKillWitness("c@1");
+    replaceUnderAnotherId();
+    assertTrue(survivor.refuses(), "four seconds after the crash");
+  }
+
+  @Test
+  public void aCrashOfAServerReplacedUnderAnotherIdCountsInTheEnd() {
+    crashAndKillWitness("c@1");
+    replaceUnderAnotherId();
+    fleet.run(1_500);
+    assertTrue(survivor.refuses(), "five and a half seconds after the crash");
+  }
+
+  @Test
+  public void aCrashOfAServerReplacedUnderAnotherIdCountsAlthoughEachNodeRunsForFourSeconds() {
+    crashAndKillWitness("c@1");
+    replaceUnderAnotherId();
+    for (int process = 0; process < 4; process++) {
+      survivor.kill();
+      survivor = fleet.startNode();
+      fleet.run(4_000);
+    }
+    assertTrue(survivor.refuses(), "twenty seconds after the crash");
+  }
+
+  /** Returns how many servers crash until the request is refused, at most eight. */
+  private int crashesUntilRefused(boolean nodesRestart) {
+    String[] servers = {"c", "e", "f", "g", "h", "i", "j"};
+    int crashes = 2;
+    for (int number = 0; number < 6 && !survivor.refuses(); number++) {
+      crashAndKillWitness(servers[number] + "@1");
+      crashes++;
+      witness = fleet.startNode();
+      fleet.run(DOWN_MILLIS);
+      fleet.putOnRecordAt(servers[number], servers[number + 1], 1);
+      fleet.run(1_600);
+      fleet.removeRecord(servers[number]);
+      if (nodesRestart) {
+        survivor.kill();
+        witness.kill();
+        survivor = fleet.startNode();
+        witness = fleet.startNode();
+      }
+      fleet.run(COUNTED_MILLIS);
+    }
+    return crashes;
+  }
+
+  @Test
+  public void aRequestIsRefusedAfterItsThirdCrashAlthoughServersAreReplacedUnderOtherIds() {
+    assertEquals(crashesUntilRefused(false), 3);
+  }
+
+  @Test
+  public void aRequestIsRefusedAfterItsThirdCrashAlthoughNodesRestartAndServersChangeIds() {
+    assertEquals(crashesUntilRefused(true), 3);
+  }
+}
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
@@ -337,6 +337,7 @@
               this,
               "n" + number,
               suspects -> broadcast(this, suspects),
+              this::askOwner,
               () -> number == 0,
               time);
       quarantine = new Quarantine(context, section, 3_600_000);
@@ -372,6 +373,21 @@
       catchUp();
     }
 
+    private CompletableFuture<Boolean> askOwner(SuspectAttempt attempt) {
+      CompletableFuture<Boolean> reply = new CompletableFuture<>();
+      Node owner =
+          nodes.get(Integer.parseInt(AttemptIds.nodeOf(attempt.id()).substring("n".length())));
+      time.schedule(
+          MAX_DELAY_MICROS,
+          () ->
+              reply.complete(
+                  !isolated
+                      && !owner.isolated
+                      && !owner.down
+                      && owner.quarantine.isAttemptInProgress(attempt.id())));
+      return reply;
+    }
+
     private Snapshot<BackendTable> servers() {
       if (reachesStore()) {
         readAtMillis = time.monotonicMillis();
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
@@ -134,6 +134,15 @@
     return done;
   }
 
+  private CompletableFuture<Boolean> isInProgress(SuspectAttempt attempt) {
+    String owner = AttemptIds.nodeOf(attempt.id());
+    return CompletableFuture.completedFuture(
+        nodes.stream()
+            .anyMatch(
+                node ->
+                    node.id.equals(owner) && node.quarantine.isAttemptInProgress(attempt.id())));
+  }
+
   final class Node implements SuspectTable {
     private final VirtualExecutor executor = new VirtualExecutor(time);
     private final Quarantine quarantine;
@@ -151,6 +160,7 @@
               this,
               id,
               this::broadcast,
+              SuspectFleet.this::isInProgress,
               () -> false,
               time);
       quarantine = new Quarantine(context, new Section<>(Suspects.NONE), 3_600_000);
