Attempts of significant suspects find room beside many others

Cause: a node records 32 attempts at once, whatever their requests. A crash makes some twenty requests suspects, whose callers repeat them at once; then the attempt of the request that has ended two servers has no row, and if its node is killed the third end is forgotten.

Evidence: anAttemptIsRecordedAlthoughManyOtherSuspectsAreInFlight (32 others in flight) failed before.

Change: attempts of requests whose next crash may quarantine them have room up to 64. Beyond that they are not recorded, as before.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
@@ -33,6 +33,12 @@
    */
   private static final int MAX_IN_FLIGHT = 32;
 
+  /**
+   * The same for attempts of significant suspects, so that the many requests which a single crash
+   * makes suspects leave room for them.
+   */
+  private static final int MAX_SIGNIFICANT_IN_FLIGHT = 64;
+
   /**
    * How long the row of a lost attempt is kept. The attempt may have been running when its backend
    * crashed; after this time it is known whether the backend crashed.
@@ -137,10 +143,14 @@
     this.time = time;
   }
 
-  /** Records that an attempt is about to be sent. */
-  void recordStart(SuspectAttempt attempt) {
+  /**
+   * Records that an attempt is about to be sent.
+   *
+   * @param significant whether the next crash may quarantine its request
+   */
+  void recordStart(SuspectAttempt attempt, boolean significant) {
     long inFlight = own.values().stream().filter(row -> row.inProgress).count();
-    if (inFlight >= MAX_IN_FLIGHT) {
+    if (inFlight >= (significant ? MAX_SIGNIFICANT_IN_FLIGHT : MAX_IN_FLIGHT)) {
       return;
     }
     OwnRow row = new OwnRow(time.monotonicMillis());
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -102,7 +102,7 @@
     ledger
         .find(attempt.fingerprint())
         .filter(suspect -> suspect.weight() > 0)
-        .ifPresent(suspect -> journal.recordStart(attempt));
+        .ifPresent(suspect -> journal.recordStart(attempt, suspect.isSignificant()));
   }
 
   /**
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/AttemptJournalTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/AttemptJournalTest.java
@@ -118,7 +118,7 @@
    */
   @Test
   public void attemptOfAKilledNodeCountsOnceItsBackendHasALaterIncarnation() {
-    journal.recordStart(ATTEMPT);
+    journal.recordStart(ATTEMPT, false);
     AttemptJournal next = newJournal(new AttemptIds("other"));
     next.update(rows());
     assertEquals(next.takeCrashed(table("i-1@1")), List.of());
@@ -148,8 +148,8 @@
   @Test
   public void aConcludedAttemptLeavesNoRow() {
     SuspectAttempt second = attempt(1);
-    journal.recordStart(ATTEMPT);
-    journal.recordStart(second);
+    journal.recordStart(ATTEMPT, false);
+    journal.recordStart(second, false);
     journal.recordConclusion(ATTEMPT, false);
     assertEquals(rows(), List.of(second), "one is still in progress");
     journal.recordConclusion(second, false);
@@ -161,8 +161,8 @@
   public void aConcludedAttemptLeavesTheRowsOfOtherNodes() {
     AttemptIds otherIds = new AttemptIds("other");
     SuspectAttempt ofOther = attempt(1, otherIds);
-    journal.recordStart(ATTEMPT);
-    newJournal(otherIds).recordStart(ofOther);
+    journal.recordStart(ATTEMPT, false);
+    newJournal(otherIds).recordStart(ofOther, false);
     journal.recordConclusion(ATTEMPT, false);
     journal.update(rows());
     assertEquals(journal.takeCrashed(table("i-1@2")), List.of(ofOther));
@@ -171,7 +171,7 @@
   @Test
   public void aRowIsRemovedOnlyAfterItsWriteIsDone() {
     rows.slow = true;
-    journal.recordStart(ATTEMPT);
+    journal.recordStart(ATTEMPT, false);
     journal.recordConclusion(ATTEMPT, false);
     assertEquals(rows.delayed.size(), 1, "the removal might otherwise reach the store first");
     rows.slow = false;
@@ -182,7 +182,7 @@
   @Test
   public void aRowThatTheStoreDidNotTakeIsWrittenLater() {
     rows.unavailable = true;
-    journal.recordStart(ATTEMPT);
+    journal.recordStart(ATTEMPT, false);
     rows.unavailable = false;
     tickFor(500, false);
     assertEquals(rows(), List.of(ATTEMPT));
@@ -245,7 +245,7 @@
 
   @Test
   public void anAttemptIsInProgressOnlyInTheProcessThatRecordedIt() {
-    journal.recordStart(ATTEMPT);
+    journal.recordStart(ATTEMPT, false);
     assertTrue(journal.isInProgress(ATTEMPT.id()));
     AttemptJournal next = newJournal(new AttemptIds("node"));
     next.update(rows());
@@ -255,7 +255,7 @@
   /** The caller had left, and the backend crashed afterwards. */
   @Test
   public void aLostAttemptIsUnresolvedUntilItsBackendHasOutlivedIt() {
-    journal.recordStart(ATTEMPT);
+    journal.recordStart(ATTEMPT, false);
     assertEquals(unresolvedBackends(0), Set.of(), "it is in progress");
     journal.recordConclusion(ATTEMPT, true);
     assertFalse(journal.isInProgress(ATTEMPT.id()));
@@ -265,7 +265,7 @@
 
   @Test
   public void anAttemptThatWasAnsweredIsResolved() {
-    journal.recordStart(ATTEMPT);
+    journal.recordStart(ATTEMPT, false);
     journal.recordConclusion(ATTEMPT, false);
     journal.update(List.of(ATTEMPT));
     assertEquals(unresolvedBackends(0), Set.of(), "the row was read before it was removed");
@@ -273,7 +273,7 @@
 
   @Test
   public void aLostAttemptStaysRecordedUntilItsBackendsFateIsKnown() {
-    journal.recordStart(ATTEMPT);
+    journal.recordStart(ATTEMPT, false);
     journal.recordConclusion(ATTEMPT, true);
     tickFor(9_000, false);
     assertEquals(rows(), List.of(ATTEMPT));
@@ -283,7 +283,7 @@
 
   @Test
   public void aRowThatTheStoreDidNotRemoveIsRemovedLater() {
-    journal.recordStart(ATTEMPT);
+    journal.recordStart(ATTEMPT, false);
     rows.unavailable = true;
     journal.recordConclusion(ATTEMPT, false);
     rows.unavailable = false;
@@ -305,8 +305,16 @@
   @Test
   public void aNodeRecordsFewAttempts() {
     for (int number = 0; number < 100; number++) {
-      journal.recordStart(attempt(number));
+      journal.recordStart(attempt(number), false);
     }
     assertEquals(rows.present.size(), 32);
   }
+
+  @Test
+  public void significantSuspectsFindRoomBesideManyOthers() {
+    for (int number = 0; number < 100; number++) {
+      journal.recordStart(attempt(number), number % 2 == 1);
+    }
+    assertEquals(rows.present.size(), 64);
+  }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
@@ -160,6 +160,20 @@
     assertCountedOnceNextIncarnationIsOnRecord();
   }
 
+  /** Other requests with one crash are retried at once, and take all the places of the journal. */
+  @Test
+  public void anAttemptIsRecordedAlthoughManyOtherSuspectsAreInFlight() {
+    for (int number = 0; number < 32; number++) {
+      witness.lose(SuspectFleet.innocent(number), "a@2");
+    }
+    fleet.run(100);
+    for (int number = 0; number < 32; number++) {
+      witness.send(SuspectFleet.innocent(number), "d@1");
+    }
+    crashAndKillWitness("c@1");
+    assertCountedOnceNextIncarnationIsOnRecord();
+  }
+
   /** A server is replaced by one with another id, at its address; its own record expires. */
   private void replaceUnderAnotherId() {
     fleet.run(DOWN_MILLIS);
