A given-up attempt is lost with later ones unless its back end is known to have outlived it

What callers saw: a request that ends servers was sent again 6 to 12 s after its third end, since its first end was never counted and no row stood for it.

Cause: an attempt that was given up counts with a connection of its server that closes within 3 s. On a loaded machine the server began it 0.9 to 1.4 s after its caller had left, and the node handled the close 3.2 to 3.5 s after it had given up. A span chosen on an idle machine stood in the place of evidence.

Change: it counts unless its back end has been known to be alive a second after it was given up, for the ten seconds for which losses are remembered.

The test that attempts given up 3.5 s before are not lost with later ones held the span and not a promise: the traces show such attempts that ended their server. It asks the same of 10.5 s now, and a test beside it asks that 3.5 s count while nothing has been heard of the back end; that one failed before.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashDetector.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashDetector.java
@@ -29,17 +29,6 @@
    */
   static final long RETENTION_MILLIS = 10_000;
 
-  /**
-   * An attempt that was given up at most this long before the connections of its backend closed may
-   * have been running at that moment: a loaded server starts an attempt half a second after its
-   * caller has disconnected, and a loaded node reads and handles a closed connection more than a
-   * second late.
-   */
-  private static final long GIVEN_UP_WINDOW_MILLIS = 3_000;
-
-  /** The same for a crash that is detected by records, which show it later than connections. */
-  private static final long GIVEN_UP_WINDOW_BY_RECORD_MILLIS = RETENTION_MILLIS;
-
   /**
    * A backend that was alive this long after an attempt was given up did not crash because of it.
    */
@@ -182,10 +171,10 @@
   }
 
   /**
-   * Returns the attempts that were given up shortly before the connections of their backend closed,
-   * and counts them as lost with those connections.
+   * Returns the attempts that were given up before the connections of their backend closed and that
+   * it is not known to have outlived, and counts them as lost with those connections.
    */
-  List<LostAttempt> takeRecentlyGivenUp(String backend, BackendTable backends, long nowMillis) {
+  List<LostAttempt> takeGivenUp(String backend, BackendTable backends, long nowMillis) {
     PendingLosses losses = pendingByBackend.get(backend);
     if (losses == null) {
       return List.of();
@@ -202,7 +191,7 @@
   private static long givenUpWindowStart(String backend, BackendTable backends, long nowMillis) {
     TrackedBackend tracked = backends.find(backend);
     long outlived = tracked == null ? 0 : tracked.lastKnownAliveMillis() - OUTLIVED_MILLIS;
-    return Math.max(nowMillis - GIVEN_UP_WINDOW_MILLIS, outlived);
+    return Math.max(nowMillis - RETENTION_MILLIS, outlived);
   }
 
   /** Returns whether another incarnation of the server has a record or responds at its address. */
@@ -313,7 +302,7 @@
                 || backends.all().stream()
                     .anyMatch(other -> other.backend().address().equals(losses.address));
         CrashEvidence evidence = replaced ? CrashEvidence.REPLACED : CrashEvidence.RECORD_GONE;
-        List<LostAttempt> lost = losses.allLost(nowMillis - GIVEN_UP_WINDOW_BY_RECORD_MILLIS);
+        List<LostAttempt> lost = losses.allLost(nowMillis - RETENTION_MILLIS);
         if (!lost.isEmpty()) {
           crashes.add(confirmCrash(backend, lost, evidence, nowMillis));
         }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashWatch.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashWatch.java
@@ -105,7 +105,7 @@
     if (attempt.isClosed()) {
       listener.onConnectionClosed(attempt);
       detector
-          .takeRecentlyGivenUp(attempt.backend(), backends.get(), time.monotonicMillis())
+          .takeGivenUp(attempt.backend(), backends.get(), time.monotonicMillis())
           .forEach(listener::onConnectionClosed);
     }
     if (probing.add(attempt.backend())) {
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashWatchTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashWatchTest.java
@@ -152,6 +152,18 @@
     time.runMillis(100);
   }
 
+  /** Nothing had been heard of the backend since the attempt was given up. */
+  @Test
+  public void anAttemptIsLostWithLaterOnesUnlessItsBackendIsKnownToHaveOutlivedIt() {
+    probeResults.add(Reachability.REFUSES);
+    watch.attemptLost(lost("left", LostAttempt.Loss.GIVEN_UP));
+    time.runMillis(3_500);
+    watch.attemptLost(lost("neighbour", LostAttempt.Loss.CLOSED));
+    time.runMillis(1);
+    assertEquals(closed, List.of("neighbour", "left"));
+    time.runMillis(100);
+  }
+
   @Test
   public void aGivenUpAttemptThatItsBackendSurvivedIsNotLostWithLaterOnes() {
     probeResults.add(Reachability.REFUSES);
@@ -168,7 +180,7 @@
   public void anAttemptGivenUpLongBeforeIsNotLostWithLaterOnes() {
     probeResults.add(Reachability.REFUSES);
     watch.attemptLost(lost("left", LostAttempt.Loss.GIVEN_UP));
-    time.runMillis(3_500);
+    time.runMillis(10_500);
     watch.attemptLost(lost("neighbour", LostAttempt.Loss.CLOSED));
     time.runMillis(100);
     assertEquals(closed, List.of("neighbour"));
