A slow scan made later proofs look newer than they were

What callers saw: no report; found by reading. A revoked API key is trusted for nine tenths of its bound after the last proof. A node whose clock of the store runs too late counts each proof as newer, and so trusts the key longer.

Cause: a scan recorded the store's time minus the elapsed time as the proof's time by the store, and the time at which the scan was sent as the proof's local time. The store's time was that of the last response, so where a response was in transit for some time, the first of the two was earlier than the second by that time. Nodes that read their changes from such a copy set the offset of the store's clock from that pair, and keep the greatest offset for 5 to 10 minutes. The pair is in use until the copy has its next proof: on a relay that has just started to serve, until its first poll returns (the poll waits up to store.wait).

Evidence: the new test lets a response travel for 300 ms; before this change it failed with "proof dated 309 ms too late". That a node has done this in a deployment is not shown.

Why this works: the proof is now dated by the clock in the first response, which the store read after the scan was sent, so the local time is never later than the store's. The first response is also the one whose version the copy claims to hold all changes up to.

--- a/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
@@ -288,14 +288,14 @@
 
   private void scan() {
     callOpen = true;
-    scanFrom(null, new HashMap<>(), time.monotonicMillis(), 0);
+    scanFrom(null, new HashMap<>(), time.monotonicMillis(), null);
   }
 
   private void scanFrom(
       @Nullable String fromKey,
       Map<String, TableRowChange> collected,
       long startedAtMillis,
-      long startVersion) {
+      @Nullable TablePage firstPage) {
     if (closed) {
       return;
     }
@@ -312,28 +312,25 @@
               sources.clock().observe(page.storeMillis(), sentAtMillis);
               page.rows().forEach(row -> collected.put(row.key(), row));
               // Changes during the scan are polled again, from the version of the first page on.
-              long since = fromKey == null ? page.version() : startVersion;
+              TablePage first = firstPage == null ? page : firstPage;
               if (page.more() && !page.rows().isEmpty()) {
                 String next = page.rows().get(page.rows().size() - 1).key() + '\0';
-                scanFrom(next, collected, startedAtMillis, since);
+                scanFrom(next, collected, startedAtMillis, first);
               } else {
-                onScanned(collected, since, startedAtMillis, page.storeMillis());
+                onScanned(collected, first, startedAtMillis);
               }
             },
             eventLoop);
   }
 
   private void onScanned(
-      Map<String, TableRowChange> collected,
-      long sinceVersion,
-      long startedAtMillis,
-      long storeMillis) {
+      Map<String, TableRowChange> collected, TablePage first, long startedAtMillis) {
     failures = 0;
     callOpen = false;
-    copy.replace(collected, sinceVersion);
-    readUpTo = Math.max(readUpTo, sinceVersion);
-    long elapsed = time.monotonicMillis() - startedAtMillis;
-    recordProof(storeMillis - elapsed, startedAtMillis, true);
+    copy.replace(collected, first.version());
+    readUpTo = Math.max(readUpTo, first.version());
+    // The store read its clock after the scan was sent, so the proof is dated no later than it was.
+    recordProof(first.storeMillis(), startedAtMillis, true);
     readNext();
   }
 
--- a/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
@@ -32,9 +32,11 @@
     final Deque<CompletableFuture<TablePage>> scans = new ArrayDeque<>();
     final Deque<CompletableFuture<TablePage>> changes = new ArrayDeque<>();
     final List<String> calls = new ArrayList<>();
+    long scannedAtMillis;
 
     @Override
     public synchronized CompletableFuture<TablePage> scan(String table, @Nullable String fromKey) {
+      scannedAtMillis = SystemTime.instance().monotonicMillis();
       calls.add("scan " + (fromKey == null ? "start" : fromKey.replace('\0', '+')));
       return scans.isEmpty() ? new CompletableFuture<>() : scans.poll();
     }
@@ -241,4 +243,25 @@
     assertEquals(nextCopy(), Map.of("a", "new"));
     assertEquals(nextCopy(), Map.of("a", "new", "b", "1"));
   }
+
+  /** The pair of times sets the offset of the store's clock at nodes that read from this copy. */
+  @Test
+  public void aSlowScanDoesNotDateTheStoresClockTooLate() throws InterruptedException {
+    long storeOffset = 5_000;
+    CompletableFuture<TablePage> response = new CompletableFuture<>();
+    feed.scans.add(response);
+    TableFollower follower = follow(false);
+    eventLoop.schedule(
+        () -> {
+          long storeMillis = feed.scannedAtMillis + storeOffset;
+          response.complete(new TablePage(List.of(row("a", "1", 1)), false, 5, storeMillis));
+        },
+        300,
+        TimeUnit.MILLISECONDS);
+    nextCopy();
+    long provenAtByStore = follower.proof().storeMillis() - storeOffset;
+    assertTrue(
+        follower.provenAtMillis() <= provenAtByStore,
+        "proof dated " + (follower.provenAtMillis() - provenAtByStore) + " ms too late");
+  }
 }
