A relay that sends heartbeats but no changes kept a node from the other relay

What callers saw: not shown in a deployment; found by reading, while looking for how a node may act on a configuration 3.4 s old beside two relays. A node in this state keeps serving by its copy, without a bound for requests without a key, and until nine tenths of the revocation bound for those with one.

Cause: while a read from a relay was in progress, announcements of other relays were dropped. A read times out after 600 ms, and relays send heartbeats each 500 ms. Where the heartbeats of the second relay came up to 100 ms after those of the first one, all of them fell into reads from the first one: the next announcement after each timeout was the first one's again, which the node read again. Marking the first relay as unresponsive does not end this, since that only concerns placement and the election.

Evidence: the new test announces changes by one relay, which does not answer, and by another one meanwhile.

Why this works: the follower remembers the latest other relay that announced changes during a read, and reads from it as soon as that read fails. The wait for a relay that does not answer is then one timeout, whatever the phases.

--- a/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -76,6 +77,7 @@
   private final Time time;
   private final Listener listener;
   private final TableCopy copy = new TableCopy();
+  private final RelayReads relayReads = new RelayReads();
   private long readUpTo;
   private long provenStoreMillis;
   private long provenAtMillis = NEVER;
@@ -83,7 +85,6 @@
   private int failures;
   private boolean following;
   private boolean callOpen;
-  private boolean peerCallOpen;
   private volatile boolean closed;
 
   /**
@@ -164,22 +165,21 @@
    * Processes a proof announced by a relay, and reads the changes that this copy lacks from that
    * relay. Must be called on the event loop.
    *
-   * @return false if reading from the relay failed; true otherwise, also if the announcement was
-   *     ignored, as while a read from a relay is in progress
+   * @return false if reading from the relay failed; true otherwise, also if nothing was read, as
+   *     while a read from a relay is in progress
    */
   public CompletableFuture<Boolean> onProofAnnounced(InetSocketAddress relay, TableProof proof) {
-    if (proof.lastChange() < 0 || peerCallOpen || closed) {
-      return CompletableFuture.completedFuture(true);
+    boolean usable = proof.lastChange() >= 0 && !closed;
+    if (usable && proof.lastChange() > copy.lastChange()) {
+      return relayReads.begin(relay) ? readFrom(relay) : CompletableFuture.completedFuture(true);
     }
-    if (proof.lastChange() > copy.lastChange()) {
-      return readFrom(relay);
+    if (usable && !relayReads.inProgress()) {
+      recordProof(proof.storeMillis(), sources.clock().localMillis(proof.storeMillis()), false);
     }
-    recordProof(proof.storeMillis(), sources.clock().localMillis(proof.storeMillis()), false);
     return CompletableFuture.completedFuture(true);
   }
 
   private CompletableFuture<Boolean> readFrom(InetSocketAddress relay) {
-    peerCallOpen = true;
     return readFrom(relay, copy.lastChange())
         .exceptionallyComposeAsync(
             failure ->
@@ -191,11 +191,12 @@
   }
 
   private boolean onReadFromRelay(InetSocketAddress relay, @Nullable Throwable failure) {
-    peerCallOpen = false;
+    Optional<InetSocketAddress> alternative = relayReads.end(failure != null);
     if (failure != null) {
       Logger.info(
           "event=relay-failed table={} relay={} cause=\"{}\"", table, relay, failure.getMessage());
     }
+    alternative.ifPresent(this::readFrom);
     return failure == null;
   }
 
--- a/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
@@ -53,10 +53,12 @@
 
   private ScriptedFeed feed;
   private final List<Long> peerCalls = new ArrayList<>();
+  private final List<InetSocketAddress> peerAddresses = new ArrayList<>();
   private final Deque<CompletableFuture<TablePeers.Response>> peerResponses = new ArrayDeque<>();
   private final TablePeers peers =
       (peer, table, afterChange) -> {
         peerCalls.add(afterChange);
+        peerAddresses.add(peer);
         return peerResponses.poll();
       };
   private StoreClock clock;
@@ -71,6 +73,7 @@
     feed = new ScriptedFeed();
     copies = new LinkedBlockingQueue<>();
     peerCalls.clear();
+    peerAddresses.clear();
     peerResponses.clear();
   }
 
@@ -264,4 +267,26 @@
         follower.provenAtMillis() <= provenAtByStore,
         "proof dated " + (follower.provenAtMillis() - provenAtByStore) + " ms too late");
   }
+
+  /** A relay that sends heartbeats but no changes must not keep a node from reading another one. */
+  @Test
+  public void changesAreReadFromAnotherRelayIfTheFirstOneFails() throws Exception {
+    feed.scans.add(page(false, 5, row("a", "1", 1)));
+    TableFollower follower = follow(false);
+    nextCopy();
+    TableProof proof = new TableProof("table", 7, 1_000);
+    CompletableFuture<TablePeers.Response> unanswered = new CompletableFuture<>();
+    peerResponses.add(unanswered);
+    CompletableFuture<Boolean> first =
+        eventLoop.submit(() -> follower.onProofAnnounced(RELAY, proof)).get();
+    TableChanges changes = new TableChanges(false, 7, List.of(row("b", "2", 7)));
+    peerResponses.add(
+        CompletableFuture.completedFuture(new TablePeers.Response(changes, 1_100, 3)));
+    InetSocketAddress other = new InetSocketAddress("127.0.0.1", 2);
+    eventLoop.submit(() -> follower.onProofAnnounced(other, proof)).get();
+    unanswered.completeExceptionally(new IllegalStateException("no reply"));
+    assertFalse(first.get(10, TimeUnit.SECONDS));
+    assertEquals(nextCopy(), Map.of("a", "1", "b", "2"));
+    assertEquals(peerAddresses, List.of(RELAY, other));
+  }
 }
