A request that waited for its admission was not bounded by its route's timeout

What callers saw: not shown in a deployment.

Cause: the timer for the route's timeout starts when the tenant's limit has been checked. The check runs on the control event loop, which answers within 160 ms if it runs; while it is held up, a request with a limited tenant waits without a timer, however long that takes, although the event loop of its connection could answer.

Why this works: the step waits for the decision until the request's deadline on the event loop of the connection, and then refuses the request as it does when no relay decides. A grant that comes later is refunded, since the request never runs.

--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -126,7 +126,7 @@
     this.startWaitMillis = limits.startWait().toMillis();
     this.time = time;
     this.waits = new PoolWaits(time);
-    this.tenantLimits = new TenantLimitStep(limiter);
+    this.tenantLimits = new TenantLimitStep(limiter, time);
     this.filters =
         List.of(
             new PhaseFilter(blackboard.phase()),
--- a/gateway/src/main/java/org/lockdale/gateway/request/TenantLimitStep.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/TenantLimitStep.java
@@ -1,6 +1,10 @@
 package org.lockdale.gateway.request;
 
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.configuration.Tenant;
 import org.lockdale.gateway.configuration.TenantLimit;
 import org.lockdale.gateway.limit.Admission;
@@ -18,9 +22,11 @@
   private static final long UNKNOWN_RETRY_AFTER_MILLIS = 300;
 
   private final TenantLimiter limiter;
+  private final Time time;
 
-  TenantLimitStep(TenantLimiter limiter) {
+  TenantLimitStep(TenantLimiter limiter, Time time) {
     this.limiter = limiter;
+    this.time = time;
   }
 
   /**
@@ -38,13 +44,38 @@
       return;
     }
     double amount = limit.amountOf(state.request.tokens());
-    limiter
-        .admit(tenant.name(), limit, amount)
+    admit(state, tenant.name(), limit, amount)
         .thenAcceptAsync(
             admission -> complete(state, admission, onAdmitted, onRefused),
             state.exchange.eventLoop());
   }
 
+  /**
+   * Returns the limiter's decision, or {@link Admission.Unknown} if there is none by the request's
+   * deadline. The limiter runs on another event loop, which may be held up.
+   */
+  private CompletableFuture<Admission> admit(
+      RequestState state, String tenant, TenantLimit limit, double amount) {
+    CompletableFuture<Admission> decision = new CompletableFuture<>();
+    long remaining = Math.max(0, state.deadlineAtMillis() - time.monotonicMillis());
+    ScheduledFuture<?> timeout =
+        state
+            .exchange
+            .eventLoop()
+            .schedule(
+                () -> decision.complete(new Admission.Unknown()), remaining, TimeUnit.MILLISECONDS);
+    limiter
+        .admit(tenant, limit, amount)
+        .thenAccept(
+            admission -> {
+              timeout.cancel(false);
+              if (!decision.complete(admission) && admission instanceof Admission.Granted late) {
+                limiter.refund(late);
+              }
+            });
+    return decision;
+  }
+
   private static void complete(
       RequestState state, Admission admission, Runnable onAdmitted, Consumer<Refusal> onRefused) {
     if (admission instanceof Admission.Granted granted) {
