--- a/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -76,6 +77,7 @@
   private final Time time;
   private final Listener listener;
   private final TableCopy copy = new TableCopy();
+  private final RelayReads relayReads = new RelayReads();
   private long readUpTo;
   private long provenStoreMillis;
   private long provenAtMillis = NEVER;
@@ -83,7 +85,6 @@
   private int failures;
   private boolean following;
   private boolean callOpen;
-  private boolean peerCallOpen;
   private volatile boolean closed;
 
   /**
@@ -164,22 +165,21 @@
    * Processes a proof announced by a relay, and reads the changes that this copy lacks from that
    * relay. Must be called on the event loop.
    *
-   * @return false if reading from the relay failed; true otherwise, also if the announcement was
-   *     ignored, as while a read from a relay is in progress
+   * @return false if reading from the relay failed; true otherwise, also if nothing was read, as
+   *     while a read from a relay is in progress
    */
   public CompletableFuture<Boolean> onProofAnnounced(InetSocketAddress relay, TableProof proof) {
-    if (proof.lastChange() < 0 || peerCallOpen || closed) {
-      return CompletableFuture.completedFuture(true);
+    boolean usable = proof.lastChange() >= 0 && !closed;
+    if (usable && proof.lastChange() > copy.lastChange()) {
+      return relayReads.begin(relay) ? readFrom(relay) : CompletableFuture.completedFuture(true);
     }
-    if (proof.lastChange() > copy.lastChange()) {
-      return readFrom(relay);
+    if (usable && !relayReads.inProgress()) {
+      recordProof(proof.storeMillis(), sources.clock().localMillis(proof.storeMillis()), false);
     }
-    recordProof(proof.storeMillis(), sources.clock().localMillis(proof.storeMillis()), false);
     return CompletableFuture.completedFuture(true);
   }
 
   private CompletableFuture<Boolean> readFrom(InetSocketAddress relay) {
-    peerCallOpen = true;
     return readFrom(relay, copy.lastChange())
         .exceptionallyComposeAsync(
             failure ->
@@ -191,11 +191,12 @@
   }
 
   private boolean onReadFromRelay(InetSocketAddress relay, @Nullable Throwable failure) {
-    peerCallOpen = false;
+    Optional<InetSocketAddress> alternative = relayReads.end(failure != null);
     if (failure != null) {
       Logger.info(
           "event=relay-failed table={} relay={} cause=\"{}\"", table, relay, failure.getMessage());
     }
+    alternative.ifPresent(this::readFrom);
     return failure == null;
   }
 
@@ -288,14 +289,14 @@
 
   private void scan() {
     callOpen = true;
-    scanFrom(null, new HashMap<>(), time.monotonicMillis(), 0);
+    scanFrom(null, new HashMap<>(), time.monotonicMillis(), null);
   }
 
   private void scanFrom(
       @Nullable String fromKey,
       Map<String, TableRowChange> collected,
       long startedAtMillis,
-      long startVersion) {
+      @Nullable TablePage firstPage) {
     if (closed) {
       return;
     }
@@ -312,28 +313,25 @@
               sources.clock().observe(page.storeMillis(), sentAtMillis);
               page.rows().forEach(row -> collected.put(row.key(), row));
               // Changes during the scan are polled again, from the version of the first page on.
-              long since = fromKey == null ? page.version() : startVersion;
+              TablePage first = firstPage == null ? page : firstPage;
               if (page.more() && !page.rows().isEmpty()) {
                 String next = page.rows().get(page.rows().size() - 1).key() + '\0';
-                scanFrom(next, collected, startedAtMillis, since);
+                scanFrom(next, collected, startedAtMillis, first);
               } else {
-                onScanned(collected, since, startedAtMillis, page.storeMillis());
+                onScanned(collected, first, startedAtMillis);
               }
             },
             eventLoop);
   }
 
   private void onScanned(
-      Map<String, TableRowChange> collected,
-      long sinceVersion,
-      long startedAtMillis,
-      long storeMillis) {
+      Map<String, TableRowChange> collected, TablePage first, long startedAtMillis) {
     failures = 0;
     callOpen = false;
-    copy.replace(collected, sinceVersion);
-    readUpTo = Math.max(readUpTo, sinceVersion);
-    long elapsed = time.monotonicMillis() - startedAtMillis;
-    recordProof(storeMillis - elapsed, startedAtMillis, true);
+    copy.replace(collected, first.version());
+    readUpTo = Math.max(readUpTo, first.version());
+    // The store read its clock after the scan was sent, so the proof is dated no later than it was.
+    recordProof(first.storeMillis(), startedAtMillis, true);
     readNext();
   }
 
