A closed server's port is released before close returns

Seen: HttpClientTest.aProbeTellsWhetherAProcessListens found UNKNOWN or CLOSES for REFUSES right after HttpServer.close.

Cause: closing a channel that is registered with a selector only cancels its key. The JDK keeps the socket open until the selector deregisters the channel in its next selection; Netty completes the close at once. Until that selection the system accepts connections, which the release then resets.

Why it works: close asks on the listener's event loop, the only thread that selects, whether the channel is still registered, and returns once it isn't. On that loop itself it doesn't wait, and says so; a loop that has ended has closed its selector. A test each covers both.

--- a/http/src/main/java/org/lockdale/http/HttpServer.java
+++ b/http/src/main/java/org/lockdale/http/HttpServer.java
@@ -11,7 +11,6 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
@@ -40,10 +39,11 @@
   private static final int RESERVE_DIVISOR = 8;
 
   private final HttpServerSettings settings;
-  private final Channel listener;
+  private final ListenerChannel listener;
   private final ChannelGroup connections;
 
-  private HttpServer(HttpServerSettings settings, Channel listener, ChannelGroup connections) {
+  private HttpServer(
+      HttpServerSettings settings, ListenerChannel listener, ChannelGroup connections) {
     this.settings = settings;
     this.listener = listener;
     this.connections = connections;
@@ -63,7 +63,7 @@
     ChannelGroup connections = newConnectionGroup();
     ServerBootstrap bootstrap =
         bootstrap(settings, group, handler, connections)
-            .channel(NioServerSocketChannel.class)
+            .channelFactory(ListenerChannel::new)
             .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true);
     return awaitListening(settings, bootstrap.bind(settings.listenAddress()), connections);
@@ -87,7 +87,7 @@
     ChannelGroup connections = newConnectionGroup();
     ServerBootstrap bootstrap =
         bootstrap(settings, group, handler, connections)
-            .channelFactory(() -> new NioServerSocketChannel(listener.channel()));
+            .channelFactory(() -> new ListenerChannel(listener.channel()));
     return awaitListening(settings, bootstrap.register(), connections);
   }
 
@@ -129,12 +129,12 @@
     if (!listening.isSuccess()) {
       throw new HttpBindException(settings.listenAddress(), listening.cause());
     }
-    return new HttpServer(settings, listening.channel(), connections);
+    return new HttpServer(settings, (ListenerChannel) listening.channel(), connections);
   }
 
   /** Returns the address that was bound. */
   public InetSocketAddress address() {
-    return (InetSocketAddress) listener.localAddress();
+    return listener.localAddress();
   }
 
   /** Returns the number of open connections. */
@@ -148,9 +148,13 @@
     return listener.isOpen() && connections.size() < limit - limit / RESERVE_DIVISOR;
   }
 
-  /** Stops accepting connections; open ones stay open. */
+  /**
+   * Stops accepting connections; open ones stay open. Once this method has returned, the port is
+   * released and connections are refused. If it is called on the listener's event loop, that is so
+   * only after the loop's next selection.
+   */
   public void stopAccepting() {
-    listener.close().awaitUninterruptibly();
+    listener.closeAndAwaitRelease();
   }
 
   /** Closes the open connections, as a network fault would; new ones are still accepted. */
@@ -173,7 +177,7 @@
     }
   }
 
-  /** Stops accepting connections and closes the open ones. */
+  /** Stops accepting connections as {@link #stopAccepting} does, and closes the open ones. */
   @Override
   public void close() {
     stopAccepting();
--- a/http/src/test/java/org/lockdale/http/HttpServerTest.java
+++ b/http/src/test/java/org/lockdale/http/HttpServerTest.java
@@ -2,14 +2,17 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -20,11 +23,14 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Tests which requests a server passes to its handler. */
+/** Tests which requests a server passes to its handler, and how it closes. */
 public final class HttpServerTest {
 
   private static final int TIMEOUT_MILLIS = 10_000;
 
+  /** Number of closes, since a port that is released late accepts only some connections. */
+  private static final int CLOSE_ROUNDS = 2_000;
+
   private CountDownLatch unblock;
   private CountDownLatch blocked;
   private List<String> handled;
@@ -37,9 +43,12 @@
     blocked = new CountDownLatch(1);
     handled = new CopyOnWriteArrayList<>();
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    server = startServer();
+  }
+
+  private HttpServer startServer() {
     InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-    server =
-        HttpServer.start(HttpServerSettings.forAddress(anyPort), group, new RecordingHandler());
+    return HttpServer.start(HttpServerSettings.forAddress(anyPort), group, new RecordingHandler());
   }
 
   @AfterMethod(alwaysRun = true)
@@ -77,7 +86,12 @@
   }
 
   private Socket send(String path) throws IOException {
-    Socket connection = new Socket(server.address().getAddress(), server.address().getPort());
+    return send(server, path);
+  }
+
+  private static Socket send(HttpServer receiver, String path) throws IOException {
+    InetSocketAddress address = receiver.address();
+    Socket connection = new Socket(address.getAddress(), address.getPort());
     connection.setSoTimeout(TIMEOUT_MILLIS);
     String request = "GET " + path + " HTTP/1.1\r\nHost: server\r\n\r\n";
     connection.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
@@ -114,9 +128,7 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     // Connections alternate between two event loops; the listener runs on that of the second.
     group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
-    InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-    server =
-        HttpServer.start(HttpServerSettings.forAddress(anyPort), group, new RecordingHandler());
+    server = startServer();
     try (Socket blocking = send("/block")) {
       await(blocked);
       try (Socket served = send("/served");
@@ -145,4 +157,53 @@
     }
     assertEquals(handled, List.of("/first", "/second"));
   }
+
+  private static boolean isRefused(InetSocketAddress address) throws IOException {
+    try (Socket connection = new Socket()) {
+      // From the same address, the system could choose the same port and connect it to itself.
+      connection.bind(new InetSocketAddress("127.0.0.2", 0));
+      connection.connect(address);
+      return false;
+    } catch (ConnectException refused) {
+      return refused.getMessage().contains("refused");
+    } catch (SocketException reset) {
+      return false;
+    }
+  }
+
+  /** The selector of the event loop releases the port of a closed listener later. */
+  @Test
+  public void everyConnectionAfterAServerHasClosedIsRefused() throws IOException {
+    int notRefused = 0;
+    for (int round = 0; round < CLOSE_ROUNDS; round++) {
+      HttpServer closed = startServer();
+      InetSocketAddress address = closed.address();
+      closed.close();
+      if (!isRefused(address)) {
+        notRefused++;
+      }
+    }
+    assertEquals(notRefused, 0, "of " + CLOSE_ROUNDS);
+  }
+
+  @Test(timeOut = 60_000)
+  public void closingAServerOnItsOwnEventLoopDoesNotBlockTheLoop() throws Exception {
+    InetSocketAddress address = server.address();
+    group.submit(server::close).get();
+    HttpServer another = startServer();
+    // The event loop has selected since then, because it has served a request.
+    try (Socket connection = send(another, "/")) {
+      assertEquals(connection.getInputStream().read(), 'H');
+    }
+    assertTrue(isRefused(address));
+    another.close();
+  }
+
+  @Test(timeOut = 60_000)
+  public void closingAServerWhoseEventLoopsHaveEndedReturns() throws Exception {
+    InetSocketAddress address = server.address();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
+    server.close();
+    assertTrue(isRefused(address));
+  }
 }
