--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -5,6 +5,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
+import java.io.Closeable;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -33,8 +35,8 @@
 import org.lockdale.settings.Setting;
 import org.tinylog.Logger;
 
-/** A gateway node. Creates its services and HTTP servers, and stops them as planned. */
-public final class GatewayNode {
+/** A gateway node. Creates its services and HTTP servers, and stops them as planned or at once. */
+public final class GatewayNode implements Closeable {
 
   /** Time within which load balancers notice that the node reports itself as not ready. */
   private static final long READINESS_NOTICE_MILLIS = 2_500;
@@ -67,6 +69,7 @@
   private final GatewayBlackboard blackboard = GatewayBlackboard.empty();
   private final Time time = SystemTime.instance();
   private final EventLoopGroup group;
+  private final EventLoopGroup controlGroup;
   private final EventLoop controlLoop;
   private final RequestPath path;
   private final HttpServer callers;
@@ -83,7 +86,7 @@
       long startedAtMillis) {
     this.settings = settings;
     group = eventLoops("requests", settings.get(GatewaySettings.THREADS));
-    EventLoopGroup controlGroup = eventLoops("control", 1);
+    controlGroup = eventLoops("control", 1);
     controlLoop = controlGroup.next();
     HttpClient backendClient = new HttpClient(group, settings.get(GatewaySettings.CONNECT_TIMEOUT));
     HttpClient controlClient =
@@ -273,6 +276,20 @@
         () -> checkStopped(startedAtMillis), STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Stops at once, as if the process were killed: ends the event loops, which closes all ports and
+   * connections. Nothing is announced, and open requests are cut off. Must not be called on an
+   * event loop of the node.
+   */
+  @Override
+  public void close() {
+    Future<?> controlEnded = controlGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    controlEnded.awaitUninterruptibly();
+    stopped.complete(null);
+    Logger.info("event=closed node={}", settings.get(GatewaySettings.NODE_ID));
+  }
+
   /**
    * Returns whether a planned stop has reached its last phase, in which new requests are rejected.
    */
