A row that the store did not take is written again after half a second, not at each look

By reading: while the store turns calls away at once, each attempt of a suspect in progress cost four calls a second, and calls are priced.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
@@ -46,6 +46,9 @@
    */
   private static final long UNCERTAIN_RETENTION_MILLIS = 10_000;
 
+  /** Delay before a row that the store did not take is written again. */
+  private static final long RETRY_MILLIS = 500;
+
   /** How long a row is kept if its node does not remove it. */
   private static final long ORPHAN_RETENTION_MILLIS = 30_000;
 
@@ -70,6 +73,7 @@
     private boolean inProgress = true;
     private boolean written;
     private boolean writing;
+    private long writeAgainAtMillis;
 
     /** Whether the backend may have crashed because of the attempt. */
     private boolean uncertain;
@@ -132,6 +136,7 @@
             (done, failure) -> {
               row.writing = false;
               row.written = failure == null;
+              row.writeAgainAtMillis = time.monotonicMillis() + RETRY_MILLIS;
               removeDue();
             },
             eventLoop);
@@ -311,15 +316,16 @@
    * @param coordinator whether this node removes rows that other nodes have left behind
    */
   void tick(boolean coordinator) {
+    long now = time.monotonicMillis();
     for (Map.Entry<SuspectAttempt, OwnRow> each : List.copyOf(own.entrySet())) {
       OwnRow row = each.getValue();
-      if (row.inProgress && !row.written && !row.writing) {
+      boolean unwritten = !row.written && !row.writing && now >= row.writeAgainAtMillis;
+      if (row.inProgress && unwritten) {
         write(each.getKey(), row);
       }
     }
     removeDue();
     if (coordinator) {
-      long now = time.monotonicMillis();
       for (Map.Entry<SuspectAttempt, ForeignAttempt> each : List.copyOf(foreign.entrySet())) {
         if (now - each.getValue().readAtMillis() >= ORPHAN_RETENTION_MILLIS) {
           remove(each.getKey());
