An attempt whose crash its own node reports is not counted by others as well

Cause: the row of an attempt names the incarnation that its node believed in, the report of a closed connection the one that it ran on. Where these differ, one crash counted twice: by the report, and by the row, which stood for ten seconds more.

Change: a node tells for each attempt what it knows of its outcome (AttemptOutcome). One that it reports itself is its own matter while it runs: its row goes after 2.5 s, and others count it only if the node no longer has it. One that it gave up is unresolved, as before. An end counts at once if its attempt is not in progress, after a second if its node has not answered, after three if it says that it goes on (it may run on the next incarnation).

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
@@ -44,7 +44,10 @@
    * How long the row of a lost attempt is kept. The attempt may have been running when its backend
    * crashed; after this time it is known whether the backend crashed.
    */
-  private static final long UNCERTAIN_RETENTION_MILLIS = 10_000;
+  private static final long UNKNOWN_RETENTION_MILLIS = 10_000;
+
+  /** The same if its node has reported it; the record of the suspect is written by then. */
+  private static final long REPORTED_RETENTION_MILLIS = 2_500;
 
   /** Delay before a row that the store did not take is written again. */
   private static final long RETRY_MILLIS = 500;
@@ -75,8 +78,7 @@
     private boolean writing;
     private long writeAgainAtMillis;
 
-    /** Whether the backend may have crashed because of the attempt. */
-    private boolean uncertain;
+    private AttemptOutcome outcome = AttemptOutcome.NOT_LOST;
 
     /** Monotonic time at which the attempt started, or was concluded if it has been. */
     private long sinceMillis;
@@ -86,8 +88,19 @@
     }
 
     boolean isDue(long nowMillis) {
-      long retention = uncertain ? UNCERTAIN_RETENTION_MILLIS : 0;
-      return !inProgress && !writing && nowMillis - sinceMillis >= retention;
+      return !inProgress && !writing && nowMillis - sinceMillis >= retentionMillis();
+    }
+
+    private long retentionMillis() {
+      return switch (outcome) {
+        case NOT_LOST -> 0;
+        case REPORTED -> REPORTED_RETENTION_MILLIS;
+        case UNKNOWN -> UNKNOWN_RETENTION_MILLIS;
+      };
+    }
+
+    boolean isUnknown() {
+      return outcome == AttemptOutcome.UNKNOWN;
     }
   }
 
@@ -142,26 +155,22 @@
             eventLoop);
   }
 
-  /**
-   * Records that an attempt has been concluded.
-   *
-   * @param uncertain whether its backend may have crashed because of it
-   */
-  void recordConclusion(SuspectAttempt attempt, boolean uncertain) {
+  /** Records that an attempt has been concluded. */
+  void recordConclusion(SuspectAttempt attempt, AttemptOutcome outcome) {
     OwnRow row = own.get(attempt);
     if (row == null || !row.inProgress) {
       return;
     }
     row.inProgress = false;
-    row.uncertain = uncertain;
+    row.outcome = outcome;
     row.sinceMillis = time.monotonicMillis();
     removeDue();
   }
 
-  /** Returns whether an attempt of this process is in progress, or was concluded without a loss. */
+  /** Returns whether this process has an attempt on record and accounts for its outcome. */
   boolean isInProgress(String id) {
     return own.entrySet().stream()
-        .anyMatch(each -> each.getKey().id().equals(id) && !each.getValue().uncertain);
+        .anyMatch(each -> each.getKey().id().equals(id) && !each.getValue().isUnknown());
   }
 
   /** Processes all rows of the store. */
@@ -179,8 +188,8 @@
   }
 
   /**
-   * Asks the nodes that recorded attempts of some requests whether these are still in progress,
-   * those first that have waited longest.
+   * Asks the nodes that recorded attempts of some requests, or on backends that have ended, whether
+   * these are still in progress, those first that have waited longest.
    *
    * @param requests the requests
    * @param owners the other nodes
@@ -190,7 +199,9 @@
     long now = time.monotonicMillis();
     long asking = foreign.values().stream().filter(ForeignAttempt::isAsking).count();
     foreign.entrySet().stream()
-        .filter(each -> requests.contains(each.getKey().fingerprint()))
+        .filter(
+            each ->
+                requests.contains(each.getKey().fingerprint()) || each.getValue().hasUncountedEnd())
         .filter(each -> !ids.isOfThisNode(each.getKey().id()))
         .filter(each -> !each.getValue().isAsking() && each.getValue().askAtMillis() <= now)
         .sorted(Comparator.comparingLong(each -> each.getValue().askAtMillis()))
@@ -240,7 +251,7 @@
     long now = time.monotonicMillis();
     own.forEach(
         (attempt, row) -> {
-          if (row.uncertain
+          if (row.isUnknown()
               && !hasOutlived(attempt.backend(), row.sinceMillis, lastAliveAtMillis)) {
             add(attempt, row.sinceMillis, unresolved);
           }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/ForeignAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/ForeignAttempt.java
@@ -15,8 +15,16 @@
   /** The same while the attempt is not known to be in progress. */
   private static final long ASK_AGAIN_INTERVAL_MILLIS = 2_000;
 
-  /** Time that a node has to report the crash of a backend which ran its attempt. */
-  private static final long REPORT_MILLIS = 500;
+  /**
+   * Time after the end of its backend after which an attempt counts if its node hasn't answered.
+   */
+  private static final long ANSWER_MILLIS = 1_000;
+
+  /**
+   * The same if its node has answered since that it is in progress: it may run on the next
+   * incarnation, or something holds its connection open.
+   */
+  private static final long CONFIRMED_MILLIS = 3_000;
 
   private static final long NEVER = Long.MAX_VALUE / 2;
 
@@ -26,6 +34,7 @@
   private long askAtMillis;
   private boolean asking;
   private long endedAtMillis = NEVER;
+  private boolean confirmedSinceEnd;
   private boolean reported;
 
   /**
@@ -77,6 +86,7 @@
    */
   boolean recordAnswer(boolean nowInProgress, long nowMillis) {
     asking = false;
+    confirmedSinceEnd = nowInProgress && endedAtMillis <= nowMillis;
     askAtMillis = nowMillis + (nowInProgress ? ASK_INTERVAL_MILLIS : ASK_AGAIN_INTERVAL_MILLIS);
     if (nowInProgress || inProgress) {
       unknownSinceMillis = nowMillis;
@@ -91,10 +101,15 @@
     endedAtMillis = Math.min(endedAtMillis, nowMillis);
   }
 
+  /** Returns whether its backend has ended and it doesn't count as a crash yet. */
+  boolean hasUncountedEnd() {
+    return endedAtMillis < NEVER && !reported;
+  }
+
   /** Returns, once, whether it counts as a crash of its backend, which its node hasn't reported. */
   boolean takeCrash(long nowMillis) {
-    boolean counts =
-        endedAtMillis <= nowMillis && (!inProgress || nowMillis - endedAtMillis >= REPORT_MILLIS);
+    long wait = !inProgress ? 0 : confirmedSinceEnd ? CONFIRMED_MILLIS : ANSWER_MILLIS;
+    boolean counts = nowMillis - endedAtMillis >= wait;
     boolean isNew = counts && !reported;
     reported |= counts;
     return isNew;
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -112,10 +112,10 @@
    * Reports that an attempt has been concluded; from any thread.
    *
    * @param attempt the attempt
-   * @param uncertain whether it was lost, so that its backend may have crashed because of it
+   * @param outcome what is known of its outcome
    */
-  public void attemptConcluded(SuspectAttempt attempt, boolean uncertain) {
-    context.eventLoop().execute(() -> journal.recordConclusion(attempt, uncertain));
+  public void attemptConcluded(SuspectAttempt attempt, AttemptOutcome outcome) {
+    context.eventLoop().execute(() -> journal.recordConclusion(attempt, outcome));
   }
 
   /** Reports a lost attempt; from any thread. */
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
@@ -1,6 +1,7 @@
 package org.lockdale.gateway.request;
 
 import org.jspecify.annotations.Nullable;
+import org.lockdale.gateway.quarantine.AttemptOutcome;
 import org.lockdale.gateway.quarantine.LostAttempt;
 import org.lockdale.gateway.quarantine.SuspectAttempt;
 import org.tinylog.Logger;
@@ -24,7 +25,7 @@
 
   /** Reports an attempt to the quarantine. Must be called just before it is sent. */
   void onSending(Attempt attempt) {
-    concludeRecorded(false);
+    concludeRecorded(AttemptOutcome.NOT_LOST);
     String backend = attempt.target().backend().id();
     recordedAttempt =
         path.quarantine().attemptStarting(state.request, state.caller(), backend).orElse(null);
@@ -32,14 +33,14 @@
 
   /** Concludes the recorded suspect attempt, if any. Must be called when the request has ended. */
   void onRequestEnded() {
-    concludeRecorded(false);
+    concludeRecorded(AttemptOutcome.NOT_LOST);
   }
 
-  private void concludeRecorded(boolean mayHaveCrashed) {
+  private void concludeRecorded(AttemptOutcome outcome) {
     SuspectAttempt attempt = recordedAttempt;
     if (attempt != null) {
       recordedAttempt = null;
-      path.quarantine().attemptConcluded(attempt, mayHaveCrashed);
+      path.quarantine().attemptConcluded(attempt, outcome);
     }
   }
 
@@ -65,7 +66,7 @@
     if (loss != null) {
       onLost(attempt, loss);
     }
-    concludeRecorded(false);
+    concludeRecorded(AttemptOutcome.NOT_LOST);
     if (result == AttemptResult.MISDIRECTED) {
       path.incarnations()
           .misdirected(attempt.target(), state.request.model(), attempt.plan().expectedWeights());
@@ -90,7 +91,8 @@
    * request may be the cause.
    */
   void onLost(Attempt attempt, LostAttempt.Loss loss) {
-    concludeRecorded(true);
+    concludeRecorded(
+        loss == LostAttempt.Loss.CLOSED ? AttemptOutcome.REPORTED : AttemptOutcome.UNKNOWN);
     path.quarantine()
         .attemptLost(
             new LostAttempt(
