--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.jspecify.annotations.Nullable;
@@ -85,6 +86,7 @@
   private static final double MAX_TIE_BREAK_COST = 1.0;
 
   private final RemoteLoads remoteLoads;
+  private final DoubleSupplier random;
   private final PromptLengthMix mix = new PromptLengthMix();
 
   /**
@@ -93,7 +95,18 @@
    * @param remoteLoads work that other nodes have at the backends
    */
   public BackendChooser(RemoteLoads remoteLoads) {
+    this(remoteLoads, () -> ThreadLocalRandom.current().nextDouble());
+  }
+
+  /**
+   * Creates a chooser with a given source of randomness.
+   *
+   * @param remoteLoads work that other nodes have at the backends
+   * @param random returns a random number, at least 0 and less than 1; called by several threads
+   */
+  public BackendChooser(RemoteLoads remoteLoads, DoubleSupplier random) {
     this.remoteLoads = remoteLoads;
+    this.random = random;
   }
 
   /**
@@ -211,11 +224,11 @@
     return queued < 0 ? 0 : NO_FREE_SLOT_COST + queued * QUEUED_COST;
   }
 
-  private static double sharedCost(TrackedBackend candidate, String zone, long nowMillis) {
+  private double sharedCost(TrackedBackend candidate, String zone, long nowMillis) {
     double zoneCost = candidate.backend().zone().equals(zone) ? 0 : REMOTE_ZONE_COST;
     return zoneCost
         + candidate.health().failureRate(nowMillis) * FAILURE_COST
-        + ThreadLocalRandom.current().nextDouble(MAX_TIE_BREAK_COST);
+        + random.getAsDouble() * MAX_TIE_BREAK_COST;
   }
 
   private static @Nullable TrackedBackend home(List<TrackedBackend> candidates, long affinityKey) {
