An attempt sent after its server crashed counts against the next incarnation

Cause: the row of an attempt names the incarnation that its node believed in. Where the node was killed, the row said no more than that the former incarnation had crashed, which was counted already; the crash of the next one counted nowhere.

Change: an attempt whose row is first read after the crash of its incarnation has counted against the same request, and after the next incarnation has a record or half a second has passed, is taken to have reached the next one. It is unresolved, and counts, as any other there. What a node reads at its start stays with the incarnation named, as it can't know which came first.

Two more guard that copies on one incarnation, and rows read at a start, count once.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -268,7 +268,8 @@
    * @param attempts attempts of suspects
    */
   public void updateFromTable(Collection<Suspect> rows, Collection<SuspectAttempt> attempts) {
-    journal.update(attempts);
+    journal.update(
+        attempts, backends(), row -> ledger.countedAtMillis(row.fingerprint(), row.backend()));
     boolean changed = countUnconcluded();
     for (Suspect row : recorder.update(rows)) {
       changed |= merge(row);
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
@@ -243,4 +243,67 @@
   public void aRequestIsRefusedAfterItsThirdCrashAlthoughNodesRestartAndServersChangeIds() {
     assertEquals(crashesUntilRefused(true), 3);
   }
+
+  @Test
+  public void aCrashOfTheNextIncarnationUnderTheRowOfThePreviousOneCounts() {
+    Node stale = fleet.startNode();
+    stale.readsBackends = false;
+    stale.send("c@1");
+    stale.lose(Optional.empty(), "c@1", Loss.CLOSED);
+    fleet.run(100);
+    assertTrue(survivor.refuses(), "counted as one crash");
+    int counted = survivor.knownWeight();
+    fleet.putOnRecord("c", 2);
+    stale.send("c@1");
+    fleet.run(RUN_MILLIS);
+    stale.kill();
+    fleet.run(DOWN_MILLIS);
+    fleet.putOnRecord("c", 3);
+    fleet.run(COUNTED_MILLIS);
+    assertTrue(survivor.knownWeight() > counted, "two crashes of one server count as one");
+  }
+
+  /** The next incarnation has no record yet when the row is read. */
+  @Test
+  public void aCrashOfAnIncarnationThatIsRecordedLaterThanTheAttemptCounts() {
+    Node stale = fleet.startNode();
+    stale.readsBackends = false;
+    stale.lose(Optional.empty(), "c@1", Loss.CLOSED);
+    fleet.run(800);
+    int counted = survivor.knownWeight();
+    stale.send("c@1");
+    fleet.run(RUN_MILLIS);
+    stale.kill();
+    fleet.putOnRecord("c", 2);
+    fleet.run(DOWN_MILLIS);
+    fleet.putOnRecord("c", 3);
+    fleet.run(COUNTED_MILLIS);
+    assertTrue(survivor.knownWeight() > counted, "two crashes of one server count as one");
+  }
+
+  /** The row stands although the crash has been counted by a node that was killed then. */
+  @Test
+  public void aRowThatANodeReadsAtItsStartDoesNotCountAgainstTheNextIncarnation() {
+    crashAndKillWitness("c@1");
+    assertCountedOnceNextIncarnationIsOnRecord();
+    survivor.kill();
+    Node next = fleet.startNode();
+    fleet.run(DOWN_MILLIS);
+    fleet.putOnRecord("c", 3);
+    fleet.run(COUNTED_MILLIS);
+    assertEquals(next.knownWeight(), SuspectLedger.QUARANTINE_WEIGHT);
+  }
+
+  /** Two nodes had sent copies to one incarnation, and both were killed. */
+  @Test
+  public void rowsOfCopiesAtOneIncarnationCountOnce() {
+    Node other = fleet.startNode();
+    other.send("c@1");
+    crashAndKillWitness("c@1");
+    other.kill();
+    assertCountedOnceNextIncarnationIsOnRecord();
+    fleet.putOnRecord("c", 3);
+    fleet.run(COUNTED_MILLIS);
+    assertEquals(survivor.knownWeight(), SuspectLedger.QUARANTINE_WEIGHT);
+  }
 }
