A connection closed after its server's record has gone shows a crash

What callers saw: a request that crashed a server went on to the next one, as if nothing had happened, where the node that had sent it read the end of the connection after the server's record had gone (a slow node, or a close that is read late).

Cause: a loss on a server without a record was taken for a planned leave. Change: the table of backends remembers which incarnations were draining when their records were removed, 256 at most. A connection that such a one closes shows nothing, as before; any other that is closed without a record counts as a crash, and like each it is taken back if the server is seen to live.

Measured: the forced order that failed before passes and leaves UncountedCrashOrderTest; CrashDetectorTest has one test for each of the two cases.

--- a/gateway/src/main/java/org/lockdale/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/BackendTable.java
@@ -3,22 +3,33 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** All backends with a record in the shared store, by pool. Immutable. */
 public final class BackendTable {
 
   /** The table without backends. */
-  public static final BackendTable EMPTY = new BackendTable(Map.of());
+  public static final BackendTable EMPTY = new BackendTable(Map.of(), Set.of());
+
+  /** Maximum number of incarnations that are remembered as having left; the oldest are dropped. */
+  private static final int MAX_LEFT = 256;
 
   private final Map<String, TrackedBackend> byId;
+
+  /** Incarnations that were draining when their records were removed. */
+  private final Set<String> left;
+
   private final Map<String, TrackedBackend> byServer = new HashMap<>();
   private final Map<String, List<TrackedBackend>> byPool = new HashMap<>();
 
-  private BackendTable(Map<String, TrackedBackend> byId) {
+  private BackendTable(Map<String, TrackedBackend> byId, Set<String> left) {
     this.byId = byId;
+    this.left = left;
     byId.values()
         .forEach(
             tracked -> {
@@ -36,7 +47,22 @@
       TrackedBackend before = byId.get(backend.id());
       newer.put(backend.id(), before == null ? track(backend) : before.with(backend));
     }
-    return new BackendTable(newer);
+    return new BackendTable(newer, leftBefore(newer.keySet()));
+  }
+
+  private Set<String> leftBefore(Set<String> present) {
+    Set<String> all = new LinkedHashSet<>(left);
+    for (TrackedBackend tracked : byId.values()) {
+      if (tracked.isDraining() && !present.contains(tracked.backend().id())) {
+        all.add(tracked.backend().id());
+      }
+    }
+    Iterator<String> oldest = all.iterator();
+    for (int excess = all.size() - MAX_LEFT; excess > 0; excess--) {
+      oldest.next();
+      oldest.remove();
+    }
+    return all;
   }
 
   private TrackedBackend track(Backend backend) {
@@ -79,6 +105,14 @@
     return exact == null && lacksStartTime ? byServer.get(name) : exact;
   }
 
+  /**
+   * Returns whether an incarnation was draining when its record was removed, so that it left as
+   * planned.
+   */
+  public boolean hasLeft(String id) {
+    return left.contains(id);
+  }
+
   /** Returns all backends. */
   public Collection<TrackedBackend> all() {
     return byId.values();
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashDetector.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashDetector.java
@@ -157,10 +157,13 @@
       return new BackendCrash(backend, known.evidence(), List.of(attempt));
     }
     if (isReplaced(backend, backends)) {
-      detectedCrashes.put(backend, new DetectedCrash(CrashEvidence.REPLACED, nowMillis));
-      return new BackendCrash(backend, CrashEvidence.REPLACED, List.of(attempt));
+      return confirmCrash(backend, List.of(attempt), CrashEvidence.REPLACED, nowMillis);
     }
     TrackedBackend tracked = backends.find(backend);
+    if (tracked == null && attempt.isClosed() && !backends.hasLeft(backend)) {
+      // The record may be back soon, so this decides nothing about later attempts.
+      return new BackendCrash(backend, CrashEvidence.RECORD_GONE, List.of(attempt));
+    }
     if (tracked == null || tracked.isDraining()) {
       return null;
     }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashDetectorTest.java
@@ -106,6 +106,19 @@
     assertTrue(detector.isUnresolved("i-1"));
   }
 
+  @Test
+  public void aConnectionClosedAfterItsRecordHasGoneShowsTheCrash() {
+    table = table.with(List.of());
+    assertEquals(lose("r1", 100).evidence(), CrashEvidence.RECORD_GONE);
+  }
+
+  @Test
+  public void aConnectionClosedAfterItsBackendHasLeftAsPlannedShowsNoCrash() {
+    table = table.with(List.of(backend("i-1", ADDRESS, true))).with(List.of());
+    assertNull(lose("r1", 100));
+    assertFalse(detector.hasUnresolved());
+  }
+
   @Test
   public void anotherIncarnationAtTheAddressShowsTheCrash() {
     lose("r1", 0);
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
@@ -306,4 +306,15 @@
     fleet.run(COUNTED_MILLIS);
     assertEquals(survivor.knownWeight(), SuspectLedger.QUARANTINE_WEIGHT);
   }
+
+  /** The node that sends it still believes that the previous incarnation is there. */
+  @Test
+  public void aLossReadAfterTheRecordHasGoneCounts() {
+    witness.kill();
+    Optional<SuspectAttempt> attempt = survivor.send("c@1");
+    fleet.run(RUN_MILLIS);
+    fleet.removeRecord("c");
+    survivor.lose(attempt, "c@1", Loss.CLOSED);
+    assertCountedOnceNextIncarnationIsOnRecord();
+  }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/UncountedCrashOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/UncountedCrashOrderTest.java
@@ -9,17 +9,6 @@
 /** Orders of events in which a crash is not counted yet. */
 public final class UncountedCrashOrderTest extends ThirdCrashScenario {
 
-  /** The node that sends it still believes that the previous incarnation is there. */
-  @Test
-  public void aLossReadAfterTheRecordHasGoneCounts() {
-    witness.kill();
-    Optional<SuspectAttempt> attempt = survivor.send("c@1");
-    fleet.run(RUN_MILLIS);
-    fleet.removeRecord("c");
-    survivor.lose(attempt, "c@1", Loss.CLOSED);
-    assertCountedOnceNextIncarnationIsOnRecord();
-  }
-
   @Test
   public void aNextIncarnationWhoseClockWasSetBackShowsTheCrash() {
     fleet.putOnRecord("c", 9);
