A server seen to live after a broken connection can still be found crashed

What callers saw: a request broke a connection to a server, which was rightly seen to live; later it crashed that server, and the crash did not count.

Cause: the crash of an incarnation was taken back for good. Nodes merge what they know of it, and forgiven outweighs counted whenever the two happened.

Change: the next loss that a node observes itself on such an incarnation has a key of its own (the id, # and a number; four at most), so what was taken back stays so and the later crash counts. Copies of the request share the key. Losses found out later (an end that a record shows) belong to the latest key, as it isn't known when they came.

Measured: the forced order that failed before passes and leaves UncountedCrashOrderTest; CrashKeysTest.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -181,8 +181,12 @@
   }
 
   private void propagate(Suspect suspect) {
-    recorder.markSeenLocally(suspect.fingerprint());
-    sender.broadcast(suspect.fingerprint());
+    propagate(suspect.fingerprint());
+  }
+
+  private void propagate(RequestFingerprint fingerprint) {
+    recorder.markSeenLocally(fingerprint);
+    sender.broadcast(fingerprint);
   }
 
   private BackendTable backends() {
@@ -193,13 +197,13 @@
     return new CrashWatch.Listener() {
       @Override
       public void onConnectionClosed(LostAttempt attempt) {
-        countCrash("connection-closed-under", attempt);
+        countCrash("connection-closed-under", attempt, true);
         publishSoon();
       }
 
       @Override
       public void onCrash(BackendCrash crash) {
-        crash.lost().forEach(lost -> countCrash("backend-ended-under", lost));
+        crash.lost().forEach(lost -> countCrash("backend-ended-under", lost, false));
         publishSoon();
       }
     };
@@ -211,7 +215,7 @@
    * node that saw a connection close may be killed before that: three crashes were lost that way,
    * and a request was sent four more times.
    */
-  private void countCrash(String event, LostAttempt lost) {
+  private void countCrash(String event, LostAttempt lost, boolean isNew) {
     RequestFingerprint fingerprint = RequestFingerprint.of(lost.request(), lost.caller());
     Logger.info(
         "event={} backend={} request={} fingerprint={} answer-ms={}",
@@ -222,11 +226,10 @@
         lost.responseMillis());
     boolean early = lost.responseMillis() <= SuspectLedger.EARLY_MILLIS;
     int sketch = RequestFingerprint.sketchOf(lost.request(), lost.caller());
-    Map<String, CrashInvolvement> crashes =
-        Map.of(lost.backend(), new CrashInvolvement(early, false));
-    Suspect suspect = new Suspect(fingerprint, sketch, crashes);
-    if (ledger.recordLoss(suspect, context.time().monotonicMillis())) {
-      propagate(suspect);
+    CrashInvolvement crash = new CrashInvolvement(early, false);
+    long now = context.time().monotonicMillis();
+    if (ledger.recordLoss(fingerprint, sketch, lost.backend(), crash, isNew, now)) {
+      propagate(fingerprint);
     }
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspect.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspect.java
@@ -9,7 +9,7 @@
  *
  * @param fingerprint the request
  * @param sketch distinguishes it from most other requests without reading their bodies
- * @param crashes crashes of backends while they ran it, by the id of the incarnation
+ * @param crashes crashes of backends while they ran it, by key ({@link CrashKeys})
  */
 public record Suspect(
     RequestFingerprint fingerprint, int sketch, Map<String, CrashInvolvement> crashes) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
@@ -81,7 +81,7 @@
     private Suspect suspect;
     private long lastCrashAtMillis;
 
-    /** Monotonic times at which this node learned of the crashes, by backend id. */
+    /** Monotonic times at which this node learned of the crashes, by key. */
     private final Map<String, Long> learnedAt = new HashMap<>();
 
     Entry(Suspect suspect, long nowMillis) {
@@ -93,10 +93,14 @@
       received.crashes().keySet().forEach(backend -> learnedAt.putIfAbsent(backend, nowMillis));
     }
 
-    boolean isCrashed(String backend) {
-      CrashInvolvement crash = suspect.crashes().get(backend);
+    boolean isCrashed(String key) {
+      CrashInvolvement crash = suspect.crashes().get(key);
       return crash != null && !crash.forgiven();
     }
+
+    String latestKey(String backend) {
+      return CrashKeys.latest(backend, suspect.crashes());
+    }
   }
 
   private final long holdMillis;
@@ -112,14 +116,23 @@
   }
 
   /**
-   * Records that attempts of a request were lost on this node just now.
+   * Records that an attempt of a request was lost on this node.
    *
+   * @param isNew whether it was lost just now, so that a backend that was seen to live before may
+   *     have crashed since
    * @return whether any of it is new
    */
-  boolean recordLoss(Suspect seen, long nowMillis) {
-    boolean changed = merge(seen, nowMillis);
-    Entry entry = entries.get(seen.fingerprint());
-    seen.crashes().keySet().forEach(backend -> entry.learnedAt.put(backend, nowMillis));
+  boolean recordLoss(
+      RequestFingerprint fingerprint,
+      int sketch,
+      String backend,
+      CrashInvolvement crash,
+      boolean isNew,
+      long nowMillis) {
+    Map<String, CrashInvolvement> known = find(fingerprint).map(Suspect::crashes).orElse(Map.of());
+    String key = isNew ? CrashKeys.next(backend, known) : CrashKeys.latest(backend, known);
+    boolean changed = merge(new Suspect(fingerprint, sketch, Map.of(key, crash)), nowMillis);
+    entries.get(fingerprint).learnedAt.put(key, nowMillis);
     return changed;
   }
 
@@ -180,8 +193,8 @@
    */
   long countedAtMillis(RequestFingerprint fingerprint, String backend) {
     Entry entry = entries.get(fingerprint);
-    return entry != null && entry.isCrashed(backend)
-        ? entry.learnedAt.getOrDefault(backend, Long.MAX_VALUE)
+    return entry != null && entry.isCrashed(entry.latestKey(backend))
+        ? entry.learnedAt.getOrDefault(entry.latestKey(backend), Long.MAX_VALUE)
         : Long.MAX_VALUE;
   }
 
@@ -218,7 +231,10 @@
   Set<String> crashedBackends() {
     Set<String> crashed = new TreeSet<>();
     for (Entry entry : entries.values()) {
-      entry.suspect.crashes().keySet().stream().filter(entry::isCrashed).forEach(crashed::add);
+      entry.suspect.crashes().keySet().stream()
+          .filter(entry::isCrashed)
+          .map(CrashKeys::backendOf)
+          .forEach(crashed::add);
     }
     return crashed;
   }
@@ -232,9 +248,11 @@
   List<Suspect> recordAlive(String backend, long atMillis) {
     List<Suspect> changed = new ArrayList<>();
     for (Entry entry : entries.values()) {
-      if (entry.isCrashed(backend) && entry.learnedAt.get(backend) < atMillis) {
-        entry.suspect = entry.suspect.forgive(backend);
-        changed.add(entry.suspect);
+      for (String key : CrashKeys.of(backend, entry.suspect.crashes())) {
+        if (entry.isCrashed(key) && entry.learnedAt.get(key) < atMillis) {
+          entry.suspect = entry.suspect.forgive(key);
+          changed.add(entry.suspect);
+        }
       }
     }
     return changed;
@@ -335,7 +353,7 @@
       UnresolvedAttempts attempts, @Nullable Entry entry, Set<String> uncounted) {
     return new QuarantinedRequest(
         attempts.fingerprint(),
-        entry == null ? Set.of() : entry.suspect.crashes().keySet(),
+        entry == null ? Set.of() : CrashKeys.backendsOf(entry.suspect.crashes().keySet()),
         uncounted,
         attempts.resolvedByMillis());
   }
@@ -344,7 +362,7 @@
     Suspect suspect = entry.suspect;
     return new QuarantinedRequest(
         suspect.fingerprint(),
-        suspect.crashes().keySet(),
+        CrashKeys.backendsOf(suspect.crashes().keySet()),
         Set.of(),
         entry.lastCrashAtMillis + holdMillis);
   }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
@@ -317,4 +317,15 @@
     survivor.lose(attempt, "c@1", Loss.CLOSED);
     assertCountedOnceNextIncarnationIsOnRecord();
   }
+
+  @Test
+  public void aCrashOfAServerThatWasFoundAliveBeforeCounts() {
+    witness.lose(Optional.empty(), "c@1", Loss.CLOSED);
+    fleet.run(12_000);
+    assertEquals(survivor.knownWeight(), SuspectLedger.SIGNIFICANT_WEIGHT);
+    Optional<SuspectAttempt> attempt = witness.send("c@1");
+    fleet.run(RUN_MILLIS);
+    witness.lose(attempt, "c@1", Loss.CLOSED);
+    assertCountedOnceNextIncarnationIsOnRecord();
+  }
 }
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashKeysTest.java
@@ -0,0 +1,45 @@
+package org.lockdale.gateway.quarantine;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.testng.annotations.Test;
+
+/** Tests which crashes of one incarnation are told apart. */
+public final class CrashKeysTest {
+
+  private static final CrashInvolvement COUNTED = new CrashInvolvement(true, false);
+  private static final CrashInvolvement FORGIVEN = COUNTED.forgive();
+
+  @Test
+  public void aCrashHasTheIdOfItsBackendAsKey() {
+    assertEquals(CrashKeys.next("i@1", Map.of()), "i@1");
+    assertEquals(CrashKeys.next("i@1", Map.of("i@1", COUNTED)), "i@1", "copies of a request");
+  }
+
+  @Test
+  public void aCrashOfABackendThatWasSeenToLiveHasAnotherKey() {
+    String key = CrashKeys.next("i@1", Map.of("i@1", FORGIVEN));
+    assertEquals(key, "i@1#1");
+    assertEquals(CrashKeys.backendOf(key), "i@1");
+    assertEquals(CrashKeys.latest("i@1", Map.of("i@1", FORGIVEN, key, COUNTED)), key);
+    assertEquals(CrashKeys.next("i@1", Map.of("i@1", FORGIVEN, key, COUNTED)), key);
+  }
+
+  /** A connection to a living server may break any number of times. */
+  @Test
+  public void fewCrashesOfABackendAreToldApart() {
+    Map<String, CrashInvolvement> crashes = new TreeMap<>();
+    for (int number = 0; number < 100; number++) {
+      crashes.put(CrashKeys.next("i@1", crashes), FORGIVEN);
+    }
+    assertEquals(crashes.size(), 4);
+  }
+
+  @Test
+  public void aBackendWithoutAStartTimeHasOneKey() {
+    assertEquals(CrashKeys.next("i", Map.of("i", FORGIVEN)), "i");
+    assertEquals(CrashKeys.backendOf("i#1"), "i#1", "an id may contain the separator");
+  }
+}
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/UncountedCrashOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/UncountedCrashOrderTest.java
@@ -16,17 +16,6 @@
     assertCountedOnceNextIncarnationIsOnRecord();
   }
 
-  @Test
-  public void aCrashOfAServerThatWasFoundAliveBeforeCounts() {
-    witness.lose(Optional.empty(), "c@1", Loss.CLOSED);
-    fleet.run(12_000);
-    assertEquals(survivor.knownWeight(), SuspectLedger.SIGNIFICANT_WEIGHT);
-    Optional<SuspectAttempt> attempt = witness.send("c@1");
-    fleet.run(RUN_MILLIS);
-    witness.lose(attempt, "c@1", Loss.CLOSED);
-    assertCountedOnceNextIncarnationIsOnRecord();
-  }
-
   /** Its first crash was learned of after this attempt had been sent, so it has no row. */
   @Test
   public void anAttemptInFlightWhenItsRequestBecomesASuspectIsRecorded() {
