A crash of the next incarnation counts before its record is read

An attempt over a connection younger than the former incarnation's crash waits, ten seconds at most, for the record of the one that it reached. Meanwhile it counted nowhere, though a closed connection is to count until its server is known to live; and where no record came, it counted for the former crash, that is not at all.

Change: if a response had begun to arrive over that connection, a server ran the request, so its end counts at once, under the former id with a suffix, at all nodes. Once the record is read the crash counts under the right id and the provisional one is taken back; without a record it stays.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashKeys.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashKeys.java
@@ -10,11 +10,13 @@
 /**
  * Keys of the crashes of a suspect: the id of the incarnation, and for one that was taken to have
  * crashed before and then seen to live, a number that tells the later crash from the former one.
- * Nodes of earlier versions take such a key for the id of another backend.
+ * The crash of an incarnation that has no record yet has the id of the one before and a suffix.
+ * Nodes of earlier versions take a key with a number or suffix for the id of another backend.
  */
 final class CrashKeys {
 
   private static final String SEPARATOR = "#";
+  private static final String NEXT_INCARNATION = "next";
 
   /** Maximum number of crashes of one incarnation that are told apart; it can crash once only. */
   private static final int MAX_CRASHES = 4;
@@ -35,7 +37,12 @@
     return keys.stream().map(CrashKeys::backendOf).collect(Collectors.toSet());
   }
 
-  /** Returns the keys of all crashes of a backend that are known. */
+  /** Returns the key of a crash of the incarnation after one, while it has no record. */
+  static String ofNextIncarnation(String backend) {
+    return backend + SEPARATOR + NEXT_INCARNATION;
+  }
+
+  /** Returns the keys of all crashes of a backend that are known, by number. */
   static List<String> of(String backend, Map<String, CrashInvolvement> crashes) {
     if (!crashes.containsKey(backend)) {
       return List.of();
@@ -47,6 +54,18 @@
     return keys;
   }
 
+  /**
+   * Returns the keys of all crashes that don't count if a backend lives: its own, and that of the
+   * incarnation after it, which then wasn't another one.
+   */
+  static List<String> allOf(String backend, Map<String, CrashInvolvement> crashes) {
+    List<String> keys = of(backend, crashes);
+    if (!keys.isEmpty() && crashes.containsKey(ofNextIncarnation(backend))) {
+      keys.add(ofNextIncarnation(backend));
+    }
+    return keys;
+  }
+
   /**
    * Returns the key of a crash that is not among those known: that of the latest crash known, or a
    * new one if the backend was seen to live after that.
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashWatch.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashWatch.java
@@ -39,6 +39,18 @@
      */
     void onConnectionClosed(LostAttempt attempt);
 
+    /**
+     * Called when the connection of an attempt was closed that ran on the incarnation after the one
+     * it was meant for, whose record has not been read yet.
+     */
+    void onClosedByNextIncarnation(LostAttempt attempt);
+
+    /**
+     * Called when it is known on which incarnation an attempt ran, if not on the one it was meant
+     * for.
+     */
+    void onAssigned(LostAttempt attempt);
+
     /** Called when a backend has crashed. */
     void onCrash(BackendCrash crash);
   }
@@ -84,10 +96,16 @@
     LostAttempt attempt =
         detector.assignToIncarnation(lost, backends.get(), now, time.wallMillis());
     String backend = attempt.backend();
+    if (!backend.equals(lost.backend())) {
+      listener.onAssigned(lost);
+    }
     BackendCrash known = detector.recordLoss(attempt, backends.get(), now);
     if (known != null) {
       report(known);
     } else if (detector.isUnassigned(attempt)) {
+      if (attempt.isClosed() && attempt.responded()) {
+        listener.onClosedByNextIncarnation(attempt);
+      }
       scheduleCheck();
     } else if (!detector.isUnresolved(backend)) {
       if (!attempt.isGivenUp()) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/LostAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/LostAttempt.java
@@ -15,6 +15,7 @@
  *     not started
  * @param loss how it ended
  * @param connectedAtMillis monotonic time at which the connection that carried it was established
+ * @param responded whether a response of the server had begun to arrive
  */
 public record LostAttempt(
     String backend,
@@ -23,7 +24,8 @@
     String caller,
     long responseMillis,
     Loss loss,
-    long connectedAtMillis) {
+    long connectedAtMillis,
+    boolean responded) {
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -59,7 +61,14 @@
 
   private LostAttempt on(String incarnation, Loss newLoss) {
     return new LostAttempt(
-        incarnation, address, request, caller, responseMillis, newLoss, connectedAtMillis);
+        incarnation,
+        address,
+        request,
+        caller,
+        responseMillis,
+        newLoss,
+        connectedAtMillis,
+        responded);
   }
 
   /**
@@ -67,7 +76,8 @@
    * connected.
    */
   LostAttempt onIntendedIncarnation() {
-    return new LostAttempt(backend, address, request, caller, responseMillis, loss, NEVER);
+    return new LostAttempt(
+        backend, address, request, caller, responseMillis, loss, NEVER, responded);
   }
 
   /** Returns whether its connection was closed by the backend's side. */
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -55,9 +55,11 @@
     this.context = context;
     this.section = section;
     this.ledger = new SuspectLedger(holdMillis);
+    CrashCounter counter =
+        new CrashCounter(ledger, context.time(), this::propagate, this::publishSoon);
     this.watch =
         new CrashWatch(
-            context.eventLoop(), context.prober(), this::backends, listener(), context.time());
+            context.eventLoop(), context.prober(), this::backends, counter, context.time());
     this.recorder =
         new SuspectRecorder(
             ledger, context.table(), context.coordinator(), context.eventLoop(), context.time());
@@ -193,46 +195,6 @@
     return context.backends().get().value();
   }
 
-  private CrashWatch.Listener listener() {
-    return new CrashWatch.Listener() {
-      @Override
-      public void onConnectionClosed(LostAttempt attempt) {
-        countCrash("connection-closed-under", attempt, true);
-        publishSoon();
-      }
-
-      @Override
-      public void onCrash(BackendCrash crash) {
-        crash.lost().forEach(lost -> countCrash("backend-ended-under", lost, false));
-        publishSoon();
-      }
-    };
-  }
-
-  /**
-   * Counts a crash against a request. A closed connection counts as a crash of its backend until
-   * the backend is known to be alive. Whether it crashed may be known only seconds later, and each
-   * node that saw a connection close may be killed before that: three crashes were lost that way,
-   * and a request was sent four more times.
-   */
-  private void countCrash(String event, LostAttempt lost, boolean isNew) {
-    RequestFingerprint fingerprint = RequestFingerprint.of(lost.request(), lost.caller());
-    Logger.info(
-        "event={} backend={} request={} fingerprint={} answer-ms={}",
-        event,
-        lost.backend(),
-        lost.request().id(),
-        fingerprint,
-        lost.responseMillis());
-    boolean early = lost.responseMillis() <= SuspectLedger.EARLY_MILLIS;
-    int sketch = RequestFingerprint.sketchOf(lost.request(), lost.caller());
-    CrashInvolvement crash = new CrashInvolvement(early, false);
-    long now = context.time().monotonicMillis();
-    if (ledger.recordLoss(fingerprint, sketch, lost.backend(), crash, isNew, now)) {
-      propagate(fingerprint);
-    }
-  }
-
   private boolean merge(Suspect suspect) {
     return ledger.merge(suspect, context.time().monotonicMillis());
   }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -118,24 +119,35 @@
   /**
    * Records that an attempt of a request was lost on this node.
    *
-   * @param isNew whether it was lost just now, so that a backend that was seen to live before may
-   *     have crashed since
+   * @param keyOf returns the key of the crash, given those known
    * @return whether any of it is new
    */
   boolean recordLoss(
       RequestFingerprint fingerprint,
       int sketch,
-      String backend,
       CrashInvolvement crash,
-      boolean isNew,
+      Function<Map<String, CrashInvolvement>, String> keyOf,
       long nowMillis) {
-    Map<String, CrashInvolvement> known = find(fingerprint).map(Suspect::crashes).orElse(Map.of());
-    String key = isNew ? CrashKeys.next(backend, known) : CrashKeys.latest(backend, known);
+    String key = keyOf.apply(find(fingerprint).map(Suspect::crashes).orElse(Map.of()));
     boolean changed = merge(new Suspect(fingerprint, sketch, Map.of(key, crash)), nowMillis);
     entries.get(fingerprint).learnedAt.put(key, nowMillis);
     return changed;
   }
 
+  /**
+   * Retracts one crash of a request.
+   *
+   * @return whether it counted
+   */
+  boolean retract(RequestFingerprint fingerprint, String key) {
+    Entry entry = entries.get(fingerprint);
+    if (entry == null || !entry.isCrashed(key)) {
+      return false;
+    }
+    entry.suspect = entry.suspect.forgive(key);
+    return true;
+  }
+
   /**
    * Merges information about a request from this node or another one.
    *
@@ -248,7 +260,7 @@
   List<Suspect> recordAlive(String backend, long atMillis) {
     List<Suspect> changed = new ArrayList<>();
     for (Entry entry : entries.values()) {
-      for (String key : CrashKeys.of(backend, entry.suspect.crashes())) {
+      for (String key : CrashKeys.allOf(backend, entry.suspect.crashes())) {
         if (entry.isCrashed(key) && entry.learnedAt.get(key) < atMillis) {
           entry.suspect = entry.suspect.forgive(key);
           changed.add(entry.suspect);
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -54,6 +54,7 @@
   private LostAttempt.@Nullable Loss loss;
   private boolean ended;
   private boolean withdrawn;
+  private boolean responded;
   private final Runnable onIncarnationEnd;
   private String failure = "";
 
@@ -157,6 +158,11 @@
     return loss;
   }
 
+  /** Returns whether a response of the server that it was meant for had begun to arrive. */
+  boolean responded() {
+    return responded;
+  }
+
   /**
    * Returns for how long the response has been arriving, in milliseconds: 0 before the first event
    * of a stream. The start of other responses is not visible, so their time counts from sending the
@@ -225,6 +231,7 @@
       target.observeWeights(model, received.weights());
     }
     if (!received.misdirected()) {
+      responded = true;
       liveness.recordResponse(target, connectedAtMillis(), sentAtMonotonicMillis);
       rates.recordResponse(target.backend().id(), received.advertisedRate(), sentAtMonotonicMillis);
       announcements.process(target, received);
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
@@ -102,7 +102,8 @@
                 state.caller(),
                 attempt.responseMillis(),
                 loss,
-                attempt.connectedAtMillis()));
+                attempt.connectedAtMillis(),
+                attempt.responded()));
   }
 
   /**
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashDetectorTest.java
@@ -44,7 +44,8 @@
         "tenant",
         0,
         LostAttempt.Loss.CLOSED,
-        0);
+        0,
+        false);
   }
 
   private BackendCrash lose(String requestId, long nowMillis) {
@@ -74,7 +75,7 @@
     for (int number = 0; number < 100; number++) {
       CallerRequest request = Requests.of("r" + number, "/a", "body");
       LostAttempt later =
-          new LostAttempt("i-1", ADDRESS, request, "tenant", 0, LostAttempt.Loss.CLOSED, 50);
+          new LostAttempt("i-1", ADDRESS, request, "tenant", 0, LostAttempt.Loss.CLOSED, 50, false);
       counted += detector.recordLoss(later, table, 60) == null ? 0 : 1;
     }
     assertEquals(counted, 100 - 64);
@@ -206,6 +207,13 @@
 
   private static LostAttempt lostAt(String id, String requestId) {
     return new LostAttempt(
-        id, ADDRESS, Requests.of(requestId, "/a", "body"), "tenant", 0, LostAttempt.Loss.CLOSED, 0);
+        id,
+        ADDRESS,
+        Requests.of(requestId, "/a", "body"),
+        "tenant",
+        0,
+        LostAttempt.Loss.CLOSED,
+        0,
+        false);
   }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashWatchTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashWatchTest.java
@@ -49,6 +49,12 @@
             address -> CompletableFuture.completedFuture(probeResults.remove()),
             () -> table,
             new CrashWatch.Listener() {
+              @Override
+              public void onClosedByNextIncarnation(LostAttempt attempt) {}
+
+              @Override
+              public void onAssigned(LostAttempt attempt) {}
+
               @Override
               public void onConnectionClosed(LostAttempt attempt) {
                 closed.add(attempt.request().id());
@@ -69,7 +75,8 @@
   }
 
   private static LostAttempt lost(String id, LostAttempt.Loss loss) {
-    return new LostAttempt("i-1@1", ADDRESS, Requests.of(id, "/a", "body"), "tenant", 0, loss, 0);
+    return new LostAttempt(
+        "i-1@1", ADDRESS, Requests.of(id, "/a", "body"), "tenant", 0, loss, 0, false);
   }
 
   private List<CrashEvidence> evidence() {
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
@@ -228,7 +228,8 @@
                 "tenant",
                 time.monotonicMillis() - startedAtMillis,
                 LostAttempt.Loss.GIVEN_UP,
-                connectedAtMillis));
+                connectedAtMillis,
+                false));
         if (!contents.guilty) {
           server.runs.remove(this);
         }
@@ -269,7 +270,8 @@
               "tenant",
               responseMillis,
               LostAttempt.Loss.CLOSED,
-              connectedAtMillis));
+              connectedAtMillis,
+              true));
       node.avoid(server);
       if (!contents.guilty && attemptsLeft > 0) {
         time.schedule(2_000, () -> send(contents, attemptsLeft - 1));
@@ -641,7 +643,8 @@
               "tenant",
               0,
               LostAttempt.Loss.CLOSED,
-              time.monotonicMillis()));
+              time.monotonicMillis(),
+              false));
     }
     if (!what.guilty && attemptsLeft > 0) {
       time.schedule(2_000, () -> send(what, attemptsLeft - 1));
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
@@ -104,7 +104,7 @@
 
   private void lose(int backend, LostAttempt.Loss loss) {
     quarantine.attemptLost(
-        new LostAttempt(idOf(backend), addressOf(backend), request(), "tenant", 0, loss, 0));
+        new LostAttempt(idOf(backend), addressOf(backend), request(), "tenant", 0, loss, 0, false));
   }
 
   private void loseAtThree(LostAttempt.Loss loss) {
@@ -237,7 +237,7 @@
         backends.with(List.of(new Backend(next, "pool", addressOf(0), "zone", 4, false, Map.of())));
     quarantine.attemptLost(
         new LostAttempt(
-            idOf(0), addressOf(0), request(), "tenant", 104, LostAttempt.Loss.SILENT, 0));
+            idOf(0), addressOf(0), request(), "tenant", 104, LostAttempt.Loss.SILENT, 0, false));
     time.runMillis(SOON_MILLIS);
     assertEquals(broadcastCrashes(), Set.of(idOf(0), next));
   }
@@ -251,7 +251,8 @@
             "tenant",
             0,
             LostAttempt.Loss.CLOSED,
-            connectedAtMillis));
+            connectedAtMillis,
+            false));
     time.runMillis(SOON_MILLIS);
   }
 
@@ -281,6 +282,66 @@
     assertEquals(broadcastCrashes(), Set.of(idOf(0), next));
   }
 
+  /** Loses a response that the incarnation after that of the first backend had begun. */
+  private void loseResponseOfNextIncarnation() {
+    quarantine.attemptLost(
+        new LostAttempt(
+            idOf(0),
+            addressOf(0),
+            request(),
+            "tenant",
+            350,
+            LostAttempt.Loss.CLOSED,
+            time.monotonicMillis() - 400,
+            true));
+    time.runMillis(SOON_MILLIS);
+  }
+
+  private void crashTwoBackends() {
+    addresses = Reachability.REFUSES;
+    lose(0, LostAttempt.Loss.CLOSED);
+    lose(1, LostAttempt.Loss.CLOSED);
+    time.runMillis(1_500);
+    assertFalse(isQuarantined());
+  }
+
+  /** Its record may be read seconds later, and the request was sent again meanwhile. */
+  @Test
+  public void aCrashOfTheNextIncarnationCountsBeforeItsRecordIsRead() {
+    crashTwoBackends();
+    loseResponseOfNextIncarnation();
+    assertTrue(isQuarantined());
+    backends = backends.with(List.of(backend(3)));
+    time.runMillis(15_000);
+    assertTrue(isQuarantined(), "no record of it was ever read");
+  }
+
+  @Test
+  public void aCrashOfTheNextIncarnationCountsOnceItsRecordIsRead() {
+    addresses = Reachability.REFUSES;
+    lose(0, LostAttempt.Loss.CLOSED);
+    time.runMillis(1_000);
+    String next = "i-0@" + time.wallMillis();
+    time.runMillis(500);
+    loseResponseOfNextIncarnation();
+    assertEquals(quarantine.heaviest(1).get(0).weight(), 2 * SuspectLedger.SINGLE_CRASH_WEIGHT);
+    backends =
+        backends.with(List.of(new Backend(next, "pool", addressOf(0), "zone", 4, false, Map.of())));
+    time.runMillis(500);
+    assertTrue(broadcastCrashes().contains(next));
+    assertEquals(quarantine.heaviest(1).get(0).weight(), 2 * SuspectLedger.SINGLE_CRASH_WEIGHT);
+  }
+
+  /** A proxy accepts connections at the address of a crashed server and closes them. */
+  @Test
+  public void connectionsClosedAtTheAddressOfACrashedBackendCountOnce() {
+    crashTwoBackends();
+    for (int retry = 0; retry < 5; retry++) {
+      loseOverConnectionOf(time.monotonicMillis() - 50);
+    }
+    assertFalse(isQuarantined());
+  }
+
   /**
    * No connection had closed on this node when the previous incarnation crashed; the request
    * crashed the next one.
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
@@ -222,7 +222,7 @@
     void lose(CallerRequest request, String backend) {
       InetSocketAddress address = addressOf(backend.substring(0, backend.indexOf('@')));
       quarantine.attemptLost(
-          new LostAttempt(backend, address, request, TENANT, 0, LostAttempt.Loss.CLOSED, 0));
+          new LostAttempt(backend, address, request, TENANT, 0, LostAttempt.Loss.CLOSED, 0, false));
       run(1);
     }
 
@@ -245,7 +245,8 @@
           loss == LostAttempt.Loss.CLOSED ? AttemptOutcome.REPORTED : AttemptOutcome.UNKNOWN;
       attempt.ifPresent(each -> quarantine.attemptConcluded(each, outcome));
       InetSocketAddress address = addressOf(backend.substring(0, backend.indexOf('@')));
-      quarantine.attemptLost(new LostAttempt(backend, address, guilty(), TENANT, 0, loss, 0));
+      quarantine.attemptLost(
+          new LostAttempt(backend, address, guilty(), TENANT, 0, loss, 0, false));
       run(1);
     }
 
