--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
@@ -61,12 +61,6 @@
    */
   private static final long MISSING_RECORD_MILLIS = 5_000;
 
-  /**
-   * An attempt whose row is first read this long after the crash of its backend was counted was
-   * sent after the crash, even if no later incarnation has a record yet.
-   */
-  private static final long SENT_AFTER_CRASH_MILLIS = 500;
-
   /** Maximum number of questions in progress, since a crash may leave many suspects. */
   private static final int MAX_QUESTIONS = 16;
 
@@ -179,30 +173,15 @@
         .anyMatch(each -> each.getKey().id().equals(id) && !each.getValue().isUnknown());
   }
 
-  /**
-   * Processes all rows of the store.
-   *
-   * @param rows the rows
-   * @param backends backends that have a record
-   * @param countedAtMillis returns the monotonic time since which the crash of the backend of an
-   *     attempt has counted against its request, or {@link Long#MAX_VALUE} if it doesn't count
-   */
-  void update(
-      Collection<SuspectAttempt> rows,
-      BackendTable backends,
-      ToLongFunction<SuspectAttempt> countedAtMillis) {
+  /** Processes all rows of the store. */
+  void update(Collection<SuspectAttempt> rows) {
     foreign.keySet().retainAll(new HashSet<>(rows));
     long now = time.monotonicMillis();
     for (SuspectAttempt row : rows) {
-      if (!ids.isOfThisProcess(row.id()) && !foreign.containsKey(row)) {
+      if (!ids.isOfThisProcess(row.id())) {
         // A process that has just started may have missed the notification of a crash.
         boolean inProgress = tableRead && !ids.isOfThisNode(row.id());
-        ForeignAttempt attempt = new ForeignAttempt(row.backend(), now, inProgress);
-        if (tableRead && countedAtMillis.applyAsLong(row) <= now) {
-          boolean waited = countedAtMillis.applyAsLong(row) <= now - SENT_AFTER_CRASH_MILLIS;
-          attempt.moveToLaterIncarnation(backends, waited);
-        }
-        foreign.put(row, attempt);
+        foreign.computeIfAbsent(row, key -> new ForeignAttempt(now, inProgress));
       }
     }
     tableRead = true;
@@ -282,8 +261,8 @@
           long since = row.unknownSinceMillis();
           boolean counts = !row.isInProgress() || !onlyIfLost;
           boolean isRecent = now - since < ORPHAN_RETENTION_MILLIS;
-          if (counts && isRecent && !hasOutlived(row.backend(), since, lastAliveAtMillis)) {
-            add(attempt.on(row.backend()), since, unresolved);
+          if (counts && isRecent && !hasOutlived(attempt.backend(), since, lastAliveAtMillis)) {
+            add(attempt, since, unresolved);
           }
         });
     return unresolved;
@@ -318,12 +297,11 @@
     long now = time.monotonicMillis();
     foreign.forEach(
         (attempt, row) -> {
-          row.assign(backends);
-          if (row.isAssigned() && hasEnded(row.backend(), backends, row.readAtMillis())) {
+          if (hasEnded(attempt.backend(), backends, row.readAtMillis())) {
             row.recordEnd(now);
           }
           if (row.takeCrash(now)) {
-            crashed.add(attempt.on(row.backend()));
+            crashed.add(attempt);
           }
         });
     return crashed;
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/ForeignAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/ForeignAttempt.java
@@ -1,9 +1,5 @@
 package org.lockdale.gateway.quarantine;
 
-import org.lockdale.gateway.backend.BackendTable;
-import org.lockdale.gateway.backend.Incarnation;
-import org.lockdale.gateway.backend.TrackedBackend;
-
 /** What this process knows of an attempt that another process has recorded. */
 final class ForeignAttempt {
 
@@ -33,9 +29,6 @@
   private static final long NEVER = Long.MAX_VALUE / 2;
 
   private final long readAtMillis;
-  private final Incarnation intended;
-  private boolean assigned = true;
-  private String backend;
   private boolean inProgress;
   private long unknownSinceMillis;
   private long askAtMillis;
@@ -47,55 +40,15 @@
   /**
    * Creates the state of an attempt whose row was just read.
    *
-   * @param backend id of the incarnation that it was sent to
    * @param inProgress whether its node is assumed to have it in progress until it has been asked
    */
-  ForeignAttempt(String backend, long nowMillis, boolean inProgress) {
-    this.intended = Incarnation.parse(backend);
-    this.backend = backend;
+  ForeignAttempt(long nowMillis, boolean inProgress) {
     this.readAtMillis = nowMillis;
     this.unknownSinceMillis = nowMillis;
     this.askAtMillis = nowMillis + ASK_DELAY_MILLIS;
     this.inProgress = inProgress;
   }
 
-  /**
-   * Records that its row was read after the crash of the intended incarnation had been counted, so
-   * that it may have reached a later one.
-   *
-   * @param certain whether it reached a later one, if any, although none may have a record yet
-   */
-  void moveToLaterIncarnation(BackendTable backends, boolean certain) {
-    assigned = false;
-    assign(backends);
-    if (!assigned && certain) {
-      backend = intended.server();
-    } else {
-      assigned = true;
-    }
-  }
-
-  /** Assigns it to the present incarnation, if it reached a later one than intended. */
-  void assign(BackendTable backends) {
-    TrackedBackend present = assigned ? null : backends.resolve(intended.server());
-    if (present != null && intended.isBefore(present.backend().incarnation())) {
-      backend = present.backend().id();
-      assigned = true;
-    }
-  }
-
-  /** Returns whether it is known which incarnation it reached. */
-  boolean isAssigned() {
-    return assigned;
-  }
-
-  /**
-   * Returns the id of the incarnation that it reached, or of its server while that is not known.
-   */
-  String backend() {
-    return backend;
-  }
-
   /** Returns the monotonic time at which its row was first read. */
   long readAtMillis() {
     return readAtMillis;
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -233,8 +233,7 @@
    * @param attempts attempts of suspects
    */
   public void updateFromTable(Collection<Suspect> rows, Collection<SuspectAttempt> attempts) {
-    journal.update(
-        attempts, backends(), row -> ledger.countedAtMillis(row.fingerprint(), row.backend()));
+    journal.update(attempts);
     boolean changed = countUnconcluded();
     for (Suspect row : recorder.update(rows)) {
       changed |= merge(row);
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectAttempt.java
@@ -10,10 +10,4 @@
  *     earlier version
  */
 public record SuspectAttempt(
-    RequestFingerprint fingerprint, int sketch, String backend, String id) {
-
-  /** Returns the same attempt on another incarnation of its server. */
-  SuspectAttempt on(String incarnation) {
-    return new SuspectAttempt(fingerprint, sketch, incarnation, id);
-  }
-}
+    RequestFingerprint fingerprint, int sketch, String backend, String id) {}
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
@@ -98,10 +98,6 @@
       CrashInvolvement crash = suspect.crashes().get(key);
       return crash != null && !crash.forgiven();
     }
-
-    String latestKey(String backend) {
-      return CrashKeys.latest(backend, suspect.crashes());
-    }
   }
 
   private final long holdMillis;
@@ -199,17 +195,6 @@
     return entry == null ? Long.MIN_VALUE / 2 : entry.lastCrashAtMillis;
   }
 
-  /**
-   * Returns the monotonic time at which this node learned of the crash of a backend that counts
-   * against a request, or {@link Long#MAX_VALUE} if none counts.
-   */
-  long countedAtMillis(RequestFingerprint fingerprint, String backend) {
-    Entry entry = entries.get(fingerprint);
-    return entry != null && entry.isCrashed(entry.latestKey(backend))
-        ? entry.learnedAt.getOrDefault(entry.latestKey(backend), Long.MAX_VALUE)
-        : Long.MAX_VALUE;
-  }
-
   /** Returns all suspects. */
   List<Suspect> all() {
     return entries.values().stream().map(entry -> entry.suspect).toList();
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/AttemptJournalTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/AttemptJournalTest.java
@@ -6,7 +6,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -88,10 +87,6 @@
     return new SuspectAttempt(new RequestFingerprint(number, number), number, "i-1@1", ids.next());
   }
 
-  private static void update(AttemptJournal reader, Collection<SuspectAttempt> rows) {
-    reader.update(rows, BackendTable.EMPTY, row -> Long.MAX_VALUE);
-  }
-
   private List<SuspectAttempt> rows() {
     return List.copyOf(rows.present);
   }
@@ -126,7 +121,7 @@
   public void attemptOfAKilledNodeCountsOnceItsBackendHasALaterIncarnation() {
     journal.recordStart(ATTEMPT, false);
     AttemptJournal next = newJournal(new AttemptIds("other"));
-    update(next, rows());
+    next.update(rows());
     assertEquals(next.takeCrashed(table("i-1@1")), List.of());
     assertEquals(next.takeCrashed(table("i-1@2")), List.of(ATTEMPT));
     assertEquals(next.takeCrashed(table("i-1@2")), List.of(), "reported once");
@@ -135,7 +130,7 @@
   @Test
   public void anIncarnationWithoutARecordCountsAsEndedAfterAWhile() {
     journal = newJournal(new AttemptIds("other"));
-    update(journal, List.of(ATTEMPT));
+    journal.update(List.of(ATTEMPT));
     assertEquals(journal.takeCrashed(table("i-2@1")), List.of(), "its record may not be read yet");
     time.runMillis(5_000);
     assertEquals(journal.takeCrashed(table()), List.of(), "no record is read");
@@ -146,7 +141,7 @@
   @Test
   public void aRecordOfAnEarlierIncarnationShowsNothing() {
     journal = newJournal(new AttemptIds("other"));
-    update(journal, List.of(ATTEMPT));
+    journal.update(List.of(ATTEMPT));
     time.runMillis(5_000);
     assertEquals(journal.takeCrashed(table("i-1@0")), List.of());
   }
@@ -170,7 +165,7 @@
     journal.recordStart(ATTEMPT, false);
     newJournal(otherIds).recordStart(ofOther, false);
     journal.recordConclusion(ATTEMPT, AttemptOutcome.NOT_LOST);
-    update(journal, rows());
+    journal.update(rows());
     assertEquals(journal.takeCrashed(table("i-1@2")), List.of(ofOther));
   }
 
@@ -198,7 +193,7 @@
   public void anAttemptOfAnotherNodeIsUnresolvedUntilItsBackendHasOutlivedIt() {
     journal = newJournal(new AttemptIds("other"));
     long readAtMillis = time.monotonicMillis();
-    update(journal, List.of(ATTEMPT));
+    journal.update(List.of(ATTEMPT));
     assertEquals(unresolvedBackends(readAtMillis), Set.of("i-1@1"));
     assertEquals(unresolvedBackends(readAtMillis + 1_001), Set.of());
   }
@@ -212,8 +207,8 @@
 
   private void readAfterStart() {
     journal = newJournal(new AttemptIds("other"));
-    update(journal, List.of());
-    update(journal, List.of(ATTEMPT));
+    journal.update(List.of());
+    journal.update(List.of(ATTEMPT));
   }
 
   @Test
@@ -302,8 +297,8 @@
       attempts.add(attempt(number));
     }
     journal = newJournal(new AttemptIds("other"));
-    update(journal, List.of());
-    update(journal, attempts);
+    journal.update(List.of());
+    journal.update(attempts);
     Set<RequestFingerprint> requests = new HashSet<>();
     attempts.forEach(attempt -> requests.add(attempt.fingerprint()));
     Set<SuspectAttempt> asked = new HashSet<>();
@@ -331,8 +326,8 @@
   @Test
   public void attemptsOfAnEarlierProcessOfThisNodeAreUnresolvedAtOnce() {
     journal = newJournal(new AttemptIds("node"));
-    update(journal, List.of());
-    update(journal, List.of(ATTEMPT));
+    journal.update(List.of());
+    journal.update(List.of(ATTEMPT));
     assertEquals(unresolvedBackends(0), Set.of("i-1@1"));
   }
 
@@ -341,7 +336,7 @@
     journal.recordStart(ATTEMPT, false);
     assertTrue(journal.isInProgress(ATTEMPT.id()));
     AttemptJournal next = newJournal(new AttemptIds("node"));
-    update(next, rows());
+    next.update(rows());
     assertFalse(next.isInProgress(ATTEMPT.id()));
   }
 
@@ -360,7 +355,7 @@
   public void anAttemptThatWasAnsweredIsResolved() {
     journal.recordStart(ATTEMPT, false);
     journal.recordConclusion(ATTEMPT, AttemptOutcome.NOT_LOST);
-    update(journal, List.of(ATTEMPT));
+    journal.update(List.of(ATTEMPT));
     assertEquals(unresolvedBackends(0), Set.of(), "the row was read before it was removed");
   }
 
@@ -388,7 +383,7 @@
   public void rowsOfNodesThatAreGoneAreRemovedByTheCoordinator() {
     journal = newJournal(new AttemptIds("other"));
     rows.present.add(ATTEMPT);
-    update(journal, rows());
+    journal.update(rows());
     tickFor(29_000, true);
     assertEquals(rows(), List.of(ATTEMPT));
     tickFor(2_000, true);
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
@@ -1,6 +1,7 @@
 package org.lockdale.gateway.quarantine;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.Optional;
@@ -244,43 +245,6 @@
     assertEquals(crashesUntilRefused(true), 3);
   }
 
-  @Test
-  public void aCrashOfTheNextIncarnationUnderTheRowOfThePreviousOneCounts() {
-    Node stale = fleet.startNode();
-    stale.readsBackends = false;
-    stale.send("c@1");
-    stale.lose(Optional.empty(), "c@1", Loss.CLOSED);
-    fleet.run(100);
-    assertTrue(survivor.refuses(), "counted as one crash");
-    int counted = survivor.knownWeight();
-    fleet.putOnRecord("c", 2);
-    stale.send("c@1");
-    fleet.run(RUN_MILLIS);
-    stale.kill();
-    fleet.run(DOWN_MILLIS);
-    fleet.putOnRecord("c", 3);
-    fleet.run(COUNTED_MILLIS);
-    assertTrue(survivor.knownWeight() > counted, "two crashes of one server count as one");
-  }
-
-  /** The next incarnation has no record yet when the row is read. */
-  @Test
-  public void aCrashOfAnIncarnationThatIsRecordedLaterThanTheAttemptCounts() {
-    Node stale = fleet.startNode();
-    stale.readsBackends = false;
-    stale.lose(Optional.empty(), "c@1", Loss.CLOSED);
-    fleet.run(800);
-    int counted = survivor.knownWeight();
-    stale.send("c@1");
-    fleet.run(RUN_MILLIS);
-    stale.kill();
-    fleet.putOnRecord("c", 2);
-    fleet.run(DOWN_MILLIS);
-    fleet.putOnRecord("c", 3);
-    fleet.run(COUNTED_MILLIS);
-    assertTrue(survivor.knownWeight() > counted, "two crashes of one server count as one");
-  }
-
   /** The row stands although the crash has been counted by a node that was killed then. */
   @Test
   public void aRowThatANodeReadsAtItsStartDoesNotCountAgainstTheNextIncarnation() {
@@ -335,4 +299,45 @@
     crashAndKillWitness("c@9");
     assertCountedOnceNextIncarnationIsOnRecord();
   }
+
+  /** Its node was killed before the store took it. */
+  @Test
+  public void aRowThatTheStoreTookLateCountsNoCrashOfTheNextIncarnation() {
+    fleet = new SuspectFleet("a", "b", "c", "d");
+    survivor = fleet.startNode();
+    witness = fleet.startNode();
+    witness.lose(Optional.empty(), "a@1", Loss.CLOSED);
+    fleet.run(500);
+    fleet.delayingWrites = true;
+    Optional<SuspectAttempt> attempt = witness.send("c@1");
+    fleet.run(RUN_MILLIS);
+    witness.lose(attempt, "c@1", Loss.CLOSED);
+    fleet.run(50);
+    witness.kill();
+    fleet.putOnRecord("c", 2);
+    fleet.run(50);
+    fleet.applyDelayedChanges();
+    fleet.run(3_000);
+    assertFalse(survivor.refuses());
+    fleet.putOnRecord("c", 3);
+    fleet.run(COUNTED_MILLIS);
+    assertEquals(survivor.knownWeight(), SuspectLedger.SIGNIFICANT_WEIGHT);
+  }
+
+  /** Its connection had broken before, and the attempt of a killed node is on record. */
+  @Test
+  public void anAttemptAtALivingServerCountsAgainstThatServerOnly() {
+    fleet = new SuspectFleet("a", "b", "c", "d");
+    survivor = fleet.startNode();
+    witness = fleet.startNode();
+    Node other = fleet.startNode();
+    witness.lose(Optional.empty(), "a@1", Loss.CLOSED);
+    other.lose(Optional.empty(), "c@1", Loss.CLOSED);
+    fleet.run(800);
+    witness.send("c@1");
+    fleet.run(RUN_MILLIS);
+    witness.kill();
+    fleet.run(2_000);
+    assertFalse(survivor.refuses(), "two servers may have crashed, no third one");
+  }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/UncountedCrashOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/UncountedCrashOrderTest.java
@@ -1,14 +1,53 @@
 package org.lockdale.gateway.quarantine;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.Optional;
 import org.lockdale.gateway.quarantine.LostAttempt.Loss;
+import org.lockdale.gateway.quarantine.SuspectFleet.Node;
 import org.testng.annotations.Test;
 
 /** Orders of events in which a crash is not counted yet. */
 public final class UncountedCrashOrderTest extends ThirdCrashScenario {
 
+  @Test
+  public void aCrashOfTheNextIncarnationUnderTheRowOfThePreviousOneCounts() {
+    Node stale = fleet.startNode();
+    stale.readsBackends = false;
+    stale.send("c@1");
+    stale.lose(Optional.empty(), "c@1", Loss.CLOSED);
+    fleet.run(100);
+    assertTrue(survivor.refuses(), "counted as one crash");
+    int counted = survivor.knownWeight();
+    fleet.putOnRecord("c", 2);
+    stale.send("c@1");
+    fleet.run(RUN_MILLIS);
+    stale.kill();
+    fleet.run(DOWN_MILLIS);
+    fleet.putOnRecord("c", 3);
+    fleet.run(COUNTED_MILLIS);
+    assertTrue(survivor.knownWeight() > counted, "two crashes of one server count as one");
+  }
+
+  /** The next incarnation has no record yet when the row is read. */
+  @Test
+  public void aCrashOfAnIncarnationThatIsRecordedLaterThanTheAttemptCounts() {
+    Node stale = fleet.startNode();
+    stale.readsBackends = false;
+    stale.lose(Optional.empty(), "c@1", Loss.CLOSED);
+    fleet.run(800);
+    int counted = survivor.knownWeight();
+    stale.send("c@1");
+    fleet.run(RUN_MILLIS);
+    stale.kill();
+    fleet.putOnRecord("c", 2);
+    fleet.run(DOWN_MILLIS);
+    fleet.putOnRecord("c", 3);
+    fleet.run(COUNTED_MILLIS);
+    assertTrue(survivor.knownWeight() > counted, "two crashes of one server count as one");
+  }
+
   /** Its first crash was learned of after this attempt had been sent, so it has no row. */
   @Test
   public void anAttemptInFlightWhenItsRequestBecomesASuspectIsRecorded() {
