A crash that was cleared counts again only if its server lived on

The crash that had just been cleared counted once more, under the key for a later crash.

Cause: "forgiven" was taken for "seen to live". Change: a later crash of an incarnation has a key of its own only where this node took the former one back because the server lived, or knows that it lived after that crash was learned. The crash of an incarnation without a record is taken back as well if the one before turns out to live.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashCounter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashCounter.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 import java.util.function.Consumer;
-import java.util.function.Function;
+import java.util.function.ToLongFunction;
 import org.lockdale.coordination.time.Time;
 import org.tinylog.Logger;
 
@@ -16,6 +16,7 @@
 final class CrashCounter implements CrashWatch.Listener {
 
   private final SuspectLedger ledger;
+  private final ToLongFunction<String> lastAliveAtMillis;
   private final Time time;
   private final Consumer<RequestFingerprint> propagate;
   private final Runnable publishSoon;
@@ -23,15 +24,19 @@
   /**
    * Creates a counter.
    *
+   * @param lastAliveAtMillis returns the latest monotonic time at which a backend is known to have
+   *     been alive
    * @param propagate sends and records a suspect that has changed
    * @param publishSoon publishes the state of the ledger shortly after
    */
   CrashCounter(
       SuspectLedger ledger,
+      ToLongFunction<String> lastAliveAtMillis,
       Time time,
       Consumer<RequestFingerprint> propagate,
       Runnable publishSoon) {
     this.ledger = ledger;
+    this.lastAliveAtMillis = lastAliveAtMillis;
     this.time = time;
     this.propagate = propagate;
     this.publishSoon = publishSoon;
@@ -39,20 +44,23 @@
 
   @Override
   public void onConnectionClosed(LostAttempt attempt) {
-    count("connection-closed-under", attempt, known -> CrashKeys.next(attempt.backend(), known));
+    long aliveAtMillis = lastAliveAtMillis.applyAsLong(attempt.backend());
+    count(
+        "connection-closed-under",
+        attempt,
+        ledger.keyOfNewCrash(fingerprintOf(attempt), attempt.backend(), aliveAtMillis));
     publishSoon.run();
   }
 
   @Override
   public void onClosedByNextIncarnation(LostAttempt attempt) {
-    String key = CrashKeys.ofNextIncarnation(attempt.backend());
-    count("connection-closed-under", attempt, known -> key);
+    count("connection-closed-under", attempt, CrashKeys.ofNextIncarnation(attempt.backend()));
     publishSoon.run();
   }
 
   @Override
   public void onAssigned(LostAttempt attempt) {
-    RequestFingerprint fingerprint = RequestFingerprint.of(attempt.request(), attempt.caller());
+    RequestFingerprint fingerprint = fingerprintOf(attempt);
     if (ledger.retract(fingerprint, CrashKeys.ofNextIncarnation(attempt.backend()))) {
       propagate.accept(fingerprint);
       publishSoon.run();
@@ -62,14 +70,17 @@
   @Override
   public void onCrash(BackendCrash crash) {
     for (LostAttempt lost : crash.lost()) {
-      count("backend-ended-under", lost, known -> CrashKeys.latest(lost.backend(), known));
+      count("backend-ended-under", lost, ledger.latestKey(fingerprintOf(lost), lost.backend()));
     }
     publishSoon.run();
   }
 
-  private void count(
-      String event, LostAttempt lost, Function<Map<String, CrashInvolvement>, String> keyOf) {
-    RequestFingerprint fingerprint = RequestFingerprint.of(lost.request(), lost.caller());
+  private static RequestFingerprint fingerprintOf(LostAttempt attempt) {
+    return RequestFingerprint.of(attempt.request(), attempt.caller());
+  }
+
+  private void count(String event, LostAttempt lost, String key) {
+    RequestFingerprint fingerprint = fingerprintOf(lost);
     Logger.info(
         "event={} backend={} request={} fingerprint={} answer-ms={}",
         event,
@@ -79,8 +90,9 @@
         lost.responseMillis());
     boolean early = lost.responseMillis() <= SuspectLedger.EARLY_MILLIS;
     int sketch = RequestFingerprint.sketchOf(lost.request(), lost.caller());
-    CrashInvolvement crash = new CrashInvolvement(early, false);
-    if (ledger.recordLoss(fingerprint, sketch, crash, keyOf, time.monotonicMillis())) {
+    Suspect seen =
+        new Suspect(fingerprint, sketch, Map.of(key, new CrashInvolvement(early, false)));
+    if (ledger.recordLoss(seen, time.monotonicMillis())) {
       propagate.accept(fingerprint);
     }
   }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashKeys.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashKeys.java
@@ -59,25 +59,23 @@
    * incarnation after it, which then wasn't another one.
    */
   static List<String> allOf(String backend, Map<String, CrashInvolvement> crashes) {
-    List<String> keys = of(backend, crashes);
-    if (!keys.isEmpty() && crashes.containsKey(ofNextIncarnation(backend))) {
+    List<String> keys = new ArrayList<>(of(backend, crashes));
+    if (crashes.containsKey(ofNextIncarnation(backend))) {
       keys.add(ofNextIncarnation(backend));
     }
     return keys;
   }
 
   /**
-   * Returns the key of a crash that is not among those known: that of the latest crash known, or a
-   * new one if the backend was seen to live after that.
+   * Returns the key of a crash after the latest one that is known, which was taken back; that of
+   * the latest one if too many are known.
    *
    * @param crashes crashes that are known, by key
    */
   static String next(String backend, Map<String, CrashInvolvement> crashes) {
-    String latest = latest(backend, crashes);
     int known = of(backend, crashes).size();
-    boolean wasAlive = known > 0 && crashes.get(latest).forgiven() && known < MAX_CRASHES;
     boolean hasStart = Incarnation.parse(backend).startedAtMillis().isPresent();
-    return wasAlive && hasStart ? backend + SEPARATOR + known : latest;
+    return known < MAX_CRASHES && hasStart ? backend + SEPARATOR + known : latest(backend, crashes);
   }
 
   /**
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -56,7 +56,8 @@
     this.section = section;
     this.ledger = new SuspectLedger(holdMillis);
     CrashCounter counter =
-        new CrashCounter(ledger, context.time(), this::propagate, this::publishSoon);
+        new CrashCounter(
+            ledger, this::lastAliveAtMillis, context.time(), this::propagate, this::publishSoon);
     this.watch =
         new CrashWatch(
             context.eventLoop(), context.prober(), this::backends, counter, context.time());
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -85,6 +84,9 @@
     /** Monotonic times at which this node learned of the crashes, by key. */
     private final Map<String, Long> learnedAt = new HashMap<>();
 
+    /** Keys of crashes that this node took back, as their backends were alive later. */
+    private final Set<String> outlived = new HashSet<>();
+
     Entry(Suspect suspect, long nowMillis) {
       this.suspect = suspect;
       this.lastCrashAtMillis = nowMillis;
@@ -98,6 +100,15 @@
       CrashInvolvement crash = suspect.crashes().get(key);
       return crash != null && !crash.forgiven();
     }
+
+    /** Returns whether a backend may have crashed since its latest crash was taken back. */
+    boolean mayCrashAgain(String backend, long aliveAtMillis) {
+      String key = CrashKeys.latest(backend, suspect.crashes());
+      CrashInvolvement crash = suspect.crashes().get(key);
+      return crash != null
+          && crash.forgiven()
+          && (outlived.contains(key) || learnedAt.get(key) < aliveAtMillis);
+    }
   }
 
   private final long holdMillis;
@@ -113,20 +124,32 @@
   }
 
   /**
-   * Records that an attempt of a request was lost on this node.
+   * Returns the key of a crash that has just been found: a new one if the former crash of the
+   * backend was taken back since the backend lived on, and not for another reason.
+   *
+   * @param aliveAtMillis latest monotonic time at which the backend is known to have been alive
+   */
+  String keyOfNewCrash(RequestFingerprint fingerprint, String backend, long aliveAtMillis) {
+    Entry entry = entries.get(fingerprint);
+    return entry != null && entry.mayCrashAgain(backend, aliveAtMillis)
+        ? CrashKeys.next(backend, entry.suspect.crashes())
+        : latestKey(fingerprint, backend);
+  }
+
+  /** Returns the key of the latest crash of a backend that is known, or of its first one. */
+  String latestKey(RequestFingerprint fingerprint, String backend) {
+    return CrashKeys.latest(backend, find(fingerprint).map(Suspect::crashes).orElse(Map.of()));
+  }
+
+  /**
+   * Records that an attempt of a request was lost on this node just now.
    *
-   * @param keyOf returns the key of the crash, given those known
    * @return whether any of it is new
    */
-  boolean recordLoss(
-      RequestFingerprint fingerprint,
-      int sketch,
-      CrashInvolvement crash,
-      Function<Map<String, CrashInvolvement>, String> keyOf,
-      long nowMillis) {
-    String key = keyOf.apply(find(fingerprint).map(Suspect::crashes).orElse(Map.of()));
-    boolean changed = merge(new Suspect(fingerprint, sketch, Map.of(key, crash)), nowMillis);
-    entries.get(fingerprint).learnedAt.put(key, nowMillis);
+  boolean recordLoss(Suspect seen, long nowMillis) {
+    boolean changed = merge(seen, nowMillis);
+    Entry entry = entries.get(seen.fingerprint());
+    seen.crashes().keySet().forEach(key -> entry.learnedAt.put(key, nowMillis));
     return changed;
   }
 
@@ -248,6 +271,7 @@
       for (String key : CrashKeys.allOf(backend, entry.suspect.crashes())) {
         if (entry.isCrashed(key) && entry.learnedAt.get(key) < atMillis) {
           entry.suspect = entry.suspect.forgive(key);
+          entry.outlived.add(key);
           changed.add(entry.suspect);
         }
       }
@@ -342,7 +366,11 @@
 
   private static Set<String> uncounted(Set<String> backends, @Nullable Entry entry) {
     Set<String> uncounted = new TreeSet<>(backends);
-    uncounted.removeIf(backend -> entry != null && entry.suspect.crashes().containsKey(backend));
+    uncounted.removeIf(
+        backend ->
+            entry != null
+                && entry.suspect.crashes().containsKey(backend)
+                && !entry.mayCrashAgain(backend, Long.MIN_VALUE));
     return uncounted;
   }
 
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
@@ -340,4 +340,30 @@
     fleet.run(2_000);
     assertFalse(survivor.refuses(), "two servers may have crashed, no third one");
   }
+
+  /** An operator released the request before a slow node read its close. */
+  @Test
+  public void aCrashThatWasReleasedDoesNotCountOnceMore() {
+    Node slow = fleet.startNode();
+    Optional<SuspectAttempt> copy = slow.send("c@1");
+    witness.lose(Optional.empty(), "c@1", Loss.CLOSED);
+    fleet.run(100);
+    survivor.release();
+    fleet.run(100);
+    slow.lose(copy, "c@1", Loss.CLOSED);
+    fleet.run(500);
+    assertEquals(survivor.knownWeight(), 0);
+  }
+
+  @Test
+  public void aSecondBrokenConnectionToALivingServerIsTakenBack() {
+    witness.lose(Optional.empty(), "c@1", Loss.CLOSED);
+    fleet.run(12_000);
+    witness.lose(Optional.empty(), "c@1", Loss.CLOSED);
+    fleet.run(100);
+    assertTrue(survivor.refuses(), "it counts until the server is known to live");
+    fleet.run(12_000);
+    assertFalse(survivor.refuses());
+    assertEquals(survivor.knownWeight(), SuspectLedger.SIGNIFICANT_WEIGHT);
+  }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashKeysTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashKeysTest.java
@@ -2,7 +2,9 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.testng.annotations.Test;
 
@@ -14,8 +16,8 @@
 
   @Test
   public void aCrashHasTheIdOfItsBackendAsKey() {
-    assertEquals(CrashKeys.next("i@1", Map.of()), "i@1");
-    assertEquals(CrashKeys.next("i@1", Map.of("i@1", COUNTED)), "i@1", "copies of a request");
+    assertEquals(CrashKeys.latest("i@1", Map.of()), "i@1");
+    assertEquals(CrashKeys.latest("i@1", Map.of("i@1", COUNTED)), "i@1");
   }
 
   @Test
@@ -24,7 +26,7 @@
     assertEquals(key, "i@1#1");
     assertEquals(CrashKeys.backendOf(key), "i@1");
     assertEquals(CrashKeys.latest("i@1", Map.of("i@1", FORGIVEN, key, COUNTED)), key);
-    assertEquals(CrashKeys.next("i@1", Map.of("i@1", FORGIVEN, key, COUNTED)), key);
+    assertEquals(CrashKeys.next("i@1", Map.of("i@1", FORGIVEN, key, FORGIVEN)), "i@1#2");
   }
 
   /** A connection to a living server may break any number of times. */
@@ -37,6 +39,14 @@
     assertEquals(crashes.size(), 4);
   }
 
+  @Test
+  public void allCrashesOfABackendThatLivesAreTakenBack() {
+    Map<String, CrashInvolvement> crashes =
+        Map.of("i@1", FORGIVEN, "i@1#1", COUNTED, CrashKeys.ofNextIncarnation("i@1"), COUNTED);
+    assertEquals(CrashKeys.allOf("i@1", crashes), List.of("i@1", "i@1#1", "i@1#next"));
+    assertEquals(CrashKeys.backendsOf(crashes.keySet()), Set.of("i@1"));
+  }
+
   @Test
   public void aBackendWithoutAStartTimeHasOneKey() {
     assertEquals(CrashKeys.next("i", Map.of("i", FORGIVEN)), "i");
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
@@ -255,6 +255,10 @@
       backends.find(backend).markEnded();
     }
 
+    void release() {
+      quarantine.release(fingerprint());
+    }
+
     boolean refuses() {
       return quarantine.quarantined(guilty(), TENANT).isPresent();
     }
