An attempt that its server outlived never counts as a crash

Cause: the end of a server was looked for in every row on record, resolved or not. Change: a row whose server is seen to have lived a second longer is resolved and counts no more.

Measured: AttemptJournalTest has the order, which failed before.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
@@ -291,12 +291,18 @@
    * periodically.
    *
    * @param backends backends that have a record
+   * @param lastAliveAtMillis see {@link #unresolved}
    */
-  List<SuspectAttempt> takeCrashed(BackendTable backends) {
+  List<SuspectAttempt> takeCrashed(
+      BackendTable backends, ToLongFunction<String> lastAliveAtMillis) {
     List<SuspectAttempt> crashed = new ArrayList<>();
     long now = time.monotonicMillis();
     foreign.forEach(
         (attempt, row) -> {
+          if (!row.isInProgress()
+              && hasOutlived(attempt.backend(), row.unknownSinceMillis(), lastAliveAtMillis)) {
+            row.recordOutlived();
+          }
           if (hasEnded(attempt.backend(), backends, row.readAtMillis())) {
             row.recordEnd(now);
           }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/ForeignAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/ForeignAttempt.java
@@ -35,6 +35,8 @@
   private boolean asking;
   private long endedAtMillis = NEVER;
   private boolean confirmedSinceEnd;
+
+  /** Whether it counted as a crash, or never will. */
   private boolean reported;
 
   /**
@@ -101,6 +103,11 @@
     endedAtMillis = Math.min(endedAtMillis, nowMillis);
   }
 
+  /** Records that its backend lived on after it, so that it never counts as a crash. */
+  void recordOutlived() {
+    reported = true;
+  }
+
   /** Returns whether its backend has ended and it doesn't count as a crash yet. */
   boolean hasUncountedEnd() {
     return endedAtMillis < NEVER && !reported;
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -255,7 +255,7 @@
    */
   private boolean countUnconcluded() {
     boolean changed = false;
-    for (SuspectAttempt attempt : journal.takeCrashed(backends())) {
+    for (SuspectAttempt attempt : journal.takeCrashed(backends(), this::lastAliveAtMillis)) {
       Logger.info(
           "event=backend-ended-under backend={} fingerprint={} evidence=unconcluded",
           attempt.backend(),
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/AttemptJournalTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/AttemptJournalTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.ToLongFunction;
 import org.lockdale.coordination.simulation.VirtualTime;
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
@@ -26,6 +27,7 @@
 
   private static final AttemptIds IDS = new AttemptIds("node");
   private static final SuspectAttempt ATTEMPT = attempt(1);
+  private static final ToLongFunction<String> NEVER_ALIVE = backend -> Long.MIN_VALUE;
 
   /** Keeps one row a key, as the shared store does. */
   private static final class Rows extends EmptySuspectTable {
@@ -122,19 +124,22 @@
     journal.recordStart(ATTEMPT, false);
     AttemptJournal next = newJournal(new AttemptIds("other"));
     next.update(rows());
-    assertEquals(next.takeCrashed(table("i-1@1")), List.of());
-    assertEquals(next.takeCrashed(table("i-1@2")), List.of(ATTEMPT));
-    assertEquals(next.takeCrashed(table("i-1@2")), List.of(), "reported once");
+    assertEquals(next.takeCrashed(table("i-1@1"), NEVER_ALIVE), List.of());
+    assertEquals(next.takeCrashed(table("i-1@2"), NEVER_ALIVE), List.of(ATTEMPT));
+    assertEquals(next.takeCrashed(table("i-1@2"), NEVER_ALIVE), List.of(), "reported once");
   }
 
   @Test
   public void anIncarnationWithoutARecordCountsAsEndedAfterAWhile() {
     journal = newJournal(new AttemptIds("other"));
     journal.update(List.of(ATTEMPT));
-    assertEquals(journal.takeCrashed(table("i-2@1")), List.of(), "its record may not be read yet");
+    assertEquals(
+        journal.takeCrashed(table("i-2@1"), NEVER_ALIVE),
+        List.of(),
+        "its record may not be read yet");
     time.runMillis(5_000);
-    assertEquals(journal.takeCrashed(table()), List.of(), "no record is read");
-    assertEquals(journal.takeCrashed(table("i-2@1")), List.of(ATTEMPT));
+    assertEquals(journal.takeCrashed(table(), NEVER_ALIVE), List.of(), "no record is read");
+    assertEquals(journal.takeCrashed(table("i-2@1"), NEVER_ALIVE), List.of(ATTEMPT));
   }
 
   /** A table that was read before the incarnation started contains the previous one. */
@@ -143,7 +148,7 @@
     journal = newJournal(new AttemptIds("other"));
     journal.update(List.of(ATTEMPT));
     time.runMillis(5_000);
-    assertEquals(journal.takeCrashed(table("i-1@0")), List.of());
+    assertEquals(journal.takeCrashed(table("i-1@0"), NEVER_ALIVE), List.of());
   }
 
   @Test
@@ -166,7 +171,7 @@
     newJournal(otherIds).recordStart(ofOther, false);
     journal.recordConclusion(ATTEMPT, AttemptOutcome.NOT_LOST);
     journal.update(rows());
-    assertEquals(journal.takeCrashed(table("i-1@2")), List.of(ofOther));
+    assertEquals(journal.takeCrashed(table("i-1@2"), NEVER_ALIVE), List.of(ofOther));
   }
 
   @Test
@@ -254,26 +259,40 @@
     assertEquals(unresolvedBackends(0), Set.of());
   }
 
+  /** It ended much later, for another reason. */
+  @Test
+  public void anAttemptThatItsBackendOutlivedNeverCounts() {
+    readAfterStart();
+    time.runMillis(250);
+    askOwner(false);
+    long aliveAtMillis = time.monotonicMillis() + 1_001;
+    assertEquals(journal.takeCrashed(table("i-1@1"), backend -> aliveAtMillis), List.of());
+    time.runMillis(5_000);
+    assertEquals(journal.takeCrashed(table("i-1@2"), NEVER_ALIVE), List.of());
+  }
+
   /** More attempts may wait for a question than are asked at once. */
   @Test
   public void aCrashCountsAlthoughItsNodeIsNotAsked() {
     readAfterStart();
-    assertEquals(journal.takeCrashed(table("i-1@2")), List.of(), "its node may report it");
+    assertEquals(
+        journal.takeCrashed(table("i-1@2"), NEVER_ALIVE), List.of(), "its node may report it");
     time.runMillis(1_000);
-    assertEquals(journal.takeCrashed(table("i-1@2")), List.of(ATTEMPT));
+    assertEquals(journal.takeCrashed(table("i-1@2"), NEVER_ALIVE), List.of(ATTEMPT));
   }
 
   /** Something may hold the connection of a crashed server open. */
   @Test
   public void aCrashCountsAlthoughItsNodeHasTheAttemptInProgress() {
     readAfterStart();
-    journal.takeCrashed(table("i-1@2"));
+    journal.takeCrashed(table("i-1@2"), NEVER_ALIVE);
     time.runMillis(250);
     askOwner(true);
     time.runMillis(1_000);
-    assertEquals(journal.takeCrashed(table("i-1@2")), List.of(), "it may run on the next one");
+    assertEquals(
+        journal.takeCrashed(table("i-1@2"), NEVER_ALIVE), List.of(), "it may run on the next one");
     time.runMillis(2_000);
-    assertEquals(journal.takeCrashed(table("i-1@2")), List.of(ATTEMPT));
+    assertEquals(journal.takeCrashed(table("i-1@2"), NEVER_ALIVE), List.of(ATTEMPT));
   }
 
   /** Otherwise one crash would count twice if it is attributed to the next incarnation. */
