Every later crash of a server that was seen to live counts

Found by review of, shown by forced orders: a later crash of a server that had been seen to live still did not count where it was known by the row of a killed node, or where the close was read after the server's record had gone.

Cause: only a connection that closes while the record stands got a key for a later crash, and a node that heard of the retraction from another one did not know the reason for it.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashKeys.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashKeys.java
@@ -75,7 +75,9 @@
   static String next(String backend, Map<String, CrashInvolvement> crashes) {
     int known = of(backend, crashes).size();
     boolean hasStart = Incarnation.parse(backend).startedAtMillis().isPresent();
-    return known < MAX_CRASHES && hasStart ? backend + SEPARATOR + known : latest(backend, crashes);
+    return known > 0 && known < MAX_CRASHES && hasStart
+        ? backend + SEPARATOR + known
+        : latest(backend, crashes);
   }
 
   /**
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashWatch.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashWatch.java
@@ -101,6 +101,10 @@
     }
     BackendCrash known = detector.recordLoss(attempt, backends.get(), now);
     if (known != null) {
+      if (attempt.isClosed()) {
+        // Tells this loss from one of the same backend that was taken back before.
+        listener.onConnectionClosed(attempt);
+      }
       report(known);
     } else if (detector.isUnassigned(attempt)) {
       if (attempt.isClosed() && attempt.responded()) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -260,8 +260,10 @@
           "event=backend-ended-under backend={} fingerprint={} evidence=unconcluded",
           attempt.backend(),
           attempt.fingerprint());
-      Map<String, CrashInvolvement> crashes =
-          Map.of(attempt.backend(), new CrashInvolvement(true, false));
+      String key =
+          ledger.keyOfNewCrash(
+              attempt.fingerprint(), attempt.backend(), lastAliveAtMillis(attempt.backend()));
+      Map<String, CrashInvolvement> crashes = Map.of(key, new CrashInvolvement(true, false));
       Suspect suspect = new Suspect(attempt.fingerprint(), attempt.sketch(), crashes);
       if (merge(suspect)) {
         propagate(suspect);
@@ -320,12 +322,15 @@
   private boolean retractCrashes(long nowMillis) {
     livenessEvidence.observe();
     boolean changed = false;
-    for (String backend : ledger.crashedBackends()) {
+    for (String backend : ledger.possiblyCrashedBackends()) {
       TrackedBackend tracked = backends().find(backend);
+      if (tracked == null) {
+        continue;
+      }
       long aliveAtMillis = lastAliveAtMillis(backend);
       List<Suspect> forgiven = ledger.recordAlive(backend, aliveAtMillis);
       if (!forgiven.isEmpty()) {
-        boolean answered = tracked != null && tracked.lastKnownAliveMillis() == aliveAtMillis;
+        boolean answered = tracked.lastKnownAliveMillis() == aliveAtMillis;
         Logger.info(
             "event=backend-lives backend={} evidence={} seen-ms-ago={}",
             backend,
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
@@ -84,7 +84,7 @@
     /** Monotonic times at which this node learned of the crashes, by key. */
     private final Map<String, Long> learnedAt = new HashMap<>();
 
-    /** Keys of crashes that this node took back, as their backends were alive later. */
+    /** Keys of crashes after which, as this node knows, their backends were alive. */
     private final Set<String> outlived = new HashSet<>();
 
     Entry(Suspect suspect, long nowMillis) {
@@ -247,12 +247,15 @@
     return Optional.of(entry.suspect);
   }
 
-  /** Returns the ids of the backends whose crashes count against any request. */
-  Set<String> crashedBackends() {
+  /**
+   * Returns the ids of the backends that crashed, as far as known, and are not known to have been
+   * alive since.
+   */
+  Set<String> possiblyCrashedBackends() {
     Set<String> crashed = new TreeSet<>();
     for (Entry entry : entries.values()) {
       entry.suspect.crashes().keySet().stream()
-          .filter(entry::isCrashed)
+          .filter(key -> !entry.outlived.contains(key))
           .map(CrashKeys::backendOf)
           .forEach(crashed::add);
     }
@@ -269,11 +272,14 @@
     List<Suspect> changed = new ArrayList<>();
     for (Entry entry : entries.values()) {
       for (String key : CrashKeys.allOf(backend, entry.suspect.crashes())) {
-        if (entry.isCrashed(key) && entry.learnedAt.get(key) < atMillis) {
+        boolean outlived = entry.learnedAt.get(key) < atMillis;
+        if (outlived && entry.isCrashed(key)) {
           entry.suspect = entry.suspect.forgive(key);
-          entry.outlived.add(key);
           changed.add(entry.suspect);
         }
+        if (outlived) {
+          entry.outlived.add(key);
+        }
       }
     }
     return changed;
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
@@ -366,4 +366,27 @@
     assertFalse(survivor.refuses());
     assertEquals(survivor.knownWeight(), SuspectLedger.SIGNIFICANT_WEIGHT);
   }
+
+  private void breakAndTakeBack(Node node) {
+    node.lose(Optional.empty(), "c@1", Loss.CLOSED);
+    fleet.run(12_000);
+    assertEquals(survivor.knownWeight(), SuspectLedger.SIGNIFICANT_WEIGHT);
+  }
+
+  @Test
+  public void aCrashOfAServerThatWasFoundAliveBeforeCountsByTheRowOfAKilledNode() {
+    breakAndTakeBack(fleet.startNode());
+    crashAndKillWitness("c@1");
+    assertCountedOnceNextIncarnationIsOnRecord();
+  }
+
+  @Test
+  public void aCrashOfAServerThatWasFoundAliveBeforeCountsAfterItsRecordHasGone() {
+    breakAndTakeBack(witness);
+    Optional<SuspectAttempt> attempt = witness.send("c@1");
+    fleet.run(RUN_MILLIS);
+    fleet.removeRecord("c");
+    witness.lose(attempt, "c@1", Loss.CLOSED);
+    assertCountedOnceNextIncarnationIsOnRecord();
+  }
 }
