A server may announce its leave after its record was removed

Change: the table keeps the state learned about an incarnation that is gone (256 at most), not a copy of one flag.

--- a/gateway/src/main/java/org/lockdale/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/BackendTable.java
@@ -21,13 +21,13 @@
 
   private final Map<String, TrackedBackend> byId;
 
-  /** Incarnations whose records were removed, and whether they were draining then. */
-  private final Map<String, Boolean> gone;
+  /** Incarnations whose records were removed, by id. */
+  private final Map<String, TrackedBackend> gone;
 
   private final Map<String, TrackedBackend> byServer = new HashMap<>();
   private final Map<String, List<TrackedBackend>> byPool = new HashMap<>();
 
-  private BackendTable(Map<String, TrackedBackend> byId, Map<String, Boolean> gone) {
+  private BackendTable(Map<String, TrackedBackend> byId, Map<String, TrackedBackend> gone) {
     this.byId = byId;
     this.gone = gone;
     byId.values()
@@ -50,12 +50,12 @@
     return new BackendTable(newer, goneWith(newer.keySet()));
   }
 
-  private Map<String, Boolean> goneWith(Set<String> present) {
-    Map<String, Boolean> all = new LinkedHashMap<>(gone);
+  private Map<String, TrackedBackend> goneWith(Set<String> present) {
+    Map<String, TrackedBackend> all = new LinkedHashMap<>(gone);
     all.keySet().removeAll(present);
     for (TrackedBackend tracked : byId.values()) {
       if (!present.contains(tracked.backend().id())) {
-        all.put(tracked.backend().id(), tracked.isDraining());
+        all.put(tracked.backend().id(), tracked);
       }
     }
     Iterator<String> oldest = all.keySet().iterator();
@@ -107,11 +107,12 @@
   }
 
   /**
-   * Returns whether an incarnation was draining when its record was removed, so that it left as
-   * planned.
+   * Returns whether an incarnation whose record was removed was draining, so that it left as
+   * planned. It may announce this in a response that is read after the removal.
    */
   public boolean hasLeft(String id) {
-    return gone.getOrDefault(id, false);
+    TrackedBackend tracked = gone.get(id);
+    return tracked != null && tracked.isDraining();
   }
 
   /**
--- a/gateway/src/test/java/org/lockdale/gateway/backend/BackendTableTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/backend/BackendTableTest.java
@@ -45,6 +45,15 @@
     assertFalse(next.hasLeft("i-2@1"));
   }
 
+  @Test
+  public void aServerThatAnnouncesDrainingAfterItsRecordWasRemovedHasLeft() {
+    BackendTable former = BackendTable.EMPTY.with(List.of(incarnation("i-1@1")));
+    TrackedBackend target = former.find("i-1@1");
+    BackendTable next = former.with(List.of());
+    target.markDraining();
+    assertTrue(next.hasLeft("i-1@1"));
+  }
+
   @Test
   public void anIncarnationWithALaterStartIsReplacedByTheOneOnRecordNow() {
     BackendTable former = BackendTable.EMPTY.with(List.of(incarnation("i-1@9")));
