A server seen to live on does not clear an attempt that may still run

The server was seen to live meanwhile, and the row never counted again, although the attempt went on and crashed the server later.

Cause: "not in progress" may be an assumption or one wrong answer; took it for good. Change: such a row counts as before when its server ends. That the server outlived it decides one thing only: the row brings no later crash of a server that was seen to live, and it is forgotten once the owner says that the attempt goes on.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/AttemptJournal.java
@@ -313,6 +313,12 @@
     return crashed;
   }
 
+  /** Returns whether the backend of an attempt of another process is known to have outlived it. */
+  boolean isOutlived(SuspectAttempt attempt) {
+    ForeignAttempt state = foreign.get(attempt);
+    return state != null && state.isOutlived();
+  }
+
   private boolean hasEnded(String backendId, BackendTable backends, long firstReadAtMillis) {
     TrackedBackend tracked = backends.find(backendId);
     if (tracked != null) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/ForeignAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/ForeignAttempt.java
@@ -35,9 +35,8 @@
   private boolean asking;
   private long endedAtMillis = NEVER;
   private boolean confirmedSinceEnd;
-
-  /** Whether it counted as a crash, or never will. */
   private boolean reported;
+  private boolean outlived;
 
   /**
    * Creates the state of an attempt whose row was just read.
@@ -93,6 +92,7 @@
     if (nowInProgress || inProgress) {
       unknownSinceMillis = nowMillis;
     }
+    outlived &= !nowInProgress;
     boolean changed = inProgress != nowInProgress;
     inProgress = nowInProgress;
     return changed;
@@ -103,9 +103,14 @@
     endedAtMillis = Math.min(endedAtMillis, nowMillis);
   }
 
-  /** Records that its backend lived on after it, so that it never counts as a crash. */
+  /** Records that its backend lived on after it was last known to be in progress. */
   void recordOutlived() {
-    reported = true;
+    outlived = true;
+  }
+
+  /** Returns whether its backend lived on after it, as far as is known. */
+  boolean isOutlived() {
+    return outlived;
   }
 
   /** Returns whether its backend has ended and it doesn't count as a crash yet. */
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -260,9 +260,7 @@
           "event=backend-ended-under backend={} fingerprint={} evidence=unconcluded",
           attempt.backend(),
           attempt.fingerprint());
-      String key =
-          ledger.keyOfNewCrash(
-              attempt.fingerprint(), attempt.backend(), lastAliveAtMillis(attempt.backend()));
+      String key = keyOf(attempt);
       Map<String, CrashInvolvement> crashes = Map.of(key, new CrashInvolvement(true, false));
       Suspect suspect = new Suspect(attempt.fingerprint(), attempt.sketch(), crashes);
       if (merge(suspect)) {
@@ -273,6 +271,14 @@
     return changed;
   }
 
+  private String keyOf(SuspectAttempt unconcluded) {
+    RequestFingerprint fingerprint = unconcluded.fingerprint();
+    String backend = unconcluded.backend();
+    return journal.isOutlived(unconcluded)
+        ? ledger.latestKey(fingerprint, backend)
+        : ledger.keyOfNewCrash(fingerprint, backend, lastAliveAtMillis(backend));
+  }
+
   private void maintain() {
     long now = context.time().monotonicMillis();
     boolean changed = retractCrashes(now) | countUnconcluded();
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/AttemptJournalTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/AttemptJournalTest.java
@@ -259,16 +259,21 @@
     assertEquals(unresolvedBackends(0), Set.of());
   }
 
-  /** It ended much later, for another reason. */
+  /** Its node may only have been out of reach when the backend was seen to live. */
   @Test
-  public void anAttemptThatItsBackendOutlivedNeverCounts() {
+  public void anAttemptThatItsBackendOutlivedCountsIfTheBackendEnds() {
     readAfterStart();
     time.runMillis(250);
     askOwner(false);
     long aliveAtMillis = time.monotonicMillis() + 1_001;
     assertEquals(journal.takeCrashed(table("i-1@1"), backend -> aliveAtMillis), List.of());
-    time.runMillis(5_000);
-    assertEquals(journal.takeCrashed(table("i-1@2"), NEVER_ALIVE), List.of());
+    assertTrue(journal.isOutlived(ATTEMPT));
+    time.runMillis(2_000);
+    askOwner(true);
+    assertFalse(journal.isOutlived(ATTEMPT), "it is still in progress");
+    time.runMillis(500);
+    askOwner(false);
+    assertEquals(journal.takeCrashed(table("i-1@2"), NEVER_ALIVE), List.of(ATTEMPT));
   }
 
   /** More attempts may wait for a question than are asked at once. */
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
@@ -389,4 +389,39 @@
     witness.lose(attempt, "c@1", Loss.CLOSED);
     assertCountedOnceNextIncarnationIsOnRecord();
   }
+
+  /** A node that starts takes it for unresolved, and the server lives on while it runs. */
+  @Test
+  public void aCrashLongAfterANodeThatCountsItHasStartedCounts() {
+    fleet = new SuspectFleet("a", "b", "c", "d");
+    survivor = fleet.startNode();
+    witness = fleet.startNode();
+    witness.lose(Optional.empty(), "a@1", Loss.CLOSED);
+    fleet.putOnRecord("a", 2);
+    fleet.run(500);
+    witness.send("c@1");
+    fleet.run(500);
+    survivor.kill();
+    survivor = fleet.startNode();
+    fleet.run(12_100);
+    witness.kill();
+    fleet.run(DOWN_MILLIS);
+    fleet.putOnRecord("c", 2);
+    fleet.run(4_000);
+    assertEquals(survivor.knownWeight(), SuspectLedger.SIGNIFICANT_WEIGHT);
+  }
+
+  @Test
+  public void aCrashAfterTheOwnerOfTheAttemptWasOutOfReachForAWhileCounts() {
+    witness.send("c@1");
+    fleet.run(100);
+    fleet.ownersUnreachable = true;
+    fleet.run(1_900);
+    survivor.recordAlive("c@1");
+    fleet.run(300);
+    fleet.ownersUnreachable = false;
+    fleet.run(3_000);
+    witness.kill();
+    assertCountedOnceNextIncarnationIsOnRecord();
+  }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
@@ -44,6 +44,7 @@
   private int startedNodes;
   boolean datagramsLost;
   boolean storeDown;
+  boolean ownersUnreachable;
 
   /** Changes of the store that are in progress while a test delays them. */
   private final List<Runnable> delayedChanges = new ArrayList<>();
@@ -136,6 +137,9 @@
   }
 
   private CompletableFuture<Boolean> isInProgress(SuspectAttempt attempt) {
+    if (ownersUnreachable) {
+      return CompletableFuture.completedFuture(false);
+    }
     String owner = AttemptIds.nodeOf(attempt.id());
     return CompletableFuture.completedFuture(
         nodes.stream()
@@ -255,6 +259,11 @@
       backends.find(backend).markEnded();
     }
 
+    /** Reports a response that shows that an incarnation is alive. */
+    void recordAlive(String backend) {
+      backends.find(backend).recordAlive(time.monotonicMillis());
+    }
+
     void release() {
       quarantine.release(fingerprint());
     }
