The crash of an incarnation without a record counts once

Requests were refused after two crashes.

Change: a provisional crash covers rows at the incarnation before it; it weighs nothing while a crash of a later incarnation of the same server counts; and an attempt that counted so is not counted again at the end of the wait.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashDetector.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashDetector.java
@@ -221,7 +221,8 @@
   /**
    * Removes and returns the attempts that can now be assigned to an incarnation: the record of the
    * one that they reached has been read, or none has appeared for {@link #RETENTION_MILLIS}, so
-   * that they count against the one they were meant for.
+   * that they count against the one they were meant for, unless they have counted against the next
+   * one.
    */
   List<LostAttempt> takeAssignable(BackendTable backends, long nowMillis) {
     List<LostAttempt> assignable = new ArrayList<>();
@@ -233,7 +234,9 @@
         assignable.add(attempt);
       } else if (nowMillis - waiting.atMillis() > RETENTION_MILLIS) {
         each.remove();
-        assignable.add(attempt.onIntendedIncarnation());
+        if (!attempt.showsCrashOfNextIncarnation()) {
+          assignable.add(attempt.onIntendedIncarnation());
+        }
       }
     }
     return assignable;
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashWatch.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashWatch.java
@@ -107,7 +107,7 @@
       }
       report(known);
     } else if (detector.isUnassigned(attempt)) {
-      if (attempt.isClosed() && attempt.responded()) {
+      if (attempt.showsCrashOfNextIncarnation()) {
         listener.onClosedByNextIncarnation(attempt);
       }
       scheduleCheck();
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/LostAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/LostAttempt.java
@@ -85,6 +85,14 @@
     return loss == Loss.CLOSED;
   }
 
+  /**
+   * Returns whether an attempt that reached a later incarnation than intended shows that this one
+   * crashed: it had begun to respond when the connection was closed.
+   */
+  boolean showsCrashOfNextIncarnation() {
+    return isClosed() && responded;
+  }
+
   /** Returns whether this node gave it up. */
   boolean isGivenUp() {
     return loss == Loss.GIVEN_UP;
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
@@ -375,7 +375,7 @@
     uncounted.removeIf(
         backend ->
             entry != null
-                && entry.suspect.crashes().containsKey(backend)
+                && CrashKeys.coversAttempt(backend, entry.suspect.crashes())
                 && !entry.mayCrashAgain(backend, Long.MIN_VALUE));
     return uncounted;
   }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
@@ -254,6 +254,24 @@
       run(1);
     }
 
+    /** Loses a response that the incarnation after the intended one had begun. */
+    void loseResponseOfNext(Optional<SuspectAttempt> attempt, String backend) {
+      attempt.ifPresent(each -> quarantine.attemptConcluded(each, AttemptOutcome.REPORTED));
+      InetSocketAddress address = addressOf(backend.substring(0, backend.indexOf('@')));
+      long connectedAtMillis = time.monotonicMillis() - 400;
+      quarantine.attemptLost(
+          new LostAttempt(
+              backend,
+              address,
+              guilty(),
+              TENANT,
+              350,
+              LostAttempt.Loss.CLOSED,
+              connectedAtMillis,
+              true));
+      run(1);
+    }
+
     /** Reports that an incarnation has ended, as another node has found. */
     void markEnded(String backend) {
       backends.find(backend).markEnded();
