A close that is read late does not make a crash count less

What callers saw: a request had crashed three servers and was sent to a fourth one although all three crashes were known: they weighed 8, where 9 are required.

The runs had lasted some 50 ms; nodes that were paused or short of processor time handled the close 1.8 to 2.8 s later. Where the request had been withheld for the attempt's row (weight 3), the report of weight 2 even ended that.

Change: the time counts up to the last thing received of the response. Losses whose response has no visible start are weighed as before.

Measured: QuarantineTest has the case (2,753 ms, of which nothing arrived in the last 2,700), which failed before with weight 2, and the counter-case.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashCounter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashCounter.java
@@ -88,7 +88,7 @@
         lost.request().id(),
         fingerprint,
         lost.responseMillis());
-    boolean early = lost.responseMillis() <= SuspectLedger.EARLY_MILLIS;
+    boolean early = lost.arrivedMillis() <= SuspectLedger.EARLY_MILLIS;
     int sketch = RequestFingerprint.sketchOf(lost.request(), lost.caller());
     Suspect seen =
         new Suspect(fingerprint, sketch, Map.of(key, new CrashInvolvement(early, false)));
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/LostAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/LostAttempt.java
@@ -16,6 +16,8 @@
  * @param loss how it ended
  * @param connectedAtMillis monotonic time at which the connection that carried it was established
  * @param responded whether a response of the server had begun to arrive
+ * @param silentMillis time in milliseconds before the loss in which nothing had arrived, of the
+ *     time for which its response had been arriving; a close may be read late
  */
 public record LostAttempt(
     String backend,
@@ -25,7 +27,8 @@
     long responseMillis,
     Loss loss,
     long connectedAtMillis,
-    boolean responded) {
+    boolean responded,
+    long silentMillis) {
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -68,7 +71,8 @@
         responseMillis,
         newLoss,
         connectedAtMillis,
-        responded);
+        responded,
+        silentMillis);
   }
 
   /**
@@ -77,7 +81,7 @@
    */
   LostAttempt onIntendedIncarnation() {
     return new LostAttempt(
-        backend, address, request, caller, responseMillis, loss, NEVER, responded);
+        backend, address, request, caller, responseMillis, loss, NEVER, responded, silentMillis);
   }
 
   /** Returns whether its connection was closed by the backend's side. */
@@ -85,6 +89,11 @@
     return loss == Loss.CLOSED;
   }
 
+  /** Returns for how long its response had been arriving when the last of it arrived. */
+  long arrivedMillis() {
+    return responseMillis - silentMillis;
+  }
+
   /**
    * Returns whether an attempt that reached a later incarnation than intended shows that this one
    * crashed: it had begun to respond when the connection was closed.
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -174,6 +174,14 @@
     return since == NOT_STARTED ? 0 : time.steadyMillis() - since;
   }
 
+  /**
+   * Returns for how much of {@link #responseMillis} nothing has arrived, in milliseconds: 0 where
+   * the start of the response is not visible.
+   */
+  long responseSilentMillis() {
+    return startedAtMillis == NOT_STARTED ? 0 : silentMillis();
+  }
+
   /**
    * Returns the monotonic time at which the connection of the attempt was established, in
    * milliseconds.
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
@@ -103,7 +103,8 @@
                 attempt.responseMillis(),
                 loss,
                 attempt.connectedAtMillis(),
-                attempt.responded()));
+                attempt.responded(),
+                attempt.responseSilentMillis()));
   }
 
   /**
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashDetectorTest.java
@@ -45,7 +45,8 @@
         0,
         LostAttempt.Loss.CLOSED,
         0,
-        false);
+        false,
+        0);
   }
 
   private BackendCrash lose(String requestId, long nowMillis) {
@@ -75,7 +76,8 @@
     for (int number = 0; number < 100; number++) {
       CallerRequest request = Requests.of("r" + number, "/a", "body");
       LostAttempt later =
-          new LostAttempt("i-1", ADDRESS, request, "tenant", 0, LostAttempt.Loss.CLOSED, 50, false);
+          new LostAttempt(
+              "i-1", ADDRESS, request, "tenant", 0, LostAttempt.Loss.CLOSED, 50, false, 0);
       counted += detector.recordLoss(later, table, 60) == null ? 0 : 1;
     }
     assertEquals(counted, 100 - 64);
@@ -214,6 +216,7 @@
         0,
         LostAttempt.Loss.CLOSED,
         0,
-        false);
+        false,
+        0);
   }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashWatchTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashWatchTest.java
@@ -76,7 +76,7 @@
 
   private static LostAttempt lost(String id, LostAttempt.Loss loss) {
     return new LostAttempt(
-        "i-1@1", ADDRESS, Requests.of(id, "/a", "body"), "tenant", 0, loss, 0, false);
+        "i-1@1", ADDRESS, Requests.of(id, "/a", "body"), "tenant", 0, loss, 0, false, 0);
   }
 
   private List<CrashEvidence> evidence() {
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
@@ -229,7 +229,8 @@
                 time.monotonicMillis() - startedAtMillis,
                 LostAttempt.Loss.GIVEN_UP,
                 connectedAtMillis,
-                false));
+                false,
+                0));
         if (!contents.guilty) {
           server.runs.remove(this);
         }
@@ -271,7 +272,8 @@
               responseMillis,
               LostAttempt.Loss.CLOSED,
               connectedAtMillis,
-              true));
+              true,
+              0));
       node.avoid(server);
       if (!contents.guilty && attemptsLeft > 0) {
         time.schedule(2_000, () -> send(contents, attemptsLeft - 1));
@@ -644,7 +646,8 @@
               0,
               LostAttempt.Loss.CLOSED,
               time.monotonicMillis(),
-              false));
+              false,
+              0));
     }
     if (!what.guilty && attemptsLeft > 0) {
       time.schedule(2_000, () -> send(what, attemptsLeft - 1));
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
@@ -104,7 +104,8 @@
 
   private void lose(int backend, LostAttempt.Loss loss) {
     quarantine.attemptLost(
-        new LostAttempt(idOf(backend), addressOf(backend), request(), "tenant", 0, loss, 0, false));
+        new LostAttempt(
+            idOf(backend), addressOf(backend), request(), "tenant", 0, loss, 0, false, 0));
   }
 
   private void loseAtThree(LostAttempt.Loss loss) {
@@ -237,7 +238,7 @@
         backends.with(List.of(new Backend(next, "pool", addressOf(0), "zone", 4, false, Map.of())));
     quarantine.attemptLost(
         new LostAttempt(
-            idOf(0), addressOf(0), request(), "tenant", 104, LostAttempt.Loss.SILENT, 0, false));
+            idOf(0), addressOf(0), request(), "tenant", 104, LostAttempt.Loss.SILENT, 0, false, 0));
     time.runMillis(SOON_MILLIS);
     assertEquals(broadcastCrashes(), Set.of(idOf(0), next));
   }
@@ -252,7 +253,8 @@
             0,
             LostAttempt.Loss.CLOSED,
             connectedAtMillis,
-            false));
+            false,
+            0));
     time.runMillis(SOON_MILLIS);
   }
 
@@ -293,7 +295,8 @@
             350,
             LostAttempt.Loss.CLOSED,
             time.monotonicMillis() - 400,
-            true));
+            true,
+            0));
     time.runMillis(SOON_MILLIS);
   }
 
@@ -342,6 +345,33 @@
     assertFalse(isQuarantined());
   }
 
+  private int weightAfterLoss(long responseMillis, long silentMillis) {
+    quarantine.attemptLost(
+        new LostAttempt(
+            idOf(0),
+            addressOf(0),
+            request(),
+            "tenant",
+            responseMillis,
+            LostAttempt.Loss.CLOSED,
+            0,
+            true,
+            silentMillis));
+    time.runMillis(SOON_MILLIS);
+    return quarantine.heaviest(1).get(0).weight();
+  }
+
+  /** A node that was paused counted the pause as time for which the response had been arriving. */
+  @Test
+  public void aCrashSoonAfterTheResponseStartedCountsInFullAlthoughItsCloseIsReadLate() {
+    assertEquals(weightAfterLoss(2_753, 2_700), SuspectLedger.SINGLE_CRASH_WEIGHT);
+  }
+
+  @Test
+  public void aCrashLongAfterTheResponseStartedCountsLess() {
+    assertEquals(weightAfterLoss(2_753, 50), 2);
+  }
+
   /**
    * No connection had closed on this node when the previous incarnation crashed; the request
    * crashed the next one.
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
@@ -226,7 +226,8 @@
     void lose(CallerRequest request, String backend) {
       InetSocketAddress address = addressOf(backend.substring(0, backend.indexOf('@')));
       quarantine.attemptLost(
-          new LostAttempt(backend, address, request, TENANT, 0, LostAttempt.Loss.CLOSED, 0, false));
+          new LostAttempt(
+              backend, address, request, TENANT, 0, LostAttempt.Loss.CLOSED, 0, false, 0));
       run(1);
     }
 
@@ -250,7 +251,7 @@
       attempt.ifPresent(each -> quarantine.attemptConcluded(each, outcome));
       InetSocketAddress address = addressOf(backend.substring(0, backend.indexOf('@')));
       quarantine.attemptLost(
-          new LostAttempt(backend, address, guilty(), TENANT, 0, loss, 0, false));
+          new LostAttempt(backend, address, guilty(), TENANT, 0, loss, 0, false, 0));
       run(1);
     }
 
@@ -268,7 +269,8 @@
               350,
               LostAttempt.Loss.CLOSED,
               connectedAtMillis,
-              true));
+              true,
+              0));
       run(1);
     }
 
