Taken back in part: a crash may count twice rather than be lost

A third review, by reading, found that loses crashes: any row at an incarnation counted as covered once the next one's provisional crash was known, also that of another attempt, and any later incarnation's crash made the provisional one weigh nothing, also one that started after it.

The provisional crash counts on its own again, so one crash may count twice where its node is killed before it reads the record: an innocent request may be refused after two crashes, where the other way a request goes on after three.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashKeys.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashKeys.java
@@ -42,28 +42,6 @@
     return backend + SEPARATOR + NEXT_INCARNATION;
   }
 
-  /**
-   * Returns whether a crash is known that an attempt on record at a backend may have shown: one of
-   * the backend, or of the incarnation after it, which ran the attempt in that case.
-   */
-  static boolean coversAttempt(String backend, Map<String, CrashInvolvement> crashes) {
-    return crashes.containsKey(backend) || crashes.containsKey(ofNextIncarnation(backend));
-  }
-
-  /**
-   * Returns whether a key is that of an incarnation that has no record yet, while a crash of a
-   * later incarnation of the same server counts, which is taken for the same crash.
-   */
-  static boolean isReplaced(String key, Map<String, CrashInvolvement> crashes) {
-    if (!key.endsWith(SEPARATOR + NEXT_INCARNATION)) {
-      return false;
-    }
-    Incarnation former = Incarnation.parse(backendOf(key));
-    return crashes.entrySet().stream()
-        .filter(crash -> !crash.getValue().forgiven())
-        .anyMatch(crash -> former.isBefore(Incarnation.parse(backendOf(crash.getKey()))));
-  }
-
   /** Returns the keys of all crashes of a backend that are known, by number. */
   static List<String> of(String backend, Map<String, CrashInvolvement> crashes) {
     if (!crashes.containsKey(backend)) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -260,9 +260,6 @@
           "event=backend-ended-under backend={} fingerprint={} evidence=unconcluded",
           attempt.backend(),
           attempt.fingerprint());
-      if (isCountedForNextIncarnation(attempt)) {
-        continue;
-      }
       String key = keyOf(attempt);
       Map<String, CrashInvolvement> crashes = Map.of(key, new CrashInvolvement(true, false));
       Suspect suspect = new Suspect(attempt.fingerprint(), attempt.sketch(), crashes);
@@ -274,15 +271,6 @@
     return changed;
   }
 
-  /** Returns whether the attempt ran on the next incarnation, whose crash counts already. */
-  private boolean isCountedForNextIncarnation(SuspectAttempt unconcluded) {
-    String key = CrashKeys.ofNextIncarnation(unconcluded.backend());
-    return ledger
-        .find(unconcluded.fingerprint())
-        .filter(suspect -> suspect.crashes().containsKey(key))
-        .isPresent();
-  }
-
   private String keyOf(SuspectAttempt unconcluded) {
     RequestFingerprint fingerprint = unconcluded.fingerprint();
     String backend = unconcluded.backend();
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspect.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspect.java
@@ -22,8 +22,8 @@
   /** Returns the sum of the weights of its crashes. */
   int weight() {
     int weight = 0;
-    for (Map.Entry<String, CrashInvolvement> crash : crashes.entrySet()) {
-      weight += CrashKeys.isReplaced(crash.getKey(), crashes) ? 0 : crash.getValue().weight();
+    for (CrashInvolvement crash : crashes.values()) {
+      weight += crash.weight();
     }
     return weight;
   }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
@@ -375,7 +375,7 @@
     uncounted.removeIf(
         backend ->
             entry != null
-                && CrashKeys.coversAttempt(backend, entry.suspect.crashes())
+                && entry.suspect.crashes().containsKey(backend)
                 && !entry.mayCrashAgain(backend, Long.MIN_VALUE));
     return uncounted;
   }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
@@ -424,4 +424,27 @@
     witness.kill();
     assertCountedOnceNextIncarnationIsOnRecord();
   }
+
+  @Test
+  public void aCrashOfAnIncarnationThatNeverHasARecordCountsOnce() {
+    crashNextIncarnationOfOneServer();
+    fleet.run(15_000);
+    assertTwoCrashes();
+  }
+
+  /** Two crashes of one server, of which a row at the former incarnation shows the first one. */
+  @Test
+  public void aRowOfAKilledNodeCountsBesideTheCrashOfTheNextIncarnation() {
+    Node other = fleet.startNode();
+    witness.send("c@1");
+    fleet.run(RUN_MILLIS);
+    witness.kill();
+    other.lose(SuspectFleet.innocent(1), "c@1");
+    fleet.run(2_000);
+    fleet.removeRecord("c");
+    fleet.run(600);
+    other.loseResponseOfNext(Optional.empty(), "c@1");
+    fleet.run(8_000);
+    assertEquals(survivor.knownWeight(), 4 * SuspectLedger.SINGLE_CRASH_WEIGHT);
+  }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/ThirdCrashScenario.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/ThirdCrashScenario.java
@@ -57,4 +57,31 @@
     assertTrue(survivor.refuses(), "a node sends the request although it crashed three servers");
     assertEquals(survivor.knownWeight(), SuspectLedger.QUARANTINE_WEIGHT, "counted, not withheld");
   }
+
+  /**
+   * A server crashes under another request, and its next incarnation, which has no record, under
+   * the guilty one, which has crashed one server before.
+   */
+  void crashNextIncarnationOfOneServer() {
+    fleet = new SuspectFleet("a", "b", "c", "d");
+    survivor = fleet.startNode();
+    witness = fleet.startNode();
+    witness.lose(Optional.empty(), "a@1", Loss.CLOSED);
+    fleet.putOnRecord("a", 2);
+    fleet.run(500);
+    witness.lose(SuspectFleet.innocent(1), "c@1");
+    fleet.run(1_000);
+    Optional<SuspectAttempt> attempt = witness.send("c@1");
+    fleet.run(1_000);
+    fleet.removeRecord("c");
+    fleet.run(600);
+    witness.loseResponseOfNext(attempt, "c@1");
+    fleet.run(100);
+    assertTwoCrashes();
+  }
+
+  void assertTwoCrashes() {
+    assertEquals(survivor.knownWeight(), SuspectLedger.SIGNIFICANT_WEIGHT);
+    assertFalse(survivor.refuses());
+  }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/UncountedCrashOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/UncountedCrashOrderTest.java
@@ -8,7 +8,7 @@
 import org.lockdale.gateway.quarantine.SuspectFleet.Node;
 import org.testng.annotations.Test;
 
-/** Orders of events in which a crash is not counted yet. */
+/** Orders of events in which a crash is not counted yet, or counted twice. */
 public final class UncountedCrashOrderTest extends ThirdCrashScenario {
 
   @Test
@@ -78,4 +78,34 @@
     survivor = fleet.startNode();
     assertEquals(survivor.knownWeight(), SuspectLedger.SINGLE_CRASH_WEIGHT);
   }
+
+  @Test
+  public void theRowOfItsKilledNodeDoesNotWithholdTheRequest() {
+    crashNextIncarnationOfOneServer();
+    witness.kill();
+    fleet.run(1_000);
+    assertTwoCrashes();
+  }
+
+  @Test
+  public void theRowOfItsKilledNodeDoesNotCountTwice() {
+    crashNextIncarnationOfOneServer();
+    witness.kill();
+    fleet.putOnRecord("c", 2_000);
+    fleet.run(3_000);
+    assertTwoCrashes();
+  }
+
+  /** Another node reports the crash under the right id, and the first one was killed. */
+  @Test
+  public void theRightIdDoesNotCountBesideIt() {
+    crashNextIncarnationOfOneServer();
+    witness.kill();
+    fleet.rows.keySet().removeIf(key -> key.startsWith("suspect-attempt/"));
+    fleet.run(100);
+    fleet.putOnRecord("c", 2_000);
+    survivor.lose(Optional.empty(), "c@2000", Loss.CLOSED);
+    fleet.run(1_000);
+    assertTwoCrashes();
+  }
 }
