A retry that the budget denies is logged with what the budget consists of

Nothing told whether a node had used up its share, from how many requests and nodes, and since when it counts, so that the three hypotheses on repeated sends could not be told apart. One line a second and pool at most. The budget reads the clock itself; which clock and which amounts are as before.

--- a/gateway/src/main/java/org/lockdale/gateway/limit/RetryBudget.java
+++ b/gateway/src/main/java/org/lockdale/gateway/limit/RetryBudget.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.function.DoubleSupplier;
 import java.util.function.IntSupplier;
+import org.lockdale.coordination.time.Time;
+import org.tinylog.Logger;
 
 /**
  * Limits the retries at each pool within a sliding window to a fraction of this node's requests for
@@ -17,13 +19,10 @@
   private static final class PoolWindow {
     final Deque<Long> requests = new ArrayDeque<>();
     final Deque<Long> retries = new ArrayDeque<>();
+    long denied;
+    long loggedAtMillis = NEVER;
   }
 
-  private final double ratio;
-  private final DoubleSupplier allowance;
-  private final long windowMillis;
-  private final Map<String, PoolWindow> windows = new HashMap<>();
-
   /**
    * Fraction of the deployment's ratio that is used, since its windows and those of the nodes do
    * not coincide.
@@ -36,10 +35,22 @@
    */
   private static final double ALLOWANCE_FRACTION = 0.5;
 
-  private RetryBudget(double ratio, DoubleSupplier allowance, long windowMillis) {
+  private static final long MIN_LOG_INTERVAL_MILLIS = 1_000;
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private final double ratio;
+  private final DoubleSupplier allowance;
+  private final long windowMillis;
+  private final Time time;
+  private final long createdAtMillis;
+  private final Map<String, PoolWindow> windows = new HashMap<>();
+
+  private RetryBudget(double ratio, DoubleSupplier allowance, long windowMillis, Time time) {
     this.ratio = ratio;
     this.allowance = allowance;
     this.windowMillis = windowMillis;
+    this.time = time;
+    this.createdAtMillis = now();
   }
 
   /**
@@ -48,9 +59,10 @@
    * @param ratio maximum number of retries per request
    * @param allowance number of retries allowed in each window regardless of the number of requests
    * @param windowMillis length of the window, in milliseconds
+   * @param time clock
    */
-  public static RetryBudget ofNode(double ratio, double allowance, long windowMillis) {
-    return new RetryBudget(ratio, () -> allowance, windowMillis);
+  public static RetryBudget ofNode(double ratio, double allowance, long windowMillis, Time time) {
+    return new RetryBudget(ratio, () -> allowance, windowMillis, time);
   }
 
   /**
@@ -62,13 +74,15 @@
    * @param windowMillis length of the window, in milliseconds
    * @param nodes supplies the number of nodes, or 0 while it is unknown; a node that has just
    *     started gets no allowance then, as it would otherwise use all of it
+   * @param time clock
    */
   public static RetryBudget ofDeployment(
-      double ratio, double allowance, long windowMillis, IntSupplier nodes) {
+      double ratio, double allowance, long windowMillis, IntSupplier nodes, Time time) {
     return new RetryBudget(
         ratio * RATIO_FRACTION,
         () -> shareOf(allowance * ALLOWANCE_FRACTION, nodes.getAsInt()),
-        windowMillis);
+        windowMillis,
+        time);
   }
 
   private static double shareOf(double allowance, int nodes) {
@@ -76,9 +90,9 @@
   }
 
   /** Records a request for a pool. */
-  public synchronized void recordRequest(String pool, long nowMillis) {
-    PoolWindow window = window(pool, nowMillis);
-    window.requests.addLast(nowMillis);
+  public synchronized void recordRequest(String pool) {
+    long now = now();
+    window(pool, now).requests.addLast(now);
   }
 
   /**
@@ -86,15 +100,38 @@
    *
    * @return whether the budget allows it
    */
-  public synchronized boolean tryRetry(String pool, long nowMillis) {
-    PoolWindow window = window(pool, nowMillis);
+  public synchronized boolean tryRetry(String pool) {
+    long now = now();
+    PoolWindow window = window(pool, now);
     if (window.retries.size() + 1 > ratio * window.requests.size() + allowance.getAsDouble()) {
+      logDenied(pool, window, now);
       return false;
     }
-    window.retries.addLast(nowMillis);
+    window.retries.addLast(now);
     return true;
   }
 
+  private void logDenied(String pool, PoolWindow window, long nowMillis) {
+    window.denied++;
+    if (nowMillis - window.loggedAtMillis < MIN_LOG_INTERVAL_MILLIS) {
+      return;
+    }
+    window.loggedAtMillis = nowMillis;
+    Logger.info(
+        "event=retries-used-up pool={} retries={} requests={} allowance={} up-ms={} denied={}",
+        pool,
+        window.retries.size(),
+        window.requests.size(),
+        allowance.getAsDouble(),
+        nowMillis - createdAtMillis,
+        window.denied);
+    window.denied = 0;
+  }
+
+  private long now() {
+    return time.monotonicMillis();
+  }
+
   private PoolWindow window(String pool, long nowMillis) {
     PoolWindow window = windows.computeIfAbsent(pool, name -> new PoolWindow());
     expire(window.requests, nowMillis);
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -211,7 +211,7 @@
   private boolean mayRetryAfterAnotherRun() {
     return state.possibleRuns + 1 < state.route().maxAttempts()
         && path.hasUntriedBackend(state)
-        && path.budget().tryRetry(state.pool, path.nowMillis());
+        && path.budget().tryRetry(state.pool);
   }
 
   private void abandonSilent(Attempt attempt) {
@@ -319,8 +319,7 @@
   }
 
   private boolean mayRetry() {
-    return state.possibleRuns < state.route().maxAttempts()
-        && path.budget().tryRetry(state.pool, path.nowMillis());
+    return state.possibleRuns < state.route().maxAttempts() && path.budget().tryRetry(state.pool);
   }
 
   private void giveUp(String reason, @Nullable HttpReply backendFailure) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -122,7 +122,11 @@
     this.nodes = nodes;
     this.budget =
         RetryBudget.ofDeployment(
-            limits.retryRatio(), limits.retryAllowance(), limits.retryWindow().toMillis(), nodes);
+            limits.retryRatio(),
+            limits.retryAllowance(),
+            limits.retryWindow().toMillis(),
+            nodes,
+            time);
     this.startWaitMillis = limits.startWait().toMillis();
     this.time = time;
     this.waits = new PoolWaits(time);
@@ -217,7 +221,7 @@
 
   private void proceed(RequestState state) {
     state.pool = splits.next(state.route());
-    budget.recordRequest(state.pool, time.monotonicMillis());
+    budget.recordRequest(state.pool);
     new RequestExecution(this, state).start();
   }
 
