--- a/gateway/src/test/java/org/lockdale/gateway/limit/RetryBudgetTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/limit/RetryBudgetTest.java
@@ -4,9 +4,13 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
 import org.lockdale.coordination.simulation.VirtualTime;
+import org.lockdale.coordination.time.SystemTime;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -92,4 +96,59 @@
     RetryBudget budget = RetryBudget.ofDeployment(0, 50, WINDOW, () -> 0, time);
     assertFalse(budget.tryRetry("pool"));
   }
+
+  /** Guards against processes that spend a whole share again after each start. */
+  @Test
+  public void nodesThatRestartRepeatedlyKeepToTheBudgetOfTheDeployment() {
+    int nodes = 8;
+    int slack = 56;
+    double ratio = 0.2;
+    long restartMillis = 2_500;
+    List<Long> requests = new ArrayList<>();
+    List<Long> retries = new ArrayList<>();
+    List<RetryBudget> budgets = new ArrayList<>();
+    for (long now = 0; now < 4 * WINDOW; now += 100) {
+      setMillis(now);
+      if (now >= WINDOW && now % restartMillis == 0 || now == 0) {
+        budgets.clear();
+        IntStream.range(0, nodes)
+            .mapToObj(node -> RetryBudget.ofDeployment(ratio, slack, WINDOW, () -> nodes, time))
+            .forEach(budgets::add);
+      }
+      for (RetryBudget budget : budgets) {
+        budget.recordRequest("pool");
+        requests.add(now);
+        while (budget.tryRetry("pool")) {
+          retries.add(now);
+        }
+      }
+    }
+    for (long from = 0; from <= 3 * WINDOW; from += 100) {
+      long allowed = Math.round(ratio * countWithin(requests, from)) + slack;
+      assertTrue(
+          countWithin(retries, from) <= allowed,
+          countWithin(retries, from) + " retries from " + from + " ms, allowed " + allowed);
+    }
+  }
+
+  private static long countWithin(List<Long> times, long from) {
+    return times.stream().filter(at -> at >= from && at < from + WINDOW).count();
+  }
+
+  @Test
+  public void aClockThatIsSetAheadForgetsNoRetries() {
+    AtomicLong steadyMillis = new AtomicLong(50_000);
+    AtomicLong wallMillis = new AtomicLong(9_000_000);
+    RetryBudget budget =
+        RetryBudget.ofNode(
+            0,
+            1,
+            WINDOW,
+            SystemTime.of(
+                () -> TimeUnit.MILLISECONDS.toNanos(steadyMillis.get()), wallMillis::get));
+    assertTrue(budget.tryRetry("pool"));
+    wallMillis.addAndGet(2 * WINDOW);
+    steadyMillis.addAndGet(10);
+    assertFalse(budget.tryRetry("pool"));
+  }
 }
