A node that restarts does not spend its share of the retry allowance again at once

Callers saw nothing; a service got more sends beyond the first of their request than the deployment allows (BUDGET). Cause: a process that starts has counted nothing and allowed itself its whole share, so each restart within a window brought it once more. Change: the share grows from zero over the first window of a process. Why it holds: in any window the processes of a node that started in it have earned at most one share together, the one that was there before another; two shares are the whole allowance, as nodes keep to half.

--- a/gateway/src/main/java/org/lockdale/gateway/limit/RetryBudget.java
+++ b/gateway/src/main/java/org/lockdale/gateway/limit/RetryBudget.java
@@ -30,8 +30,8 @@
   private static final double RATIO_FRACTION = 0.75;
 
   /**
-   * Fraction of the deployment's allowance that is used, since the number of nodes may have just
-   * changed.
+   * Fraction of the deployment's allowance that is used in steady state. The rest is for nodes that
+   * restart, and for a number of nodes that has just changed.
    */
   private static final double ALLOWANCE_FRACTION = 0.5;
 
@@ -41,14 +41,17 @@
   private final double ratio;
   private final DoubleSupplier allowance;
   private final long windowMillis;
+  private final long growthMillis;
   private final Time time;
   private final long createdAtMillis;
   private final Map<String, PoolWindow> windows = new HashMap<>();
 
-  private RetryBudget(double ratio, DoubleSupplier allowance, long windowMillis, Time time) {
+  private RetryBudget(
+      double ratio, DoubleSupplier allowance, long windowMillis, long growthMillis, Time time) {
     this.ratio = ratio;
     this.allowance = allowance;
     this.windowMillis = windowMillis;
+    this.growthMillis = growthMillis;
     this.time = time;
     this.createdAtMillis = now();
   }
@@ -62,11 +65,13 @@
    * @param time clock
    */
   public static RetryBudget ofNode(double ratio, double allowance, long windowMillis, Time time) {
-    return new RetryBudget(ratio, () -> allowance, windowMillis, time);
+    return new RetryBudget(ratio, () -> allowance, windowMillis, 0, time);
   }
 
   /**
-   * Returns a node's share of the budget of a deployment.
+   * Returns a node's share of the budget of a deployment. Its part of the allowance grows from zero
+   * over the first window, since it is not known what the process before this one has spent: in any
+   * window, all processes that a node runs one after the other then spend twice its part at most.
    *
    * @param ratio maximum number of retries per request, for all nodes together
    * @param allowance number of retries that all nodes together may make in each window regardless
@@ -82,6 +87,7 @@
         ratio * RATIO_FRACTION,
         () -> shareOf(allowance * ALLOWANCE_FRACTION, nodes.getAsInt()),
         windowMillis,
+        windowMillis,
         time);
   }
 
@@ -103,7 +109,7 @@
   public synchronized boolean tryRetry(String pool) {
     long now = now();
     PoolWindow window = window(pool, now);
-    if (window.retries.size() + 1 > ratio * window.requests.size() + allowance.getAsDouble()) {
+    if (window.retries.size() + 1 > ratio * window.requests.size() + allowanceAt(now)) {
       logDenied(pool, window, now);
       return false;
     }
@@ -122,12 +128,18 @@
         pool,
         window.retries.size(),
         window.requests.size(),
-        allowance.getAsDouble(),
+        allowanceAt(nowMillis),
         nowMillis - createdAtMillis,
         window.denied);
     window.denied = 0;
   }
 
+  private double allowanceAt(long nowMillis) {
+    long age = nowMillis - createdAtMillis;
+    double grown = age >= growthMillis ? 1 : (double) age / growthMillis;
+    return allowance.getAsDouble() * grown;
+  }
+
   private long now() {
     return time.monotonicMillis();
   }
