A wall clock that is set ahead does not empty the retry budget's windows

A node whose time of day was set ahead allowed retries again that it had made within the window (BUDGET over all nodes). Cause: the windows were timed by the clock that takes a forward jump for a suspension. During a suspension nothing is sent, so that the steady clock is never too generous.

--- a/gateway/src/main/java/org/lockdale/gateway/limit/RetryBudget.java
+++ b/gateway/src/main/java/org/lockdale/gateway/limit/RetryBudget.java
@@ -140,8 +140,9 @@
     return allowance.getAsDouble() * grown;
   }
 
+  /** Uses the steady clock: others jump when the wall clock is set, which would empty windows. */
   private long now() {
-    return time.monotonicMillis();
+    return time.steadyMillis();
   }
 
   private PoolWindow window(String pool, long nowMillis) {
