A node that has just started may still retry

Change: a quarter of the share in the first window of a process. Four starts of a node in one window, each with a quarter, and the process before them spend two shares, which are the whole allowance.

--- a/gateway/src/main/java/org/lockdale/gateway/limit/RetryBudget.java
+++ b/gateway/src/main/java/org/lockdale/gateway/limit/RetryBudget.java
@@ -35,23 +35,34 @@
    */
   private static final double ALLOWANCE_FRACTION = 0.5;
 
+  /**
+   * Number of times that a node may restart within a window without exceeding the budget. A process
+   * does not know what the one before it has spent, so it takes this part of its share only until
+   * it has counted for a whole window.
+   */
+  private static final int RESTARTS_PER_WINDOW = 4;
+
   private static final long MIN_LOG_INTERVAL_MILLIS = 1_000;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final double ratio;
   private final DoubleSupplier allowance;
   private final long windowMillis;
-  private final long growthMillis;
+  private final double firstWindowFraction;
   private final Time time;
   private final long createdAtMillis;
   private final Map<String, PoolWindow> windows = new HashMap<>();
 
   private RetryBudget(
-      double ratio, DoubleSupplier allowance, long windowMillis, long growthMillis, Time time) {
+      double ratio,
+      DoubleSupplier allowance,
+      long windowMillis,
+      double firstWindowFraction,
+      Time time) {
     this.ratio = ratio;
     this.allowance = allowance;
     this.windowMillis = windowMillis;
-    this.growthMillis = growthMillis;
+    this.firstWindowFraction = firstWindowFraction;
     this.time = time;
     this.createdAtMillis = now();
   }
@@ -65,13 +76,13 @@
    * @param time clock
    */
   public static RetryBudget ofNode(double ratio, double allowance, long windowMillis, Time time) {
-    return new RetryBudget(ratio, () -> allowance, windowMillis, 0, time);
+    return new RetryBudget(ratio, () -> allowance, windowMillis, 1, time);
   }
 
   /**
-   * Returns a node's share of the budget of a deployment. Its part of the allowance grows from zero
-   * over the first window, since it is not known what the process before this one has spent: in any
-   * window, all processes that a node runs one after the other then spend twice its part at most.
+   * Returns a node's share of the budget of a deployment. In its first window it takes a part of
+   * its allowance only, since what the process before it has spent is not known: in any window, all
+   * processes that a node runs one after the other spend twice its allowance.
    *
    * @param ratio maximum number of retries per request, for all nodes together
    * @param allowance number of retries that all nodes together may make in each window regardless
@@ -87,7 +98,7 @@
         ratio * RATIO_FRACTION,
         () -> shareOf(allowance * ALLOWANCE_FRACTION, nodes.getAsInt()),
         windowMillis,
-        windowMillis,
+        1.0 / RESTARTS_PER_WINDOW,
         time);
   }
 
@@ -135,9 +146,8 @@
   }
 
   private double allowanceAt(long nowMillis) {
-    long age = nowMillis - createdAtMillis;
-    double grown = age >= growthMillis ? 1 : (double) age / growthMillis;
-    return allowance.getAsDouble() * grown;
+    boolean inFirstWindow = nowMillis - createdAtMillis < windowMillis;
+    return allowance.getAsDouble() * (inFirstWindow ? firstWindowFraction : 1);
   }
 
   /** Uses the steady clock: others jump when the wall clock is set, which would empty windows. */
