Requests get the services of a node as one value, and final responses are a class of their own

Behaviour is unchanged: the platform tests of forwarding, streams, promises, limits, relays and silent connections pass as before, CutOffNodeTest fails as before.

--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -26,13 +26,12 @@
 import org.lockdale.gateway.cluster.ReportReceiver;
 import org.lockdale.gateway.cluster.SuspectListClient;
 import org.lockdale.gateway.cluster.TableSliceClient;
-import org.lockdale.gateway.limit.TenantLimiter;
 import org.lockdale.gateway.placement.BackendChooser;
 import org.lockdale.gateway.placement.PlacementDecider;
-import org.lockdale.gateway.placement.PlacementService;
 import org.lockdale.gateway.quarantine.Quarantine;
 import org.lockdale.gateway.quarantine.QuarantineContext;
 import org.lockdale.gateway.rate.BackendRates;
+import org.lockdale.gateway.request.RequestServices;
 import org.lockdale.gateway.table.StoreClock;
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.usage.TrafficMeter;
@@ -351,11 +350,6 @@
     return relays.isServing() && relays.coordinator().isEmpty();
   }
 
-  /** Returns the limiter that enforces the limits of tenants. */
-  TenantLimiter limiter() {
-    return limits.client();
-  }
-
   /** Returns whether this node serves as a relay. */
   boolean isRelay() {
     return relays.isServing();
@@ -366,14 +360,17 @@
     return tables.all();
   }
 
-  /** Returns the service that places requests, with the help of a relay where there is one. */
-  PlacementService placements() {
-    return placements;
-  }
-
-  /** Returns the component that decides placements on this node, without a relay. */
-  PlacementDecider decider() {
-    return decider;
+  /** Returns the services that requests use. */
+  RequestServices requestServices() {
+    return new RequestServices(
+        limits.client(),
+        placements,
+        decider,
+        quarantine,
+        incarnations.monitor(),
+        limits.rates(),
+        incarnations.announcements(),
+        reporter);
   }
 
   /** Returns the quarantine of requests that crash backends. */
@@ -390,9 +387,4 @@
   BackendRates rates() {
     return limits.rates();
   }
-
-  /** Returns the reporter of this node's requests to the relays. */
-  NodeReporter reporter() {
-    return reporter;
-  }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -112,15 +112,8 @@
             backendClient,
             limits(),
             cluster::size,
-            cluster.limiter(),
-            cluster.placements(),
-            cluster.decider(),
-            cluster.quarantine(),
-            cluster.incarnations().monitor(),
-            cluster.rates(),
-            cluster.incarnations().announcements(),
+            cluster.requestServices(),
             settings.get(GatewaySettings.NODE_ZONE),
-            cluster.reporter(),
             time);
     rollout = rollout(protocols);
     peers =
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
@@ -28,7 +28,10 @@
     concludeRecorded(AttemptOutcome.NOT_LOST);
     String backend = attempt.target().backend().id();
     recordedAttempt =
-        path.quarantine().attemptStarting(state.request, state.caller(), backend).orElse(null);
+        path.services()
+            .quarantine()
+            .attemptStarting(state.request, state.caller(), backend)
+            .orElse(null);
   }
 
   /** Concludes the recorded suspect attempt, if any. Must be called when the request has ended. */
@@ -40,7 +43,7 @@
     SuspectAttempt attempt = recordedAttempt;
     if (attempt != null) {
       recordedAttempt = null;
-      path.quarantine().attemptConcluded(attempt, outcome);
+      path.services().quarantine().attemptConcluded(attempt, outcome);
     }
   }
 
@@ -53,7 +56,7 @@
     }
     switch (result) {
       case COMPLETE -> health.recordSuccess();
-      case WITHDRAWN -> path.announcements().countWithdrawal();
+      case WITHDRAWN -> path.services().announcements().countWithdrawal();
       case NOT_SENT -> health.recordUnreachable(now);
       case NOT_RUN, MISDIRECTED -> health.recordRejection(now);
       default -> {
@@ -68,7 +71,8 @@
     }
     concludeRecorded(AttemptOutcome.NOT_LOST);
     if (result == AttemptResult.MISDIRECTED) {
-      path.incarnations()
+      path.services()
+          .incarnations()
           .misdirected(attempt.target(), state.request.model(), attempt.plan().expectedWeights());
     }
     if (isCausedByRequest(attempt)) {
@@ -93,7 +97,8 @@
   void onLost(Attempt attempt, LostAttempt.Loss loss) {
     concludeRecorded(
         loss == LostAttempt.Loss.CLOSED ? AttemptOutcome.REPORTED : AttemptOutcome.UNKNOWN);
-    path.quarantine()
+    path.services()
+        .quarantine()
         .attemptLost(
             new LostAttempt(
                 attempt.target().backend().id(),
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/request/FinalResponse.java
@@ -0,0 +1,71 @@
+package org.lockdale.gateway.request;
+
+import org.jspecify.annotations.Nullable;
+import org.lockdale.http.HttpReply;
+
+/**
+ * Sends the response of a request that this node gives up on. Confined to the event loop of the
+ * caller's connection.
+ */
+final class FinalResponse {
+
+  private final RequestPath path;
+  private final RequestState state;
+
+  FinalResponse(RequestPath path, RequestState state) {
+    this.path = path;
+    this.state = state;
+  }
+
+  /**
+   * Responds to a request for which nothing is left to try.
+   *
+   * @param reason reason for messages
+   * @param backendFailure complete failure response of the last backend, or null if there is none
+   * @param retryAfterMillis time after which the caller should retry, in milliseconds; null for the
+   *     estimate of the pool's queue
+   * @return the outcome of the request
+   */
+  String giveUp(
+      String reason, @Nullable HttpReply backendFailure, @Nullable Long retryAfterMillis) {
+    if (state.responseStarted) {
+      state.exchange.abort();
+      return "broken-off";
+    }
+    if (backendFailure != null) {
+      state.exchange.reply(backendFailure);
+      return "backend-error";
+    }
+    if (state.possibleRuns > 0) {
+      return refuse(Refusal.of(RefusalKind.BACKEND_FAILED, "The backend failed: " + reason + "."));
+    }
+    return refuse(
+        new Refusal(
+            RefusalKind.UNAVAILABLE,
+            "The request was not run: " + reason + ".",
+            retryAfterMillis == null ? path.retryAfterMillis(state) : retryAfterMillis));
+  }
+
+  /**
+   * Responds to a request whose deadline has passed.
+   *
+   * @return the outcome of the request
+   */
+  String timeOut() {
+    if (state.responseStarted) {
+      state.exchange.abort();
+      return "timed-out";
+    }
+    return state.possibleRuns == 0
+        ? giveUp("its deadline passed", null, null)
+        : refuse(Refusal.of(RefusalKind.TIMED_OUT, "The request timed out."));
+  }
+
+  private String refuse(Refusal refusal) {
+    state.exchange.reply(path.render(refusal));
+    if (refusal.kind().guaranteesNotRun()) {
+      path.onNotRun(state);
+    }
+    return refusal.kind().name();
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -38,6 +38,7 @@
   private final RequestPath path;
   private final RequestState state;
   private final AttemptReporter reporter;
+  private final FinalResponse finalResponse;
   private @Nullable Attempt current;
   private QueueForecast.@Nullable Place queued;
   private @Nullable ScheduledFuture<?> timeout;
@@ -53,6 +54,7 @@
     this.path = path;
     this.state = state;
     this.reporter = new AttemptReporter(path, state);
+    this.finalResponse = new FinalResponse(path, state);
   }
 
   void start() {
@@ -70,7 +72,7 @@
   }
 
   private void attempt() {
-    CompletableFuture<PlacementResult> placed = path.placements().place(query());
+    CompletableFuture<PlacementResult> placed = path.services().placements().place(query());
     if (placed.isDone()) {
       onPlaced(placed.join());
     } else {
@@ -102,7 +104,7 @@
       return;
     }
     // Checked before each attempt: a request that crashed one backend would crash the next one.
-    if (path.quarantine().quarantined(state.request, state.caller()).isPresent()) {
+    if (path.services().quarantine().quarantined(state.request, state.caller()).isPresent()) {
       giveUp("backends crashed, or may have crashed, while this request ran", null);
       return;
     }
@@ -170,14 +172,14 @@
             target,
             plan,
             path.backendProtocol(),
-            path.rates(),
-            path.announcements(),
-            path.livenessEvidence(),
+            path.services().rates(),
+            path.services().announcements(),
+            path.services().quarantine().livenessEvidence(),
             path.time(),
             () -> onFirstEvent(place, sentAtMillis),
             this::onConcluded);
     current = attempt;
-    path.placements().recordOpened(placement);
+    path.services().placements().recordOpened(placement);
     reporter.onSending(attempt);
     attempt.start(path.client(), path.maxConnectionsTo(state));
     AttemptMonitor monitor = new AttemptMonitor(state, attempt, () -> !ended && attempt == current);
@@ -232,7 +234,7 @@
 
   private boolean isOutdated(long weights) {
     String model = state.request.model();
-    return model != null && path.decider().isOutdated(model, weights, path.nowMillis());
+    return model != null && path.services().decider().isOutdated(model, weights, path.nowMillis());
   }
 
   /**
@@ -252,7 +254,7 @@
     reporter.onConcluded(attempt, result);
     switch (result) {
       case COMPLETE -> {
-        path.quarantine().requestAnswered(state.request, state.caller());
+        path.services().quarantine().requestAnswered(state.request, state.caller());
         end(RequestPath.COMPLETE);
       }
       case WITHDRAWN -> onWithdrawn(attempt);
@@ -323,21 +325,7 @@
   }
 
   private void giveUp(String reason, @Nullable HttpReply backendFailure) {
-    if (state.responseStarted) {
-      state.exchange.abort();
-      end("broken-off");
-    } else if (backendFailure != null) {
-      state.exchange.reply(backendFailure);
-      end("backend-error");
-    } else if (state.possibleRuns > 0) {
-      refuse(Refusal.of(RefusalKind.BACKEND_FAILED, "The backend failed: " + reason + "."));
-    } else {
-      refuse(
-          new Refusal(
-              RefusalKind.UNAVAILABLE,
-              "The request was not run: " + reason + ".",
-              retryAfterMillis == null ? path.retryAfterMillis(state) : retryAfterMillis));
-    }
+    end(finalResponse.giveUp(reason, backendFailure, retryAfterMillis));
   }
 
   private void onTimeout() {
@@ -351,14 +339,7 @@
       state.possibleRuns++;
       attempt.target().health().recordFailure(path.nowMillis());
     }
-    if (state.responseStarted) {
-      state.exchange.abort();
-      end("timed-out");
-    } else if (state.possibleRuns == 0) {
-      giveUp("its deadline passed", null);
-    } else {
-      refuse(Refusal.of(RefusalKind.TIMED_OUT, "The request timed out."));
-    }
+    end(finalResponse.timeOut());
   }
 
   private void onCallerDisconnected() {
@@ -375,14 +356,6 @@
     end("caller-left");
   }
 
-  private void refuse(Refusal refusal) {
-    state.exchange.reply(path.render(refusal));
-    if (refusal.kind().guaranteesNotRun()) {
-      path.onNotRun(state);
-    }
-    end(refusal.kind().name());
-  }
-
   private void end(String outcome) {
     ended = true;
     removeFromQueue(false);
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -16,16 +16,8 @@
 import org.lockdale.gateway.caller.MalformedRequestException;
 import org.lockdale.gateway.configuration.GatewayConfiguration;
 import org.lockdale.gateway.configuration.Pool;
-import org.lockdale.gateway.drain.BackendAnnouncements;
-import org.lockdale.gateway.life.IncarnationMonitor;
-import org.lockdale.gateway.life.LivenessEvidence;
 import org.lockdale.gateway.limit.RetryBudget;
-import org.lockdale.gateway.limit.TenantLimiter;
-import org.lockdale.gateway.placement.PlacementDecider;
-import org.lockdale.gateway.placement.PlacementService;
 import org.lockdale.gateway.placement.SplitSelector;
-import org.lockdale.gateway.quarantine.Quarantine;
-import org.lockdale.gateway.rate.BackendRates;
 import org.lockdale.gateway.usage.RequestCounter;
 import org.lockdale.http.HttpClient;
 import org.lockdale.http.HttpExchange;
@@ -51,14 +43,8 @@
   private final CallerProtocol callerProtocol;
   private final BackendProtocol backendProtocol;
   private final HttpClient client;
-  private final PlacementService placements;
-  private final PlacementDecider decider;
-  private final Quarantine quarantine;
-  private final IncarnationMonitor incarnations;
-  private final BackendRates rates;
-  private final BackendAnnouncements announcements;
   private final String zone;
-  private final AttemptObserver observer;
+  private final RequestServices services;
   private final IntSupplier nodes;
   private final RetryBudget budget;
   private final long startWaitMillis;
@@ -79,15 +65,8 @@
    * @param client HTTP client for requests to backends
    * @param limits limits that the path enforces
    * @param nodes supplies the number of nodes of the deployment
-   * @param limiter enforces the limits of tenants
-   * @param placements chooses backends for requests
-   * @param decider placement state of this node, used to check the age of weights
-   * @param quarantine determines which requests are quarantined
-   * @param incarnations notified of requests that reached another incarnation than intended
-   * @param rates rate limits that backends advertise
-   * @param announcements receives what responses announce about draining and backoff
+   * @param services services of the node
    * @param zone zone of the node
-   * @param observer notified of the progress of attempts
    * @param time clock
    */
   public RequestPath(
@@ -97,28 +76,15 @@
       HttpClient client,
       RequestLimits limits,
       IntSupplier nodes,
-      TenantLimiter limiter,
-      PlacementService placements,
-      PlacementDecider decider,
-      Quarantine quarantine,
-      IncarnationMonitor incarnations,
-      BackendRates rates,
-      BackendAnnouncements announcements,
+      RequestServices services,
       String zone,
-      AttemptObserver observer,
       Time time) {
     this.blackboard = blackboard;
     this.callerProtocol = callerProtocol;
     this.backendProtocol = backendProtocol;
     this.client = client;
-    this.placements = placements;
-    this.decider = decider;
-    this.quarantine = quarantine;
-    this.incarnations = incarnations;
-    this.rates = rates;
-    this.announcements = announcements;
     this.zone = zone;
-    this.observer = observer;
+    this.services = services;
     this.nodes = nodes;
     this.budget =
         RetryBudget.ofDeployment(
@@ -130,13 +96,13 @@
     this.startWaitMillis = limits.startWait().toMillis();
     this.time = time;
     this.waits = new PoolWaits(time);
-    this.tenantLimits = new TenantLimitStep(limiter, time);
+    this.tenantLimits = new TenantLimitStep(services.limiter(), time);
     this.filters =
         List.of(
             new PhaseFilter(blackboard.phase()),
             new RouteFilter(backendProtocol::isControlPath),
             new TenantFilter(limits.maxKeyProofAge().toMillis()),
-            new QuarantineFilter(quarantine, time));
+            new QuarantineFilter(services.quarantine(), time));
   }
 
   /** Returns the number of requests that have no final response yet. */
@@ -225,32 +191,9 @@
     new RequestExecution(this, state).start();
   }
 
-  PlacementService placements() {
-    return placements;
-  }
-
-  PlacementDecider decider() {
-    return decider;
-  }
-
-  Quarantine quarantine() {
-    return quarantine;
-  }
-
-  IncarnationMonitor incarnations() {
-    return incarnations;
-  }
-
-  LivenessEvidence livenessEvidence() {
-    return quarantine.livenessEvidence();
-  }
-
-  BackendRates rates() {
-    return rates;
-  }
-
-  BackendAnnouncements announcements() {
-    return announcements;
+  /** Returns the services of the node. */
+  RequestServices services() {
+    return services;
   }
 
   /**
@@ -283,7 +226,7 @@
     long backoff = backoffMillis(state.pool);
     return backoff == 0
         ? queued
-        : Math.max(queued, rates.retryAfterMillis(state.pool, List.of(), backoff));
+        : Math.max(queued, services.rates().retryAfterMillis(state.pool, List.of(), backoff));
   }
 
   /**
@@ -306,7 +249,7 @@
 
   /** Notifies the observer that the response to a request has started or the request has ended. */
   void workChanged() {
-    observer.workChanged();
+    services.observer().workChanged();
   }
 
   /** Reports to the observer what an attempt shows about its backend. */
@@ -324,9 +267,9 @@
           case MISDIRECTED -> null;
         };
     if (verdict == null) {
-      observer.workChanged();
+      services.observer().workChanged();
     } else {
-      observer.concluded(target.backend().id(), verdict);
+      services.observer().concluded(target.backend().id(), verdict);
     }
   }
 
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestServices.java
@@ -0,0 +1,31 @@
+package org.lockdale.gateway.request;
+
+import org.lockdale.gateway.drain.BackendAnnouncements;
+import org.lockdale.gateway.life.IncarnationMonitor;
+import org.lockdale.gateway.limit.TenantLimiter;
+import org.lockdale.gateway.placement.PlacementDecider;
+import org.lockdale.gateway.placement.PlacementService;
+import org.lockdale.gateway.quarantine.Quarantine;
+import org.lockdale.gateway.rate.BackendRates;
+
+/**
+ * The services of a node that a request uses.
+ *
+ * @param limiter enforces the limits of tenants
+ * @param placements chooses backends for requests
+ * @param decider placement state of this node, used to check the age of weights
+ * @param quarantine determines which requests are quarantined
+ * @param incarnations notified of requests that reached another incarnation than intended
+ * @param rates rate limits that backends advertise
+ * @param announcements receives what responses announce about draining and backoff
+ * @param observer notified of the progress of attempts
+ */
+public record RequestServices(
+    TenantLimiter limiter,
+    PlacementService placements,
+    PlacementDecider decider,
+    Quarantine quarantine,
+    IncarnationMonitor incarnations,
+    BackendRates rates,
+    BackendAnnouncements announcements,
+    AttemptObserver observer) {}
