A node detects and logs that it can't connect to a pool's servers

Three servers of a pool (all, where there are fewer) that refuse or time out in a row make the pool unreachable; any response, or a probe each half second, ends it. Nothing is decided by it yet.

--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -24,7 +24,6 @@
 import org.lockdale.gateway.cluster.PlacementResponder;
 import org.lockdale.gateway.cluster.RelayController;
 import org.lockdale.gateway.cluster.ReportReceiver;
-import org.lockdale.gateway.cluster.SuspectListClient;
 import org.lockdale.gateway.cluster.TableSliceClient;
 import org.lockdale.gateway.placement.BackendChooser;
 import org.lockdale.gateway.placement.PlacementDecider;
@@ -66,10 +65,10 @@
   private final OperatorController operators;
   private final BackendController backends;
   private final LimitServices limits;
-  private final Quarantine quarantine;
-  private final SuspectListClient suspectList;
+  private final QuarantineServices quarantine;
   private final IncarnationServices incarnations;
   private final SuspensionLog suspensions;
+  private final ReachabilityServices reachability;
 
   /**
    * Creates the services; {@link #start} starts them.
@@ -98,6 +97,7 @@
     this.blackboard = blackboard;
     this.time = time;
     suspensions = new SuspensionLog(time);
+    reachability = ReachabilityServices.of(blackboard, controlClient, time);
     peerLoads = new PeerLoads(time);
     cacheDirectory = cacheDirectory(protocols);
     PeerNode self = self(settings);
@@ -136,12 +136,13 @@
         new PlacementClient(
             placementContext(), PlacementClient.ANSWER_TIMEOUT, relays::markUnresponsive);
     quarantine =
-        new Quarantine(
+        QuarantineServices.of(
+            eventLoop,
+            settings,
+            blackboard,
             quarantineContext(protocols, controlClient),
-            blackboard.suspects(),
-            settings.get(GatewaySettings.QUARANTINE_HOLD).toMillis());
-    suspectList =
-        new SuspectListClient(eventLoop, controlClient, nodes::peers, quarantine::receive);
+            controlClient,
+            nodes::peers);
     incarnations =
         IncarnationServices.of(
             eventLoop,
@@ -257,7 +258,7 @@
             versionRecorder,
             operators,
             // Called only after start(), when all fields are set.
-            (suspects, attempts) -> quarantine.updateFromTable(suspects, attempts));
+            (suspects, attempts) -> quarantine.quarantine().updateFromTable(suspects, attempts));
     return TableFollowers.of(
         eventLoop, sources, settings, protocols, time, operators, backends, cluster);
   }
@@ -281,11 +282,10 @@
             limits.client(),
             limits.rateExchange(),
             placements,
-            quarantine::receive,
+            quarantine.quarantine()::receive,
             incarnations.monitor()::receive,
             incarnations.announcements()::processBroadcast));
     quarantine.start();
-    suspectList.start();
     nodes.start();
     tables.all().forEach(TableFollower::start);
     relays.start();
@@ -297,6 +297,7 @@
 
   private void maintain() {
     suspensions.tick();
+    reachability.prober().tick();
     nodes.refresh();
     versionRecorder.tick();
     peerLoads.expire();
@@ -366,16 +367,17 @@
         limits.client(),
         placements,
         decider,
-        quarantine,
+        quarantine.quarantine(),
         incarnations.monitor(),
         limits.rates(),
         incarnations.announcements(),
+        reachability.pools(),
         reporter);
   }
 
   /** Returns the quarantine of requests that crash backends. */
   Quarantine quarantine() {
-    return quarantine;
+    return quarantine.quarantine();
   }
 
   /** Returns the services that track the incarnations of backends. */
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ReachabilityServices.java
@@ -0,0 +1,39 @@
+package org.lockdale.gateway.node;
+
+import java.util.List;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.blackboard.GatewayBlackboard;
+import org.lockdale.gateway.reachability.PoolReachability;
+import org.lockdale.gateway.reachability.ReachabilityProber;
+import org.lockdale.http.HttpClient;
+
+/**
+ * The services that detect pools to which this node has lost its links.
+ *
+ * @param pools detects unreachable pools
+ * @param prober probes them
+ */
+record ReachabilityServices(PoolReachability pools, ReachabilityProber prober) {
+
+  /**
+   * Creates the services.
+   *
+   * @param blackboard shared state of the node
+   * @param client HTTP client that connects to backends in order to probe them
+   * @param time clock
+   */
+  static ReachabilityServices of(GatewayBlackboard blackboard, HttpClient client, Time time) {
+    PoolReachability pools =
+        new PoolReachability(pool -> servingBackends(blackboard, pool).size(), time);
+    return new ReachabilityServices(
+        pools,
+        new ReachabilityProber(pools, pool -> servingBackends(blackboard, pool), client::probe));
+  }
+
+  private static List<TrackedBackend> servingBackends(GatewayBlackboard blackboard, String pool) {
+    return blackboard.backends().value().ofPool(pool).stream()
+        .filter(TrackedBackend::isServing)
+        .toList();
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -40,6 +40,7 @@
   private final BackendAnnouncements announcements;
   private final LivenessEvidence liveness;
   private final Time time;
+  private final Runnable onResponse;
   private final Runnable onFirstEvent;
   private final BiConsumer<Attempt, AttemptResult> onResult;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -67,6 +68,7 @@
       BackendAnnouncements announcements,
       LivenessEvidence liveness,
       Time time,
+      Runnable onResponse,
       Runnable onFirstEvent,
       BiConsumer<Attempt, AttemptResult> onResult) {
     this.state = state;
@@ -77,6 +79,7 @@
     this.announcements = announcements;
     this.liveness = liveness;
     this.time = time;
+    this.onResponse = onResponse;
     this.onFirstEvent = onFirstEvent;
     this.onResult = onResult;
     this.onIncarnationEnd = () -> state.exchange.eventLoop().execute(this::incarnationEnded);
@@ -232,6 +235,7 @@
   @Override
   public void onHead(int status, HttpHeaders headers) {
     recordReceived();
+    onResponse.run();
     ResponseHead received = protocol.read(status, headers);
     head = received;
     String model = state.request.model();
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
@@ -57,7 +57,10 @@
     switch (result) {
       case COMPLETE -> health.recordSuccess();
       case WITHDRAWN -> path.services().announcements().countWithdrawal();
-      case NOT_SENT -> health.recordUnreachable(now);
+      case NOT_SENT -> {
+        health.recordUnreachable(now);
+        path.services().reachability().recordFailure(state.pool, attempt.target().backend().id());
+      }
       case NOT_RUN, MISDIRECTED -> health.recordRejection(now);
       default -> {
         if (!isCausedByRequest(attempt)) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -176,6 +176,7 @@
             path.services().announcements(),
             path.services().quarantine().livenessEvidence(),
             path.time(),
+            () -> path.services().reachability().recordReached(state.pool),
             () -> onFirstEvent(place, sentAtMillis),
             this::onConcluded);
     current = attempt;
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestServices.java
@@ -7,6 +7,7 @@
 import org.lockdale.gateway.placement.PlacementService;
 import org.lockdale.gateway.quarantine.Quarantine;
 import org.lockdale.gateway.rate.BackendRates;
+import org.lockdale.gateway.reachability.PoolReachability;
 
 /**
  * The services of a node that a request uses.
@@ -18,6 +19,7 @@
  * @param incarnations notified of requests that reached another incarnation than intended
  * @param rates rate limits that backends advertise
  * @param announcements receives what responses announce about draining and backoff
+ * @param reachability detects pools that this node can't connect to
  * @param observer notified of the progress of attempts
  */
 public record RequestServices(
@@ -28,4 +30,5 @@
     IncarnationMonitor incarnations,
     BackendRates rates,
     BackendAnnouncements announcements,
+    PoolReachability reachability,
     AttemptObserver observer) {}
