Requests that a node can't send to any server are served through another node

Cause: a node knew no way to a server but its own links. Class: a node takes its own view for that of the deployment. Change: once a pool is unreachable, or a request has found no server to connect to, the request is sent to another node's internal address, with the time that it has already taken and a mark that keeps it from a second hop. The second node treats it as if its caller had sent it there; limits and the retry budget count it where it arrived first. Refusals say which node they are of, so that only those that lie with one node are tried elsewhere. Where nobody reaches a server, the node tries its own links after all. Calling itself not ready was weighed and is not done: open connections stay with their node, and where most of a zone is cut off the callers of that zone come all the same.

--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -30,6 +30,7 @@
 import org.lockdale.gateway.quarantine.Quarantine;
 import org.lockdale.gateway.quarantine.QuarantineContext;
 import org.lockdale.gateway.rate.BackendRates;
+import org.lockdale.gateway.request.PeerSelector;
 import org.lockdale.gateway.request.RequestServices;
 import org.lockdale.gateway.table.StoreClock;
 import org.lockdale.gateway.table.TableFollower;
@@ -372,6 +373,7 @@
         limits.rates(),
         incarnations.announcements(),
         reachability.pools(),
+        new PeerSelector(nodes::peers, time),
         reporter);
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -120,6 +120,7 @@
         server(
             GatewaySettings.PEERS_ADDRESS,
             new PeersHandler(
+                path,
                 new TableSliceHandler(controlLoop, cluster.followers(), time, meter),
                 new QuarantineHandler(cluster.quarantine(), controlLoop, time),
                 new SuspectListHandler(
--- a/gateway/src/main/java/org/lockdale/gateway/node/PeersHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/PeersHandler.java
@@ -4,6 +4,7 @@
 import org.lockdale.gateway.cluster.SuspectListHandler;
 import org.lockdale.gateway.cluster.TableSliceHandler;
 import org.lockdale.gateway.quarantine.QuarantineHandler;
+import org.lockdale.gateway.request.RequestPath;
 import org.lockdale.http.HttpExchange;
 import org.lockdale.http.HttpHandler;
 import org.lockdale.http.HttpProtocolError;
@@ -12,6 +13,7 @@
 /** Routes HTTP requests on the peers' address to the handler of their path. */
 final class PeersHandler implements HttpHandler {
 
+  private final RequestPath requests;
   private final TableSliceHandler tables;
   private final QuarantineHandler quarantine;
   private final SuspectListHandler suspects;
@@ -20,12 +22,14 @@
   private final MetricsHandler metrics;
 
   PeersHandler(
+      RequestPath requests,
       TableSliceHandler tables,
       QuarantineHandler quarantine,
       SuspectListHandler suspects,
       SuspectAttemptHandler attempts,
       BackendsHandler backends,
       MetricsHandler metrics) {
+    this.requests = requests;
     this.tables = tables;
     this.quarantine = quarantine;
     this.suspects = suspects;
@@ -36,7 +40,11 @@
 
   @Override
   public void handle(HttpExchange exchange) {
-    handlerOf(exchange.path()).handle(exchange);
+    if (RequestPath.isForwarded(exchange)) {
+      requests.handleForwarded(exchange);
+    } else {
+      handlerOf(exchange.path()).handle(exchange);
+    }
   }
 
   private HttpHandler handlerOf(String path) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -237,6 +237,9 @@
     recordReceived();
     onResponse.run();
     ResponseHead received = protocol.read(status, headers);
+    if (state.receivedFromPeer) {
+      ForwardHeaders.markResponse(received.headers());
+    }
     head = received;
     String model = state.request.model();
     if (model != null && received.weights() != null) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
@@ -59,7 +59,7 @@
       case WITHDRAWN -> path.services().announcements().countWithdrawal();
       case NOT_SENT -> {
         health.recordUnreachable(now);
-        path.services().reachability().recordFailure(state.pool, attempt.target().backend().id());
+        recordUnreachable(attempt);
       }
       case NOT_RUN, MISDIRECTED -> health.recordRejection(now);
       default -> {
@@ -93,6 +93,14 @@
     }
   }
 
+  private void recordUnreachable(Attempt attempt) {
+    String backend = attempt.target().backend().id();
+    if (path.services().reachability().recordFailure(state.pool, backend)) {
+      // Idle connections to the other backends are probably lost too, and would not show it.
+      path.pools().closeIdleConnections(state.pool);
+    }
+  }
+
   /**
    * Reports that the connection of an attempt was lost: the backend may have crashed, and this
    * request may be the cause.
--- a/gateway/src/main/java/org/lockdale/gateway/request/EndToEndHeaders.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/EndToEndHeaders.java
@@ -9,7 +9,7 @@
 
 /**
  * Extracts the end-to-end headers of a request or a response, without those that concern a single
- * connection only.
+ * connection only and those that only nodes may set.
  */
 public final class EndToEndHeaders {
 
@@ -48,6 +48,7 @@
       }
     }
     HOP_BY_HOP.forEach(copy::remove);
+    ForwardHeaders.INTERNAL.forEach(copy::remove);
     return copy;
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/FinalResponse.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/FinalResponse.java
@@ -39,11 +39,25 @@
     if (state.possibleRuns > 0) {
       return refuse(Refusal.of(RefusalKind.BACKEND_FAILED, "The backend failed: " + reason + "."));
     }
+    return refuseAsNotRun(RefusalKind.UNAVAILABLE, reason, retryAfterMillis);
+  }
+
+  /**
+   * Responds to a request for which no backend could be connected to.
+   *
+   * @return the outcome of the request
+   */
+  String unreachable(String reason) {
+    RefusalKind kind = state.receivedFromPeer ? RefusalKind.UNREACHABLE : RefusalKind.UNAVAILABLE;
+    return refuseAsNotRun(kind, reason, null);
+  }
+
+  private String refuseAsNotRun(RefusalKind kind, String reason, @Nullable Long retryAfterMillis) {
     return refuse(
         new Refusal(
-            RefusalKind.UNAVAILABLE,
+            kind,
             "The request was not run: " + reason + ".",
-            retryAfterMillis == null ? path.retryAfterMillis(state) : retryAfterMillis));
+            retryAfterMillis == null ? path.pools().retryAfterMillis(state) : retryAfterMillis));
   }
 
   /**
@@ -62,7 +76,7 @@
   }
 
   private String refuse(Refusal refusal) {
-    state.exchange.reply(path.render(refusal));
+    state.exchange.reply(path.render(state, refusal));
     if (refusal.kind().guaranteesNotRun()) {
       path.onNotRun(state);
     }
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
@@ -0,0 +1,182 @@
+package org.lockdale.gateway.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.gateway.cluster.PeerNode;
+import org.lockdale.http.HttpCall;
+import org.lockdale.http.HttpCallException;
+import org.lockdale.http.HttpClient;
+import org.lockdale.http.HttpReply;
+import org.lockdale.http.HttpRequestMessage;
+import org.lockdale.http.HttpResponseListener;
+
+/**
+ * Forwards one request to another node, and passes the response on to the caller: one with a length
+ * as a whole, a stream part by part. Confined to the event loop of the caller's connection.
+ */
+final class ForwardedCall implements HttpResponseListener {
+
+  /** How a forwarded request has ended. */
+  sealed interface Result {
+
+    /** The complete response was passed on. */
+    record Served() implements Result {}
+
+    /** The node has not run the request, and another one may be able to. */
+    record NotServed(String reason) implements Result {}
+
+    /** The node has refused the request, and no other one would run it; passed on to the caller. */
+    record Refused(RefusalKind kind) implements Result {}
+
+    /** The connection to the node was lost; a backend may have run the request. */
+    record Lost(String reason) implements Result {}
+
+    /** This node has broken off the response; a backend may have run the request. */
+    record Abandoned(String reason) implements Result {}
+  }
+
+  private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+
+  /** Maximum number of bytes that are buffered for a caller that does not read. */
+  private static final long MAX_QUEUED_BYTES = 1024 * 1024;
+
+  private final RequestState state;
+  private final PeerNode peer;
+  private final Consumer<Result> onResult;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private @Nullable HttpCall call;
+  private int status;
+  private @Nullable HttpHeaders headers;
+  private Optional<RefusalKind> refusal = Optional.empty();
+  private boolean supported;
+  private boolean streams;
+  private boolean ended;
+
+  ForwardedCall(RequestState state, PeerNode peer, Consumer<Result> onResult) {
+    this.state = state;
+    this.peer = peer;
+    this.onResult = onResult;
+  }
+
+  /**
+   * Sends the request.
+   *
+   * @param elapsedMillis time since the request has arrived at this node
+   */
+  void start(HttpClient client, long elapsedMillis) {
+    HttpRequestMessage message =
+        new HttpRequestMessage(
+            HttpMethod.valueOf(state.request.method()),
+            state.request.uri(),
+            ForwardHeaders.ofRequest(state.request.headers(), elapsedMillis),
+            state.request.body());
+    call = client.send(state.exchange.eventLoop(), peer.address(), message, this);
+  }
+
+  /**
+   * Cancels the call without reporting a result.
+   *
+   * @return whether the node may have received the request
+   */
+  boolean cancel() {
+    HttpCall current = call;
+    if (ended || current == null) {
+      return false;
+    }
+    ended = true;
+    current.cancel();
+    return current.wasSent();
+  }
+
+  PeerNode peer() {
+    return peer;
+  }
+
+  @Override
+  public void onHead(int responseStatus, HttpHeaders received) {
+    status = responseStatus;
+    supported = ForwardHeaders.isMarked(received);
+    refusal = ForwardHeaders.refusalOf(received);
+    streams = received.contains(HttpHeaderNames.TRANSFER_ENCODING);
+    headers = ForwardHeaders.ofResponse(received);
+  }
+
+  @Override
+  public void onContent(ByteBuf content) {
+    if (ended || !supported) {
+      return;
+    }
+    if (streams) {
+      startStream();
+      state.exchange.write(content.retainedSlice());
+      if (state.exchange.queuedBytes() > MAX_QUEUED_BYTES) {
+        abandon("the caller reads too slowly");
+      }
+      return;
+    }
+    if (body.size() + content.readableBytes() > MAX_RESPONSE_BYTES) {
+      abandon("its response exceeds the size limit");
+      return;
+    }
+    byte[] part = new byte[content.readableBytes()];
+    content.readBytes(part);
+    body.writeBytes(part);
+  }
+
+  private void startStream() {
+    HttpHeaders head = headers;
+    if (!state.responseStarted && head != null) {
+      state.responseStarted = true;
+      state.exchange.startStream(status, head);
+    }
+  }
+
+  private void abandon(String reason) {
+    HttpCall current = call;
+    if (current != null) {
+      current.cancel();
+    }
+    finish(new Result.Abandoned(reason));
+  }
+
+  @Override
+  public void onEnd() {
+    HttpHeaders head = headers;
+    if (ended || head == null) {
+      return;
+    }
+    if (!supported) {
+      finish(new Result.NotServed("the node does not support forwarding"));
+    } else if (refusal.isPresent() && refusal.get().mayBeServedElsewhere()) {
+      finish(new Result.NotServed("another node refused it as " + refusal.get()));
+    } else if (streams) {
+      startStream();
+      state.exchange.endStream();
+      finish(new Result.Served());
+    } else {
+      state.exchange.reply(new HttpReply(status, head, body.toByteArray()));
+      finish(refusal.<Result>map(Result.Refused::new).orElseGet(Result.Served::new));
+    }
+  }
+
+  @Override
+  public void onFailure(HttpCallException cause) {
+    if (!ended) {
+      finish(
+          cause.stage() == HttpCallException.Stage.NOT_SENT
+              ? new Result.NotServed(cause.getMessage())
+              : new Result.Lost(cause.getMessage()));
+    }
+  }
+
+  private void finish(Result result) {
+    ended = true;
+    onResult.accept(result);
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/request/PhaseFilter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/PhaseFilter.java
@@ -22,7 +22,7 @@
       return null;
     }
     return new Refusal(
-        RefusalKind.UNAVAILABLE,
+        RefusalKind.STOPPING,
         "This node is stopping; send the request again over a new connection.",
         RETRY_AFTER_MILLIS);
   }
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/request/PoolState.java
@@ -0,0 +1,96 @@
+package org.lockdale.gateway.request;
+
+import java.util.List;
+import java.util.function.IntSupplier;
+import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.blackboard.GatewayBlackboard;
+import org.lockdale.gateway.configuration.Pool;
+import org.lockdale.gateway.rate.BackendRates;
+import org.lockdale.http.HttpClient;
+
+/** What a request needs to know about its pool and the backends in it. Thread-safe. */
+final class PoolState {
+
+  private final GatewayBlackboard blackboard;
+  private final HttpClient client;
+  private final BackendRates rates;
+  private final IntSupplier nodes;
+  private final PoolWaits waits;
+  private final Time time;
+
+  PoolState(
+      GatewayBlackboard blackboard,
+      HttpClient client,
+      BackendRates rates,
+      IntSupplier nodes,
+      Time time) {
+    this.blackboard = blackboard;
+    this.client = client;
+    this.rates = rates;
+    this.nodes = nodes;
+    this.waits = new PoolWaits(time);
+    this.time = time;
+  }
+
+  /** Returns the estimates of the waiting times at the pools. */
+  PoolWaits waits() {
+    return waits;
+  }
+
+  /**
+   * Returns whether the pool of the request has a serving backend that was not tried yet and has
+   * not requested a backoff.
+   */
+  boolean hasUntriedBackend(RequestState state) {
+    return blackboard.backends().value().ofPool(state.pool).stream()
+        .filter(
+            tracked -> tracked.isServing() && !tracked.backoff().isActive(time.monotonicMillis()))
+        .anyMatch(tracked -> !state.triedBackends.contains(tracked.backend().id()));
+  }
+
+  /**
+   * Returns the maximum number of connections that this node may have open to a backend of the
+   * request's pool: its share of those that the backend accepts from all nodes together, as the
+   * backend resets further ones.
+   */
+  int maxConnectionsTo(RequestState state) {
+    int poolLimit =
+        state.configuration.pool(state.pool).map(Pool::maxConnections).orElse(Integer.MAX_VALUE);
+    return Math.max(1, poolLimit / Math.max(1, nodes.getAsInt()));
+  }
+
+  /**
+   * Returns the time after which a caller that no backend can serve now should retry, in
+   * milliseconds.
+   */
+  long retryAfterMillis(RequestState state) {
+    long queued = waits.retryAfterMillis(state);
+    long backoff = backoffMillis(state.pool);
+    return backoff == 0
+        ? queued
+        : Math.max(queued, rates.retryAfterMillis(state.pool, List.of(), backoff));
+  }
+
+  /**
+   * Returns the time until the first backend of a pool ends its backoff, in milliseconds; 0 if any
+   * backend is not in a backoff or the pool has none.
+   */
+  private long backoffMillis(String pool) {
+    long now = time.monotonicMillis();
+    return blackboard.backends().value().ofPool(pool).stream()
+        .filter(TrackedBackend::isServing)
+        .mapToLong(tracked -> tracked.backoff().remainingMillis(now))
+        .min()
+        .orElse(0);
+  }
+
+  /** Closes the idle connections of this node to all backends of a pool. */
+  void closeIdleConnections(String pool) {
+    blackboard
+        .backends()
+        .value()
+        .ofPool(pool)
+        .forEach(tracked -> client.closeIdleConnections(tracked.backend().address()));
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -5,12 +5,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
-import org.lockdale.gateway.backend.AttemptPlan;
 import org.lockdale.gateway.backend.TrackedBackend;
-import org.lockdale.gateway.cache.CacheNamespace;
-import org.lockdale.gateway.configuration.Tenant;
 import org.lockdale.gateway.placement.Placement;
-import org.lockdale.gateway.placement.PlacementQuery;
 import org.lockdale.gateway.placement.PlacementResult;
 import org.lockdale.gateway.quarantine.LostAttempt;
 import org.lockdale.http.HttpReply;
@@ -35,10 +31,15 @@
    */
   private static final int MAX_SILENCE_DIVISOR = 2;
 
+  /** How long the response of another node is awaited after the deadline of a request. */
+  private static final long FORWARD_GRACE_MILLIS = 100;
+
   private final RequestPath path;
   private final RequestState state;
   private final AttemptReporter reporter;
   private final FinalResponse finalResponse;
+  private final RequestForwarding forwarding;
+  private final RequestPlacement placements;
   private @Nullable Attempt current;
   private QueueForecast.@Nullable Place queued;
   private @Nullable ScheduledFuture<?> timeout;
@@ -50,11 +51,16 @@
    */
   private @Nullable Long retryAfterMillis;
 
+  /** Whether the deadline has passed. */
+  private boolean timedOut;
+
   RequestExecution(RequestPath path, RequestState state) {
     this.path = path;
     this.state = state;
     this.reporter = new AttemptReporter(path, state);
     this.finalResponse = new FinalResponse(path, state);
+    this.placements = new RequestPlacement(path, state);
+    this.forwarding = new RequestForwarding(path, state, this::end, this::onForwardLost);
   }
 
   void start() {
@@ -72,7 +78,22 @@
   }
 
   private void attempt() {
-    CompletableFuture<PlacementResult> placed = path.services().placements().place(query());
+    if (path.services().reachability().isUnreachable(state.pool)) {
+      if (forwarding.isPossible()) {
+        // Where no other node reaches the backends either, this one tries them after all.
+        forwarding.start(this::place);
+        return;
+      }
+      if (state.receivedFromPeer && state.possibleRuns == 0) {
+        end(finalResponse.unreachable("this node can't connect to pool " + state.pool));
+        return;
+      }
+    }
+    place();
+  }
+
+  private void place() {
+    CompletableFuture<PlacementResult> placed = placements.place();
     if (placed.isDone()) {
       onPlaced(placed.join());
     } else {
@@ -80,16 +101,6 @@
     }
   }
 
-  private PlacementQuery query() {
-    return new PlacementQuery(
-        state.pool,
-        path.zone(),
-        state.request.model(),
-        isolatedTenant(),
-        state.request.promptParts(),
-        state.triedBackends);
-  }
-
   private void onPlaced(PlacementResult result) {
     if (ended) {
       return;
@@ -99,6 +110,10 @@
       return;
     }
     Optional<Placement> placement = result.placed();
+    if (placement.isEmpty() && state.connectFailures > 0) {
+      giveUpUnreachable("no backend of pool " + state.pool + " could be connected to");
+      return;
+    }
     if (placement.isEmpty() || state.deadlineAtMillis() - path.nowMillis() < MIN_ATTEMPT_MILLIS) {
       giveUp("no backend of pool " + state.pool + " is left to try", null);
       return;
@@ -110,7 +125,7 @@
     }
     recordEstimate(placement.get());
     boolean isFirst = state.possibleRuns == 0 && !state.responseStarted;
-    if (isFirst && path.waits().cannotMeetDeadline(state)) {
+    if (isFirst && path.pools().waits().cannotMeetDeadline(state)) {
       giveUp("too many requests wait at pool " + state.pool, null);
       return;
     }
@@ -152,40 +167,21 @@
     Long weights = placement.weights();
     state.triedBackends.add(target.backend().id());
     state.backend = target.backend().id();
-    state.deferred = path.waits().wouldBeLate(state);
-    QueueForecast.Place place = path.waits().enqueue(state);
+    state.deferred = path.pools().waits().wouldBeLate(state);
+    QueueForecast.Place place = path.pools().waits().enqueue(state);
     queued = place;
     long sentAtMillis = path.nowMillis();
-    AttemptPlan plan =
-        new AttemptPlan(
-            target.backend(),
-            state.tenant,
-            state.deadlineAtMillis() - path.nowMillis(),
-            state.priority(),
-            CacheNamespace.of(weights, isolatedTenant()),
-            weights,
-            placement.transfer(),
-            state.lastEventId);
     Attempt attempt =
-        new Attempt(
-            state,
-            target,
-            plan,
-            path.backendProtocol(),
-            path.services().rates(),
-            path.services().announcements(),
-            path.services().quarantine().livenessEvidence(),
-            path.time(),
-            () -> path.services().reachability().recordReached(state.pool),
-            () -> onFirstEvent(place, sentAtMillis),
-            this::onConcluded);
+        placements.createAttempt(
+            placement, () -> onFirstEvent(place, sentAtMillis), this::onConcluded);
     current = attempt;
     path.services().placements().recordOpened(placement);
     reporter.onSending(attempt);
-    attempt.start(path.client(), path.maxConnectionsTo(state));
+    attempt.start(path.client(), path.pools().maxConnectionsTo(state));
     AttemptMonitor monitor = new AttemptMonitor(state, attempt, () -> !ended && attempt == current);
     if (state.route().isRepeatable()) {
-      monitor.onSilence(plan.remainingMillis() / MAX_SILENCE_DIVISOR, () -> onSilent(attempt));
+      monitor.onSilence(
+          attempt.plan().remainingMillis() / MAX_SILENCE_DIVISOR, () -> onSilent(attempt));
     }
     if (weights != null) {
       monitor.onOutdatedWeights(() -> isOutdated(weights));
@@ -194,7 +190,7 @@
 
   private void onFirstEvent(QueueForecast.Place place, long sentAtMillis) {
     place.recordStart();
-    path.waits().recordFirstEvent(state, sentAtMillis);
+    path.pools().waits().recordFirstEvent(state, sentAtMillis);
     path.workChanged();
   }
 
@@ -213,7 +209,7 @@
 
   private boolean mayRetryAfterAnotherRun() {
     return state.possibleRuns + 1 < state.route().maxAttempts()
-        && path.hasUntriedBackend(state)
+        && path.pools().hasUntriedBackend(state)
         && path.budget().tryRetry(state.pool);
   }
 
@@ -238,15 +234,6 @@
     return model != null && path.services().decider().isOutdated(model, weights, path.nowMillis());
   }
 
-  /**
-   * Returns the name of the tenant if it is isolated, so that it shares no cached prompts with
-   * others; null otherwise.
-   */
-  private @Nullable String isolatedTenant() {
-    Tenant tenant = state.tenant;
-    return tenant != null && tenant.isolated() ? tenant.name() : null;
-  }
-
   private void onConcluded(Attempt attempt, AttemptResult result) {
     if (ended || attempt != current) {
       return;
@@ -292,7 +279,28 @@
     if (state.connectFailures < MAX_CONNECT_FAILURES) {
       attempt();
     } else {
-      giveUp(attempt.failure(), null);
+      giveUpUnreachable(attempt.failure());
+    }
+  }
+
+  /** Lets another node try, which may reach the backends, before the request is given up. */
+  private void giveUpUnreachable(String reason) {
+    if (forwarding.isPossible()) {
+      forwarding.start(() -> end(finalResponse.unreachable(reason)));
+    } else if (state.possibleRuns == 0 && !state.responseStarted) {
+      end(finalResponse.unreachable(reason));
+    } else {
+      giveUp(reason, null);
+    }
+  }
+
+  private void onForwardLost(String reason) {
+    state.possibleRuns++;
+    String message = "the connection to the node that tried it was lost: " + reason;
+    if (state.route().isRepeatable() && !state.responseStarted && mayRetry()) {
+      forwarding.start(() -> giveUp(message, null));
+    } else {
+      giveUp(message, null);
     }
   }
 
@@ -333,6 +341,19 @@
     if (ended) {
       return;
     }
+    if (forwarding.isUnderWay() && !timedOut) {
+      // The other node knows whether the request has run, and responds at the same time.
+      timedOut = true;
+      timeout =
+          state
+              .exchange
+              .eventLoop()
+              .schedule(this::onTimeout, FORWARD_GRACE_MILLIS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    if (forwarding.cancel()) {
+      state.possibleRuns++;
+    }
     Attempt attempt = current;
     if (attempt != null && attempt.cancel()) {
       reporter.onLost(attempt, LostAttempt.Loss.GIVEN_UP);
@@ -347,6 +368,7 @@
     if (ended) {
       return;
     }
+    forwarding.cancel();
     Attempt attempt = current;
     if (attempt != null) {
       if (attempt.cancel()) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -15,7 +15,6 @@
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.caller.MalformedRequestException;
 import org.lockdale.gateway.configuration.GatewayConfiguration;
-import org.lockdale.gateway.configuration.Pool;
 import org.lockdale.gateway.limit.RetryBudget;
 import org.lockdale.gateway.placement.SplitSelector;
 import org.lockdale.gateway.usage.RequestCounter;
@@ -39,19 +38,27 @@
   /** Interval at which a request that waits for the node to start checks whether it may proceed. */
   private static final long START_CHECK_MILLIS = 15;
 
+  /**
+   * A request that has arrived.
+   *
+   * @param exchange the request
+   * @param elapsedMillis time since it has arrived at the node that forwarded it
+   * @param fromPeer whether another node has forwarded it
+   */
+  private record Arrival(HttpExchange exchange, long elapsedMillis, boolean fromPeer) {}
+
   private final GatewayBlackboard blackboard;
   private final CallerProtocol callerProtocol;
   private final BackendProtocol backendProtocol;
   private final HttpClient client;
   private final String zone;
   private final RequestServices services;
-  private final IntSupplier nodes;
   private final RetryBudget budget;
   private final long startWaitMillis;
   private final Time time;
   private final SplitSelector splits = new SplitSelector();
   private final List<RequestFilter> filters;
-  private final PoolWaits waits;
+  private final PoolState pools;
   private final TenantLimitStep tenantLimits;
   private final AtomicInteger openRequests = new AtomicInteger();
   private final RequestCounter endedRequests = new RequestCounter();
@@ -85,7 +92,6 @@
     this.client = client;
     this.zone = zone;
     this.services = services;
-    this.nodes = nodes;
     this.budget =
         RetryBudget.ofDeployment(
             limits.retryRatio(),
@@ -95,7 +101,7 @@
             time);
     this.startWaitMillis = limits.startWait().toMillis();
     this.time = time;
-    this.waits = new PoolWaits(time);
+    this.pools = new PoolState(blackboard, client, services.rates(), nodes, time);
     this.tenantLimits = new TenantLimitStep(services.limiter(), time);
     this.filters =
         List.of(
@@ -117,6 +123,25 @@
 
   @Override
   public void handle(HttpExchange exchange) {
+    handle(new Arrival(exchange, 0, false));
+  }
+
+  /** Returns whether a request was forwarded by another node; to be asked for peers only. */
+  public static boolean isForwarded(HttpExchange exchange) {
+    return ForwardHeaders.isForwarded(exchange);
+  }
+
+  /** Handles a request that another node has forwarded. */
+  public void handleForwarded(HttpExchange exchange) {
+    try {
+      handle(new Arrival(exchange, ForwardHeaders.restore(exchange), true));
+    } catch (MalformedRequestException malformed) {
+      refuseMalformed(exchange, malformed, true);
+    }
+  }
+
+  private void handle(Arrival arrival) {
+    HttpExchange exchange = arrival.exchange();
     if (exchange.disconnected().isDone()) {
       // The caller disconnected while it waited for the start; running its request would be wasted
       // work.
@@ -125,10 +150,10 @@
     if (isStarting() && ageMillis(exchange) < startWaitMillis) {
       exchange
           .eventLoop()
-          .schedule(() -> handle(exchange), START_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+          .schedule(() -> handle(arrival), START_CHECK_MILLIS, TimeUnit.MILLISECONDS);
       return;
     }
-    serve(exchange);
+    serve(arrival);
   }
 
   /**
@@ -145,7 +170,8 @@
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - exchange.receivedNanos());
   }
 
-  private void serve(HttpExchange exchange) {
+  private void serve(Arrival arrival) {
+    HttpExchange exchange = arrival.exchange();
     if (blackboard.phase().value().isEnding()) {
       exchange.closeAfterReply();
     }
@@ -155,18 +181,30 @@
       request = callerProtocol.read(exchange);
     } catch (MalformedRequestException malformed) {
       openRequests.decrementAndGet();
-      exchange.reply(render(Refusal.of(RefusalKind.MALFORMED, malformed.getMessage())));
+      refuseMalformed(exchange, malformed, arrival.fromPeer());
       return;
     }
-    admit(stateOf(exchange, request));
+    admit(stateOf(arrival, request));
+  }
+
+  private void refuseMalformed(
+      HttpExchange exchange, MalformedRequestException malformed, boolean fromPeer) {
+    Refusal refusal = Refusal.of(RefusalKind.MALFORMED, malformed.getMessage());
+    exchange.reply(render(refusal, fromPeer));
   }
 
-  private RequestState stateOf(HttpExchange exchange, CallerRequest request) {
+  private RequestState stateOf(Arrival arrival, CallerRequest request) {
+    HttpExchange exchange = arrival.exchange();
     long now = time.monotonicMillis();
-    long arrivedAt = now - ageMillis(exchange);
+    long arrivedAt = now - ageMillis(exchange) - arrival.elapsedMillis();
     Snapshot<GatewayConfiguration> configuration = blackboard.configuration().snapshot();
     return new RequestState(
-        exchange, request, configuration.value(), configuration.ageMillis(now), arrivedAt);
+        exchange,
+        request,
+        configuration.value(),
+        configuration.ageMillis(now),
+        arrivedAt,
+        arrival.fromPeer());
   }
 
   private void admit(RequestState state) {
@@ -177,17 +215,24 @@
         return;
       }
     }
+    if (state.receivedFromPeer) {
+      // Counted towards the limits of the tenant and the retry budget where it arrived first.
+      proceed(state);
+      return;
+    }
     tenantLimits.apply(state, () -> proceed(state), refusal -> refuse(state, refusal));
   }
 
   private void refuse(RequestState state, Refusal refusal) {
-    state.exchange.reply(render(refusal));
+    state.exchange.reply(render(state, refusal));
     ended(state, refusal.kind().name());
   }
 
   private void proceed(RequestState state) {
     state.pool = splits.next(state.route());
-    budget.recordRequest(state.pool);
+    if (!state.receivedFromPeer) {
+      budget.recordRequest(state.pool);
+    }
     new RequestExecution(this, state).start();
   }
 
@@ -196,50 +241,9 @@
     return services;
   }
 
-  /**
-   * Returns whether the pool of the request has a serving backend that was not tried yet and has
-   * not requested a backoff.
-   */
-  boolean hasUntriedBackend(RequestState state) {
-    return blackboard.backends().value().ofPool(state.pool).stream()
-        .filter(tracked -> tracked.isServing() && !tracked.backoff().isActive(nowMillis()))
-        .anyMatch(tracked -> !state.triedBackends.contains(tracked.backend().id()));
-  }
-
-  /**
-   * Returns the maximum number of connections that this node may have open to a backend of the
-   * request's pool: its share of those that the backend accepts from all nodes together, as the
-   * backend resets further ones.
-   */
-  int maxConnectionsTo(RequestState state) {
-    int poolLimit =
-        state.configuration.pool(state.pool).map(Pool::maxConnections).orElse(Integer.MAX_VALUE);
-    return Math.max(1, poolLimit / Math.max(1, nodes.getAsInt()));
-  }
-
-  /**
-   * Returns the time after which a caller that no backend can serve now should retry, in
-   * milliseconds.
-   */
-  long retryAfterMillis(RequestState state) {
-    long queued = waits.retryAfterMillis(state);
-    long backoff = backoffMillis(state.pool);
-    return backoff == 0
-        ? queued
-        : Math.max(queued, services.rates().retryAfterMillis(state.pool, List.of(), backoff));
-  }
-
-  /**
-   * Returns the time until the first backend of a pool ends its backoff, in milliseconds; 0 if any
-   * backend is not in a backoff or the pool has none.
-   */
-  private long backoffMillis(String pool) {
-    long now = nowMillis();
-    return blackboard.backends().value().ofPool(pool).stream()
-        .filter(TrackedBackend::isServing)
-        .mapToLong(tracked -> tracked.backoff().remainingMillis(now))
-        .min()
-        .orElse(0);
+  /** Returns the state of the pools. */
+  PoolState pools() {
+    return pools;
   }
 
   /** Returns the zone of this node. */
@@ -273,8 +277,16 @@
     }
   }
 
-  HttpReply render(Refusal refusal) {
-    return callerProtocol.render(refusal);
+  HttpReply render(RequestState state, Refusal refusal) {
+    return render(refusal, state.receivedFromPeer);
+  }
+
+  private HttpReply render(Refusal refusal, boolean fromPeer) {
+    HttpReply reply = callerProtocol.render(refusal);
+    if (fromPeer) {
+      ForwardHeaders.markRefusal(reply.headers(), refusal.kind());
+    }
+    return reply;
   }
 
   /**
@@ -317,10 +329,6 @@
     return backendProtocol;
   }
 
-  PoolWaits waits() {
-    return waits;
-  }
-
   RetryBudget budget() {
     return budget;
   }
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPlacement.java
@@ -0,0 +1,81 @@
+package org.lockdale.gateway.request;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
+import org.lockdale.gateway.backend.AttemptPlan;
+import org.lockdale.gateway.cache.CacheNamespace;
+import org.lockdale.gateway.configuration.Tenant;
+import org.lockdale.gateway.placement.Placement;
+import org.lockdale.gateway.placement.PlacementQuery;
+import org.lockdale.gateway.placement.PlacementResult;
+
+/** Places one request, and creates the attempts at the chosen backends. */
+final class RequestPlacement {
+
+  private final RequestPath path;
+  private final RequestState state;
+
+  RequestPlacement(RequestPath path, RequestState state) {
+    this.path = path;
+    this.state = state;
+  }
+
+  /** Chooses a backend that was not tried yet. */
+  CompletableFuture<PlacementResult> place() {
+    return path.services()
+        .placements()
+        .place(
+            new PlacementQuery(
+                state.pool,
+                path.zone(),
+                state.request.model(),
+                isolatedTenant(),
+                state.request.promptParts(),
+                state.triedBackends));
+  }
+
+  /**
+   * Creates an attempt at the chosen backend.
+   *
+   * @param onFirstEvent run when the first event of a stream arrives
+   * @param onConcluded receives the result
+   */
+  Attempt createAttempt(
+      Placement placement, Runnable onFirstEvent, BiConsumer<Attempt, AttemptResult> onConcluded) {
+    return new Attempt(
+        state,
+        placement.target(),
+        planOf(placement),
+        path.backendProtocol(),
+        path.services().rates(),
+        path.services().announcements(),
+        path.services().quarantine().livenessEvidence(),
+        path.time(),
+        () -> path.services().reachability().recordReached(state.pool),
+        onFirstEvent,
+        onConcluded);
+  }
+
+  private AttemptPlan planOf(Placement placement) {
+    Long weights = placement.weights();
+    return new AttemptPlan(
+        placement.target().backend(),
+        state.tenant,
+        state.deadlineAtMillis() - path.nowMillis(),
+        state.priority(),
+        CacheNamespace.of(weights, isolatedTenant()),
+        weights,
+        placement.transfer(),
+        state.lastEventId);
+  }
+
+  /**
+   * Returns the name of the tenant if it is isolated, so that it shares no cached prompts with
+   * others; null otherwise.
+   */
+  private @Nullable String isolatedTenant() {
+    Tenant tenant = state.tenant;
+    return tenant != null && tenant.isolated() ? tenant.name() : null;
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestServices.java
@@ -20,6 +20,7 @@
  * @param rates rate limits that backends advertise
  * @param announcements receives what responses announce about draining and backoff
  * @param reachability detects pools that this node can't connect to
+ * @param peers selects the nodes to which requests are forwarded
  * @param observer notified of the progress of attempts
  */
 public record RequestServices(
@@ -31,4 +32,5 @@
     BackendRates rates,
     BackendAnnouncements announcements,
     PoolReachability reachability,
+    PeerSelector peers,
     AttemptObserver observer) {}
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
@@ -34,6 +34,10 @@
   final GatewayConfiguration configuration;
   final long configurationAgeMillis;
   final long arrivedAtMillis;
+
+  /** Whether another node has forwarded the request to this one. */
+  final boolean receivedFromPeer;
+
   final Set<String> triedBackends = new HashSet<>();
 
   final @Nullable PromptPlacement prompt;
@@ -96,12 +100,14 @@
       CallerRequest request,
       GatewayConfiguration configuration,
       long configurationAgeMillis,
-      long arrivedAtMillis) {
+      long arrivedAtMillis,
+      boolean receivedFromPeer) {
     this.exchange = exchange;
     this.request = request;
     this.configuration = configuration;
     this.configurationAgeMillis = configurationAgeMillis;
     this.arrivedAtMillis = arrivedAtMillis;
+    this.receivedFromPeer = receivedFromPeer;
     this.lastEventId = request.lastEventId();
     this.prompt =
         request.promptParts().isEmpty() ? null : PromptPlacement.of(request.promptParts());
--- a/gateway/src/test/java/org/lockdale/gateway/request/TenantLimitStepTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/TenantLimitStepTest.java
@@ -117,7 +117,8 @@
               request,
               GatewayConfiguration.NONE,
               0,
-              SystemTime.instance().monotonicMillis());
+              SystemTime.instance().monotonicMillis(),
+              false);
       state.route = ROUTE;
       state.tenant = TENANT;
       return state;
