A pool from which nothing comes back is probed, so that lost connections are noticed within about a second

If nothing at all has been received from a pool for 0.8 s after a request was sent, three of its servers are probed; where they can't be connected to, the pool is unreachable and idle connections are closed.

--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -98,7 +98,7 @@
     this.blackboard = blackboard;
     this.time = time;
     suspensions = new SuspensionLog(time);
-    reachability = ReachabilityServices.of(blackboard, controlClient, time);
+    reachability = ReachabilityServices.of(blackboard, controlClient, backendClient, time);
     peerLoads = new PeerLoads(time);
     cacheDirectory = cacheDirectory(protocols);
     PeerNode self = self(settings);
--- a/gateway/src/main/java/org/lockdale/gateway/node/ReachabilityServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ReachabilityServices.java
@@ -20,15 +20,23 @@
    * Creates the services.
    *
    * @param blackboard shared state of the node
-   * @param client HTTP client that connects to backends in order to probe them
+   * @param probes HTTP client that probes backends
+   * @param requests HTTP client whose idle connections to unreachable backends are closed, as they
+   *     are probably lost
    * @param time clock
    */
-  static ReachabilityServices of(GatewayBlackboard blackboard, HttpClient client, Time time) {
+  static ReachabilityServices of(
+      GatewayBlackboard blackboard, HttpClient probes, HttpClient requests, Time time) {
     PoolReachability pools =
-        new PoolReachability(pool -> servingBackends(blackboard, pool).size(), time);
+        new PoolReachability(
+            pool -> servingBackends(blackboard, pool).size(),
+            pool ->
+                servingBackends(blackboard, pool)
+                    .forEach(tracked -> requests.closeIdleConnections(tracked.backend().address())),
+            time);
     return new ReachabilityServices(
         pools,
-        new ReachabilityProber(pools, pool -> servingBackends(blackboard, pool), client::probe));
+        new ReachabilityProber(pools, pool -> servingBackends(blackboard, pool), probes::probe));
   }
 
   private static List<TrackedBackend> servingBackends(GatewayBlackboard blackboard, String pool) {
--- a/gateway/src/main/java/org/lockdale/gateway/reachability/PoolReachability.java
+++ b/gateway/src/main/java/org/lockdale/gateway/reachability/PoolReachability.java
@@ -5,29 +5,41 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import org.lockdale.coordination.time.Time;
 import org.tinylog.Logger;
 
 /**
- * Detects that this node can't connect to the backends of a pool. A pool counts as unreachable once
+ * Detects that this node can't reach the backends of a pool. A pool counts as unreachable once
  * connections to several of its backends have failed in a row, and until one of its backends is
- * reached again. Whether the links of this node are cut or the backends have crashed is not known
- * here; only other nodes can tell. A state machine without I/O; thread-safe.
+ * reached again. It is silent if requests were sent and nothing has been received from any of its
+ * backends since; open connections may be lost then, which only new ones show. Whether the links of
+ * this node are cut or the backends have crashed is not known here; only other nodes can tell. A
+ * state machine without I/O; thread-safe.
  */
 public final class PoolReachability {
 
   /** Number of backends of a pool that must fail in a row; all of them if there are fewer. */
-  private static final int MIN_FAILED_BACKENDS = 3;
+  static final int MIN_FAILED_BACKENDS = 3;
 
-  /** The backends of a pool to which connections have failed since one was reached. */
+  /** Several times the usual time to the first byte of some response. */
+  private static final long MAX_SILENCE_MILLIS = 800;
+
+  private static final long NEVER = Long.MAX_VALUE;
+
+  /** What has happened since a backend of the pool was reached last. */
   private static final class Pool {
     final Set<String> failed = new HashSet<>();
-    boolean unreachable;
+    volatile boolean unreachable;
+    volatile long sentAtMillis = NEVER;
+    volatile boolean anyFailed;
     long unreachableSinceMillis;
   }
 
   private final ToIntFunction<String> backendCount;
+  private final Consumer<String> onUnreachable;
   private final Time time;
   private final Map<String, Pool> pools = new ConcurrentHashMap<>();
 
@@ -35,21 +47,39 @@
    * Creates a detector that takes all pools for reachable.
    *
    * @param backendCount returns the number of backends of a pool that accept requests
+   * @param onUnreachable called with a pool that has become unreachable, on any thread
    * @param time clock
    */
-  public PoolReachability(ToIntFunction<String> backendCount, Time time) {
+  public PoolReachability(
+      ToIntFunction<String> backendCount, Consumer<String> onUnreachable, Time time) {
     this.backendCount = backendCount;
+    this.onUnreachable = onUnreachable;
     this.time = time;
   }
 
-  /** Records that a backend of a pool has responded or accepted a connection. */
+  private Pool pool(String name) {
+    Pool known = pools.get(name);
+    return known == null ? pools.computeIfAbsent(name, added -> new Pool()) : known;
+  }
+
+  /** Records that a request was sent to a backend of a pool. */
+  public void recordSent(String poolName) {
+    Pool pool = pool(poolName);
+    if (pool.sentAtMillis == NEVER) {
+      pool.sentAtMillis = time.steadyMillis();
+    }
+  }
+
+  /** Records that a backend of a pool has sent something or accepted a connection. */
   public void recordReached(String poolName) {
-    Pool pool = pools.get(poolName);
-    if (pool == null) {
+    Pool pool = pool(poolName);
+    pool.sentAtMillis = NEVER;
+    if (!pool.anyFailed) {
       return;
     }
     synchronized (pool) {
       pool.failed.clear();
+      pool.anyFailed = false;
       if (pool.unreachable) {
         pool.unreachable = false;
         Logger.info(
@@ -60,15 +90,19 @@
     }
   }
 
-  /**
-   * Records that no connection to a backend could be established.
-   *
-   * @return whether the pool has become unreachable by this
-   */
-  public boolean recordFailure(String poolName, String backend) {
-    Pool pool = pools.computeIfAbsent(poolName, name -> new Pool());
+  /** Records that no connection to a backend could be established. */
+  public void recordFailure(String poolName, String backend) {
+    if (addFailure(poolName, backend)) {
+      onUnreachable.accept(poolName);
+    }
+  }
+
+  /** Returns whether the pool has become unreachable by a failure. */
+  private boolean addFailure(String poolName, String backend) {
+    Pool pool = pool(poolName);
     synchronized (pool) {
       pool.failed.add(backend);
+      pool.anyFailed = true;
       int required = Math.min(MIN_FAILED_BACKENDS, backendCount.applyAsInt(poolName));
       if (pool.unreachable || required == 0 || pool.failed.size() < required) {
         return false;
@@ -83,16 +117,29 @@
   /** Returns whether this node can't connect to the backends of a pool, as far as it knows. */
   public boolean isUnreachable(String poolName) {
     Pool pool = pools.get(poolName);
-    if (pool == null) {
-      return false;
-    }
-    synchronized (pool) {
-      return pool.unreachable;
-    }
+    return pool != null && pool.unreachable;
   }
 
   /** Returns the names of the pools that are unreachable. */
-  public List<String> unreachablePools() {
-    return pools.keySet().stream().filter(this::isUnreachable).sorted().toList();
+  List<String> unreachablePools() {
+    return poolsWith(pool -> pool.unreachable);
+  }
+
+  /** Returns the names of the pools that are silent for a long time, and not unreachable. */
+  List<String> silentPools() {
+    long now = time.steadyMillis();
+    return poolsWith(
+        pool ->
+            !pool.unreachable
+                && pool.sentAtMillis != NEVER
+                && now - pool.sentAtMillis > MAX_SILENCE_MILLIS);
+  }
+
+  private List<String> poolsWith(Predicate<Pool> condition) {
+    return pools.entrySet().stream()
+        .filter(entry -> condition.test(entry.getValue()))
+        .map(Map.Entry::getKey)
+        .sorted()
+        .toList();
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/reachability/ReachabilityProber.java
+++ b/gateway/src/main/java/org/lockdale/gateway/reachability/ReachabilityProber.java
@@ -1,16 +1,20 @@
 package org.lockdale.gateway.reachability;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
+import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.http.Reachability;
 
 /**
- * Connects to a random backend of each unreachable pool from time to time, so that the pool is used
- * again once its backends can be reached. Runs on one event loop.
+ * Connects to backends of pools that are unreachable, so that they are used again once their
+ * backends can be reached, and of pools that are silent, so that lost connections are noticed. Runs
+ * on one event loop.
  */
 public final class ReachabilityProber {
 
@@ -21,7 +25,7 @@
   /**
    * Creates a prober.
    *
-   * @param pools pools to probe, notified of those that were reached
+   * @param pools pools to probe, notified of the results
    * @param backends returns the backends of a pool that accept requests
    * @param probe determines how an address responds to a new connection
    */
@@ -34,21 +38,28 @@
     this.probe = probe;
   }
 
-  /** Probes one backend of each unreachable pool; to be called periodically. */
+  /** Probes a random backend of each unreachable pool, and several of each silent one. */
   public void tick() {
-    for (String pool : pools.unreachablePools()) {
-      List<TrackedBackend> serving = backends.apply(pool);
-      if (!serving.isEmpty()) {
-        int index = ThreadLocalRandom.current().nextInt(serving.size());
-        probe
-            .apply(serving.get(index).backend().address())
-            .thenAccept(
-                reachability -> {
-                  if (reachability == Reachability.ACCEPTS) {
-                    pools.recordReached(pool);
-                  }
-                });
-      }
-    }
+    pools.unreachablePools().forEach(pool -> probe(pool, 1));
+    pools.silentPools().forEach(pool -> probe(pool, PoolReachability.MIN_FAILED_BACKENDS));
+  }
+
+  private void probe(String pool, int count) {
+    List<TrackedBackend> candidates = new ArrayList<>(backends.apply(pool));
+    Collections.shuffle(candidates, ThreadLocalRandom.current());
+    candidates.stream().limit(count).forEach(tracked -> probe(pool, tracked.backend()));
+  }
+
+  private void probe(String pool, Backend backend) {
+    probe
+        .apply(backend.address())
+        .thenAccept(
+            reachability -> {
+              if (reachability == Reachability.ACCEPTS) {
+                pools.recordReached(pool);
+              } else {
+                pools.recordFailure(pool, backend.id());
+              }
+            });
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -40,7 +40,7 @@
   private final BackendAnnouncements announcements;
   private final LivenessEvidence liveness;
   private final Time time;
-  private final Runnable onResponse;
+  private final Runnable onReceived;
   private final Runnable onFirstEvent;
   private final BiConsumer<Attempt, AttemptResult> onResult;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -68,7 +68,7 @@
       BackendAnnouncements announcements,
       LivenessEvidence liveness,
       Time time,
-      Runnable onResponse,
+      Runnable onReceived,
       Runnable onFirstEvent,
       BiConsumer<Attempt, AttemptResult> onResult) {
     this.state = state;
@@ -79,7 +79,7 @@
     this.announcements = announcements;
     this.liveness = liveness;
     this.time = time;
-    this.onResponse = onResponse;
+    this.onReceived = onReceived;
     this.onFirstEvent = onFirstEvent;
     this.onResult = onResult;
     this.onIncarnationEnd = () -> state.exchange.eventLoop().execute(this::incarnationEnded);
@@ -235,7 +235,6 @@
   @Override
   public void onHead(int status, HttpHeaders headers) {
     recordReceived();
-    onResponse.run();
     ResponseHead received = protocol.read(status, headers);
     if (state.receivedFromPeer) {
       ForwardHeaders.markResponse(received.headers());
@@ -288,6 +287,7 @@
    */
   private void recordReceived() {
     lastReceivedAtMillis = time.steadyMillis();
+    onReceived.run();
   }
 
   private void forwardPart(StreamForwarder stream, ByteBuf content) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
@@ -26,6 +26,7 @@
   /** Reports an attempt to the quarantine. Must be called just before it is sent. */
   void onSending(Attempt attempt) {
     concludeRecorded(AttemptOutcome.NOT_LOST);
+    path.services().reachability().recordSent(state.pool);
     String backend = attempt.target().backend().id();
     recordedAttempt =
         path.services()
@@ -59,7 +60,7 @@
       case WITHDRAWN -> path.services().announcements().countWithdrawal();
       case NOT_SENT -> {
         health.recordUnreachable(now);
-        recordUnreachable(attempt);
+        path.services().reachability().recordFailure(state.pool, attempt.target().backend().id());
       }
       case NOT_RUN, MISDIRECTED -> health.recordRejection(now);
       default -> {
@@ -93,14 +94,6 @@
     }
   }
 
-  private void recordUnreachable(Attempt attempt) {
-    String backend = attempt.target().backend().id();
-    if (path.services().reachability().recordFailure(state.pool, backend)) {
-      // Idle connections to the other backends are probably lost too, and would not show it.
-      path.pools().closeIdleConnections(state.pool);
-    }
-  }
-
   /**
    * Reports that the connection of an attempt was lost: the backend may have crashed, and this
    * request may be the cause.
--- a/gateway/src/main/java/org/lockdale/gateway/request/PoolState.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/PoolState.java
@@ -7,26 +7,18 @@
 import org.lockdale.gateway.blackboard.GatewayBlackboard;
 import org.lockdale.gateway.configuration.Pool;
 import org.lockdale.gateway.rate.BackendRates;
-import org.lockdale.http.HttpClient;
 
 /** What a request needs to know about its pool and the backends in it. Thread-safe. */
 final class PoolState {
 
   private final GatewayBlackboard blackboard;
-  private final HttpClient client;
   private final BackendRates rates;
   private final IntSupplier nodes;
   private final PoolWaits waits;
   private final Time time;
 
-  PoolState(
-      GatewayBlackboard blackboard,
-      HttpClient client,
-      BackendRates rates,
-      IntSupplier nodes,
-      Time time) {
+  PoolState(GatewayBlackboard blackboard, BackendRates rates, IntSupplier nodes, Time time) {
     this.blackboard = blackboard;
-    this.client = client;
     this.rates = rates;
     this.nodes = nodes;
     this.waits = new PoolWaits(time);
@@ -84,13 +76,4 @@
         .min()
         .orElse(0);
   }
-
-  /** Closes the idle connections of this node to all backends of a pool. */
-  void closeIdleConnections(String pool) {
-    blackboard
-        .backends()
-        .value()
-        .ofPool(pool)
-        .forEach(tracked -> client.closeIdleConnections(tracked.backend().address()));
-  }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -101,7 +101,7 @@
             time);
     this.startWaitMillis = limits.startWait().toMillis();
     this.time = time;
-    this.pools = new PoolState(blackboard, client, services.rates(), nodes, time);
+    this.pools = new PoolState(blackboard, services.rates(), nodes, time);
     this.tenantLimits = new TenantLimitStep(services.limiter(), time);
     this.filters =
         List.of(
--- a/gateway/src/test/java/org/lockdale/gateway/reachability/PoolReachabilityTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/reachability/PoolReachabilityTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.lockdale.coordination.simulation.VirtualTime;
 import org.testng.annotations.BeforeMethod;
@@ -14,13 +15,17 @@
 
   private static final String POOL = "pool";
 
+  private final List<String> reported = new ArrayList<>();
+  private VirtualTime time;
   private int backends;
   private PoolReachability reachability;
 
   @BeforeMethod
   public void start() {
     backends = 8;
-    reachability = new PoolReachability(pool -> backends, new VirtualTime());
+    time = new VirtualTime();
+    reported.clear();
+    reachability = new PoolReachability(pool -> backends, reported::add, time);
   }
 
   private void fail(String... ids) {
@@ -33,10 +38,11 @@
   public void failuresAtSeveralBackendsInARowMakeAPoolUnreachable() {
     fail("i-1", "i-2");
     assertFalse(reachability.isUnreachable(POOL));
-    assertTrue(reachability.recordFailure(POOL, "i-3"));
+    fail("i-3");
     assertTrue(reachability.isUnreachable(POOL));
     assertEquals(reachability.unreachablePools(), List.of(POOL));
-    assertFalse(reachability.recordFailure(POOL, "i-4"), "reported once");
+    fail("i-4");
+    assertEquals(reported, List.of(POOL), "reported once");
   }
 
   @Test
@@ -82,4 +88,24 @@
     fail("i-1");
     assertFalse(reachability.isUnreachable(POOL));
   }
+
+  @Test
+  public void aPoolIsSilentIfNothingIsReceivedAfterARequestWasSent() {
+    reachability.recordSent(POOL);
+    time.runUntil(700_000);
+    assertEquals(reachability.silentPools(), List.of());
+    reachability.recordSent(POOL);
+    time.runUntil(900_000);
+    assertEquals(reachability.silentPools(), List.of(POOL));
+    reachability.recordReached(POOL);
+    assertEquals(reachability.silentPools(), List.of());
+  }
+
+  @Test
+  public void aPoolToWhichNothingWasSentIsNotSilent() {
+    reachability.recordSent(POOL);
+    reachability.recordReached(POOL);
+    time.runUntil(60_000_000);
+    assertEquals(reachability.silentPools(), List.of());
+  }
 }
