Lost links of a node are not taken for crashes of its servers

Cause: a refusal was conclusive whatever the node could still reach. Now, once three servers of a pool have refused in a row, a refusal counts only if one of three others accepts a connection; else records decide, as after a timeout.

--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -204,7 +204,7 @@
   private QuarantineContext quarantineContext(GatewayProtocols protocols, HttpClient client) {
     return new QuarantineContext(
         eventLoop,
-        client::probe,
+        reachability.crashProber()::probe,
         () -> blackboard.backends().snapshot(),
         protocols.suspects(),
         nodes.self().id(),
--- a/gateway/src/main/java/org/lockdale/gateway/node/ReachabilityServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ReachabilityServices.java
@@ -4,6 +4,7 @@
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.blackboard.GatewayBlackboard;
+import org.lockdale.gateway.reachability.CrossCheckedProber;
 import org.lockdale.gateway.reachability.PoolReachability;
 import org.lockdale.gateway.reachability.ReachabilityProber;
 import org.lockdale.http.HttpClient;
@@ -13,8 +14,10 @@
  *
  * @param pools detects unreachable pools
  * @param prober probes them
+ * @param crashProber tells crashed backends from lost links
  */
-record ReachabilityServices(PoolReachability pools, ReachabilityProber prober) {
+record ReachabilityServices(
+    PoolReachability pools, ReachabilityProber prober, CrossCheckedProber crashProber) {
 
   /**
    * Creates the services.
@@ -36,7 +39,8 @@
             time);
     return new ReachabilityServices(
         pools,
-        new ReachabilityProber(pools, pool -> servingBackends(blackboard, pool), probes::probe));
+        new ReachabilityProber(pools, pool -> servingBackends(blackboard, pool), probes::probe),
+        new CrossCheckedProber(pools, () -> blackboard.backends().value(), probes::probe));
   }
 
   private static List<TrackedBackend> servingBackends(GatewayBlackboard blackboard, String pool) {
--- a/gateway/src/main/java/org/lockdale/gateway/reachability/PoolReachability.java
+++ b/gateway/src/main/java/org/lockdale/gateway/reachability/PoolReachability.java
@@ -9,6 +9,8 @@
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.backend.Backend;
+import org.lockdale.http.Reachability;
 import org.tinylog.Logger;
 
 /**
@@ -97,6 +99,15 @@
     }
   }
 
+  /** Records the result of a probe of a backend. */
+  void recordProbe(Backend backend, Reachability reachability) {
+    if (reachability == Reachability.ACCEPTS) {
+      recordReached(backend.pool());
+    } else {
+      recordFailure(backend.pool(), backend.id());
+    }
+  }
+
   /** Returns whether the pool has become unreachable by a failure. */
   private boolean addFailure(String poolName, String backend) {
     Pool pool = pool(poolName);
--- a/gateway/src/main/java/org/lockdale/gateway/reachability/ReachabilityProber.java
+++ b/gateway/src/main/java/org/lockdale/gateway/reachability/ReachabilityProber.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
-import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.http.Reachability;
 
@@ -47,19 +46,13 @@
   private void probe(String pool, int count) {
     List<TrackedBackend> candidates = new ArrayList<>(backends.apply(pool));
     Collections.shuffle(candidates, ThreadLocalRandom.current());
-    candidates.stream().limit(count).forEach(tracked -> probe(pool, tracked.backend()));
-  }
-
-  private void probe(String pool, Backend backend) {
-    probe
-        .apply(backend.address())
-        .thenAccept(
-            reachability -> {
-              if (reachability == Reachability.ACCEPTS) {
-                pools.recordReached(pool);
-              } else {
-                pools.recordFailure(pool, backend.id());
-              }
-            });
+    candidates.stream()
+        .limit(count)
+        .map(TrackedBackend::backend)
+        .forEach(
+            backend ->
+                probe
+                    .apply(backend.address())
+                    .thenAccept(reachability -> pools.recordProbe(backend, reachability)));
   }
 }
