A connection that times out is not taken for one that its server closed

Cause: every IOException counted as a close by the peer. An unanswered keepalive probe is silence: the attempt counts as lost, its server is probed, and records decide. ResponseReaderTest.anUnansweredKeepAliveProbeIsNotAClose failed before. CrashingRequestTest, SilentConnectionTest, ReplacedServerTest and CutOffNodeTest pass.

--- a/http/src/main/java/org/lockdale/http/HttpCallException.java
+++ b/http/src/main/java/org/lockdale/http/HttpCallException.java
@@ -55,7 +55,7 @@
 
   /**
    * Returns whether the peer or the network closed the connection; if not, this process ended the
-   * call.
+   * call, or the peer has become silent.
    */
   public boolean isClosedByPeer() {
     return closedByPeer;
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -15,6 +15,9 @@
 /** Passes the parts of a reply to the listener of the call that occupies the connection. */
 final class ResponseReader extends SimpleChannelInboundHandler<HttpObject> {
 
+  /** Message of the operating system for ETIMEDOUT, which the JDK has no exception type for. */
+  private static final String TIMED_OUT = "Connection timed out";
+
   private final ConnectionPool pool;
   private final InetSocketAddress address;
   private @Nullable HttpCall call;
@@ -115,6 +118,11 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    fail(context, cause instanceof IOException, cause.toString());
+    fail(context, cause instanceof IOException && !isTimeout(cause), cause.toString());
+  }
+
+  /** Returns whether the peer has answered no keepalive probe, so that it has closed nothing. */
+  private static boolean isTimeout(Throwable cause) {
+    return TIMED_OUT.equals(cause.getMessage());
   }
 }
