A refusal behind a lost node makes no false promise, and servers at their connection limit are no lost links

A request that may run twice, whose first node was lost, got a second node's 503 passed on, which says that it has not run; it is answered 502 now. Three probes that servers closed at once, as at their connection limit, made a pool unreachable; they show nothing now.

--- a/gateway/src/main/java/org/lockdale/gateway/reachability/PoolReachability.java
+++ b/gateway/src/main/java/org/lockdale/gateway/reachability/PoolReachability.java
@@ -99,11 +99,14 @@
     }
   }
 
-  /** Records the result of a probe of a backend. */
+  /**
+   * Records the result of a probe of a backend. A connection that is closed at once shows neither:
+   * a backend at its connection limit does so, and so does a proxy of a crashed one.
+   */
   void recordProbe(Backend backend, Reachability reachability) {
     if (reachability == Reachability.ACCEPTS) {
       recordReached(backend.pool());
-    } else {
+    } else if (reachability != Reachability.CLOSES) {
       recordFailure(backend.pool(), backend.id());
     }
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
@@ -153,7 +153,7 @@
     }
     if (!supported) {
       finish(new Result.NotServed("the node does not support forwarding"));
-    } else if (refusal.isPresent() && refusal.get().mayBeServedElsewhere()) {
+    } else if (refusal.isPresent() && !isFinal(refusal.get())) {
       finish(new Result.NotServed("another node refused it as " + refusal.get()));
     } else if (streams) {
       startStream();
@@ -165,6 +165,14 @@
     }
   }
 
+  /**
+   * Returns whether a refusal of another node is the response to the caller. A refusal that
+   * guarantees that the request has not run is not, if another node may have run it before.
+   */
+  private boolean isFinal(RefusalKind kind) {
+    return !kind.mayBeServedElsewhere() && (state.possibleRuns == 0 || !kind.guaranteesNotRun());
+  }
+
   @Override
   public void onFailure(HttpCallException cause) {
     if (!ended) {
--- a/gateway/src/test/java/org/lockdale/gateway/reachability/PoolReachabilityTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/reachability/PoolReachabilityTest.java
@@ -4,9 +4,13 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.lockdale.coordination.simulation.VirtualTime;
+import org.lockdale.gateway.backend.Backend;
+import org.lockdale.http.Reachability;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -108,4 +112,15 @@
     time.runUntil(60_000_000);
     assertEquals(reachability.silentPools(), List.of());
   }
+
+  @Test
+  public void backendsThatCloseConnectionsAtOnceDoNotMakeAPoolUnreachable() {
+    for (String id : List.of("i-1", "i-2", "i-3", "i-4")) {
+      Backend backend =
+          new Backend(
+              id, POOL, InetSocketAddress.createUnresolved(id, 1), "zone", 4, false, Map.of());
+      reachability.recordProbe(backend, Reachability.CLOSES);
+    }
+    assertFalse(reachability.isUnreachable(POOL));
+  }
 }
