The times of an attempt are a class of their own

AttemptTimes has them and the reason why silence is measured by the steady clock. No behaviour changes: each expression moved as it was; the tests of the platform compile against the same methods of Attempt.

--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -30,7 +30,6 @@
 final class Attempt implements HttpResponseListener {
 
   private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
-  private static final long NOT_STARTED = -1;
 
   private final RequestState state;
   private final TrackedBackend target;
@@ -40,6 +39,7 @@
   private final BackendAnnouncements announcements;
   private final LivenessEvidence liveness;
   private final Time time;
+  private final AttemptTimes times;
   private final Runnable onReceived;
   private final Runnable onFirstEvent;
   private final BiConsumer<Attempt, AttemptResult> onResult;
@@ -48,10 +48,6 @@
   private @Nullable HttpCall call;
   private @Nullable ResponseHead head;
   private @Nullable StreamForwarder forwarder;
-  private long lastReceivedAtMillis;
-  private long sentAtMillis;
-  private long sentAtMonotonicMillis;
-  private long startedAtMillis = NOT_STARTED;
   private LostAttempt.@Nullable Loss loss;
   private boolean ended;
   private boolean withdrawn;
@@ -79,6 +75,7 @@
     this.announcements = announcements;
     this.liveness = liveness;
     this.time = time;
+    this.times = new AttemptTimes(time);
     this.onReceived = onReceived;
     this.onFirstEvent = onFirstEvent;
     this.onResult = onResult;
@@ -93,9 +90,7 @@
    * @param maxConnections maximum number of connections that this node may have open to the backend
    */
   void start(HttpClient client, int maxConnections) {
-    sentAtMillis = time.steadyMillis();
-    sentAtMonotonicMillis = time.monotonicMillis();
-    lastReceivedAtMillis = sentAtMillis;
+    times.recordSent();
     target.addEndListener(onIncarnationEnd);
     rates.recordSend(target.backend().id());
     call =
@@ -153,7 +148,7 @@
 
   /** Returns the time since anything was received from the backend, in milliseconds. */
   long silentMillis() {
-    return time.steadyMillis() - lastReceivedAtMillis;
+    return times.silentMillis();
   }
 
   /** Returns how the response was lost before it was complete; null if it was not lost. */
@@ -173,8 +168,7 @@
    */
   long responseMillis() {
     boolean streams = state.route().kind() == RouteKind.STREAM;
-    long since = streams ? startedAtMillis : sentAtMillis;
-    return since == NOT_STARTED ? 0 : time.steadyMillis() - since;
+    return streams ? times.sinceStartMillis() : times.sinceSentMillis();
   }
 
   /**
@@ -182,7 +176,7 @@
    * the start of the response is not visible.
    */
   long responseSilentMillis() {
-    return startedAtMillis == NOT_STARTED ? 0 : silentMillis();
+    return times.hasStarted() ? silentMillis() : 0;
   }
 
   /**
@@ -246,8 +240,9 @@
     }
     if (!received.misdirected()) {
       responded = true;
-      liveness.recordResponse(target, connectedAtMillis(), sentAtMonotonicMillis);
-      rates.recordResponse(target.backend().id(), received.advertisedRate(), sentAtMonotonicMillis);
+      liveness.recordResponse(target, connectedAtMillis(), times.sentAtMonotonicMillis());
+      rates.recordResponse(
+          target.backend().id(), received.advertisedRate(), times.sentAtMonotonicMillis());
       announcements.process(target, received);
     }
     if (received.misdirected()) {
@@ -281,12 +276,8 @@
     }
   }
 
-  /**
-   * Records that something was received. Uses the steady clock, which stops while the machine is
-   * suspended, so that suspension does not count as silence.
-   */
   private void recordReceived() {
-    lastReceivedAtMillis = time.steadyMillis();
+    times.recordReceived();
     onReceived.run();
   }
 
@@ -294,7 +285,7 @@
     try {
       stream.accept(content);
       if (stream.hasStarted() && share.recordStart()) {
-        startedAtMillis = lastReceivedAtMillis;
+        times.recordStart();
         onFirstEvent.run();
       }
     } catch (IllegalArgumentException malformed) {
