A stream that ends inside an event is logged with its framing

The line stream-ended-inside-event names the request, the backend, how the response was framed and how many bytes of an event were left over. No decision changes.

--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -16,11 +16,13 @@
 import org.lockdale.gateway.life.LivenessEvidence;
 import org.lockdale.gateway.quarantine.LostAttempt;
 import org.lockdale.gateway.rate.BackendRates;
+import org.lockdale.http.BodyFraming;
 import org.lockdale.http.HttpCall;
 import org.lockdale.http.HttpCallException;
 import org.lockdale.http.HttpClient;
 import org.lockdale.http.HttpReply;
 import org.lockdale.http.HttpResponseListener;
+import org.tinylog.Logger;
 
 /**
  * One attempt at one backend. A plain response is buffered until it is complete, so that a broken
@@ -47,6 +49,7 @@
   private final BackendLoad.Share share;
   private @Nullable HttpCall call;
   private @Nullable ResponseHead head;
+  private BodyFraming framing = BodyFraming.CONTENT_LENGTH;
   private @Nullable StreamForwarder forwarder;
   private LostAttempt.@Nullable Loss loss;
   private boolean ended;
@@ -229,6 +232,7 @@
   @Override
   public void onHead(int status, HttpHeaders headers) {
     recordReceived();
+    framing = BodyFraming.of(headers);
     ResponseHead received = protocol.read(status, headers);
     if (state.receivedFromPeer) {
       ForwardHeaders.markResponse(received.headers());
@@ -306,6 +310,7 @@
     if (received == null) {
       finish(AttemptResult.FAILED, "it sent no response");
     } else if (forwarder != null) {
+      logUnfinishedEvent(forwarder);
       forwarder.end();
       finish(AttemptResult.COMPLETE, "");
     } else if (received.impliesNotRun()) {
@@ -323,6 +328,17 @@
     }
   }
 
+  private void logUnfinishedEvent(StreamForwarder stream) {
+    if (stream.unfinishedBytes() > 0) {
+      Logger.info(
+          "event=stream-ended-inside-event request={} backend={} framing={} bytes={}",
+          state.request.id(),
+          target.backend().id(),
+          framing,
+          stream.unfinishedBytes());
+    }
+  }
+
   @Override
   public void onFailure(HttpCallException cause) {
     if (ended) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/StreamForwarder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/StreamForwarder.java
@@ -75,6 +75,11 @@
     return state.exchange.queuedBytes() > MAX_QUEUED_BYTES;
   }
 
+  /** Returns the number of bytes received of an event that is not complete. */
+  int unfinishedBytes() {
+    return decoder.remainder().readableBytes();
+  }
+
   /** Completes the response, after sending the rest of the stream that is not a complete event. */
   void end() {
     ByteBuf rest = decoder.remainder();
