Events whose lines end with carriage return and line feed are recognized

The decoder knew a blank line only as two line feeds. A stream with CRLF lines, which the format allows, was held back until its end and then passed on as one unfinished event: late for the caller, without resume points, and, once a stream that ends inside an event counts as broken, always broken.

--- a/http/src/main/java/org/lockdale/http/ServerSentEventDecoder.java
+++ b/http/src/main/java/org/lockdale/http/ServerSentEventDecoder.java
@@ -5,8 +5,9 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Splits a stream of server-sent events into events without re-encoding them. Bytes are copied only
- * where an event spans several parts; {@link #close} releases the copies. Not thread-safe.
+ * Splits a stream of server-sent events into events without re-encoding them. Lines end with a line
+ * feed, which a carriage return may precede. Bytes are copied only where an event spans several
+ * parts; {@link #close} releases the copies. Not thread-safe.
  */
 public final class ServerSentEventDecoder implements AutoCloseable {
 
@@ -33,6 +34,12 @@
   private static final int MAX_EVENT_BYTES = 1024 * 1024;
   private static final int DECIMAL = 10;
 
+  /** Result of {@link #blankLineEnd} for a line that is not blank. */
+  private static final int NOT_BLANK = -1;
+
+  /** Result of {@link #blankLineEnd} for a line of which too little has arrived. */
+  private static final int UNDECIDED = -2;
+
   private final EventListener listener;
   private ByteBuf pending = Unpooled.EMPTY_BUFFER;
   private int scanned;
@@ -85,32 +92,46 @@
 
   /** Returns the index after the next blank line, or -1. */
   private int findEnd(ByteBuf buffer) {
-    int from = buffer.readerIndex() + scanned;
-    while (true) {
-      int newline = buffer.indexOf(from, buffer.writerIndex(), (byte) '\n');
-      if (newline < 0 || newline + 1 >= buffer.writerIndex()) {
-        // The next search starts at this newline again, as the byte after it is not yet there.
-        int resume = newline < 0 ? buffer.writerIndex() : newline;
-        scanned = resume - buffer.readerIndex();
-        return -1;
+    int newline = buffer.indexOf(buffer.readerIndex() + scanned, buffer.writerIndex(), (byte) '\n');
+    while (newline >= 0) {
+      int end = blankLineEnd(buffer, newline + 1);
+      if (end >= 0) {
+        return end;
       }
-      if (buffer.getByte(newline + 1) == '\n') {
-        return newline + 2;
+      if (end == UNDECIDED) {
+        // The next search starts at this newline again.
+        scanned = newline - buffer.readerIndex();
+        return -1;
       }
-      from = newline + 1;
+      newline = buffer.indexOf(newline + 1, buffer.writerIndex(), (byte) '\n');
+    }
+    scanned = buffer.readableBytes();
+    return -1;
+  }
+
+  /** Returns the index after the line that starts at an index, if the line is blank. */
+  private static int blankLineEnd(ByteBuf buffer, int start) {
+    int next = start;
+    if (next < buffer.writerIndex() && buffer.getByte(next) == '\r') {
+      next++;
+    }
+    if (next >= buffer.writerIndex()) {
+      return UNDECIDED;
     }
+    return buffer.getByte(next) == '\n' ? next + 1 : NOT_BLANK;
   }
 
   /** Returns the numeric value of the first id line, or {@link #NO_ID}. */
   private static long idOf(ByteBuf event) {
     int line = event.readerIndex();
     while (line < event.writerIndex()) {
-      int end = event.indexOf(line, event.writerIndex(), (byte) '\n');
-      int lineEnd = end < 0 ? event.writerIndex() : end;
+      int newline = event.indexOf(line, event.writerIndex(), (byte) '\n');
+      int next = newline < 0 ? event.writerIndex() : newline;
+      int lineEnd = next > line && event.getByte(next - 1) == '\r' ? next - 1 : next;
       if (startsWithId(event, line, lineEnd)) {
         return numberAt(event, line + ID_PREFIX.length, lineEnd);
       }
-      line = lineEnd + 1;
+      line = next + 1;
     }
     return NO_ID;
   }
--- a/http/src/test/java/org/lockdale/http/ServerSentEventDecoderTest.java
+++ b/http/src/test/java/org/lockdale/http/ServerSentEventDecoderTest.java
@@ -53,6 +53,15 @@
     }
   }
 
+  @Test
+  public void linesMayEndWithCarriageReturnsToo() {
+    String stream = "id: 0\r\ndata: x\r\n\r\nid: 7\r\ndata: y\r\n\r\n";
+    List<String> expected = List.of("0=id: 0\r\ndata: x\r\n\r\n", "7=id: 7\r\ndata: y\r\n\r\n");
+    for (int seed = 0; seed < SEEDS; seed++) {
+      assertEquals(decode(stream, new Random(seed)), expected, "seed " + seed);
+    }
+  }
+
   /** Only {@link ServerSentEventDecoder#DONE} is the end marker. */
   @Test
   public void theEndMarkerIsRecognized() {
