A stream that ends inside an event is broken off, not complete

What callers saw: an answer that its server had broken off, with that server's status and signature, a part of an event at its end, and the end of the response as for a whole one. They kept half an answer and did not ask again. Cause: an answer with neither a length nor chunks ends with its connection. A process that ends closes its connections in order, so the HTTP codec reports the end of the body, and StreamForwarder.end passed on what was left of the event and the last chunk. Class: the end of the transport is taken for the end of the content. Evidence: the log of each failing case had the end inside an event with CLOSE_DELIMITED and no failed attempt; connections that are reset were never affected. Why this works: events alone are passed on, and a stream is whole only if it ends between two events; what is cut inside one, whatever the framing, is a broken attempt: resumed at another server if the route allows, else visibly incomplete. A close-delimited stream without any event is broken as well, unless it resumes one of which nothing may be left. What stays: a close-delimited stream that is cut exactly between two events looks whole; nothing in it says otherwise.

--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -22,7 +22,6 @@
 import org.lockdale.http.HttpClient;
 import org.lockdale.http.HttpReply;
 import org.lockdale.http.HttpResponseListener;
-import org.tinylog.Logger;
 
 /**
  * One attempt at one backend. A plain response is buffered until it is complete, so that a broken
@@ -258,7 +257,7 @@
     } else if (received.isSuccess() && !received.authentic()) {
       abandon(AttemptResult.FAILED, "its response has no proof of origin");
     } else if (received.isSuccess() && received.eventStream()) {
-      forwarder = new StreamForwarder(state, received, time);
+      forwarder = new StreamForwarder(state, received, framing, time);
     }
   }
 
@@ -310,9 +309,7 @@
     if (received == null) {
       finish(AttemptResult.FAILED, "it sent no response");
     } else if (forwarder != null) {
-      logUnfinishedEvent(forwarder);
-      forwarder.end();
-      finish(AttemptResult.COMPLETE, "");
+      endStream(forwarder);
     } else if (received.impliesNotRun()) {
       // Callers take this status as a guarantee that the request was not run, which only the
       // backend itself may give.
@@ -328,15 +325,18 @@
     }
   }
 
-  private void logUnfinishedEvent(StreamForwarder stream) {
-    if (stream.unfinishedBytes() > 0) {
-      Logger.info(
-          "event=stream-ended-inside-event request={} backend={} framing={} bytes={}",
-          state.request.id(),
-          target.backend().id(),
-          framing,
-          stream.unfinishedBytes());
+  /** Ends the response to the caller, unless the stream was broken off. */
+  private void endStream(StreamForwarder stream) {
+    if (stream.isWhole()) {
+      stream.end();
+      finish(AttemptResult.COMPLETE, "");
+      return;
     }
+    if (framing == BodyFraming.CLOSE_DELIMITED) {
+      loss = LostAttempt.Loss.CLOSED;
+    }
+    head = null;
+    finish(brokenResult(), "its " + framing + " stream ended inside an event");
   }
 
   @Override
--- a/gateway/src/main/java/org/lockdale/gateway/request/StreamForwarder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/StreamForwarder.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.ResponseHead;
+import org.lockdale.http.BodyFraming;
 import org.lockdale.http.ServerSentEventDecoder;
 
 /**
@@ -17,15 +18,19 @@
 
   private final RequestState state;
   private final ResponseHead head;
+  private final BodyFraming framing;
   private final Time time;
   private final ServerSentEventDecoder decoder = new ServerSentEventDecoder(this::onEvent);
+  private final boolean resumes;
   private final long resumedAfter;
   private boolean started;
 
-  StreamForwarder(RequestState state, ResponseHead head, Time time) {
+  StreamForwarder(RequestState state, ResponseHead head, BodyFraming framing, Time time) {
     this.state = state;
     this.time = time;
     this.head = head;
+    this.framing = framing;
+    this.resumes = state.lastEventId != null;
     this.resumedAfter = state.responseStarted ? parseEventId(state.lastEventId) : Long.MIN_VALUE;
   }
 
@@ -75,17 +80,18 @@
     return state.exchange.queuedBytes() > MAX_QUEUED_BYTES;
   }
 
-  /** Returns the number of bytes received of an event that is not complete. */
-  int unfinishedBytes() {
-    return decoder.remainder().readableBytes();
+  /**
+   * Returns whether a stream that has ended is whole. One that ends inside an event was broken off,
+   * whatever its framing. A close-delimited one was also if it ends before its first event, unless
+   * it resumes a stream of which no event may be left.
+   */
+  boolean isWhole() {
+    boolean mayBeEmpty = resumes || framing != BodyFraming.CLOSE_DELIMITED;
+    return !decoder.remainder().isReadable() && (started || mayBeEmpty);
   }
 
-  /** Completes the response, after sending the rest of the stream that is not a complete event. */
+  /** Completes the response; the stream must be whole. */
   void end() {
-    ByteBuf rest = decoder.remainder();
-    if (rest.isReadable()) {
-      send(rest);
-    }
     startResponse();
     state.exchange.endStream();
   }
