A close-delimited stream without any event is not complete, also where it resumes one

What callers would see: a stream that they took up again, ended as complete where its server crashed before its first event. Class: as before, the end of the transport is taken for the end of the content. Now it is broken: the request goes on at another server while its retries allow, and a server that frames its empty answer ends it. What a caller loses where none does is the end of a stream whose events it has; it sees that it is incomplete.

--- a/gateway/src/main/java/org/lockdale/gateway/request/StreamForwarder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/StreamForwarder.java
@@ -21,7 +21,6 @@
   private final BodyFraming framing;
   private final Time time;
   private final ServerSentEventDecoder decoder = new ServerSentEventDecoder(this::onEvent);
-  private final boolean resumes;
   private final long resumedAfter;
   private boolean started;
 
@@ -30,7 +29,6 @@
     this.time = time;
     this.head = head;
     this.framing = framing;
-    this.resumes = state.lastEventId != null;
     this.resumedAfter = state.responseStarted ? parseEventId(state.lastEventId) : Long.MIN_VALUE;
   }
 
@@ -82,11 +80,12 @@
 
   /**
    * Returns whether a stream that has ended is whole. One that ends inside an event was broken off,
-   * whatever its framing. A close-delimited one was also if it ends before its first event, unless
-   * it resumes a stream of which no event may be left.
+   * whatever its framing. A close-delimited one without any event counts as broken off as well:
+   * even where it resumes a stream of which no event may be left, its server may have crashed
+   * before the first one.
    */
   boolean isWhole() {
-    boolean mayBeEmpty = resumes || framing != BodyFraming.CLOSE_DELIMITED;
+    boolean mayBeEmpty = framing != BodyFraming.CLOSE_DELIMITED;
     return !decoder.remainder().isReadable() && (started || mayBeEmpty);
   }
 
