Soak: one stream in three of the engines is close-delimited

Streams that are close-delimited are always inside an event until their last one, so that a killed engine breaks them off where a node can tell; some are broken off by an orderly close. The judge is not changed: it compares the end that the caller saw with the last event.

--- a/soak/src/main/java/org/lockdale/soak/standin/EngineServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/EngineServer.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
-import org.lockdale.platform.RawBackend;
 import org.lockdale.platform.RawBackend.Received;
 import org.lockdale.soak.judge.Note;
 import org.lockdale.soak.judge.StreamPiece;
@@ -31,9 +30,12 @@
 
   private static final long LOAD_MILLIS = 600;
 
-  /** One stream in this many is reset within an event. */
+  /** One stream in this many is broken off within an event. */
   private static final int TORN_STREAM_INTERVAL = 40;
 
+  /** One stream in this many is close-delimited. */
+  private static final int CLOSE_DELIMITED_INTERVAL = 3;
+
   private final String model;
   private final CachedParts cache = new CachedParts();
   private long weightsVersion;
@@ -204,23 +206,23 @@
     String run = startRun(request, weightsVersion, plannedMillis);
     long computeMillis = preparePrompt(request, run) / TOKENS_PER_MILLISECOND;
     StringBuilder body = new StringBuilder();
+    StreamWriter writer = new StreamWriter(connection, isCloseDelimited(run));
     boolean complete = false;
     try {
       if (closesWithin(connection, computeMillis)) {
         return;
       }
-      RawBackend.write(connection, responseHead(request, run));
+      writer.writeHead(responseHead(request, run), pieceText(run, first, pieces));
       int tornId = tornPiece(run, first, pieces);
       // A stream that is resumed after its last event has no events, only the end of the response.
       for (int id = first; id <= pieces; id++) {
-        String text = new StreamPiece(id, run, id >= pieces).text();
+        String text = pieceText(run, id, pieces);
         if (id == tornId) {
-          RawBackend.write(connection, RawBackend.chunk(text.substring(0, text.length() / 2)));
-          RawBackend.reset(connection);
+          writer.breakOff(text);
           return;
         }
         body.append(text);
-        RawBackend.write(connection, RawBackend.chunk(text));
+        writer.writeEvent(text, pieceText(run, id + 1, pieces));
         if (closesWithin(connection, PIECE_MILLIS) || StandardStreams.nowMillis() > end) {
           connection.close();
           return;
@@ -230,7 +232,16 @@
     } finally {
       recordEnd(run, OK, body.toString(), complete);
     }
-    RawBackend.write(connection, "0\r\n\r\n");
+    writer.end();
+  }
+
+  /** Returns the text of an event, or an empty string if the stream has no such event. */
+  private static String pieceText(String run, int id, int pieces) {
+    return id > pieces ? "" : new StreamPiece(id, run, id == pieces).text();
+  }
+
+  private static boolean isCloseDelimited(String run) {
+    return Math.floorMod(run.hashCode(), CLOSE_DELIMITED_INTERVAL) == 0;
   }
 
   private static int tornPiece(String run, int first, int pieces) {
@@ -249,7 +260,7 @@
         + HeaderNames.WEIGHTS
         + ": "
         + weightsVersion
-        + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        + "\r\nContent-Type: text/event-stream\r\n";
   }
 
   /** Uses the cached prefix of the prompt, computes the rest, and returns the tokens computed. */
