Software versions of servers are read and logged; a stream that goes on is logged with what it names

Now attempt-failed and the page of backends name the version, and stream-resumed is written where a request with a resume point is sent: in the response of this node or by a caller that takes a stream up, the attempt that it names, the last event, the server and its version. No decision reads the new fields. The caller's header is passed on as before.

--- a/gateway/src/main/java/org/lockdale/gateway/backend/Backend.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/Backend.java
@@ -11,6 +11,8 @@
  * @param pool pool that the backend belongs to
  * @param address address at which it is reached
  * @param zone zone in which it runs
+ * @param softwareVersion version of its software, which has no order and is unrelated to the
+ *     versions of weights
  * @param slots number of requests that it processes at once
  * @param draining whether the backend is draining and accepts no new requests
  * @param weights version of the weights of each model that it runs
@@ -20,11 +22,12 @@
     String pool,
     InetSocketAddress address,
     String zone,
+    String softwareVersion,
     int slots,
     boolean draining,
     Map<String, Long> weights) {
 
-  /** Creates the record of an incarnation given by its text form. */
+  /** Creates the record of an incarnation, given by its text form, in a pool of one version. */
   public Backend(
       String id,
       String pool,
@@ -33,7 +36,7 @@
       int slots,
       boolean draining,
       Map<String, Long> weights) {
-    this(Incarnation.parse(id), pool, address, zone, slots, draining, weights);
+    this(Incarnation.parse(id), pool, address, zone, "", slots, draining, weights);
   }
 
   /** Returns the text form of the incarnation, the key under which its state is kept. */
@@ -52,6 +55,7 @@
         && pool.equals(backend.pool)
         && address.equals(backend.address)
         && zone.equals(backend.zone)
+        && softwareVersion.equals(backend.softwareVersion)
         && slots == backend.slots
         && draining == backend.draining
         && weights.equals(backend.weights);
--- a/gateway/src/main/java/org/lockdale/gateway/caller/CallerRequest.java
+++ b/gateway/src/main/java/org/lockdale/gateway/caller/CallerRequest.java
@@ -21,6 +21,8 @@
  *     specified
  * @param lastEventId id of the last event that the caller received of a stream to be continued, or
  *     null
+ * @param resumedId the caller's id of the attempt that brought the first event of a stream to be
+ *     continued, or null
  * @param headers all headers as sent
  * @param body complete body
  */
@@ -36,5 +38,6 @@
     List<PromptPart> promptParts,
     @Nullable Long tokens,
     @Nullable String lastEventId,
+    @Nullable String resumedId,
     HttpHeaders headers,
     byte[] body) {}
--- a/gateway/src/main/java/org/lockdale/gateway/node/BackendsHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/BackendsHandler.java
@@ -40,6 +40,8 @@
           .append(backend.pool())
           .append(" address=")
           .append(backend.address())
+          .append(" software-version=")
+          .append(backend.softwareVersion())
           .append(" leaving=")
           .append(backend.draining())
           .append(" says-it-leaves=")
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
@@ -28,6 +28,17 @@
     concludeRecorded(AttemptOutcome.NOT_LOST);
     path.services().reachability().recordSent(state.pool);
     String backend = attempt.target().backend().id();
+    if (state.lastEventId != null) {
+      Logger.info(
+          "event=stream-resumed request={} resumes={} in-response={} after={} backend={}"
+              + " software-version={}",
+          state.request.id(),
+          state.request.resumedId(),
+          state.responseStarted,
+          state.lastEventId,
+          backend,
+          attempt.target().backend().softwareVersion());
+    }
     recordedAttempt =
         path.services()
             .quarantine()
@@ -86,9 +97,10 @@
     }
     if (result != AttemptResult.COMPLETE) {
       Logger.info(
-          "event=attempt-failed request={} backend={} result={} reason=\"{}\"",
+          "event=attempt-failed request={} backend={} software-version={} result={} reason=\"{}\"",
           state.request.id(),
           attempt.target().backend().id(),
+          attempt.target().backend().softwareVersion(),
           result,
           attempt.failure());
     }
--- a/gateway/src/test/java/org/lockdale/gateway/life/IncarnationSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/life/IncarnationSimulation.java
@@ -81,7 +81,8 @@
     }
 
     Backend record() {
-      return new Backend(incarnation(), "pool", address, "zone", 16, false, Map.of(MODEL, weights));
+      return new Backend(
+          incarnation(), "pool", address, "zone", "", 16, false, Map.of(MODEL, weights));
     }
 
     void crash() {
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/Requests.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/Requests.java
@@ -27,6 +27,7 @@
         List.of(),
         null,
         lastEventId,
+        null,
         new DefaultHttpHeaders(),
         body.getBytes(StandardCharsets.UTF_8));
   }
--- a/gateway/src/test/java/org/lockdale/gateway/request/TenantLimitStepTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/TenantLimitStepTest.java
@@ -109,6 +109,7 @@
               List.of(),
               null,
               null,
+              null,
               new DefaultHttpHeaders(),
               exchange.body());
       RequestState state =
