A stream for a caller without chunks ends with its connection, and is reset where it breaks off

What callers of HTTP/1.0 would see: chunks that they don't understand, and for a stream that is broken off an orderly close, which for them is the end of the answer. Now such a caller gets the bytes of the stream and a close at its end; an aborted one is reset, after what was written before has been sent. Callers of HTTP/1.1 see no difference.

--- a/http/src/main/java/org/lockdale/http/HttpExchange.java
+++ b/http/src/main/java/org/lockdale/http/HttpExchange.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -32,6 +33,10 @@
   private final HttpRequest request;
   private final byte[] body;
   private final Runnable onEnded;
+
+  /** Whether the caller understands chunks; otherwise a stream ends with the connection. */
+  private final boolean acceptsChunks;
+
   private volatile boolean keepAlive;
   private final long receivedNanos;
   private final AtomicBoolean ended = new AtomicBoolean();
@@ -45,6 +50,7 @@
     this.receivedNanos = receivedNanos;
     this.onEnded = onEnded;
     this.keepAlive = HttpUtil.isKeepAlive(request);
+    this.acceptsChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
   }
 
   /** Returns the request method, such as {@code POST}. */
@@ -123,7 +129,11 @@
     HttpResponse response =
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
     response.headers().set(headers);
-    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    if (acceptsChunks) {
+      response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    } else {
+      closeAfterReply();
+    }
     channel.write(markConnection(response), channel.voidPromise());
   }
 
@@ -153,9 +163,15 @@
     }
   }
 
-  /** Closes the connection, so that the caller can tell that the reply is incomplete. */
+  /**
+   * Closes the connection, so that the caller can tell that the reply is incomplete. Resets it if
+   * an orderly close would look like the end of the reply.
+   */
   public void abort() {
     if (ended.compareAndSet(false, true)) {
+      if (!acceptsChunks) {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      }
       // An empty write is queued behind all earlier ones, so these are still sent before the close.
       channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
       onEnded.run();
