--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -48,7 +48,7 @@
   private final BackendLoad.Share share;
   private @Nullable HttpCall call;
   private @Nullable ResponseHead head;
-  private BodyFraming framing = BodyFraming.CONTENT_LENGTH;
+  private BodyFraming framing = BodyFraming.NONE;
   private @Nullable StreamForwarder forwarder;
   private LostAttempt.@Nullable Loss loss;
   private boolean ended;
@@ -231,7 +231,7 @@
   @Override
   public void onHead(int status, HttpHeaders headers) {
     recordReceived();
-    framing = BodyFraming.of(headers);
+    framing = BodyFraming.of(state.request.method(), status, headers);
     ResponseHead received = protocol.read(status, headers);
     if (state.receivedFromPeer) {
       ForwardHeaders.markResponse(received.headers());
--- a/http/src/main/java/org/lockdale/http/BodyFraming.java
+++ b/http/src/main/java/org/lockdale/http/BodyFraming.java
@@ -5,6 +5,8 @@
 
 /** How a receiver knows where the body of a response ends. */
 public enum BodyFraming {
+  /** There is no body, whatever the headers say. */
+  NONE,
   /** The head states the length. */
   CONTENT_LENGTH,
   /** The last chunk ends the body. */
@@ -15,8 +17,20 @@
    */
   CLOSE_DELIMITED;
 
-  /** Returns the framing that the head of a response declares. */
-  public static BodyFraming of(HttpHeaders headers) {
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+
+  /**
+   * Returns the framing of a response.
+   *
+   * @param method method of the request
+   * @param status status code of the response
+   * @param headers headers of the response
+   */
+  public static BodyFraming of(String method, int status, HttpHeaders headers) {
+    if (method.equals("HEAD") || status == NO_CONTENT || status == NOT_MODIFIED) {
+      return NONE;
+    }
     if (headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
       return CHUNKED;
     }
