--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramDispatcher.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramDispatcher.java
@@ -20,6 +20,9 @@
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
 import org.lockdale.protocol.generated.ShareReleased;
+import org.lockdale.protocol.generated.StreamOriginAnswer;
+import org.lockdale.protocol.generated.StreamOriginQuestion;
+import org.lockdale.protocol.generated.StreamOriginReport;
 import org.lockdale.protocol.generated.SuspectReport;
 
 /**
@@ -32,6 +35,7 @@
  * @param limitClient receives heartbeats and the answers to admission queries
  * @param rates keeps requests within the rates of backends
  * @param placements receives the answers to placement queries
+ * @param origins keeps the origins of streams
  * @param onSuspectReport receives requests that are suspected of crashing backends
  * @param onIncarnationsEnded receives the text forms of backend incarnations that have ended
  * @param onDraining receives the id of the sender and the text forms of backend incarnations that
@@ -45,6 +49,7 @@
     LimitClient limitClient,
     RateExchange rates,
     PlacementClient placements,
+    OriginExchange origins,
     Consumer<List<Suspect>> onSuspectReport,
     Consumer<List<String>> onIncarnationsEnded,
     BiConsumer<String, List<String>> onDraining)
@@ -142,4 +147,19 @@
   public void onDraining(String sender, LeavingNotice notice) {
     onDraining.accept(sender, notice.getEngines());
   }
+
+  @Override
+  public void onOriginReport(StreamOriginReport report) {
+    origins.onReport(report);
+  }
+
+  @Override
+  public void onOriginQuestion(InetSocketAddress address, StreamOriginQuestion question) {
+    origins.onQuestion(address, question);
+  }
+
+  @Override
+  public void onOriginAnswer(StreamOriginAnswer answer) {
+    origins.onAnswer(answer);
+  }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
@@ -25,6 +25,7 @@
 import org.lockdale.protocol.generated.NodeDatagram;
 import org.lockdale.protocol.generated.NodeNotice;
 import org.lockdale.protocol.generated.NodeReport;
+import org.lockdale.protocol.generated.OriginDatagram;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementDelay;
 import org.lockdale.protocol.generated.PlacementQuestion;
@@ -35,6 +36,9 @@
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
 import org.lockdale.protocol.generated.ShareReleased;
+import org.lockdale.protocol.generated.StreamOriginAnswer;
+import org.lockdale.protocol.generated.StreamOriginQuestion;
+import org.lockdale.protocol.generated.StreamOriginReport;
 import org.lockdale.protocol.generated.SuspectReport;
 import org.tinylog.Logger;
 
@@ -57,6 +61,7 @@
   private final MessageCodec<NodeNotice> noticeCodec = MessageCodec.nodeNotices();
   private final MessageCodec<RateDatagram> rateCodec = MessageCodec.rateDatagrams();
   private final MessageCodec<DrainDatagram> drainCodec = MessageCodec.drainDatagrams();
+  private final MessageCodec<OriginDatagram> originCodec = MessageCodec.originDatagrams();
   private @Nullable Channel channel;
 
   /**
@@ -130,6 +135,13 @@
     }
   }
 
+  /** Sends a message about the origins of streams; nodes of an earlier version ignore it. */
+  public void sendOriginMessage(Collection<InetSocketAddress> receivers, Message body) {
+    if (!receivers.isEmpty()) {
+      sendBytes(receivers, kindOf(body), originCodec.encode(new OriginDatagram(nodeId, body)));
+    }
+  }
+
   private static String kindOf(Object body) {
     return body.getClass().getSimpleName();
   }
@@ -171,6 +183,10 @@
           DrainDatagram datagram = drainCodec.decode(message);
           meter.received(kindOf(datagram.getBody()), message.length);
           dispatch(datagram);
+        } else if (originCodec.matchesSchema(message)) {
+          OriginDatagram datagram = originCodec.decode(message);
+          meter.received(kindOf(datagram.getBody()), message.length);
+          dispatch(datagram, packet.sender());
         } else {
           NodeDatagram datagram = codec.decode(message);
           meter.received(kindOf(datagram.getBody()), message.length);
@@ -193,6 +209,17 @@
       }
     }
 
+    private void dispatch(OriginDatagram datagram, InetSocketAddress from) {
+      Object body = datagram.getBody();
+      if (body instanceof StreamOriginReport report) {
+        listener.onOriginReport(report);
+      } else if (body instanceof StreamOriginQuestion question) {
+        listener.onOriginQuestion(from, question);
+      } else if (body instanceof StreamOriginAnswer answer) {
+        listener.onOriginAnswer(answer);
+      }
+    }
+
     private void dispatch(RateDatagram datagram, InetSocketAddress from) {
       String sender = datagram.getSender();
       Object body = datagram.getBody();
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramListener.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramListener.java
@@ -15,6 +15,9 @@
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
 import org.lockdale.protocol.generated.ShareReleased;
+import org.lockdale.protocol.generated.StreamOriginAnswer;
+import org.lockdale.protocol.generated.StreamOriginQuestion;
+import org.lockdale.protocol.generated.StreamOriginReport;
 import org.lockdale.protocol.generated.SuspectReport;
 
 /** Receives the datagrams of other nodes, on the event loop of their exchange. */
@@ -76,4 +79,13 @@
 
   /** Called when a node reports that incarnations of backends are draining. */
   void onDraining(String sender, LeavingNotice notice);
+
+  /** Called when a node gives origins of streams into the keeping of this one. */
+  void onOriginReport(StreamOriginReport report);
+
+  /** Called when a node asks where a stream began. */
+  void onOriginQuestion(InetSocketAddress address, StreamOriginQuestion question);
+
+  /** Called when a node answers where a stream began. */
+  void onOriginAnswer(StreamOriginAnswer answer);
 }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/NodeRegistry.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/NodeRegistry.java
@@ -60,6 +60,7 @@
 
   /** Called on the event loop after all rows of the table were passed to {@link #onNodeRow}. */
   public void onTableRead() {
+    refresh();
     boolean isRowLost = rowMayBeLost && !ownRowRead;
     ownRowRead = false;
     rowMayBeLost = false;
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
@@ -117,7 +117,8 @@
   @Override
   public CompletableFuture<PlacementResult> place(PlacementQuery query) {
     Optional<RelayElection.Relay> coordinator = context.coordinator().get();
-    if (coordinator.isEmpty()) {
+    // Relays of an earlier version would choose any software version.
+    if (coordinator.isEmpty() || query.softwareVersion() != null) {
       return CompletableFuture.completedFuture(decide(query));
     }
     CompletableFuture<PlacementResult> result = new CompletableFuture<>();
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementMessages.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementMessages.java
@@ -26,7 +26,8 @@
         question.getModel(),
         question.getIsolatedTenant(),
         parts,
-        new HashSet<>(question.getExcluded()));
+        new HashSet<>(question.getExcluded()),
+        null);
   }
 
   static PlacementAnswer answer(long number, long placementNumber, Placement placement) {
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -11,22 +11,16 @@
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.blackboard.GatewayBlackboard;
 import org.lockdale.gateway.cache.CacheDirectory;
-import org.lockdale.gateway.cache.CachePlanner;
 import org.lockdale.gateway.cluster.AttemptOwnerClient;
 import org.lockdale.gateway.cluster.DatagramDispatcher;
 import org.lockdale.gateway.cluster.DatagramExchange;
 import org.lockdale.gateway.cluster.NodeRegistry;
-import org.lockdale.gateway.cluster.NodeReporter;
 import org.lockdale.gateway.cluster.PeerBroadcaster;
-import org.lockdale.gateway.cluster.PeerLoads;
 import org.lockdale.gateway.cluster.PeerNode;
-import org.lockdale.gateway.cluster.PlacementClient;
 import org.lockdale.gateway.cluster.PlacementResponder;
 import org.lockdale.gateway.cluster.RelayController;
 import org.lockdale.gateway.cluster.ReportReceiver;
 import org.lockdale.gateway.cluster.TableSliceClient;
-import org.lockdale.gateway.placement.BackendChooser;
-import org.lockdale.gateway.placement.PlacementDecider;
 import org.lockdale.gateway.quarantine.Quarantine;
 import org.lockdale.gateway.quarantine.QuarantineContext;
 import org.lockdale.gateway.rate.BackendRates;
@@ -37,7 +31,6 @@
 import org.lockdale.gateway.usage.TrafficMeter;
 import org.lockdale.gateway.weights.EngineMove;
 import org.lockdale.gateway.weights.RolloutProgress;
-import org.lockdale.gateway.weights.WeightsPolicy;
 import org.lockdale.http.HttpClient;
 
 /** Runs the services by which a node cooperates with others: tables, relays, placement, limits. */
@@ -53,15 +46,12 @@
   private final EventLoop eventLoop;
   private final GatewayBlackboard blackboard;
   private final Time time;
-  private final PeerLoads peerLoads;
   private final CacheDirectory cacheDirectory;
   private final NodeRegistry nodes;
   private final DatagramExchange datagrams;
   private final TableFollowers tables;
   private final RelayController relays;
-  private final NodeReporter reporter;
-  private final PlacementDecider decider;
-  private final PlacementClient placements;
+  private final PlacementServices placements;
   private final TargetVersionRecorder versionRecorder;
   private final OperatorController operators;
   private final BackendController backends;
@@ -70,6 +60,7 @@
   private final IncarnationServices incarnations;
   private final SuspensionLog suspensions;
   private final ReachabilityServices reachability;
+  private final ResumeServices resumes;
 
   /**
    * Creates the services; {@link #start} starts them.
@@ -99,12 +90,14 @@
     this.time = time;
     suspensions = new SuspensionLog(time);
     reachability = ReachabilityServices.of(blackboard, controlClient, backendClient, time);
-    peerLoads = new PeerLoads(time);
     cacheDirectory = cacheDirectory(protocols);
     PeerNode self = self(settings);
     long incarnation = ThreadLocalRandom.current().nextLong();
     nodes = new NodeRegistry(eventLoop, protocols.clusterTable(), self, time);
     datagrams = new DatagramExchange(self.id(), self.address(), eventLoop, meter);
+    resumes =
+        ResumeServices.of(
+            eventLoop, blackboard, nodes, this::size, datagrams, maxTableAgeMillis(settings), time);
     limits =
         new LimitServices(
             eventLoop, settings, blackboard, cluster(self.id(), incarnation), time, startMillis);
@@ -123,19 +116,9 @@
     backends = backends(settings, protocols, backendClient);
     tables = tables(sources, settings, protocols);
     relays = relays(settings, clock, incarnation);
-    reporter =
-        new NodeReporter(
-            eventLoop, datagrams, () -> blackboard.backends().value(), relays::relays, time);
-    decider =
-        new PlacementDecider(
-            blackboard,
-            new BackendChooser(peerLoads),
-            new CachePlanner(cacheDirectory, reporter::noteExpectedParts),
-            new WeightsPolicy(settings.get(GatewaySettings.WEIGHTS_BOUND).toMillis()),
-            limits.rates());
     placements =
-        new PlacementClient(
-            placementContext(), PlacementClient.ANSWER_TIMEOUT, relays::markUnresponsive);
+        PlacementServices.of(
+            eventLoop, settings, blackboard, datagrams, relays, limits, cacheDirectory, time);
     quarantine =
         QuarantineServices.of(
             eventLoop,
@@ -179,6 +162,11 @@
         time);
   }
 
+  /** Returns the age that the copy of the backends' table reaches while nothing is wrong. */
+  private static long maxTableAgeMillis(GatewaySettings settings) {
+    return TableFollowers.outageThreshold(settings).plus(PROOF_MARGIN).toMillis();
+  }
+
   private static PeerNode self(GatewaySettings settings) {
     return new PeerNode(
         settings.get(GatewaySettings.NODE_ID),
@@ -222,19 +210,6 @@
         () -> blackboard.configuration().value().cacheStores());
   }
 
-  private PlacementClient.Context placementContext() {
-    return new PlacementClient.Context(
-        eventLoop,
-        datagrams,
-        relays::coordinator,
-        relays::relays,
-        () -> blackboard.backends().value(),
-        decider,
-        limits.rateExchange(),
-        reporter,
-        time);
-  }
-
   private RelayController relays(GatewaySettings settings, StoreClock clock, long incarnation) {
     return new RelayController(
         eventLoop,
@@ -272,8 +247,13 @@
   void start() {
     ReportReceiver reports =
         new ReportReceiver(
-            () -> blackboard.backends().value(), peerLoads, time, this::onMove, this::expectParts);
-    PlacementResponder responder = new PlacementResponder(datagrams, decider, peerLoads, time);
+            () -> blackboard.backends().value(),
+            placements.loads(),
+            time,
+            this::onMove,
+            this::expectParts);
+    PlacementResponder responder =
+        new PlacementResponder(datagrams, placements.decider(), placements.loads(), time);
     datagrams.start(
         new DatagramDispatcher(
             relays,
@@ -282,7 +262,8 @@
             limits.responder(),
             limits.client(),
             limits.rateExchange(),
-            placements,
+            placements.client(),
+            resumes.exchange(),
             quarantine.quarantine()::receive,
             incarnations.monitor()::receive,
             incarnations.announcements()::processBroadcast));
@@ -290,8 +271,9 @@
     nodes.start();
     tables.all().forEach(TableFollower::start);
     relays.start();
-    reporter.start();
+    placements.reporter().start();
     cacheDirectory.start();
+    resumes.start(eventLoop);
     eventLoop.scheduleAtFixedRate(
         this::maintain, MAINTENANCE_MILLIS, MAINTENANCE_MILLIS, TimeUnit.MILLISECONDS);
   }
@@ -301,11 +283,11 @@
     reachability.prober().tick();
     nodes.refresh();
     versionRecorder.tick();
-    peerLoads.expire();
+    placements.loads().expire();
     incarnations.draining().tick(blackboard.backends().value());
     Set<String> engines = new HashSet<>();
     blackboard.backends().value().all().forEach(tracked -> engines.add(tracked.backend().id()));
-    reporter.retain(engines);
+    placements.reporter().retain(engines);
     limits.maintain(engines);
   }
 
@@ -322,12 +304,13 @@
   /** Applies a change of an engine's state in a rollout and reports it to the relays. */
   void announce(EngineMove move) {
     onMove(move);
-    reporter.noteMove(move);
+    placements.reporter().noteMove(move);
   }
 
   /** Returns the number of prompt tokens queued at an engine by the requests of all nodes. */
   long waitingTokens(TrackedBackend engine) {
-    return engine.load().waitingTokens() + peerLoads.at(engine.backend().id()).waitingTokens();
+    return engine.load().waitingTokens()
+        + placements.loads().at(engine.backend().id()).waitingTokens();
   }
 
   private void onMove(EngineMove move) {
@@ -366,15 +349,16 @@
   RequestServices requestServices() {
     return new RequestServices(
         limits.client(),
-        placements,
-        decider,
+        placements.client(),
+        placements.decider(),
         quarantine.quarantine(),
         incarnations.monitor(),
         limits.rates(),
         incarnations.announcements(),
         reachability.pools(),
         new PeerSelector(nodes::peers, time),
-        reporter);
+        resumes.origins(),
+        placements.reporter());
   }
 
   /** Returns the quarantine of requests that crash backends. */
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
@@ -226,7 +226,7 @@
               : weightsPolicy.requiredVersion(blackboard.weights().value(), model, nowMillis);
       List<TrackedBackend> usable = new ArrayList<>();
       for (TrackedBackend tracked : blackboard.backends().value().ofPool(query.pool())) {
-        boolean serves = tracked.isServing() && !isMoving(tracked);
+        boolean serves = tracked.isServing() && !isMoving(tracked) && hasQueriedSoftware(tracked);
         if (serves && meetsRequiredVersion(tracked, required)) {
           usable.add(tracked);
         }
@@ -234,6 +234,11 @@
       return usable;
     }
 
+    private boolean hasQueriedSoftware(TrackedBackend tracked) {
+      String version = query.softwareVersion();
+      return version == null || version.equals(tracked.backend().softwareVersion());
+    }
+
     private boolean isMoving(TrackedBackend tracked) {
       String model = query.model();
       return model != null && blackboard.rollout().value().isMoving(tracked, model, nowMillis);
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementQuery.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementQuery.java
@@ -15,6 +15,7 @@
  * @param parts parts of the prompt, the last of which is unique to the request; empty without a
  *     prompt
  * @param excluded ids of backends that must not be chosen
+ * @param softwareVersion the only software version that may be chosen, or null for any
  */
 public record PlacementQuery(
     String pool,
@@ -22,7 +23,8 @@
     @Nullable String model,
     @Nullable String isolatedTenant,
     List<PromptPart> parts,
-    Set<String> excluded) {
+    Set<String> excluded,
+    @Nullable String softwareVersion) {
 
   /** Creates a query with copies of the collections. */
   public PlacementQuery {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/RequestFingerprint.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/RequestFingerprint.java
@@ -1,21 +1,18 @@
 package org.lockdale.gateway.quarantine;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.Optional;
 import org.lockdale.gateway.caller.CallerRequest;
+import org.lockdale.gateway.caller.TextDigest;
 
 /**
  * Identifies requests with the same contents: method, host, path with query, caller and body. Ids,
  * deadlines and resume points, which differ between attempts, are not part of it. The caller is
  * part of it, so that no caller can have a request of another one quarantined.
  *
- * <p>It is the first half of a SHA-256 digest, so that nobody can construct a request with the
- * fingerprint of another one. This needs no key that all nodes would have to share. It is computed
- * for few requests only: those that {@link #sketchOf} doesn't distinguish from a suspect.
+ * <p>It is the first half of a {@link TextDigest}. It is computed for few requests only: those that
+ * {@link #sketchOf} doesn't distinguish from a suspect.
  *
  * @param high first 64 bits
  * @param low next 64 bits
@@ -32,14 +29,8 @@
    * @param caller name of the tenant, or the key where there is none
    */
   public static RequestFingerprint of(CallerRequest request, String caller) {
-    MessageDigest digest = sha256();
-    for (String text : new String[] {request.method(), request.host(), request.uri(), caller}) {
-      byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-      // The length prefix ensures that no two lists of texts give the same bytes.
-      digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).flip());
-      digest.update(bytes);
-    }
-    ByteBuffer hash = ByteBuffer.wrap(digest.digest(request.body()));
+    ByteBuffer hash =
+        TextDigest.of(request.body(), request.method(), request.host(), request.uri(), caller);
     return new RequestFingerprint(hash.getLong(), hash.getLong());
   }
 
@@ -49,15 +40,7 @@
    * time, even with a core to itself.
    */
   public static void prepare() {
-    sha256().digest(new byte[0]);
-  }
-
-  private static MessageDigest sha256() {
-    try {
-      return MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException impossible) {
-      throw new IllegalStateException("every Java platform supports SHA-256", impossible);
-    }
+    TextDigest.of(new byte[0]);
   }
 
   /**
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -12,10 +12,7 @@
 import org.lockdale.gateway.backend.ResponseHead;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.configuration.RouteKind;
-import org.lockdale.gateway.drain.BackendAnnouncements;
-import org.lockdale.gateway.life.LivenessEvidence;
 import org.lockdale.gateway.quarantine.LostAttempt;
-import org.lockdale.gateway.rate.BackendRates;
 import org.lockdale.http.BodyFraming;
 import org.lockdale.http.HttpCall;
 import org.lockdale.http.HttpCallException;
@@ -36,12 +33,10 @@
   private final TrackedBackend target;
   private final AttemptPlan plan;
   private final BackendProtocol protocol;
-  private final BackendRates rates;
-  private final BackendAnnouncements announcements;
-  private final LivenessEvidence liveness;
+  private final RequestServices services;
   private final Time time;
   private final AttemptTimes times;
-  private final Runnable onReceived;
+  private final Runnable onResponseStart;
   private final Runnable onFirstEvent;
   private final BiConsumer<Attempt, AttemptResult> onResult;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -62,23 +57,19 @@
       TrackedBackend target,
       AttemptPlan plan,
       BackendProtocol protocol,
-      BackendRates rates,
-      BackendAnnouncements announcements,
-      LivenessEvidence liveness,
+      RequestServices services,
       Time time,
-      Runnable onReceived,
+      Runnable onResponseStart,
       Runnable onFirstEvent,
       BiConsumer<Attempt, AttemptResult> onResult) {
     this.state = state;
     this.target = target;
     this.plan = plan;
     this.protocol = protocol;
-    this.rates = rates;
-    this.announcements = announcements;
-    this.liveness = liveness;
+    this.services = services;
     this.time = time;
     this.times = new AttemptTimes(time);
-    this.onReceived = onReceived;
+    this.onResponseStart = onResponseStart;
     this.onFirstEvent = onFirstEvent;
     this.onResult = onResult;
     this.onIncarnationEnd = () -> state.exchange.eventLoop().execute(this::incarnationEnded);
@@ -94,7 +85,7 @@
   void start(HttpClient client, int maxConnections) {
     times.recordSent();
     target.addEndListener(onIncarnationEnd);
-    rates.recordSend(target.backend().id());
+    services.rates().recordSend(target.backend().id());
     call =
         client.send(
             state.exchange.eventLoop(),
@@ -243,10 +234,15 @@
     }
     if (!received.misdirected()) {
       responded = true;
-      liveness.recordResponse(target, connectedAtMillis(), times.sentAtMonotonicMillis());
-      rates.recordResponse(
-          target.backend().id(), received.advertisedRate(), times.sentAtMonotonicMillis());
-      announcements.process(target, received);
+      services
+          .quarantine()
+          .livenessEvidence()
+          .recordResponse(target, connectedAtMillis(), times.sentAtMonotonicMillis());
+      services
+          .rates()
+          .recordResponse(
+              target.backend().id(), received.advertisedRate(), times.sentAtMonotonicMillis());
+      services.announcements().process(target, received);
     }
     if (received.misdirected()) {
       finish(
@@ -257,7 +253,7 @@
     } else if (received.isSuccess() && !received.authentic()) {
       abandon(AttemptResult.FAILED, "its response has no proof of origin");
     } else if (received.isSuccess() && received.eventStream()) {
-      forwarder = new StreamForwarder(state, received, framing, time);
+      forwarder = new StreamForwarder(state, received, framing, onResponseStart, time);
     }
   }
 
@@ -281,7 +277,7 @@
 
   private void recordReceived() {
     times.recordReceived();
-    onReceived.run();
+    services.reachability().recordReached(state.pool);
   }
 
   private void forwardPart(StreamForwarder stream, ByteBuf content) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/PoolState.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/PoolState.java
@@ -31,13 +31,14 @@
   }
 
   /**
-   * Returns whether the pool of the request has a serving backend that was not tried yet and has
-   * not requested a backoff.
+   * Returns whether the pool of the request has a serving backend that may serve it, was not tried
+   * yet and has not requested a backoff.
    */
   boolean hasUntriedBackend(RequestState state) {
     return blackboard.backends().value().ofPool(state.pool).stream()
         .filter(
             tracked -> tracked.isServing() && !tracked.backoff().isActive(time.monotonicMillis()))
+        .filter(tracked -> state.isServedBy(tracked.backend()))
         .anyMatch(tracked -> !state.triedBackends.contains(tracked.backend().id()));
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -16,7 +16,6 @@
 import org.lockdale.gateway.caller.MalformedRequestException;
 import org.lockdale.gateway.configuration.GatewayConfiguration;
 import org.lockdale.gateway.limit.RetryBudget;
-import org.lockdale.gateway.placement.SplitSelector;
 import org.lockdale.gateway.usage.RequestCounter;
 import org.lockdale.http.HttpClient;
 import org.lockdale.http.HttpExchange;
@@ -56,10 +55,10 @@
   private final RetryBudget budget;
   private final long startWaitMillis;
   private final Time time;
-  private final SplitSelector splits = new SplitSelector();
   private final List<RequestFilter> filters;
   private final PoolState pools;
   private final TenantLimitStep tenantLimits;
+  private final ResumeStep resumes;
   private final AtomicInteger openRequests = new AtomicInteger();
   private final RequestCounter endedRequests = new RequestCounter();
 
@@ -103,6 +102,7 @@
     this.time = time;
     this.pools = new PoolState(blackboard, services.rates(), nodes, time);
     this.tenantLimits = new TenantLimitStep(services.limiter(), time);
+    this.resumes = new ResumeStep(services.origins());
     this.filters =
         List.of(
             new PhaseFilter(blackboard.phase()),
@@ -229,7 +229,20 @@
   }
 
   private void proceed(RequestState state) {
-    state.pool = splits.next(state.route());
+    resumes.apply(state, () -> execute(state), reason -> refuseToResume(state, reason));
+  }
+
+  private void refuseToResume(RequestState state, String reason) {
+    onNotRun(state);
+    refuse(
+        state,
+        new Refusal(
+            RefusalKind.UNAVAILABLE,
+            "The request was not run: " + reason + ".",
+            pools.retryAfterMillis(state)));
+  }
+
+  private void execute(RequestState state) {
     if (!state.receivedFromPeer) {
       budget.recordRequest(state.pool);
     }
@@ -246,6 +259,11 @@
     return pools;
   }
 
+  /** Returns what decides where streams go on. */
+  ResumeStep resumes() {
+    return resumes;
+  }
+
   /** Returns the zone of this node. */
   String zone() {
     return zone;
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPlacement.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPlacement.java
@@ -32,7 +32,8 @@
                 state.request.model(),
                 isolatedTenant(),
                 state.request.promptParts(),
-                state.triedBackends));
+                state.triedBackends,
+                state.origin == null ? null : state.origin.softwareVersion()));
   }
 
   /**
@@ -48,11 +49,9 @@
         placement.target(),
         planOf(placement),
         path.backendProtocol(),
-        path.services().rates(),
-        path.services().announcements(),
-        path.services().quarantine().livenessEvidence(),
+        path.services(),
         path.time(),
-        () -> path.services().reachability().recordReached(state.pool),
+        () -> path.resumes().recordStart(state, placement.target()),
         onFirstEvent,
         onConcluded);
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestServices.java
@@ -8,6 +8,7 @@
 import org.lockdale.gateway.quarantine.Quarantine;
 import org.lockdale.gateway.rate.BackendRates;
 import org.lockdale.gateway.reachability.PoolReachability;
+import org.lockdale.gateway.resume.StreamOrigins;
 
 /**
  * The services of a node that a request uses.
@@ -21,6 +22,7 @@
  * @param announcements receives what responses announce about draining and backoff
  * @param reachability detects pools that this node can't connect to
  * @param peers selects the nodes to which requests are forwarded
+ * @param origins records where streams begin
  * @param observer notified of the progress of attempts
  */
 public record RequestServices(
@@ -33,4 +35,5 @@
     BackendAnnouncements announcements,
     PoolReachability reachability,
     PeerSelector peers,
+    StreamOrigins origins,
     AttemptObserver observer) {}
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
@@ -3,12 +3,14 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.configuration.GatewayConfiguration;
 import org.lockdale.gateway.configuration.Route;
 import org.lockdale.gateway.configuration.Tenant;
 import org.lockdale.gateway.limit.Admission;
 import org.lockdale.gateway.placement.PromptPlacement;
+import org.lockdale.gateway.resume.StreamOrigin;
 import org.lockdale.http.HttpExchange;
 
 /**
@@ -72,6 +74,9 @@
 
   boolean responseStarted;
 
+  /** Where the stream began; null if none of its events was sent to the caller. */
+  @Nullable StreamOrigin origin;
+
   /**
    * Whether the request gets the lowest priority, because it would miss its latency objective and
    * make others miss theirs.
@@ -137,6 +142,12 @@
     return deferred ? 0 : computedTokens();
   }
 
+  /** Returns whether a backend has the software version that the stream, if it has begun, needs. */
+  boolean isServedBy(Backend backend) {
+    StreamOrigin begun = origin;
+    return begun == null || begun.softwareVersion().equals(backend.softwareVersion());
+  }
+
   /** Returns the total number of prompt tokens; 0 if the request has no prompt. */
   long promptTokens() {
     return prompt == null ? 0 : prompt.tokens();
--- a/gateway/src/main/java/org/lockdale/gateway/request/StreamForwarder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/StreamForwarder.java
@@ -19,16 +19,28 @@
   private final RequestState state;
   private final ResponseHead head;
   private final BodyFraming framing;
+  private final Runnable onResponseStart;
   private final Time time;
   private final ServerSentEventDecoder decoder = new ServerSentEventDecoder(this::onEvent);
   private final long resumedAfter;
   private boolean started;
 
-  StreamForwarder(RequestState state, ResponseHead head, BodyFraming framing, Time time) {
+  /**
+   * Creates a forwarder.
+   *
+   * @param onResponseStart run before the response to the caller is started
+   */
+  StreamForwarder(
+      RequestState state,
+      ResponseHead head,
+      BodyFraming framing,
+      Runnable onResponseStart,
+      Time time) {
     this.state = state;
     this.time = time;
     this.head = head;
     this.framing = framing;
+    this.onResponseStart = onResponseStart;
     this.resumedAfter = state.responseStarted ? parseEventId(state.lastEventId) : Long.MIN_VALUE;
   }
 
@@ -64,6 +76,7 @@
   private void startResponse() {
     if (!state.responseStarted) {
       state.responseStarted = true;
+      onResponseStart.run();
       state.exchange.startStream(head.status(), head.headers());
     }
   }
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/resume/StreamOrigins.java
@@ -0,0 +1,134 @@
+package org.lockdale.gateway.resume;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.lockdale.coordination.time.Time;
+
+/**
+ * Records where streams begin and finds out where one began that a caller takes up again, at this
+ * node or another one. While a pool is known to have a single software version, which is nearly
+ * always, its origins stay at this node; as soon as it may have several, they are given into the
+ * keeping of other nodes, which know them when this one is gone. Thread-safe.
+ */
+public final class StreamOrigins {
+
+  /** Bounds the memory where streams begin faster than their origins expire. */
+  private static final int MAX_UNTOLD = 50_000;
+
+  private record Untold(StreamId id, long atMillis) {}
+
+  private final OriginTable table;
+  private final PoolVersions versions;
+  private final OriginPeers peers;
+  private final Time time;
+
+  /** Origins that other nodes do not keep yet, by pool. */
+  private final Map<String, Queue<Untold>> untold = new ConcurrentHashMap<>();
+
+  private final AtomicInteger untoldCount = new AtomicInteger();
+
+  /**
+   * Creates an instance.
+   *
+   * @param table origins that this node knows
+   * @param versions software versions of the pools
+   * @param peers other nodes
+   * @param time clock
+   */
+  public StreamOrigins(OriginTable table, PoolVersions versions, OriginPeers peers, Time time) {
+    this.table = table;
+    this.versions = versions;
+    this.peers = peers;
+    this.time = time;
+  }
+
+  /**
+   * Records that a stream begins; to be called before its first event is sent to the caller.
+   *
+   * @param id id of the stream
+   * @param origin where it begins
+   * @param isOnlyPool whether streams of its route begin in no other pool
+   */
+  public void recordStart(StreamId id, StreamOrigin origin, boolean isOnlyPool) {
+    table.put(id, origin);
+    boolean isUnambiguous = isOnlyPool && versions.isSettled(origin.pool());
+    if (isUnambiguous && untoldCount.get() < MAX_UNTOLD) {
+      untold
+          .computeIfAbsent(origin.pool(), pool -> new ConcurrentLinkedQueue<>())
+          .add(new Untold(id, time.monotonicMillis()));
+      untoldCount.incrementAndGet();
+    } else {
+      peers.tell(Map.of(id, origin));
+    }
+  }
+
+  /**
+   * Tells other nodes the origins of streams in pools that may have several software versions by
+   * now; to be called periodically by one thread.
+   */
+  public void tick() {
+    versions.tick();
+    untold.forEach(
+        (pool, queue) -> {
+          removeExpired(queue);
+          if (!queue.isEmpty() && !versions.isSettled(pool)) {
+            tellAll(queue);
+          }
+        });
+  }
+
+  private void removeExpired(Queue<Untold> queue) {
+    long now = time.monotonicMillis();
+    Untold oldest = queue.peek();
+    while (oldest != null && now - oldest.atMillis() > OriginTable.RETENTION_MILLIS) {
+      queue.remove();
+      untoldCount.decrementAndGet();
+      oldest = queue.peek();
+    }
+  }
+
+  private void tellAll(Queue<Untold> queue) {
+    Map<StreamId, StreamOrigin> origins = new HashMap<>();
+    for (Untold next = queue.poll(); next != null; next = queue.poll()) {
+      untoldCount.decrementAndGet();
+      StreamId id = next.id();
+      table.get(id).ifPresent(origin -> origins.put(id, origin));
+    }
+    peers.tell(origins);
+  }
+
+  /**
+   * Finds out where a stream began. Where no node keeps its origin, it began at the sole version of
+   * its pool if there is one. A node that no other one answers does not rely on that: it may have
+   * missed a version that came a moment ago.
+   *
+   * @param onlyPool the pool in which the streams of the route begin, or empty if there are several
+   * @return the origin, or empty if it can't be known; the future doesn't fail
+   */
+  public CompletableFuture<Optional<StreamOrigin>> find(StreamId id, Optional<String> onlyPool) {
+    Optional<StreamOrigin> known = table.get(id);
+    return known.isPresent()
+        ? CompletableFuture.completedFuture(known)
+        : peers.ask(id).thenApply(reply -> originOf(reply, onlyPool));
+  }
+
+  private Optional<StreamOrigin> originOf(OriginReply reply, Optional<String> onlyPool) {
+    if (reply instanceof OriginReply.Kept kept) {
+      return Optional.of(kept.origin());
+    }
+    return reply instanceof OriginReply.NotKept
+        ? onlyPool.flatMap(this::soleOrigin)
+        : Optional.empty();
+  }
+
+  /** Returns where every stream of a pool must have begun; empty if there are several versions. */
+  public Optional<StreamOrigin> soleOrigin(String pool) {
+    return versions.soleVersion(pool).map(version -> new StreamOrigin(pool, version));
+  }
+}
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/NoOpDatagramListener.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/NoOpDatagramListener.java
@@ -15,6 +15,9 @@
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
 import org.lockdale.protocol.generated.ShareReleased;
+import org.lockdale.protocol.generated.StreamOriginAnswer;
+import org.lockdale.protocol.generated.StreamOriginQuestion;
+import org.lockdale.protocol.generated.StreamOriginReport;
 import org.lockdale.protocol.generated.SuspectReport;
 
 /** Ignores all datagrams; tests override the methods that they need. */
@@ -74,4 +77,13 @@
 
   @Override
   public void onDraining(String sender, LeavingNotice notice) {}
+
+  @Override
+  public void onOriginReport(StreamOriginReport report) {}
+
+  @Override
+  public void onOriginQuestion(InetSocketAddress address, StreamOriginQuestion question) {}
+
+  @Override
+  public void onOriginAnswer(StreamOriginAnswer answer) {}
 }
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/OriginSimulation.java
@@ -0,0 +1,363 @@
+package org.lockdale.gateway.cluster;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.lockdale.coordination.blackboard.Snapshot;
+import org.lockdale.coordination.simulation.VirtualTime;
+import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.backend.Incarnation;
+import org.lockdale.gateway.quarantine.VirtualExecutor;
+import org.lockdale.gateway.resume.OriginTable;
+import org.lockdale.gateway.resume.PoolVersions;
+import org.lockdale.gateway.resume.StreamId;
+import org.lockdale.gateway.resume.StreamOrigin;
+import org.lockdale.gateway.resume.StreamOrigins;
+import org.lockdale.protocol.Message;
+import org.lockdale.protocol.generated.StreamOriginAnswer;
+import org.lockdale.protocol.generated.StreamOriginQuestion;
+import org.lockdale.protocol.generated.StreamOriginReport;
+
+/**
+ * Simulates nodes, servers whose software is replaced, and callers that take up broken streams at
+ * other nodes. Time, messages, the shared table and servers are simulated; the production code
+ * records, keeps and finds the origins of streams.
+ */
+final class OriginSimulation {
+
+  private static final String POOL = "pool";
+  private static final long SECOND_MICROS = 1_000_000;
+  private static final long MAX_TABLE_AGE_MILLIS = 3_500;
+  private static final long TABLE_POLL_MILLIS = 500;
+  private static final long TICK_MILLIS = 200;
+
+  /** Time without a disruption of a node after which it counts as undisrupted. */
+  private static final long CONTACT_MILLIS = 3_000;
+
+  private static final int LINK_MICROS = 1_400;
+  private static final int JITTER_MICROS = 2_000;
+  private static final double LOSS = 0.02;
+  private static final int SERVERS = 8;
+  private static final int STREAM_MILLIS = 1_500;
+  private static final int TAKE_UP_MILLIS = 60;
+
+  /** One caller's stream. */
+  private record Stream(StreamId id, String version, Node node, String server) {}
+
+  /** Outcome of a simulation. */
+  record Result(int begun, int takenUp, int wentOn, int mixed) {}
+
+  private final class Node {
+    final PeerNode peer;
+    VirtualExecutor executor = new VirtualExecutor(time);
+    OriginExchange exchange;
+    StreamOrigins origins;
+    Snapshot<BackendTable> table = new Snapshot<>(BackendTable.EMPTY, 0, Long.MIN_VALUE / 2);
+    boolean up;
+    boolean cutFromStore;
+    boolean cutFromPeers;
+    long disruptedAtMillis = Long.MIN_VALUE / 2;
+
+    Node(int index) {
+      peer = new PeerNode("node-" + index, new InetSocketAddress("127.0.0.1", index + 1), 1);
+    }
+
+    void start() {
+      up = true;
+      executor = new VirtualExecutor(time);
+      table = new Snapshot<>(BackendTable.EMPTY, 0, Long.MIN_VALUE / 2);
+      OriginTable known = new OriginTable(time);
+      exchange =
+          new OriginExchange(
+              new OriginExchange.Context(
+                  peer,
+                  () -> peersOf(this),
+                  nodes::size,
+                  executor,
+                  (receivers, message) -> send(this, receivers, message),
+                  known));
+      origins =
+          new StreamOrigins(
+              known, new PoolVersions(() -> table, MAX_TABLE_AGE_MILLIS, time), exchange, time);
+      readTable();
+      executor.scheduleAtFixedRate(
+          this::readTable,
+          random.nextInt((int) TABLE_POLL_MILLIS),
+          TABLE_POLL_MILLIS,
+          TimeUnit.MILLISECONDS);
+      executor.scheduleAtFixedRate(
+          origins::tick, random.nextInt((int) TICK_MILLIS), TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    void kill(long downMillis) {
+      if (up) {
+        up = false;
+        executor.shutdown();
+        disruptedAtMillis = Long.MAX_VALUE;
+        time.schedule(
+            downMillis * 1_000,
+            () -> {
+              start();
+              disruptedAtMillis = time.monotonicMillis();
+            });
+        breakStreams(stream -> stream.node() == this);
+      }
+    }
+
+    void cut(boolean fromStore, boolean fromPeers, long millis) {
+      cutFromStore |= fromStore;
+      cutFromPeers |= fromPeers;
+      disruptedAtMillis = Long.MAX_VALUE;
+      time.schedule(
+          millis * 1_000,
+          () -> {
+            cutFromStore = false;
+            cutFromPeers = false;
+            disruptedAtMillis = time.monotonicMillis();
+          });
+    }
+
+    private void readTable() {
+      if (!cutFromStore && !storeDown) {
+        table =
+            new Snapshot<>(
+                table.value().with(recordedServers), table.version() + 1, time.monotonicMillis());
+      }
+    }
+
+    boolean isUndisrupted() {
+      return up
+          && disruptedAtMillis != Long.MAX_VALUE
+          && time.monotonicMillis() - disruptedAtMillis >= CONTACT_MILLIS;
+    }
+
+    List<Backend> servers(Optional<String> version) {
+      return table.value().ofPool(POOL).stream()
+          .map(tracked -> tracked.backend())
+          .filter(server -> version.isEmpty() || version.get().equals(server.softwareVersion()))
+          .filter(server -> runningServers.contains(server.id()))
+          .sorted(Comparator.comparing(Backend::id))
+          .toList();
+    }
+  }
+
+  private final VirtualTime time = new VirtualTime();
+  private final Random random;
+  private final List<Node> nodes = new ArrayList<>();
+  private final List<Backend> recordedServers = new ArrayList<>();
+  private final Set<String> runningServers = new HashSet<>();
+  private final Map<Integer, Stream> openStreams = new TreeMap<>();
+  private final Map<InetSocketAddress, Node> byAddress = new HashMap<>();
+  private boolean storeDown;
+  private int nextServer;
+  private int nextStream;
+  private int takenUp;
+  private int wentOn;
+  private int mixed;
+
+  OriginSimulation(long seed, int nodeCount) {
+    random = new Random(seed);
+    for (int index = 0; index < SERVERS; index++) {
+      addServer("v1");
+    }
+    for (int index = 0; index < nodeCount; index++) {
+      Node node = new Node(index);
+      nodes.add(node);
+      byAddress.put(node.peer.address(), node);
+    }
+    nodes.forEach(Node::start);
+  }
+
+  private List<PeerNode> peersOf(Node node) {
+    return nodes.stream().filter(other -> other != node).map(other -> other.peer).toList();
+  }
+
+  private void send(Node sender, Collection<InetSocketAddress> receivers, Message message) {
+    for (InetSocketAddress address : receivers) {
+      Node receiver = byAddress.get(address);
+      if (sender.cutFromPeers || receiver.cutFromPeers || random.nextDouble() < LOSS) {
+        continue;
+      }
+      time.schedule(
+          LINK_MICROS + random.nextInt(JITTER_MICROS), () -> deliver(sender, receiver, message));
+    }
+  }
+
+  private static void deliver(Node sender, Node receiver, Message message) {
+    if (!receiver.up) {
+      return;
+    }
+    if (message instanceof StreamOriginReport report) {
+      receiver.exchange.onReport(report);
+    } else if (message instanceof StreamOriginQuestion question) {
+      receiver.exchange.onQuestion(sender.peer.address(), question);
+    } else if (message instanceof StreamOriginAnswer answer) {
+      receiver.exchange.onAnswer(answer);
+    }
+  }
+
+  private void addServer(String version) {
+    InetSocketAddress address = new InetSocketAddress("127.0.0.1", 10_000 + nextServer);
+    Incarnation incarnation = Incarnation.of("i-" + nextServer, (long) nextServer);
+    nextServer++;
+    Backend server = new Backend(incarnation, POOL, address, "zone", version, 64, false, Map.of());
+    recordedServers.add(server);
+    runningServers.add(server.id());
+  }
+
+  /** Ends a server; its record stays for a while if it crashes. */
+  private void endServer(Backend server, boolean crashes) {
+    runningServers.remove(server.id());
+    if (crashes) {
+      time.schedule(3 * SECOND_MICROS, () -> recordedServers.remove(server));
+    } else {
+      recordedServers.remove(server);
+    }
+    breakStreams(stream -> stream.server().equals(server.id()));
+  }
+
+  private void crashServers(int count) {
+    for (int index = 0; index < count; index++) {
+      List<Backend> running = running();
+      if (running.size() > 2) {
+        Backend crashed = running.get(random.nextInt(running.size()));
+        endServer(crashed, true);
+        time.schedule(2 * SECOND_MICROS, () -> addServer(crashed.softwareVersion()));
+      }
+    }
+  }
+
+  private List<Backend> running() {
+    return recordedServers.stream().filter(server -> runningServers.contains(server.id())).toList();
+  }
+
+  /** Replaces some servers by others with new software, one after the other. */
+  private void release(String version, int count) {
+    for (int index = 0; index < count; index++) {
+      time.schedule(
+          index * SECOND_MICROS,
+          () -> {
+            addServer(version);
+            time.schedule(
+                SECOND_MICROS,
+                () ->
+                    running().stream()
+                        .filter(server -> !server.softwareVersion().equals(version))
+                        .findFirst()
+                        .ifPresent(server -> endServer(server, false)));
+          });
+    }
+  }
+
+  private void beginStream() {
+    Node node = nodes.get(random.nextInt(nodes.size()));
+    List<Backend> servers = node.servers(Optional.empty());
+    if (!node.up || servers.isEmpty()) {
+      return;
+    }
+    Backend server = servers.get(random.nextInt(servers.size()));
+    int number = nextStream++;
+    StreamId id = StreamId.of("tenant", "stream-" + number);
+    node.origins.recordStart(id, new StreamOrigin(POOL, server.softwareVersion()), true);
+    openStreams.put(number, new Stream(id, server.softwareVersion(), node, server.id()));
+    time.schedule((long) random.nextInt(STREAM_MILLIS) * 1_000, () -> openStreams.remove(number));
+  }
+
+  private void breakStreams(Predicate<Stream> isBroken) {
+    List<Integer> broken = new ArrayList<>();
+    openStreams.forEach(
+        (number, stream) -> {
+          if (isBroken.test(stream)) {
+            broken.add(number);
+          }
+        });
+    for (int number : broken) {
+      Stream stream = openStreams.remove(number);
+      time.schedule(1_000 + random.nextInt(TAKE_UP_MILLIS * 1_000), () -> takeUp(stream));
+    }
+  }
+
+  private void takeUp(Stream stream) {
+    List<Node> ready = nodes.stream().filter(node -> node.up).toList();
+    if (ready.isEmpty()) {
+      return;
+    }
+    Node node = ready.get(random.nextInt(ready.size()));
+    boolean counts = node.isUndisrupted() && servesTwice(stream.version());
+    takenUp += counts ? 1 : 0;
+    node.origins
+        .find(stream.id(), Optional.of(POOL))
+        .thenAccept(
+            origin -> {
+              Optional<String> version = origin.map(StreamOrigin::softwareVersion);
+              boolean goesOn = version.isPresent() && !node.servers(version).isEmpty();
+              wentOn += counts && goesOn ? 1 : 0;
+              mixed += goesOn && !version.get().equals(stream.version()) ? 1 : 0;
+            });
+  }
+
+  private boolean servesTwice(String version) {
+    return running().stream().filter(server -> server.softwareVersion().equals(version)).count()
+        >= 2;
+  }
+
+  private void disrupt() {
+    switch (random.nextInt(9)) {
+      case 0 -> anyNode().kill(500 + random.nextInt(1_500));
+      case 1 -> killShare(0.6);
+      case 2 -> crashServers(1 + random.nextInt(2));
+      case 3 -> anyNode().cut(true, false, 1_000 + random.nextInt(8_000));
+      case 4 -> anyNode().cut(true, true, 1_000 + random.nextInt(8_000));
+      case 5 -> {
+        storeDown = true;
+        time.schedule((1 + random.nextInt(5)) * SECOND_MICROS, () -> storeDown = false);
+      }
+      case 6 -> release("v" + (2 + random.nextInt(2)), 1 + random.nextInt(SERVERS));
+      case 7 -> anyNode().cut(false, true, 1_000 + random.nextInt(8_000));
+      default -> crashServers(2);
+    }
+  }
+
+  private Node anyNode() {
+    return nodes.get(random.nextInt(nodes.size()));
+  }
+
+  private void killShare(double share) {
+    for (Node node : nodes) {
+      if (random.nextDouble() < share) {
+        node.kill(500 + random.nextInt(1_500));
+      }
+    }
+  }
+
+  /** Lets the nodes run undisturbed until they know that the pool has one version. */
+  void settle() {
+    time.runMillis(OriginTable.RETENTION_MILLIS + TABLE_POLL_MILLIS);
+  }
+
+  /** Runs the simulation with streams and disruptions that the seed draws. */
+  Result run(int seconds, int streamsPerSecond) {
+    long end = time.nowMicros() + (seconds + 5) * SECOND_MICROS;
+    release("v2", SERVERS / 2);
+    for (int second = 3; second < seconds; second += 1 + random.nextInt(3)) {
+      time.schedule(second * SECOND_MICROS + random.nextInt((int) SECOND_MICROS), this::disrupt);
+    }
+    for (int stream = 0; stream < seconds * streamsPerSecond; stream++) {
+      time.schedule((long) (random.nextDouble() * seconds * SECOND_MICROS), this::beginStream);
+    }
+    time.runUntil(end);
+    return new Result(nextStream, takenUp, wentOn, mixed);
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/resume/StreamOriginsTest.java
@@ -0,0 +1,196 @@
+package org.lockdale.gateway.resume;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.lockdale.coordination.blackboard.Snapshot;
+import org.lockdale.coordination.simulation.VirtualTime;
+import org.lockdale.gateway.backend.Backend;
+import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.backend.Incarnation;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** When origins are given to other nodes, and when a stream of unknown origin may go on. */
+public final class StreamOriginsTest {
+
+  private static final String POOL = "pool";
+  private static final long MAX_AGE_MILLIS = 3_000;
+  private static final StreamId STREAM = StreamId.of("tenant", "r1");
+  private static final StreamOrigin OLD = new StreamOrigin(POOL, "v1");
+
+  /** Records what is told, and gives a reply that the test sets. */
+  private static final class RecordingPeers implements OriginPeers {
+    final Map<StreamId, StreamOrigin> told = new HashMap<>();
+    OriginReply reply = OriginReply.NOT_KEPT;
+
+    @Override
+    public void tell(Map<StreamId, StreamOrigin> origins) {
+      told.putAll(origins);
+    }
+
+    @Override
+    public CompletableFuture<OriginReply> ask(StreamId id) {
+      return CompletableFuture.completedFuture(reply);
+    }
+  }
+
+  private VirtualTime time;
+  private RecordingPeers peers;
+  private Snapshot<BackendTable> backends;
+  private StreamOrigins origins;
+
+  @BeforeMethod
+  public void start() {
+    time = new VirtualTime();
+    peers = new RecordingPeers();
+    publish("v1");
+    PoolVersions versions = new PoolVersions(() -> backends, MAX_AGE_MILLIS, time);
+    origins = new StreamOrigins(new OriginTable(time), versions, peers, time);
+  }
+
+  private void publish(String... versions) {
+    List<Backend> records = new ArrayList<>();
+    for (String version : versions) {
+      int number = records.size() + 1;
+      InetSocketAddress address = new InetSocketAddress("127.0.0.1", number);
+      records.add(
+          new Backend(
+              Incarnation.of("i-" + number, 1L),
+              POOL,
+              address,
+              "zone",
+              version,
+              4,
+              false,
+              Map.of()));
+    }
+    backends = new Snapshot<>(BackendTable.EMPTY.with(records), 1, time.monotonicMillis());
+  }
+
+  /** Lets the process run for as long as a stream may last. */
+  private void settle() {
+    origins.tick();
+    time.runMillis(OriginTable.RETENTION_MILLIS + 1);
+    publish("v1");
+    origins.tick();
+  }
+
+  private Optional<StreamOrigin> find() {
+    return origins.find(STREAM, Optional.of(POOL)).join();
+  }
+
+  @Test
+  public void originsStayAtTheNodeWhileThePoolHasHadOneVersionForLong() {
+    settle();
+    origins.recordStart(STREAM, OLD, true);
+    origins.tick();
+    assertTrue(peers.told.isEmpty());
+    assertEquals(find(), Optional.of(OLD));
+  }
+
+  @Test
+  public void originsAreToldOnceAnotherVersionComes() {
+    settle();
+    origins.recordStart(STREAM, OLD, true);
+    publish("v1", "v2");
+    origins.tick();
+    assertEquals(peers.told, Map.of(STREAM, OLD));
+  }
+
+  @Test
+  public void originsAreToldOnceTheTableIsNotProvenRecent() {
+    settle();
+    origins.recordStart(STREAM, OLD, true);
+    time.runMillis(MAX_AGE_MILLIS + 1);
+    origins.tick();
+    assertEquals(peers.told, Map.of(STREAM, OLD));
+  }
+
+  @Test
+  public void aProcessThatHasJustStartedTellsOriginsAtOnce() {
+    origins.recordStart(STREAM, OLD, true);
+    assertEquals(peers.told, Map.of(STREAM, OLD));
+  }
+
+  @Test
+  public void originsOfRoutesWithSeveralPoolsAreToldAtOnce() {
+    settle();
+    origins.recordStart(STREAM, OLD, false);
+    assertEquals(peers.told, Map.of(STREAM, OLD));
+  }
+
+  @Test
+  public void anOriginThatNobodyKeepsIsTheSoleVersion() {
+    assertEquals(find(), Optional.of(OLD));
+  }
+
+  @Test
+  public void anOriginThatNobodyKeepsIsUnknownWhileTwoVersionsServe() {
+    publish("v1", "v2");
+    assertEquals(find(), Optional.empty());
+  }
+
+  @Test
+  public void anOriginThatNobodyKeepsIsUnknownAfterAnotherVersionHasGone() {
+    publish("v1", "v2");
+    origins.tick();
+    publish("v1");
+    assertEquals(find(), Optional.empty());
+    time.runMillis(OriginTable.RETENTION_MILLIS + 1);
+    publish("v1");
+    assertEquals(find(), Optional.of(OLD));
+  }
+
+  @Test
+  public void anOriginThatNobodyKeepsIsUnknownWhereTheTableIsNotProvenRecent() {
+    time.runMillis(MAX_AGE_MILLIS + 1);
+    assertEquals(find(), Optional.empty());
+  }
+
+  @Test
+  public void aNodeThatNoOtherOneAnswersDoesNotRelyOnTheSoleVersion() {
+    peers.reply = OriginReply.NO_RESPONSE;
+    assertEquals(find(), Optional.empty());
+  }
+
+  @Test
+  public void anOriginThatAnotherNodeKeepsIsFound() {
+    StreamOrigin kept = new StreamOrigin("other", "v7");
+    peers.reply = new OriginReply.Kept(kept);
+    assertEquals(find(), Optional.of(kept));
+  }
+
+  @Test
+  public void originsAreForgottenAfterTheirRetention() {
+    peers.reply = OriginReply.NO_RESPONSE;
+    origins.recordStart(STREAM, OLD, true);
+    time.runMillis(OriginTable.RETENTION_MILLIS + 1);
+    assertEquals(find(), Optional.empty());
+  }
+
+  @Test
+  public void theTableIsBounded() {
+    OriginTable table = new OriginTable(time);
+    for (int stream = 0; stream < 60_000; stream++) {
+      table.put(StreamId.of("tenant", "r" + stream), OLD);
+    }
+    assertTrue(table.size() <= 50_000, "entries: " + table.size());
+    assertEquals(table.get(StreamId.of("tenant", "r59999")), Optional.of(OLD));
+  }
+
+  @Test
+  public void callersDoNotShareIds() {
+    origins.recordStart(STREAM, OLD, true);
+    peers.reply = OriginReply.NO_RESPONSE;
+    StreamId other = StreamId.of("another tenant", "r1");
+    assertEquals(origins.find(other, Optional.of(POOL)).join(), Optional.empty());
+  }
+}
--- a/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
@@ -19,6 +19,7 @@
 import org.lockdale.protocol.generated.NodeDatagram;
 import org.lockdale.protocol.generated.NodeNotice;
 import org.lockdale.protocol.generated.NodeRecord;
+import org.lockdale.protocol.generated.OriginDatagram;
 import org.lockdale.protocol.generated.PeerMessage;
 import org.lockdale.protocol.generated.RateDatagram;
 import org.lockdale.protocol.generated.SuspectRecord;
@@ -114,6 +115,11 @@
     return of(0xB57AA0A0C9366968L, DrainDatagram::readFrom);
   }
 
+  /** Returns a codec of the datagrams between gateway nodes about the origins of streams. */
+  public static MessageCodec<OriginDatagram> originDatagrams() {
+    return of(0x1A7B6D8CE2AC2657L, OriginDatagram::readFrom);
+  }
+
   /** Returns a codec of requests for parts of tables. */
   public static MessageCodec<TableSliceRequest> tableSliceRequests() {
     return of(0x0C683A7793431464L, TableSliceRequest::readFrom);
--- a/protocol/src/test/java/org/lockdale/protocol/MessageCodecTest.java
+++ b/protocol/src/test/java/org/lockdale/protocol/MessageCodecTest.java
@@ -42,6 +42,7 @@
 import org.lockdale.protocol.generated.NodeNotice;
 import org.lockdale.protocol.generated.NodeRecord;
 import org.lockdale.protocol.generated.NodeReport;
+import org.lockdale.protocol.generated.OriginDatagram;
 import org.lockdale.protocol.generated.PeerMessage;
 import org.lockdale.protocol.generated.PlacementQuestion;
 import org.lockdale.protocol.generated.QueryPart;
@@ -133,6 +134,7 @@
             Map.entry(MessageCodec.nodeNotices(), NodeNotice.getClassSchema()),
             Map.entry(MessageCodec.rateDatagrams(), RateDatagram.getClassSchema()),
             Map.entry(MessageCodec.drainDatagrams(), DrainDatagram.getClassSchema()),
+            Map.entry(MessageCodec.originDatagrams(), OriginDatagram.getClassSchema()),
             Map.entry(MessageCodec.suspects(), SuspectRecord.getClassSchema()),
             Map.entry(MessageCodec.tableSliceRequests(), TableSliceRequest.getClassSchema()),
             Map.entry(MessageCodec.tableSlices(), TableSlice.getClassSchema()));
