Soak: engines of two software versions, and callers that take broken streams up again

The soak could not show incident ORDER, mixed versions. The version follows from a server's id, so that two serve side by side and replacements change it; the judge derives it in the same way from the runs of a stream's events, over all requests that its caller made for it.

--- a/soak/src/main/java/org/lockdale/soak/judge/History.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/History.java
@@ -67,6 +67,8 @@
   private boolean addRequestNote(Note note) {
     if (note instanceof Note.Sent sent) {
       request(sent.request()).setSent(sent);
+    } else if (note instanceof Note.TakenUp takenUp) {
+      request(takenUp.request()).setTakenUp(takenUp);
     } else if (note instanceof Note.Answered answered) {
       request(answered.request()).setResponse(answered);
     } else if (note instanceof Note.Left left) {
--- a/soak/src/main/java/org/lockdale/soak/judge/Note.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/Note.java
@@ -33,6 +33,14 @@
       int lastEventId)
       implements Note {}
 
+  /**
+   * A caller took up a stream that had broken off.
+   *
+   * @param request id of the new request
+   * @param original id of the request that brought the first event of the stream
+   */
+  record TakenUp(long atMillis, String request, String original) implements Note {}
+
   /**
    * A caller read a response.
    *
--- a/soak/src/main/java/org/lockdale/soak/judge/RequestHistory.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/RequestHistory.java
@@ -11,6 +11,7 @@
   private final List<Note.Arrived> arrivals = new ArrayList<>();
   private final List<Note.Begun> runs = new ArrayList<>();
   private Note.@Nullable Sent sent;
+  private Note.@Nullable TakenUp takenUp;
   private Note.@Nullable Answered response;
   private Note.@Nullable Left left;
 
@@ -30,6 +31,15 @@
     sent = note;
   }
 
+  void setTakenUp(Note.TakenUp note) {
+    takenUp = note;
+  }
+
+  /** Returns the id of the request that brought the first event of the stream, else this one's. */
+  String stream() {
+    return takenUp == null ? id : takenUp.original();
+  }
+
   Note.@Nullable Answered response() {
     return response;
   }
--- a/soak/src/main/java/org/lockdale/soak/judge/ResponseRules.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/ResponseRules.java
@@ -1,7 +1,9 @@
 package org.lockdale.soak.judge;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** Rules on what callers receive: their own responses, complete and unchanged. */
 final class ResponseRules {
@@ -59,12 +61,15 @@
   /** Checks rule ORDER: the events of a stream arrive in order, once each, up to the last one. */
   static List<RuleBreak> streamOrder(History history) {
     List<RuleBreak> violations = new ArrayList<>();
+    Map<String, Integer> lastEvents = lastEvents(history);
     for (RequestHistory request : history.requests()) {
       Note.Sent sent = request.sent();
       Note.Answered response = request.response();
       boolean relevant = sent != null && response != null && sent.kind().isStreaming();
       if (relevant && response.status() == OK) {
-        String reason = findStreamFault(history, sent, response);
+        boolean nothingLeft =
+            Integer.valueOf(sent.lastEventId()).equals(lastEvents.get(request.stream()));
+        String reason = findStreamFault(history, sent, response, nothingLeft);
         if (reason != null) {
           violations.add(new RuleBreak("ORDER", request.id(), reason));
         }
@@ -73,11 +78,35 @@
     return violations;
   }
 
-  /** Returns what is wrong with the events of a stream, or null if nothing is. */
-  private static String findStreamFault(History history, Note.Sent sent, Note.Answered response) {
+  /**
+   * Returns the ids of the last events that callers received, by stream. A caller takes up a stream
+   * after its last event if the end of the response is missing.
+   */
+  private static Map<String, Integer> lastEvents(History history) {
+    Map<String, Integer> lastEvents = new HashMap<>();
+    for (RequestHistory request : history.requests()) {
+      Note.Answered response = request.response();
+      if (response != null) {
+        for (StreamPiece piece : StreamPiece.parse(response.body())) {
+          if (piece.last()) {
+            lastEvents.put(request.stream(), piece.id());
+          }
+        }
+      }
+    }
+    return lastEvents;
+  }
+
+  /**
+   * Returns what is wrong with the events of a stream, or null if nothing is.
+   *
+   * @param nothingLeft whether the caller had received the last event before
+   */
+  private static String findStreamFault(
+      History history, Note.Sent sent, Note.Answered response, boolean nothingLeft) {
     int previous = sent.lastEventId();
     String run = null;
-    boolean ended = false;
+    boolean ended = nothingLeft;
     for (StreamPiece piece : StreamPiece.parse(response.body())) {
       if (ended || piece.id() != previous + 1) {
         return "event " + piece.id() + " after " + previous + (ended ? ", the last one" : "");
--- a/soak/src/main/java/org/lockdale/soak/judge/RuleChecker.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/RuleChecker.java
@@ -12,6 +12,7 @@
           RunRules::unrequestedRuns,
           ResponseRules::mixedResponses,
           ResponseRules::streamOrder,
+          SoftwareVersionRules::mixedStreams,
           ModelRules::staleCachedParts,
           ModelRules::tenantIsolation,
           ModelRules::outdatedWeights,
--- a/soak/src/main/java/org/lockdale/soak/run/Caller.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Caller.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.SocketTimeoutException;
+import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -11,6 +12,7 @@
 import org.lockdale.soak.judge.Note;
 import org.lockdale.soak.judge.RequestFacts;
 import org.lockdale.soak.judge.RequestKind;
+import org.lockdale.soak.judge.StreamPiece;
 import org.lockdale.soak.standin.HeaderNames;
 import org.lockdale.soak.standin.ServerBase;
 import org.lockdale.soak.standin.StandardStreams;
@@ -54,6 +56,8 @@
    *
    * @param lastEventId event after which a stream continues; 0 for its start
    * @param stayMillis time after which the caller abandons the request; 0 to wait for the response
+   * @param resumes id of the request that brought the first event of a stream that is taken up, or
+   *     null
    */
   private record Plan(
       String id,
@@ -62,7 +66,15 @@
       String key,
       int deadlineMillis,
       int lastEventId,
-      int stayMillis) {}
+      int stayMillis,
+      @Nullable String resumes) {
+
+    /** Returns the request that takes up this one's stream after an event. */
+    Plan takenUp(String newId, int newLastEventId) {
+      String original = resumes == null ? id : resumes;
+      return new Plan(newId, kind, facts, key, deadlineMillis, newLastEventId, 0, original);
+    }
+  }
 
   private final int number;
   private final SplittableRandom random;
@@ -71,6 +83,10 @@
   private final NoteLog notes;
   private final Callers.Counts counts;
   private @Nullable RawCaller connection;
+
+  /** The request that takes up a stream that has broken off; null if there is none. */
+  private @Nullable Plan takeUp;
+
   private String node = "";
   private int requests;
   private int connections;
@@ -96,7 +112,9 @@
       while (!stopping.get()) {
         RawCaller open = connect();
         if (open != null) {
-          exchange(open, nextRequest());
+          Plan next = takeUp == null ? nextRequest() : takeUp;
+          takeUp = null;
+          exchange(open, next);
         }
         Thread.sleep(random.nextInt(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS));
       }
@@ -129,8 +147,12 @@
     }
   }
 
+  private String nextId() {
+    return String.format(Locale.ROOT, "%02x%06x", number, ++requests);
+  }
+
   private Plan nextRequest() {
-    String id = String.format(Locale.ROOT, "%02x%06x", number, ++requests);
+    String id = nextId();
     int draw = random.nextInt(100);
     String route;
     RequestKind kind;
@@ -165,7 +187,8 @@
         randomKey(),
         random.nextInt(MIN_DEADLINE_MILLIS, MAX_DEADLINE_MILLIS),
         resumes ? 2 : 0,
-        abandons ? random.nextInt(1, MAX_STAY_MILLIS) : 0);
+        abandons ? random.nextInt(1, MAX_STAY_MILLIS) : 0,
+        null);
   }
 
   /**
@@ -188,7 +211,8 @@
             Processes.MODEL,
             "c0de:" + UNIQUE_PART_TOKENS,
             UNIQUE_PART_TOKENS + ",80");
-    return new Plan(id, RequestKind.STREAM, facts, Operator.STEADY_KEY, MIN_DEADLINE_MILLIS, 0, 0);
+    return new Plan(
+        id, RequestKind.STREAM, facts, Operator.STEADY_KEY, MIN_DEADLINE_MILLIS, 0, 0, null);
   }
 
   private RequestFacts randomFacts(String route, String id, RequestKind kind) {
@@ -233,6 +257,10 @@
               plan.deadlineMillis(),
               plan.lastEventId()));
       counts.sent.incrementAndGet();
+      if (plan.resumes() != null) {
+        counts.takenUp.incrementAndGet();
+        notes.add(new Note.TakenUp(StandardStreams.nowMillis(), plan.id(), plan.resumes()));
+      }
       open.send(requestText(plan));
       if (plan.stayMillis() > 0) {
         Thread.sleep(plan.stayMillis());
@@ -279,13 +307,30 @@
             response.header(HeaderNames.SIGNATURE),
             response.body(),
             response.complete()));
-    boolean served = response.status() == OK && response.complete();
+    boolean goesOn = response.status() == OK;
+    if (plan.resumes() != null && goesOn) {
+      counts.wentOn.incrementAndGet();
+    }
+    if (goesOn && !response.complete() && plan.kind() == RequestKind.RESUMABLE) {
+      planToTakeUp(plan, response.body());
+    }
+    boolean served = goesOn && response.complete();
     (served ? counts.served : counts.rejected).incrementAndGet();
     if (!response.complete() || "close".equalsIgnoreCase(response.header("connection"))) {
       disconnect();
     }
   }
 
+  /** Plans to take up a stream after its last event, if the caller has received any. */
+  private void planToTakeUp(Plan plan, String body) {
+    List<StreamPiece> pieces = StreamPiece.parse(body);
+    if (!pieces.isEmpty()) {
+      takeUp = plan.takenUp(nextId(), pieces.get(pieces.size() - 1).id());
+    } else if (plan.resumes() != null) {
+      takeUp = plan.takenUp(nextId(), plan.lastEventId());
+    }
+  }
+
   private void recordSurplus(RawCaller open) throws IOException {
     String unread = open.readAvailable();
     boolean errorResponse = unread.startsWith("HTTP/1.1 4") || unread.startsWith("HTTP/1.1 5");
@@ -309,6 +354,7 @@
     appendHeader(text, HeaderNames.EXPECTED_VERSION, "1");
     appendHeader(
         text, HeaderNames.LAST_EVENT, plan.lastEventId() > 0 ? "" + plan.lastEventId() : null);
+    appendHeader(text, HeaderNames.RESUMES, plan.resumes());
     if (plan.deadlineMillis() % CHUNKED_INTERVAL == 0) {
       appendHeader(text, "Transfer-Encoding", "chunked");
       return text.append("\r\n").append(chunked(facts.body())).toString();
--- a/soak/src/main/java/org/lockdale/soak/run/Callers.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Callers.java
@@ -19,6 +19,12 @@
     final AtomicInteger failed = new AtomicInteger();
     final AtomicInteger abandoned = new AtomicInteger();
 
+    /** Streams that were taken up again after they had broken off. */
+    final AtomicInteger takenUp = new AtomicInteger();
+
+    /** Those of them that went on. */
+    final AtomicInteger wentOn = new AtomicInteger();
+
     @Override
     public String toString() {
       return "sent="
@@ -30,7 +36,11 @@
           + " failed="
           + failed
           + " left="
-          + abandoned;
+          + abandoned
+          + " taken-up="
+          + takenUp
+          + " went-on="
+          + wentOn;
     }
   }
 
--- a/soak/src/main/java/org/lockdale/soak/run/Processes.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Processes.java
@@ -16,6 +16,7 @@
 import org.jspecify.annotations.Nullable;
 import org.lockdale.soak.judge.History;
 import org.lockdale.soak.judge.Note;
+import org.lockdale.soak.judge.SoftwareVersions;
 import org.lockdale.soak.link.LinkProxy;
 import org.lockdale.soak.plan.Deployment;
 import org.lockdale.soak.standin.Addresses;
@@ -339,7 +340,7 @@
         .put("service", serviceOf(name))
         .put("address", Addresses.format(proxiedAddress(name, Addresses.SERVICE_PORT)))
         .put("zone", "zone-a")
-        .put("version", "1")
+        .put("version", SoftwareVersions.of(server.id()))
         .put("state", server.visibility() == Visibility.READY ? "ready" : "draining")
         .toString();
   }
--- a/soak/src/main/java/org/lockdale/soak/standin/HeaderNames.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/HeaderNames.java
@@ -24,6 +24,9 @@
   /** Id of the event after which a stream continues. */
   public static final String LAST_EVENT = "Last-Event-Id";
 
+  /** Id of the request that brought the first event of the stream that is continued. */
+  public static final String RESUMES = "Resumes";
+
   /** Signature of the run that produced the response. */
   public static final String SIGNATURE = "Lockdale-Response-Signature";
 
