The log names the parts of the prompts that ran at a crash

Change: connection-closed-under and backend-ended-under end with parts=[...], the ids of the prompt's parts in order, eight at most. No logic changes.

Result: gateway compiles; the format is checked by no test.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashCounter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashCounter.java
@@ -1,9 +1,12 @@
 package org.lockdale.gateway.quarantine;
 
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.caller.CallerRequest;
+import org.lockdale.gateway.caller.PromptPart;
 import org.tinylog.Logger;
 
 /**
@@ -15,6 +18,9 @@
  */
 final class CrashCounter implements CrashWatch.Listener {
 
+  /** Callers choose how many parts they name. */
+  private static final int MAX_LOGGED_PARTS = 8;
+
   private final SuspectLedger ledger;
   private final ToLongFunction<String> lastAliveAtMillis;
   private final Time time;
@@ -75,6 +81,10 @@
     publishSoon.run();
   }
 
+  private static List<String> idsOfParts(CallerRequest request) {
+    return request.promptParts().stream().limit(MAX_LOGGED_PARTS).map(PromptPart::id).toList();
+  }
+
   private static RequestFingerprint fingerprintOf(LostAttempt attempt) {
     return RequestFingerprint.of(attempt.request(), attempt.caller());
   }
@@ -82,12 +92,13 @@
   private void count(String event, LostAttempt lost, String key) {
     RequestFingerprint fingerprint = fingerprintOf(lost);
     Logger.info(
-        "event={} backend={} request={} fingerprint={} answer-ms={}",
+        "event={} backend={} request={} fingerprint={} answer-ms={} parts={}",
         event,
         lost.backend(),
         lost.request().id(),
         fingerprint,
-        lost.responseMillis());
+        lost.responseMillis(),
+        idsOfParts(lost.request()));
     boolean early = lost.arrivedMillis() <= SuspectLedger.EARLY_MILLIS;
     int sketch = RequestFingerprint.sketchOf(lost.request(), lost.caller());
     Suspect seen =
