--- a/gateway/src/main/java/org/lockdale/gateway/blackboard/GatewayBlackboard.java
+++ b/gateway/src/main/java/org/lockdale/gateway/blackboard/GatewayBlackboard.java
@@ -4,6 +4,7 @@
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.configuration.GatewayConfiguration;
 import org.lockdale.gateway.quarantine.Suspects;
+import org.lockdale.gateway.quarantine.part.SuspectParts;
 import org.lockdale.gateway.weights.RolloutProgress;
 import org.lockdale.gateway.weights.TargetWeights;
 
@@ -17,6 +18,8 @@
  * @param rollout engines that are being moved to other weights; written by the cluster services,
  *     which receive the announcements of the rollout coordinator
  * @param suspects suspect requests, during which backends crashed; written by the quarantine
+ * @param suspectParts prompt parts that are suspected of crashing backends; written by the
+ *     quarantine
  * @param phase lifecycle phase of the node; written by the node
  */
 public record GatewayBlackboard(
@@ -25,6 +28,7 @@
     Section<BackendTable> backends,
     Section<RolloutProgress> rollout,
     Section<Suspects> suspects,
+    Section<SuspectParts> suspectParts,
     Section<GatewayPhase> phase) {
 
   /** Returns a blackboard with the initial state. */
@@ -35,6 +39,7 @@
         new Section<>(BackendTable.EMPTY),
         new Section<>(RolloutProgress.NONE),
         new Section<>(Suspects.NONE),
+        new Section<>(SuspectParts.NONE),
         new Section<>(GatewayPhase.STARTING));
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramDispatcher.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramDispatcher.java
@@ -7,6 +7,8 @@
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.quarantine.Suspect;
 import org.lockdale.gateway.quarantine.SuspectMessages;
+import org.lockdale.gateway.quarantine.part.PartMessages;
+import org.lockdale.gateway.quarantine.part.PartSuspect;
 import org.lockdale.protocol.generated.AdmissionAnswer;
 import org.lockdale.protocol.generated.AdmissionQuestion;
 import org.lockdale.protocol.generated.EngineCapacitySummary;
@@ -14,6 +16,7 @@
 import org.lockdale.protocol.generated.LeavingNotice;
 import org.lockdale.protocol.generated.LifeOverNotice;
 import org.lockdale.protocol.generated.NodeReport;
+import org.lockdale.protocol.generated.PartSuspectReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementDelay;
 import org.lockdale.protocol.generated.PlacementQuestion;
@@ -47,6 +50,7 @@
  * @param origins keeps the origins of streams
  * @param capacities exchanges what is known of the capacity of engines
  * @param onSuspectReport receives requests that are suspected of crashing backends
+ * @param onPartReport receives prompt parts that are suspected of crashing backends
  * @param onIncarnationsEnded receives the text forms of backend incarnations that have ended
  * @param onDraining receives the id of the sender and the text forms of backend incarnations that
  *     are draining
@@ -63,6 +67,7 @@
     OriginExchange origins,
     CapacityExchange capacities,
     Consumer<List<Suspect>> onSuspectReport,
+    Consumer<List<PartSuspect>> onPartReport,
     Consumer<List<String>> onIncarnationsEnded,
     BiConsumer<String, List<String>> onDraining)
     implements DatagramListener {
@@ -126,6 +131,11 @@
     onSuspectReport.accept(report.getSuspects().stream().map(SuspectMessages::read).toList());
   }
 
+  @Override
+  public void onPartReport(PartSuspectReport report) {
+    onPartReport.accept(report.getParts().stream().map(PartMessages::read).toList());
+  }
+
   @Override
   public void onRateReport(String sender, RateReport report) {
     rates.onReport(sender, report);
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
@@ -29,6 +29,8 @@
 import org.lockdale.protocol.generated.NodeNotice;
 import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.OriginDatagram;
+import org.lockdale.protocol.generated.PartDatagram;
+import org.lockdale.protocol.generated.PartSuspectReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementDelay;
 import org.lockdale.protocol.generated.PlacementQuestion;
@@ -73,6 +75,7 @@
   private final MessageCodec<OriginDatagram> originCodec = MessageCodec.originDatagrams();
   private final MessageCodec<CapacityDatagram> capacityCodec = MessageCodec.capacityDatagrams();
   private final MessageCodec<TicketDatagram> ticketCodec = MessageCodec.ticketDatagrams();
+  private final MessageCodec<PartDatagram> partCodec = MessageCodec.partDatagrams();
   private @Nullable Channel channel;
 
   /**
@@ -167,6 +170,13 @@
     }
   }
 
+  /** Sends a message about prompt parts; nodes of an earlier version ignore it. */
+  public void sendPartMessage(Collection<InetSocketAddress> receivers, Message body) {
+    if (!receivers.isEmpty()) {
+      sendBytes(receivers, kindOf(body), partCodec.encode(new PartDatagram(nodeId, body)));
+    }
+  }
+
   private static String kindOf(Object body) {
     return body.getClass().getSimpleName();
   }
@@ -220,6 +230,10 @@
           TicketDatagram datagram = ticketCodec.decode(message);
           meter.received(kindOf(datagram.getBody()), message.length);
           dispatch(datagram, packet.sender());
+        } else if (partCodec.matchesSchema(message)) {
+          PartDatagram datagram = partCodec.decode(message);
+          meter.received(kindOf(datagram.getBody()), message.length);
+          dispatch(datagram);
         } else {
           NodeDatagram datagram = codec.decode(message);
           meter.received(kindOf(datagram.getBody()), message.length);
@@ -242,6 +256,12 @@
       }
     }
 
+    private void dispatch(PartDatagram datagram) {
+      if (datagram.getBody() instanceof PartSuspectReport report) {
+        listener.onPartReport(report);
+      }
+    }
+
     private void dispatch(OriginDatagram datagram, InetSocketAddress from) {
       Object body = datagram.getBody();
       if (body instanceof StreamOriginReport report) {
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramListener.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramListener.java
@@ -8,6 +8,7 @@
 import org.lockdale.protocol.generated.LeavingNotice;
 import org.lockdale.protocol.generated.LifeOverNotice;
 import org.lockdale.protocol.generated.NodeReport;
+import org.lockdale.protocol.generated.PartSuspectReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementDelay;
 import org.lockdale.protocol.generated.PlacementQuestion;
@@ -60,6 +61,9 @@
   /** Called when a node reports requests that are suspected of crashing backends. */
   void onSuspectReport(SuspectReport report);
 
+  /** Called for prompt parts that are suspected of crashing backends. */
+  void onPartReport(PartSuspectReport report);
+
   /** Called when a node reports the rates that backends advertise. */
   void onRateReport(String sender, RateReport report);
 
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PeerBroadcaster.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PeerBroadcaster.java
@@ -4,8 +4,11 @@
 import java.util.List;
 import org.lockdale.gateway.quarantine.Suspect;
 import org.lockdale.gateway.quarantine.SuspectMessages;
+import org.lockdale.gateway.quarantine.part.PartMessages;
+import org.lockdale.gateway.quarantine.part.PartSuspect;
 import org.lockdale.protocol.generated.LeavingNotice;
 import org.lockdale.protocol.generated.LifeOverNotice;
+import org.lockdale.protocol.generated.PartSuspectReport;
 import org.lockdale.protocol.generated.SuspectReport;
 
 /**
@@ -22,6 +25,12 @@
         peerAddresses(), new SuspectReport(suspects.stream().map(SuspectMessages::write).toList()));
   }
 
+  /** Broadcasts prompt parts that are suspected of crashing backends. */
+  public void broadcastParts(List<PartSuspect> parts) {
+    datagrams.sendPartMessage(
+        peerAddresses(), new PartSuspectReport(parts.stream().map(PartMessages::write).toList()));
+  }
+
   /** Broadcasts that an incarnation of a backend has ended, given by its text form. */
   public void broadcastIncarnationEnd(String incarnation) {
     datagrams.sendNotice(peerAddresses(), new LifeOverNotice(List.of(incarnation)));
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.lockdale.gateway.cluster.ClusterTable;
 import org.lockdale.gateway.cluster.NodeRegistry;
 import org.lockdale.gateway.cluster.PeerNode;
@@ -10,6 +11,7 @@
 import org.lockdale.gateway.quarantine.Suspect;
 import org.lockdale.gateway.quarantine.SuspectAttempt;
 import org.lockdale.gateway.quarantine.SuspectTable;
+import org.lockdale.gateway.quarantine.part.PartSuspect;
 import org.lockdale.gateway.table.RowReader;
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.table.TableRowChange;
@@ -29,6 +31,8 @@
   private final NodeRegistry nodes;
   private final TargetVersionRecorder recorder;
   private final OperatorController operators;
+  private final RowReader<PartSuspect> partReader;
+  private final Consumer<List<PartSuspect>> onParts;
   private final BiConsumer<List<Suspect>, List<SuspectAttempt>> onSuspects;
   private boolean historyReplaced;
 
@@ -38,6 +42,7 @@
       NodeRegistry nodes,
       TargetVersionRecorder recorder,
       OperatorController operators,
+      Consumer<List<PartSuspect>> onParts,
       BiConsumer<List<Suspect>, List<SuspectAttempt>> onSuspects) {
     this.nodeReader =
         new RowReader<>(
@@ -45,6 +50,8 @@
     this.versionsReader = new RowReader<>(table::parseTargetVersions);
     this.suspectReader = new RowReader<>(suspects::readSuspect);
     this.attemptReader = new RowReader<>(suspects::readAttempt);
+    this.partReader = new RowReader<>(suspects::readPart);
+    this.onParts = onParts;
     this.onSuspects = onSuspects;
     this.nodes = nodes;
     this.recorder = recorder;
@@ -71,6 +78,8 @@
     for (RecordedTargetVersions row : recorded) {
       operators.onObservedByPeers(row.model(), recorder.observe(row));
     }
+    // Before the suspects, the first reading of which lets this node serve requests.
+    onParts.accept(partReader.read(rows));
     onSuspects.accept(suspectReader.read(rows), attemptReader.read(rows));
     nodes.refresh();
     nodes.onTableRead();
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -199,13 +199,15 @@
   }
 
   private QuarantineContext quarantineContext(GatewayProtocols protocols, HttpClient client) {
+    PeerBroadcaster broadcaster = new PeerBroadcaster(nodes, datagrams);
     return new QuarantineContext(
         eventLoop,
         reachability.crashProber()::probe,
         () -> blackboard.backends().snapshot(),
         protocols.suspects(),
         nodes.self().id(),
-        new PeerBroadcaster(nodes, datagrams)::broadcastSuspects,
+        broadcaster::broadcastSuspects,
+        broadcaster::broadcastParts,
         new AttemptOwnerClient(client, nodes::peers),
         this::isCoordinator,
         time);
@@ -244,6 +246,7 @@
             versionRecorder,
             operators,
             // Called only after start(), when all fields are set.
+            parts -> quarantine.quarantine().parts().updateFromTable(parts),
             (suspects, attempts) -> quarantine.quarantine().updateFromTable(suspects, attempts));
     return TableFollowers.of(
         eventLoop, sources, settings, protocols, time, operators, backends, cluster);
@@ -277,6 +280,7 @@
             resumes.exchange(),
             placements.capacities().exchange(),
             quarantine.quarantine()::receive,
+            quarantine.quarantine().parts()::receive,
             incarnations.monitor()::receive,
             incarnations.announcements()::processBroadcast));
     quarantine.start();
--- a/gateway/src/main/java/org/lockdale/gateway/node/QuarantineServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/QuarantineServices.java
@@ -39,6 +39,7 @@
         new Quarantine(
             context,
             blackboard.suspects(),
+            blackboard.suspectParts(),
             settings.get(GatewaySettings.QUARANTINE_HOLD).toMillis());
     return new QuarantineServices(
         quarantine, new SuspectListClient(eventLoop, client, peers, quarantine::receive));
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashCounter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashCounter.java
@@ -7,6 +7,7 @@
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.caller.PromptPart;
+import org.lockdale.gateway.quarantine.part.PartQuarantine;
 import org.tinylog.Logger;
 
 /**
@@ -22,6 +23,7 @@
   private static final int MAX_LOGGED_PARTS = 8;
 
   private final SuspectLedger ledger;
+  private final PartQuarantine parts;
   private final ToLongFunction<String> lastAliveAtMillis;
   private final Time time;
   private final Consumer<RequestFingerprint> propagate;
@@ -30,6 +32,8 @@
   /**
    * Creates a counter.
    *
+   * @param ledger counts crashes against requests
+   * @param parts counts crashes against parts of prompts
    * @param lastAliveAtMillis returns the latest monotonic time at which a backend is known to have
    *     been alive
    * @param propagate sends and records a suspect that has changed
@@ -37,11 +41,13 @@
    */
   CrashCounter(
       SuspectLedger ledger,
+      PartQuarantine parts,
       ToLongFunction<String> lastAliveAtMillis,
       Time time,
       Consumer<RequestFingerprint> propagate,
       Runnable publishSoon) {
     this.ledger = ledger;
+    this.parts = parts;
     this.lastAliveAtMillis = lastAliveAtMillis;
     this.time = time;
     this.propagate = propagate;
@@ -55,19 +61,24 @@
         "connection-closed-under",
         attempt,
         ledger.keyOfNewCrash(fingerprintOf(attempt), attempt.backend(), aliveAtMillis));
+    countParts(attempt, attempt.backend());
     publishSoon.run();
   }
 
   @Override
   public void onClosedByNextIncarnation(LostAttempt attempt) {
-    count("connection-closed-under", attempt, CrashKeys.ofNextIncarnation(attempt.backend()));
+    String key = CrashKeys.ofNextIncarnation(attempt.backend());
+    count("connection-closed-under", attempt, key);
+    countParts(attempt, key);
     publishSoon.run();
   }
 
   @Override
   public void onAssigned(LostAttempt attempt) {
     RequestFingerprint fingerprint = fingerprintOf(attempt);
-    if (ledger.retract(fingerprint, CrashKeys.ofNextIncarnation(attempt.backend()))) {
+    String key = CrashKeys.ofNextIncarnation(attempt.backend());
+    parts.retractCrash(key);
+    if (ledger.retract(fingerprint, key)) {
       propagate.accept(fingerprint);
       publishSoon.run();
     }
@@ -77,6 +88,7 @@
   public void onCrash(BackendCrash crash) {
     for (LostAttempt lost : crash.lost()) {
       count("backend-ended-under", lost, ledger.latestKey(fingerprintOf(lost), lost.backend()));
+      countParts(lost, lost.backend());
     }
     publishSoon.run();
   }
@@ -89,6 +101,10 @@
     return RequestFingerprint.of(attempt.request(), attempt.caller());
   }
 
+  private void countParts(LostAttempt lost, String key) {
+    parts.recordCrash(lost.request(), lost.caller(), lost.arrivedMillis(), key);
+  }
+
   private void count(String event, LostAttempt lost, String key) {
     RequestFingerprint fingerprint = fingerprintOf(lost);
     Logger.info(
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -9,8 +9,11 @@
 import org.lockdale.coordination.blackboard.Section;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.broadcast.ChangeBroadcaster;
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.life.LivenessEvidence;
+import org.lockdale.gateway.quarantine.part.PartQuarantine;
+import org.lockdale.gateway.quarantine.part.SuspectParts;
 import org.tinylog.Logger;
 
 /**
@@ -33,8 +36,9 @@
   private final Section<Suspects> section;
   private final CrashWatch watch;
   private final SuspectLedger ledger;
+  private final PartQuarantine parts;
   private final SuspectRecorder recorder;
-  private final SuspectSender sender;
+  private final ChangeBroadcaster<RequestFingerprint, Suspect> broadcaster;
   private final AttemptJournal journal;
   private final LivenessEvidence livenessEvidence;
 
@@ -49,15 +53,27 @@
    *
    * @param context its dependencies
    * @param section where it publishes to the request path which requests are quarantined
-   * @param holdMillis time in milliseconds after the last crash for which a request is quarantined
+   * @param partSection where it publishes to the request path which prompt parts are held back
+   * @param holdMillis time in milliseconds after the last crash for which a request or a prompt
+   *     part is quarantined
    */
-  public Quarantine(QuarantineContext context, Section<Suspects> section, long holdMillis) {
+  public Quarantine(
+      QuarantineContext context,
+      Section<Suspects> section,
+      Section<SuspectParts> partSection,
+      long holdMillis) {
     this.context = context;
     this.section = section;
     this.ledger = new SuspectLedger(holdMillis);
+    this.parts = new PartQuarantine(context.ofParts(partSection), holdMillis);
     CrashCounter counter =
         new CrashCounter(
-            ledger, this::lastAliveAtMillis, context.time(), this::propagate, this::publishSoon);
+            ledger,
+            parts,
+            this::lastAliveAtMillis,
+            context.time(),
+            this::propagate,
+            this::publishSoon);
     this.watch =
         new CrashWatch(
             context.eventLoop(), context.prober(), this::backends, counter, context.time());
@@ -69,7 +85,12 @@
     this.journal =
         new AttemptJournal(context.table(), attemptIds, context.eventLoop(), context.time());
     this.publisher = new SuspectPublisher(section, ledger, context.time());
-    this.sender = new SuspectSender(context.eventLoop(), ledger, context.sender());
+    this.broadcaster =
+        new ChangeBroadcaster<>(
+            context.eventLoop(),
+            ledger::find,
+            suspect -> suspect.weight() >= SuspectLedger.QUARANTINE_WEIGHT,
+            context.sender());
   }
 
   /** Starts its periodic maintenance. */
@@ -84,6 +105,11 @@
     return livenessEvidence;
   }
 
+  /** Returns the quarantine of prompt parts that crash backends. */
+  public PartQuarantine parts() {
+    return parts;
+  }
+
   /**
    * Reports that a request is about to be sent; from any thread.
    *
@@ -189,7 +215,7 @@
 
   private void propagate(RequestFingerprint fingerprint) {
     recorder.markSeenLocally(fingerprint);
-    sender.broadcast(fingerprint);
+    broadcaster.broadcast(fingerprint);
   }
 
   private BackendTable backends() {
@@ -282,6 +308,8 @@
   private void maintain() {
     long now = context.time().monotonicMillis();
     boolean changed = retractCrashes(now) | countUnconcluded();
+    parts.retractCrashes(key -> lastAliveAtMillis(CrashKeys.backendOf(key)));
+    parts.tick();
     journal.tick(context.coordinator().getAsBoolean());
     for (Suspect released : ledger.expire(now)) {
       Logger.info(
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/QuarantineHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/QuarantineHandler.java
@@ -1,23 +1,29 @@
 package org.lockdale.gateway.quarantine;
 
 import io.netty.handler.codec.http.HttpMethod;
-import java.util.Optional;
 import java.util.concurrent.Executor;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.quarantine.part.HeldPart;
 import org.lockdale.http.HttpExchange;
 import org.lockdale.http.HttpHandler;
 import org.lockdale.http.HttpProtocolError;
 import org.lockdale.http.HttpReply;
 
-/** Lists the quarantined and withheld requests for operators, and releases them on all nodes. */
+/**
+ * Lists the quarantined and withheld requests, and the prompt parts that are held back, for
+ * operators, and releases them on all nodes.
+ */
 public final class QuarantineHandler implements HttpHandler {
 
   /**
-   * Path of the endpoint: {@code GET} lists the quarantined requests, {@code DELETE} with a
-   * fingerprint below it releases one.
+   * Path of the endpoint: {@code GET} lists what is quarantined, {@code DELETE} with a fingerprint
+   * below it releases a request, and with the id of a prompt part below {@link #PARTS_PATH} that
+   * part.
    */
   public static final String PATH = "/quarantine";
 
+  private static final String PARTS_PATH = PATH + "/parts/";
+
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int WRONG_METHOD = 405;
@@ -50,10 +56,19 @@
       return HttpReply.text(OK, list());
     }
     if (!lists && exchange.method().equals(HttpMethod.DELETE.name())) {
-      return release(exchange.path().substring(PATH.length() + 1));
+      return isReleased(exchange.path())
+          ? HttpReply.text(OK, "Released; all other nodes are notified at once.")
+          : HttpReply.text(NOT_FOUND, "That is not quarantined; GET " + PATH + " lists what is.");
     }
     return HttpReply.text(
-        WRONG_METHOD, "Send GET " + PATH + ", or DELETE " + PATH + "/ and a fingerprint.");
+        WRONG_METHOD,
+        "Send GET "
+            + PATH
+            + ", or DELETE "
+            + PATH
+            + "/ and a fingerprint, or DELETE "
+            + PARTS_PATH
+            + " and the id of a part.");
   }
 
   private String list() {
@@ -71,15 +86,28 @@
           .append(request.untilMillis() - now)
           .append('\n');
     }
+    for (HeldPart part : quarantine.parts().held()) {
+      lines
+          .append("part=")
+          .append(part.part().id())
+          .append(" model=")
+          .append(part.part().model())
+          .append(" backends=")
+          .append(part.crashes())
+          .append(" remaining-ms=")
+          .append(part.untilMillis() - now)
+          .append('\n');
+    }
     return lines.toString();
   }
 
-  private HttpReply release(String text) {
-    Optional<RequestFingerprint> fingerprint = RequestFingerprint.parse(text);
-    boolean released = fingerprint.isPresent() && quarantine.release(fingerprint.get());
-    return released
-        ? HttpReply.text(OK, "Released; all other nodes are notified at once.")
-        : HttpReply.text(NOT_FOUND, "No such request is quarantined; GET " + PATH + " lists them.");
+  private boolean isReleased(String path) {
+    if (path.startsWith(PARTS_PATH)) {
+      return quarantine.parts().release(path.substring(PARTS_PATH.length()));
+    }
+    return RequestFingerprint.parse(path.substring(PATH.length() + 1))
+        .filter(quarantine::release)
+        .isPresent();
   }
 
   @Override
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTable.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTable.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
+import org.lockdale.gateway.quarantine.part.PartTable;
 import org.lockdale.gateway.table.TableRowChange;
 
 /**
@@ -10,7 +11,7 @@
  * so that nodes that start, or were isolated, know them. Futures fail with a table service
  * exception.
  */
-public interface SuspectTable {
+public interface SuspectTable extends PartTable {
 
   /** Records a suspect, replacing any earlier record of it. */
   CompletableFuture<@Nullable Void> record(Suspect suspect);
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartQuarantine.java
@@ -0,0 +1,302 @@
+package org.lockdale.gateway.quarantine.part;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToLongFunction;
+import org.lockdale.gateway.broadcast.ChangeBroadcaster;
+import org.lockdale.gateway.caller.CallerRequest;
+import org.tinylog.Logger;
+
+/**
+ * Holds back requests with prompt parts that crash backends. Each node reports which parts its
+ * requests had when a backend crashed under them, and which ones were answered; all nodes decide by
+ * the same rule, the coordinating relay node first, and send each other their decisions. The
+ * request path reads a section of the blackboard; everything else runs on one event loop.
+ */
+public final class PartQuarantine {
+
+  /**
+   * Longest time in milliseconds for which a response had been arriving when its backend crashed,
+   * if a part of its request is the likely cause. Such a part crashes a backend when it begins to
+   * write the response; in a recorded incident this took 40 to 150 ms.
+   */
+  private static final long EARLY_MILLIS = 250;
+
+  /**
+   * A response that has been arriving for longer shows that no part of its request is the cause.
+   */
+  private static final long SURVIVED_MILLIS = 500;
+
+  /**
+   * Delay before a complete response counts. A short response may be complete just before its
+   * backend crashes because of it.
+   */
+  private static final long ANSWER_DELAY_MILLIS = 500;
+
+  /**
+   * Age from which on the coordinator considers a crash: twice the time in which reports of it have
+   * arrived, or their first repeats.
+   */
+  private static final long COORDINATOR_SETTLE_MILLIS = 300;
+
+  /** The same for other nodes, which decide if the coordinator doesn't. */
+  private static final long OTHERS_SETTLE_MILLIS = 1_000;
+
+  private static final long GATHER_MILLIS = 10;
+
+  private final PartContext context;
+  private final PartLedger ledger;
+  private final PartRecorder recorder;
+  private final ChangeBroadcaster<PromptPartKey, PartSuspect> broadcaster;
+  private boolean publishing;
+
+  /**
+   * Creates a quarantine.
+   *
+   * @param context its dependencies
+   * @param holdMillis time in milliseconds after the last crash for which a part is held back
+   */
+  public PartQuarantine(PartContext context, long holdMillis) {
+    this.context = context;
+    this.ledger = new PartLedger(holdMillis);
+    this.recorder =
+        new PartRecorder(
+            ledger, context.table(), context.coordinator(), context.eventLoop(), context.time());
+    this.broadcaster =
+        new ChangeBroadcaster<>(
+            context.eventLoop(), ledger::find, PartQuarantine::isDecisive, context.sender());
+  }
+
+  /** Returns whether a part is or was held back, so that all nodes have to know its state. */
+  private static boolean isDecisive(PartSuspect suspect) {
+    return suspect.holds() > 0;
+  }
+
+  /**
+   * Returns the part because of which a request is held back, or empty if it may go on; from any
+   * thread. A request with the permit of a trial may go on.
+   *
+   * @param request the request
+   * @param caller name of the tenant, or the key where there is none
+   */
+  public Optional<HeldPart> heldPart(CallerRequest request, String caller) {
+    List<HeldPart> held = context.section().value().heldPartsOf(request, caller);
+    if (held.isEmpty() || permitOf(held).filter(each -> each.reserve(request.id())).isPresent()) {
+      return Optional.empty();
+    }
+    return Optional.of(held.get(0));
+  }
+
+  /**
+   * Returns whether a request may be sent to a backend now, and uses up its permit if it is a
+   * trial; from any thread.
+   *
+   * @param request the request
+   * @param caller name of the tenant, or the key where there is none
+   */
+  public boolean mayBeSent(CallerRequest request, String caller) {
+    List<HeldPart> held = context.section().value().heldPartsOf(request, caller);
+    if (held.isEmpty()) {
+      return true;
+    }
+    boolean isTrial = permitOf(held).filter(each -> each.use(request.id())).isPresent();
+    if (isTrial) {
+      context.eventLoop().execute(() -> recordTrial(request, held.get(0).part()));
+    }
+    return isTrial;
+  }
+
+  /** A trial speaks of one part only, so a request with several has no permit. */
+  private static Optional<TrialPermit> permitOf(List<HeldPart> held) {
+    return held.size() == 1 ? Optional.ofNullable(held.get(0).permit()) : Optional.empty();
+  }
+
+  private void recordTrial(CallerRequest request, PromptPartKey part) {
+    Logger.info("event=part-trial part={} request={}", part, request.id());
+    ledger.recordTrial(part);
+    propagate(part);
+  }
+
+  /**
+   * Reports a successful response; from any thread.
+   *
+   * @param request the request
+   * @param backend id of the backend that responded
+   */
+  public void requestAnswered(CallerRequest request, String backend) {
+    Set<PromptPartKey> suspected = context.section().value().suspectedPartsOf(request);
+    if (suspected.isEmpty()) {
+      return;
+    }
+    context
+        .eventLoop()
+        .schedule(
+            () -> handleAnswer(suspected, backend), ANSWER_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void handleAnswer(Set<PromptPartKey> parts, String backend) {
+    long now = context.time().monotonicMillis();
+    if (!ledger.hasLearnedOf(backend, now - ANSWER_DELAY_MILLIS)) {
+      propagateCleared(ledger.recordAnswer(parts, now), "answered");
+    }
+  }
+
+  private void propagateCleared(List<PartSuspect> cleared, String reason) {
+    for (PartSuspect before : cleared) {
+      if (before.isSignificant()) {
+        // Other nodes receive the state of any other part when they report its second crash.
+        Logger.info(
+            "event=part-cleared part={} reason={} crashes={}",
+            before.part(),
+            reason,
+            before.countedCrashes());
+        propagate(before.part());
+      }
+    }
+  }
+
+  /**
+   * Reports that a backend crashed, or may have crashed, while it ran a request; to be called on
+   * the event loop.
+   *
+   * @param request the request
+   * @param caller name of the tenant, or the key where there is none
+   * @param arrivedMillis time in milliseconds for which its response had been arriving
+   * @param key key of the crash
+   */
+  public void recordCrash(CallerRequest request, String caller, long arrivedMillis, String key) {
+    List<PromptPartKey> parts = PromptPartKey.sharedPartsOf(request);
+    if (arrivedMillis > SURVIVED_MILLIS) {
+      propagateCleared(ledger.recordAnswer(parts, context.time().monotonicMillis()), "outlived");
+    } else if (arrivedMillis <= EARLY_MILLIS) {
+      ledger
+          .recordCrash(parts, caller.hashCode(), key, context.time().monotonicMillis())
+          .forEach(this::propagate);
+    }
+  }
+
+  /**
+   * Reports that the crash of an incarnation without a record is known by another key now; to be
+   * called on the event loop.
+   */
+  public void retractCrash(String key) {
+    ledger.retract(key).forEach(this::propagate);
+  }
+
+  /**
+   * Retracts the crashes of backends that are known to have been alive later; to be called on the
+   * event loop.
+   *
+   * @param lastAliveAtMillis returns the latest monotonic time at which a backend is known to have
+   *     been alive, by the key of its crash
+   */
+  public void retractCrashes(ToLongFunction<String> lastAliveAtMillis) {
+    for (String key : ledger.countedCrashes()) {
+      ledger.retract(key, lastAliveAtMillis.applyAsLong(key)).forEach(this::propagate);
+    }
+  }
+
+  /** Processes parts received from another node; to be called on the event loop. */
+  public void receive(List<PartSuspect> suspects) {
+    for (PartSuspect suspect : suspects) {
+      merge(suspect);
+      // A node that knows more of a significant part broadcasts it, so that no node decides
+      // without.
+      ledger
+          .find(suspect.part())
+          .filter(known -> suspect.isSignificant() && !suspect.includes(known))
+          .ifPresent(known -> broadcaster.broadcast(known.part()));
+    }
+  }
+
+  /** Processes all rows of the shared store; to be called on the event loop. */
+  public void updateFromTable(Collection<PartSuspect> rows) {
+    recorder.update(rows).forEach(this::merge);
+    publish();
+  }
+
+  private void merge(PartSuspect suspect) {
+    if (ledger.merge(suspect, context.time().monotonicMillis())
+        && ledger.find(suspect.part()).filter(this::isToBePublished).isPresent()) {
+      publishSoon();
+    }
+  }
+
+  /** Decides which parts are held back, and maintains the rows; to be called periodically. */
+  public void tick() {
+    long now = context.time().monotonicMillis();
+    boolean coordinator = context.coordinator().getAsBoolean();
+    for (PartSuspect held :
+        ledger.decide(now, coordinator ? COORDINATOR_SETTLE_MILLIS : OTHERS_SETTLE_MILLIS)) {
+      Logger.warn(
+          "event=part-held-back part={} depth={} backends={}",
+          held.part(),
+          held.depth(),
+          held.countedCrashes());
+      propagate(held);
+    }
+    for (PartSuspect released : ledger.expire(now)) {
+      Logger.info("event=part-cleared part={} reason=held-long-enough", released.part());
+      propagate(released);
+    }
+    if (ledger.offerTrials(coordinator, now)) {
+      publishSoon();
+    }
+    recorder.tick();
+  }
+
+  private void propagate(PartSuspect suspect) {
+    propagate(suspect.part());
+  }
+
+  private void propagate(PromptPartKey part) {
+    broadcaster.broadcast(part);
+    if (ledger.find(part).filter(this::isToBePublished).isPresent()) {
+      publishSoon();
+    }
+  }
+
+  /** Returns whether the state of a part may differ from what the request path reads. */
+  private boolean isToBePublished(PartSuspect suspect) {
+    return suspect.holds() > 0
+        || suspect.isSuspicious() != context.section().value().isSuspected(suspect.part());
+  }
+
+  private void publishSoon() {
+    if (!publishing) {
+      publishing = true;
+      context.eventLoop().schedule(this::publish, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void publish() {
+    publishing = false;
+    context.section().publish(ledger.snapshot(), context.time().monotonicMillis());
+  }
+
+  /** Returns the parts that are held back; from any thread. */
+  public Collection<HeldPart> held() {
+    return context.section().value().held();
+  }
+
+  /**
+   * Releases a part; to be called on the event loop.
+   *
+   * @param id id of the part, of any model
+   * @return whether any part with the id was held back
+   */
+  public boolean release(String id) {
+    Set<PromptPartKey> parts = new HashSet<>();
+    for (PartSuspect suspect : ledger.all()) {
+      if (suspect.isHeld() && suspect.part().id().equals(id)) {
+        parts.add(suspect.part());
+      }
+    }
+    propagateCleared(ledger.clear(parts), "released");
+    return !parts.isEmpty();
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/SuspectParts.java
@@ -0,0 +1,59 @@
+package org.lockdale.gateway.quarantine.part;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.lockdale.gateway.caller.CallerRequest;
+
+/**
+ * The prompt parts that are suspected of crashing backends, and those that are held back, as the
+ * request path reads them. Immutable but for the permits of trials.
+ */
+public final class SuspectParts {
+
+  /** No suspects. */
+  public static final SuspectParts NONE = new SuspectParts(Set.of(), List.of());
+
+  private final Set<PromptPartKey> suspected;
+  private final Map<PromptPartKey, HeldPart> held = new HashMap<>();
+
+  SuspectParts(Set<PromptPartKey> suspected, Collection<HeldPart> held) {
+    this.suspected = Set.copyOf(suspected);
+    held.forEach(part -> this.held.put(part.part(), part));
+  }
+
+  /** Returns the parts of a request that are held back for its caller. */
+  List<HeldPart> heldPartsOf(CallerRequest request, String caller) {
+    if (held.isEmpty()) {
+      return List.of();
+    }
+    return PromptPartKey.sharedPartsOf(request).stream()
+        .filter(held::containsKey)
+        .map(held::get)
+        .filter(part -> part.appliesTo(caller))
+        .toList();
+  }
+
+  /** Returns the parts of a request that are suspected. */
+  Set<PromptPartKey> suspectedPartsOf(CallerRequest request) {
+    if (suspected.isEmpty()) {
+      return Set.of();
+    }
+    Set<PromptPartKey> found = new HashSet<>(PromptPartKey.sharedPartsOf(request));
+    found.retainAll(suspected);
+    return found;
+  }
+
+  /** Returns whether a part is suspected. */
+  boolean isSuspected(PromptPartKey part) {
+    return suspected.contains(part);
+  }
+
+  /** Returns the parts that are held back. */
+  public Collection<HeldPart> held() {
+    return List.copyOf(held.values());
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/TrackedPart.java
@@ -0,0 +1,103 @@
+package org.lockdale.gateway.quarantine.part;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** A suspected part with what only this node knows of it. */
+final class TrackedPart {
+
+  /** Maximum time in milliseconds between crashes of the same moment. */
+  private static final long SAME_MOMENT_MILLIS = 100;
+
+  /** Maximum number of crashes of the same moment that count. */
+  private static final int MAX_COUNTED_OF_MOMENT = 2;
+
+  /**
+   * Time in milliseconds for which an answer to a request shows that a part of it crashes no
+   * backend.
+   */
+  private static final long ANSWER_VALID_MILLIS = 1_000;
+
+  PartSuspect suspect;
+
+  /** Monotonic time at which this node learned of the latest crash. */
+  long lastCrashAtMillis;
+
+  /** Monotonic time at which this node learned of the latest answer. */
+  long answeredAtMillis = Long.MIN_VALUE / 2;
+
+  /** Lets one request be sent as a trial, or null. */
+  @Nullable TrialPermit permit;
+
+  /** Monotonic time at which the permit was offered. */
+  long permitAtMillis;
+
+  /** Monotonic times at which this node learned of the crashes, by key. */
+  private final Map<String, Long> learnedAt = new HashMap<>();
+
+  TrackedPart(PartSuspect suspect, long nowMillis) {
+    this.suspect = suspect;
+    this.lastCrashAtMillis = nowMillis;
+    recordLearned(suspect, nowMillis);
+  }
+
+  private void recordLearned(PartSuspect received, long nowMillis) {
+    for (String key : received.crashes().keySet()) {
+      if (learnedAt.putIfAbsent(key, nowMillis) == null) {
+        lastCrashAtMillis = nowMillis;
+      }
+    }
+  }
+
+  /** Returns when this node learned of a crash, or a time in the distant past. */
+  long learnedAtMillis(String key) {
+    return learnedAt.getOrDefault(key, Long.MIN_VALUE);
+  }
+
+  /**
+   * Merges information from this node or another one.
+   *
+   * @return whether any of it is new
+   */
+  boolean merge(PartSuspect received, long nowMillis) {
+    recordLearned(received, nowMillis);
+    PartSuspect merged = suspect.merge(received);
+    if (nowMillis - answeredAtMillis <= ANSWER_VALID_MILLIS) {
+      merged = merged.clear();
+    }
+    boolean changed = !merged.equals(suspect);
+    suspect = merged;
+    return changed;
+  }
+
+  /**
+   * Counts the crashes against the part, of each moment no more than two.
+   *
+   * @param explained keys of crashes that other parts explain
+   * @param learnedByMillis monotonic time by which this node learned of the crashes that count
+   */
+  int unexplainedCrashes(Set<String> explained, long learnedByMillis) {
+    if (suspect.isHeld() || suspect.weight() < PartLedger.REQUIRED_CRASHES) {
+      return 0;
+    }
+    long[] times =
+        suspect.countedCrashes().stream()
+            .filter(key -> !explained.contains(key))
+            .mapToLong(this::learnedAtMillis)
+            .filter(learnedAtMillis -> learnedAtMillis <= learnedByMillis)
+            .sorted()
+            .toArray();
+    int counted = 0;
+    int ofMoment = 0;
+    long momentMillis = 0;
+    for (long time : times) {
+      boolean sameMoment = ofMoment > 0 && time - momentMillis <= SAME_MOMENT_MILLIS;
+      ofMoment = sameMoment ? ofMoment + 1 : 1;
+      momentMillis = sameMoment ? momentMillis : time;
+      counted += ofMoment <= MAX_COUNTED_OF_MOMENT ? 1 : 0;
+    }
+    return counted;
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/request/QuarantineFilter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/QuarantineFilter.java
@@ -6,12 +6,13 @@
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.quarantine.Quarantine;
 import org.lockdale.gateway.quarantine.QuarantinedRequest;
+import org.lockdale.gateway.quarantine.part.HeldPart;
 import org.tinylog.Logger;
 
 /**
- * Refuses quarantined requests, during which backends crashed, before any resources are spent on
- * them. Runs after the tenant filter, since the same contents from another caller are another
- * request.
+ * Refuses quarantined requests, during which backends crashed, and those with a prompt part that
+ * crashed backends, before any resources are spent on them. Runs after the tenant filter, since the
+ * same contents from another caller are another request.
  */
 final class QuarantineFilter implements RequestFilter {
 
@@ -42,7 +43,28 @@
   public @Nullable Refusal apply(RequestState state) {
     Optional<QuarantinedRequest> quarantined =
         quarantine.quarantined(state.request, state.caller());
-    return quarantined.isEmpty() ? null : refusal(state, quarantined.get());
+    if (quarantined.isPresent()) {
+      return refusal(state, quarantined.get());
+    }
+    return quarantine
+        .parts()
+        .heldPart(state.request, state.caller())
+        .map(part -> refusal(state, part))
+        .orElse(null);
+  }
+
+  private Refusal refusal(RequestState state, HeldPart part) {
+    Logger.info(
+        "event=request-held-back request={} part={} backends={}",
+        state.request.id(),
+        part.part(),
+        part.crashes());
+    String reason =
+        "Servers crashed each time they began to answer a request with part "
+            + part.part().id()
+            + " of its prompt, so it was not run. Leave that part out, or ask the operators to"
+            + " release it.";
+    return new Refusal(RefusalKind.HELD_BACK, reason, retryAfterMillis(part.untilMillis()));
   }
 
   private Refusal refusal(RequestState state, QuarantinedRequest quarantined) {
@@ -52,7 +74,8 @@
         quarantined.fingerprint(),
         quarantined.crashedBackends(),
         quarantined.unresolvedBackends());
-    return new Refusal(RefusalKind.HELD_BACK, reason(quarantined), retryAfterMillis(quarantined));
+    return new Refusal(
+        RefusalKind.HELD_BACK, reason(quarantined), retryAfterMillis(quarantined.untilMillis()));
   }
 
   private static String reason(QuarantinedRequest quarantined) {
@@ -66,8 +89,8 @@
         + ".";
   }
 
-  private long retryAfterMillis(QuarantinedRequest quarantined) {
-    long remaining = quarantined.untilMillis() - time.monotonicMillis();
+  private long retryAfterMillis(long untilMillis) {
+    long remaining = untilMillis - time.monotonicMillis();
     double factor = ThreadLocalRandom.current().nextDouble(MIN_SPREAD_FACTOR, 1);
     return Math.max(
         MIN_RETRY_AFTER_MILLIS, (long) (Math.min(remaining, MAX_RETRY_AFTER_MILLIS) * factor));
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -9,6 +9,7 @@
 import org.lockdale.gateway.placement.Placement;
 import org.lockdale.gateway.placement.PlacementResult;
 import org.lockdale.gateway.quarantine.LostAttempt;
+import org.lockdale.gateway.quarantine.Quarantine;
 import org.lockdale.http.HttpReply;
 import org.tinylog.Logger;
 
@@ -134,7 +135,7 @@
       return;
     }
     // Checked before each attempt: a request that crashed one backend would crash the next one.
-    if (path.services().quarantine().quarantined(state.request, state.caller()).isPresent()) {
+    if (isQuarantined()) {
       giveUp("backends crashed, or may have crashed, while this request ran", null);
       return;
     }
@@ -146,6 +147,12 @@
     send(placement.get());
   }
 
+  private boolean isQuarantined() {
+    Quarantine quarantine = path.services().quarantine();
+    return quarantine.quarantined(state.request, state.caller()).isPresent()
+        || !quarantine.parts().mayBeSent(state.request, state.caller());
+  }
+
   private void recordEstimate(Placement placement) {
     state.sharedTokensToCompute = placement.computedTokens();
     state.waitingTokens = placement.waitingTokens();
@@ -246,7 +253,9 @@
     reporter.onConcluded(attempt, result);
     switch (result) {
       case COMPLETE -> {
-        path.services().quarantine().requestAnswered(state.request, state.caller());
+        Quarantine quarantine = path.services().quarantine();
+        quarantine.requestAnswered(state.request, state.caller());
+        quarantine.parts().requestAnswered(state.request, attempt.target().backend().id());
         end(RequestPath.COMPLETE);
       }
       case WITHDRAWN -> onWithdrawn(attempt);
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/NoOpDatagramListener.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/NoOpDatagramListener.java
@@ -8,6 +8,7 @@
 import org.lockdale.protocol.generated.LeavingNotice;
 import org.lockdale.protocol.generated.LifeOverNotice;
 import org.lockdale.protocol.generated.NodeReport;
+import org.lockdale.protocol.generated.PartSuspectReport;
 import org.lockdale.protocol.generated.PlacementAnswer;
 import org.lockdale.protocol.generated.PlacementDelay;
 import org.lockdale.protocol.generated.PlacementQuestion;
@@ -58,6 +59,9 @@
   @Override
   public void onAdmissionAnswer(AdmissionAnswer answer) {}
 
+  @Override
+  public void onPartReport(PartSuspectReport report) {}
+
   @Override
   public void onSuspectReport(SuspectReport report) {}
 
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/EmptySuspectTable.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/EmptySuspectTable.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.lockdale.gateway.quarantine.part.PartSuspect;
+import org.lockdale.gateway.quarantine.part.PromptPartKey;
 import org.lockdale.gateway.table.TableRowChange;
 
 /** A table that accepts all writes and stores nothing. */
@@ -22,6 +24,21 @@
     return Optional.empty();
   }
 
+  @Override
+  public CompletableFuture<Void> recordPart(PartSuspect suspect) {
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public CompletableFuture<Void> removePart(PromptPartKey part) {
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public Optional<PartSuspect> readPart(TableRowChange row) {
+    return Optional.empty();
+  }
+
   @Override
   public CompletableFuture<Void> recordAttempt(SuspectAttempt attempt) {
     return CompletableFuture.completedFuture(null);
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
@@ -23,7 +23,7 @@
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.life.LivenessEvidence;
-import org.lockdale.gateway.table.TableRowChange;
+import org.lockdale.gateway.quarantine.part.SuspectParts;
 import org.lockdale.http.Reachability;
 
 /**
@@ -314,7 +314,7 @@
     }
   }
 
-  final class Node implements SuspectTable {
+  final class Node extends EmptySuspectTable {
     private final int number;
     private VirtualExecutor executor;
     private Section<Suspects> section;
@@ -344,10 +344,11 @@
               this,
               "n" + number,
               suspects -> broadcast(this, suspects),
+              parts -> {},
               this::askOwner,
               () -> number == 0,
               time);
-      quarantine = new Quarantine(context, section, 3_600_000);
+      quarantine = new Quarantine(context, section, new Section<>(SuspectParts.NONE), 3_600_000);
       quarantine.start();
       servers = BackendTable.EMPTY;
       idle.clear();
@@ -516,11 +517,6 @@
       return CompletableFuture.completedFuture(null);
     }
 
-    @Override
-    public Optional<Suspect> readSuspect(TableRowChange row) {
-      throw new UnsupportedOperationException();
-    }
-
     @Override
     public CompletableFuture<Void> recordAttempt(SuspectAttempt attempt) {
       return write(() -> attemptRows.add(attempt));
@@ -530,11 +526,6 @@
     public CompletableFuture<Void> removeAttempt(SuspectAttempt attempt) {
       return write(() -> attemptRows.remove(attempt));
     }
-
-    @Override
-    public Optional<SuspectAttempt> readAttempt(TableRowChange row) {
-      throw new UnsupportedOperationException();
-    }
   }
 
   private final Random random;
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
@@ -20,6 +20,7 @@
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.life.LivenessEvidence;
+import org.lockdale.gateway.quarantine.part.SuspectParts;
 import org.lockdale.http.Reachability;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -71,10 +72,11 @@
             new EmptySuspectTable(),
             "node",
             broadcast::addAll,
+            parts -> {},
             attempt -> CompletableFuture.completedFuture(attemptOwnersRun),
             () -> false,
             time);
-    quarantine = new Quarantine(context, section, 3_600_000);
+    quarantine = new Quarantine(context, section, new Section<>(SuspectParts.NONE), 3_600_000);
     quarantine.start();
     time.runMillis(SOON_MILLIS);
   }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
@@ -15,7 +15,7 @@
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.caller.CallerRequest;
-import org.lockdale.gateway.table.TableRowChange;
+import org.lockdale.gateway.quarantine.part.SuspectParts;
 import org.lockdale.http.Reachability;
 
 /**
@@ -148,7 +148,7 @@
                     node.id.equals(owner) && node.quarantine.isAttemptInProgress(attempt.id())));
   }
 
-  final class Node implements SuspectTable {
+  final class Node extends EmptySuspectTable {
     private final VirtualExecutor executor = new VirtualExecutor(time);
     private final Quarantine quarantine;
     private final String id = "node-" + ++startedNodes;
@@ -165,10 +165,13 @@
               this,
               id,
               this::broadcast,
+              parts -> {},
               SuspectFleet.this::isInProgress,
               () -> false,
               time);
-      quarantine = new Quarantine(context, new Section<>(Suspects.NONE), 3_600_000);
+      quarantine =
+          new Quarantine(
+              context, new Section<>(Suspects.NONE), new Section<>(SuspectParts.NONE), 3_600_000);
       quarantine.start();
     }
 
@@ -328,16 +331,6 @@
           + "/"
           + attempt.id();
     }
-
-    @Override
-    public Optional<Suspect> readSuspect(TableRowChange row) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public Optional<SuspectAttempt> readAttempt(TableRowChange row) {
-      throw new UnsupportedOperationException();
-    }
   }
 
   private InetSocketAddress addressOf(String server) {
--- a/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
@@ -21,6 +21,8 @@
 import org.lockdale.protocol.generated.NodeNotice;
 import org.lockdale.protocol.generated.NodeRecord;
 import org.lockdale.protocol.generated.OriginDatagram;
+import org.lockdale.protocol.generated.PartDatagram;
+import org.lockdale.protocol.generated.PartSuspectRecord;
 import org.lockdale.protocol.generated.PeerMessage;
 import org.lockdale.protocol.generated.RateDatagram;
 import org.lockdale.protocol.generated.SuspectRecord;
@@ -98,6 +100,13 @@
     return of(0x8EBE42B1758027B4L, SuspectRecord::readFrom);
   }
 
+  /**
+   * Returns a codec of prompt parts that are suspected of crashing backends, in the table service.
+   */
+  public static MessageCodec<PartSuspectRecord> suspectParts() {
+    return of(0x869168679EC6F779L, PartSuspectRecord::readFrom);
+  }
+
   /** Returns a codec of the datagrams between gateway nodes. */
   public static MessageCodec<NodeDatagram> nodeDatagrams() {
     return of(0xBCC127BBA5988424L, NodeDatagram::readFrom);
@@ -123,6 +132,11 @@
     return of(0x1A7B6D8CE2AC2657L, OriginDatagram::readFrom);
   }
 
+  /** Returns a codec of the datagrams between gateway nodes about prompt parts. */
+  public static MessageCodec<PartDatagram> partDatagrams() {
+    return of(0x1F5422F67A7316C7L, PartDatagram::readFrom);
+  }
+
   /** Returns a codec of the datagrams between gateway nodes about the capacity of engines. */
   public static MessageCodec<CapacityDatagram> capacityDatagrams() {
     return of(0xFAAE82047D7C5B60L, CapacityDatagram::readFrom);
--- a/protocol/src/test/java/org/lockdale/protocol/MessageCodecTest.java
+++ b/protocol/src/test/java/org/lockdale/protocol/MessageCodecTest.java
@@ -44,6 +44,10 @@
 import org.lockdale.protocol.generated.NodeRecord;
 import org.lockdale.protocol.generated.NodeReport;
 import org.lockdale.protocol.generated.OriginDatagram;
+import org.lockdale.protocol.generated.PartCrashRecord;
+import org.lockdale.protocol.generated.PartDatagram;
+import org.lockdale.protocol.generated.PartSuspectRecord;
+import org.lockdale.protocol.generated.PartSuspectReport;
 import org.lockdale.protocol.generated.PeerMessage;
 import org.lockdale.protocol.generated.PlacementQuestion;
 import org.lockdale.protocol.generated.QueryPart;
@@ -142,6 +146,8 @@
             Map.entry(MessageCodec.ticketDatagrams(), TicketDatagram.getClassSchema()),
             Map.entry(MessageCodec.tenantLevels(), TenantLevelsRecord.getClassSchema()),
             Map.entry(MessageCodec.suspects(), SuspectRecord.getClassSchema()),
+            Map.entry(MessageCodec.suspectParts(), PartSuspectRecord.getClassSchema()),
+            Map.entry(MessageCodec.partDatagrams(), PartDatagram.getClassSchema()),
             Map.entry(MessageCodec.tableSliceRequests(), TableSliceRequest.getClassSchema()),
             Map.entry(MessageCodec.tableSlices(), TableSlice.getClassSchema()));
     Map<String, String> wrong = new TreeMap<>();
@@ -192,6 +198,22 @@
         List.of("i-1@2"));
   }
 
+  /** Nodes of an earlier version drop datagrams about prompt parts, and read all others. */
+  @Test
+  public void aPartDatagramIsDistinguishedFromEarlierDatagrams() {
+    PartSuspectRecord part =
+        new PartSuspectRecord(
+            "model", "5c1e07a2", 1, List.of(new PartCrashRecord("i-1@2", -3, true)), 1, 2);
+    byte[] datagram =
+        MessageCodec.partDatagrams()
+            .encode(new PartDatagram("node", new PartSuspectReport(List.of(part))));
+    assertTrue(MessageCodec.partDatagrams().matchesSchema(datagram));
+    assertThrows(MessageFormatException.class, () -> MessageCodec.nodeDatagrams().decode(datagram));
+    assertEquals(
+        ((PartSuspectReport) MessageCodec.partDatagrams().decode(datagram).getBody()).getParts(),
+        List.of(part));
+  }
+
   private static Stream<Message> datagramBodies() {
     return Stream.of(
         new RelayHeartbeat(1L, true, 2L, 3L, 0.5, List.of(new TableProofRecord("table", 4L, 5L))),
