--- a/gateway/src/main/java/org/lockdale/gateway/broadcast/ChangeBroadcaster.java
+++ b/gateway/src/main/java/org/lockdale/gateway/broadcast/ChangeBroadcaster.java
@@ -31,12 +31,10 @@
    */
   private static final long[] LATER_REPEATS_MILLIS = {1_000, 2_500, 5_000};
 
-  /** An entry with a few crashes takes about 120 bytes; a datagram should stay below 1,400. */
-  private static final int MAX_IN_MESSAGE = 8;
-
   private final ScheduledExecutorService eventLoop;
   private final Function<K, Optional<E>> finder;
   private final Predicate<E> decisive;
+  private final int maxInMessage;
   private final Consumer<List<E>> sender;
   private Set<K> pending = new LinkedHashSet<>();
 
@@ -46,16 +44,19 @@
    * @param eventLoop runs it
    * @param finder provides the state of an entry at the time it is sent
    * @param decisive determines which entries are repeated for several seconds
+   * @param maxInMessage maximum number of entries in a message
    * @param sender sends one message to all other nodes
    */
   public ChangeBroadcaster(
       ScheduledExecutorService eventLoop,
       Function<K, Optional<E>> finder,
       Predicate<E> decisive,
+      int maxInMessage,
       Consumer<List<E>> sender) {
     this.eventLoop = eventLoop;
     this.finder = finder;
     this.decisive = decisive;
+    this.maxInMessage = maxInMessage;
     this.sender = sender;
   }
 
@@ -85,7 +86,7 @@
     List<E> message = new ArrayList<>();
     for (K key : keys) {
       finder.apply(key).filter(filter).ifPresent(message::add);
-      if (message.size() == MAX_IN_MESSAGE) {
+      if (message.size() == maxInMessage) {
         sender.accept(List.copyOf(message));
         message.clear();
       }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -32,6 +32,9 @@
    */
   private static final long GATHER_MILLIS = 10;
 
+  /** A suspect with a few crashes takes about 120 bytes; a datagram should stay below 1,400. */
+  private static final int MAX_IN_MESSAGE = 8;
+
   private final QuarantineContext context;
   private final Section<Suspects> section;
   private final CrashWatch watch;
@@ -90,6 +93,7 @@
             context.eventLoop(),
             ledger::find,
             suspect -> suspect.weight() >= SuspectLedger.QUARANTINE_WEIGHT,
+            MAX_IN_MESSAGE,
             context.sender());
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartLedger.java
@@ -75,7 +75,7 @@
       Map<String, PartCrash> crash = Map.of(key, new PartCrash(caller, false));
       PartSuspect seen = new PartSuspect(parts.get(depth), depth, crash, 0, 0);
       if (merge(seen, nowMillis)) {
-        changed.add(entries.get(seen.part()).suspect);
+        changed.add(entries.get(seen.part()).suspect());
       }
     }
     return changed;
@@ -100,7 +100,7 @@
   private void evictIfFull() {
     if (entries.size() >= MAX_SUSPECTS) {
       entries.values().stream()
-          .map(entry -> entry.suspect)
+          .map(entry -> entry.suspect())
           .min(Comparator.comparing(PartSuspect::isHeld).thenComparing(PartSuspect::weight))
           .ifPresent(lightest -> entries.remove(lightest.part()));
     }
@@ -130,9 +130,9 @@
     List<PartSuspect> cleared = new ArrayList<>();
     for (PromptPartKey part : parts) {
       TrackedPart entry = entries.get(part);
-      if (entry != null && entry.suspect.isSuspicious()) {
-        cleared.add(entry.suspect);
-        entry.suspect = entry.suspect.clear();
+      if (entry != null && entry.isSuspicious()) {
+        cleared.add(entry.suspect());
+        entry.replace(entry.suspect().clear());
       }
     }
     return cleared;
@@ -156,11 +156,11 @@
   List<PartSuspect> retract(String key, long aliveAtMillis) {
     List<PartSuspect> changed = new ArrayList<>();
     for (TrackedPart entry : entries.values()) {
-      if (entry.suspect.isCounted(key) && entry.learnedAtMillis(key) < aliveAtMillis) {
-        PartSuspect lighter = entry.suspect.clear(key);
+      if (entry.suspect().isCounted(key) && entry.learnedAtMillis(key) < aliveAtMillis) {
+        PartSuspect lighter = entry.suspect().clear(key);
         int left = lighter.weight();
-        entry.suspect = left < REQUIRED_CRASHES ? lighter.release(left) : lighter;
-        changed.add(entry.suspect);
+        entry.replace(left < REQUIRED_CRASHES ? lighter.release(left) : lighter);
+        changed.add(entry.suspect());
       }
     }
     return changed;
@@ -171,7 +171,7 @@
     Set<String> keys = new TreeSet<>();
     for (TrackedPart entry : entries.values()) {
       entry
-          .suspect
+          .suspect()
           .crashes()
           .forEach(
               (key, crash) -> {
@@ -201,9 +201,9 @@
     for (TrackedPart cause = nextCause(explained, nowMillis - settleMillis);
         cause != null;
         cause = nextCause(explained, nowMillis - settleMillis)) {
-      cause.suspect = cause.suspect.hold();
-      explained.addAll(cause.suspect.countedCrashes());
-      decided.add(cause.suspect);
+      cause.replace(cause.suspect().hold());
+      explained.addAll(cause.suspect().countedCrashes());
+      decided.add(cause.suspect());
     }
     return decided;
   }
@@ -211,7 +211,7 @@
   private Set<String> explainedCrashes() {
     Set<String> explained = new HashSet<>();
     entries.values().stream()
-        .map(entry -> entry.suspect)
+        .map(entry -> entry.suspect())
         .filter(PartSuspect::isHeld)
         .forEach(suspect -> explained.addAll(suspect.countedCrashes()));
     return explained;
@@ -233,12 +233,12 @@
 
   private static boolean isLikelier(
       TrackedPart entry, int crashes, TrackedPart than, int crashesOfThat) {
-    if (entry.suspect.depth() != than.suspect.depth()) {
-      return entry.suspect.depth() > than.suspect.depth();
+    if (entry.suspect().depth() != than.suspect().depth()) {
+      return entry.suspect().depth() > than.suspect().depth();
     }
     return crashes != crashesOfThat
         ? crashes > crashesOfThat
-        : entry.suspect.part().id().compareTo(than.suspect.part().id()) < 0;
+        : entry.suspect().part().id().compareTo(than.suspect().part().id()) < 0;
   }
 
   /**
@@ -250,7 +250,7 @@
   boolean offerTrials(boolean mayOffer, long nowMillis) {
     boolean changed = false;
     for (TrackedPart entry : entries.values()) {
-      boolean due = mayOffer && entry.suspect.isHeld() && nowMillis >= nextTrialAtMillis(entry);
+      boolean due = mayOffer && entry.suspect().isHeld() && nowMillis >= nextTrialAtMillis(entry);
       boolean outdated = entry.permit != null && nowMillis - entry.permitAtMillis > PERMIT_MILLIS;
       if (due && (entry.permit == null || outdated)) {
         entry.permit = new TrialPermit();
@@ -265,7 +265,7 @@
   }
 
   private long nextTrialAtMillis(TrackedPart entry) {
-    int trials = entry.suspect.trials();
+    int trials = entry.suspect().trials();
     long delay = trials < TRIAL_DELAYS_MILLIS.length ? TRIAL_DELAYS_MILLIS[trials] : holdMillis;
     return entry.lastCrashAtMillis + Math.min(delay, holdMillis);
   }
@@ -274,7 +274,7 @@
   void recordTrial(PromptPartKey part) {
     TrackedPart entry = entries.get(part);
     if (entry != null) {
-      entry.suspect = entry.suspect.tried();
+      entry.replace(entry.suspect().tried());
       entry.permit = null;
     }
   }
@@ -289,12 +289,12 @@
     List<PartSuspect> released = new ArrayList<>();
     for (TrackedPart entry : List.copyOf(entries.values())) {
       long age = nowMillis - entry.lastCrashAtMillis;
-      if (entry.suspect.isHeld() && age > holdMillis) {
-        entry.suspect = entry.suspect.release(REQUIRED_CRASHES - 1);
+      if (entry.suspect().isHeld() && age > holdMillis) {
+        entry.replace(entry.suspect().release(REQUIRED_CRASHES - 1));
         entry.lastCrashAtMillis = nowMillis;
-        released.add(entry.suspect);
-      } else if (!entry.suspect.isHeld() && age > RETENTION_MILLIS) {
-        entries.remove(entry.suspect.part());
+        released.add(entry.suspect());
+      } else if (!entry.suspect().isHeld() && age > RETENTION_MILLIS) {
+        entries.remove(entry.suspect().part());
       }
     }
     return released;
@@ -302,12 +302,12 @@
 
   /** Returns the suspect of a part; empty if it is unknown. */
   Optional<PartSuspect> find(PromptPartKey part) {
-    return Optional.ofNullable(entries.get(part)).map(entry -> entry.suspect);
+    return Optional.ofNullable(entries.get(part)).map(entry -> entry.suspect());
   }
 
   /** Returns all suspects. */
   List<PartSuspect> all() {
-    return entries.values().stream().map(entry -> entry.suspect).toList();
+    return entries.values().stream().map(entry -> entry.suspect()).toList();
   }
 
   /** Returns the state for the request path. */
@@ -315,11 +315,11 @@
     Set<PromptPartKey> suspected = new HashSet<>();
     List<HeldPart> held = new ArrayList<>();
     for (TrackedPart entry : entries.values()) {
-      if (entry.suspect.isHeld()) {
-        held.add(HeldPart.of(entry.suspect, nextTrialAtMillis(entry), entry.permit));
+      if (entry.suspect().isHeld()) {
+        held.add(HeldPart.of(entry.suspect(), nextTrialAtMillis(entry), entry.permit));
       }
-      if (entry.suspect.isSuspicious()) {
-        suspected.add(entry.suspect.part());
+      if (entry.isSuspicious()) {
+        suspected.add(entry.suspect().part());
       }
     }
     return new SuspectParts(suspected, held);
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartQuarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartQuarantine.java
@@ -46,7 +46,11 @@
   /** The same for other nodes, which decide if the coordinator doesn't. */
   private static final long OTHERS_SETTLE_MILLIS = 1_000;
 
-  private static final long GATHER_MILLIS = 10;
+  /** Changes within this time are published together. */
+  private static final long GATHER_MILLIS = 50;
+
+  /** A part with twelve crashes takes about 300 bytes; a datagram should stay below 1,400. */
+  private static final int MAX_IN_MESSAGE = 4;
 
   private final PartContext context;
   private final PartLedger ledger;
@@ -68,7 +72,11 @@
             ledger, context.table(), context.coordinator(), context.eventLoop(), context.time());
     this.broadcaster =
         new ChangeBroadcaster<>(
-            context.eventLoop(), ledger::find, PartQuarantine::isDecisive, context.sender());
+            context.eventLoop(),
+            ledger::find,
+            PartQuarantine::isDecisive,
+            MAX_IN_MESSAGE,
+            context.sender());
   }
 
   /** Returns whether a part is or was held back, so that all nodes have to know its state. */
@@ -192,11 +200,14 @@
    * event loop.
    *
    * @param lastAliveAtMillis returns the latest monotonic time at which a backend is known to have
-   *     been alive, by the key of its crash
+   *     been alive, by the key of its crash; {@link Long#MIN_VALUE} if there is none
    */
   public void retractCrashes(ToLongFunction<String> lastAliveAtMillis) {
     for (String key : ledger.countedCrashes()) {
-      ledger.retract(key, lastAliveAtMillis.applyAsLong(key)).forEach(this::propagate);
+      long aliveAtMillis = lastAliveAtMillis.applyAsLong(key);
+      if (aliveAtMillis != Long.MIN_VALUE) {
+        ledger.retract(key, aliveAtMillis).forEach(this::propagate);
+      }
     }
   }
 
@@ -204,11 +215,10 @@
   public void receive(List<PartSuspect> suspects) {
     for (PartSuspect suspect : suspects) {
       merge(suspect);
-      // A node that knows more of a significant part broadcasts it, so that no node decides
-      // without.
+      // No node decides without what others know of a significant part.
       ledger
           .find(suspect.part())
-          .filter(known -> suspect.isSignificant() && !suspect.includes(known))
+          .filter(known -> suspect.isSignificant() && known.corrects(suspect))
           .ifPresent(known -> broadcaster.broadcast(known.part()));
     }
   }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartSuspect.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartSuspect.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /**
@@ -79,6 +80,23 @@
     return merge(other).equals(this);
   }
 
+  /** Returns whether another view counts crashes that were cleared, or misses a decision. */
+  boolean corrects(PartSuspect other) {
+    return holds > other.holds
+        || crashes.entrySet().stream()
+            .anyMatch(crash -> crash.getValue().cleared() && other.isCounted(crash.getKey()));
+  }
+
+  /** Returns the same part without some crashes. */
+  PartSuspect without(Predicate<String> dropped) {
+    if (crashes.keySet().stream().noneMatch(dropped)) {
+      return this;
+    }
+    Map<String, PartCrash> kept = new TreeMap<>(crashes);
+    kept.keySet().removeIf(dropped);
+    return new PartSuspect(part, depth, kept, holds, trials);
+  }
+
   /** Returns the same part with all crashes cleared; it is not held back any longer. */
   PartSuspect clear() {
     Map<String, PartCrash> cleared = new TreeMap<>();
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/TrackedPart.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/TrackedPart.java
@@ -1,8 +1,10 @@
 package org.lockdale.gateway.quarantine.part;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /** A suspected part with what only this node knows of it. */
@@ -20,7 +22,19 @@
    */
   private static final long ANSWER_VALID_MILLIS = 1_000;
 
-  PartSuspect suspect;
+  /**
+   * Maximum number of crashes that are kept, so that a few parts fit into a datagram. The oldest
+   * ones that were cleared are dropped first.
+   */
+  private static final int MAX_CRASHES = 12;
+
+  /** Time after which a crash that was dropped is taken for a new one. */
+  private static final long DROPPED_MILLIS = 120_000;
+
+  private PartSuspect suspect;
+
+  /** Number of crashes that count against the part. */
+  private int weight;
 
   /** Monotonic time at which this node learned of the latest crash. */
   long lastCrashAtMillis;
@@ -39,10 +53,30 @@
 
   TrackedPart(PartSuspect suspect, long nowMillis) {
     this.suspect = suspect;
+    this.weight = suspect.weight();
     this.lastCrashAtMillis = nowMillis;
     recordLearned(suspect, nowMillis);
   }
 
+  PartSuspect suspect() {
+    return suspect;
+  }
+
+  /** Replaces the state that all nodes share. */
+  void replace(PartSuspect changed) {
+    suspect = changed;
+    weight = changed.weight();
+  }
+
+  /** Returns whether anything counts against the part. */
+  boolean isSuspicious() {
+    return weight > 0 || suspect.isHeld();
+  }
+
+  private boolean wasDropped(String key) {
+    return learnedAt.containsKey(key) && !suspect.crashes().containsKey(key);
+  }
+
   private void recordLearned(PartSuspect received, long nowMillis) {
     for (String key : received.crashes().keySet()) {
       if (learnedAt.putIfAbsent(key, nowMillis) == null) {
@@ -62,16 +96,33 @@
    * @return whether any of it is new
    */
   boolean merge(PartSuspect received, long nowMillis) {
-    recordLearned(received, nowMillis);
-    PartSuspect merged = suspect.merge(received);
+    PartSuspect kept = received.without(this::wasDropped);
+    recordLearned(kept, nowMillis);
+    PartSuspect merged = suspect.merge(kept);
     if (nowMillis - answeredAtMillis <= ANSWER_VALID_MILLIS) {
       merged = merged.clear();
     }
     boolean changed = !merged.equals(suspect);
-    suspect = merged;
+    replace(merged);
+    dropOldest(nowMillis);
     return changed;
   }
 
+  private void dropOldest(long nowMillis) {
+    int surplus = suspect.crashes().size() - MAX_CRASHES;
+    if (surplus > 0) {
+      Set<String> dropped =
+          suspect.crashes().keySet().stream()
+              .sorted(
+                  Comparator.comparing((String key) -> suspect.isCounted(key))
+                      .thenComparing(this::learnedAtMillis))
+              .limit(surplus)
+              .collect(Collectors.toSet());
+      replace(suspect.without(dropped::contains));
+      learnedAt.values().removeIf(at -> nowMillis - at > DROPPED_MILLIS);
+    }
+  }
+
   /**
    * Counts the crashes against the part, of each moment no more than two.
    *
@@ -79,7 +130,7 @@
    * @param learnedByMillis monotonic time by which this node learned of the crashes that count
    */
   int unexplainedCrashes(Set<String> explained, long learnedByMillis) {
-    if (suspect.isHeld() || suspect.weight() < PartLedger.REQUIRED_CRASHES) {
+    if (suspect.isHeld() || weight < PartLedger.REQUIRED_CRASHES) {
       return 0;
     }
     long[] times =
