Parts: crashes of one request don't speak against its parts, and answers count sooner

The deepest part was held back first, and the subject of a repeated request, or of many requests at once, is deeper than the cause; it explained its crashes, so the cause never reached three of its own.

Change: of several parts the one with the most crashes is held back first, and only of these the deepest. No more than two crashes under the same request count against its parts. A trial is a request that has no other significant part. A response that has been arriving for 300 ms clears its parts without waiting for its end, and an answer counts for 3 s against crashes learned after it. The second trial is after 20 s, so that no more than two are sent within ten minutes.

The soak has requests like no other with a part that crashes servers, and its judge the rule on them, with histories that break and keep it.

PartLedgerTest (16), PromptPartKeyTest (3), RuleCheckerTest (75) pass.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashCounter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashCounter.java
@@ -102,7 +102,8 @@
   }
 
   private void countParts(LostAttempt lost, String key) {
-    parts.recordCrash(lost.request(), lost.caller(), lost.arrivedMillis(), key);
+    int contents = fingerprintOf(lost).hashCode();
+    parts.recordCrash(lost.request(), lost.caller(), contents, lost.arrivedMillis(), key);
   }
 
   private void count(String event, LostAttempt lost, String key) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartLedger.java
@@ -18,12 +18,13 @@
  * with it is ever answered; parts that it shares its prompts or backends with are answered
  * elsewhere. So a part is held back from its third crash on, counted since a request with it was
  * last answered, and crashes that a part which is held back explains don't count against others. Of
- * several parts the one that stands deepest in its prompts is held back first: fewer prompts share
- * it, so it costs least if it is not the cause, and the others follow if crashes go on without it.
+ * several parts the one with the most crashes is held back first, as the cause is in a request at
+ * each of them, and of these the one that stands deepest in its prompts: fewer prompts share it, so
+ * it costs least if it is not the cause. The others follow if crashes go on without it, and if the
+ * first one proves to be sound.
  *
- * <p>Crashes at the same moment, as those of a failure domain, have a cause of their own, so no
- * more than two of them count. Each part costs at most three crashes of its own, so two parts that
- * always come together cost six.
+ * <p>Crashes at the same moment, as those of a failure domain, have a cause of their own, and
+ * crashes under the same request speak against that request, so no more than two of either count.
  *
  * <p>It addresses requests unlike each other that share a part which crashes servers. A request
  * that is repeated as it is, with or without such a part, is quarantined by its contents as well. A
@@ -41,7 +42,7 @@
    * Times after the last crash at which one request is sent as a trial, in milliseconds. The first
    * one is early, since a part that is wrongly held back costs more than a crash.
    */
-  private static final long[] TRIAL_DELAYS_MILLIS = {5_000, 60_000, 600_000};
+  private static final long[] TRIAL_DELAYS_MILLIS = {5_000, 20_000, 600_000};
 
   /** Time after which a permit that no request has used is replaced. */
   private static final long PERMIT_MILLIS = 30_000;
@@ -66,13 +67,15 @@
    *
    * @param parts the parts of its prompt that other prompts may share, in order
    * @param caller hash of its caller
+   * @param request hash of its contents
    * @param key key of the crash
    * @return parts for which this is new
    */
-  List<PartSuspect> recordCrash(List<PromptPartKey> parts, int caller, String key, long nowMillis) {
+  List<PartSuspect> recordCrash(
+      List<PromptPartKey> parts, int caller, int request, String key, long nowMillis) {
     List<PartSuspect> changed = new ArrayList<>();
     for (int depth = 0; depth < parts.size(); depth++) {
-      Map<String, PartCrash> crash = Map.of(key, new PartCrash(caller, false));
+      Map<String, PartCrash> crash = Map.of(key, new PartCrash(caller, request, false));
       PartSuspect seen = new PartSuspect(parts.get(depth), depth, crash, 0, 0);
       if (merge(seen, nowMillis)) {
         changed.add(entries.get(seen.part()).suspect());
@@ -218,27 +221,29 @@
   }
 
   private @Nullable TrackedPart nextCause(Set<String> explained, long learnedByMillis) {
-    TrackedPart deepest = null;
-    int crashesOfDeepest = 0;
+    TrackedPart likeliest = null;
+    int crashesOfLikeliest = 0;
     for (TrackedPart entry : entries.values()) {
       int crashes = entry.unexplainedCrashes(explained, learnedByMillis);
       if (crashes >= REQUIRED_CRASHES
-          && (deepest == null || isLikelier(entry, crashes, deepest, crashesOfDeepest))) {
-        deepest = entry;
-        crashesOfDeepest = crashes;
+          && (likeliest == null || isLikelier(entry, crashes, likeliest, crashesOfLikeliest))) {
+        likeliest = entry;
+        crashesOfLikeliest = crashes;
       }
     }
-    return deepest;
+    return likeliest;
   }
 
   private static boolean isLikelier(
       TrackedPart entry, int crashes, TrackedPart than, int crashesOfThat) {
-    if (entry.suspect().depth() != than.suspect().depth()) {
-      return entry.suspect().depth() > than.suspect().depth();
+    PartSuspect suspect = entry.suspect();
+    PartSuspect other = than.suspect();
+    if (crashes != crashesOfThat) {
+      return crashes > crashesOfThat;
     }
-    return crashes != crashesOfThat
-        ? crashes > crashesOfThat
-        : entry.suspect().part().id().compareTo(than.suspect().part().id()) < 0;
+    return suspect.depth() != other.depth()
+        ? suspect.depth() > other.depth()
+        : suspect.part().id().compareTo(other.part().id()) < 0;
   }
 
   /**
@@ -313,6 +318,7 @@
   /** Returns the state for the request path. */
   SuspectParts snapshot() {
     Set<PromptPartKey> suspected = new HashSet<>();
+    Set<PromptPartKey> significant = new HashSet<>();
     List<HeldPart> held = new ArrayList<>();
     for (TrackedPart entry : entries.values()) {
       if (entry.suspect().isHeld()) {
@@ -321,7 +327,10 @@
       if (entry.isSuspicious()) {
         suspected.add(entry.suspect().part());
       }
+      if (entry.suspect().isSignificant()) {
+        significant.add(entry.suspect().part());
+      }
     }
-    return new SuspectParts(suspected, held);
+    return new SuspectParts(suspected, significant, held);
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartMessages.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartMessages.java
@@ -21,7 +21,9 @@
     suspect
         .crashes()
         .forEach(
-            (key, crash) -> crashes.add(new PartCrashRecord(key, crash.caller(), crash.cleared())));
+            (key, crash) ->
+                crashes.add(
+                    new PartCrashRecord(key, crash.caller(), crash.request(), crash.cleared())));
     return new PartSuspectRecord(
         suspect.part().model(),
         suspect.part().id(),
@@ -35,7 +37,9 @@
   public static PartSuspect read(PartSuspectRecord message) {
     Map<String, PartCrash> crashes = new TreeMap<>();
     for (PartCrashRecord crash : message.getCrashes()) {
-      crashes.put(crash.getEngine(), new PartCrash(crash.getCaller(), crash.getCleared()));
+      crashes.put(
+          crash.getEngine(),
+          new PartCrash(crash.getCaller(), crash.getRequest(), crash.getCleared()));
     }
     return new PartSuspect(
         new PromptPartKey(message.getModel(), message.getPart()),
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartQuarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartQuarantine.java
@@ -27,13 +27,14 @@
   private static final long EARLY_MILLIS = 250;
 
   /**
-   * A response that has been arriving for longer shows that no part of its request is the cause.
+   * Time in milliseconds for which a response has been arriving that shows that no part of its
+   * request crashes backends.
    */
-  private static final long SURVIVED_MILLIS = 500;
+  public static final long SURVIVED_MILLIS = 300;
 
   /**
-   * Delay before a complete response counts. A short response may be complete just before its
-   * backend crashes because of it.
+   * Delay before a response counts. A short one may be complete just before its backend crashes
+   * because of it, and a close may be read late.
    */
   private static final long ANSWER_DELAY_MILLIS = 500;
 
@@ -92,11 +93,14 @@
    * @param caller name of the tenant, or the key where there is none
    */
   public Optional<HeldPart> heldPart(CallerRequest request, String caller) {
-    List<HeldPart> held = context.section().value().heldPartsOf(request, caller);
-    if (held.isEmpty() || permitOf(held).filter(each -> each.reserve(request.id())).isPresent()) {
+    SuspectParts parts = context.section().value();
+    List<HeldPart> held = parts.heldPartsOf(request, caller);
+    if (held.isEmpty()) {
       return Optional.empty();
     }
-    return Optional.of(held.get(0));
+    boolean isTrial =
+        parts.permitOf(request).filter(each -> each.reserve(request.id())).isPresent();
+    return isTrial ? Optional.empty() : Optional.of(held.get(0));
   }
 
   /**
@@ -107,30 +111,32 @@
    * @param caller name of the tenant, or the key where there is none
    */
   public boolean mayBeSent(CallerRequest request, String caller) {
-    List<HeldPart> held = context.section().value().heldPartsOf(request, caller);
+    SuspectParts parts = context.section().value();
+    List<HeldPart> held = parts.heldPartsOf(request, caller);
     if (held.isEmpty()) {
       return true;
     }
-    boolean isTrial = permitOf(held).filter(each -> each.use(request.id())).isPresent();
+    boolean isTrial = parts.permitOf(request).filter(each -> each.use(request.id())).isPresent();
     if (isTrial) {
       context.eventLoop().execute(() -> recordTrial(request, held.get(0).part()));
     }
     return isTrial;
   }
 
-  /** A trial speaks of one part only, so a request with several has no permit. */
-  private static Optional<TrialPermit> permitOf(List<HeldPart> held) {
-    return held.size() == 1 ? Optional.ofNullable(held.get(0).permit()) : Optional.empty();
-  }
-
   private void recordTrial(CallerRequest request, PromptPartKey part) {
     Logger.info("event=part-trial part={} request={}", part, request.id());
     ledger.recordTrial(part);
     propagate(part);
   }
 
+  /** Returns whether any part of a request is suspected; from any thread. */
+  public boolean isSuspected(CallerRequest request) {
+    return !context.section().value().suspectedPartsOf(request).isEmpty();
+  }
+
   /**
-   * Reports a successful response; from any thread.
+   * Reports a successful response, or one that has been arriving for {@link #SURVIVED_MILLIS}; from
+   * any thread.
    *
    * @param request the request
    * @param backend id of the backend that responded
@@ -173,16 +179,18 @@
    *
    * @param request the request
    * @param caller name of the tenant, or the key where there is none
+   * @param contents hash of its contents
    * @param arrivedMillis time in milliseconds for which its response had been arriving
    * @param key key of the crash
    */
-  public void recordCrash(CallerRequest request, String caller, long arrivedMillis, String key) {
+  public void recordCrash(
+      CallerRequest request, String caller, int contents, long arrivedMillis, String key) {
     List<PromptPartKey> parts = PromptPartKey.sharedPartsOf(request);
     if (arrivedMillis > SURVIVED_MILLIS) {
       propagateCleared(ledger.recordAnswer(parts, context.time().monotonicMillis()), "outlived");
     } else if (arrivedMillis <= EARLY_MILLIS) {
       ledger
-          .recordCrash(parts, caller.hashCode(), key, context.time().monotonicMillis())
+          .recordCrash(parts, caller.hashCode(), contents, key, context.time().monotonicMillis())
           .forEach(this::propagate);
     }
   }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/SuspectParts.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/SuspectParts.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.lockdale.gateway.caller.CallerRequest;
 
@@ -15,13 +16,19 @@
 public final class SuspectParts {
 
   /** No suspects. */
-  public static final SuspectParts NONE = new SuspectParts(Set.of(), List.of());
+  public static final SuspectParts NONE = new SuspectParts(Set.of(), Set.of(), List.of());
 
   private final Set<PromptPartKey> suspected;
+
+  /** The suspected parts that the next crash may hold back, and those that are held back. */
+  private final Set<PromptPartKey> significant;
+
   private final Map<PromptPartKey, HeldPart> held = new HashMap<>();
 
-  SuspectParts(Set<PromptPartKey> suspected, Collection<HeldPart> held) {
+  SuspectParts(
+      Set<PromptPartKey> suspected, Set<PromptPartKey> significant, Collection<HeldPart> held) {
     this.suspected = Set.copyOf(suspected);
+    this.significant = Set.copyOf(significant);
     held.forEach(part -> this.held.put(part.part(), part));
   }
 
@@ -37,6 +44,18 @@
         .toList();
   }
 
+  /**
+   * Returns the permit with which a request may be sent as a trial. A trial must speak of one part
+   * only, so a request with several significant parts has none.
+   */
+  Optional<TrialPermit> permitOf(CallerRequest request) {
+    List<PromptPartKey> parts =
+        PromptPartKey.sharedPartsOf(request).stream().filter(significant::contains).toList();
+    return parts.size() == 1
+        ? Optional.ofNullable(held.get(parts.get(0))).map(HeldPart::permit)
+        : Optional.empty();
+  }
+
   /** Returns the parts of a request that are suspected. */
   Set<PromptPartKey> suspectedPartsOf(CallerRequest request) {
     if (suspected.isEmpty()) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/TrackedPart.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/TrackedPart.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -16,11 +17,17 @@
   /** Maximum number of crashes of the same moment that count. */
   private static final int MAX_COUNTED_OF_MOMENT = 2;
 
+  /**
+   * Maximum number of crashes under one request, whoever repeats it, that count: more of them speak
+   * against the request, and not against each part of it.
+   */
+  private static final int MAX_COUNTED_OF_REQUEST = 2;
+
   /**
    * Time in milliseconds for which an answer to a request shows that a part of it crashes no
    * backend.
    */
-  private static final long ANSWER_VALID_MILLIS = 1_000;
+  private static final long ANSWER_VALID_MILLIS = 3_000;
 
   /**
    * Maximum number of crashes that are kept, so that a few parts fit into a datagram. The oldest
@@ -124,7 +131,7 @@
   }
 
   /**
-   * Counts the crashes against the part, of each moment no more than two.
+   * Counts the crashes against the part, no more than two of each moment and of each request.
    *
    * @param explained keys of crashes that other parts explain
    * @param learnedByMillis monotonic time by which this node learned of the crashes that count
@@ -133,21 +140,28 @@
     if (suspect.isHeld() || weight < PartLedger.REQUIRED_CRASHES) {
       return 0;
     }
-    long[] times =
+    List<String> keys =
         suspect.countedCrashes().stream()
-            .filter(key -> !explained.contains(key))
-            .mapToLong(this::learnedAtMillis)
-            .filter(learnedAtMillis -> learnedAtMillis <= learnedByMillis)
-            .sorted()
-            .toArray();
+            .filter(key -> !explained.contains(key) && learnedAtMillis(key) <= learnedByMillis)
+            .sorted(Comparator.comparingLong(this::learnedAtMillis).thenComparing(key -> key))
+            .toList();
+    Map<Integer, Integer> ofRequests = new HashMap<>();
     int counted = 0;
     int ofMoment = 0;
     long momentMillis = 0;
-    for (long time : times) {
-      boolean sameMoment = ofMoment > 0 && time - momentMillis <= SAME_MOMENT_MILLIS;
-      ofMoment = sameMoment ? ofMoment + 1 : 1;
-      momentMillis = sameMoment ? momentMillis : time;
-      counted += ofMoment <= MAX_COUNTED_OF_MOMENT ? 1 : 0;
+    for (String key : keys) {
+      long time = learnedAtMillis(key);
+      if (ofMoment == 0 || time - momentMillis > SAME_MOMENT_MILLIS) {
+        momentMillis = time;
+        ofMoment = 0;
+      }
+      int request = suspect.crashes().get(key).request();
+      int ofRequest = request == PartCrash.SEVERAL ? 0 : ofRequests.getOrDefault(request, 0);
+      if (ofMoment < MAX_COUNTED_OF_MOMENT && ofRequest < MAX_COUNTED_OF_REQUEST) {
+        ofMoment++;
+        ofRequests.put(request, ofRequest + 1);
+        counted++;
+      }
     }
     return counted;
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptMonitor.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptMonitor.java
@@ -65,6 +65,23 @@
         });
   }
 
+  /**
+   * Runs an action once the response has been arriving for a time.
+   *
+   * @param millis the time, in milliseconds; it doesn't include silence up to the present
+   */
+  void onArrived(long millis, Runnable action) {
+    after(
+        millis,
+        () -> {
+          if (attempt.responseMillis() - attempt.responseSilentMillis() >= millis) {
+            action.run();
+          } else {
+            onArrived(millis, action);
+          }
+        });
+  }
+
   /**
    * Runs an action when all nodes find the engine silent, and repeatedly while it is.
    *
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
@@ -3,6 +3,7 @@
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.quarantine.AttemptOutcome;
 import org.lockdale.gateway.quarantine.LostAttempt;
+import org.lockdale.gateway.quarantine.Quarantine;
 import org.lockdale.gateway.quarantine.SuspectAttempt;
 import org.tinylog.Logger;
 
@@ -46,6 +47,30 @@
             .orElse(null);
   }
 
+  /**
+   * Returns whether the request must not be sent, since it or a part of its prompt crashes
+   * backends. Must be called just before each attempt, as it uses up the permit of a trial.
+   */
+  boolean isQuarantined() {
+    Quarantine quarantine = path.services().quarantine();
+    return quarantine.quarantined(state.request, state.caller()).isPresent()
+        || !quarantine.parts().mayBeSent(state.request, state.caller());
+  }
+
+  /** Reports a complete successful response. */
+  void onAnswered(Attempt attempt) {
+    path.services().quarantine().requestAnswered(state.request, state.caller());
+    onOutlived(attempt);
+  }
+
+  /** Reports that a backend goes on although it has begun to respond to the request. */
+  void onOutlived(Attempt attempt) {
+    path.services()
+        .quarantine()
+        .parts()
+        .requestAnswered(state.request, attempt.target().backend().id());
+  }
+
   /** Concludes the recorded suspect attempt, if any. Must be called when the request has ended. */
   void onRequestEnded() {
     concludeRecorded(AttemptOutcome.NOT_LOST);
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -9,7 +9,7 @@
 import org.lockdale.gateway.placement.Placement;
 import org.lockdale.gateway.placement.PlacementResult;
 import org.lockdale.gateway.quarantine.LostAttempt;
-import org.lockdale.gateway.quarantine.Quarantine;
+import org.lockdale.gateway.quarantine.part.PartQuarantine;
 import org.lockdale.http.HttpReply;
 import org.tinylog.Logger;
 
@@ -135,7 +135,7 @@
       return;
     }
     // Checked before each attempt: a request that crashed one backend would crash the next one.
-    if (isQuarantined()) {
+    if (reporter.isQuarantined()) {
       giveUp("backends crashed, or may have crashed, while this request ran", null);
       return;
     }
@@ -147,12 +147,6 @@
     send(placement.get());
   }
 
-  private boolean isQuarantined() {
-    Quarantine quarantine = path.services().quarantine();
-    return quarantine.quarantined(state.request, state.caller()).isPresent()
-        || !quarantine.parts().mayBeSent(state.request, state.caller());
-  }
-
   private void recordEstimate(Placement placement) {
     state.sharedTokensToCompute = placement.computedTokens();
     state.waitingTokens = placement.waitingTokens();
@@ -195,6 +189,9 @@
     reporter.onSending(attempt);
     attempt.start(path.client(), path.pools().maxConnectionsTo(state));
     AttemptMonitor monitor = new AttemptMonitor(state, attempt, () -> !ended && attempt == current);
+    if (path.services().quarantine().parts().isSuspected(state.request)) {
+      monitor.onArrived(PartQuarantine.SURVIVED_MILLIS, () -> reporter.onOutlived(attempt));
+    }
     if (state.route().isRepeatable()) {
       monitor.onEngineSilent(() -> onSilent(attempt));
       monitor.onSilence(
@@ -253,9 +250,7 @@
     reporter.onConcluded(attempt, result);
     switch (result) {
       case COMPLETE -> {
-        Quarantine quarantine = path.services().quarantine();
-        quarantine.requestAnswered(state.request, state.caller());
-        quarantine.parts().requestAnswered(state.request, attempt.target().backend().id());
+        reporter.onAnswered(attempt);
         end(RequestPath.COMPLETE);
       }
       case WITHDRAWN -> onWithdrawn(attempt);
--- a/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
@@ -104,7 +104,7 @@
    * Returns a codec of prompt parts that are suspected of crashing backends, in the table service.
    */
   public static MessageCodec<PartSuspectRecord> suspectParts() {
-    return of(0x869168679EC6F779L, PartSuspectRecord::readFrom);
+    return of(0x2B039C662C4577BAL, PartSuspectRecord::readFrom);
   }
 
   /** Returns a codec of the datagrams between gateway nodes. */
@@ -134,7 +134,7 @@
 
   /** Returns a codec of the datagrams between gateway nodes about prompt parts. */
   public static MessageCodec<PartDatagram> partDatagrams() {
-    return of(0x1F5422F67A7316C7L, PartDatagram::readFrom);
+    return of(0x1C009BDCD3B61805L, PartDatagram::readFrom);
   }
 
   /** Returns a codec of the datagrams between gateway nodes about the capacity of engines. */
--- a/soak/src/main/java/org/lockdale/soak/judge/RequestFacts.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/RequestFacts.java
@@ -18,4 +18,14 @@
     String body,
     @Nullable String model,
     @Nullable String prefix,
-    @Nullable String usage) {}
+    @Nullable String usage) {
+
+  /** Part of prompts that crashes each server that begins to answer a request with it. */
+  public static final String CRASHING_PART = "bad0";
+
+  /** Returns whether its prompt has the part that crashes servers. */
+  public boolean hasCrashingPart() {
+    String parts = prefix;
+    return parts != null && parts.contains(CRASHING_PART + ":");
+  }
+}
--- a/soak/src/main/java/org/lockdale/soak/judge/RuleChecker.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/RuleChecker.java
@@ -28,6 +28,7 @@
           LoadRules::excessiveDeadlines,
           LoadRules::abandonedRequests,
           CrashRules::retriesAfterCrashes,
+          CrashRules::sendsOfCrashingPart,
           CrashRules::livenessAfterCrash,
           RateRules::rateLimit,
           AnnouncementRules::drainAnnouncements,
--- a/soak/src/main/java/org/lockdale/soak/run/Caller.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Caller.java
@@ -14,7 +14,6 @@
 import org.lockdale.soak.judge.RequestKind;
 import org.lockdale.soak.judge.StreamPiece;
 import org.lockdale.soak.standin.HeaderNames;
-import org.lockdale.soak.standin.ServerBase;
 import org.lockdale.soak.standin.StandardStreams;
 
 /**
@@ -45,12 +44,6 @@
 
   private static final int CHUNK_BYTES = 1_000;
 
-  /** One request in this many crashes each server that runs it. */
-  private static final int CRASHING_INTERVAL = 60;
-
-  /** Offset between callers, so that they send crashing requests at different times. */
-  private static final int CRASHING_OFFSET = 7;
-
   /**
    * The next request of a caller.
    *
@@ -175,8 +168,11 @@
       route = "resumable";
       kind = RequestKind.RESUMABLE;
     }
-    if (isCrashingTurn()) {
-      return crashingRequest(id);
+    if (CrashingRequests.isRepeatedTurn(number, requests)) {
+      return crashing(id, CrashingRequests.repeated());
+    }
+    if (CrashingRequests.isPartTurn(number, requests)) {
+      return crashing(id, CrashingRequests.withCrashingPart(id));
     }
     boolean resumes = kind == RequestKind.RESUMABLE && random.nextInt(10) == 0;
     boolean abandons = random.nextInt(12) == 0;
@@ -191,26 +187,7 @@
         null);
   }
 
-  /**
-   * Returns whether the present request is a crashing one. This is computed instead of drawn, since
-   * a draw would change everything else drawn from the seed.
-   */
-  private boolean isCrashingTurn() {
-    return (requests + CRASHING_OFFSET * number) % CRASHING_INTERVAL == 0;
-  }
-
-  /**
-   * Returns the crashing request, which is the same for all callers and nodes except for its id.
-   */
-  private Plan crashingRequest(String id) {
-    RequestFacts facts =
-        new RequestFacts(
-            "POST",
-            "/stream/crashing",
-            ServerBase.CRASHING_BODY_PREFIX,
-            Processes.MODEL,
-            "c0de:" + UNIQUE_PART_TOKENS,
-            UNIQUE_PART_TOKENS + ",80");
+  private static Plan crashing(String id, RequestFacts facts) {
     return new Plan(
         id, RequestKind.STREAM, facts, Operator.STEADY_KEY, MIN_DEADLINE_MILLIS, 0, 0, null);
   }
--- a/soak/src/test/java/org/lockdale/soak/judge/LoadHistories.java
+++ b/soak/src/test/java/org/lockdale/soak/judge/LoadHistories.java
@@ -38,6 +38,45 @@
     return history;
   }
 
+  /**
+   * Returns a history of unlike requests with the crashing part, which crash servers, and of more
+   * of them that are sent after a time.
+   */
+  static HistoryBuilder crashingPart(int crashes, int later, long afterMillis) {
+    HistoryBuilder history = new HistoryBuilder();
+    for (int crash = 0; crash < crashes; crash++) {
+      history.add(sentWithCrashingPart(T, "e" + crash));
+      history.add(new Note.Arrived(T + 1, "server-" + crash, "pool", "e" + crash));
+      history.add(new Note.Crashed(T + 50, "server-" + crash, "e" + crash));
+    }
+    for (int request = 0; request < later; request++) {
+      history.add(sentWithCrashingPart(T + 50 + afterMillis, "r" + request));
+      history.add(new Note.Arrived(T + 51 + afterMillis, "server-9", "pool", "r" + request));
+    }
+    return history;
+  }
+
+  private static Note.Sent sentWithCrashingPart(long atMillis, String id) {
+    Note.Sent sent = sent(atMillis, id, RequestKind.STREAM);
+    RequestFacts facts =
+        new RequestFacts(
+            "POST",
+            "/stream/" + id,
+            "body of " + id,
+            "model",
+            "0000:10," + RequestFacts.CRASHING_PART + ":10," + id + ":10",
+            "30,80");
+    return new Note.Sent(
+        atMillis,
+        id,
+        sent.node(),
+        sent.kind(),
+        facts,
+        sent.key(),
+        sent.deadlineMillis(),
+        sent.lastEventId());
+  }
+
   /** Returns a history in which a node reports a server as alive some time after it crashed. */
   static HistoryBuilder aliveAfterCrash(String server, long afterMillis) {
     HistoryBuilder history = crashing(0, 0);
--- a/soak/src/test/java/org/lockdale/soak/judge/RuleCheckerTest.java
+++ b/soak/src/test/java/org/lockdale/soak/judge/RuleCheckerTest.java
@@ -13,6 +13,7 @@
 import static org.lockdale.soak.judge.LoadHistories.aliveAfterCrash;
 import static org.lockdale.soak.judge.LoadHistories.attempts;
 import static org.lockdale.soak.judge.LoadHistories.crashing;
+import static org.lockdale.soak.judge.LoadHistories.crashingPart;
 import static org.lockdale.soak.judge.LoadHistories.deadlines;
 import static org.lockdale.soak.judge.LoadHistories.repeats;
 import static org.lockdale.soak.judge.LoadHistories.runningAfterClose;
@@ -131,6 +132,7 @@
       {"BUDGET", "too many repeated sends", repeats(30)},
       {"BUDGET", "too many servers at once", attempts(4, 3)},
       {"BUDGET", "sent on after it has crashed three servers", crashing(4, 3_001)},
+      {"BUDGET", "a part is sent on after it has crashed five servers", crashingPart(5, 4, 3_001)},
       {"ENDS", "reported alive after its crash", aliveAfterCrash("server-1", 101)},
       {"BUDGET", "servers get more time than the caller has", deadlines(21, 9_000)},
       {"GONE", "forwarded after the close", sentAfterClose(4)},
@@ -186,6 +188,9 @@
       {"repeated sends within the budget", repeats(10)},
       {"many servers for few requests", attempts(3, 3)},
       {"few sends after it has crashed three servers", crashing(3, 3_001)},
+      {"few sends after a part has crashed five servers", crashingPart(5, 3, 3_001)},
+      {"sends of a part that has crashed four servers", crashingPart(4, 9, 3_001)},
+      {"sends of a part before all nodes must know", crashingPart(5, 9, 2_900)},
       {"sends before all nodes must have been notified", crashing(4, 2_900)},
       {"reported alive at the time of its crash", aliveAfterCrash("server-1", 90)},
       {"reported alive without a crash", aliveAfterCrash("server-9", 5_000)},
