--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/part/PartPlan.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/part/PartPlan.java
@@ -5,136 +5,95 @@
  *
  * @param nodes number of nodes
  * @param servers number of servers
- * @param guiltyParts number of prompt parts that crash servers
- * @param depth number of parts before a guilty one
- * @param guiltyCallers number of callers whose requests have guilty parts
- * @param guiltyPerSecond requests with each guilty part per second, without repeats
- * @param repeats number of times that a caller repeats a request that failed, at once
- * @param waves crashes of servers that no request causes
- * @param resetsPerSecond connections that break each second while their servers are alive
- * @param hotShare share of the sound requests that have the same subject
- * @param disturbed whether nodes are isolated and restart, and the store is unavailable at times
+ * @param guilty the requests that crash servers
+ * @param callers how callers send and repeat requests
+ * @param troubles what else happens
  */
-record PartPlan(
-    int nodes,
-    int servers,
-    int guiltyParts,
-    int depth,
-    int guiltyCallers,
-    double guiltyPerSecond,
-    int repeats,
-    Waves waves,
-    double resetsPerSecond,
-    double hotShare,
-    boolean disturbed) {
+record PartPlan(int nodes, int servers, Guilty guilty, Callers callers, Troubles troubles) {
 
   /**
-   * Waves of crashes that no request causes.
+   * Requests with prompt parts that crash servers.
    *
-   * @param share share of the servers that crash at the same moment
-   * @param gapMillis mean time between two waves
+   * @param parts number of such parts
+   * @param depth number of parts before one of them
+   * @param callers number of callers that send them
+   * @param perSecond requests with each part per second, without repeats
+   */
+  record Guilty(int parts, int depth, int callers, double perSecond) {}
+
+  /**
+   * How callers send and repeat requests.
+   *
+   * @param repeats number of times that a caller repeats a request that failed, at once
+   * @param hotShare share of the sound requests that have the same subject
+   */
+  record Callers(int repeats, double hotShare) {}
+
+  /**
+   * What else happens.
+   *
+   * @param waveShare share of the servers that crash at the same moment though no request causes it
+   * @param waveGapMillis mean time between two such waves
    * @param restartMillis time until a server has restarted, whatever crashed it
+   * @param resetsPerSecond connections that break each second while their servers are alive
+   * @param disturbed whether nodes are isolated and restart, and the store is unavailable at times
    */
-  record Waves(double share, int gapMillis, int restartMillis) {
-    static final Waves NONE = new Waves(0, 3_000, 3_000);
-  }
+  record Troubles(
+      double waveShare,
+      int waveGapMillis,
+      int restartMillis,
+      double resetsPerSecond,
+      boolean disturbed) {}
 
   static PartPlan guilty(int parts, int depth, int callers, double perSecond) {
-    return new PartPlan(7, 8, parts, depth, callers, perSecond, 1, Waves.NONE, 0, 0, false);
+    Troubles none = new Troubles(0, 3_000, 3_000, 0, false);
+    Guilty guilty = new Guilty(parts, depth, callers, perSecond);
+    return new PartPlan(7, 8, guilty, new Callers(1, 0), none);
   }
 
   static PartPlan sound() {
     return guilty(0, 0, 1, 0);
   }
 
-  PartPlan withWaves(double share, int gapMillis, int restartMillis) {
-    Waves changed = new Waves(share, gapMillis, restartMillis);
-    return new PartPlan(
-        nodes,
-        servers,
-        guiltyParts,
-        depth,
-        guiltyCallers,
-        guiltyPerSecond,
-        repeats,
-        changed,
-        resetsPerSecond,
-        hotShare,
-        disturbed);
+  PartPlan withFleet(int newNodes, int newServers) {
+    return new PartPlan(newNodes, newServers, guilty, callers, troubles);
   }
 
-  PartPlan withFleet(int newNodes, int newServers) {
-    return new PartPlan(
-        newNodes,
-        newServers,
-        guiltyParts,
-        depth,
-        guiltyCallers,
-        guiltyPerSecond,
-        repeats,
-        waves,
-        resetsPerSecond,
-        hotShare,
-        disturbed);
+  PartPlan withRepeats(int repeats) {
+    return new PartPlan(nodes, servers, guilty, new Callers(repeats, callers.hotShare), troubles);
   }
 
-  PartPlan withResets(double perSecond) {
-    return new PartPlan(
-        nodes,
-        servers,
-        guiltyParts,
-        depth,
-        guiltyCallers,
-        guiltyPerSecond,
-        repeats,
-        waves,
-        perSecond,
-        hotShare,
-        disturbed);
+  PartPlan withHotSubject(double share) {
+    return new PartPlan(nodes, servers, guilty, new Callers(callers.repeats, share), troubles);
   }
 
-  PartPlan withRepeats(int newRepeats) {
-    return new PartPlan(
-        nodes,
-        servers,
-        guiltyParts,
-        depth,
-        guiltyCallers,
-        guiltyPerSecond,
-        newRepeats,
-        waves,
-        resetsPerSecond,
-        hotShare,
-        disturbed);
+  PartPlan withWaves(double share, int gapMillis, int restartMillis) {
+    return with(
+        new Troubles(
+            share, gapMillis, restartMillis, troubles.resetsPerSecond, troubles.disturbed));
   }
 
-  PartPlan withHotSubject(double share) {
-    return new PartPlan(
-        nodes,
-        servers,
-        guiltyParts,
-        depth,
-        guiltyCallers,
-        guiltyPerSecond,
-        repeats,
-        waves,
-        resetsPerSecond,
-        share,
-        disturbed);
+  PartPlan withResets(double perSecond) {
+    return with(
+        new Troubles(
+            troubles.waveShare,
+            troubles.waveGapMillis,
+            troubles.restartMillis,
+            perSecond,
+            troubles.disturbed));
   }
 
   PartPlan withDisturbances() {
-    return new PartPlan(
-        nodes,
-        servers,
-        guiltyParts,
-        depth,
-        guiltyCallers,
-        guiltyPerSecond,
-        repeats,
-        waves,
-        resetsPerSecond,
-        hotShare,
-        true);
+    return with(
+        new Troubles(
+            troubles.waveShare,
+            troubles.waveGapMillis,
+            troubles.restartMillis,
+            troubles.resetsPerSecond,
+            true));
+  }
+
+  private PartPlan with(Troubles changed) {
+    return new PartPlan(nodes, servers, guilty, callers, changed);
   }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/part/PartSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/part/PartSimulation.java
@@ -1,21 +1,18 @@
 package org.lockdale.gateway.quarantine.part;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.lockdale.coordination.blackboard.Section;
 import org.lockdale.coordination.simulation.VirtualTime;
-import org.lockdale.gateway.caller.CallerRequest;
-import org.lockdale.gateway.caller.PromptPart;
 import org.lockdale.gateway.quarantine.VirtualExecutor;
+import org.lockdale.gateway.quarantine.part.PartRequests.Request;
 import org.lockdale.gateway.table.TableRowChange;
 
 /**
@@ -28,76 +25,20 @@
   private static final int FIRST_GUILTY_MILLIS = 6_000;
   private static final int LAST_GUILTY_MILLIS = 36_000;
   private static final int CONVERGENCE_MILLIS = 3_000;
-  private static final int CRASHES_TO_KNOW = 5;
 
   /** About twenty requests run at a server at the same time. */
   private static final double REQUESTS_PER_SERVER_PER_SECOND = 25;
 
   private static final int MEAN_ANSWER_MILLIS = 800;
-  private static final int CALLERS = 8;
-  private static final int FIRST_PARTS = 8;
-  private static final int SUBJECTS = 485;
-
-  /** Requests after which the share of those that begin is meaningful. */
-  private static final int MIN_COMPARED = 20;
-
   private final Random random;
   private final PartPlan plan;
   private final VirtualTime time = new VirtualTime();
   private final List<Node> nodes = new ArrayList<>();
   private final List<Server> servers = new ArrayList<>();
   private final Map<PromptPartKey, PartSuspect> rows = new HashMap<>();
-  private final Map<String, Integer> crashesOfPart = new HashMap<>();
-  private final Map<String, Long> fifthCrashMillis = new HashMap<>();
-  private final Map<String, Integer> lateSendsOfPart = new HashMap<>();
-
-  /** Sound requests like the guilty ones, before the first of these and well after the last. */
-  private final Share before = new Share();
-
-  private final Share after = new Share();
+  private final PartCounts counts = new PartCounts(CONVERGENCE_MILLIS);
+  private final PartRequests requests;
   private boolean storeDown;
-  private int requests;
-  private int soundRequests;
-  private int soundHeldBack;
-  private int guiltySends;
-  private int crashes;
-  private int lostSound;
-
-  private static final class Share {
-    private int sent;
-    private int begun;
-
-    void count(boolean hasBegun) {
-      sent++;
-      begun += hasBegun ? 1 : 0;
-    }
-  }
-
-  /**
-   * What happened in a run.
-   *
-   * @param crashes crashes of servers
-   * @param guiltySends requests with guilty parts that servers received
-   * @param worstLateSends the same, later than the contact time after the fifth crash, of the part
-   *     with the most
-   * @param soundRequests requests without guilty parts
-   * @param soundHeldBack those of them that were held back
-   * @param lostSound those of them that were lost in crashes
-   * @param comparableShare share of the sound requests with the caller or first part of a guilty
-   *     one that begin twice the contact time after the fifth crash, in proportion to the share
-   *     before the first crash; 1 if there are too few
-   */
-  record Result(
-      int crashes,
-      int guiltySends,
-      int worstLateSends,
-      int soundRequests,
-      int soundHeldBack,
-      int lostSound,
-      double comparableShare) {}
-
-  private record Request(
-      CallerRequest request, String caller, @org.jspecify.annotations.Nullable String guilty) {}
 
   private static final class Run {
     private final Node node;
@@ -161,10 +102,7 @@
 
     private void crashOnce(int current, String guilty) {
       if (incarnation == current && up) {
-        int known = crashesOfPart.merge(guilty, 1, Integer::sum);
-        if (known == CRASHES_TO_KNOW) {
-          fifthCrashMillis.put(guilty, time.monotonicMillis());
-        }
+        counts.crashOf(guilty, time.monotonicMillis());
         crash();
       }
     }
@@ -180,14 +118,14 @@
     }
 
     void crash() {
-      crashes++;
+      counts.crash();
       up = false;
       String ended = id();
       List<Run> lost = runs;
       runs = new ArrayList<>();
       lost.forEach(run -> lose(run, ended));
       time.schedule(
-          plan.waves().restartMillis() * 1_000L,
+          plan.troubles().restartMillis() * 1_000L,
           () -> {
             incarnation++;
             up = true;
@@ -196,7 +134,9 @@
 
     private void lose(Run run, String backend) {
       run.ended = true;
-      lostSound += run.request.guilty() == null ? 1 : 0;
+      if (run.request.isSound()) {
+        counts.lostSound();
+      }
       long arrived = run.arrivedMillis(time.monotonicMillis());
       run.node.executor.after(
           (1 + random.nextInt(5)) * 1_000L,
@@ -319,6 +259,7 @@
   PartSimulation(PartPlan plan, long seed) {
     this.plan = plan;
     this.random = new Random(seed);
+    this.requests = new PartRequests(random, plan);
     for (int number = 0; number < plan.nodes(); number++) {
       nodes.add(new Node(number));
     }
@@ -343,46 +284,36 @@
         .orElse(Long.MIN_VALUE);
   }
 
-  Result run() {
+  PartCounts.Result run() {
     double perSecond = plan.servers() * REQUESTS_PER_SERVER_PER_SECOND;
-    repeatedly(1_000 / perSecond, 0, RUN_MILLIS, () -> sendSomewhere(sound(), plan.repeats()));
-    for (int part = 0; part < plan.guiltyParts(); part++) {
+    repeatedly(
+        1_000 / perSecond,
+        0,
+        RUN_MILLIS,
+        () -> sendSomewhere(requests.sound(), plan.callers().repeats()));
+    for (int part = 0; part < plan.guilty().parts(); part++) {
       String id = "bad" + part;
       repeatedly(
-          1_000 / plan.guiltyPerSecond(),
+          1_000 / plan.guilty().perSecond(),
           FIRST_GUILTY_MILLIS,
           LAST_GUILTY_MILLIS,
-          () -> sendSomewhere(guilty(id), plan.repeats()));
+          () -> sendSomewhere(requests.guilty(id), plan.callers().repeats()));
     }
-    if (plan.waves().share() > 0) {
-      repeatedly(plan.waves().gapMillis(), 2_000, RUN_MILLIS, this::crashWave);
+    if (plan.troubles().waveShare() > 0) {
+      repeatedly(plan.troubles().waveGapMillis(), 2_000, RUN_MILLIS, this::crashWave);
     }
-    if (plan.resetsPerSecond() > 0) {
+    if (plan.troubles().resetsPerSecond() > 0) {
       repeatedly(
-          1_000 / plan.resetsPerSecond(),
+          1_000 / plan.troubles().resetsPerSecond(),
           0,
           RUN_MILLIS,
           () -> servers.get(random.nextInt(servers.size())).resetOne());
     }
-    if (plan.disturbed()) {
+    if (plan.troubles().disturbed()) {
       repeatedly(4_000, 1_000, RUN_MILLIS, this::disturb);
     }
     time.runMillis(RUN_MILLIS);
-    return new Result(
-        crashes,
-        guiltySends,
-        lateSendsOfPart.values().stream().mapToInt(each -> each).max().orElse(0),
-        soundRequests,
-        soundHeldBack,
-        lostSound,
-        comparableShare());
-  }
-
-  private double comparableShare() {
-    if (before.sent < MIN_COMPARED || after.sent < MIN_COMPARED) {
-      return 1;
-    }
-    return (double) after.begun / after.sent * before.sent / before.begun;
+    return counts.result();
   }
 
   /** Runs an action at random times between two moments. */
@@ -400,8 +331,8 @@
 
   private void crashWave() {
     List<Server> up = new ArrayList<>(servers.stream().filter(server -> server.up).toList());
-    java.util.Collections.shuffle(up, random);
-    int number = (int) Math.round(plan.waves().share() * servers.size());
+    Collections.shuffle(up, random);
+    int number = (int) Math.round(plan.troubles().waveShare() * servers.size());
     up.stream().limit(number).toList().forEach(Server::crash);
   }
 
@@ -430,95 +361,30 @@
     }
   }
 
-  private Request sound() {
-    boolean hot = random.nextDouble() < plan.hotShare();
-    String subject = "s" + (hot ? 0 : random.nextInt(SUBJECTS));
-    return request("c" + random.nextInt(CALLERS), null, "f" + random.nextInt(FIRST_PARTS), subject);
-  }
-
-  /** Returns a request like no other; it shares its first part and its caller with sound ones. */
-  private Request guilty(String id) {
-    List<String> parts = new ArrayList<>(List.of("f0", "s" + random.nextInt(SUBJECTS)));
-    parts.add(plan.depth(), id);
-    return request("c" + random.nextInt(plan.guiltyCallers()), id, parts.toArray(String[]::new));
-  }
-
-  private Request request(
-      String caller, @org.jspecify.annotations.Nullable String guilty, String... shared) {
-    List<PromptPart> parts = new ArrayList<>();
-    for (String id : shared) {
-      parts.add(new PromptPart(id, 100));
-    }
-    String id = "r" + ++requests;
-    parts.add(new PromptPart(id, 20));
-    CallerRequest request =
-        new CallerRequest(
-            id,
-            "POST",
-            "/" + id,
-            "/" + id,
-            "shop.example",
-            caller,
-            10_000,
-            "model",
-            parts,
-            null,
-            null,
-            null,
-            new DefaultHttpHeaders(),
-            new byte[0]);
-    return new Request(request, caller, guilty);
-  }
-
   private void sendSomewhere(Request request, int repeats) {
     Node node = nodes.get(random.nextInt(nodes.size()));
-    boolean sound = request.guilty() == null;
-    soundRequests += sound ? 1 : 0;
     boolean held = node.quarantine.heldPart(request.request(), request.caller()).isPresent();
-    if (held || !node.quarantine.mayBeSent(request.request(), request.caller())) {
-      soundHeldBack += sound ? 1 : 0;
-      countIfComparable(request, false);
-      return;
-    }
+    boolean sent = !held && node.quarantine.mayBeSent(request.request(), request.caller());
     List<Server> up = servers.stream().filter(server -> server.up).toList();
-    countIfComparable(request, !up.isEmpty());
-    if (up.isEmpty()) {
+    countIfComparable(request, sent && !up.isEmpty());
+    if (request.isSound()) {
+      counts.sound(!sent);
+    }
+    if (!sent || up.isEmpty()) {
       return;
     }
-    if (!sound) {
-      guiltySends++;
-      countIfLate(node, request.guilty());
+    if (!request.isSound()) {
+      long now = time.monotonicMillis();
+      boolean inTouch = !node.isolated && now - node.disturbedUntilMillis > CONVERGENCE_MILLIS;
+      counts.guiltySend(request.guilty(), inTouch, now);
     }
     up.get(random.nextInt(up.size())).start(new Run(node, request, repeats));
   }
 
-  private void countIfLate(Node node, String guilty) {
-    long now = time.monotonicMillis();
-    long known = fifthCrashMillis.getOrDefault(guilty, Long.MAX_VALUE / 2);
-    boolean inTouch = !node.isolated && now - node.disturbedUntilMillis > CONVERGENCE_MILLIS;
-    if (now > known + CONVERGENCE_MILLIS && inTouch) {
-      lateSendsOfPart.merge(guilty, 1, Integer::sum);
-    }
-  }
-
   private void countIfComparable(Request request, boolean begun) {
-    if (request.guilty() != null) {
-      return;
-    }
-    Set<String> ids = new HashSet<>();
-    request.request().promptParts().forEach(part -> ids.add(part.id()));
-    boolean sameCaller = Integer.parseInt(request.caller().substring(1)) < plan.guiltyCallers();
-    if (!ids.contains("f0") && !sameCaller) {
-      return;
-    }
-    long now = time.monotonicMillis();
-    if (now < FIRST_GUILTY_MILLIS) {
-      before.count(begun);
-    }
-    long known =
-        fifthCrashMillis.values().stream().mapToLong(each -> each).max().orElse(Long.MAX_VALUE / 2);
-    if (now > known + 2 * CONVERGENCE_MILLIS) {
-      after.count(begun);
+    if (requests.isComparable(request)) {
+      long now = time.monotonicMillis();
+      counts.comparable(begun, now < FIRST_GUILTY_MILLIS, now);
     }
   }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/part/PartSimulationTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/part/PartSimulationTest.java
@@ -66,7 +66,7 @@
     long guilty = 0;
     double leastShare = 1;
     for (int seed = 0; seed < SEEDS; seed++) {
-      PartSimulation.Result result = new PartSimulation(plan, seed).run();
+      PartCounts.Result result = new PartSimulation(plan, seed).run();
       worst = Math.max(worst, result.worstLateSends());
       sound += result.soundRequests();
       heldBack += result.soundHeldBack();
