--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartLedger.java
@@ -310,6 +310,15 @@
     return Optional.ofNullable(entries.get(part)).map(entry -> entry.suspect());
   }
 
+  /** Returns the number of parts against which anything counts. */
+  int suspiciousCount() {
+    int count = 0;
+    for (TrackedPart entry : entries.values()) {
+      count += entry.isSuspicious() ? 1 : 0;
+    }
+    return count;
+  }
+
   /** Returns all suspects. */
   List<PartSuspect> all() {
     return entries.values().stream().map(entry -> entry.suspect()).toList();
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartQuarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartQuarantine.java
@@ -261,12 +261,17 @@
       Logger.info("event=part-cleared part={} reason=held-long-enough", released.part());
       propagate(released);
     }
-    if (ledger.offerTrials(coordinator, now)) {
+    if (ledger.offerTrials(coordinator, now) || isSuspectPublishedInVain()) {
       publishSoon();
     }
     recorder.tick();
   }
 
+  /** Returns whether the request path reports answers that nothing depends on any more. */
+  private boolean isSuspectPublishedInVain() {
+    return context.section().value().suspectedCount() > ledger.suspiciousCount();
+  }
+
   private void propagate(PartSuspect suspect) {
     propagate(suspect.part());
   }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/SuspectParts.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/SuspectParts.java
@@ -66,6 +66,11 @@
     return found;
   }
 
+  /** Returns the number of parts that are suspected. */
+  int suspectedCount() {
+    return suspected.size();
+  }
+
   /** Returns whether a part is suspected. */
   boolean isSuspected(PromptPartKey part) {
     return suspected.contains(part);
