--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartLedger.java
@@ -99,11 +99,13 @@
     return entry.merge(received, nowMillis);
   }
 
-  /** Removes the part with the fewest crashes, if the ledger is full and it is not held back. */
+  /**
+   * Makes room if the ledger is full; parts that are held back and those with many crashes stay.
+   */
   private void evictIfFull() {
     if (entries.size() >= MAX_SUSPECTS) {
       entries.values().stream()
-          .map(entry -> entry.suspect())
+          .map(TrackedPart::suspect)
           .min(Comparator.comparing(PartSuspect::isHeld).thenComparing(PartSuspect::weight))
           .ifPresent(lightest -> entries.remove(lightest.part()));
     }
@@ -214,7 +216,7 @@
   private Set<String> explainedCrashes() {
     Set<String> explained = new HashSet<>();
     entries.values().stream()
-        .map(entry -> entry.suspect())
+        .map(TrackedPart::suspect)
         .filter(PartSuspect::isHeld)
         .forEach(suspect -> explained.addAll(suspect.countedCrashes()));
     return explained;
@@ -307,7 +309,7 @@
 
   /** Returns the suspect of a part; empty if it is unknown. */
   Optional<PartSuspect> find(PromptPartKey part) {
-    return Optional.ofNullable(entries.get(part)).map(entry -> entry.suspect());
+    return Optional.ofNullable(entries.get(part)).map(TrackedPart::suspect);
   }
 
   /** Returns the number of parts against which anything counts. */
@@ -321,7 +323,7 @@
 
   /** Returns all suspects. */
   List<PartSuspect> all() {
-    return entries.values().stream().map(entry -> entry.suspect()).toList();
+    return entries.values().stream().map(TrackedPart::suspect).toList();
   }
 
   /** Returns the state for the request path. */
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartQuarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartQuarantine.java
@@ -39,8 +39,8 @@
   private static final long ANSWER_DELAY_MILLIS = 500;
 
   /**
-   * Age from which on the coordinator considers a crash: twice the time in which reports of it have
-   * arrived, or their first repeats.
+   * Age from which on the coordinator considers a crash, so that the reports of other nodes or
+   * their first repeats have arrived.
    */
   private static final long COORDINATOR_SETTLE_MILLIS = 300;
 
