Crashes of a quarantined request don't speak against the parts of other requests

Change: a crash under a quarantined request counts against the parts of that request only, where no more than two of one request count, and not against those of its neighbours.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -313,7 +313,7 @@
     long now = context.time().monotonicMillis();
     boolean changed = retractCrashes(now) | countUnconcluded();
     parts.retractCrashes(key -> lastAliveAtMillis(CrashKeys.backendOf(key)));
-    parts.tick();
+    parts.tick(publisher.quarantinedByBackend());
     journal.tick(context.coordinator().getAsBoolean());
     for (Suspect released : ledger.expire(now)) {
       Logger.info(
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectPublisher.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectPublisher.java
@@ -1,8 +1,11 @@
 package org.lockdale.gateway.quarantine;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.lockdale.coordination.blackboard.Section;
 import org.lockdale.coordination.time.Time;
 import org.tinylog.Logger;
@@ -36,6 +39,24 @@
         .anyMatch(request -> request.fingerprint().equals(fingerprint));
   }
 
+  /**
+   * Returns hashes of the requests that were quarantined when suspects were published last, by id
+   * of the backends that crashed while they ran them.
+   */
+  Map<String, Set<Integer>> quarantinedByBackend() {
+    Map<String, Set<Integer>> requests = new HashMap<>();
+    for (QuarantinedRequest request : previouslyQuarantined) {
+      if (!request.isWithheld()) {
+        for (String backend : request.crashedBackends()) {
+          requests
+              .computeIfAbsent(backend, id -> new HashSet<>())
+              .add(request.fingerprint().hashCode());
+        }
+      }
+    }
+    return requests;
+  }
+
   /**
    * Returns a request that is withheld although no crash is known, as a suspect without crashes;
    * empty if it is not. Once the ledger contains that suspect, its unresolved attempts don't count.
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartLedger.java
@@ -17,11 +17,11 @@
  * requests with them. A part that causes crashes is in a request at each of them, and no request
  * with it is ever answered; parts that it shares its prompts or backends with are answered
  * elsewhere. So a part is held back from its third crash on, counted since a request with it was
- * last answered, and crashes that a part which is held back explains don't count against others. Of
- * several parts the one with the most crashes is held back first, as the cause is in a request at
- * each of them, and of these the one that stands deepest in its prompts: fewer prompts share it, so
- * it costs least if it is not the cause. The others follow if crashes go on without it, and if the
- * first one proves to be sound.
+ * last answered, and crashes that have another cause don't count: a part that is held back, or a
+ * quarantined request of which it is no part. Of several parts the one with the most crashes is
+ * held back first, as the cause is in a request at each of them, and of these the one that stands
+ * deepest in its prompts: fewer prompts share it, so it costs least if it is not the cause. The
+ * others follow if crashes go on without it, and if the first one proves to be sound.
  *
  * <p>Crashes at the same moment, as those of a failure domain, have a cause of their own, and
  * crashes under the same request speak against that request, so no more than two of either count.
@@ -198,31 +198,30 @@
    *
    * @param settleMillis age from which on crashes are considered, so that the nodes that observed
    *     them have notified the others
+   * @param quarantined hashes of the contents of the quarantined requests that crashed backends, by
+   *     key of the crash
    * @return parts that were not held back before
    */
-  List<PartSuspect> decide(long nowMillis, long settleMillis) {
+  List<PartSuspect> decide(
+      long nowMillis, long settleMillis, Map<String, Set<Integer>> quarantined) {
+    ExplainedCrashes explained = new ExplainedCrashes(quarantined);
+    entries.values().stream()
+        .map(TrackedPart::suspect)
+        .filter(PartSuspect::isHeld)
+        .forEach(explained::add);
     List<PartSuspect> decided = new ArrayList<>();
-    Set<String> explained = explainedCrashes();
-    for (TrackedPart cause = nextCause(explained, nowMillis - settleMillis);
+    long learnedByMillis = nowMillis - settleMillis;
+    for (TrackedPart cause = nextCause(explained, learnedByMillis);
         cause != null;
-        cause = nextCause(explained, nowMillis - settleMillis)) {
+        cause = nextCause(explained, learnedByMillis)) {
       cause.replace(cause.suspect().hold());
-      explained.addAll(cause.suspect().countedCrashes());
+      explained.add(cause.suspect());
       decided.add(cause.suspect());
     }
     return decided;
   }
 
-  private Set<String> explainedCrashes() {
-    Set<String> explained = new HashSet<>();
-    entries.values().stream()
-        .map(TrackedPart::suspect)
-        .filter(PartSuspect::isHeld)
-        .forEach(suspect -> explained.addAll(suspect.countedCrashes()));
-    return explained;
-  }
-
-  private @Nullable TrackedPart nextCause(Set<String> explained, long learnedByMillis) {
+  private @Nullable TrackedPart nextCause(ExplainedCrashes explained, long learnedByMillis) {
     TrackedPart likeliest = null;
     int crashesOfLikeliest = 0;
     for (TrackedPart entry : entries.values()) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartQuarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartQuarantine.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -244,12 +245,17 @@
     }
   }
 
-  /** Decides which parts are held back, and maintains the rows; to be called periodically. */
-  public void tick() {
+  /**
+   * Decides which parts are held back, and maintains the rows; to be called periodically.
+   *
+   * @param quarantined hashes of the contents of the quarantined requests that crashed backends, by
+   *     id of the backend
+   */
+  public void tick(Map<String, Set<Integer>> quarantined) {
     long now = context.time().monotonicMillis();
     boolean coordinator = context.coordinator().getAsBoolean();
-    for (PartSuspect held :
-        ledger.decide(now, coordinator ? COORDINATOR_SETTLE_MILLIS : OTHERS_SETTLE_MILLIS)) {
+    long settleMillis = coordinator ? COORDINATOR_SETTLE_MILLIS : OTHERS_SETTLE_MILLIS;
+    for (PartSuspect held : ledger.decide(now, settleMillis, quarantined)) {
       Logger.warn(
           "event=part-held-back part={} depth={} backends={}",
           held.part(),
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/TrackedPart.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/TrackedPart.java
@@ -133,16 +133,17 @@
   /**
    * Counts the crashes against the part, no more than two of each moment and of each request.
    *
-   * @param explained keys of crashes that other parts explain
+   * @param explained crashes that have another cause
    * @param learnedByMillis monotonic time by which this node learned of the crashes that count
    */
-  int unexplainedCrashes(Set<String> explained, long learnedByMillis) {
+  int unexplainedCrashes(ExplainedCrashes explained, long learnedByMillis) {
     if (suspect.isHeld() || weight < PartLedger.REQUIRED_CRASHES) {
       return 0;
     }
     List<String> keys =
         suspect.countedCrashes().stream()
-            .filter(key -> !explained.contains(key) && learnedAtMillis(key) <= learnedByMillis)
+            .filter(key -> learnedAtMillis(key) <= learnedByMillis)
+            .filter(key -> !explained.contains(key, suspect.crashes().get(key)))
             .sorted(Comparator.comparingLong(this::learnedAtMillis).thenComparing(key -> key))
             .toList();
     Map<Integer, Integer> ofRequests = new HashMap<>();
