Crashes of one moment are dropped in an order that every process shares

Cause: of crashes learned at the same moment, those in surplus of twelve were dropped in the order of an immutable map, which differs from process to process. The order is by key now. Nothing else depends on such an order, by reading.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/TrackedPart.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/TrackedPart.java
@@ -122,7 +122,8 @@
           suspect.crashes().keySet().stream()
               .sorted(
                   Comparator.comparing((String key) -> suspect.isCounted(key))
-                      .thenComparing(this::learnedAtMillis))
+                      .thenComparing(this::learnedAtMillis)
+                      .thenComparing(Comparator.naturalOrder()))
               .limit(surplus)
               .collect(Collectors.toSet());
       replace(suspect.without(dropped::contains));
