A part is held back from its fifth crash on though held parts explain some of them

Change: a part with five crashes of which at least one has no other cause is held back, whatever explains the others.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartLedger.java
@@ -35,6 +35,12 @@
   /** Number of crashes from which a part is held back. */
   static final int REQUIRED_CRASHES = 3;
 
+  /**
+   * Number of crashes from which a part is held back if any one of them has no other cause: the
+   * part that explains the others may be held back wrongly.
+   */
+  private static final int MAX_CRASHES = 5;
+
   /** Time after its last crash after which a part that is not held back is forgotten. */
   private static final long RETENTION_MILLIS = 120_000;
 
@@ -226,7 +232,7 @@
     int crashesOfLikeliest = 0;
     for (TrackedPart entry : entries.values()) {
       int crashes = entry.unexplainedCrashes(explained, learnedByMillis);
-      if (crashes >= REQUIRED_CRASHES
+      if (isCause(entry, crashes, learnedByMillis)
           && (likeliest == null || isLikelier(entry, crashes, likeliest, crashesOfLikeliest))) {
         likeliest = entry;
         crashesOfLikeliest = crashes;
@@ -235,6 +241,12 @@
     return likeliest;
   }
 
+  private static boolean isCause(TrackedPart entry, int unexplained, long learnedByMillis) {
+    ExplainedCrashes none = new ExplainedCrashes(Map.of());
+    return unexplained >= REQUIRED_CRASHES
+        || unexplained > 0 && entry.unexplainedCrashes(none, learnedByMillis) >= MAX_CRASHES;
+  }
+
   private static boolean isLikelier(
       TrackedPart entry, int crashes, TrackedPart than, int crashesOfThat) {
     PartSuspect suspect = entry.suspect();
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/part/PartLedgerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/part/PartLedgerTest.java
@@ -62,6 +62,18 @@
     assertEquals(decide(), Set.of(FIRST));
   }
 
+  @Test
+  public void theCauseIsHeldBackAtItsFifthCrashThoughASoundPartExplainsSomeOfThem() {
+    crash(FIRST, SECOND);
+    crash(FIRST, SECOND);
+    crash(FIRST, SECOND);
+    assertEquals(decide(), Set.of(SECOND));
+    crash(FIRST);
+    assertEquals(decide(), Set.of(SECOND));
+    crash(FIRST);
+    assertEquals(decide(), Set.of(FIRST, SECOND));
+  }
+
   @Test
   public void severalReportsOfOneCrashCountOnce() {
     for (int report = 0; report < 5; report++) {
