The log tells when a request is passed to another node

Nothing was written when a node that reaches no server forwarded a request; only a failure of the hop was.

--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
@@ -79,6 +79,13 @@
     ForwardedCall call =
         new ForwardedCall(state, peer.get(), path.services().held(), path.time(), this::onResult);
     current = call;
+    Logger.info(
+        "event=request-forwarded request={} node={} pool={} connect-failures={} last-event={}",
+        state.request.id(),
+        peer.get().id(),
+        state.pool,
+        state.connectFailures,
+        state.lastEventId);
     call.start(path.client(), path.nowMillis() - state.arrivedAtMillis);
   }
 
