Leaving a step of a request ends the timers and callbacks that belong to it

Callers got a piece of a stream twice, a sound stream broken off, or 504 for a slow response that was on its way. A node that could not connect to its servers had passed the request to another node; later a timer of its last own attempt, over since before the hop, sent the request once more, and two runs wrote to one response.

Cause: a request was described by five fields (current attempt, placement, forwarding, two flags), of which the attempt stayed 'current' after it had ended. The monitor of an attempt acted while its attempt was current: also while the request waited for a rate limit, was being placed, or was at another node. Class: what was started for one state of a request acts on another one.

A request is now in exactly one RequestStep (deciding, waiting, placing, attempting, forwarding, ended). Entering the next step leaves the former one, which cancels its timer, placement, attempt or call and stops the monitor, so no path has a timer to forget. A placement that completes after its step has been left is dropped, and a monitor is not started for an attempt that ended while it was being sent.

--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptMonitor.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptMonitor.java
@@ -5,9 +5,9 @@
 
 /**
  * Periodically checks whether an attempt can still succeed: whether its connection has gone silent
- * for good, and whether the weights that it waits for have become too old to start on. Stops once
- * the request no longer depends on the attempt. Confined to the event loop of the caller's
- * connection.
+ * for good, and whether the weights that it waits for have become too old to start on. Must be
+ * stopped when the request no longer depends on the attempt. Confined to the event loop of the
+ * caller's connection.
  */
 final class AttemptMonitor {
 
@@ -24,19 +24,22 @@
 
   private final RequestState state;
   private final Attempt attempt;
-  private final BooleanSupplier isCurrent;
+  private boolean stopped;
 
   /**
    * Creates a monitor.
    *
    * @param state the request
    * @param attempt the attempt to monitor
-   * @param isCurrent whether the request still depends on the attempt
    */
-  AttemptMonitor(RequestState state, Attempt attempt, BooleanSupplier isCurrent) {
+  AttemptMonitor(RequestState state, Attempt attempt) {
     this.state = state;
     this.attempt = attempt;
-    this.isCurrent = isCurrent;
+  }
+
+  /** Stops all checks: no action is run from now on. */
+  void stop() {
+    stopped = true;
   }
 
   /**
@@ -97,7 +100,7 @@
                     .eventLoop()
                     .execute(
                         () -> {
-                          if (isCurrent.getAsBoolean()) {
+                          if (!stopped) {
                             onSilent.run();
                           }
                         }));
@@ -130,7 +133,7 @@
         .eventLoop()
         .schedule(
             () -> {
-              if (isCurrent.getAsBoolean()) {
+              if (!stopped) {
                 check.run();
               }
             },
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -45,10 +45,9 @@
   private final RequestForwarding forwarding;
   private final RequestPlacement placements;
   private final EngineQueuePlace queuePlace;
-  private @Nullable Attempt current;
-  private @Nullable CompletableFuture<PlacementResult> placing;
+  private final RetryRules retries;
+  private RequestStep step = new RequestStep.Deciding();
   private @Nullable ScheduledFuture<?> timeout;
-  private boolean ended;
 
   /**
    * Time after which the caller should retry, in milliseconds; null unless rate limits or backoffs
@@ -66,9 +65,20 @@
     this.finalResponse = new FinalResponse(path, state);
     this.placements = new RequestPlacement(path, state);
     this.queuePlace = new EngineQueuePlace(path, state);
+    this.retries = new RetryRules(path, state);
     this.forwarding = new RequestForwarding(path, state, this::end, this::onForwardLost);
   }
 
+  private void enter(RequestStep next) {
+    RequestStep former = step;
+    step = next;
+    former.leave();
+  }
+
+  private boolean hasEnded() {
+    return step instanceof RequestStep.Ended;
+  }
+
   void start() {
     long remaining = state.deadlineAtMillis() - path.nowMillis();
     timeout =
@@ -87,7 +97,7 @@
     if (path.services().reachability().isUnreachable(state.pool)) {
       if (forwarding.isPossible()) {
         // Where no other node reaches the backends either, this one tries them after all.
-        forwarding.start(this::place);
+        forward(this::place);
         return;
       }
       if (state.receivedFromPeer && state.possibleRuns == 0) {
@@ -98,21 +108,29 @@
     place();
   }
 
+  private void forward(Runnable onNotServed) {
+    enter(new RequestStep.Forwarding(forwarding));
+    forwarding.start(onNotServed);
+  }
+
   private void place() {
     CompletableFuture<PlacementResult> placed = placements.place();
-    placing = placed;
+    RequestStep placing = new RequestStep.Placing(placed);
+    enter(placing);
     if (placed.isDone()) {
       onPlaced(placed.join());
     } else {
-      placed.thenAcceptAsync(this::onPlaced, state.exchange.eventLoop());
+      placed.thenAcceptAsync(
+          result -> {
+            if (step == placing) {
+              onPlaced(result);
+            }
+          },
+          state.exchange.eventLoop());
     }
   }
 
   private void onPlaced(PlacementResult result) {
-    placing = null;
-    if (ended) {
-      return;
-    }
     if (result instanceof PlacementResult.RetryLater retryLater) {
       waitOrRefuse(retryLater.waitMillis());
       return;
@@ -160,17 +178,12 @@
   private void waitOrRefuse(long waitMillis) {
     long now = path.nowMillis();
     if (now + waitMillis <= Math.min(state.waitDeadlineMillis(), state.deadlineAtMillis())) {
-      state
-          .exchange
-          .eventLoop()
-          .schedule(
-              () -> {
-                if (!ended) {
-                  attempt();
-                }
-              },
-              waitMillis,
-              TimeUnit.MILLISECONDS);
+      enter(
+          new RequestStep.Waiting(
+              state
+                  .exchange
+                  .eventLoop()
+                  .schedule(this::attempt, waitMillis, TimeUnit.MILLISECONDS)));
       return;
     }
     retryAfterMillis = waitMillis;
@@ -184,11 +197,11 @@
     state.backend = target.backend().id();
     Runnable onFirstEvent = queuePlace.join();
     Attempt attempt = placements.createAttempt(placement, onFirstEvent, this::onConcluded);
-    current = attempt;
+    AttemptMonitor monitor = new AttemptMonitor(state, attempt);
+    enter(new RequestStep.Attempting(attempt, monitor));
     path.services().placements().recordOpened(placement);
     reporter.onSending(attempt);
     attempt.start(path.client(), path.pools().maxConnectionsTo(state));
-    AttemptMonitor monitor = new AttemptMonitor(state, attempt, () -> !ended && attempt == current);
     if (path.services().quarantine().parts().isSuspected(state.request)) {
       monitor.onArrived(PartQuarantine.SURVIVED_MILLIS, () -> reporter.onOutlived(attempt));
     }
@@ -206,21 +219,11 @@
    * Retries the request elsewhere, if it is safe to run it twice and the retry budget allows it.
    */
   private void onSilent(Attempt attempt) {
-    if (hasResumePoint(attempt) && mayRetryAfterAnotherRun()) {
+    if (retries.mayLeaveSilent(attempt)) {
       abandonSilent(attempt);
     }
   }
 
-  private boolean hasResumePoint(Attempt attempt) {
-    return attempt.isWaiting() || state.lastEventId != null;
-  }
-
-  private boolean mayRetryAfterAnotherRun() {
-    return state.possibleRuns + 1 < state.route().maxAttempts()
-        && path.pools().hasUntriedBackend(state)
-        && path.budget().tryRetry(state.pool);
-  }
-
   private void abandonSilent(Attempt attempt) {
     Logger.info(
         "event=connection-silent request={} backend={} millis={}",
@@ -243,9 +246,10 @@
   }
 
   private void onConcluded(Attempt attempt, AttemptResult result) {
-    if (ended || attempt != current) {
+    if (!(step instanceof RequestStep.Attempting attempting) || attempting.attempt() != attempt) {
       return;
     }
+    enter(new RequestStep.Deciding());
     queuePlace.leave(result == AttemptResult.COMPLETE);
     reporter.onConcluded(attempt, result);
     switch (result) {
@@ -285,7 +289,7 @@
   /** Lets another node try, which may reach the backends, before the request is given up. */
   private void giveUpUnreachable(String reason) {
     if (forwarding.isPossible()) {
-      forwarding.start(() -> end(finalResponse.unreachable(reason)));
+      forward(() -> end(finalResponse.unreachable(reason)));
     } else if (state.possibleRuns == 0 && !state.responseStarted) {
       end(finalResponse.unreachable(reason));
     } else {
@@ -296,15 +300,15 @@
   private void onForwardLost(String reason) {
     state.possibleRuns++;
     String message = "the connection to the node that tried it was lost: " + reason;
-    if (state.route().isRepeatable() && !state.responseStarted && mayRetry()) {
-      forwarding.start(() -> giveUp(message, null));
+    if (retries.mayRetryAfterLostNode()) {
+      forward(() -> giveUp(message, null));
     } else {
       giveUp(message, null);
     }
   }
 
   private void onNotRun(Attempt attempt) {
-    if (mayRetry()) {
+    if (retries.mayRetry()) {
       attempt();
     } else {
       giveUp(attempt.failure(), null);
@@ -313,34 +317,22 @@
 
   private void onFailure(Attempt attempt, AttemptResult result) {
     state.possibleRuns++;
-    if (state.route().isRepeatable() && hasResumePoint(result) && mayRetry()) {
+    if (retries.mayRetryAfter(result)) {
       attempt();
     } else {
       giveUp(attempt.failure(), attempt.backendFailureReply());
     }
   }
 
-  /**
-   * Returns whether the response can be started over or resumed: a stream can only be resumed after
-   * an event that has an id.
-   */
-  private boolean hasResumePoint(AttemptResult result) {
-    return result != AttemptResult.BROKEN_OFF || state.lastEventId != null;
-  }
-
-  private boolean mayRetry() {
-    return state.possibleRuns < state.route().maxAttempts() && path.budget().tryRetry(state.pool);
-  }
-
   private void giveUp(String reason, @Nullable HttpReply backendFailure) {
     end(finalResponse.giveUp(reason, backendFailure, retryAfterMillis));
   }
 
   private void onTimeout() {
-    if (ended) {
+    if (hasEnded()) {
       return;
     }
-    if (forwarding.isUnderWay() && !timedOut) {
+    if (step instanceof RequestStep.Forwarding && !timedOut) {
       // The other node knows whether the request has run, and responds at the same time.
       timedOut = true;
       timeout =
@@ -353,8 +345,8 @@
     if (forwarding.cancel()) {
       state.possibleRuns++;
     }
-    Attempt attempt = current;
-    if (attempt != null && attempt.cancel()) {
+    if (step instanceof RequestStep.Attempting attempting && attempting.attempt().cancel()) {
+      Attempt attempt = attempting.attempt();
       reporter.onLost(attempt, LostAttempt.Loss.GIVEN_UP);
       path.workChanged();
       state.possibleRuns++;
@@ -366,14 +358,12 @@
   }
 
   private void onCallerDisconnected() {
-    if (ended) {
+    if (hasEnded()) {
       return;
     }
-    forwarding.cancel();
-    Attempt attempt = current;
-    if (attempt != null) {
-      if (attempt.cancel()) {
-        reporter.onLost(attempt, LostAttempt.Loss.GIVEN_UP);
+    if (step instanceof RequestStep.Attempting attempting) {
+      if (attempting.attempt().cancel()) {
+        reporter.onLost(attempting.attempt(), LostAttempt.Loss.GIVEN_UP);
       }
       path.workChanged();
     }
@@ -381,10 +371,7 @@
   }
 
   private void end(String outcome) {
-    ended = true;
-    if (placing != null) {
-      placing.cancel(false);
-    }
+    enter(new RequestStep.Ended());
     queuePlace.leave(false);
     reporter.onRequestEnded();
     if (timeout != null) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
@@ -50,11 +50,6 @@
     return !state.receivedFromPeer && !started && state.possibleRuns == 0 && !state.responseStarted;
   }
 
-  /** Returns whether another node has the request now. */
-  boolean isUnderWay() {
-    return current != null;
-  }
-
   /**
    * Starts to forward the request.
    *
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RetryRules.java
@@ -0,0 +1,40 @@
+package org.lockdale.gateway.request;
+
+/** Decides whether a request may be sent once more after an attempt that did not serve it. */
+final class RetryRules {
+
+  private final RequestPath path;
+  private final RequestState state;
+
+  RetryRules(RequestPath path, RequestState state) {
+    this.path = path;
+    this.state = state;
+  }
+
+  /** Returns whether a request that waits at a silent backend may be sent to another one. */
+  boolean mayLeaveSilent(Attempt attempt) {
+    return (attempt.isWaiting() || state.lastEventId != null)
+        && state.possibleRuns + 1 < state.route().maxAttempts()
+        && path.pools().hasUntriedBackend(state)
+        && path.budget().tryRetry(state.pool);
+  }
+
+  /**
+   * Returns whether a request that a backend may have run may be sent again. A stream that has
+   * started can only be resumed after an event that has an id.
+   */
+  boolean mayRetryAfter(AttemptResult result) {
+    boolean hasResumePoint = result != AttemptResult.BROKEN_OFF || state.lastEventId != null;
+    return state.route().isRepeatable() && hasResumePoint && mayRetry();
+  }
+
+  /** Returns whether a request that another node may have run may be sent again. */
+  boolean mayRetryAfterLostNode() {
+    return state.route().isRepeatable() && !state.responseStarted && mayRetry();
+  }
+
+  /** Returns whether a request may be sent again as far as its number of runs is concerned. */
+  boolean mayRetry() {
+    return state.possibleRuns < state.route().maxAttempts() && path.budget().tryRetry(state.pool);
+  }
+}
