The execution of a request runs behind ports; no behaviour change

RequestExecution took the whole RequestPath and built what it uses itself, so that its decisions could be run with real connections and clocks only.

It now uses seven narrow ports (ExecutionPorts): timers and clock, caller and pool, placing and attempts, reports about attempts, the place in the queue, calls to other nodes, and the responses of a request that is given up. Attempt and ForwardedCall are unchanged, behind BackendAttempt and NodePeerCalls. What a silent, timed out or left attempt shows is reported in one call each; the effects and their order are the same, but that the queue is left before a silent attempt is reported rather than between two of its reports.

EndedAttemptTest, CutOffNodeTest, GatewayStreamTest, SilentConnectionTest and CallerDisconnectTest passed, without a change to them.

--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptMonitor.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptMonitor.java
@@ -1,6 +1,5 @@
 package org.lockdale.gateway.request;
 
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -22,17 +21,20 @@
    */
   private static final int MAX_SILENT_GAPS = 4;
 
+  private final RequestTimers timers;
   private final RequestState state;
-  private final Attempt attempt;
+  private final RunningAttempt attempt;
   private boolean stopped;
 
   /**
    * Creates a monitor.
    *
+   * @param timers timers of the request
    * @param state the request
    * @param attempt the attempt to monitor
    */
-  AttemptMonitor(RequestState state, Attempt attempt) {
+  AttemptMonitor(RequestTimers timers, RequestState state, RunningAttempt attempt) {
+    this.timers = timers;
     this.state = state;
     this.attempt = attempt;
   }
@@ -91,19 +93,7 @@
    * @param onSilent action that may abandon the attempt
    */
   void onEngineSilent(Runnable onSilent) {
-    attempt
-        .observed()
-        .onSilent(
-            () ->
-                state
-                    .exchange
-                    .eventLoop()
-                    .execute(
-                        () -> {
-                          if (!stopped) {
-                            onSilent.run();
-                          }
-                        }));
+    attempt.onEngineSilent(() -> timers.execute(() -> runUnlessStopped(onSilent)));
   }
 
   /**
@@ -128,16 +118,12 @@
   }
 
   private void after(long millis, Runnable check) {
-    state
-        .exchange
-        .eventLoop()
-        .schedule(
-            () -> {
-              if (!stopped) {
-                check.run();
-              }
-            },
-            millis,
-            TimeUnit.MILLISECONDS);
+    timers.schedule(() -> runUnlessStopped(check), millis);
+  }
+
+  private void runUnlessStopped(Runnable check) {
+    if (!stopped) {
+      check.run();
+    }
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
@@ -11,7 +11,7 @@
  * Reports what the attempts of one request show about their backends: to health tracking, the
  * quarantine and the observer.
  */
-final class AttemptReporter {
+final class AttemptReporter implements AttemptReports {
 
   private final RequestPath path;
   private final RequestState state;
@@ -24,8 +24,8 @@
     this.state = state;
   }
 
-  /** Reports an attempt to the quarantine. Must be called just before it is sent. */
-  void onSending(Attempt attempt) {
+  @Override
+  public void onSending(RunningAttempt attempt) {
     concludeRecorded(AttemptOutcome.NOT_LOST);
     path.services().reachability().recordSent(state.pool);
     String backend = attempt.target().backend().id();
@@ -47,32 +47,34 @@
             .orElse(null);
   }
 
-  /**
-   * Returns whether the request must not be sent, since it or a part of its prompt crashes
-   * backends. Must be called just before each attempt, as it uses up the permit of a trial.
-   */
-  boolean isQuarantined() {
+  @Override
+  public boolean isQuarantined() {
     Quarantine quarantine = path.services().quarantine();
     return quarantine.quarantined(state.request, state.caller()).isPresent()
         || !quarantine.parts().mayBeSent(state.request, state.caller());
   }
 
-  /** Reports a complete successful response. */
-  void onAnswered(Attempt attempt) {
+  @Override
+  public boolean isSuspected() {
+    return path.services().quarantine().parts().isSuspected(state.request);
+  }
+
+  @Override
+  public void onAnswered(RunningAttempt attempt) {
     path.services().quarantine().requestAnswered(state.request, state.caller());
     onOutlived(attempt);
   }
 
-  /** Reports that a backend goes on although it has begun to respond to the request. */
-  void onOutlived(Attempt attempt) {
+  @Override
+  public void onOutlived(RunningAttempt attempt) {
     path.services()
         .quarantine()
         .parts()
         .requestAnswered(state.request, attempt.target().backend().id());
   }
 
-  /** Concludes the recorded suspect attempt, if any. Must be called when the request has ended. */
-  void onRequestEnded() {
+  @Override
+  public void onRequestEnded() {
     concludeRecorded(AttemptOutcome.NOT_LOST);
   }
 
@@ -84,8 +86,8 @@
     }
   }
 
-  /** Reports the result of an attempt. */
-  void onConcluded(Attempt attempt, AttemptResult result) {
+  @Override
+  public void onConcluded(RunningAttempt attempt, AttemptResult result) {
     long now = path.nowMillis();
     var health = attempt.target().health();
     if (result != AttemptResult.NOT_SENT && result != AttemptResult.WITHDRAWN) {
@@ -132,11 +134,36 @@
     }
   }
 
+  @Override
+  public void onLeftSilent(RunningAttempt attempt) {
+    onLost(attempt, LostAttempt.Loss.SILENT);
+    attempt.target().health().recordFailure(path.nowMillis());
+    path.client().closeIdleConnections(attempt.target().backend().address());
+    path.report(attempt.target(), AttemptResult.FAILED);
+  }
+
+  @Override
+  public void onTimedOut(RunningAttempt attempt) {
+    onLost(attempt, LostAttempt.Loss.GIVEN_UP);
+    path.workChanged();
+    if (!attempt.wasHeldUp()) {
+      attempt.target().health().recordFailure(path.nowMillis());
+    }
+  }
+
+  @Override
+  public void onCallerLeft(RunningAttempt attempt, boolean sent) {
+    if (sent) {
+      onLost(attempt, LostAttempt.Loss.GIVEN_UP);
+    }
+    path.workChanged();
+  }
+
   /**
    * Reports that the connection of an attempt was lost: the backend may have crashed, and this
    * request may be the cause.
    */
-  void onLost(Attempt attempt, LostAttempt.Loss loss) {
+  private void onLost(RunningAttempt attempt, LostAttempt.Loss loss) {
     concludeRecorded(
         loss == LostAttempt.Loss.CLOSED ? AttemptOutcome.REPORTED : AttemptOutcome.UNKNOWN);
     path.services()
@@ -160,7 +187,7 @@
    * that receive mostly retries would seem to fail more often than others: 65 to 94% of a service's
    * requests then went to one of three backends.
    */
-  private boolean isCausedByRequest(Attempt attempt) {
+  private boolean isCausedByRequest(RunningAttempt attempt) {
     return state.possibleRuns > 0 && attempt.backendFailureReply() != null;
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/EngineQueuePlace.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/EngineQueuePlace.java
@@ -7,7 +7,7 @@
  * none: they are sent to engines that can start them, and keep their priority. Confined to the
  * event loop of the caller's connection.
  */
-final class EngineQueuePlace {
+final class EngineQueuePlace implements QueuePlace {
 
   private final RequestPath path;
   private final RequestState state;
@@ -18,20 +18,16 @@
     this.state = state;
   }
 
-  /** Returns whether a placed request is so unlikely to be served in time that it is refused. */
-  boolean cannotMeetDeadline() {
+  @Override
+  public boolean cannotMeetDeadline() {
     boolean isFirst = state.possibleRuns == 0 && !state.responseStarted;
     return isFirst
         && !path.terms().waitsForRoom(state)
         && path.pools().waits().cannotMeetDeadline(state);
   }
 
-  /**
-   * Joins the queue with an attempt that is about to be sent.
-   *
-   * @return to be run when the first event of the response arrives
-   */
-  Runnable join() {
+  @Override
+  public Runnable join() {
     if (path.terms().waitsForRoom(state)) {
       state.deferred = false;
       current = null;
@@ -50,12 +46,8 @@
     };
   }
 
-  /**
-   * Leaves the queue.
-   *
-   * @param served whether the backend has served the request
-   */
-  void leave(boolean served) {
+  @Override
+  public void leave(boolean served) {
     QueueForecast.Place place = current;
     if (place != null && served) {
       place.recordStart();
--- a/gateway/src/main/java/org/lockdale/gateway/request/FinalResponse.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/FinalResponse.java
@@ -9,7 +9,7 @@
  * Sends the response of a request that this node gives up on. Confined to the event loop of the
  * caller's connection.
  */
-final class FinalResponse {
+final class FinalResponse implements RequestEnding {
 
   private final RequestPath path;
   private final RequestState state;
@@ -19,16 +19,8 @@
     this.state = state;
   }
 
-  /**
-   * Responds to a request for which nothing is left to try.
-   *
-   * @param reason reason for messages
-   * @param backendFailure complete failure response of the last backend, or null if there is none
-   * @param retryAfterMillis time after which the caller should retry, in milliseconds; null for the
-   *     estimate of the pool's queue
-   * @return the outcome of the request
-   */
-  String giveUp(
+  @Override
+  public String giveUp(
       String reason, @Nullable HttpReply backendFailure, @Nullable Long retryAfterMillis) {
     if (state.responseStarted) {
       state.exchange.abort();
@@ -44,12 +36,8 @@
     return refuseAsNotRun(RefusalKind.UNAVAILABLE, reason, retryAfterMillis);
   }
 
-  /**
-   * Responds to a request that no engine can serve in its time.
-   *
-   * @return the outcome of the request
-   */
-  String refuse(PlacementResult.Refused refused) {
+  @Override
+  public String refuse(PlacementResult.Refused refused) {
     if (refused.retryAfterMillis() <= 0) {
       return giveUp(
           "it is larger than the memory of an engine of pool "
@@ -65,12 +53,8 @@
         RoomForecast.cappedRetryMillis(refused.retryAfterMillis(), remaining));
   }
 
-  /**
-   * Responds to a request for which no backend could be connected to.
-   *
-   * @return the outcome of the request
-   */
-  String unreachable(String reason) {
+  @Override
+  public String unreachable(String reason) {
     RefusalKind kind = state.receivedFromPeer ? RefusalKind.UNREACHABLE : RefusalKind.UNAVAILABLE;
     return refuseAsNotRun(kind, reason, null);
   }
@@ -83,12 +67,8 @@
             retryAfterMillis == null ? path.pools().retryAfterMillis(state) : retryAfterMillis));
   }
 
-  /**
-   * Responds to a request whose deadline has passed.
-   *
-   * @return the outcome of the request
-   */
-  String timeOut() {
+  @Override
+  public String timeOut() {
     if (state.responseStarted) {
       state.exchange.abort();
       return "timed-out";
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/request/NodePeerCalls.java
@@ -0,0 +1,59 @@
+package org.lockdale.gateway.request;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.lockdale.gateway.cluster.PeerNode;
+
+/** Calls to the other nodes of the deployment. */
+final class NodePeerCalls implements PeerCalls {
+
+  /** A call over the connections of this node. */
+  private record NodeCall(RequestPath path, RequestState state, ForwardedCall forwarded)
+      implements Call {
+
+    @Override
+    public void start() {
+      forwarded.start(path.client(), path.nowMillis() - state.arrivedAtMillis);
+    }
+
+    @Override
+    public boolean cancel() {
+      return forwarded.cancel();
+    }
+  }
+
+  private final RequestPath path;
+  private final RequestState state;
+
+  NodePeerCalls(RequestPath path, RequestState state) {
+    this.path = path;
+    this.state = state;
+  }
+
+  @Override
+  public Optional<PeerNode> select(Set<String> tried) {
+    return path.services().peers().select(state.pool, tried);
+  }
+
+  @Override
+  public void include(PeerNode peer) {
+    path.services().peers().include(state.pool, peer);
+  }
+
+  @Override
+  public void exclude(PeerNode peer) {
+    path.services().peers().exclude(state.pool, peer);
+  }
+
+  @Override
+  public Call create(PeerNode peer, Consumer<ForwardedCall.Result> onResult) {
+    return new NodeCall(
+        path, state, new ForwardedCall(state, peer, path.services().held(), path.time(), onResult));
+  }
+
+  @Override
+  public void onNotRun() {
+    path.onNotRun(state);
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -1,14 +1,11 @@
 package org.lockdale.gateway.request;
 
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.Future;
 import org.jspecify.annotations.Nullable;
-import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.placement.Placement;
 import org.lockdale.gateway.placement.PlacementResult;
-import org.lockdale.gateway.quarantine.LostAttempt;
 import org.lockdale.gateway.quarantine.part.PartQuarantine;
 import org.lockdale.http.HttpReply;
 import org.tinylog.Logger;
@@ -38,16 +35,17 @@
   /** How long the response of another node is awaited after the deadline of a request. */
   private static final long FORWARD_GRACE_MILLIS = 100;
 
-  private final RequestPath path;
   private final RequestState state;
-  private final AttemptReporter reporter;
-  private final FinalResponse finalResponse;
+  private final RequestTimers timers;
+  private final RequestEnvironment environment;
+  private final AttemptReports reports;
+  private final RequestEnding ending;
   private final RequestForwarding forwarding;
-  private final RequestPlacement placements;
-  private final EngineQueuePlace queuePlace;
+  private final AttemptPlacing placing;
+  private final QueuePlace queuePlace;
   private final RetryRules retries;
   private RequestStep step = new RequestStep.Deciding();
-  private @Nullable ScheduledFuture<?> timeout;
+  private @Nullable Future<?> timeout;
 
   /**
    * Time after which the caller should retry, in milliseconds; null unless rate limits or backoffs
@@ -58,15 +56,17 @@
   /** Whether the deadline has passed. */
   private boolean timedOut;
 
-  RequestExecution(RequestPath path, RequestState state) {
-    this.path = path;
+  RequestExecution(ExecutionPorts ports, RequestState state) {
     this.state = state;
-    this.reporter = new AttemptReporter(path, state);
-    this.finalResponse = new FinalResponse(path, state);
-    this.placements = new RequestPlacement(path, state);
-    this.queuePlace = new EngineQueuePlace(path, state);
-    this.retries = new RetryRules(path, state);
-    this.forwarding = new RequestForwarding(path, state, this::end, this::onForwardLost);
+    this.timers = ports.timers();
+    this.environment = ports.environment();
+    this.reports = ports.reports();
+    this.ending = ports.ending();
+    this.placing = ports.placing();
+    this.queuePlace = ports.queuePlace();
+    this.retries = new RetryRules(environment, state);
+    this.forwarding =
+        new RequestForwarding(ports.peerCalls(), state, this::end, this::onForwardLost);
   }
 
   private void enter(RequestStep next) {
@@ -80,28 +80,21 @@
   }
 
   void start() {
-    long remaining = state.deadlineAtMillis() - path.nowMillis();
-    timeout =
-        state
-            .exchange
-            .eventLoop()
-            .schedule(this::onTimeout, Math.max(0, remaining), TimeUnit.MILLISECONDS);
-    state
-        .exchange
-        .disconnected()
-        .thenRunAsync(this::onCallerDisconnected, state.exchange.eventLoop());
+    long remaining = state.deadlineAtMillis() - timers.nowMillis();
+    timeout = timers.schedule(this::onTimeout, Math.max(0, remaining));
+    environment.onCallerDisconnected(this::onCallerDisconnected);
     attempt();
   }
 
   private void attempt() {
-    if (path.services().reachability().isUnreachable(state.pool)) {
+    if (environment.isPoolUnreachable()) {
       if (forwarding.isPossible()) {
         // Where no other node reaches the backends either, this one tries them after all.
         forward(this::place);
         return;
       }
       if (state.receivedFromPeer && state.possibleRuns == 0) {
-        end(finalResponse.unreachable("this node can't connect to pool " + state.pool));
+        end(ending.unreachable("this node can't connect to pool " + state.pool));
         return;
       }
     }
@@ -114,19 +107,19 @@
   }
 
   private void place() {
-    CompletableFuture<PlacementResult> placed = placements.place();
-    RequestStep placing = new RequestStep.Placing(placed);
-    enter(placing);
+    CompletableFuture<PlacementResult> placed = placing.place();
+    RequestStep placement = new RequestStep.Placing(placed);
+    enter(placement);
     if (placed.isDone()) {
       onPlaced(placed.join());
     } else {
       placed.thenAcceptAsync(
           result -> {
-            if (step == placing) {
+            if (step == placement) {
               onPlaced(result);
             }
           },
-          state.exchange.eventLoop());
+          timers);
     }
   }
 
@@ -140,7 +133,7 @@
       return;
     }
     if (result instanceof PlacementResult.Refused refused) {
-      end(finalResponse.refuse(refused));
+      end(ending.refuse(refused));
       return;
     }
     Optional<Placement> placement = result.placed();
@@ -148,12 +141,12 @@
       giveUpUnreachable("no backend of pool " + state.pool + " could be connected to");
       return;
     }
-    if (placement.isEmpty() || state.deadlineAtMillis() - path.nowMillis() < MIN_ATTEMPT_MILLIS) {
+    if (placement.isEmpty() || state.deadlineAtMillis() - timers.nowMillis() < MIN_ATTEMPT_MILLIS) {
       giveUp("no backend of pool " + state.pool + " is left to try", null);
       return;
     }
     // Checked before each attempt: a request that crashed one backend would crash the next one.
-    if (reporter.isQuarantined()) {
+    if (reports.isQuarantined()) {
       giveUp("backends crashed, or may have crashed, while this request ran", null);
       return;
     }
@@ -176,14 +169,9 @@
    * retry time, as it is better served elsewhere or later.
    */
   private void waitOrRefuse(long waitMillis) {
-    long now = path.nowMillis();
+    long now = timers.nowMillis();
     if (now + waitMillis <= Math.min(state.waitDeadlineMillis(), state.deadlineAtMillis())) {
-      enter(
-          new RequestStep.Waiting(
-              state
-                  .exchange
-                  .eventLoop()
-                  .schedule(this::attempt, waitMillis, TimeUnit.MILLISECONDS)));
+      enter(new RequestStep.Waiting(timers.schedule(this::attempt, waitMillis)));
       return;
     }
     retryAfterMillis = waitMillis;
@@ -191,19 +179,18 @@
   }
 
   private void send(Placement placement) {
-    TrackedBackend target = placement.target();
     Long weights = placement.weights();
-    state.triedBackends.add(target.backend().id());
-    state.backend = target.backend().id();
+    state.backend = placement.target().backend().id();
+    state.triedBackends.add(state.backend);
     Runnable onFirstEvent = queuePlace.join();
-    Attempt attempt = placements.createAttempt(placement, onFirstEvent, this::onConcluded);
-    AttemptMonitor monitor = new AttemptMonitor(state, attempt);
+    RunningAttempt attempt = placing.createAttempt(placement, onFirstEvent, this::onConcluded);
+    AttemptMonitor monitor = new AttemptMonitor(timers, state, attempt);
     enter(new RequestStep.Attempting(attempt, monitor));
-    path.services().placements().recordOpened(placement);
-    reporter.onSending(attempt);
-    attempt.start(path.client(), path.pools().maxConnectionsTo(state));
-    if (path.services().quarantine().parts().isSuspected(state.request)) {
-      monitor.onArrived(PartQuarantine.SURVIVED_MILLIS, () -> reporter.onOutlived(attempt));
+    placing.recordOpened(placement);
+    reports.onSending(attempt);
+    attempt.start();
+    if (reports.isSuspected()) {
+      monitor.onArrived(PartQuarantine.SURVIVED_MILLIS, () -> reports.onOutlived(attempt));
     }
     if (state.route().isRepeatable()) {
       monitor.onEngineSilent(() -> onSilent(attempt));
@@ -211,50 +198,42 @@
           attempt.plan().remainingMillis() / MAX_SILENCE_DIVISOR, () -> onSilent(attempt));
     }
     if (weights != null) {
-      monitor.onOutdatedWeights(() -> isOutdated(weights));
+      monitor.onOutdatedWeights(() -> environment.isOutdated(weights));
     }
   }
 
   /**
    * Retries the request elsewhere, if it is safe to run it twice and the retry budget allows it.
    */
-  private void onSilent(Attempt attempt) {
+  private void onSilent(RunningAttempt attempt) {
     if (retries.mayLeaveSilent(attempt)) {
       abandonSilent(attempt);
     }
   }
 
-  private void abandonSilent(Attempt attempt) {
+  private void abandonSilent(RunningAttempt attempt) {
     Logger.info(
         "event=connection-silent request={} backend={} millis={}",
         state.request.id(),
         attempt.target().backend().id(),
         attempt.silentMillis());
     attempt.cancel();
-    reporter.onLost(attempt, LostAttempt.Loss.SILENT);
     queuePlace.leave(false);
-    attempt.target().health().recordFailure(path.nowMillis());
-    path.client().closeIdleConnections(attempt.target().backend().address());
-    path.report(attempt.target(), AttemptResult.FAILED);
+    reports.onLeftSilent(attempt);
     state.possibleRuns++;
     attempt();
   }
 
-  private boolean isOutdated(long weights) {
-    String model = state.request.model();
-    return model != null && path.services().decider().isOutdated(model, weights, path.nowMillis());
-  }
-
-  private void onConcluded(Attempt attempt, AttemptResult result) {
+  private void onConcluded(RunningAttempt attempt, AttemptResult result) {
     if (!(step instanceof RequestStep.Attempting attempting) || attempting.attempt() != attempt) {
       return;
     }
     enter(new RequestStep.Deciding());
     queuePlace.leave(result == AttemptResult.COMPLETE);
-    reporter.onConcluded(attempt, result);
+    reports.onConcluded(attempt, result);
     switch (result) {
       case COMPLETE -> {
-        reporter.onAnswered(attempt);
+        reports.onAnswered(attempt);
         end(RequestPath.COMPLETE);
       }
       case WITHDRAWN -> onWithdrawn(attempt);
@@ -268,7 +247,7 @@
    * Tries another backend a few times only: once no backend accepts requests, trying each in turn
    * takes time from the requests that run.
    */
-  private void onWithdrawn(Attempt attempt) {
+  private void onWithdrawn(RunningAttempt attempt) {
     state.withdrawals++;
     if (state.withdrawals < MAX_WITHDRAWALS) {
       attempt();
@@ -277,7 +256,7 @@
     }
   }
 
-  private void onNotSent(Attempt attempt) {
+  private void onNotSent(RunningAttempt attempt) {
     state.connectFailures++;
     if (state.connectFailures < MAX_CONNECT_FAILURES) {
       attempt();
@@ -289,9 +268,9 @@
   /** Lets another node try, which may reach the backends, before the request is given up. */
   private void giveUpUnreachable(String reason) {
     if (forwarding.isPossible()) {
-      forward(() -> end(finalResponse.unreachable(reason)));
+      forward(() -> end(ending.unreachable(reason)));
     } else if (state.possibleRuns == 0 && !state.responseStarted) {
-      end(finalResponse.unreachable(reason));
+      end(ending.unreachable(reason));
     } else {
       giveUp(reason, null);
     }
@@ -307,7 +286,7 @@
     }
   }
 
-  private void onNotRun(Attempt attempt) {
+  private void onNotRun(RunningAttempt attempt) {
     if (retries.mayRetry()) {
       attempt();
     } else {
@@ -315,7 +294,7 @@
     }
   }
 
-  private void onFailure(Attempt attempt, AttemptResult result) {
+  private void onFailure(RunningAttempt attempt, AttemptResult result) {
     state.possibleRuns++;
     if (retries.mayRetryAfter(result)) {
       attempt();
@@ -325,7 +304,7 @@
   }
 
   private void giveUp(String reason, @Nullable HttpReply backendFailure) {
-    end(finalResponse.giveUp(reason, backendFailure, retryAfterMillis));
+    end(ending.giveUp(reason, backendFailure, retryAfterMillis));
   }
 
   private void onTimeout() {
@@ -335,26 +314,17 @@
     if (step instanceof RequestStep.Forwarding && !timedOut) {
       // The other node knows whether the request has run, and responds at the same time.
       timedOut = true;
-      timeout =
-          state
-              .exchange
-              .eventLoop()
-              .schedule(this::onTimeout, FORWARD_GRACE_MILLIS, TimeUnit.MILLISECONDS);
+      timeout = timers.schedule(this::onTimeout, FORWARD_GRACE_MILLIS);
       return;
     }
     if (forwarding.cancel()) {
       state.possibleRuns++;
     }
     if (step instanceof RequestStep.Attempting attempting && attempting.attempt().cancel()) {
-      Attempt attempt = attempting.attempt();
-      reporter.onLost(attempt, LostAttempt.Loss.GIVEN_UP);
-      path.workChanged();
+      reports.onTimedOut(attempting.attempt());
       state.possibleRuns++;
-      if (!attempt.wasHeldUp()) {
-        attempt.target().health().recordFailure(path.nowMillis());
-      }
     }
-    end(finalResponse.timeOut());
+    end(ending.timeOut());
   }
 
   private void onCallerDisconnected() {
@@ -362,21 +332,19 @@
       return;
     }
     if (step instanceof RequestStep.Attempting attempting) {
-      if (attempting.attempt().cancel()) {
-        reporter.onLost(attempting.attempt(), LostAttempt.Loss.GIVEN_UP);
-      }
-      path.workChanged();
+      boolean sent = attempting.attempt().cancel();
+      reports.onCallerLeft(attempting.attempt(), sent);
     }
-    end(state.exchange.held().isCutOff() ? "slow-reader-cut" : "caller-left");
+    end(environment.isCallerCutOff() ? "slow-reader-cut" : "caller-left");
   }
 
   private void end(String outcome) {
     enter(new RequestStep.Ended());
     queuePlace.leave(false);
-    reporter.onRequestEnded();
+    reports.onRequestEnded();
     if (timeout != null) {
       timeout.cancel(false);
     }
-    path.ended(state, outcome);
+    environment.ended(outcome);
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
@@ -21,12 +21,20 @@
   /** Outcome of a request whose response another node has produced. */
   static final String OUTCOME = "forwarded";
 
-  private final RequestPath path;
+  /**
+   * The call that is under way.
+   *
+   * @param peer node that is called
+   * @param call the call
+   */
+  private record Current(PeerNode peer, PeerCalls.Call call) {}
+
+  private final PeerCalls calls;
   private final RequestState state;
   private final Consumer<String> onResponse;
   private final Consumer<String> onLost;
   private final Set<String> tried = new HashSet<>();
-  private @Nullable ForwardedCall current;
+  private @Nullable Current current;
   private boolean started;
   private Runnable whenNotServed = () -> {};
 
@@ -38,8 +46,8 @@
    *     request
    */
   RequestForwarding(
-      RequestPath path, RequestState state, Consumer<String> onResponse, Consumer<String> onLost) {
-    this.path = path;
+      PeerCalls calls, RequestState state, Consumer<String> onResponse, Consumer<String> onLost) {
+    this.calls = calls;
     this.state = state;
     this.onResponse = onResponse;
     this.onLost = onLost;
@@ -62,18 +70,14 @@
   }
 
   private void tryNext() {
-    Optional<PeerNode> peer =
-        tried.size() < MAX_NODES
-            ? path.services().peers().select(state.pool, tried)
-            : Optional.empty();
+    Optional<PeerNode> peer = tried.size() < MAX_NODES ? calls.select(tried) : Optional.empty();
     if (peer.isEmpty()) {
       whenNotServed.run();
       return;
     }
     tried.add(peer.get().id());
-    ForwardedCall call =
-        new ForwardedCall(state, peer.get(), path.services().held(), path.time(), this::onResult);
-    current = call;
+    PeerCalls.Call call = calls.create(peer.get(), this::onResult);
+    current = new Current(peer.get(), call);
     Logger.info(
         "event=request-forwarded request={} node={} pool={} connect-failures={} last-event={}",
         state.request.id(),
@@ -81,31 +85,31 @@
         state.pool,
         state.connectFailures,
         state.lastEventId);
-    call.start(path.client(), path.nowMillis() - state.arrivedAtMillis);
+    call.start();
   }
 
   private void onResult(ForwardedCall.Result result) {
-    ForwardedCall ended = current;
+    Current ended = current;
     current = null;
     if (ended == null) {
       return;
     }
     PeerNode peer = ended.peer();
     if (result instanceof ForwardedCall.Result.Served) {
-      path.services().peers().include(state.pool, peer);
+      calls.include(peer);
       onResponse.accept(OUTCOME);
     } else if (result instanceof ForwardedCall.Result.Refused refused) {
       if (refused.kind().guaranteesNotRun()) {
-        path.onNotRun(state);
+        calls.onNotRun();
       }
       onResponse.accept(refused.kind().name());
     } else if (result instanceof ForwardedCall.Result.NotServed notServed) {
       logFailure(peer, notServed.reason());
-      path.services().peers().exclude(state.pool, peer);
+      calls.exclude(peer);
       tryNext();
     } else if (result instanceof ForwardedCall.Result.Lost lost) {
       logFailure(peer, lost.reason());
-      path.services().peers().exclude(state.pool, peer);
+      calls.exclude(peer);
       onLost.accept(lost.reason());
     } else if (result instanceof ForwardedCall.Result.Abandoned abandoned) {
       onLost.accept(abandoned.reason());
@@ -126,8 +130,8 @@
    * @return whether the node may have received the request
    */
   boolean cancel() {
-    ForwardedCall call = current;
+    Current cancelled = current;
     current = null;
-    return call != null && call.cancel();
+    return cancelled != null && cancelled.call().cancel();
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -255,7 +255,7 @@
     if (!state.receivedFromPeer) {
       budget.recordRequest(state.pool);
     }
-    new RequestExecution(this, state).start();
+    new RequestExecution(ExecutionPorts.of(this, state), state).start();
   }
 
   /** Returns the services of the node. */
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPlacement.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPlacement.java
@@ -15,8 +15,8 @@
 import org.lockdale.gateway.placement.PlacementQuery;
 import org.lockdale.gateway.placement.PlacementResult;
 
-/** Places one request, and creates the attempts at the chosen backends. */
-final class RequestPlacement {
+/** Places one request by the placement of this node, for attempts over its connections. */
+final class RequestPlacement implements AttemptPlacing {
 
   private final RequestPath path;
   private final RequestState state;
@@ -26,8 +26,8 @@
     this.state = state;
   }
 
-  /** Chooses a backend that was not tried yet. */
-  CompletableFuture<PlacementResult> place() {
+  @Override
+  public CompletableFuture<PlacementResult> place() {
     state.terms = path.terms().termsOf(state, path.nowMillis());
     return path.services()
         .placements()
@@ -67,24 +67,18 @@
     return excluded;
   }
 
-  /**
-   * Creates an attempt at the chosen backend.
-   *
-   * @param onFirstEvent run when the first event of a stream arrives
-   * @param onConcluded receives the result
-   */
-  Attempt createAttempt(
-      Placement placement, Runnable onFirstEvent, BiConsumer<Attempt, AttemptResult> onConcluded) {
-    return new Attempt(
-        state,
-        placement.target(),
-        planOf(placement),
-        path.backendProtocol(),
-        path.services(),
-        path.time(),
-        () -> path.resumes().recordStart(state, placement.target()),
-        onFirstEvent,
-        onConcluded);
+  @Override
+  public RunningAttempt createAttempt(
+      Placement placement,
+      Runnable onFirstEvent,
+      BiConsumer<RunningAttempt, AttemptResult> onConcluded) {
+    return new BackendAttempt(
+        path, state, placement.target(), planOf(placement), onFirstEvent, onConcluded);
+  }
+
+  @Override
+  public void recordOpened(Placement placement) {
+    path.services().placements().recordOpened(placement);
   }
 
   private AttemptPlan planOf(Placement placement) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestStep.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestStep.java
@@ -1,7 +1,7 @@
 package org.lockdale.gateway.request;
 
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import org.lockdale.gateway.placement.PlacementResult;
 
 /**
@@ -20,7 +20,7 @@
   }
 
   /** The request waits until backends accept requests again. */
-  record Waiting(ScheduledFuture<?> timer) implements RequestStep {
+  record Waiting(Future<?> timer) implements RequestStep {
     @Override
     public void leave() {
       timer.cancel(false);
@@ -36,7 +36,7 @@
   }
 
   /** A backend has the request. */
-  record Attempting(Attempt attempt, AttemptMonitor monitor) implements RequestStep {
+  record Attempting(RunningAttempt attempt, AttemptMonitor monitor) implements RequestStep {
     @Override
     public void leave() {
       monitor.stop();
--- a/gateway/src/main/java/org/lockdale/gateway/request/RetryRules.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RetryRules.java
@@ -3,20 +3,20 @@
 /** Decides whether a request may be sent once more after an attempt that did not serve it. */
 final class RetryRules {
 
-  private final RequestPath path;
+  private final RequestEnvironment environment;
   private final RequestState state;
 
-  RetryRules(RequestPath path, RequestState state) {
-    this.path = path;
+  RetryRules(RequestEnvironment environment, RequestState state) {
+    this.environment = environment;
     this.state = state;
   }
 
   /** Returns whether a request that waits at a silent backend may be sent to another one. */
-  boolean mayLeaveSilent(Attempt attempt) {
+  boolean mayLeaveSilent(RunningAttempt attempt) {
     return (attempt.isWaiting() || state.lastEventId != null)
         && state.possibleRuns + 1 < state.route().maxAttempts()
-        && path.pools().hasUntriedBackend(state)
-        && path.budget().tryRetry(state.pool);
+        && environment.hasUntriedBackend()
+        && environment.tryRetry();
   }
 
   /**
@@ -35,6 +35,6 @@
 
   /** Returns whether a request may be sent again as far as its number of runs is concerned. */
   boolean mayRetry() {
-    return state.possibleRuns < state.route().maxAttempts() && path.budget().tryRetry(state.pool);
+    return state.possibleRuns < state.route().maxAttempts() && environment.tryRetry();
   }
 }
