A request leaves a node that has it and no longer responds to anything

Callers got 504 at their deadline: a cut-off node passed a repeatable request to another node that accepted it and was paused or frozen from then on, whose connections stay open.

While another node has a repeatable request whose response has not started, this node asks it once a second for its quarantine list, with half a second to respond. Silence of the request itself says nothing, as a slow server behind a sound node is silent too. A node that doesn't respond loses the request: the call is cancelled first and counts as a possible run, then the request goes to a further node, or to the servers where this node reaches them again. Requests that may run only once stay where they are.

--- a/gateway/src/main/java/org/lockdale/gateway/request/NodePeerCalls.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/NodePeerCalls.java
@@ -1,13 +1,21 @@
 package org.lockdale.gateway.request;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.lockdale.gateway.cluster.PeerNode;
+import org.lockdale.gateway.quarantine.QuarantineHandler;
+import org.lockdale.http.HttpRequestMessage;
 
 /** Calls to the other nodes of the deployment. */
 final class NodePeerCalls implements PeerCalls {
 
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(500);
+
   /** A call over the connections of this node. */
   private record NodeCall(RequestPath path, RequestState state, ForwardedCall forwarded)
       implements Call {
@@ -52,6 +60,16 @@
         path, state, new ForwardedCall(state, peer, path.services().held(), path.time(), onResult));
   }
 
+  @Override
+  public CompletableFuture<Boolean> isResponsive(PeerNode peer) {
+    HttpRequestMessage probe =
+        new HttpRequestMessage(
+            HttpMethod.GET, QuarantineHandler.PATH, new DefaultHttpHeaders(), new byte[0]);
+    return path.client()
+        .exchange(peer.address(), probe, PROBE_TIMEOUT)
+        .handle((reply, failure) -> failure == null);
+  }
+
   @Override
   public void onNotRun() {
     path.onNotRun(state);
--- a/gateway/src/main/java/org/lockdale/gateway/request/PeerCalls.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/PeerCalls.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.lockdale.gateway.cluster.PeerNode;
 
@@ -38,6 +39,9 @@
   /** Creates a call. */
   Call create(PeerNode peer, Consumer<ForwardedCall.Result> onResult);
 
+  /** Finds out whether a node responds to anything now; the future never fails. */
+  CompletableFuture<Boolean> isResponsive(PeerNode peer);
+
   /** Records that no backend has run the request or ever will. */
   void onNotRun();
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -66,7 +66,7 @@
     this.queuePlace = ports.queuePlace();
     this.retries = new RetryRules(environment, state);
     this.forwarding =
-        new RequestForwarding(ports.peerCalls(), state, this::end, this::onForwardLost);
+        new RequestForwarding(timers, ports.peerCalls(), state, this::end, this::onForwardLost);
   }
 
   private void enter(RequestStep next) {
@@ -278,11 +278,13 @@
 
   private void onForwardLost(String reason) {
     state.possibleRuns++;
-    String message = "the connection to the node that tried it was lost: " + reason;
-    if (retries.mayRetryAfterLostNode()) {
-      forward(() -> giveUp(message, null));
-    } else {
+    String message = "the node that tried it was lost: " + reason;
+    if (!retries.mayRetryAfterLostNode()) {
       giveUp(message, null);
+    } else if (environment.isPoolUnreachable()) {
+      forward(this::place);
+    } else {
+      place();
     }
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
@@ -18,6 +18,9 @@
 
   private static final int MAX_NODES = 3;
 
+  /** Interval at which it is checked whether the node that has the request is responsive. */
+  private static final long PROBE_INTERVAL_MILLIS = 1_000;
+
   /** Outcome of a request whose response another node has produced. */
   static final String OUTCOME = "forwarded";
 
@@ -29,6 +32,7 @@
    */
   private record Current(PeerNode peer, PeerCalls.Call call) {}
 
+  private final RequestTimers timers;
   private final PeerCalls calls;
   private final RequestState state;
   private final Consumer<String> onResponse;
@@ -41,12 +45,19 @@
   /**
    * Creates the forwarding of a request.
    *
+   * @param timers timers of the request
+   * @param calls calls to other nodes
+   * @param state the request
    * @param onResponse receives the outcome when a response was passed on to the caller
-   * @param onLost receives the reason when the connection was lost to a node that may have run the
-   *     request
+   * @param onLost receives the reason when a node was lost that may have run the request
    */
   RequestForwarding(
-      PeerCalls calls, RequestState state, Consumer<String> onResponse, Consumer<String> onLost) {
+      RequestTimers timers,
+      PeerCalls calls,
+      RequestState state,
+      Consumer<String> onResponse,
+      Consumer<String> onLost) {
+    this.timers = timers;
     this.calls = calls;
     this.state = state;
     this.onResponse = onResponse;
@@ -77,7 +88,8 @@
     }
     tried.add(peer.get().id());
     PeerCalls.Call call = calls.create(peer.get(), this::onResult);
-    current = new Current(peer.get(), call);
+    Current started = new Current(peer.get(), call);
+    current = started;
     Logger.info(
         "event=request-forwarded request={} node={} pool={} connect-failures={} last-event={}",
         state.request.id(),
@@ -86,6 +98,45 @@
         state.connectFailures,
         state.lastEventId);
     call.start();
+    if (state.route().isRepeatable()) {
+      probeLater(started);
+    }
+  }
+
+  /**
+   * Checks periodically whether the node that has the request is responsive, until the response has
+   * started. A slow response is no reason to leave it, and a node that is paused keeps its
+   * connections open.
+   */
+  private void probeLater(Current probed) {
+    timers.schedule(
+        () -> {
+          if (isAwaited(probed)) {
+            calls
+                .isResponsive(probed.peer())
+                .thenAcceptAsync(responsive -> onProbed(probed, responsive), timers);
+          }
+        },
+        PROBE_INTERVAL_MILLIS);
+  }
+
+  private boolean isAwaited(Current call) {
+    return call == current && !state.responseStarted;
+  }
+
+  private void onProbed(Current probed, boolean responsive) {
+    if (!isAwaited(probed)) {
+      return;
+    }
+    if (responsive) {
+      probeLater(probed);
+      return;
+    }
+    cancel();
+    String reason = "it is not responsive";
+    logFailure(probed.peer(), reason);
+    calls.exclude(probed.peer());
+    onLost.accept(reason);
   }
 
   private void onResult(ForwardedCall.Result result) {
