A reply that makes no progress is ended after a bounded number of bytes

Callers waited until their deadline, and one thread of the node was busy, while a server sent informational heads, surplus replies or chunks of one byte without end: the client skips the first two, and bounds only the content of the third.

What exceeds them fails the call with a message that names what came. The bounds hold for servers, other nodes, the store and engines alike, as all use this client.

--- a/http/src/main/java/org/lockdale/http/ConnectionPool.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -181,10 +181,12 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
+                ResponseReader reader = new ResponseReader(ConnectionPool.this, address);
                 channel
                     .pipeline()
+                    .addLast(new ReceivedByteCounter(reader))
                     .addLast(new HttpClientCodec())
-                    .addLast(new ResponseReader(ConnectionPool.this, address));
+                    .addLast(reader);
               }
             })
         .connect(address)
--- a/http/src/main/java/org/lockdale/http/HttpCall.java
+++ b/http/src/main/java/org/lockdale/http/HttpCall.java
@@ -11,6 +11,7 @@
   private final AtomicBoolean ended = new AtomicBoolean();
   private volatile @Nullable Channel channel;
   private volatile boolean sent;
+  private boolean contentDiscarded;
 
   HttpCall() {}
 
@@ -46,6 +47,18 @@
     }
   }
 
+  /**
+   * Discards the content that is still to arrive, so that the connection can be reused after a
+   * short reply; a longer one fails the call. Must be called on the call's event loop.
+   */
+  public void discardContent() {
+    contentDiscarded = true;
+  }
+
+  boolean discardsContent() {
+    return contentDiscarded;
+  }
+
   /** Returns whether any byte of the request may have left this process. */
   public boolean wasSent() {
     return sent;
--- /dev/null
+++ b/http/src/main/java/org/lockdale/http/ReceivedByteCounter.java
@@ -0,0 +1,27 @@
+package org.lockdale.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+/**
+ * Counts the bytes of a connection before they are decoded, since the decoder passes on neither
+ * blank lines nor chunk sizes. The limits are checked once a read has been decoded.
+ */
+final class ReceivedByteCounter extends ChannelInboundHandlerAdapter {
+
+  private final ResponseReader reader;
+
+  ReceivedByteCounter(ResponseReader reader) {
+    this.reader = reader;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (message instanceof ByteBuf bytes) {
+      reader.recordReceived(bytes.readableBytes());
+    }
+    context.fireChannelRead(message);
+    reader.checkProgress(context);
+  }
+}
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -1,5 +1,6 @@
 package org.lockdale.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
@@ -36,6 +37,8 @@
   /** Whether parts of the request's body have not been written yet. */
   private boolean writingBody;
 
+  private ResponseProgress progress = new ResponseProgress();
+
   ResponseReader(ConnectionPool pool, InetSocketAddress address) {
     this.pool = pool;
     this.address = address;
@@ -47,6 +50,7 @@
     listener = newListener;
     headReceived = false;
     skipping = false;
+    progress = new ResponseProgress();
   }
 
   /** Records that the body of the current call is written in parts. */
@@ -59,6 +63,19 @@
     writingBody = false;
   }
 
+  /** Records bytes that arrived and are decoded next. */
+  void recordReceived(int bytes) {
+    progress.recordReceived(bytes);
+  }
+
+  /** Fails the call if too much has arrived beside the content of its reply. */
+  void checkProgress(ChannelHandlerContext context) {
+    String problem = progress.problem();
+    if (problem != null) {
+      fail(context, false, problem);
+    }
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
     HttpCall current = call;
@@ -75,11 +92,12 @@
       start(response, receiver);
     }
     if (skipping) {
+      progress.recordSurplus(contentBytes(part));
       skipping = !(part instanceof LastHttpContent);
       return;
     }
     if (part instanceof HttpContent content && content.content().isReadable()) {
-      receiver.onContent(content.content());
+      accept(content.content(), current, receiver);
     }
     if (part instanceof LastHttpContent && current.tryEnd()) {
       release(context);
@@ -87,11 +105,27 @@
     }
   }
 
+  private static int contentBytes(HttpObject part) {
+    return part instanceof HttpContent content ? content.content().readableBytes() : 0;
+  }
+
+  private void accept(ByteBuf content, HttpCall current, HttpResponseListener receiver) {
+    if (current.discardsContent()) {
+      progress.recordUnwanted(content.readableBytes());
+    } else {
+      progress.recordContent(content.readableBytes());
+      receiver.onContent(content);
+    }
+  }
+
   private void start(HttpResponse response, HttpResponseListener receiver) {
     boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     if (informational || !receiver.accepts(response.status().code(), response.headers())) {
       skipping = true;
       surplusSeen |= !informational;
+      if (informational) {
+        progress.recordInformationalHead();
+      }
       return;
     }
     headReceived = true;
