The body of a rejection is not read without end

A server that rejects a request in the head of its response (503 with Lockdale-Not-Executed, 421) could go on sending the body for ever: the attempt ends at the head, the connection is kept so that it can be reused, and what came was dropped without a bound, long after the caller was served elsewhere. The same held for a response of a node that does not support forwarding.

--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -136,8 +136,7 @@
 
   /** Returns whether no event of the response was received yet. */
   boolean isWaiting() {
-    StreamForwarder stream = forwarder;
-    return stream == null || !stream.hasStarted();
+    return forwarder == null || !forwarder.hasStarted();
   }
 
   /**
@@ -150,8 +149,7 @@
 
   /** Returns whether the response is not read now because the caller reads too slowly. */
   boolean isHeldUp() {
-    StreamForwarder stream = forwarder;
-    return stream != null && stream.flow().isPaused();
+    return forwarder != null && forwarder.flow().isPaused();
   }
 
   /**
@@ -159,8 +157,8 @@
    * node, so that neither its times nor its failure tell anything about the backend.
    */
   boolean wasHeldUp() {
-    StreamForwarder stream = forwarder;
-    return stream != null && stream.flow().wasHeldUp() || body.isOutOfMemory();
+    boolean heldUp = forwarder != null && forwarder.flow().wasHeldUp();
+    return heldUp || body.isOutOfMemory();
   }
 
   /** Returns how the response was lost; null if it was not. */
@@ -371,9 +369,8 @@
 
   private void abandon(AttemptResult result, String reason) {
     head = null;
-    HttpCall current = call;
-    if (current != null) {
-      current.cancel();
+    if (call != null) {
+      call.cancel();
     }
     finish(result, reason);
   }
@@ -390,6 +387,9 @@
 
   private void release() {
     target.removeEndListener(onIncarnationEnd);
+    if (call != null) {
+      call.discardContent();
+    }
     share.end();
     observed.end();
     body.release();
--- a/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
@@ -116,6 +116,9 @@
     refusal = ForwardHeaders.refusalOf(received);
     streams = received.contains(HttpHeaderNames.TRANSFER_ENCODING);
     headers = ForwardHeaders.ofResponse(received);
+    if (!supported && call != null) {
+      call.discardContent();
+    }
   }
 
   @Override
