A stream of comments is no progress and has not started

Callers got comments for as long as their deadline lasted from a server that sent nothing else, and no other server could take over: each comment counted as an event, so the head of the response was sent with the first one, and a stream without an event id can't be resumed.

Blocks without a data or id line that precede the first event are now kept until that event and passed on with it, byte for byte, so that another server can still respond; they count in its limit of 1 MiB. Later ones are passed on as they arrive, up to 1 MiB since the last event (as much as the largest event). A stream that ends after comments alone is passed on as before. A caller no longer sees comments before the first event as they arrive.

--- a/http/src/main/java/org/lockdale/http/ServerSentEventDecoder.java
+++ b/http/src/main/java/org/lockdale/http/ServerSentEventDecoder.java
@@ -8,6 +8,10 @@
  * Splits a stream of server-sent events into events without re-encoding them. Lines end with a line
  * feed, which a carriage return may precede. Bytes are copied only where an event spans several
  * parts; {@link #close} releases the copies. Not thread-safe.
+ *
+ * <p>Comments and other blocks without data and id count as part of the first event where they
+ * precede it, so that a stream of comments has not started. Later they are passed on as they
+ * arrive.
  */
 public final class ServerSentEventDecoder implements AutoCloseable {
 
@@ -31,7 +35,13 @@
 
   private static final byte[] ID_PREFIX = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final byte[] DONE_BYTES = DONE.getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] DATA_PREFIX = "data:".getBytes(StandardCharsets.US_ASCII);
+
   private static final int MAX_EVENT_BYTES = 1024 * 1024;
+
+  /** Bytes that may arrive between two events with data or an id. */
+  private static final int MAX_BYTES_WITHOUT_DATA = 1024 * 1024;
+
   private static final int DECIMAL = 10;
 
   /** Result of {@link #blankLineEnd} for a line that is not blank. */
@@ -44,6 +54,12 @@
   private ByteBuf pending = Unpooled.EMPTY_BUFFER;
   private int scanned;
 
+  /** Length of the blocks without data at the start of what is not decoded yet. */
+  private int leadingBytes;
+
+  private boolean started;
+  private int bytesWithoutData;
+
   /** Creates a decoder that passes events to a listener. */
   public ServerSentEventDecoder(EventListener listener) {
     this.listener = listener;
@@ -52,11 +68,13 @@
   /**
    * Decodes a part of the stream and passes the events that it completes to the listener.
    *
-   * @throws IllegalArgumentException if an event exceeds 1 MiB before it is complete
+   * @throws IllegalArgumentException if an event exceeds 1 MiB before it is complete, or 1 MiB has
+   *     arrived since the last event that carries data or an id
    */
   public void decode(ByteBuf part) {
     if (!pending.isReadable()) {
       scanned = 0;
+      leadingBytes = 0;
       decodeFrom(part);
       retain(part);
     } else {
@@ -98,13 +116,44 @@
   private void decodeFrom(ByteBuf buffer) {
     int end = findEnd(buffer);
     while (end >= 0) {
-      ByteBuf event = buffer.readSlice(end - buffer.readerIndex());
-      scanned = 0;
-      listener.onEvent(idOf(event), event);
+      int length = end - buffer.readerIndex();
+      boolean progress = carriesData(buffer, buffer.readerIndex() + leadingBytes, end);
+      if (progress || started) {
+        recordProgress(progress, length);
+        ByteBuf event = buffer.readSlice(length);
+        scanned = 0;
+        leadingBytes = 0;
+        listener.onEvent(idOf(event), event);
+      } else {
+        scanned = length;
+        leadingBytes = length;
+      }
       end = findEnd(buffer);
     }
   }
 
+  private void recordProgress(boolean progress, int length) {
+    started = true;
+    bytesWithoutData = progress ? 0 : bytesWithoutData + length;
+    if (bytesWithoutData > MAX_BYTES_WITHOUT_DATA) {
+      throw new IllegalArgumentException(
+          bytesWithoutData + " bytes arrived since the last server-sent event with data");
+    }
+  }
+
+  /** Returns whether any line of a block is a data or id field. */
+  private static boolean carriesData(ByteBuf buffer, int start, int end) {
+    int line = start;
+    while (line < end) {
+      if (startsWith(buffer, line, end, DATA_PREFIX) || startsWith(buffer, line, end, ID_PREFIX)) {
+        return true;
+      }
+      int newline = buffer.indexOf(line, end, (byte) '\n');
+      line = newline < 0 ? end : newline + 1;
+    }
+    return false;
+  }
+
   /** Returns the index after the next blank line, or -1. */
   private int findEnd(ByteBuf buffer) {
     int newline = buffer.indexOf(buffer.readerIndex() + scanned, buffer.writerIndex(), (byte) '\n');
@@ -143,7 +192,7 @@
       int newline = event.indexOf(line, event.writerIndex(), (byte) '\n');
       int next = newline < 0 ? event.writerIndex() : newline;
       int lineEnd = next > line && event.getByte(next - 1) == '\r' ? next - 1 : next;
-      if (startsWithId(event, line, lineEnd)) {
+      if (startsWith(event, line, lineEnd, ID_PREFIX)) {
         return numberAt(event, line + ID_PREFIX.length, lineEnd);
       }
       line = next + 1;
@@ -151,12 +200,13 @@
     return NO_ID;
   }
 
-  private static boolean startsWithId(ByteBuf event, int start, int end) {
-    if (end - start <= ID_PREFIX.length) {
+  /** Returns whether a line starts with a prefix and has more than that. */
+  private static boolean startsWith(ByteBuf event, int start, int end, byte[] prefix) {
+    if (end - start <= prefix.length) {
       return false;
     }
-    for (int index = 0; index < ID_PREFIX.length; index++) {
-      if (event.getByte(start + index) != ID_PREFIX[index]) {
+    for (int index = 0; index < prefix.length; index++) {
+      if (event.getByte(start + index) != prefix[index]) {
         return false;
       }
     }
@@ -198,6 +248,11 @@
     return start < 0 ? "" : text.substring(start + "data: ".length()).trim();
   }
 
+  /** Returns whether no part of an event has arrived since the last blank line. */
+  public boolean isBetweenEvents() {
+    return pending.readableBytes() == leadingBytes;
+  }
+
   /**
    * Returns the bytes after the last complete event; valid until {@link #decode} or {@link #close}.
    */
