No stream starts on an exchange that has ended

Callers: the head of a second response to one request could stay queued and be read by the next request of the connection, or break that one's response.

Cause: `startStream` and `flush` wrote to the connection whether or not the exchange had ended; `reply`, `write`, `endStream` and `abort` already checked.

Change: both do nothing after the end.

Evidence: `StreamedReplyTest.aStreamThatStartsAfterTheReplyIsNotReadByTheNextRequest` failed before (one response of two arrived: the encoder refused the second one) and passes now; `StreamedReplyTest` and `HttpServerTest` pass, 11 of 11.

--- a/http/src/main/java/org/lockdale/http/HttpExchange.java
+++ b/http/src/main/java/org/lockdale/http/HttpExchange.java
@@ -156,6 +156,9 @@
 
   /** Writes the head of a streamed reply, without flushing it. */
   public void startStream(int status, HttpHeaders headers) {
+    if (ended.get()) {
+      return;
+    }
     HttpResponse response =
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
     response.headers().set(headers);
@@ -176,7 +179,9 @@
 
   /** Flushes what was written so far to the socket. */
   public void flush() {
-    channel.flush();
+    if (!ended.get()) {
+      channel.flush();
+    }
   }
 
   /** Sends a part of a streamed reply and releases the buffer. */
--- a/http/src/test/java/org/lockdale/http/StreamedReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/StreamedReplyTest.java
@@ -11,6 +11,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -27,11 +28,17 @@
   private static final int TIMEOUT_MILLIS = 10_000;
   private static final int OK = 200;
 
-  /** Sends a part of a reply, and aborts it on {@code /broken}. */
+  /**
+   * Sends a part of a reply, and aborts it on {@code /broken}. On {@code /replied}, starts a stream
+   * although the reply is complete.
+   */
   private static final class StreamingHandler implements HttpHandler {
 
     @Override
     public void handle(HttpExchange exchange) {
+      if (exchange.path().equals("/replied")) {
+        exchange.reply(HttpReply.empty(OK));
+      }
       exchange.startStream(OK, new DefaultHttpHeaders());
       exchange.write(Unpooled.copiedBuffer("part", StandardCharsets.US_ASCII));
       if (exchange.path().equals("/broken")) {
@@ -69,13 +76,30 @@
 
   /** Returns all bytes up to the orderly close of the connection; a reset throws. */
   private String replyTo(String path, String version) throws IOException {
+    return repliesTo(request(path, version, "Connection: close\r\n"));
+  }
+
+  private static String request(String path, String version, String headers) {
+    return "GET " + path + " " + version + "\r\nHost: node\r\n" + headers + "\r\n";
+  }
+
+  /** Sends requests, each once the head of the former reply has arrived. */
+  private String repliesTo(String... requests) throws IOException {
     InetSocketAddress address = server.address();
+    StringBuilder replies = new StringBuilder();
     try (Socket caller = new Socket(address.getAddress(), address.getPort())) {
       caller.setSoTimeout(TIMEOUT_MILLIS);
-      String request =
-          "GET " + path + " " + version + "\r\nHost: node\r\nConnection: close\r\n\r\n";
-      caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-      return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+      InputStream input = caller.getInputStream();
+      for (String request : requests) {
+        caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        for (int next = input.read(); next >= 0; next = input.read()) {
+          replies.append((char) next);
+          if (replies.toString().endsWith("\r\n\r\n")) {
+            break;
+          }
+        }
+      }
+      return replies + new String(input.readAllBytes(), StandardCharsets.US_ASCII);
     }
   }
 
@@ -99,4 +123,14 @@
   public void anAbortedReplyWithoutChunksIsReset() {
     assertThrows(SocketException.class, () -> replyTo("/broken", "HTTP/1.0"));
   }
+
+  @Test
+  public void aStreamThatStartsAfterTheReplyIsNotReadByTheNextRequest() throws IOException {
+    String replies =
+        repliesTo(
+            request("/replied", "HTTP/1.1", ""),
+            request("/whole", "HTTP/1.1", "Connection: close\r\n"));
+    assertEquals(replies.split("HTTP/1.1 200 OK", -1).length - 1, 2, replies);
+    assertTrue(replies.endsWith("\r\n4\r\npart\r\n0\r\n\r\n"), replies);
+  }
 }
