One class owns the response to a caller, and drops what a former source writes

Callers: two runs of one request could both write to the response of one caller (a piece of a stream twice, a second answer read by the next request of the connection).

Cause of the class of fault: attempts, calls to other nodes and refusals each wrote to the exchange by themselves, and each relied on its own flag to know that it was over. Nothing said which of them the response belongs to.

Change: `CallerResponse` starts the stream, writes events, ends, aborts and replies, and keeps the last event id and the times of events. One source writes at a time: the current attempt, the current call to another node, or the node itself; leaving a step of the request closes the response to its source. The flush after each part is gone, as each event was already flushed. No other change of behaviour is intended.

--- a/gateway/src/main/java/org/lockdale/gateway/request/AdmissionTermsSource.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AdmissionTermsSource.java
@@ -58,7 +58,7 @@
         state.tenant == null ? null : state.tenant.name(),
         state.promptTokens(),
         outputs.expected(route.name(), state.request.usage()),
-        state.possibleRuns > 0 || state.responseStarted);
+        state.possibleRuns > 0 || state.response.hasStarted());
   }
 
   /** Returns the time from its arrival for which the caller waits for the next event. */
@@ -70,16 +70,20 @@
             Math.max(
                 route.latencyObjective().toMillis() * PATIENCE_OBJECTIVES,
                 route.gapObjective().toMillis() * PATIENCE_GAPS));
-    long from = state.responseStarted ? state.latestEventAtMillis - state.arrivedAtMillis : 0;
+    long from =
+        state.response.hasStarted()
+            ? state.response.latestEventAtMillis() - state.arrivedAtMillis
+            : 0;
     return Math.min(from + gap, state.deadlineAtMillis() - state.arrivedAtMillis);
   }
 
   /** Records the length of a complete response. */
   void recordComplete(RequestState state) {
     boolean whole = state.request.lastEventId() == null;
-    if (state.events > 0 && whole && waitsForRoom(state)) {
+    if (state.response.events() > 0 && whole && waitsForRoom(state)) {
       int perEvent = state.configuration.pool(state.pool).map(Pool::tokensPerEvent).orElse(1);
-      outputs.record(state.route().name(), state.request.usage(), state.events * perEvent);
+      outputs.record(
+          state.route().name(), state.request.usage(), state.response.events() * perEvent);
     }
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -34,15 +34,14 @@
   private final RequestServices services;
   private final Time time;
   private final AttemptTimes times;
-  private final Runnable onResponseStart;
   private final Runnable onFirstEvent;
   private final BiConsumer<Attempt, AttemptResult> onResult;
+  private final CallerResponse.Source source;
   private final ResponseBuffer body;
   private final BackendLoad.Share share;
   private final ObservedAttempt observed;
   private @Nullable HttpCall call;
   private @Nullable ResponseHead head;
-  private BodyFraming framing = BodyFraming.NONE;
   private @Nullable StreamForwarder forwarder;
   private LostAttempt.@Nullable Loss loss;
   private boolean ended;
@@ -58,7 +57,7 @@
       BackendProtocol protocol,
       RequestServices services,
       Time time,
-      Runnable onResponseStart,
+      CallerResponse.Source source,
       Runnable onFirstEvent,
       BiConsumer<Attempt, AttemptResult> onResult) {
     this.state = state;
@@ -68,8 +67,8 @@
     this.services = services;
     this.time = time;
     this.times = new AttemptTimes(time);
+    this.source = source;
     this.body = new ResponseBuffer(state.exchange.held());
-    this.onResponseStart = onResponseStart;
     this.onFirstEvent = onFirstEvent;
     this.onResult = onResult;
     this.onIncarnationEnd = () -> state.exchange.eventLoop().execute(this::incarnationEnded);
@@ -84,6 +83,7 @@
    * @param maxConnections maximum number of connections that this node may have open to the backend
    */
   void start(HttpClient client, int maxConnections) {
+    source.open();
     times.recordSent();
     target.addEndListener(onIncarnationEnd);
     services.rates().recordSend(target.backend().id());
@@ -232,7 +232,6 @@
   @Override
   public void onHead(int status, HttpHeaders headers) {
     recordReceived();
-    framing = BodyFraming.of(state.request.method(), status, headers);
     ResponseHead received = protocol.read(status, headers);
     if (state.receivedFromPeer) {
       ForwardHeaders.markResponse(received.headers());
@@ -255,9 +254,11 @@
     } else if (received.isSuccess() && !received.authentic()) {
       abandon(AttemptResult.FAILED, "its response has no proof of origin");
     } else if (received.isSuccess() && received.eventStream()) {
+      BodyFraming framing = BodyFraming.of(state.request.method(), status, headers);
       CallerFlow flow =
           new CallerFlow(state.exchange, call, services.held(), time, this::recordResumed);
-      forwarder = new StreamForwarder(state, received, framing, flow, onResponseStart, time);
+      source.prepareStream(received.status(), received.headers());
+      forwarder = new StreamForwarder(source, framing, flow, time);
     }
   }
 
@@ -268,13 +269,15 @@
     }
     recordReceived();
     StreamForwarder stream = forwarder;
-    if (stream != null) {
+    if (!source.isCurrent()) {
+      cancel();
+    } else if (stream != null) {
       forwardPart(stream, content);
-      return;
-    }
-    String problem = body.append(content);
-    if (problem != null) {
-      abandon(AttemptResult.FAILED, problem);
+    } else {
+      String problem = body.append(content);
+      if (problem != null) {
+        abandon(AttemptResult.FAILED, problem);
+      }
     }
   }
 
@@ -323,23 +326,29 @@
     } else if (received.isServerError()) {
       finish(AttemptResult.FAILED, "it responded with status " + received.status());
     } else {
-      state.exchange.reply(new HttpReply(received.status(), received.headers(), body.take()));
-      finish(AttemptResult.COMPLETE, "");
+      complete(source.reply(new HttpReply(received.status(), received.headers(), body.take())));
     }
   }
 
   /** Ends the response to the caller, unless the stream was broken off. */
   private void endStream(StreamForwarder stream) {
     if (stream.isWhole()) {
-      stream.end();
-      finish(AttemptResult.COMPLETE, "");
+      complete(stream.end());
       return;
     }
-    if (framing == BodyFraming.CLOSE_DELIMITED) {
+    if (stream.framing() == BodyFraming.CLOSE_DELIMITED) {
       loss = LostAttempt.Loss.CLOSED;
     }
     head = null;
-    finish(brokenResult(), "its " + framing + " stream ended inside an event");
+    finish(brokenResult(), "its " + stream.framing() + " stream ended inside an event");
+  }
+
+  private void complete(boolean written) {
+    if (written) {
+      finish(AttemptResult.COMPLETE, "");
+    } else {
+      cancel();
+    }
   }
 
   @Override
@@ -351,20 +360,11 @@
     if (cause.stage() != HttpCallException.Stage.NOT_SENT) {
       loss = cause.isClosedByPeer() ? LostAttempt.Loss.CLOSED : LostAttempt.Loss.SILENT;
     }
-    finish(resultOf(cause), cause.getMessage());
-  }
-
-  private AttemptResult resultOf(HttpCallException cause) {
-    if (withdrawn || cause.isAtConnectionLimit()) {
-      return AttemptResult.WITHDRAWN;
-    }
-    return cause.stage() == HttpCallException.Stage.NOT_SENT
-        ? AttemptResult.NOT_SENT
-        : brokenResult();
+    finish(AttemptResult.ofFailure(cause, withdrawn, brokenResult()), cause.getMessage());
   }
 
   private AttemptResult brokenResult() {
-    return forwarder != null && state.responseStarted
+    return forwarder != null && state.response.hasStarted()
         ? AttemptResult.BROKEN_OFF
         : AttemptResult.FAILED;
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
@@ -29,14 +29,14 @@
     concludeRecorded(AttemptOutcome.NOT_LOST);
     path.services().reachability().recordSent(state.pool);
     String backend = attempt.target().backend().id();
-    if (state.lastEventId != null) {
+    if (state.response.lastEventId() != null) {
       Logger.info(
           "event=stream-resumed request={} resumes={} in-response={} after={} backend={}"
               + " software-version={}",
           state.request.id(),
           state.request.resumedId(),
-          state.responseStarted,
-          state.lastEventId,
+          state.response.hasStarted(),
+          state.response.lastEventId(),
           backend,
           attempt.target().backend().softwareVersion());
     }
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptResult.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptResult.java
@@ -1,5 +1,7 @@
 package org.lockdale.gateway.request;
 
+import org.lockdale.http.HttpCallException;
+
 /** Result of an attempt at one backend. */
 enum AttemptResult {
   /** The complete response was forwarded to the caller. */
@@ -21,5 +23,18 @@
   /** The backend may have run the request, and nothing was forwarded to the caller. */
   FAILED,
   /** A stream broke after a part of it was forwarded. */
-  BROKEN_OFF
+  BROKEN_OFF;
+
+  /**
+   * Returns the result of a call that has failed.
+   *
+   * @param withdrawn whether the attempt was withdrawn before anything was sent
+   * @param ifSent the result if the request may have reached the backend
+   */
+  static AttemptResult ofFailure(HttpCallException cause, boolean withdrawn, AttemptResult ifSent) {
+    if (withdrawn || cause.isAtConnectionLimit()) {
+      return WITHDRAWN;
+    }
+    return cause.stage() == HttpCallException.Stage.NOT_SENT ? NOT_SENT : ifSent;
+  }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/EngineQueuePlace.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/EngineQueuePlace.java
@@ -20,7 +20,7 @@
 
   /** Returns whether a placed request is so unlikely to be served in time that it is refused. */
   boolean cannotMeetDeadline() {
-    boolean isFirst = state.possibleRuns == 0 && !state.responseStarted;
+    boolean isFirst = state.possibleRuns == 0 && !state.response.hasStarted();
     return isFirst
         && !path.terms().waitsForRoom(state)
         && path.pools().waits().cannotMeetDeadline(state);
--- a/gateway/src/main/java/org/lockdale/gateway/request/FinalResponse.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/FinalResponse.java
@@ -30,12 +30,12 @@
    */
   String giveUp(
       String reason, @Nullable HttpReply backendFailure, @Nullable Long retryAfterMillis) {
-    if (state.responseStarted) {
-      state.exchange.abort();
+    if (state.response.hasStarted()) {
+      state.response.openOwn().abort();
       return "broken-off";
     }
     if (backendFailure != null) {
-      state.exchange.reply(backendFailure);
+      state.response.openOwn().reply(backendFailure);
       return "backend-error";
     }
     if (state.possibleRuns > 0) {
@@ -89,8 +89,8 @@
    * @return the outcome of the request
    */
   String timeOut() {
-    if (state.responseStarted) {
-      state.exchange.abort();
+    if (state.response.hasStarted()) {
+      state.response.openOwn().abort();
       return "timed-out";
     }
     return state.possibleRuns == 0
@@ -99,7 +99,7 @@
   }
 
   private String refuse(Refusal refusal) {
-    state.exchange.reply(path.render(state, refusal));
+    state.response.openOwn().reply(path.render(state, refusal));
     if (refusal.kind().guaranteesNotRun()) {
       path.onNotRun(state);
     }
--- a/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
@@ -47,6 +47,7 @@
   private final Consumer<Result> onResult;
   private final HeldBytes held;
   private final Time time;
+  private final CallerResponse.Source source;
   private final ResponseBuffer body;
   private @Nullable HttpCall call;
   private @Nullable CallerFlow flow;
@@ -70,6 +71,7 @@
     this.peer = peer;
     this.held = held;
     this.time = time;
+    this.source = state.response.source(peer.id(), () -> {});
     this.body = new ResponseBuffer(state.exchange.held());
     this.onResult = onResult;
   }
@@ -80,6 +82,7 @@
    * @param elapsedMillis time since the request has arrived at this node
    */
   void start(HttpClient client, long elapsedMillis) {
+    source.open();
     HttpRequestMessage message =
         new HttpRequestMessage(
             HttpMethod.valueOf(state.request.method()),
@@ -116,6 +119,10 @@
     refusal = ForwardHeaders.refusalOf(received);
     streams = received.contains(HttpHeaderNames.TRANSFER_ENCODING);
     headers = ForwardHeaders.ofResponse(received);
+    if (supported && streams) {
+      source.prepareStream(status, headers);
+      flow = new CallerFlow(state.exchange, call, held, time, () -> {});
+    }
   }
 
   @Override
@@ -123,14 +130,14 @@
     if (ended || !supported) {
       return;
     }
-    if (streams) {
-      startStream();
-      boolean queues = state.exchange.queuedBytes() > 0;
-      state.exchange.write(queues ? content.copy() : content.retainedSlice());
-      CallerFlow current = flow;
-      if (current != null) {
-        current.afterWrite();
-      }
+    if (!source.isCurrent()) {
+      cancel();
+      return;
+    }
+    CallerFlow current = flow;
+    if (streams && current != null) {
+      source.writePart(content);
+      current.afterWrite();
       return;
     }
     String problem = body.append(content);
@@ -139,18 +146,6 @@
     }
   }
 
-  private void startStream() {
-    HttpHeaders head = headers;
-    if (!state.responseStarted && head != null) {
-      state.responseStarted = true;
-      state.exchange.startStream(status, head);
-    }
-    HttpCall current = call;
-    if (flow == null && current != null) {
-      flow = new CallerFlow(state.exchange, current, held, time, () -> {});
-    }
-  }
-
   private void abandon(String reason) {
     HttpCall current = call;
     if (current != null) {
@@ -170,12 +165,11 @@
     } else if (refusal.isPresent() && !isFinal(refusal.get())) {
       finish(new Result.NotServed("another node refused it as " + refusal.get()));
     } else if (streams) {
-      startStream();
-      state.exchange.endStream();
-      finish(new Result.Served());
+      complete(source.endStream(), new Result.Served());
     } else {
-      state.exchange.reply(new HttpReply(status, head, body.take()));
-      finish(refusal.<Result>map(Result.Refused::new).orElseGet(Result.Served::new));
+      complete(
+          source.reply(new HttpReply(status, head, body.take())),
+          refusal.<Result>map(Result.Refused::new).orElseGet(Result.Served::new));
     }
   }
 
@@ -197,6 +191,14 @@
     }
   }
 
+  private void complete(boolean written, Result result) {
+    if (written) {
+      finish(result);
+    } else {
+      cancel();
+    }
+  }
+
   private void release() {
     body.release();
     if (flow != null) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -73,6 +73,7 @@
     RequestStep former = step;
     step = next;
     former.leave();
+    state.response.close();
   }
 
   private boolean hasEnded() {
@@ -290,7 +291,7 @@
   private void giveUpUnreachable(String reason) {
     if (forwarding.isPossible()) {
       forward(() -> end(finalResponse.unreachable(reason)));
-    } else if (state.possibleRuns == 0 && !state.responseStarted) {
+    } else if (state.possibleRuns == 0 && !state.response.hasStarted()) {
       end(finalResponse.unreachable(reason));
     } else {
       giveUp(reason, null);
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
@@ -47,7 +47,10 @@
 
   /** Returns whether a request may be forwarded: it has not run, and was not forwarded before. */
   boolean isPossible() {
-    return !state.receivedFromPeer && !started && state.possibleRuns == 0 && !state.responseStarted;
+    return !state.receivedFromPeer
+        && !started
+        && state.possibleRuns == 0
+        && !state.response.hasStarted();
   }
 
   /**
@@ -80,7 +83,7 @@
         peer.get().id(),
         state.pool,
         state.connectFailures,
-        state.lastEventId);
+        state.response.lastEventId());
     call.start(path.client(), path.nowMillis() - state.arrivedAtMillis);
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -233,7 +233,7 @@
   }
 
   private void refuse(RequestState state, Refusal refusal) {
-    state.exchange.reply(render(state, refusal));
+    state.response.openOwn().reply(render(state, refusal));
     ended(state, refusal.kind().name());
   }
 
@@ -348,8 +348,8 @@
           state.backend,
           state.sends,
           time.monotonicMillis() - state.arrivedAtMillis,
-          state.firstEventMillis,
-          state.longestGapMillis,
+          state.response.firstEventMillis(),
+          state.response.longestGapMillis(),
           state.promptTokens(),
           state.waitingTokens,
           state.deferred);
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPlacement.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPlacement.java
@@ -82,7 +82,9 @@
         path.backendProtocol(),
         path.services(),
         path.time(),
-        () -> path.resumes().recordStart(state, placement.target()),
+        state.response.source(
+            placement.target().backend().id(),
+            () -> path.resumes().recordStart(state, placement.target())),
         onFirstEvent,
         onConcluded);
   }
@@ -97,7 +99,7 @@
         CacheNamespace.of(weights, isolatedTenant()),
         weights,
         placement.transfer(),
-        state.lastEventId);
+        state.response.lastEventId());
   }
 
   /**
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
@@ -39,7 +39,10 @@
    */
   private static final int MAX_WAIT_GAPS = 4;
 
+  /** The caller's request; the response to it is written through {@link #response} only. */
   final HttpExchange exchange;
+
+  final CallerResponse response;
   final CallerRequest request;
   final GatewayConfiguration configuration;
   final long configurationAgeMillis;
@@ -77,14 +80,6 @@
   /** Number of attempts that were withdrawn before any byte was sent. */
   int withdrawals;
 
-  /**
-   * Id of the last event forwarded to the caller. Initially the last one that the caller reports as
-   * received; null if none.
-   */
-  @Nullable String lastEventId;
-
-  boolean responseStarted;
-
   /** Where the stream began; null if none of its events was sent to the caller. */
   @Nullable StreamOrigin origin;
 
@@ -103,17 +98,6 @@
   /** Tokens of shared prompt parts that the chosen engine lacks and no engine is known to have. */
   long sharedTokensToCompute;
 
-  /** Time from arrival to the first event of the response, in milliseconds; -1 before it. */
-  long firstEventMillis = -1;
-
-  /** Monotonic time at which the latest event was forwarded. */
-  long latestEventAtMillis;
-
-  long longestGapMillis;
-
-  /** Number of events that were forwarded to the caller. */
-  long events;
-
   /** Id of the backend of the latest attempt; empty before the first one. */
   String backend = "";
 
@@ -130,7 +114,7 @@
     this.configurationAgeMillis = configurationAgeMillis;
     this.arrivedAtMillis = arrivedAtMillis;
     this.receivedFromPeer = receivedFromPeer;
-    this.lastEventId = request.lastEventId();
+    this.response = new CallerResponse(exchange, request, arrivedAtMillis);
     this.prompt =
         request.promptParts().isEmpty() ? null : PromptPlacement.of(request.promptParts());
   }
@@ -191,21 +175,10 @@
     return promptTokens() + Math.max(0, Math.min(MAX_OUTPUT_TOKENS, output));
   }
 
-  /** Records that an event was forwarded to the caller. */
-  void recordEvent(long nowMillis) {
-    events++;
-    if (firstEventMillis < 0) {
-      firstEventMillis = nowMillis - arrivedAtMillis;
-    } else {
-      longestGapMillis = Math.max(longestGapMillis, nowMillis - latestEventAtMillis);
-    }
-    latestEventAtMillis = nowMillis;
-  }
-
   /** Returns whether a stream missed the latency or gap objective of its route. */
   boolean isLateStream() {
-    return firstEventMillis > route().latencyObjective().toMillis()
-        || longestGapMillis > route().gapObjective().toMillis();
+    return response.firstEventMillis() > route().latencyObjective().toMillis()
+        || response.longestGapMillis() > route().gapObjective().toMillis();
   }
 
   /**
@@ -240,8 +213,8 @@
    * limit or in a backoff. The rest of the objective is left for the response.
    */
   long waitDeadlineMillis() {
-    return responseStarted
-        ? latestEventAtMillis + route().gapObjective().toMillis() * MAX_WAIT_GAPS
+    return response.hasStarted()
+        ? response.latestEventAtMillis() + route().gapObjective().toMillis() * MAX_WAIT_GAPS
         : arrivedAtMillis + route().latencyObjective().toMillis() / MAX_WAIT_DIVISOR;
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/request/RetryRules.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RetryRules.java
@@ -13,7 +13,7 @@
 
   /** Returns whether a request that waits at a silent backend may be sent to another one. */
   boolean mayLeaveSilent(Attempt attempt) {
-    return (attempt.isWaiting() || state.lastEventId != null)
+    return (attempt.isWaiting() || state.response.lastEventId() != null)
         && state.possibleRuns + 1 < state.route().maxAttempts()
         && path.pools().hasUntriedBackend(state)
         && path.budget().tryRetry(state.pool);
@@ -24,13 +24,14 @@
    * started can only be resumed after an event that has an id.
    */
   boolean mayRetryAfter(AttemptResult result) {
-    boolean hasResumePoint = result != AttemptResult.BROKEN_OFF || state.lastEventId != null;
+    boolean hasResumePoint =
+        result != AttemptResult.BROKEN_OFF || state.response.lastEventId() != null;
     return state.route().isRepeatable() && hasResumePoint && mayRetry();
   }
 
   /** Returns whether a request that another node may have run may be sent again. */
   boolean mayRetryAfterLostNode() {
-    return state.route().isRepeatable() && !state.responseStarted && mayRetry();
+    return state.route().isRepeatable() && !state.response.hasStarted() && mayRetry();
   }
 
   /** Returns whether a request may be sent again as far as its number of runs is concerned. */
--- a/gateway/src/main/java/org/lockdale/gateway/request/StreamForwarder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/StreamForwarder.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import org.lockdale.coordination.time.Time;
-import org.lockdale.gateway.backend.ResponseHead;
 import org.lockdale.http.BodyFraming;
 import org.lockdale.http.ServerSentEventDecoder;
 
@@ -13,48 +12,34 @@
  */
 final class StreamForwarder {
 
-  private final RequestState state;
-  private final ResponseHead head;
+  private final CallerResponse.Source source;
   private final BodyFraming framing;
   private final CallerFlow flow;
-  private final Runnable onResponseStart;
   private final Time time;
   private final ServerSentEventDecoder decoder = new ServerSentEventDecoder(this::onEvent);
-  private final long resumedAfter;
   private boolean started;
   private int newEvents;
 
   /**
    * Creates a forwarder.
    *
+   * @param source writes the response; the head of the stream must have been set
    * @param flow pauses the read for a slow caller; closed with the forwarder
-   * @param onResponseStart run before the response to the caller is started
    */
-  StreamForwarder(
-      RequestState state,
-      ResponseHead head,
-      BodyFraming framing,
-      CallerFlow flow,
-      Runnable onResponseStart,
-      Time time) {
-    this.state = state;
-    this.time = time;
-    this.head = head;
+  StreamForwarder(CallerResponse.Source source, BodyFraming framing, CallerFlow flow, Time time) {
+    this.source = source;
     this.framing = framing;
     this.flow = flow;
-    this.onResponseStart = onResponseStart;
-    this.resumedAfter = state.responseStarted ? parseEventId(state.lastEventId) : Long.MIN_VALUE;
-  }
-
-  private static long parseEventId(String eventId) {
-    return Long.parseLong(eventId);
+    this.time = time;
   }
 
+  /**
+   * Forwards the events that a part of the stream completes.
+   *
+   * @throws IllegalArgumentException if the stream can't be parsed
+   */
   void accept(ByteBuf content) {
     decoder.decode(content);
-    if (state.responseStarted) {
-      state.exchange.flush();
-    }
     flow.recordIncomplete(decoder.remainder().readableBytes());
     flow.afterWrite();
   }
@@ -62,30 +47,11 @@
   private void onEvent(long id, ByteBuf event) {
     started = true;
     newEvents++;
-    state.recordEvent(time.monotonicMillis());
-    boolean repeated = id != ServerSentEventDecoder.NO_ID && id <= resumedAfter;
-    if (repeated) {
-      return;
-    }
-    if (id != ServerSentEventDecoder.NO_ID) {
-      state.lastEventId = Long.toString(id);
-    }
-    send(event);
-  }
-
-  private void send(ByteBuf bytes) {
-    startResponse();
-    // A slice keeps all of the buffer that was read, so what is queued is copied.
-    boolean queues = state.exchange.queuedBytes() > 0;
-    state.exchange.write(queues ? bytes.copy() : bytes.retainedSlice());
+    source.write(id, event, time.monotonicMillis());
   }
 
-  private void startResponse() {
-    if (!state.responseStarted) {
-      state.responseStarted = true;
-      onResponseStart.run();
-      state.exchange.startStream(head.status(), head.headers());
-    }
+  BodyFraming framing() {
+    return framing;
   }
 
   /** Returns the flow control of the stream. */
@@ -116,10 +82,13 @@
     return !decoder.remainder().isReadable() && (started || mayBeEmpty);
   }
 
-  /** Completes the response; the stream must be whole. */
-  void end() {
-    startResponse();
-    state.exchange.endStream();
+  /**
+   * Completes the response; the stream must be whole.
+   *
+   * @return false if another source writes the response
+   */
+  boolean end() {
+    return source.endStream();
   }
 
   void close() {
--- /dev/null
+++ b/gateway/src/test/java/org/lockdale/gateway/request/CallerResponseTest.java
@@ -0,0 +1,170 @@
+package org.lockdale.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.lockdale.gateway.caller.CallerRequest;
+import org.lockdale.http.HttpClient;
+import org.lockdale.http.HttpExchange;
+import org.lockdale.http.HttpHandler;
+import org.lockdale.http.HttpProtocolError;
+import org.lockdale.http.HttpReply;
+import org.lockdale.http.HttpRequestMessage;
+import org.lockdale.http.HttpServer;
+import org.lockdale.http.HttpServerSettings;
+import org.lockdale.http.ServerSentEventDecoder;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** One source at a time writes the response to a caller. */
+public final class CallerResponseTest {
+
+  private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(10);
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  private EventLoopGroup group;
+  private HttpServer server;
+  private HttpClient client;
+
+  /** Writes the response of the next request. */
+  private volatile Consumer<CallerResponse> script;
+
+  private final HttpHandler handler =
+      new HttpHandler() {
+        @Override
+        public void handle(HttpExchange exchange) {
+          script.accept(new CallerResponse(exchange, requestOf(exchange), 0));
+        }
+
+        @Override
+        public HttpReply renderProtocolError(HttpProtocolError error) {
+          return HttpReply.empty(error.status());
+        }
+      };
+
+  @BeforeMethod
+  public void start() {
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    server = HttpServer.start(HttpServerSettings.forAddress(anyPort), group, handler);
+    client = new HttpClient(group);
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    server.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private static CallerRequest requestOf(HttpExchange exchange) {
+    return new CallerRequest(
+        "id",
+        exchange.method(),
+        exchange.uri(),
+        exchange.path(),
+        "host",
+        "key",
+        CALLER_TIMEOUT.toMillis(),
+        null,
+        List.of(),
+        null,
+        null,
+        null,
+        new DefaultHttpHeaders(),
+        exchange.body());
+  }
+
+  private HttpReply call(Consumer<CallerResponse> nextScript) throws Exception {
+    script = nextScript;
+    return client.exchange(server.address(), HttpRequestMessage.get("/"), CALLER_TIMEOUT).get();
+  }
+
+  private static String text(HttpReply reply) {
+    return new String(reply.body(), StandardCharsets.UTF_8);
+  }
+
+  private static CallerResponse.Source stream(CallerResponse response, String name) {
+    CallerResponse.Source source = response.source(name, () -> {});
+    source.open();
+    source.prepareStream(OK, new DefaultHttpHeaders());
+    return source;
+  }
+
+  private static String event(long id, String text) {
+    String idLine = id == ServerSentEventDecoder.NO_ID ? "" : "id: " + id + "\n";
+    return idLine + "data: " + text + "\n\n";
+  }
+
+  private static boolean write(CallerResponse.Source source, long id, String text) {
+    ByteBuf event = Unpooled.copiedBuffer(event(id, text), StandardCharsets.UTF_8);
+    try {
+      return source.write(id, event, 0);
+    } finally {
+      event.release();
+    }
+  }
+
+  @Test
+  public void eventsOfAFormerSourceAreDropped() throws Exception {
+    HttpReply reply =
+        call(
+            response -> {
+              CallerResponse.Source former = stream(response, "former");
+              assertTrue(write(former, 1, "former"));
+              CallerResponse.Source next = stream(response, "next");
+              assertFalse(write(former, 2, "former"));
+              assertFalse(former.endStream());
+              assertFalse(former.reply(HttpReply.empty(OK)));
+              assertTrue(write(next, 2, "next"));
+              assertTrue(next.endStream());
+              assertEquals(response.lastEventId(), "2");
+            });
+    assertEquals(text(reply), event(1, "former") + event(2, "next"));
+  }
+
+  @Test
+  public void nothingFollowsTheResponseOfTheNode() throws Exception {
+    HttpReply refused =
+        call(
+            response -> {
+              CallerResponse.Source former = stream(response, "former");
+              response.openOwn().reply(HttpReply.empty(UNAVAILABLE));
+              assertFalse(write(former, 1, "former"));
+              assertFalse(former.abort());
+              assertFalse(response.hasStarted());
+            });
+    assertEquals(refused.status(), UNAVAILABLE);
+    HttpReply following = call(response -> response.openOwn().reply(HttpReply.empty(OK)));
+    assertEquals(following.status(), OK);
+  }
+
+  @Test
+  public void noSourceWritesOnceTheResponseIsClosedToIt() throws Exception {
+    HttpReply reply =
+        call(
+            response -> {
+              CallerResponse.Source former = stream(response, "former");
+              response.close();
+              assertFalse(write(former, 1, "former"));
+              assertFalse(former.reply(HttpReply.empty(OK)));
+              response.openOwn().reply(HttpReply.empty(UNAVAILABLE));
+            });
+    assertEquals(reply.status(), UNAVAILABLE);
+  }
+}
