--- a/gateway/src/main/java/org/lockdale/gateway/request/BackendAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/BackendAttempt.java
@@ -37,7 +37,8 @@
             path.backendProtocol(),
             path.services(),
             path.time(),
-            () -> path.resumes().recordStart(state, target),
+            state.response.source(
+                target.backend().id(), () -> path.resumes().recordStart(state, target)),
             onFirstEvent,
             (ended, result) -> onConcluded.accept(this, result));
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/FinalResponse.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/FinalResponse.java
@@ -22,12 +22,12 @@
   @Override
   public String giveUp(
       String reason, @Nullable HttpReply backendFailure, @Nullable Long retryAfterMillis) {
-    if (state.responseStarted) {
-      state.exchange.abort();
+    if (state.response.hasStarted()) {
+      state.response.openOwn().abort();
       return "broken-off";
     }
     if (backendFailure != null) {
-      state.exchange.reply(backendFailure);
+      state.response.openOwn().reply(backendFailure);
       return "backend-error";
     }
     if (state.possibleRuns > 0) {
@@ -69,8 +69,8 @@
 
   @Override
   public String timeOut() {
-    if (state.responseStarted) {
-      state.exchange.abort();
+    if (state.response.hasStarted()) {
+      state.response.openOwn().abort();
       return "timed-out";
     }
     return state.possibleRuns == 0
@@ -79,7 +79,7 @@
   }
 
   private String refuse(Refusal refusal) {
-    state.exchange.reply(path.render(state, refusal));
+    state.response.openOwn().reply(path.render(state, refusal));
     if (refusal.kind().guaranteesNotRun()) {
       path.onNotRun(state);
     }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -73,6 +73,7 @@
     RequestStep former = step;
     step = next;
     former.leave();
+    state.response.close();
   }
 
   private boolean hasEnded() {
@@ -269,7 +270,7 @@
   private void giveUpUnreachable(String reason) {
     if (forwarding.isPossible()) {
       forward(() -> end(ending.unreachable(reason)));
-    } else if (state.possibleRuns == 0 && !state.responseStarted) {
+    } else if (state.possibleRuns == 0 && !state.response.hasStarted()) {
       end(ending.unreachable(reason));
     } else {
       giveUp(reason, null);
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
@@ -66,7 +66,10 @@
 
   /** Returns whether a request may be forwarded: it has not run, and was not forwarded before. */
   boolean isPossible() {
-    return !state.receivedFromPeer && !started && state.possibleRuns == 0 && !state.responseStarted;
+    return !state.receivedFromPeer
+        && !started
+        && state.possibleRuns == 0
+        && !state.response.hasStarted();
   }
 
   /**
@@ -96,7 +99,7 @@
         peer.get().id(),
         state.pool,
         state.connectFailures,
-        state.lastEventId);
+        state.response.lastEventId());
     call.start();
     if (state.route().isRepeatable()) {
       probeLater(started);
@@ -121,7 +124,7 @@
   }
 
   private boolean isAwaited(Current call) {
-    return call == current && !state.responseStarted;
+    return call == current && !state.response.hasStarted();
   }
 
   private void onProbed(Current probed, boolean responsive) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPlacement.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPlacement.java
@@ -91,7 +91,7 @@
         CacheNamespace.of(weights, isolatedTenant()),
         weights,
         placement.transfer(),
-        state.lastEventId);
+        state.response.lastEventId());
   }
 
   /**
