A stream of comments is no progress and has not started

Callers got comments for as long as their deadline lasted from a server that sent nothing else, and no other server could take over: each comment counted as an event, so the head of the response was sent with the first one, and a stream without an event id can't be resumed.

Blocks without a data or id line that precede the first event are now held until that event and passed on with it, byte for byte, so that another server can still respond; they count in its limit of 1 MiB. Later ones are passed on as they arrive, those of one read together, up to 1 MiB since the last event (as much as the largest event). A stream that ends after comments alone is passed on as before. A caller no longer sees comments before the first event as they arrive.

--- a/gateway/src/main/java/org/lockdale/gateway/request/StreamForwarder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/StreamForwarder.java
@@ -113,12 +113,15 @@
    */
   boolean isWhole() {
     boolean mayBeEmpty = framing != BodyFraming.CLOSE_DELIMITED;
-    return !decoder.remainder().isReadable() && (started || mayBeEmpty);
+    return decoder.isBetweenEvents() && (started || mayBeEmpty);
   }
 
   /** Completes the response; the stream must be whole. */
   void end() {
     startResponse();
+    if (decoder.remainder().isReadable()) {
+      send(decoder.remainder());
+    }
     state.exchange.endStream();
   }
 
--- a/http/src/main/java/org/lockdale/http/ServerSentEventDecoder.java
+++ b/http/src/main/java/org/lockdale/http/ServerSentEventDecoder.java
@@ -8,6 +8,10 @@
  * Splits a stream of server-sent events into events without re-encoding them. Lines end with a line
  * feed, which a carriage return may precede. Bytes are copied only where an event spans several
  * parts; {@link #close} releases the copies. Not thread-safe.
+ *
+ * <p>Comments and other blocks without data and id are passed on like an event without id, those of
+ * one part together. Before the first event they are held until it is complete, so that a stream of
+ * comments has not started.
  */
 public final class ServerSentEventDecoder implements AutoCloseable {
 
@@ -31,7 +35,13 @@
 
   private static final byte[] ID_PREFIX = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final byte[] DONE_BYTES = DONE.getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] DATA_PREFIX = "data:".getBytes(StandardCharsets.US_ASCII);
+
   private static final int MAX_EVENT_BYTES = 1024 * 1024;
+
+  /** Bytes that may arrive between two events with data or an id. */
+  private static final int MAX_BYTES_WITHOUT_DATA = 1024 * 1024;
+
   private static final int DECIMAL = 10;
 
   /** Result of {@link #blankLineEnd} for a line that is not blank. */
@@ -44,6 +54,12 @@
   private ByteBuf pending = Unpooled.EMPTY_BUFFER;
   private int scanned;
 
+  /** Length of the blocks without data at the start of what is not decoded yet. */
+  private int leadingBytes;
+
+  private boolean started;
+  private int bytesWithoutData;
+
   /** Creates a decoder that passes events to a listener. */
   public ServerSentEventDecoder(EventListener listener) {
     this.listener = listener;
@@ -52,11 +68,13 @@
   /**
    * Decodes a part of the stream and passes the events that it completes to the listener.
    *
-   * @throws IllegalArgumentException if an event exceeds 1 MiB before it is complete
+   * @throws IllegalArgumentException if an event exceeds 1 MiB before it is complete, or 1 MiB has
+   *     arrived since the last event that carries data or an id
    */
   public void decode(ByteBuf part) {
     if (!pending.isReadable()) {
       scanned = 0;
+      leadingBytes = 0;
       decodeFrom(part);
       retain(part);
     } else {
@@ -98,11 +116,52 @@
   private void decodeFrom(ByteBuf buffer) {
     int end = findEnd(buffer);
     while (end >= 0) {
-      ByteBuf event = buffer.readSlice(end - buffer.readerIndex());
-      scanned = 0;
-      listener.onEvent(idOf(event), event);
+      int start = buffer.readerIndex() + leadingBytes;
+      if (carriesData(buffer, start, end)) {
+        started = true;
+        passLeading(buffer);
+        bytesWithoutData = 0;
+        ByteBuf event = buffer.readSlice(end - start);
+        scanned = 0;
+        listener.onEvent(idOf(event), event);
+      } else {
+        leadingBytes = end - buffer.readerIndex();
+        scanned = leadingBytes;
+      }
       end = findEnd(buffer);
     }
+    if (started) {
+      passLeading(buffer);
+    }
+  }
+
+  /** Passes the blocks without data to the listener as one, since there may be very many. */
+  private void passLeading(ByteBuf buffer) {
+    if (leadingBytes == 0) {
+      return;
+    }
+    bytesWithoutData += leadingBytes;
+    if (bytesWithoutData > MAX_BYTES_WITHOUT_DATA) {
+      throw new IllegalArgumentException(
+          bytesWithoutData + " bytes arrived since the last server-sent event with data");
+    }
+    ByteBuf blocks = buffer.readSlice(leadingBytes);
+    scanned -= leadingBytes;
+    leadingBytes = 0;
+    listener.onEvent(NO_ID, blocks);
+  }
+
+  /** Returns whether any line of a block is a data or id field. */
+  private static boolean carriesData(ByteBuf buffer, int start, int end) {
+    int line = start;
+    while (line < end) {
+      if (startsWith(buffer, line, end, DATA_PREFIX) || startsWith(buffer, line, end, ID_PREFIX)) {
+        return true;
+      }
+      int newline = buffer.indexOf(line, end, (byte) '\n');
+      line = newline < 0 ? end : newline + 1;
+    }
+    return false;
   }
 
   /** Returns the index after the next blank line, or -1. */
@@ -143,7 +202,7 @@
       int newline = event.indexOf(line, event.writerIndex(), (byte) '\n');
       int next = newline < 0 ? event.writerIndex() : newline;
       int lineEnd = next > line && event.getByte(next - 1) == '\r' ? next - 1 : next;
-      if (startsWithId(event, line, lineEnd)) {
+      if (startsWith(event, line, lineEnd, ID_PREFIX)) {
         return numberAt(event, line + ID_PREFIX.length, lineEnd);
       }
       line = next + 1;
@@ -151,12 +210,13 @@
     return NO_ID;
   }
 
-  private static boolean startsWithId(ByteBuf event, int start, int end) {
-    if (end - start <= ID_PREFIX.length) {
+  /** Returns whether a line starts with a prefix and has more than that. */
+  private static boolean startsWith(ByteBuf event, int start, int end, byte[] prefix) {
+    if (end - start <= prefix.length) {
       return false;
     }
-    for (int index = 0; index < ID_PREFIX.length; index++) {
-      if (event.getByte(start + index) != ID_PREFIX[index]) {
+    for (int index = 0; index < prefix.length; index++) {
+      if (event.getByte(start + index) != prefix[index]) {
         return false;
       }
     }
@@ -198,6 +258,11 @@
     return start < 0 ? "" : text.substring(start + "data: ".length()).trim();
   }
 
+  /** Returns whether no part of an event has arrived since the last blank line. */
+  public boolean isBetweenEvents() {
+    return pending.readableBytes() == leadingBytes;
+  }
+
   /**
    * Returns the bytes after the last complete event; valid until {@link #decode} or {@link #close}.
    */
--- a/http/src/test/java/org/lockdale/http/ServerSentEventDecoderTest.java
+++ b/http/src/test/java/org/lockdale/http/ServerSentEventDecoderTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -87,4 +88,52 @@
     assertTrue(ServerSentEventDecoder.isDone(done));
     assertFalse(ServerSentEventDecoder.isDone(other));
   }
+
+  /** A stream that has sent comments only can still be replaced by that of another server. */
+  @Test
+  public void commentsBeforeTheFirstEventAreHeldUntilIt() {
+    String stream = ": a\n\n:\n\nid: 1\ndata: x\n\n: b\n\nid: 2\ndata: y\n\n: c\n\n";
+    List<String> expected =
+        List.of(
+            "-1=: a\n\n:\n\n",
+            "1=id: 1\ndata: x\n\n",
+            "-1=: b\n\n",
+            "2=id: 2\ndata: y\n\n",
+            "-1=: c\n\n");
+    for (int seed = 0; seed < SEEDS; seed++) {
+      assertEquals(decode(stream, new Random(seed)), expected, "seed " + seed);
+    }
+  }
+
+  private static void decodeRepeatedly(String start, String repeated, int times) {
+    try (ServerSentEventDecoder decoder = new ServerSentEventDecoder((id, event) -> {})) {
+      decoder.decode(Unpooled.copiedBuffer(start, StandardCharsets.UTF_8));
+      for (int count = 0; count < times; count++) {
+        decoder.decode(Unpooled.copiedBuffer(repeated, StandardCharsets.UTF_8));
+      }
+    }
+  }
+
+  @Test
+  public void commentsWithoutAnEventAreBounded() {
+    String comments = ": x\n\n".repeat(1024);
+    decodeRepeatedly("", comments, 200);
+    decodeRepeatedly("id: 1\ndata: x\n\n", comments, 200);
+    expectThrows(IllegalArgumentException.class, () -> decodeRepeatedly("", comments, 300));
+    expectThrows(
+        IllegalArgumentException.class,
+        () -> decodeRepeatedly("id: 1\ndata: x\n\n", comments, 300));
+    decodeRepeatedly("", comments + "data: x\n\n", 1000);
+  }
+
+  @Test
+  public void aStreamThatEndsWithCommentsEndsBetweenEvents() {
+    try (ServerSentEventDecoder decoder = new ServerSentEventDecoder((id, event) -> {})) {
+      decoder.decode(Unpooled.copiedBuffer(": a\n\n", StandardCharsets.UTF_8));
+      assertTrue(decoder.isBetweenEvents());
+      assertTrue(decoder.remainder().isReadable());
+      decoder.decode(Unpooled.copiedBuffer("data: x", StandardCharsets.UTF_8));
+      assertFalse(decoder.isBetweenEvents());
+    }
+  }
 }
