A collected reply that exceeds the size limit is not read on

A call to the store, an engine or another node whose reply exceeds 64 MiB failed at that size, but its connection was read for as long as the peer sent: the failure stopped the timer that would have cancelled the call.

The call is now cancelled with its result, whatever ended it.

EndlessPeersTest.aCallThatCollectsItsReplyClosesTheConnection failed before for 7 of 18 kinds: read on after 96 MiB (64 MiB of content and the 32 MiB that the test allows beside). The other tests of the class show that the limits hold between two nodes, that a server that sends without end counts as failing and gets less than a quarter of the requests of two servers, and that the request is not quarantined, as nothing has crashed.

A chunked body of another node is passed on as a stream and is not in its table of kinds.

--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -295,7 +295,12 @@
             },
             timeout.toMillis(),
             TimeUnit.MILLISECONDS);
-    result.whenComplete((reply, failure) -> timer.cancel(false));
+    result.whenComplete(
+        (reply, failure) -> {
+          timer.cancel(false);
+          // A reply that exceeds the size limit is still being read.
+          call.cancel();
+        });
     result.thenAccept(
         reply ->
             exchangeListener.onExchange(
