Connections of an event loop take turns while one is flooded

A connection of the client was read up to 16 times in a row before others of its event loop got their turn: while a server sent small chunks or comments at full speed, all of that was decoded first and neighbours waited.

Each connection is now read once a turn.

--- a/http/src/main/java/org/lockdale/http/ConnectionPool.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -1,6 +1,7 @@
 package org.lockdale.http;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -32,6 +33,12 @@
 
   private static final int MAX_IDLE_PER_KEY = 256;
 
+  /**
+   * Reads of a connection before the others of its event loop get their turn. A peer that sends
+   * without a pause always has more to read, and decoding many small chunks takes long.
+   */
+  private static final int READS_PER_TURN = 1;
+
   /**
    * Seconds without traffic after which the operating system sends the first TCP keepalive probe.
    * While no data is due on a connection, only these probes detect that the peer is unreachable.
@@ -177,6 +184,9 @@
             KEEP_ALIVE_INTERVAL_SECONDS)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
+        .option(
+            ChannelOption.RECVBUF_ALLOCATOR,
+            new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(READS_PER_TURN))
         .handler(
             new ChannelInitializer<SocketChannel>() {
               @Override
