--- a/http/src/main/java/org/lockdale/http/ServerSentEventDecoder.java
+++ b/http/src/main/java/org/lockdale/http/ServerSentEventDecoder.java
@@ -9,9 +9,9 @@
  * feed, which a carriage return may precede. Bytes are copied only where an event spans several
  * parts; {@link #close} releases the copies. Not thread-safe.
  *
- * <p>Comments and other blocks without data and id count as part of the first event where they
- * precede it, so that a stream of comments has not started. Later they are passed on as they
- * arrive.
+ * <p>Comments and other blocks without data and id are passed on like an event without id, those of
+ * one part together. Before the first event they are held until it is complete, so that a stream of
+ * comments has not started.
  */
 public final class ServerSentEventDecoder implements AutoCloseable {
 
@@ -116,29 +116,39 @@
   private void decodeFrom(ByteBuf buffer) {
     int end = findEnd(buffer);
     while (end >= 0) {
-      int length = end - buffer.readerIndex();
-      boolean progress = carriesData(buffer, buffer.readerIndex() + leadingBytes, end);
-      if (progress || started) {
-        recordProgress(progress, length);
-        ByteBuf event = buffer.readSlice(length);
+      int start = buffer.readerIndex() + leadingBytes;
+      if (carriesData(buffer, start, end)) {
+        started = true;
+        passLeading(buffer);
+        bytesWithoutData = 0;
+        ByteBuf event = buffer.readSlice(end - start);
         scanned = 0;
-        leadingBytes = 0;
         listener.onEvent(idOf(event), event);
       } else {
-        scanned = length;
-        leadingBytes = length;
+        leadingBytes = end - buffer.readerIndex();
+        scanned = leadingBytes;
       }
       end = findEnd(buffer);
     }
+    if (started) {
+      passLeading(buffer);
+    }
   }
 
-  private void recordProgress(boolean progress, int length) {
-    started = true;
-    bytesWithoutData = progress ? 0 : bytesWithoutData + length;
+  /** Passes the blocks without data to the listener as one, since there may be very many. */
+  private void passLeading(ByteBuf buffer) {
+    if (leadingBytes == 0) {
+      return;
+    }
+    bytesWithoutData += leadingBytes;
     if (bytesWithoutData > MAX_BYTES_WITHOUT_DATA) {
       throw new IllegalArgumentException(
           bytesWithoutData + " bytes arrived since the last server-sent event with data");
     }
+    ByteBuf blocks = buffer.readSlice(leadingBytes);
+    scanned -= leadingBytes;
+    leadingBytes = 0;
+    listener.onEvent(NO_ID, blocks);
   }
 
   /** Returns whether any line of a block is a data or id field. */
