A stream of another node is passed on in complete events, and its events count

Callers: a stream served over another node could end with a part of an event when that node was lost. The first node did not know which event its caller had, and logged `late=false first-event-ms=-1` for every forwarded stream.

Cause: `ForwardedCall` passed the bytes of a stream on as they came.

Change: it decodes them with the `StreamForwarder` of attempts, which writes complete events only and keeps the last event and the times. A forwarded stream that ends in order but inside an event is broken off. `CallerFlow` is used as before.

--- a/gateway/src/main/java/org/lockdale/gateway/request/CallerResponse.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/CallerResponse.java
@@ -185,16 +185,6 @@
       return true;
     }
 
-    /** Writes a part of a stream that is passed on as it arrives. */
-    boolean writePart(ByteBuf part) {
-      if (!isCurrent()) {
-        return false;
-      }
-      start();
-      send(part);
-      return true;
-    }
-
     private void send(ByteBuf bytes) {
       // A slice keeps all of the buffer that was read, so what is queued is copied.
       boolean queues = exchange.queuedBytes() > 0;
--- a/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
@@ -10,6 +10,7 @@
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.cluster.PeerNode;
 import org.lockdale.gateway.flow.HeldBytes;
+import org.lockdale.http.BodyFraming;
 import org.lockdale.http.HttpCall;
 import org.lockdale.http.HttpCallException;
 import org.lockdale.http.HttpClient;
@@ -19,7 +20,7 @@
 
 /**
  * Forwards one request to another node, and passes the response on to the caller: one with a length
- * as a whole, a stream part by part. Confined to the event loop of the caller's connection.
+ * as a whole, a stream event by event. Confined to the event loop of the caller's connection.
  */
 final class ForwardedCall implements HttpResponseListener {
 
@@ -50,12 +51,11 @@
   private final CallerResponse.Source source;
   private final ResponseBuffer body;
   private @Nullable HttpCall call;
-  private @Nullable CallerFlow flow;
+  private @Nullable StreamForwarder forwarder;
   private int status;
   private @Nullable HttpHeaders headers;
   private Optional<RefusalKind> refusal = Optional.empty();
   private boolean supported;
-  private boolean streams;
   private boolean ended;
 
   /**
@@ -117,11 +117,12 @@
     status = responseStatus;
     supported = ForwardHeaders.isMarked(received);
     refusal = ForwardHeaders.refusalOf(received);
-    streams = received.contains(HttpHeaderNames.TRANSFER_ENCODING);
     headers = ForwardHeaders.ofResponse(received);
-    if (supported && streams) {
+    if (supported && received.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
       source.prepareStream(status, headers);
-      flow = new CallerFlow(state.exchange, call, held, time, () -> {});
+      CallerFlow flow = new CallerFlow(state.exchange, call, held, time, () -> {});
+      BodyFraming framing = BodyFraming.of(state.request.method(), status, received);
+      forwarder = new StreamForwarder(source, framing, flow, time);
     }
   }
 
@@ -130,19 +131,24 @@
     if (ended || !supported) {
       return;
     }
+    StreamForwarder stream = forwarder;
     if (!source.isCurrent()) {
       cancel();
-      return;
-    }
-    CallerFlow current = flow;
-    if (streams && current != null) {
-      source.writePart(content);
-      current.afterWrite();
-      return;
+    } else if (stream != null) {
+      forwardPart(stream, content);
+    } else {
+      String problem = body.append(content);
+      if (problem != null) {
+        abandon(problem);
+      }
     }
-    String problem = body.append(content);
-    if (problem != null) {
-      abandon(problem);
+  }
+
+  private void forwardPart(StreamForwarder stream, ByteBuf content) {
+    try {
+      stream.accept(content);
+    } catch (IllegalArgumentException malformed) {
+      abandon("its stream cannot be parsed: " + malformed.getMessage());
     }
   }
 
@@ -164,8 +170,8 @@
       finish(new Result.NotServed("the node does not support forwarding"));
     } else if (refusal.isPresent() && !isFinal(refusal.get())) {
       finish(new Result.NotServed("another node refused it as " + refusal.get()));
-    } else if (streams) {
-      complete(source.endStream(), new Result.Served());
+    } else if (forwarder != null) {
+      endStream(forwarder);
     } else {
       complete(
           source.reply(new HttpReply(status, head, body.take())),
@@ -173,6 +179,14 @@
     }
   }
 
+  private void endStream(StreamForwarder stream) {
+    if (stream.isWhole()) {
+      complete(stream.end(), new Result.Served());
+    } else {
+      finish(new Result.Abandoned("its stream ended inside an event"));
+    }
+  }
+
   /**
    * Returns whether a refusal of another node is the response to the caller. A refusal that
    * guarantees that the request has not run is not, if another node may have run it before.
@@ -201,8 +215,8 @@
 
   private void release() {
     body.release();
-    if (flow != null) {
-      flow.close();
+    if (forwarder != null) {
+      forwarder.close();
     }
   }
 
