An attempt that ends while it is started leaves no timers behind

Attempt.start can end the attempt before it returns, for instance where the connection limit is reached. The execution then went on to set the timers of that attempt, and looked at the quarantine for it, though the request had a next step or its final response. The timers did nothing, as their monitor was stopped, but kept the request in memory until they were due.

The rest of send is left out if the request is no longer in the step of the attempt.

--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -186,10 +186,15 @@
     Runnable onFirstEvent = queuePlace.join();
     RunningAttempt attempt = placing.createAttempt(placement, onFirstEvent, this::onConcluded);
     AttemptMonitor monitor = new AttemptMonitor(timers, state, attempt);
-    enter(new RequestStep.Attempting(attempt, monitor));
+    RequestStep attempting = new RequestStep.Attempting(attempt, monitor);
+    enter(attempting);
     placing.recordOpened(placement);
     reports.onSending(attempt);
     attempt.start();
+    if (step != attempting) {
+      // It has ended within the call.
+      return;
+    }
     if (reports.isSuspected()) {
       monitor.onArrived(PartQuarantine.SURVIVED_MILLIS, () -> reports.onOutlived(attempt));
     }
--- a/gateway/src/test/java/org/lockdale/gateway/request/SimulatedTimers.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/SimulatedTimers.java
@@ -41,6 +41,7 @@
 
   @Override
   public Future<?> schedule(Runnable task, long delayMillis) {
+    invariants.requireOpen("a timer is set");
     return add(task, delayMillis);
   }
 
