--- a/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.lockdale.coordination.time.SystemTime;
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
@@ -81,6 +82,8 @@
   /** Backends that the latest query excluded. */
   private volatile List<String> excluded = List.of();
 
+  private final AtomicInteger questions = new AtomicInteger();
+
   /** Answers each query with the first backend, which holds the old weights. */
   private final class Answering extends NoOpDatagramListener {
     private final DatagramExchange exchange;
@@ -92,6 +95,7 @@
     @Override
     public void onPlacementQuestion(
         String sender, InetSocketAddress address, PlacementQuestion question) {
+      questions.incrementAndGet();
       excluded = question.getExcluded();
       Long weights = question.getModel() == null ? null : OLD_WEIGHTS;
       exchange.send(
@@ -112,6 +116,7 @@
   public void start() throws IOException {
     group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     relays.clear();
+    questions.set(0);
     EventLoop loop = group.next();
     DatagramExchange datagrams =
         new DatagramExchange("node", LoopbackPorts.free(), loop, new TrafficMeter());
@@ -200,6 +205,15 @@
     assertEquals(place().origin(), new Placement.Origin("junior", 1));
   }
 
+  @Test
+  public void aCancelledPlacementIsNotAskedOfAnotherRelay() throws Exception {
+    addRelay("senior", false);
+    addRelay("junior", true);
+    client.place(QUERY).cancel(false);
+    Thread.sleep(TimeUnit.SECONDS.toMillis(2 * ANSWER_SECONDS));
+    assertEquals(questions.get(), 0);
+  }
+
   @Test
   public void theNodeDecidesIfNoRelayAnswers() throws Exception {
     addRelay("senior", false);
