A placement that was cancelled is neither asked again nor counted

Cause: PlacementClient did not look whether the result of a query had been cancelled: its timer asked the next relay, and a late answer was taken up as a placement. TicketClient, which withdraws a cancelled ticket, did not pass the cancellation on where it asks a relay in the old form.

Change: the timer and the answer of a cancelled query only record whether the relay responds, as before; TicketClient cancels the placement in the old form.

Evidence: aCancelledPlacementIsNotAskedOfAnotherRelay (expected 0, found 1 question) and aLateAnswerToACancelledPlacementIsNotCounted (expected 0, found 1 report of an uncounted placement) failed before and pass. The cancellation in the old form has no test of its own; TicketClientTest passes. What the first relay has recorded can't be withdrawn: that protocol has no message for it.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
@@ -207,6 +207,10 @@
       Logger.info("event=relay-silent relay={}", relay.id());
       onUnresponsive.accept(relay);
     }
+    if (pendingQuery.result().isDone()) {
+      // Cancelled: another relay would record a placement that no request uses.
+      return;
+    }
     Optional<RelayElection.Relay> next =
         pendingQuery.isRepeat() ? Optional.empty() : nextRelay(relay);
     if (next.isPresent()) {
@@ -231,6 +235,10 @@
     }
     unansweredQueries.set(0);
     boolean isGranted = grantedQueries.remove(answer.getNumber());
+    if (pendingQuery.result().isDone()) {
+      // Cancelled: the placement must not count in the rate of its backend.
+      return;
+    }
     Placement placement = placement(sender, pendingQuery.query(), answer, isGranted);
     pendingQuery
         .result()
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/TicketClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/TicketClient.java
@@ -155,10 +155,14 @@
 
   private void askInOldForm(OpenTicket open) {
     openByNumber.remove(open.number);
-    context
-        .client()
-        .place(open.query.withTerms(null))
-        .thenAccept(result -> open.result.complete(result));
+    CompletableFuture<PlacementResult> placed = context.client().place(open.query.withTerms(null));
+    placed.thenAccept(result -> open.result.complete(result));
+    open.result.whenComplete(
+        (result, failure) -> {
+          if (open.result.isCancelled()) {
+            placed.cancel(false);
+          }
+        });
   }
 
   /** Has the queue of this node decide. */
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.lockdale.coordination.time.SystemTime;
+import org.lockdale.gateway.backend.AdvertisedRate;
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.BackendWork;
@@ -63,7 +64,10 @@
   private static final PlacementQuery QUERY_FOR_MODEL =
       new PlacementQuery("pool", "zone", MODEL, null, List.of(), Set.of(), null, null);
 
-  private static final PeerRateSupport NO_RATES =
+  /** Backends whose placements a relay has not counted in their rate. */
+  private final List<String> uncounted = new ArrayList<>();
+
+  private final PeerRateSupport noRates =
       new PeerRateSupport() {
         @Override
         public boolean supportsRates(String node) {
@@ -71,13 +75,16 @@
         }
 
         @Override
-        public void onUncountedPlacement(String relay, String backend) {}
+        public void onUncountedPlacement(String relay, String backend) {
+          uncounted.add(backend);
+        }
       };
 
   private final List<RelayElection.Relay> relays = new ArrayList<>();
   private EventLoopGroup group;
   private GatewayBlackboard blackboard;
   private PlacementClient client;
+  private BackendRates rates;
 
   /** Backends that the latest query excluded. */
   private volatile List<String> excluded = List.of();
@@ -116,6 +123,8 @@
   public void start() throws IOException {
     group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     relays.clear();
+    uncounted.clear();
+    rates = new BackendRates(SystemTime.instance());
     questions.set(0);
     EventLoop loop = group.next();
     DatagramExchange datagrams =
@@ -132,7 +141,7 @@
             new BackendChooser(engine -> BackendWork.NONE),
             new CachePlanner(directory, (engine, parts) -> {}),
             new WeightsPolicy(WEIGHTS_BOUND_MILLIS),
-            new BackendRates(SystemTime.instance()));
+            rates);
     client =
         new PlacementClient(
             new PlacementClient.Context(
@@ -142,7 +151,7 @@
                 () -> relays,
                 () -> blackboard.backends().value(),
                 decider,
-                NO_RATES,
+                noRates,
                 new NodeReporter(
                     loop,
                     datagrams,
@@ -214,6 +223,16 @@
     assertEquals(questions.get(), 0);
   }
 
+  @Test
+  public void aLateAnswerToACancelledPlacementIsNotCounted() throws Exception {
+    addRelay("senior", false);
+    AdvertisedRate none = new AdvertisedRate.Limited(0);
+    rates.recordResponse("i-1", none, SystemTime.instance().monotonicMillis());
+    client.place(QUERY).cancel(false);
+    client.onAnswer("senior", new PlacementAnswer(1L, 1L, "i-1", null, 0L, null, null, 0L));
+    assertEquals(uncounted, List.of());
+  }
+
   @Test
   public void theNodeDecidesIfNoRelayAnswers() throws Exception {
     addRelay("senior", false);
