--- a/router/src/test/java/org/lockdale/router/request/EngineAttemptTest.java
+++ b/router/src/test/java/org/lockdale/router/request/EngineAttemptTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -18,12 +19,14 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.lockdale.http.HttpCallException;
 import org.lockdale.http.HttpClient;
 import org.lockdale.http.HttpExchange;
 import org.lockdale.http.HttpHandler;
 import org.lockdale.http.HttpProtocolError;
 import org.lockdale.http.HttpReply;
 import org.lockdale.http.HttpRequestMessage;
+import org.lockdale.http.HttpResponseListener;
 import org.lockdale.http.HttpServer;
 import org.lockdale.http.HttpServerSettings;
 import org.lockdale.http.ServerSentEventDecoder;
@@ -40,15 +43,30 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** An engine leaves out an event of its stream, and goes on with the next ones. */
+/**
+ * Checks that what belongs to a response of an attempt, or to an attempt that ends, doesn't act on
+ * what follows it.
+ */
 public final class EngineAttemptTest {
 
   private static final int EVENT_COUNT = 6;
   private static final String ATTEMPT = "attempt-1";
   private static final String INCARNATION = "incarnation-1";
+  private static final String FIRST_EVENT = "id: 0\ndata: 0\n\n";
+  private static final long LONG_TOKEN_TIMEOUT_MILLIS = 10_000;
+
+  /** Shorter than the time for which the response to a cancellation is awaited. */
+  private static final long SHORT_TOKEN_TIMEOUT_MILLIS = 100;
 
   private final AtomicInteger resumes = new AtomicInteger();
-  private final CompletableFuture<AttemptResult> result = new CompletableFuture<>();
+  private CompletableFuture<AttemptResult> result;
+  private EngineAttempt attempt;
+  private long tokenTimeoutMillis;
+  private boolean respondsToCancel;
+
+  /** Number of responses that end with silence, the first of them after the first event. */
+  private int silentResponses;
+
   private EventLoopGroup group;
   private HttpClient client;
   private HttpServer engine;
@@ -70,6 +88,11 @@
 
   @BeforeMethod
   public void start() {
+    resumes.set(0);
+    result = new CompletableFuture<>();
+    tokenTimeoutMillis = LONG_TOKEN_TIMEOUT_MILLIS;
+    respondsToCancel = true;
+    silentResponses = 0;
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     client = new HttpClient(group);
     engine = serve(this::respond);
@@ -96,7 +119,9 @@
 
   private void respond(HttpExchange exchange) {
     if (exchange.path().endsWith("/cancel")) {
-      exchange.reply(HttpReply.empty(404));
+      if (respondsToCancel) {
+        exchange.reply(HttpReply.empty(404));
+      }
       return;
     }
     HttpHeaders headers =
@@ -106,18 +131,21 @@
             .set(HeaderNames.ENGINE_INCARNATION, INCARNATION);
     exchange.startStream(200, headers);
     String resumedAfter = exchange.header(HeaderNames.LAST_EVENT_ID);
-    String text;
-    if (resumedAfter == null) {
-      text = "id: 0\ndata: 0\n\n" + events(2);
-    } else {
-      resumes.incrementAndGet();
-      text = events(Integer.parseInt(resumedAfter) + 1);
+    int response = resumedAfter == null ? 0 : resumes.incrementAndGet();
+    if (response < silentResponses) {
+      write(exchange, response == 0 ? FIRST_EVENT : ": no event\n");
+      return;
     }
-    String all = text + ServerSentEventDecoder.DONE;
-    exchange.write(Unpooled.copiedBuffer(all, StandardCharsets.UTF_8));
+    String text =
+        resumedAfter == null ? FIRST_EVENT + events(2) : events(Integer.parseInt(resumedAfter) + 1);
+    write(exchange, text + ServerSentEventDecoder.DONE);
     exchange.endStream();
   }
 
+  private static void write(HttpExchange exchange, String text) {
+    exchange.write(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+  }
+
   private void attempt(HttpExchange exchange) {
     RequestContext context =
         new RequestContext(exchange, "r1", PolicySet.EMPTY, CompletionRequest.Kind.TEXT);
@@ -139,7 +167,14 @@
     AttemptMessage message =
         new AttemptMessage(
             ATTEMPT, "/v1/completions", new byte[0], "model", "TEXT", "tenant", "1", "", 0);
-    new EngineAttempt(context, new EngineClient(client), message, new ResponseSink(context), 10_000)
+    attempt =
+        new EngineAttempt(
+            context,
+            new EngineClient(client),
+            message,
+            new ResponseSink(context),
+            tokenTimeoutMillis);
+    attempt
         .start()
         .whenComplete(
             (ended, failure) -> {
@@ -154,4 +189,49 @@
     assertEquals(result.get(10, TimeUnit.SECONDS), new AttemptResult.Complete());
     assertEquals(resumes.get(), 1);
   }
+
+  @Test
+  public void anAttemptThatIsBeingCancelledIsNotResumedAfterSilence() throws Exception {
+    tokenTimeoutMillis = SHORT_TOKEN_TIMEOUT_MILLIS;
+    respondsToCancel = false;
+    silentResponses = 1;
+    receiveFirstEvent().whenComplete((received, failure) -> attempt.cancel("the deadline passed"));
+    assertEquals(
+        result.get(10, TimeUnit.SECONDS), new AttemptResult.Cancelled("the deadline passed"));
+    assertEquals(resumes.get(), 0);
+  }
+
+  @Test
+  public void aResumedStreamThatIsSilentAsWellIsResumedAgain() throws Exception {
+    tokenTimeoutMillis = SHORT_TOKEN_TIMEOUT_MILLIS;
+    silentResponses = 2;
+    client.exchange(node.address(), HttpRequestMessage.get("/"), Duration.ofSeconds(10));
+    assertEquals(result.get(10, TimeUnit.SECONDS), new AttemptResult.Complete());
+    assertEquals(resumes.get(), 2);
+  }
+
+  /** Sends a request; the result completes once the first event has arrived at the caller. */
+  private CompletableFuture<Void> receiveFirstEvent() {
+    CompletableFuture<Void> received = new CompletableFuture<>();
+    client.send(
+        group.next(),
+        node.address(),
+        HttpRequestMessage.get("/"),
+        new HttpResponseListener() {
+          @Override
+          public void onHead(int status, HttpHeaders headers) {}
+
+          @Override
+          public void onContent(ByteBuf content) {
+            received.complete(null);
+          }
+
+          @Override
+          public void onEnd() {}
+
+          @Override
+          public void onFailure(HttpCallException failure) {}
+        });
+    return received;
+  }
 }
