A node that no longer leads takes no rollout lease and gives no orders

What users could see: a node that stops, or is no longer a relay, wrote the lease of rollouts after it had closed, so that the next coordinator waited for the term of a holder that was gone; and an update under way still gave orders to engines after the close.

Cause: only the tick checked whether the controller was closed or might lead. The read of the lease that a tick had started went on to the write, and updates checked only the lease, which is still held then.

Change: RolloutController.isActive is the one guard, asked by the tick, before the lease is written and, through EngineUpdate, before an order.

EngineUpdateTest passes the new argument; its assertions are as they were.

--- a/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.lockdale.coordination.concurrent.Failures;
 import org.lockdale.coordination.lease.Lease;
@@ -46,6 +47,7 @@
   private final RolloutDependencies dependencies;
   private final WeightsPolicy.Move move;
   private final Lease lease;
+  private final BooleanSupplier mayOrder;
   private final String nodeId;
   private final LongSupplier nowMillis;
   private final long startedAtMillis;
@@ -58,12 +60,14 @@
       RolloutDependencies dependencies,
       WeightsPolicy.Move move,
       Lease lease,
+      BooleanSupplier mayOrder,
       String nodeId,
       LongSupplier nowMillis) {
     this.eventLoop = eventLoop;
     this.dependencies = dependencies;
     this.move = move;
     this.lease = lease;
+    this.mayOrder = mayOrder;
     this.nodeId = nodeId;
     this.nowMillis = nowMillis;
     this.startedAtMillis = nowMillis.getAsLong();
@@ -195,7 +199,7 @@
   }
 
   private void order(EngineState state) {
-    if (!lease.mayAct(nowMillis.getAsLong())) {
+    if (!mayOrder.getAsBoolean() || !lease.mayAct(nowMillis.getAsLong())) {
       done.complete(false);
       return;
     }
--- a/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/RolloutController.java
@@ -123,6 +123,11 @@
     closed = true;
   }
 
+  /** Returns whether this node may take the lease and give orders at present. */
+  private boolean isActive() {
+    return !closed && mayLead.getAsBoolean();
+  }
+
   private void run() {
     tick();
     long delay = mayLead.getAsBoolean() ? TICK_MILLIS : IDLE_TICK_MILLIS;
@@ -130,7 +135,7 @@
   }
 
   private void tick() {
-    if (closed || !mayLead.getAsBoolean()) {
+    if (!isActive()) {
       rolloutDue = false;
       return;
     }
@@ -176,7 +181,8 @@
       boolean idle = !updatingHealthy.contains(engine) && !updatingSuspected.contains(engine);
       if (due && idle && inProgress.size() < slots.limit(suspected)) {
         inProgress.add(engine);
-        new EngineUpdate(eventLoop, dependencies, move, lease, nodeId, time::monotonicMillis)
+        new EngineUpdate(
+                eventLoop, dependencies, move, lease, this::isActive, nodeId, time::monotonicMillis)
             .start()
             .whenCompleteAsync((held, unusedFailure) -> updated(engine, held), eventLoop);
       }
@@ -210,6 +216,9 @@
   }
 
   private CompletableFuture<@Nullable Void> claimAfter(LeaseReading reading) {
+    if (!isActive()) {
+      return CompletableFuture.completedFuture(null);
+    }
     Optional<LeaseRow> claim = lease.claim();
     if (claim.isEmpty()) {
       nextLeaseCallMillis =
--- a/gateway/src/test/java/org/lockdale/gateway/weights/EngineUpdateTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/weights/EngineUpdateTest.java
@@ -101,6 +101,7 @@
                 dependencies,
                 new WeightsPolicy.Move(engine, MODEL, 2),
                 lease,
+                () -> true,
                 "node",
                 () -> nowMillis)
             .start();
