--- a/gateway/src/main/java/org/lockdale/gateway/request/StreamForwarder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/StreamForwarder.java
@@ -89,7 +89,7 @@
    */
   boolean end() {
     if (decoder.remainder().isReadable()) {
-      source.writePart(decoder.remainder());
+      source.write(ServerSentEventDecoder.NO_ID, decoder.remainder(), time.monotonicMillis());
     }
     return source.endStream();
   }
