A late result of a call to a node does not end the call to the next one

RequestForwarding took any result for that of the current call. Calls report one result today and none after they were cancelled, so no caller saw this; but a late one would have let two nodes run a request at once.

A result counts only if it is of the node that is called now; a node is called once for each request.

--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
@@ -90,7 +90,7 @@
       return;
     }
     tried.add(peer.get().id());
-    PeerCalls.Call call = calls.create(peer.get(), this::onResult);
+    PeerCalls.Call call = calls.create(peer.get(), result -> onResult(peer.get(), result));
     Current started = new Current(peer.get(), call);
     current = started;
     Logger.info(
@@ -142,13 +142,11 @@
     onLost.accept(reason);
   }
 
-  private void onResult(ForwardedCall.Result result) {
-    Current ended = current;
-    current = null;
-    if (ended == null) {
+  private void onResult(PeerNode peer, ForwardedCall.Result result) {
+    if (current == null || current.peer() != peer) {
       return;
     }
-    PeerNode peer = ended.peer();
+    current = null;
     if (result instanceof ForwardedCall.Result.Served) {
       calls.include(peer);
       onResponse.accept(OUTCOME);
--- a/gateway/src/test/java/org/lockdale/gateway/request/RequestSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/RequestSimulation.java
@@ -107,6 +107,7 @@
 
   private void addCallMoves(SimulatedCall call) {
     if (!call.isLive()) {
+      rare.add(() -> call.end(new ForwardedCall.Result.NotServed("late")));
       return;
     }
     if (!call.hasWritten()) {
