The simulation of requests fails for what futures drop

An invariant broken within the callback of a placement was dropped by its future, so that onPlaced without its check of the step passed all 36 tests. The first violation is thrown again at each later check, and at the end.

--- a/gateway/src/test/java/org/lockdale/gateway/request/RequestInvariants.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/RequestInvariants.java
@@ -29,6 +29,7 @@
   private int endedSources;
   private int openPlacements;
   private long lastPosition;
+  private @Nullable AssertionError violation;
   private boolean responseEnded;
   private boolean callerLeft;
 
@@ -43,8 +44,12 @@
   }
 
   private void require(boolean holds, String broken) {
-    if (!holds) {
-      throw new AssertionError(broken + " in " + scenario + " after " + trace);
+    if (!holds && violation == null) {
+      violation = new AssertionError(broken + " in " + scenario + " after " + trace);
+    }
+    // Thrown again at each check, since futures drop what their callbacks throw.
+    if (violation != null) {
+      throw violation;
     }
   }
 
