--- a/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
@@ -121,7 +121,7 @@
     if (!supported && call != null) {
       call.discardContent();
     } else if (supported && received.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
-      source.prepareStream(status, headers);
+      source.prepareStream(status, headers, state.route().resumable());
       CallerFlow flow = new CallerFlow(state.exchange, call, held, time, () -> {});
       BodyFraming framing = BodyFraming.of(state.request.method(), status, received);
       forwarder = new StreamForwarder(source, framing, flow, time);
