The simulation of a request writes to the real response of its caller

The simulated attempts and calls set fields of the request's state that are now kept by CallerResponse, so the two did not build together. CallerResponse writes to a ReplyWriter, which HttpExchange implements, and the simulation passes its events through the sources of the real class: an event that is dropped fails the invariant WRITER. A probe of another node is a choice too.

--- a/gateway/src/main/java/org/lockdale/gateway/request/CallerResponse.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/CallerResponse.java
@@ -5,8 +5,8 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.caller.CallerRequest;
-import org.lockdale.http.HttpExchange;
 import org.lockdale.http.HttpReply;
+import org.lockdale.http.ReplyWriter;
 import org.lockdale.http.ServerSentEventDecoder;
 import org.tinylog.Logger;
 
@@ -20,7 +20,7 @@
 
   private static final String THIS_NODE = "this-node";
 
-  private final HttpExchange exchange;
+  private final ReplyWriter replies;
   private final String requestId;
   private final long arrivedAtMillis;
   private @Nullable Source current;
@@ -39,10 +39,11 @@
   /**
    * Creates the response of a request.
    *
+   * @param replies the caller's connection
    * @param arrivedAtMillis monotonic time at which the request arrived
    */
-  CallerResponse(HttpExchange exchange, CallerRequest request, long arrivedAtMillis) {
-    this.exchange = exchange;
+  CallerResponse(ReplyWriter replies, CallerRequest request, long arrivedAtMillis) {
+    this.replies = replies;
     this.requestId = request.id();
     this.lastEventId = request.lastEventId();
     this.lastEventNumber = numberOf(lastEventId);
@@ -167,7 +168,7 @@
       if (!started) {
         started = true;
         beforeStart.run();
-        exchange.startStream(status, headers);
+        replies.startStream(status, headers);
       }
     }
 
@@ -209,8 +210,8 @@
 
     private void send(ByteBuf bytes) {
       // A slice keeps all of the buffer that was read, so what is queued is copied.
-      boolean queues = exchange.queuedBytes() > 0;
-      exchange.write(queues ? bytes.copy() : bytes.retainedSlice());
+      boolean queues = replies.queuedBytes() > 0;
+      replies.write(queues ? bytes.copy() : bytes.retainedSlice());
     }
 
     /** Ends the stream as complete. */
@@ -219,7 +220,7 @@
         return false;
       }
       start();
-      exchange.endStream();
+      replies.endStream();
       return true;
     }
 
@@ -228,7 +229,7 @@
       if (!isCurrent()) {
         return false;
       }
-      exchange.abort();
+      replies.abort();
       return true;
     }
 
@@ -237,7 +238,7 @@
       if (!isCurrent()) {
         return false;
       }
-      exchange.reply(reply);
+      replies.reply(reply);
       return true;
     }
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestForwarding.java
@@ -101,7 +101,7 @@
         state.connectFailures,
         state.response.lastEventId());
     call.start();
-    if (state.route().isRepeatable()) {
+    if (isAwaited(started) && state.route().isRepeatable()) {
       probeLater(started);
     }
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -210,6 +210,7 @@
     return new RequestState(
         exchange,
         request,
+        new CallerResponse(exchange, request, arrivedAt),
         configuration.value(),
         configuration.ageMillis(now),
         arrivedAt,
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
@@ -104,6 +104,7 @@
   RequestState(
       HttpExchange exchange,
       CallerRequest request,
+      CallerResponse response,
       GatewayConfiguration configuration,
       long configurationAgeMillis,
       long arrivedAtMillis,
@@ -114,7 +115,7 @@
     this.configurationAgeMillis = configurationAgeMillis;
     this.arrivedAtMillis = arrivedAtMillis;
     this.receivedFromPeer = receivedFromPeer;
-    this.response = new CallerResponse(exchange, request, arrivedAtMillis);
+    this.response = response;
     this.prompt =
         request.promptParts().isEmpty() ? null : PromptPlacement.of(request.promptParts());
   }
--- a/gateway/src/test/java/org/lockdale/gateway/request/ForwardedCallTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/ForwardedCallTest.java
@@ -127,7 +127,14 @@
             exchange.body());
     long now = SystemTime.instance().monotonicMillis();
     RequestState state =
-        new RequestState(exchange, request, GatewayConfiguration.NONE, 0, now, false);
+        new RequestState(
+            exchange,
+            request,
+            new CallerResponse(exchange, request, now),
+            GatewayConfiguration.NONE,
+            0,
+            now,
+            false);
     state.route = ROUTE;
     return state;
   }
--- a/gateway/src/test/java/org/lockdale/gateway/request/RequestInvariants.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/RequestInvariants.java
@@ -116,6 +116,11 @@
     lastPosition = position;
   }
 
+  /** Requires that the response has taken what a source has written. */
+  void requireWriter(String source, boolean taken) {
+    require(taken, "WRITER: what " + source + " writes is dropped");
+  }
+
   /** Records the end of a response that a source has written. */
   void completed(String source) {
     trace(source + " completes");
--- a/gateway/src/test/java/org/lockdale/gateway/request/RequestSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/RequestSimulation.java
@@ -93,14 +93,14 @@
       return;
     }
     boolean streams = node.scenario.isStream();
-    if (streams && node.state.events < MAX_EVENTS) {
+    if (streams && node.state.response.events() < MAX_EVENTS) {
       usual.add(attempt::receiveEvent);
     }
     if (attempt.isWaiting()) {
       usual.add(() -> attempt.conclude(AttemptResult.NOT_RUN));
       rare.add(() -> attempt.conclude(AttemptResult.MISDIRECTED));
     }
-    boolean brokenOff = streams && node.state.responseStarted;
+    boolean brokenOff = streams && node.state.response.hasStarted();
     usual.add(() -> attempt.conclude(brokenOff ? AttemptResult.BROKEN_OFF : AttemptResult.FAILED));
     rare.add(() -> attempt.conclude(AttemptResult.COMPLETE));
   }
--- a/gateway/src/test/java/org/lockdale/gateway/request/SimulatedAttempt.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/SimulatedAttempt.java
@@ -20,7 +20,7 @@
   private final Runnable onFirstEvent;
   private final BiConsumer<RunningAttempt, AttemptResult> onConcluded;
   private Runnable onEngineSilent = () -> {};
-  private long position;
+  private final SimulatedStream stream;
   private long sentAtMillis;
   private long receivedAtMillis;
   private long firstEventAtMillis = -1;
@@ -41,13 +41,14 @@
     this.plan = plan;
     this.onFirstEvent = onFirstEvent;
     this.onConcluded = onConcluded;
-    this.position = plan.lastEventId() == null ? 0 : Long.parseLong(plan.lastEventId());
+    this.stream = new SimulatedStream(name, node, plan.lastEventId());
   }
 
   @Override
   public void start() {
     node.invariants.sourceStarted(name);
     started = true;
+    stream.open();
     sentAtMillis = node.timers.nowMillis();
     receivedAtMillis = sentAtMillis;
     switch (node.choices.next(2, IMMEDIATE_CASES - 2)) {
@@ -81,13 +82,7 @@
   /** Receives the next event of a stream. */
   void receiveEvent() {
     receivedAtMillis = node.timers.nowMillis();
-    position++;
-    node.invariants.written(name, position);
-    if (node.scenario.eventIds()) {
-      node.state.lastEventId = Long.toString(position);
-    }
-    node.state.responseStarted = true;
-    node.state.recordEvent(receivedAtMillis);
+    stream.writeNext();
     if (firstEventAtMillis < 0) {
       firstEventAtMillis = receivedAtMillis;
       onFirstEvent.run();
--- a/gateway/src/test/java/org/lockdale/gateway/request/SimulatedCall.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/SimulatedCall.java
@@ -11,7 +11,7 @@
   final String name;
   private final SimulatedNode node;
   private final Consumer<ForwardedCall.Result> onResult;
-  private long position;
+  private final SimulatedStream stream;
   private boolean started;
   private boolean sent;
   private boolean written;
@@ -21,14 +21,14 @@
     this.name = name;
     this.node = node;
     this.onResult = onResult;
-    String resumedAfter = node.state.lastEventId;
-    this.position = resumedAfter == null ? 0 : Long.parseLong(resumedAfter);
+    this.stream = new SimulatedStream(name, node, node.state.request.lastEventId());
   }
 
   @Override
   public void start() {
     node.invariants.sourceStarted(name);
     started = true;
+    stream.open();
     switch (node.choices.next(2, IMMEDIATE_CASES - 2)) {
       case 1 -> send();
       case 2 -> end(new ForwardedCall.Result.NotServed("not connected"));
@@ -58,10 +58,8 @@
 
   /** Passes on the next event of a stream. */
   void receiveEvent() {
-    position++;
     written = true;
-    node.invariants.written(name, position);
-    node.state.responseStarted = true;
+    stream.writeNext();
   }
 
   /** Ends the call; a result of a call that has ended is a late one. */
--- a/gateway/src/test/java/org/lockdale/gateway/request/SimulatedEnding.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/SimulatedEnding.java
@@ -38,6 +38,6 @@
   }
 
   private boolean isToldNotRun() {
-    return state.possibleRuns == 0 && !state.responseStarted;
+    return state.possibleRuns == 0 && !state.response.hasStarted();
   }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/request/SimulatedNode.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/SimulatedNode.java
@@ -126,7 +126,7 @@
             "",
             placement.weights(),
             placement.transfer(),
-            state.lastEventId);
+            state.response.lastEventId());
     SimulatedAttempt attempt =
         new SimulatedAttempt(
             "attempt-" + attempts.size(),
@@ -217,6 +217,13 @@
     return call;
   }
 
+  @Override
+  public CompletableFuture<Boolean> isResponsive(PeerNode peer) {
+    boolean responsive = choices.next(2) == 0;
+    invariants.trace(peer.id() + (responsive ? " responds" : " is silent"));
+    return CompletableFuture.completedFuture(responsive);
+  }
+
   @Override
   public void onNotRun() {
     invariants.requireOpen("the tenant gets a refund");
--- a/gateway/src/test/java/org/lockdale/gateway/request/SimulationScenario.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/SimulationScenario.java
@@ -103,7 +103,14 @@
             new byte[0]);
     // The exchange is used behind the ports only, which are simulated.
     RequestState state =
-        new RequestState(null, request, GatewayConfiguration.NONE, 0, 0, receivedFromPeer);
+        new RequestState(
+            null,
+            request,
+            new CallerResponse(new DiscardedReplies(), request, 0),
+            GatewayConfiguration.NONE,
+            0,
+            0,
+            receivedFromPeer);
     state.route =
         new Route(
             "route",
--- a/gateway/src/test/java/org/lockdale/gateway/request/TenantLimitStepTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/TenantLimitStepTest.java
@@ -113,13 +113,15 @@
               null,
               new DefaultHttpHeaders(),
               exchange.body());
+      long now = SystemTime.instance().monotonicMillis();
       RequestState state =
           new RequestState(
               exchange,
               request,
+              new CallerResponse(exchange, request, now),
               GatewayConfiguration.NONE,
               0,
-              SystemTime.instance().monotonicMillis(),
+              now,
               false);
       state.route = ROUTE;
       state.tenant = TENANT;
--- a/http/src/main/java/org/lockdale/http/HttpExchange.java
+++ b/http/src/main/java/org/lockdale/http/HttpExchange.java
@@ -27,7 +27,7 @@
  * #startStream}, {@link #write}, {@link #endStream}). Methods may be called from any thread. The
  * first call that ends the exchange takes effect; later ones are ignored.
  */
-public final class HttpExchange {
+public final class HttpExchange implements ReplyWriter {
 
   /** Value of the linger option with which a close resets the connection. */
   private static final int RESET_ON_CLOSE = 0;
@@ -132,6 +132,7 @@
   }
 
   /** Returns the number of bytes that are queued for the caller's socket. */
+  @Override
   public long queuedBytes() {
     return QueueMeter.queuedBytes(channel);
   }
@@ -147,6 +148,7 @@
   }
 
   /** Sends a complete reply and ends the exchange. */
+  @Override
   public void reply(HttpReply reply) {
     if (!ended.compareAndSet(false, true)) {
       return;
@@ -155,6 +157,7 @@
   }
 
   /** Writes the head of a streamed reply, without flushing it. */
+  @Override
   public void startStream(int status, HttpHeaders headers) {
     if (ended.get()) {
       return;
@@ -185,6 +188,7 @@
   }
 
   /** Sends a part of a streamed reply and releases the buffer. */
+  @Override
   public void write(ByteBuf part) {
     if (ended.get()) {
       part.release();
@@ -194,6 +198,7 @@
   }
 
   /** Ends a streamed reply as complete. */
+  @Override
   public void endStream() {
     if (ended.compareAndSet(false, true)) {
       ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
@@ -219,6 +224,7 @@
    * Closes the connection, so that the caller can tell that the reply is incomplete. Resets it if
    * an orderly close would look like the end of the reply.
    */
+  @Override
   public void abort() {
     if (ended.compareAndSet(false, true)) {
       if (!acceptsChunks) {
