The soak cuts nodes off from all servers, so that connecting fails

The soak missed an incident in which a node could not connect to its servers: a connection over a cut link was accepted by the proxy and then silent, so no attempt ever ended as NOT_SENT (only a failed connect does), and no node was cut off from its servers while others reached them.

Each node now reaches each server at an address of its own: the stand-in store serves each node at an address of its own and puts that node's addresses into the rows, and the proxy replaces them in what nodes pass on to each other. During the fault the listeners of one node are closed or have a full queue, and its open connections are reset or silent until the end.

Never are all nodes cut at once.

--- a/soak/src/main/java/org/lockdale/soak/link/LinkProxy.java
+++ b/soak/src/main/java/org/lockdale/soak/link/LinkProxy.java
@@ -17,16 +17,9 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.Closeable;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -63,23 +56,25 @@
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-  private final BlockingQueue<Consumer<ConnectionOwners>> pendingLookups =
-      new LinkedBlockingQueue<>();
-  private final Thread ownerLookup = new Thread(this::lookUpOwners, "connection-owners");
+  private final OwnerLookup ownerLookup = new OwnerLookup();
   private final AtomicInteger unknownOwners = new AtomicInteger();
-  private final Map<String, Long> processes = new ConcurrentHashMap<>();
   private final Map<String, LinkState> links = new ConcurrentHashMap<>();
   private final Map<InetSocketAddress, String> datagramSenders = new ConcurrentHashMap<>();
   private final Map<String, Channel> datagramSockets = new ConcurrentHashMap<>();
 
+  private final PairLinks pairs = new PairLinks();
+
+  /** Numbers of the sources whose received addresses are replaced, by name. */
+  private final Map<String, Integer> rewrittenSources = new ConcurrentHashMap<>();
+
+  private final AtomicInteger foreignAddresses = new AtomicInteger();
+
   private final DelayListener delayListener;
   private long lastCheckMillis = StandardStreams.nowMillis();
 
   /** Creates a proxy that listens at no address yet. */
   public LinkProxy(DelayListener delayListener) {
     this.delayListener = delayListener;
-    ownerLookup.setDaemon(true);
-    ownerLookup.start();
     group.scheduleAtFixedRate(
         this::checkEventLoopDelay,
         CHECK_INTERVAL_MILLIS,
@@ -96,31 +91,19 @@
     lastCheckMillis = now;
   }
 
-  private void lookUpOwners() {
-    List<Consumer<ConnectionOwners>> connections = new ArrayList<>();
-    try {
-      while (true) {
-        connections.add(pendingLookups.take());
-        pendingLookups.drainTo(connections);
-        ConnectionOwners owners = ConnectionOwners.read(processes);
-        connections.forEach(connection -> connection.accept(owners));
-        connections.clear();
-      }
-    } catch (InterruptedException | RejectedExecutionException closed) {
-      Thread.currentThread().interrupt();
-    } catch (IOException noTables) {
-      throw new UncheckedIOException(noTables);
-    }
-  }
-
   /** Returns the number of connections whose process was not found; they get no faults. */
   public int unknownOwners() {
     return unknownOwners.get();
   }
 
+  /** Returns the number of connections to an address that only another process should use. */
+  public int foreignAddresses() {
+    return foreignAddresses.get();
+  }
+
   /** Sets the id of a process, by which the proxy finds its connections. */
   public void setProcess(String name, long processId) {
-    processes.put(name, processId);
+    ownerLookup.setProcess(name, processId);
   }
 
   /**
@@ -136,15 +119,48 @@
       String destination,
       InetSocketAddress proxied,
       InetSocketAddress real) {
-    new ServerBootstrap()
+    bind(proxied, new ConnectionAcceptor(source, destination, real, null));
+  }
+
+  /**
+   * Listens at an address that only one process uses and forwards its connections to another. The
+   * process that connects is looked up all the same, so that faults are those of its links.
+   *
+   * @param user process that uses the address
+   * @param destination process that connections are forwarded to
+   * @param proxied address to listen at
+   * @param real address of the destination
+   */
+  public void listenForPair(
+      String user, String destination, InetSocketAddress proxied, InetSocketAddress real) {
+    pairs.add(
+        user,
+        link(user, destination),
+        new PairListener(
+            proxied, () -> bind(proxied, new ConnectionAcceptor(null, destination, real, user))));
+  }
+
+  /**
+   * Replaces the addresses of servers in what a process receives from others on connections that
+   * any process may open.
+   *
+   * @param number number of the node for which the addresses are
+   */
+  public void rewriteServerAddresses(String source, int number) {
+    rewrittenSources.put(source, number);
+  }
+
+  private Channel bind(InetSocketAddress address, ConnectionAcceptor acceptor) {
+    return new ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.AUTO_READ, false)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(new ConnectionAcceptor(source, destination, real))
-        .bind(proxied)
-        .syncUninterruptibly();
+        .childHandler(acceptor)
+        .bind(address)
+        .syncUninterruptibly()
+        .channel();
   }
 
   /**
@@ -202,6 +218,11 @@
         });
   }
 
+  /** Returns the addresses that a single process uses, where connecting can be made to fail. */
+  public PairLinks pairs() {
+    return pairs;
+  }
+
   private void forEachLink(String source, String destination, Consumer<LinkState> action) {
     if (!destination.equals(Deployment.ANY)) {
       action.accept(link(source, destination));
@@ -224,11 +245,17 @@
     private final @Nullable String source;
     private final String destination;
     private final InetSocketAddress real;
+    private final @Nullable String user;
 
-    ConnectionAcceptor(@Nullable String source, String destination, InetSocketAddress real) {
+    ConnectionAcceptor(
+        @Nullable String source,
+        String destination,
+        InetSocketAddress real,
+        @Nullable String user) {
       this.source = source;
       this.destination = destination;
       this.real = real;
+      this.user = user;
     }
 
     @Override
@@ -241,12 +268,15 @@
       }
       int port = ((InetSocketAddress) accepted.remoteAddress()).getPort();
       InetSocketAddress local = (InetSocketAddress) accepted.localAddress();
-      pendingLookups.add(
+      ownerLookup.request(
           owners -> {
             String owner = owners.ownerOf(port, local);
             if (owner == null) {
               unknownOwners.incrementAndGet();
             }
+            if (owner != null && user != null && !owner.equals(user)) {
+              foreignAddresses.incrementAndGet();
+            }
             String name = owner == null ? "unknown" : owner;
             accepted.eventLoop().execute(() -> connect(accepted, name, acceptedAtMillis));
           });
@@ -259,6 +289,11 @@
       }
     }
 
+    private @Nullable ServerAddressRewriter rewriter(String owner) {
+      Integer number = user == null && source == null ? rewrittenSources.get(owner) : null;
+      return number == null ? null : new ServerAddressRewriter(number);
+    }
+
     private void connect(Channel accepted, String owner, long acceptedAtMillis) {
       LinkState link = link(owner, destination);
       ChannelFuture connecting =
@@ -273,7 +308,7 @@
           connected -> {
             reportLateConnection(owner, acceptedAtMillis);
             if (connected.isSuccess()) {
-              new ProxiedConnection(link, accepted, connecting.channel()).start();
+              new ProxiedConnection(link, accepted, connecting.channel(), rewriter(owner)).start();
             } else {
               accepted.config().setOption(ChannelOption.SO_LINGER, 0);
               accepted.close();
@@ -332,7 +367,8 @@
 
   @Override
   public void close() {
-    ownerLookup.interrupt();
+    ownerLookup.close();
+    pairs.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 }
--- a/soak/src/main/java/org/lockdale/soak/link/LinkState.java
+++ b/soak/src/main/java/org/lockdale/soak/link/LinkState.java
@@ -11,13 +11,21 @@
   private volatile boolean outboundCut;
   private volatile boolean inboundCut;
 
+  /** Whether the network between both ends is gone, whatever else is set. */
+  private volatile boolean severed;
+
   long delayMillis() {
     return delayMillis;
   }
 
   /** Returns whether bytes to the destination, or those back to the source, are blocked. */
   boolean isCut(boolean outbound) {
-    return outbound ? outboundCut : inboundCut;
+    return severed || (outbound ? outboundCut : inboundCut);
+  }
+
+  void setSevered(boolean newSevered) {
+    severed = newSevered;
+    connections.forEach(ProxiedConnection::resume);
   }
 
   void setDelay(long millis) {
--- a/soak/src/main/java/org/lockdale/soak/link/ProxiedConnection.java
+++ b/soak/src/main/java/org/lockdale/soak/link/ProxiedConnection.java
@@ -1,6 +1,8 @@
 package org.lockdale.soak.link;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -17,6 +19,9 @@
   /** Queued bytes in one direction at which reading stops; the queue acts as a socket buffer. */
   private static final int MAX_QUEUED_BYTES = 256 * 1024;
 
+  /** Time for which the start of what may be an address waits for the rest. */
+  private static final long HOLDING_MILLIS = 20;
+
   private final LinkState link;
   private final Channel source;
   private final Channel destination;
@@ -24,12 +29,21 @@
   private final Direction inbound;
   private boolean silenced;
 
-  ProxiedConnection(LinkState link, Channel source, Channel destination) {
+  /**
+   * Creates a connection.
+   *
+   * @param rewriter rewrites what the source receives, or null to leave it unchanged
+   */
+  ProxiedConnection(
+      LinkState link,
+      Channel source,
+      Channel destination,
+      @Nullable ServerAddressRewriter rewriter) {
     this.link = link;
     this.source = source;
     this.destination = destination;
-    outbound = new Direction(true, source, destination);
-    inbound = new Direction(false, destination, source);
+    outbound = new Direction(true, source, destination, null);
+    inbound = new Direction(false, destination, source, rewriter);
   }
 
   /** Starts forwarding bytes. */
@@ -87,12 +101,15 @@
     private final Channel to;
     private final Deque<QueuedEvent> queue = new ArrayDeque<>();
     private int queuedBytes;
+    private final @Nullable ServerAddressRewriter rewriter;
     private boolean failed;
 
-    Direction(boolean isOutbound, Channel from, Channel to) {
+    Direction(
+        boolean isOutbound, Channel from, Channel to, @Nullable ServerAddressRewriter rewriter) {
       this.isOutbound = isOutbound;
       this.from = from;
       this.to = to;
+      this.rewriter = rewriter;
     }
 
     @Override
@@ -102,11 +119,30 @@
         bytes.release();
         return;
       }
+      if (rewriter == null) {
+        accept(bytes);
+        return;
+      }
+      byte[] received = ByteBufUtil.getBytes(bytes);
+      bytes.release();
+      accept(Unpooled.wrappedBuffer(rewriter.rewrite(received)));
+      if (rewriter.holdsBytes()) {
+        from.eventLoop().schedule(this::acceptHeld, HOLDING_MILLIS, TimeUnit.MILLISECONDS);
+      }
+    }
+
+    private void accept(ByteBuf bytes) {
       queuedBytes += bytes.readableBytes();
       from.config().setAutoRead(queuedBytes < MAX_QUEUED_BYTES);
       enqueue(bytes);
     }
 
+    private void acceptHeld() {
+      if (rewriter != null && rewriter.holdsBytes()) {
+        accept(Unpooled.wrappedBuffer(rewriter.takeHeld()));
+      }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       failed = true;
@@ -115,6 +151,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+      acceptHeld();
       enqueue(null);
     }
 
--- a/soak/src/main/java/org/lockdale/soak/plan/Fault.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/Fault.java
@@ -20,6 +20,22 @@
     SILENCED
   }
 
+  /** What happens to new connections of a node that is cut off from the servers. */
+  enum ConnectTrouble {
+    /** They are refused. */
+    REFUSED,
+    /** They are not answered. */
+    UNANSWERED
+  }
+
+  /** What happens to open connections of a node that is cut off from the servers. */
+  enum OpenTrouble {
+    /** They are reset. */
+    RESET,
+    /** Nothing is forwarded until the end of the fault. */
+    SILENT
+  }
+
   /** Faults of the store. */
   enum StoreTrouble {
     /** Calls get status 503. */
@@ -120,4 +136,13 @@
    * @param announced whether the server announces that it is draining before
    */
   record ServerReplaced(String server, boolean announced) implements Fault {}
+
+  /**
+   * A node can't connect to any server, while other nodes, callers and the store reach it and all
+   * others reach the servers.
+   *
+   * @param lastsMillis duration of the fault, in milliseconds
+   */
+  record NodeCutFromServers(
+      String node, ConnectTrouble connects, OpenTrouble open, long lastsMillis) implements Fault {}
 }
--- a/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
+++ b/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
@@ -104,6 +104,8 @@
   private void start(Fault fault) throws IOException, InterruptedException {
     if (fault instanceof Fault.OnLink link) {
       disruptLink(link);
+    } else if (fault instanceof Fault.NodeCutFromServers cut) {
+      cutFromServers(cut);
     } else if (fault instanceof Fault.OnStore onStore) {
       disruptStore(onStore);
     } else if (fault instanceof Fault.ForeignEntry entry) {
@@ -184,6 +186,14 @@
     disruptions.forEach(notes::recordDisruptionEnd);
   }
 
+  private void cutFromServers(Fault.NodeCutFromServers cut) throws InterruptedException {
+    long disruption = notes.recordDisruptionStart(cut.node(), true);
+    processes.proxy().pairs().cut(cut.node(), cut.connects(), cut.open());
+    Thread.sleep(cut.lastsMillis());
+    processes.proxy().pairs().restore(cut.node());
+    notes.recordDisruptionEnd(disruption);
+  }
+
   private static long durationMillis(Fault.OnLink link) {
     return switch (link.trouble()) {
       case RESET, SILENCED -> 1;
--- a/soak/src/main/java/org/lockdale/soak/run/Processes.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Processes.java
@@ -32,9 +32,7 @@
   static final String MODEL = "model-one";
 
   private static final int NODES_GROUP = 1;
-  private static final int SERVERS_GROUP = 2;
   private static final int STORES_GROUP = 3;
-  private static final int STORE_LINKS_GROUP = 4;
 
   /** State of a server's entry in the store. */
   enum Visibility {
@@ -116,15 +114,11 @@
     this.notes = notes;
     this.proxy = new LinkProxy(notes::recordForwardingDelay);
     assignAddresses(deployment.nodeNames(), NODES_GROUP);
-    assignAddresses(deployment.serverNames(), SERVERS_GROUP);
+    assignAddresses(deployment.serverNames(), Addresses.SERVERS_GROUP);
     assignAddresses(List.of(Deployment.STORE, Deployment.CACHE_STORE), STORES_GROUP);
     deployment.nodeNames().forEach(this::listenForNode);
-    List<String> servers = new ArrayList<>(deployment.serverNames());
-    servers.add(Deployment.CACHE_STORE);
-    for (String server : servers) {
-      proxy.listen(
-          null, server, Addresses.proxiedAddress(realAddress(server)), realAddress(server));
-    }
+    InetSocketAddress cacheStore = realAddress(Deployment.CACHE_STORE);
+    proxy.listen(null, Deployment.CACHE_STORE, Addresses.proxiedAddress(cacheStore), cacheStore);
   }
 
   private void listenForNode(String node) {
@@ -134,14 +128,27 @@
     InetSocketAddress peers = realAddressAt(node, Addresses.PEERS_PORT);
     proxy.listen(null, node, Addresses.proxiedAddress(peers), peers);
     proxy.listenForDatagrams(node, Addresses.proxiedAddress(peers), peers);
-    proxy.listen(node, Deployment.STORE, storeAddressFor(node), realAddress(Deployment.STORE));
+    int number = numberOf(node);
+    proxy.listen(node, Deployment.STORE, storeAddressFor(node), storeReaderAddress(number));
+    proxy.rewriteServerAddresses(node, number);
+    for (String server : deployment.serverNames()) {
+      InetSocketAddress real = realAddress(server);
+      proxy.listenForPair(node, server, Addresses.serverAddressFor(number, real), real);
+    }
+  }
+
+  private int numberOf(String node) {
+    return deployment.nodeNames().indexOf(node) + 1;
+  }
+
+  /** Returns the real address of the store at which it serves only the given node. */
+  private InetSocketAddress storeReaderAddress(int number) {
+    return addresses.realAddress(Addresses.STORE_LINKS_GROUP, number, Addresses.SERVICE_PORT);
   }
 
   /** Returns the proxied address of the store that is used only by the given node. */
   private InetSocketAddress storeAddressFor(String node) {
-    int number = deployment.nodeNames().indexOf(node) + 1;
-    return Addresses.proxiedAddress(
-        addresses.realAddress(STORE_LINKS_GROUP, number, Addresses.SERVICE_PORT));
+    return Addresses.proxiedAddress(storeReaderAddress(numberOf(node)));
   }
 
   private void assignAddresses(List<String> names, int group) {
@@ -195,11 +202,18 @@
               }
               control[0].receive(line);
             },
-            "store");
+            "store",
+            storeReaders());
     control[0] = new StoreControl(process);
     store = control[0];
   }
 
+  private String[] storeReaders() {
+    return deployment.nodeNames().stream()
+        .map(node -> storeReaderAddress(numberOf(node)).getAddress().getHostAddress())
+        .toArray(String[]::new);
+  }
+
   void startCacheStore() throws IOException {
     startStandIn(Deployment.CACHE_STORE, line -> {}, "cache-store", Deployment.CACHE_STORE, "1");
   }
--- a/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
@@ -159,6 +159,8 @@
               callers.counts()
                   + " unknown-links="
                   + processes.proxy().unknownOwners()
+                  + " foreign-addresses="
+                  + processes.proxy().foreignAddresses()
                   + " "
                   + notes.crashCounts(),
               violations);
--- a/soak/src/main/java/org/lockdale/soak/standin/Addresses.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/Addresses.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.regex.Pattern;
 
 /**
  * Loopback addresses of one run. Each process has a real address, and a proxied one by which the
@@ -21,6 +22,24 @@
   /** Port for the messages between nodes. */
   public static final int PEERS_PORT = 7340;
 
+  /** Group of the servers without and with a model. */
+  public static final int SERVERS_GROUP = 2;
+
+  /** Group of the addresses at which single nodes reach the store. */
+  public static final int STORE_LINKS_GROUP = 4;
+
+  /**
+   * Groups above this one, by a node's number, are those at which a single node reaches servers.
+   */
+  private static final int SERVER_LINKS_GROUP = 10;
+
+  /** Proxied address and port of a server, in any node's group or in that of all servers. */
+  public static final Pattern PROXIED_SERVER =
+      Pattern.compile("(127\\.\\d{1,3}\\.)(?:102|1[1-9]\\d)(\\.\\d{1,3}:" + SERVICE_PORT + ")");
+
+  /** Maximum length of a text that matches {@link #PROXIED_SERVER}. */
+  public static final int MAX_ADDRESS_LENGTH = "127.255.199.255:8782".length();
+
   private static final int FIRST_NETWORK = 16;
   private static final int LAST_NETWORK = 250;
   private static final int PROXIED_OFFSET = 100;
@@ -71,9 +90,34 @@
     return shiftThirdOctet(real, PROXIED_OFFSET);
   }
 
-  /** Returns the real address of a host, given by its proxied address. */
+  /** Returns the real address of a host, given by its proxied address for any node. */
   static String realHost(String proxied) {
-    return shiftThirdOctet(proxied, -PROXIED_OFFSET);
+    String real = shiftThirdOctet(proxied, -PROXIED_OFFSET);
+    String[] octets = real.split("\\.");
+    if (Integer.parseInt(octets[THIRD_OCTET]) > SERVER_LINKS_GROUP) {
+      octets[THIRD_OCTET] = Integer.toString(SERVERS_GROUP);
+    }
+    return String.join(".", octets);
+  }
+
+  /** Returns the proxied address at which one node, given by its number, reaches a server. */
+  public static InetSocketAddress serverAddressFor(int node, InetSocketAddress real) {
+    return proxiedAddress(
+        new InetSocketAddress(
+            shiftThirdOctet(
+                real.getAddress().getHostAddress(), SERVER_LINKS_GROUP + node - SERVERS_GROUP),
+            real.getPort()));
+  }
+
+  /**
+   * Replaces the proxied addresses of servers in a text by those for one node, which have the same
+   * length.
+   *
+   * @param node number of the node, starting at 1
+   */
+  public static String withServerAddressesFor(int node, String text) {
+    int group = SERVER_LINKS_GROUP + node + PROXIED_OFFSET;
+    return PROXIED_SERVER.matcher(text).replaceAll("$1" + group + "$2");
   }
 
   private static String shiftThirdOctet(String host, int offset) {
--- a/soak/src/main/java/org/lockdale/soak/standin/StandInProcess.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/StandInProcess.java
@@ -2,12 +2,14 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.List;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
- * Runs one stand-in: {@code store IP PORT}, {@code engine IP PORT ID START SERVICE MODEL VERSION},
- * {@code plain IP PORT ID START SERVICE} or {@code cache-store IP PORT ID START}.
+ * Runs one stand-in: {@code store IP PORT READER-IP...}, {@code engine IP PORT ID START SERVICE
+ * MODEL VERSION}, {@code plain IP PORT ID START SERVICE} or {@code cache-store IP PORT ID START}.
  */
 public final class StandInProcess {
 
@@ -21,7 +23,7 @@
     Logger.getLogger("").setLevel(Level.WARNING);
     InetSocketAddress address = new InetSocketAddress(arguments[1], Integer.parseInt(arguments[2]));
     switch (arguments[0]) {
-      case "store" -> StoreProcess.run(address);
+      case "store" -> StoreProcess.run(address, parseReaders(arguments));
       case "engine" ->
           new EngineServer(
                   parseIncarnation(arguments),
@@ -37,6 +39,13 @@
     }
   }
 
+  private static List<InetSocketAddress> parseReaders(String... arguments) {
+    return Arrays.stream(arguments)
+        .skip(3)
+        .map(host -> new InetSocketAddress(host, Addresses.SERVICE_PORT))
+        .toList();
+  }
+
   private static ServerBase.Life parseIncarnation(String... arguments) {
     return new ServerBase.Life(arguments[3], Long.parseLong(arguments[4]));
   }
--- a/soak/src/main/java/org/lockdale/soak/standin/StoreProcess.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/StoreProcess.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.lockdale.platform.StandInStore;
 import org.lockdale.protocol.MessageCodec;
 import org.lockdale.protocol.generated.NodeRecord;
@@ -9,6 +11,7 @@
 /** Runs a stand-in for the platform's metadata store. */
 final class StoreProcess {
 
+  private static final String SERVERS_TABLE = "servers";
   private static final String NODE_PREFIX = "node/";
   private static final int COMMAND_FIELDS = 5;
 
@@ -16,13 +19,29 @@
 
   /**
    * Serves until the driver closes the standard input. Node records are returned with proxied
-   * addresses, so that nodes reach each other through the proxy.
+   * addresses, so that nodes reach each other through the proxy. Each node reads at an address of
+   * its own and gets addresses of servers that only it uses, so that it alone can be cut off.
+   *
+   * @param readers addresses at which nodes read, ordered by the numbers of the nodes
    */
-  static void run(InetSocketAddress address) throws IOException {
+  static void run(InetSocketAddress address, List<InetSocketAddress> readers) throws IOException {
     StandInStore store = new StandInStore(address, StoreProcess::proxied);
+    for (int index = 0; index < readers.size(); index++) {
+      int node = index + 1;
+      store.listenForReader(
+          readers.get(index), (table, key, value) -> forReader(node, table, value));
+    }
     StandardStreams.runCommands(line -> runCommand(store, line));
   }
 
+  private static byte[] forReader(int node, String table, byte[] value) {
+    if (!table.equals(SERVERS_TABLE)) {
+      return value;
+    }
+    String text = new String(value, StandardCharsets.UTF_8);
+    return Addresses.withServerAddressesFor(node, text).getBytes(StandardCharsets.UTF_8);
+  }
+
   private static synchronized byte[] proxied(String table, String key, byte[] value) {
     if (!key.startsWith(NODE_PREFIX)) {
       return value;
--- a/soak/src/test/java/org/lockdale/soak/link/LinkProxyTest.java
+++ b/soak/src/test/java/org/lockdale/soak/link/LinkProxyTest.java
@@ -9,7 +9,9 @@
 import org.lockdale.platform.RawBackend;
 import org.lockdale.platform.RawCaller;
 import org.lockdale.soak.plan.Deployment;
+import org.lockdale.soak.plan.Fault.ConnectTrouble;
 import org.lockdale.soak.plan.Fault.LinkTrouble;
+import org.lockdale.soak.plan.Fault.OpenTrouble;
 import org.lockdale.soak.standin.Addresses;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -24,13 +26,16 @@
   /** Time without a response after which a link counts as silent; a working one needs less. */
   private static final int SILENCE_MILLIS = 300;
 
+  private static final int CONNECT_TIMEOUT_MILLIS = 300;
+
   private LinkProxy proxy;
   private RawBackend server;
   private InetSocketAddress proxied;
+  private InetSocketAddress real;
 
   @BeforeMethod
   public void start() throws IOException {
-    InetSocketAddress real = Addresses.claim().realAddress(9, 1, Addresses.SERVICE_PORT);
+    real = Addresses.claim().realAddress(Addresses.SERVERS_GROUP, 1, Addresses.SERVICE_PORT);
     proxied = Addresses.proxiedAddress(real);
     server =
         new RawBackend(
@@ -133,4 +138,43 @@
       assertEquals(caller.read().body(), "echo");
     }
   }
+
+  @Test
+  public void aCutProcessCannotConnectWhileOthersCan() throws IOException {
+    InetSocketAddress own = Addresses.serverAddressFor(1, real);
+    InetSocketAddress other = Addresses.serverAddressFor(2, real);
+    proxy.listenForPair(Deployment.CALLERS, SERVER, own, real);
+    proxy.listen("node-2", SERVER, other, real);
+    for (ConnectTrouble trouble : ConnectTrouble.values()) {
+      proxy.pairs().cut(Deployment.CALLERS, trouble, OpenTrouble.RESET);
+      assertThrows(IOException.class, () -> new RawCaller(own, CONNECT_TIMEOUT_MILLIS));
+      try (RawCaller caller = new RawCaller(other, TIMEOUT_MILLIS)) {
+        assertEquals(call(caller), "echo");
+      }
+      proxy.pairs().restore(Deployment.CALLERS);
+      try (RawCaller caller = new RawCaller(own, TIMEOUT_MILLIS)) {
+        assertEquals(call(caller), "echo");
+      }
+    }
+  }
+
+  @Test
+  public void openConnectionsOfACutProcessAreResetOrSilent() throws IOException {
+    InetSocketAddress own = Addresses.serverAddressFor(1, real);
+    proxy.listenForPair(Deployment.CALLERS, SERVER, own, real);
+    try (RawCaller silent = new RawCaller(own, TIMEOUT_MILLIS)) {
+      assertEquals(call(silent), "echo");
+      proxy.pairs().cut(Deployment.CALLERS, ConnectTrouble.REFUSED, OpenTrouble.SILENT);
+      sendRequest(silent);
+      silent.setReadTimeout(SILENCE_MILLIS);
+      assertThrows(SocketTimeoutException.class, silent::read);
+      proxy.pairs().cut(Deployment.CALLERS, ConnectTrouble.REFUSED, OpenTrouble.RESET);
+      silent.setReadTimeout(TIMEOUT_MILLIS);
+      assertEquals(silent.read().status(), 0);
+      proxy.pairs().restore(Deployment.CALLERS);
+      assertThrows(IOException.class, () -> new RawCaller(own, CONNECT_TIMEOUT_MILLIS));
+      proxy.pairs().restore(Deployment.CALLERS);
+      new RawCaller(own, TIMEOUT_MILLIS).close();
+    }
+  }
 }
--- a/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
+++ b/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
@@ -1,12 +1,16 @@
 package org.lockdale.soak.plan;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
+import java.util.zip.CRC32;
+import org.lockdale.soak.standin.StandardStreams;
 import org.testng.annotations.Test;
 
 /**
@@ -16,6 +20,9 @@
 
   private static final long MINUTE_MILLIS = 60_000;
 
+  /** Checksum of all faults but cuts of nodes, of the seeds that are compared. */
+  private static final long OTHER_FAULTS_CHECKSUM = 1_602_663_525L;
+
   private static FaultPlan draw(long seed) {
     return FaultPlan.draw(seed, MINUTE_MILLIS, Deployment.small());
   }
@@ -57,6 +64,47 @@
     assertTrue(
         kinds.containsAll(
             Set.of(Fault.RateNamed.class, Fault.LeavingSaid.class, Fault.RestWanted.class)));
+    assertTrue(kinds.containsAll(Set.of(Fault.ConnectTrouble.values())));
+  }
+
+  @Test
+  public void cutsOfNodesLeaveTheOtherFaultsOfASeedUnchanged() {
+    CRC32 checksum = new CRC32();
+    LongStream.concat(LongStream.range(0, 500), LongStream.of(7_350, 63_001))
+        .mapToObj(seed -> FaultPlan.draw(seed, 30_000, Deployment.small()))
+        .flatMap(plan -> plan.faults().stream())
+        .filter(fault -> !(fault.fault() instanceof Fault.NodeCutFromServers))
+        .forEach(fault -> checksum.update(StandardStreams.json(fault).getBytes(UTF_8)));
+    assertEquals(checksum.getValue(), OTHER_FAULTS_CHECKSUM);
+  }
+
+  @Test
+  public void oneNodeReachesTheServersAtAnyTime() {
+    for (Deployment deployment : List.of(Deployment.small(), new Deployment(2, 1, 1))) {
+      LongStream.range(0, 200)
+          .mapToObj(seed -> FaultPlan.draw(seed, MINUTE_MILLIS, deployment))
+          .forEach(plan -> assertOneNodeIsNeverCut(plan, deployment));
+    }
+  }
+
+  private static void assertOneNodeIsNeverCut(FaultPlan plan, Deployment deployment) {
+    for (PlannedFault each : plan.faults()) {
+      if (each.fault() instanceof Fault.NodeCutFromServers) {
+        long cut =
+            plan.faults().stream()
+                .filter(other -> isCutAt(other, each.atMillis()))
+                .map(other -> ((Fault.NodeCutFromServers) other.fault()).node())
+                .distinct()
+                .count();
+        assertTrue(cut < deployment.nodes(), plan.toString());
+      }
+    }
+  }
+
+  private static boolean isCutAt(PlannedFault planned, long moment) {
+    return planned.fault() instanceof Fault.NodeCutFromServers cut
+        && planned.atMillis() <= moment
+        && moment <= planned.atMillis() + cut.lastsMillis();
   }
 
   private static Object kindOf(Fault fault) {
@@ -72,6 +120,9 @@
     if (fault instanceof Fault.ByOperator byOperator) {
       return byOperator.change();
     }
+    if (fault instanceof Fault.NodeCutFromServers cut) {
+      return cut.connects();
+    }
     if (fault instanceof Fault.ForeignEntry entry) {
       return entry.value();
     }
