The soak's checker reads streams in which an event begins within another one

A wrong history in which two runs write into one response, the second within an event of the first, ended the checker with a NumberFormatException instead of breaking ORDER (the new case failed so). Such an id is now read as one that can follow no other, so that ORDER is broken. Two more wrong histories of two runs in one response were missing, and broke ORDER as they were.

--- a/soak/src/main/java/org/lockdale/soak/judge/StreamPiece.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/StreamPiece.java
@@ -12,6 +12,9 @@
  */
 public record StreamPiece(int id, String run, boolean last) {
 
+  /** Id of an event whose id is not a number, as where an event begins within another one. */
+  static final int UNREADABLE_ID = Integer.MAX_VALUE;
+
   private static final String ID = "id: ";
   private static final String DATA = "data: ";
   private static final String LAST = " last";
@@ -30,7 +33,7 @@
       String data = "";
       for (String line : events[index].split("\n")) {
         if (line.startsWith(ID)) {
-          id = Integer.parseInt(line.substring(ID.length()).trim());
+          id = parseId(line.substring(ID.length()).trim());
         } else if (line.startsWith(DATA)) {
           data = line.substring(DATA.length());
         }
@@ -44,4 +47,12 @@
     }
     return pieces;
   }
+
+  private static int parseId(String text) {
+    try {
+      return Integer.parseInt(text);
+    } catch (NumberFormatException mixedEvents) {
+      return UNREADABLE_ID;
+    }
+  }
 }
--- a/soak/src/test/java/org/lockdale/soak/judge/RuleCheckerTest.java
+++ b/soak/src/test/java/org/lockdale/soak/judge/RuleCheckerTest.java
@@ -114,6 +114,34 @@
         stream(
             RequestKind.RESUMABLE, pieces("run-1", 1, 3, false) + pieces("run-2", 4, 5, true), true)
       },
+      {
+        "ORDER",
+        "two runs write into one response, the second from an earlier event on",
+        stream(
+            RequestKind.RESUMABLE,
+            pieces("run-1", 1, 3, false)
+                + pieces("run-2", 3, 3, false)
+                + pieces("run-1", 4, 5, true),
+            true)
+      },
+      {
+        "ORDER",
+        "a run goes on after another one has continued it",
+        stream(
+            RequestKind.RESUMABLE,
+            pieces("run-1", 1, 2, false)
+                + pieces("run-2", 3, 3, false)
+                + pieces("run-1", 4, 5, true),
+            true)
+      },
+      {
+        "ORDER",
+        "an event begins within another run's",
+        stream(
+            RequestKind.RESUMABLE,
+            pieces("run-1", 1, 2, false) + "id: " + pieces("run-2", 3, 5, true),
+            true)
+      },
       {"STALE", "parts of older weights", parts("tenant-1", "tenant-1", 1, 2)},
       {"WALL", "an isolated tenant's parts", parts("tenant-1", "tenant-2", 1, 1)},
       {"WALL", "parts for an isolated tenant", parts("tenant-2", "tenant-1", 1, 1)},
