Cuts of nodes in the soak are mostly short, and slow responses slower

Three cuts in four now last at most 1.6 s, most are of one node with its open connections reset, and slow responses take 2.5 to 3.5 s of 4 s; four callers a node wait for them.

--- a/soak/src/main/java/org/lockdale/soak/plan/NodeCutFaults.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/NodeCutFaults.java
@@ -18,10 +18,17 @@
   /** Separates the random numbers of these faults from those of other faults of the same seed. */
   private static final long SEED_SALT = 0xA0761D6478BD642FL;
 
-  private static final int MIN_GAP_MILLIS = 1_000;
-  private static final int MAX_GAP_MILLIS = 6_000;
+  private static final int MIN_GAP_MILLIS = 700;
+  private static final int MAX_GAP_MILLIS = 2_000;
   private static final int MIN_DURATION_MILLIS = 1_000;
   private static final int MAX_DURATION_MILLIS = 6_000;
+
+  /** Maximum of short cuts, which end before most requests that were forwarded in their time do. */
+  private static final int MAX_SHORT_DURATION_MILLIS = 1_600;
+
+  /** One episode in this many may have a long cut. */
+  private static final int LONG_ONE_IN = 4;
+
   private static final int MAX_SERIES_LENGTH = 3;
 
   /** Time between the end of a cut and the next one of the same series. */
@@ -30,6 +37,12 @@
   /** One episode in this many is a series of equal cuts. */
   private static final int SERIES_ONE_IN = 4;
 
+  /** One episode in this many may affect several nodes. */
+  private static final int SEVERAL_NODES_ONE_IN = 6;
+
+  /** In one episode in this many, open connections are silent instead of reset. */
+  private static final int SILENT_ONE_IN = 4;
+
   private NodeCutFaults() {}
 
   static List<PlannedFault> draw(
@@ -63,11 +76,15 @@
     /** Draws cuts of one or more nodes that begin at the same time, some of them repeatedly. */
     void addEpisode(long at, long untilMillis) {
       ConnectTrouble connects = pick(ConnectTrouble.values());
-      OpenTrouble open = pick(OpenTrouble.values());
-      long lastsMillis = random.nextInt(MIN_DURATION_MILLIS, MAX_DURATION_MILLIS + 1);
+      OpenTrouble open =
+          random.nextInt(SILENT_ONE_IN) == 0 ? OpenTrouble.SILENT : OpenTrouble.RESET;
+      boolean isLong = random.nextInt(LONG_ONE_IN) == 0;
+      int longest = isLong ? MAX_DURATION_MILLIS : MAX_SHORT_DURATION_MILLIS;
+      long lastsMillis = random.nextInt(MIN_DURATION_MILLIS, longest + 1);
       int length =
           random.nextInt(SERIES_ONE_IN) == 0 ? random.nextInt(2, MAX_SERIES_LENGTH + 1) : 1;
-      int count = random.nextInt(1, deployment.nodes());
+      int count =
+          random.nextInt(SEVERAL_NODES_ONE_IN) == 0 ? random.nextInt(1, deployment.nodes()) : 1;
       List<String> nodes = new ArrayList<>(deployment.nodeNames());
       for (int number = 0; number < count; number++) {
         String node = nodes.remove(random.nextInt(nodes.size()));
--- a/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
@@ -28,7 +28,7 @@
   private static final int CALLERS_PER_NODE = 6;
 
   /** Callers that wait for long responses, in plans that cut nodes off from the servers. */
-  private static final int WAITING_CALLERS_PER_NODE = 3;
+  private static final int WAITING_CALLERS_PER_NODE = 4;
 
   private static final long CHECK_MILLIS = 1_000;
   private static final long START_TIMEOUT_MILLIS = 60_000;
--- a/soak/src/main/java/org/lockdale/soak/standin/EngineServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/EngineServer.java
@@ -28,10 +28,10 @@
   private static final int MIN_PIECES = 3;
   private static final int MAX_PIECES = 30;
 
-  /** Pieces of a slow response, which takes 2.4 to 3.2 s. */
-  private static final int MIN_SLOW_PIECES = 60;
+  /** Pieces of a slow response, which takes 2.8 to 3.5 s. */
+  private static final int MIN_SLOW_PIECES = 70;
 
-  private static final int MAX_SLOW_PIECES = 80;
+  private static final int MAX_SLOW_PIECES = 88;
   private static final int POLL_INTERVAL_MILLIS = 10;
 
   /** Prompt tokens computed per millisecond. */
--- a/soak/src/main/java/org/lockdale/soak/standin/PlainServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/PlainServer.java
@@ -11,7 +11,7 @@
   private static final int SLOTS = 8;
   private static final int MIN_RUN_MILLIS = 5;
   private static final int MAX_RUN_MILLIS = 250;
-  private static final int MIN_SLOW_RUN_MILLIS = 2_200;
+  private static final int MIN_SLOW_RUN_MILLIS = 2_500;
   private static final int MAX_SLOW_RUN_MILLIS = 3_400;
   private static final int SERVER_ERROR = 500;
 
