--- a/soak/src/test/java/org/lockdale/soak/run/SoakRunTest.java
+++ b/soak/src/test/java/org/lockdale/soak/run/SoakRunTest.java
@@ -41,6 +41,7 @@
       {"callers-gone"},
       {"hangup-at-start-1"},
       {"hangup-at-start-2"},
+      {"forwarded-requests-outlive-cuts"},
     };
   }
 
