A plain response is not written into a stream that has started

Callers of a stream that broke off and was resumed at another server could read a second head and body inside the first response, or wait for an end that never came, where that server responded with anything but a stream, such as 404 (found by review of the response's sources).

An attempt whose response is no stream is broken off where the caller has a part of the stream already. The new case of GatewayStreamTest timed out before and passes.

--- a/gateway/src/main/java/org/lockdale/gateway/backend/ResponseHead.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/ResponseHead.java
@@ -41,6 +41,11 @@
     return NOT_RUN_STATUSES.contains(status);
   }
 
+  /** Returns the status in words, for messages about the backend. */
+  public String summary() {
+    return "it responded with status " + status;
+  }
+
   /** Returns whether the response is a success. */
   public boolean isSuccess() {
     return status / CLASS_SIZE == SUCCESS_CLASS;
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -314,15 +314,15 @@
       finish(AttemptResult.FAILED, "it sent no response");
     } else if (forwarder != null) {
       endStream(forwarder);
+    } else if (state.response.hasStarted()) {
+      head = null;
+      finish(AttemptResult.BROKEN_OFF, received.summary() + " instead of the rest of a stream");
     } else if (received.impliesNotRun()) {
-      // Callers take this status as a guarantee that the request was not run, which only the
-      // backend itself may give.
+      // Only the backend itself may guarantee its caller that the request was not run.
       head = null;
-      finish(
-          AttemptResult.FAILED,
-          "it responded with status " + received.status() + " without a reason");
+      finish(AttemptResult.FAILED, received.summary() + " without a reason");
     } else if (received.isServerError()) {
-      finish(AttemptResult.FAILED, "it responded with status " + received.status());
+      finish(AttemptResult.FAILED, received.summary());
     } else {
       complete(source.reply(new HttpReply(received.status(), received.headers(), body.take())));
     }
