--- a/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/BackendChooserTest.java
@@ -1,14 +1,15 @@
 package org.lockdale.gateway.placement;
 
+import static org.lockdale.gateway.placement.PlacementFixtures.engine;
+import static org.lockdale.gateway.placement.PlacementFixtures.engines;
+import static org.lockdale.gateway.placement.PlacementFixtures.newPrefix;
+import static org.lockdale.gateway.placement.PlacementFixtures.prompt;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
@@ -18,7 +19,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendLoad;
 import org.lockdale.gateway.backend.BackendWork;
 import org.lockdale.gateway.backend.TrackedBackend;
@@ -31,42 +31,10 @@
 
   private static final BackendChooser CHOOSER = new BackendChooser(engine -> BackendWork.NONE);
 
-  private static List<TrackedBackend> engines(int count) {
-    List<TrackedBackend> engines = new ArrayList<>();
-    for (int index = 0; index < count; index++) {
-      engines.add(engine("i-" + index, "zone-a"));
-    }
-    return engines;
-  }
-
-  private static TrackedBackend engine(String id, String zone) {
-    return TrackedBackend.of(
-        new Backend(
-            id,
-            "pool",
-            new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
-            zone,
-            4,
-            false,
-            Map.of()));
-  }
-
-  private static PromptPlacement prompt(String shared) {
-    return PromptPlacement.of(
-        List.of(
-            new PromptPart("root", 500),
-            new PromptPart(shared, 5_000),
-            new PromptPart("own", 100)));
-  }
-
   private static TrackedBackend choose(List<TrackedBackend> engines, PromptPlacement prompt) {
     return place(engines, Set.of(), prompt, 0).orElseThrow();
   }
 
-  private static MissingPrefix newPrefix(PromptPlacement prompt) {
-    return new MissingPrefix(0, 0, prompt == null ? 0 : prompt.sharedTokens());
-  }
-
   private static Optional<TrackedBackend> place(
       List<TrackedBackend> engines, Set<String> excluded, PromptPlacement prompt, long now) {
     return CHOOSER.choose(
--- a/gateway/src/test/java/org/lockdale/gateway/placement/TimeSelectorCapacityTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/TimeSelectorCapacityTest.java
@@ -1,8 +1,8 @@
 package org.lockdale.gateway.placement;
 
-import static org.lockdale.gateway.placement.TimeSelectorTest.engines;
-import static org.lockdale.gateway.placement.TimeSelectorTest.newPrefix;
-import static org.lockdale.gateway.placement.TimeSelectorTest.prompt;
+import static org.lockdale.gateway.placement.PlacementFixtures.engines;
+import static org.lockdale.gateway.placement.PlacementFixtures.newPrefix;
+import static org.lockdale.gateway.placement.PlacementFixtures.prompt;
 import static org.lockdale.gateway.placement.TimeSelectorTest.selector;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
