Followers of tables and the relay controller run on any scheduled executor

Preparation, no change of behaviour: the event loop's type is the general one and heartbeats go out through a function, so that whole fleets of these classes run in simulated time. A scan of a table has a class of its own, and the response to another node comes from the follower, whose proof it carries.

Tests of the table and cluster packages pass (TableFollowerTest, TableCopyTest, NodeRegistryTest, RelayElectionTest).

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/NodeRegistry.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/NodeRegistry.java
@@ -1,10 +1,10 @@
 package org.lockdale.gateway.cluster;
 
-import io.netty.channel.EventLoop;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.lockdale.coordination.time.Time;
@@ -34,7 +34,7 @@
 
   private record Announcement(PeerNode node, long rowVersion, long seenAtMillis) {}
 
-  private final EventLoop eventLoop;
+  private final ScheduledExecutorService eventLoop;
   private final ClusterTable table;
   private final PeerNode self;
   private final Time time;
@@ -46,7 +46,8 @@
   private boolean rowMayBeLost;
 
   /** Creates a registry; {@link #start} starts the announcements. */
-  public NodeRegistry(EventLoop eventLoop, ClusterTable table, PeerNode self, Time time) {
+  public NodeRegistry(
+      ScheduledExecutorService eventLoop, ClusterTable table, PeerNode self, Time time) {
     this.eventLoop = eventLoop;
     this.table = table;
     this.self = self;
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
@@ -1,12 +1,13 @@
 package org.lockdale.gateway.cluster;
 
-import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.lockdale.coordination.time.Time;
@@ -34,9 +35,9 @@
    */
   private static final long TICK_MILLIS = 200;
 
-  private final EventLoop eventLoop;
+  private final ScheduledExecutorService eventLoop;
   private final NodeRegistry nodes;
-  private final DatagramExchange datagrams;
+  private final BiConsumer<List<InetSocketAddress>, RelayHeartbeat> heartbeatSender;
   private final List<TableFollower> followers;
   private final StoreClock clock;
   private final long incarnation;
@@ -55,7 +56,7 @@
    *
    * @param eventLoop runs the controller and the followers
    * @param nodes nodes of the deployment
-   * @param datagrams sends heartbeats
+   * @param heartbeatSender sends a heartbeat to nodes
    * @param followers copies of tables; the proof of the first one shows whether a relay reaches the
    *     store
    * @param clock the store's clock
@@ -69,9 +70,9 @@
    * @param onServing receives whether this node serves as a relay, whenever that changes
    */
   public RelayController(
-      EventLoop eventLoop,
+      ScheduledExecutorService eventLoop,
       NodeRegistry nodes,
-      DatagramExchange datagrams,
+      BiConsumer<List<InetSocketAddress>, RelayHeartbeat> heartbeatSender,
       List<TableFollower> followers,
       StoreClock clock,
       Duration maxProofAge,
@@ -82,7 +83,7 @@
       Consumer<Boolean> onServing) {
     this.eventLoop = eventLoop;
     this.nodes = nodes;
-    this.datagrams = datagrams;
+    this.heartbeatSender = heartbeatSender;
     this.followers = followers;
     this.clock = clock;
     this.incarnation = incarnation;
@@ -250,7 +251,7 @@
       proofs.add(new TableProofRecord(proof.table(), proof.lastChange(), proof.storeMillis()));
     }
     List<InetSocketAddress> receivers = nodes.peers().stream().map(PeerNode::address).toList();
-    datagrams.send(
+    heartbeatSender.accept(
         receivers,
         new RelayHeartbeat(
             election.servingSinceMillis(),
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/TableSliceHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/TableSliceHandler.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import java.util.List;
 import java.util.Optional;
-import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.usage.TrafficMeter;
 import org.lockdale.http.HttpExchange;
@@ -44,7 +43,6 @@
 
   private final EventLoop eventLoop;
   private final List<TableFollower> followers;
-  private final Time time;
   private final TrafficMeter meter;
   private final MessageCodec<TableSliceRequest> requests = MessageCodec.tableSliceRequests();
   private final MessageCodec<TableSlice> slices = MessageCodec.tableSlices();
@@ -54,14 +52,11 @@
    *
    * @param eventLoop event loop of the followers
    * @param followers copies of tables
-   * @param time clock
    * @param meter counts the bytes sent, by table
    */
-  public TableSliceHandler(
-      EventLoop eventLoop, List<TableFollower> followers, Time time, TrafficMeter meter) {
+  public TableSliceHandler(EventLoop eventLoop, List<TableFollower> followers, TrafficMeter meter) {
     this.eventLoop = eventLoop;
     this.followers = followers;
-    this.time = time;
     this.meter = meter;
   }
 
@@ -89,18 +84,12 @@
     if (canReadStore && follower.get().exceedsTransferLimitAfter(request.getAfterChange())) {
       return HttpReply.text(GONE, "The changes are too many to send; read them from the store.");
     }
-    byte[] slice = slices.encode(slice(follower.get(), request));
+    byte[] slice =
+        slices.encode(TableSliceMessages.slice(follower.get().respond(request.getAfterChange())));
     meter.sent("slice-" + request.getTable(), slice.length);
     return HttpReply.of(OK, MEDIA_TYPE, slice);
   }
 
-  private TableSlice slice(TableFollower follower, TableSliceRequest request) {
-    return TableSliceMessages.slice(
-        follower.changesAfter(request.getAfterChange()),
-        follower.proof().storeMillis(),
-        time.monotonicMillis() - follower.provenAtMillis());
-  }
-
   @Override
   public HttpReply renderProtocolError(HttpProtocolError error) {
     return HttpReply.text(error.status(), error.remedy());
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/TableSliceMessages.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/TableSliceMessages.java
@@ -14,13 +14,19 @@
 
   private TableSliceMessages() {}
 
-  static TableSlice slice(TableChanges changes, long storeMillis, long ageMillis) {
+  static TableSlice slice(TablePeers.Response response) {
+    TableChanges changes = response.changes();
     List<TableSliceRow> rows = new ArrayList<>(changes.rows().size());
     for (TableRowChange row : changes.rows()) {
       ByteBuffer value = ByteBuffer.wrap(row.value());
       rows.add(new TableSliceRow(row.key(), value, row.version(), row.removed()));
     }
-    return new TableSlice(changes.complete(), changes.lastChange(), storeMillis, ageMillis, rows);
+    return new TableSlice(
+        changes.complete(),
+        changes.lastChange(),
+        response.storeMillis(),
+        response.ageMillis(),
+        rows);
   }
 
   static TablePeers.Response response(TableSlice slice) {
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -225,7 +225,7 @@
     return new RelayController(
         eventLoop,
         nodes,
-        datagrams,
+        datagrams::send,
         tables.all(),
         clock,
         settings.get(GatewaySettings.STORE_WAIT).plus(PROOF_MARGIN),
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -123,7 +123,7 @@
             GatewaySettings.PEERS_ADDRESS,
             new PeersHandler(
                 path,
-                new TableSliceHandler(controlLoop, cluster.followers(), time, meter),
+                new TableSliceHandler(controlLoop, cluster.followers(), meter),
                 new QuarantineHandler(cluster.quarantine(), controlLoop, time),
                 new SuspectListHandler(
                     settings.get(GatewaySettings.NODE_ID), cluster.quarantine(), controlLoop),
--- a/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
@@ -1,12 +1,11 @@
 package org.lockdale.gateway.table;
 
-import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.concurrent.Failures;
@@ -69,7 +68,7 @@
    */
   public record Plan(String table, Duration longestWait, Duration batchDelay) {}
 
-  private final EventLoop eventLoop;
+  private final ScheduledExecutorService eventLoop;
   private final Sources sources;
   private final String table;
   private final Duration longestWait;
@@ -97,7 +96,11 @@
    * @param listener receives the copy and its proofs
    */
   public TableFollower(
-      EventLoop eventLoop, Sources sources, Plan plan, Time time, Listener listener) {
+      ScheduledExecutorService eventLoop,
+      Sources sources,
+      Plan plan,
+      Time time,
+      Listener listener) {
     this.eventLoop = eventLoop;
     this.sources = sources;
     this.table = plan.table();
@@ -154,11 +157,14 @@
   }
 
   /**
-   * Returns the changes after a version, or all rows if the copy no longer holds these changes.
-   * Must be called on the event loop.
+   * Returns the changes after a version, or all rows if the copy no longer holds these changes,
+   * with the proof of this copy. Must be called on the event loop.
    */
-  public TableChanges changesAfter(long version) {
-    return copy.changesAfter(version);
+  public TablePeers.Response respond(long afterVersion) {
+    return new TablePeers.Response(
+        copy.changesAfter(afterVersion),
+        provenStoreMillis,
+        time.monotonicMillis() - provenAtMillis);
   }
 
   /**
@@ -289,49 +295,27 @@
 
   private void scan() {
     callOpen = true;
-    scanFrom(null, new HashMap<>(), time.monotonicMillis(), null);
-  }
-
-  private void scanFrom(
-      @Nullable String fromKey,
-      Map<String, TableRowChange> collected,
-      long startedAtMillis,
-      @Nullable TablePage firstPage) {
-    if (closed) {
-      return;
-    }
-    long sentAtMillis = time.monotonicMillis();
-    sources
-        .feed()
-        .scan(table, fromKey)
+    new TableScan(sources, table, eventLoop, time, () -> closed)
+        .run()
         .whenCompleteAsync(
-            (page, failure) -> {
+            (scan, failure) -> {
               if (failure != null) {
                 retry(failure, this::scan);
-                return;
-              }
-              sources.clock().observe(page.storeMillis(), sentAtMillis);
-              page.rows().forEach(row -> collected.put(row.key(), row));
-              // Changes during the scan are polled again, from the version of the first page on.
-              TablePage first = firstPage == null ? page : firstPage;
-              if (page.more() && !page.rows().isEmpty()) {
-                String next = page.rows().get(page.rows().size() - 1).key() + '\0';
-                scanFrom(next, collected, startedAtMillis, first);
               } else {
-                onScanned(collected, first, startedAtMillis);
+                onScanned(scan);
               }
             },
             eventLoop);
   }
 
-  private void onScanned(
-      Map<String, TableRowChange> collected, TablePage first, long startedAtMillis) {
+  private void onScanned(TableScan.Result scan) {
     failures = 0;
     callOpen = false;
-    copy.replace(collected, first.version());
+    TablePage first = scan.firstPage();
+    copy.replace(scan.rows(), first.version());
     readUpTo = Math.max(readUpTo, first.version());
     // The store read its clock after the scan was sent, so the proof is dated no later than it was.
-    recordProof(first.storeMillis(), startedAtMillis, true);
+    recordProof(first.storeMillis(), scan.startedAtMillis(), true);
     readNext();
   }
 
