Logs and metrics tell how old a node's configuration is and which relays lack the store

The logs could not tell whether the node's relays had lost the store, whether it heard relays at all, and how old its copy was.

configuration-in-force has the age of the copy's last proof, relays-disconnected names the relays that are heard but have no fresh proof, and the metrics have the version in force and the age of its proof. No decision changes.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -50,6 +51,7 @@
   private volatile List<RelayElection.Relay> relays = List.of();
   private volatile boolean serving;
   private boolean retired;
+  private Set<String> disconnected = Set.of();
 
   /**
    * Creates a controller; {@link #start} starts it.
@@ -231,6 +233,7 @@
           elected.map(RelayElection.Relay::id).orElse("none"));
     }
     coordinator = elected;
+    logDisconnected(election.disconnected(nowMillis));
     if (election.isServing() != serving) {
       serving = election.isServing();
       Logger.info("event=relay-{} relays={}", serving ? "serving" : "retired", relays.size());
@@ -239,6 +242,13 @@
     }
   }
 
+  private void logDisconnected(Set<String> now) {
+    if (!now.equals(disconnected)) {
+      Logger.info("event=relays-disconnected relays={}", now);
+      disconnected = now;
+    }
+  }
+
   private List<Long> lastChanges() {
     return followers.stream().map(follower -> follower.proof().lastChange()).toList();
   }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RelayElection.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RelayElection.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import org.lockdale.coordination.placement.Rendezvous;
 
 /**
@@ -221,11 +223,29 @@
     return bySeniority != 0 ? bySeniority : id.compareTo(otherId);
   }
 
+  /**
+   * Returns the ids of the relays whose heartbeats are recent but whose proofs are too old to count
+   * them as connected to the store.
+   */
+  public Set<String> disconnected(long nowMillis) {
+    Set<String> disconnected = new TreeSet<>();
+    for (Relay relay : withHeartbeatWithin(SILENCE_MILLIS + 1, nowMillis)) {
+      if (!isProven(lastHeartbeats.get(relay.id()), nowMillis)) {
+        disconnected.add(relay.id());
+      }
+    }
+    return disconnected;
+  }
+
+  private boolean isProven(Heartbeat heartbeat, long nowMillis) {
+    return nowMillis - heartbeat.provenAtMillis() <= maxProofAgeMillis;
+  }
+
   private List<Relay> usable(long nowMillis) {
     List<Relay> usable = new ArrayList<>();
     for (Heartbeat entry : lastHeartbeats.values()) {
       boolean silent = nowMillis - entry.receivedAtMillis() > SILENCE_MILLIS;
-      boolean proven = nowMillis - entry.provenAtMillis() <= maxProofAgeMillis;
+      boolean proven = isProven(entry, nowMillis);
       if (!silent && proven && !excludedUntil.containsKey(entry.relay().id())) {
         usable.add(entry.relay());
       }
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -191,6 +191,8 @@
             cluster.incarnations().announcements(),
             cluster.placements().capacities().table(),
             cluster.placements().admissionMetrics(),
+            () -> blackboard.configuration().value().version(),
+            () -> blackboard.configuration().snapshot().ageMillis(time.monotonicMillis()),
             flow.held()));
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/node/MetricsHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/MetricsHandler.java
@@ -4,6 +4,7 @@
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.admission.AdmissionMetrics;
@@ -35,6 +36,9 @@
    * @param announcements announcements of draining and backoff in the responses of backends
    * @param engines estimated capacities of engines
    * @param admission counts of the admission queue, or null if requests do not wait for room
+   * @param configurationVersion supplies the version of the configuration in force
+   * @param configurationAgeMillis supplies the time since the configuration was last proven to be
+   *     current, in milliseconds
    * @param held bytes that the node holds for slow callers and backends
    */
   record Sources(
@@ -46,6 +50,8 @@
       BackendAnnouncements announcements,
       EngineCapacityTable engines,
       @Nullable AdmissionMetrics admission,
+      LongSupplier configurationVersion,
+      LongSupplier configurationAgeMillis,
       HeldBytes held) {}
 
   private final Sources sources;
@@ -68,6 +74,11 @@
     add(text, "lockdale_withdrawn_sends_total", sources.announcements().withdrawals());
     addEngines(text, sources.engines());
     addAdmission(text, sources.admission());
+    add(text, "lockdale_configuration_version", sources.configurationVersion().getAsLong());
+    add(
+        text,
+        "lockdale_configuration_age_milliseconds",
+        sources.configurationAgeMillis().getAsLong());
     add(text, "lockdale_held_bytes", sources.held().heldBytes());
     add(text, "lockdale_paused_streams", sources.held().pausedStreams());
     add(text, "lockdale_slow_readers_cut_total", sources.held().cutOffs());
--- a/gateway/src/main/java/org/lockdale/gateway/node/OperatorController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/OperatorController.java
@@ -94,12 +94,14 @@
     return newest;
   }
 
-  private static GatewayConfiguration newerOf(
-      GatewayConfiguration inForce, GatewayConfiguration read) {
+  private GatewayConfiguration newerOf(GatewayConfiguration inForce, GatewayConfiguration read) {
     if (read.version() <= inForce.version()) {
       return inForce;
     }
-    Logger.info("event=configuration-in-force version={}", read.version());
+    Logger.info(
+        "event=configuration-in-force version={} last-proof-age-ms={}",
+        read.version(),
+        lastProofMillis == NEVER ? "none" : time.monotonicMillis() - lastProofMillis);
     return read;
   }
 
