--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RelayController.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -51,7 +50,7 @@
   private volatile List<RelayElection.Relay> relays = List.of();
   private volatile boolean serving;
   private boolean retired;
-  private Set<String> disconnected = Set.of();
+  private boolean hearsConnectedRelay;
 
   /**
    * Creates a controller; {@link #start} starts it.
@@ -233,7 +232,7 @@
           elected.map(RelayElection.Relay::id).orElse("none"));
     }
     coordinator = elected;
-    logDisconnected(election.disconnected(nowMillis));
+    logConnection(nowMillis);
     if (election.isServing() != serving) {
       serving = election.isServing();
       Logger.info("event=relay-{} relays={}", serving ? "serving" : "retired", relays.size());
@@ -242,10 +241,14 @@
     }
   }
 
-  private void logDisconnected(Set<String> now) {
-    if (!now.equals(disconnected)) {
-      Logger.info("event=relays-disconnected relays={}", now);
-      disconnected = now;
+  private void logConnection(long nowMillis) {
+    boolean connected = election.hearsConnectedRelay(nowMillis);
+    if (connected != hearsConnectedRelay) {
+      hearsConnectedRelay = connected;
+      Logger.info(
+          "event=relays-{} heard={}",
+          connected ? "connected" : "disconnected",
+          election.heard(nowMillis));
     }
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RelayElection.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RelayElection.java
@@ -223,18 +223,16 @@
     return bySeniority != 0 ? bySeniority : id.compareTo(otherId);
   }
 
-  /**
-   * Returns the ids of the relays whose heartbeats are recent but whose proofs are too old to count
-   * them as connected to the store.
-   */
-  public Set<String> disconnected(long nowMillis) {
-    Set<String> disconnected = new TreeSet<>();
-    for (Relay relay : withHeartbeatWithin(SILENCE_MILLIS + 1, nowMillis)) {
-      if (!isProven(lastHeartbeats.get(relay.id()), nowMillis)) {
-        disconnected.add(relay.id());
-      }
-    }
-    return disconnected;
+  /** Returns the ids of the relays with recent heartbeats. */
+  public Set<String> heard(long nowMillis) {
+    Set<String> heard = new TreeSet<>();
+    withHeartbeatWithin(SILENCE_MILLIS + 1, nowMillis).forEach(relay -> heard.add(relay.id()));
+    return heard;
+  }
+
+  /** Returns whether a relay with a recent heartbeat counts as connected to the store. */
+  public boolean hearsConnectedRelay(long nowMillis) {
+    return !usable(nowMillis).isEmpty();
   }
 
   private boolean isProven(Heartbeat heartbeat, long nowMillis) {
