A relay announces only proofs from its own reading of the store

What callers saw: during a refusal of a part of the nodes by the store, a change was in force at one node at 5.89 s and at the last of 72 at 8.95 s.

Cause: a node that hears a relay takes over that relay's proof of its copies, and a relay announced what it had taken over as its own. So a relay that the store refused looked connected to it, and the only relay that read the store retired after a second, as two senior ones were in sight; then all proofs grew old again.

A follower keeps the time of its own last reading apart, and announces that. What it answers to reads by other nodes still has the copy's proof, from any source: a copy may be passed on, the election may not rest on it. The message is unchanged, so that nodes of earlier builds understand it.

theOnlyRelayThatReadsTheStoreDoesNotRetire fails at all five sizes on the former code and passes; aProofReceivedFromARelayIsNotAnnouncedAsOwn failed before too. ConfigurationDelayTest's other cases still fail: nodes wait for a new relay, and unanswered reads are not bounded.

--- a/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
@@ -79,6 +79,7 @@
   private final RelayReads relayReads = new RelayReads();
   private long readUpTo;
   private long provenStoreMillis;
+  private long readStoreMillis;
   private long provenAtMillis = NEVER;
   private long provenEra;
   private int failures;
@@ -143,9 +144,13 @@
     return provenAtMillis;
   }
 
-  /** Returns the latest proof. */
+  /**
+   * Returns the latest proof that rests on this node's own reading of the store. Proofs received
+   * from relays are not announced again: a relay without access to the store would appear to read
+   * it, and the only relay that does could retire in favour of those that repeat its proofs.
+   */
   public TableProof proof() {
-    return new TableProof(table, copy.lastChange(), provenStoreMillis);
+    return new TableProof(table, copy.lastChange(), readStoreMillis);
   }
 
   /**
@@ -255,7 +260,12 @@
 
   private void recordProofOf(TablePage page, long sentAtMillis) {
     long provenAt = Math.max(sentAtMillis, sources.clock().localMillis(page.storeMillis()));
-    recordProof(page.storeMillis(), provenAt, !page.rows().isEmpty());
+    recordReading(page.storeMillis(), provenAt, !page.rows().isEmpty());
+  }
+
+  private void recordReading(long storeMillis, long atMillis, boolean changed) {
+    readStoreMillis = Math.max(readStoreMillis, storeMillis);
+    recordProof(storeMillis, atMillis, changed);
   }
 
   private void accept(TablePeers.Response response, long sentAtMillis) {
@@ -315,7 +325,7 @@
     copy.replace(scan.rows(), first.version());
     readUpTo = Math.max(readUpTo, first.version());
     // The store read its clock after the scan was sent, so the proof is dated no later than it was.
-    recordProof(first.storeMillis(), scan.startedAtMillis(), true);
+    recordReading(first.storeMillis(), scan.startedAtMillis(), true);
     readNext();
   }
 
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/ConfigurationDelayTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/ConfigurationDelayTest.java
@@ -18,6 +18,8 @@
   private static final long BOUND_MILLIS = 2_000;
 
   private static final long SETTLING_MILLIS = 9_000;
+  private static final long OUTAGE_MILLIS = 9_000;
+  private static final long STEP_MILLIS = 50;
   private static final int CHANGES = 8;
   private static final int CHANGES_WITHIN_MILLIS = 8_000;
 
@@ -55,6 +57,24 @@
     }
   }
 
+  /** Its senior relays, which the store refuses, repeated the proofs that they heard from it. */
+  @Test(dataProvider = "fleets")
+  public void theOnlyRelayThatReadsTheStoreDoesNotRetire(int nodes, int betterLinks, int draws) {
+    for (long seed = 0; seed < draws; seed++) {
+      ConfigurationFleet fleet = settled(nodes, betterLinks, seed);
+      strikeRelaysAndShare(fleet, Fault.REFUSED, new Random(seed), OUTAGE_MILLIS);
+      List<Node> readers = List.of();
+      for (long millis = 0; millis < OUTAGE_MILLIS; millis += STEP_MILLIS) {
+        fleet.run(STEP_MILLIS);
+        List<Node> present = fleet.servingWithStore();
+        assertTrue(
+            readers.isEmpty() || !present.isEmpty(),
+            nodes + " nodes, seed " + seed + ": " + readers + " retired");
+        readers = present;
+      }
+    }
+  }
+
   private static ConfigurationFleet settled(int nodes, int betterLinks, long seed) {
     ConfigurationFleet fleet = new ConfigurationFleet(nodes, betterLinks, seed);
     fleet.run(SETTLING_MILLIS + seed % 1_000);
@@ -63,11 +83,15 @@
 
   /** Strikes the relays and up to half of the other nodes, for 2 to 9 s. */
   static void strikeRelaysAndShare(ConfigurationFleet fleet, Fault fault, Random random) {
+    strikeRelaysAndShare(fleet, fault, random, 2_000 + random.nextInt(7_000));
+  }
+
+  private static void strikeRelaysAndShare(
+      ConfigurationFleet fleet, Fault fault, Random random, long millis) {
     List<Node> relays = fleet.serving();
     List<Node> others = new ArrayList<>(fleet.nodes());
     others.removeAll(relays);
     Collections.shuffle(others, random);
-    long millis = 2_000 + random.nextInt(7_000);
     relays.forEach(node -> fleet.strike(node, fault, millis));
     others
         .subList(0, random.nextInt(others.size() / 2 + 1))
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/ConfigurationFleet.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/ConfigurationFleet.java
@@ -21,6 +21,7 @@
 import org.lockdale.gateway.table.TableFollower;
 import org.lockdale.gateway.table.TablePage;
 import org.lockdale.gateway.table.TablePeers;
+import org.lockdale.gateway.table.TableRowChange;
 import org.lockdale.gateway.table.TransferTooLargeException;
 import org.lockdale.protocol.generated.RelayHeartbeat;
 
@@ -95,6 +96,11 @@
       return time.wallMillis();
     }
 
+    @Override
+    public String toString() {
+      return id;
+    }
+
     boolean isServing() {
       return up && relays.isServing();
     }
@@ -148,8 +154,7 @@
       return new TableFollower(executor, sources, plan, this, listener);
     }
 
-    private void apply(
-        Map<String, org.lockdale.gateway.table.TableRowChange> rows, boolean changed, long at) {
+    private void apply(Map<String, TableRowChange> rows, boolean changed, long at) {
       long version = SimulatedOperatorStore.versionIn(rows);
       if (version <= versionInForce) {
         return;
--- a/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
@@ -182,6 +182,18 @@
     assertEquals(feed.calls(), List.of("scan start"), "the store gets no further calls");
   }
 
+  @Test
+  public void aProofReceivedFromARelayIsNotAnnouncedAsOwn() throws Exception {
+    feed.scans.add(page(false, 5, row("a", "1", 1)));
+    TableFollower follower = follow(false);
+    nextCopy();
+    TableProof own = follower.proof();
+    assertTrue(announce(follower, 5));
+    nextCopy();
+    assertEquals(follower.proof(), own);
+    assertEquals(follower.respond(5).storeMillis(), 1_000, "the copy itself is proven");
+  }
+
   @Test
   public void changesThatARelayRefusesAreReadFromTheStore() throws Exception {
     feed.scans.add(page(false, 5, row("a", "1", 1)));
