A node whose copy no relay proves reads the store itself

Cause: a node that is no relay never read the store after its first scan. When both relays lost the store, ended, or sent heartbeats without answering reads, it waited for another relay: 1.3 to 2 s until a relay counts as lost, and then a delay with a tail that grows with the fleet. Class: a bound that rests on somebody else being replaced in time.

Change: a node whose copy of the operators' table has had no proof from a relay for store.wait + 0.9 s reads the store, and while that succeeds the other tables too (servers that drain), until a relay proves the copy again. store.wait is 600 ms instead of 1 s, so that the age in ordinary operation, 1.15 s, stays well below that of 1.5 s; the other tables' wait stays at 1.8 s (2 s before). Calls to the store have a class of their own (StoreReader).

--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
@@ -215,7 +215,7 @@
   public static final Setting<Duration> STORE_WAIT =
       duration(
           "store.wait",
-          "1s",
+          "600ms",
           "Longest time for which the store holds a call while nothing changes; each response"
               + " proves that the configuration is current.");
 
--- a/gateway/src/main/java/org/lockdale/gateway/node/TableFollowers.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/TableFollowers.java
@@ -20,7 +20,7 @@
    * Polls of the other two tables wait longer by this factor, since no API key depends on their
    * proofs.
    */
-  private static final int RELAXED_WAIT_FACTOR = 2;
+  private static final int RELAXED_WAIT_FACTOR = 3;
 
   /** Backends write their records in bursts, for example during a rollout. */
   private static final Duration BACKEND_BATCH_DELAY = Duration.ofMillis(250);
@@ -34,6 +34,17 @@
   /** Nodes announce themselves in bursts, for example after a restart of all nodes. */
   private static final Duration CLUSTER_BATCH_DELAY = Duration.ofMillis(400);
 
+  /**
+   * Allows for the time from a relay's reading until the next but one heartbeat, beyond the wait of
+   * the reading.
+   */
+  private static final Duration RELAY_PROOF_MARGIN = Duration.ofMillis(900);
+
+  private static final int STAGGER_MILLIS = 100;
+
+  /** Tables that are read directly only together with that of the operators. */
+  private static final Duration NEVER_ALONE = Duration.ofDays(1);
+
   static TableFollowers of(
       EventLoop eventLoop,
       TableFollower.Sources sources,
@@ -47,17 +58,33 @@
         new TableFollower.Plan(
             protocols.records().operatorTable(),
             settings.get(GatewaySettings.STORE_WAIT),
-            Duration.ZERO);
+            Duration.ZERO,
+            maxRelayProofAge(settings));
     TableFollower.Plan backendPlan =
         new TableFollower.Plan(
-            protocols.records().backendTable(), relaxedWait(settings), BACKEND_BATCH_DELAY);
+            protocols.records().backendTable(),
+            relaxedWait(settings),
+            BACKEND_BATCH_DELAY,
+            NEVER_ALONE);
     TableFollower.Plan clusterPlan =
         new TableFollower.Plan(
-            protocols.clusterTable().table(), relaxedWait(settings), CLUSTER_BATCH_DELAY);
-    return new TableFollowers(
-        new TableFollower(eventLoop, sources, operatorPlan, time, operators),
-        new TableFollower(eventLoop, sources, backendPlan, time, backends),
-        new TableFollower(eventLoop, sources, clusterPlan, time, cluster));
+            protocols.clusterTable().table(),
+            relaxedWait(settings),
+            CLUSTER_BATCH_DELAY,
+            NEVER_ALONE);
+    TableFollowers followers =
+        new TableFollowers(
+            new TableFollower(eventLoop, sources, operatorPlan, time, operators),
+            new TableFollower(eventLoop, sources, backendPlan, time, backends),
+            new TableFollower(eventLoop, sources, clusterPlan, time, cluster));
+    followers.operators().setCompanions(List.of(followers.backends(), followers.cluster()));
+    return followers;
+  }
+
+  /** Differs between nodes, so that they do not all read the store at the same moment. */
+  private static Duration maxRelayProofAge(GatewaySettings settings) {
+    int stagger = Math.floorMod(settings.get(GatewaySettings.NODE_ID).hashCode(), STAGGER_MILLIS);
+    return settings.get(GatewaySettings.STORE_WAIT).plus(RELAY_PROOF_MARGIN).plusMillis(stagger);
   }
 
   private static Duration relaxedWait(GatewaySettings settings) {
--- a/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
@@ -2,11 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.concurrent.Failures;
 import org.lockdale.coordination.table.StoreVersion;
@@ -15,16 +15,14 @@
 import org.tinylog.Logger;
 
 /**
- * Keeps a copy of a table current. It first scans the complete table. While {@link #follow
- * following} is enabled, it then polls the store for changes, and scans again if the store no
- * longer holds some of them. Otherwise a relay node announces new versions, and the changes are
- * read from that relay. Each response also proves that the copy was current at some time. Runs on
- * one event loop.
+ * Keeps a copy of a table current. It first scans the complete table. At a relay node, which {@link
+ * #follow follows} the store, it then polls the store for changes, and scans again if the store no
+ * longer holds some of them. Elsewhere a relay announces new versions, and the changes are read
+ * from that relay; while relays don't prove the copy, the store is polled here as well. Each
+ * response also proves that the copy was current at some time. Runs on one event loop.
  */
 public final class TableFollower {
 
-  private static final long FIRST_RETRY_MILLIS = 50;
-  private static final long MAX_RETRY_MILLIS = 400;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** Receives the copy and its proofs. */
@@ -65,26 +63,23 @@
    * @param longestWait longest time for which the store holds a call while there are no changes
    * @param batchDelay pause before the next call to the store after a change, which batches further
    *     changes
+   * @param maxRelayProofAge age of the latest proof from a relay at which the store is read instead
    */
-  public record Plan(String table, Duration longestWait, Duration batchDelay) {}
+  public record Plan(
+      String table, Duration longestWait, Duration batchDelay, Duration maxRelayProofAge) {}
 
   private final ScheduledExecutorService eventLoop;
   private final Sources sources;
   private final String table;
-  private final Duration longestWait;
-  private final Duration batchDelay;
   private final Time time;
   private final Listener listener;
   private final TableCopy copy = new TableCopy();
   private final RelayReads relayReads = new RelayReads();
-  private long readUpTo;
+  private final StoreReader storeReader;
   private long provenStoreMillis;
   private long readStoreMillis;
   private long provenAtMillis = NEVER;
   private long provenEra;
-  private int failures;
-  private boolean following;
-  private boolean callOpen;
   private volatile boolean closed;
 
   /**
@@ -105,28 +100,33 @@
     this.eventLoop = eventLoop;
     this.sources = sources;
     this.table = plan.table();
-    this.longestWait = plan.longestWait();
-    this.batchDelay = plan.batchDelay();
     this.time = time;
     this.listener = listener;
+    this.storeReader = new StoreReader(eventLoop, sources, plan, time, new StoreReadings());
   }
 
   /** Starts to scan the complete table. */
   public void start() {
-    eventLoop.execute(this::scan);
+    eventLoop.execute(storeReader::start);
+  }
+
+  /**
+   * Sets the followers of other tables that read from the store for as long as this one succeeds in
+   * doing so. To be called before {@link #start}.
+   */
+  public void setCompanions(List<TableFollower> followers) {
+    storeReader.setCompanions(followers.stream().map(follower -> follower.storeReader).toList());
   }
 
   /** Starts or stops polling the store for changes. Must be called on the event loop. */
   public void follow(boolean wanted) {
-    following = wanted;
-    if (wanted) {
-      readNext();
-    }
+    storeReader.follow(wanted);
   }
 
   /** Stops all reading; takes effect at the next call. */
   public void close() {
     closed = true;
+    storeReader.close();
   }
 
   /** Returns the name of the table. */
@@ -185,7 +185,9 @@
       return relayReads.begin(relay) ? readFrom(relay) : CompletableFuture.completedFuture(true);
     }
     if (usable && !relayReads.inProgress()) {
-      recordProof(proof.storeMillis(), sources.clock().localMillis(proof.storeMillis()), false);
+      long provenAt = sources.clock().localMillis(proof.storeMillis());
+      recordProof(proof.storeMillis(), provenAt, false);
+      storeReader.onRelayProof(provenAt);
     }
     return CompletableFuture.completedFuture(true);
   }
@@ -226,7 +228,7 @@
     long sentAtMillis = time.monotonicMillis();
     return sources
         .feed()
-        .changes(table, readUpTo, Duration.ZERO)
+        .changes(table, storeReader.readUpTo(), Duration.ZERO)
         .thenAcceptAsync(page -> acceptFromStore(page, sentAtMillis), eventLoop)
         .exceptionallyComposeAsync(failure -> readAllAfterFailure(failure, relay), eventLoop);
   }
@@ -237,12 +239,10 @@
    */
   private CompletableFuture<@Nullable Void> readAllAfterFailure(
       Throwable failure, InetSocketAddress relay) {
-    if (kindOf(failure) != TableServiceException.Kind.HISTORY_LOST) {
+    if (StoreReader.kindOf(failure) != TableServiceException.Kind.HISTORY_LOST) {
       return readFrom(relay, TableCopy.UNKNOWN);
     }
-    if (!callOpen) {
-      scan();
-    }
+    storeReader.scanUnlessBusy();
     return CompletableFuture.completedFuture(null);
   }
 
@@ -254,7 +254,7 @@
 
   private void applyChanges(TablePage page, long sentAtMillis) {
     sources.clock().observe(page.storeMillis(), sentAtMillis);
-    readUpTo = Math.max(readUpTo, page.version());
+    storeReader.advanceTo(page.version());
     copy.apply(page.rows());
   }
 
@@ -274,10 +274,12 @@
       return;
     }
     copy.accept(changes);
-    readUpTo = Math.max(readUpTo, changes.lastChange());
-    sources.clock().observe(response.storeMillis(), sentAtMillis - response.ageMillis());
+    storeReader.advanceTo(changes.lastChange());
+    long provenAt = sentAtMillis - response.ageMillis();
+    sources.clock().observe(response.storeMillis(), provenAt);
     // The relay wrote the response after sentAtMillis, so the proof is dated no later than it was.
-    recordProof(response.storeMillis(), sentAtMillis - response.ageMillis(), true);
+    recordProof(response.storeMillis(), provenAt, true);
+    storeReader.onRelayProof(provenAt);
   }
 
   private void recordProof(long storeMillis, long atMillis, boolean changed) {
@@ -292,101 +294,31 @@
     listener.onTable(copy.rows(), changed, provenAtMillis);
   }
 
-  private void readNext() {
-    if (closed || callOpen) {
-      return;
-    }
-    if (!isKnown()) {
-      scan();
-    } else if (following) {
-      poll();
-    }
-  }
+  /** Applies what is read from the store to the copy. */
+  private final class StoreReadings implements StoreReader.Listener {
 
-  private void scan() {
-    callOpen = true;
-    new TableScan(sources, table, eventLoop, time, () -> closed)
-        .run()
-        .whenCompleteAsync(
-            (scan, failure) -> {
-              if (failure != null) {
-                retry(failure, this::scan);
-              } else {
-                onScanned(scan);
-              }
-            },
-            eventLoop);
-  }
-
-  private void onScanned(TableScan.Result scan) {
-    failures = 0;
-    callOpen = false;
-    TablePage first = scan.firstPage();
-    copy.replace(scan.rows(), first.version());
-    readUpTo = Math.max(readUpTo, first.version());
-    // The store read its clock after the scan was sent, so the proof is dated no later than it was.
-    recordReading(first.storeMillis(), scan.startedAtMillis(), true);
-    readNext();
-  }
-
-  private void poll() {
-    callOpen = true;
-    long sentAtMillis = time.monotonicMillis();
-    sources
-        .feed()
-        .changes(table, readUpTo, longestWait)
-        .whenCompleteAsync(
-            (page, failure) -> {
-              if (failure == null) {
-                onChanges(page, sentAtMillis);
-              } else if (kindOf(failure) == TableServiceException.Kind.HISTORY_LOST) {
-                Logger.info("event=history-lost table={} version={}", table, readUpTo);
-                retry(failure, this::scan);
-              } else {
-                retry(failure, this::poll);
-              }
-            },
-            eventLoop);
-  }
-
-  private void onChanges(TablePage page, long sentAtMillis) {
-    if (failures > 0) {
-      Logger.info("event=store-back table={} failures={}", table, failures);
+    @Override
+    public void onScanned(TableScan.Result scan) {
+      TablePage first = scan.firstPage();
+      copy.replace(scan.rows(), first.version());
+      // The store read its clock after the scan was sent, so the proof is not dated too late.
+      recordReading(first.storeMillis(), scan.startedAtMillis(), true);
     }
-    failures = 0;
-    callOpen = false;
-    applyChanges(page, sentAtMillis);
-    recordProofOf(page, sentAtMillis);
-    if (!page.rows().isEmpty() && !batchDelay.isZero()) {
-      eventLoop.schedule(this::readNext, batchDelay.toMillis(), TimeUnit.MILLISECONDS);
-    } else {
-      readNext();
+
+    @Override
+    public void onChanges(TablePage page, long sentAtMillis) {
+      applyChanges(page, sentAtMillis);
+      recordProofOf(page, sentAtMillis);
     }
-  }
 
-  private void retry(Throwable failure, Runnable call) {
-    failures++;
-    if (kindOf(failure) != TableServiceException.Kind.HISTORY_LOST) {
+    @Override
+    public void onUnreachable() {
       listener.onUnreachable();
     }
-    if (failures == 1) {
-      Logger.warn("event=store-failed table={} cause={}", table, failure.getMessage());
-    }
-    long delay = Math.min(FIRST_RETRY_MILLIS << Math.min(failures - 1, 4), MAX_RETRY_MILLIS);
-    eventLoop.schedule(
-        () -> {
-          if (following || !isKnown()) {
-            call.run();
-          } else {
-            callOpen = false;
-          }
-        },
-        delay,
-        TimeUnit.MILLISECONDS);
-  }
 
-  private static TableServiceException.@Nullable Kind kindOf(Throwable failure) {
-    Throwable cause = Failures.causeOf(failure);
-    return cause instanceof TableServiceException known ? known.kind() : null;
+    @Override
+    public long provenAtMillis() {
+      return provenAtMillis;
+    }
   }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/ConfigurationFleet.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/ConfigurationFleet.java
@@ -55,10 +55,13 @@
   private static final long LOSSY_CALL_MICROS = 300_000;
   private static final int ONE_IN_LOST = 100;
   private static final int ONE_IN_LOST_IF_LOSSY = 3;
-  private static final Duration STORE_WAIT = Duration.ofSeconds(1);
-  private static final Duration RELAXED_WAIT = Duration.ofSeconds(2);
+  private static final Duration STORE_WAIT = Duration.ofMillis(600);
+  private static final Duration RELAXED_WAIT = Duration.ofMillis(1_800);
+  private static final Duration RELAY_PROOF_MARGIN = Duration.ofMillis(900);
+  private static final Duration NEVER_ALONE = Duration.ofDays(1);
+  private static final int STAGGER_MILLIS = 100;
   private static final Duration BATCH_DELAY = Duration.ofMillis(250);
-  private static final Duration MAX_PROOF_AGE = Duration.ofSeconds(2);
+  private static final Duration MAX_PROOF_AGE = Duration.ofMillis(1_600);
   private static final long STORE_TIMEOUT_MILLIS = 800;
   private static final long PEER_TIMEOUT_MILLIS = 600;
   private static final double BETTER_LINK = 200;
@@ -69,6 +72,7 @@
     final String id;
     private final PeerNode peer;
     private final long clockOffset = random.nextInt(1_000_000);
+    private final long stagger = random.nextInt(STAGGER_MILLIS);
     private FreezableExecutor executor = new FreezableExecutor(time, () -> 0);
     private RelayController relays;
     private Map<String, TableFollower> followers = new HashMap<>();
@@ -125,6 +129,7 @@
                   this::apply),
               follower(sources, "backends", RELAXED_WAIT, BATCH_DELAY, (rows, changed, at) -> {}),
               follower(sources, "cluster", RELAXED_WAIT, BATCH_DELAY, (rows, changed, at) -> {}));
+      tables.get(0).setCompanions(tables.subList(1, tables.size()));
       followers = new HashMap<>();
       tables.forEach(table -> followers.put(table.table(), table));
       relays =
@@ -150,7 +155,11 @@
         Duration wait,
         Duration batchDelay,
         TableFollower.Listener listener) {
-      TableFollower.Plan plan = new TableFollower.Plan(table, wait, batchDelay);
+      Duration maxRelayProofAge =
+          table.equals(SimulatedOperatorStore.OPERATORS)
+              ? STORE_WAIT.plus(RELAY_PROOF_MARGIN).plusMillis(stagger)
+              : NEVER_ALONE;
+      TableFollower.Plan plan = new TableFollower.Plan(table, wait, batchDelay, maxRelayProofAge);
       return new TableFollower(executor, sources, plan, this, listener);
     }
 
--- a/gateway/src/test/java/org/lockdale/gateway/node/GatewaySettingsTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/node/GatewaySettingsTest.java
@@ -32,7 +32,7 @@
   public void goodSettingsHaveTheirDefaults() {
     GatewaySettings settings = GatewaySettings.load(null, validFlags());
     assertEquals(settings.get(GatewaySettings.NODE_ID), "node-1");
-    assertEquals(settings.get(GatewaySettings.STORE_WAIT), Duration.ofSeconds(1));
+    assertEquals(settings.get(GatewaySettings.STORE_WAIT), Duration.ofMillis(600));
   }
 
   /** Guards against a node that does not start since YAML reads on and off as booleans. */
--- a/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
@@ -110,19 +110,22 @@
   }
 
   private TableFollower follow(boolean pollsStore) {
-    BlockingQueue<Map<String, String>> received = copies;
-    TableFollower follower =
-        new TableFollower(
-            eventLoop,
-            new TableFollower.Sources(feed, peers, clock),
-            new TableFollower.Plan("table", Duration.ofSeconds(1), Duration.ZERO),
-            SystemTime.instance(),
-            (rows, changed, provenAt) -> received.add(texts(rows)));
+    TableFollower follower = follower("table", Duration.ofDays(1));
     follower.start();
     eventLoop.execute(() -> follower.follow(pollsStore));
     return follower;
   }
 
+  private TableFollower follower(String table, Duration maxRelayProofAge) {
+    BlockingQueue<Map<String, String>> received = copies;
+    return new TableFollower(
+        eventLoop,
+        new TableFollower.Sources(feed, peers, clock),
+        new TableFollower.Plan(table, Duration.ofSeconds(1), Duration.ZERO, maxRelayProofAge),
+        SystemTime.instance(),
+        (rows, changed, provenAt) -> received.add(texts(rows)));
+  }
+
   private static Map<String, String> texts(Map<String, TableRowChange> rows) {
     Map<String, String> texts = new TreeMap<>();
     rows.forEach((key, row) -> texts.put(key, new String(row.value(), StandardCharsets.UTF_8)));
@@ -194,6 +197,17 @@
     assertEquals(follower.respond(5).storeMillis(), 1_000, "the copy itself is proven");
   }
 
+  @Test
+  public void aNodeWhoseCopyNoRelayProvesReadsTheStoreItself() throws Exception {
+    feed.scans.add(page(false, 5, row("a", "1", 1)));
+    feed.changes.add(failure(TableServiceException.Kind.UNREACHABLE));
+    feed.changes.add(page(false, 6, row("a", "2", 6)));
+    follower("table", Duration.ofMillis(1)).start();
+    assertEquals(nextCopy(), Map.of("a", "1"));
+    assertEquals(nextCopy(), Map.of("a", "2"));
+    assertEquals(feed.firstCalls(3), List.of("scan start", "changes 5", "changes 5"));
+  }
+
   @Test
   public void changesThatARelayRefusesAreReadFromTheStore() throws Exception {
     feed.scans.add(page(false, 5, row("a", "1", 1)));
