The soak lets the store refuse a part of the nodes while keys are revoked

New fault, drawn apart with a salt of its own: for 2.5 to 7 s the store answers a part of the nodes with 503, 429 or nothing, never all of them; one to three keys are replaced meanwhile, and two further callers a node keep using the key that was replaced last. The stand-in store has faults by caller's address. Recorded plan store-refuses-relays: each pair of three nodes is refused twice.

--- a/soak/src/main/java/org/lockdale/soak/plan/Fault.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/Fault.java
@@ -1,6 +1,7 @@
 package org.lockdale.soak.plan;
 
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
 
 /** A fault or change that a run injects into its deployment. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "fault")
@@ -50,6 +51,16 @@
     PAUSED
   }
 
+  /** What nodes get from the store that refuses them while it serves others. */
+  enum RefusalTrouble {
+    /** Status 503. */
+    DOWN,
+    /** No response. */
+    SILENT,
+    /** Status 429. */
+    THROTTLED
+  }
+
   /** Faults of a process. */
   enum ProcessTrouble {
     /** Stopped by SIGSTOP for a while. */
@@ -145,4 +156,21 @@
    */
   record NodeCutFromServers(
       String node, ConnectTrouble connects, OpenTrouble open, long lastsMillis) implements Fault {}
+
+  /**
+   * The store refuses some nodes and serves the others, while the operator replaces keys.
+   *
+   * @param nodes nodes that are refused
+   * @param replacedKeys number of replaced keys, the first one shortly after the start
+   * @param lastsMillis duration of the fault, in milliseconds
+   */
+  record StoreRefusesNodes(
+      List<String> nodes, RefusalTrouble trouble, int replacedKeys, long lastsMillis)
+      implements Fault {
+
+    /** Copies the nodes. */
+    public StoreRefusesNodes {
+      nodes = List.copyOf(nodes);
+    }
+  }
 }
--- a/soak/src/main/java/org/lockdale/soak/plan/FaultPlan.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/FaultPlan.java
@@ -61,6 +61,7 @@
     faults.addAll(AdvertisedRateFaults.draw(seed, QUIET_START_MILLIS, last, deployment));
     faults.addAll(AnnouncementFaults.draw(seed, QUIET_START_MILLIS, last, deployment));
     faults.addAll(NodeCutFaults.draw(seed, QUIET_START_MILLIS, last, deployment));
+    faults.addAll(StoreRefusalFaults.draw(seed, QUIET_START_MILLIS, last, deployment));
     faults.sort(Comparator.comparingLong(PlannedFault::atMillis));
     return new FaultPlan(seed, lengthMillis, faults);
   }
--- a/soak/src/main/java/org/lockdale/soak/run/Callers.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Callers.java
@@ -54,11 +54,13 @@
    * @param number callers that read at once
    * @param slow further callers that read slowly; they draw nothing of what the others draw
    * @param waiting further callers that wait for long responses; they draw nothing of that either
+   * @param revoked further callers that use replaced keys; they draw nothing of that either
    */
   Callers(
       int number,
       int slow,
       int waiting,
+      int revoked,
       long seed,
       LoadBalancer loadBalancer,
       Operator operator,
@@ -80,6 +82,12 @@
       Caller caller = new Caller(index, own, loadBalancer, source, notes, counts);
       start("waiting-caller-" + index, () -> caller.run(stopping));
     }
+    int others = number + slow + waiting;
+    for (int index = others; index < others + revoked; index++) {
+      RequestSource source = new ReplacedKeyRequests(operator);
+      Caller caller = new Caller(index, random.split(), loadBalancer, source, notes, counts);
+      start("revoked-caller-" + index, () -> caller.run(stopping));
+    }
   }
 
   private void start(String name, Runnable caller) {
--- a/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
+++ b/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
@@ -42,6 +42,9 @@
   /** Pause of a process that is shutting down; shorter than its grace period. */
   private static final long SHORT_PAUSE_MILLIS = 700;
 
+  /** Time from the start of a refusal of nodes until the first key is replaced. */
+  private static final long KEY_DELAY_MILLIS = 100;
+
   private static final int THREADS = 24;
 
   private static final int RESTARTS_PER_NEW_ID = 3;
@@ -108,6 +111,8 @@
       cutFromServers(cut);
     } else if (fault instanceof Fault.OnStore onStore) {
       disruptStore(onStore);
+    } else if (fault instanceof Fault.StoreRefusesNodes refusal) {
+      refuseNodes(refusal);
     } else if (fault instanceof Fault.ForeignEntry entry) {
       writeForeignEntry(entry);
     } else if (fault instanceof Fault.RateNamed rate) {
@@ -219,6 +224,24 @@
     notes.recordDisruptionEnd(disruption);
   }
 
+  /** Lets the store refuse nodes, and replaces keys at equal intervals meanwhile. */
+  private void refuseNodes(Fault.StoreRefusesNodes refusal) throws InterruptedException {
+    List<Long> disruptions = new ArrayList<>();
+    for (String node : refusal.nodes()) {
+      disruptions.add(notes.recordDisruptionStart(node, true));
+      processes.store().setFaultFor(nodes.indexOf(node) + 1, refusal.trouble().name());
+    }
+    Thread.sleep(KEY_DELAY_MILLIS);
+    for (int number = 0; number < refusal.replacedKeys(); number++) {
+      operator.apply(Fault.OperatorChange.KEY_REPLACED);
+      Thread.sleep(refusal.lastsMillis() / refusal.replacedKeys());
+    }
+    for (String node : refusal.nodes()) {
+      processes.store().setFaultFor(nodes.indexOf(node) + 1, "NONE");
+    }
+    disruptions.forEach(notes::recordDisruptionEnd);
+  }
+
   private void disruptProcess(Fault.OnProcess fault) throws IOException, InterruptedException {
     String name = fault.process();
     Processes.Server server = processes.servers().get(name);
--- a/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
@@ -30,6 +30,9 @@
   /** Callers that wait for long responses, in plans that cut nodes off from the servers. */
   private static final int WAITING_CALLERS_PER_NODE = 4;
 
+  /** Callers that use replaced keys, in plans in which the store refuses nodes. */
+  private static final int REVOKED_CALLERS_PER_NODE = 2;
+
   private static final long CHECK_MILLIS = 1_000;
   private static final long START_TIMEOUT_MILLIS = 60_000;
 
@@ -129,7 +132,14 @@
     int number = CALLERS_PER_NODE * deployment.nodes();
     try (Callers callers =
             new Callers(
-                number, slowCallers, waitingCallers(), plan.seed(), loadBalancer, operator, notes);
+                number,
+                slowCallers,
+                waitingCallers(),
+                revokedCallers(),
+                plan.seed(),
+                loadBalancer,
+                operator,
+                notes);
         FaultInjector injector =
             new FaultInjector(processes, operator, notes, deployment.nodeNames())) {
       long start = StandardStreams.nowMillis();
@@ -179,10 +189,20 @@
 
   /** Returns the number of callers that wait for long responses; a former plan has none. */
   private int waitingCallers() {
-    boolean cutsNodes =
-        plan.faults().stream()
-            .anyMatch(planned -> planned.fault() instanceof Fault.NodeCutFromServers);
-    return cutsNodes ? WAITING_CALLERS_PER_NODE * deployment.nodes() : 0;
+    return contains(Fault.NodeCutFromServers.class)
+        ? WAITING_CALLERS_PER_NODE * deployment.nodes()
+        : 0;
+  }
+
+  /** Returns the number of callers that use replaced keys; a former plan has none. */
+  private int revokedCallers() {
+    return contains(Fault.StoreRefusesNodes.class)
+        ? REVOKED_CALLERS_PER_NODE * deployment.nodes()
+        : 0;
+  }
+
+  private boolean contains(Class<? extends Fault> kind) {
+    return plan.faults().stream().anyMatch(planned -> kind.isInstance(planned.fault()));
   }
 
   private static List<RuleBreak> findViolations(NoteLog notes, Processes processes) {
--- a/soak/src/main/java/org/lockdale/soak/run/StoreControl.java
+++ b/soak/src/main/java/org/lockdale/soak/run/StoreControl.java
@@ -50,6 +50,16 @@
     send("fault " + fault);
   }
 
+  /**
+   * Sets the fault with which the store responds to one node from now on.
+   *
+   * @param node number of the node, from 1
+   * @param fault name of the fault
+   */
+  void setFaultFor(int node, String fault) {
+    send("faultFor " + node + " " + fault);
+  }
+
   /** Lets the store discard the history of its changes. */
   void discardHistory() {
     send("forget");
--- a/soak/src/main/java/org/lockdale/soak/standin/StoreProcess.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/StoreProcess.java
@@ -31,7 +31,7 @@
       store.listenForReader(
           readers.get(index), (table, key, value) -> forReader(node, table, value));
     }
-    StandardStreams.runCommands(line -> runCommand(store, line));
+    StandardStreams.runCommands(line -> runCommand(store, readers, line));
   }
 
   private static byte[] forReader(int node, String table, byte[] value) {
@@ -53,14 +53,18 @@
 
   /**
    * Runs {@code NUMBER put TABLE KEY JSON}, {@code NUMBER remove TABLE KEY}, {@code NUMBER fault
-   * FAULT} or {@code NUMBER forget}, then writes the number and the time.
+   * FAULT}, {@code NUMBER faultFor NODE FAULT} with the number of a node, or {@code NUMBER forget},
+   * then writes the number and the time.
    */
-  private static void runCommand(StandInStore store, String line) {
+  private static void runCommand(StandInStore store, List<InetSocketAddress> readers, String line) {
     String[] fields = line.split(" ", COMMAND_FIELDS);
     switch (fields[1]) {
       case "put" -> store.put(fields[2], fields[3], fields[4]);
       case "remove" -> store.remove(fields[2], fields[3]);
       case "fault" -> store.setFault(StandInStore.Fault.valueOf(fields[2]));
+      case "faultFor" ->
+          store.setFaultFor(
+              readers.get(Integer.parseInt(fields[2]) - 1), StandInStore.Fault.valueOf(fields[3]));
       case "forget" -> store.discardHistory();
       default -> throw new IllegalArgumentException("unknown command: " + fields[1]);
     }
--- a/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
+++ b/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
@@ -20,7 +20,7 @@
 
   private static final long MINUTE_MILLIS = 60_000;
 
-  /** Checksum of all faults but cuts of nodes, of the seeds that are compared. */
+  /** Checksum of all faults but those of nodes alone, of the seeds that are compared. */
   private static final long OTHER_FAULTS_CHECKSUM = 1_602_663_525L;
 
   private static FaultPlan draw(long seed) {
@@ -65,15 +65,17 @@
         kinds.containsAll(
             Set.of(Fault.RateNamed.class, Fault.LeavingSaid.class, Fault.RestWanted.class)));
     assertTrue(kinds.containsAll(Set.of(Fault.ConnectTrouble.values())));
+    assertTrue(kinds.containsAll(Set.of(Fault.RefusalTrouble.values())));
   }
 
   @Test
-  public void cutsOfNodesLeaveTheOtherFaultsOfASeedUnchanged() {
+  public void cutsAndRefusalsOfNodesLeaveTheOtherFaultsOfASeedUnchanged() {
     CRC32 checksum = new CRC32();
     LongStream.concat(LongStream.range(0, 500), LongStream.of(7_350, 63_001))
         .mapToObj(seed -> FaultPlan.draw(seed, 30_000, Deployment.small()))
         .flatMap(plan -> plan.faults().stream())
         .filter(fault -> !(fault.fault() instanceof Fault.NodeCutFromServers))
+        .filter(fault -> !(fault.fault() instanceof Fault.StoreRefusesNodes))
         .forEach(fault -> checksum.update(StandardStreams.json(fault).getBytes(UTF_8)));
     assertEquals(checksum.getValue(), OTHER_FAULTS_CHECKSUM);
   }
@@ -87,6 +89,25 @@
     }
   }
 
+  @Test
+  public void theStoreNeverRefusesAllNodes() {
+    for (Deployment deployment : List.of(Deployment.small(), new Deployment(2, 1, 1))) {
+      LongStream.range(0, 200)
+          .mapToObj(seed -> FaultPlan.draw(seed, MINUTE_MILLIS, deployment))
+          .forEach(
+              plan -> {
+                long refusedUntil = 0;
+                for (PlannedFault each : plan.faults()) {
+                  if (each.fault() instanceof Fault.StoreRefusesNodes refusal) {
+                    assertTrue(refusal.nodes().size() < deployment.nodes(), plan.toString());
+                    assertTrue(each.atMillis() > refusedUntil, plan.toString());
+                    refusedUntil = each.atMillis() + refusal.lastsMillis();
+                  }
+                }
+              });
+    }
+  }
+
   private static void assertOneNodeIsNeverCut(FaultPlan plan, Deployment deployment) {
     for (PlannedFault each : plan.faults()) {
       if (each.fault() instanceof Fault.NodeCutFromServers) {
@@ -123,6 +144,9 @@
     if (fault instanceof Fault.NodeCutFromServers cut) {
       return cut.connects();
     }
+    if (fault instanceof Fault.StoreRefusesNodes refusal) {
+      return refusal.trouble();
+    }
     if (fault instanceof Fault.ForeignEntry entry) {
       return entry.value();
     }
--- a/soak/src/test/java/org/lockdale/soak/run/SoakRunTest.java
+++ b/soak/src/test/java/org/lockdale/soak/run/SoakRunTest.java
@@ -42,6 +42,7 @@
       {"hangup-at-start-1"},
       {"hangup-at-start-2"},
       {"forwarded-requests-outlive-cuts"},
+      {"store-refuses-relays"},
     };
   }
 
