--- a/gateway/src/test/java/org/lockdale/gateway/cluster/ConfigurationDelayTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/ConfigurationDelayTest.java
@@ -6,7 +6,6 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
-import org.lockdale.gateway.cluster.ConfigurationFleet.Fault;
 import org.lockdale.gateway.cluster.ConfigurationFleet.Node;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -32,7 +31,7 @@
   @Test(dataProvider = "fleets")
   public void aRevokedKeyIsNotAcceptedForLongWhileBothRelaysAreLost(
       int nodes, int betterLinks, int draws) {
-    for (Fault fault : Fault.values()) {
+    for (RelayFault fault : RelayFault.values()) {
       for (long seed = 0; seed < draws; seed++) {
         Random random = new Random(seed);
         ConfigurationFleet fleet = settled(nodes, betterLinks, seed);
@@ -50,7 +49,7 @@
       Random random = new Random(seed);
       ConfigurationFleet fleet = settled(nodes, betterLinks, seed);
       for (int strike = 0; strike < 3; strike++) {
-        Fault fault = Fault.values()[random.nextInt(Fault.values().length)];
+        RelayFault fault = RelayFault.values()[random.nextInt(RelayFault.values().length)];
         fleet.after(random.nextInt(5_000), () -> strikeRelaysAndShare(fleet, fault, random));
       }
       changeAndCheck(fleet, random, nodes + " nodes, series, seed " + seed);
@@ -62,7 +61,7 @@
   public void theOnlyRelayThatReadsTheStoreDoesNotRetire(int nodes, int betterLinks, int draws) {
     for (long seed = 0; seed < draws; seed++) {
       ConfigurationFleet fleet = settled(nodes, betterLinks, seed);
-      strikeRelaysAndShare(fleet, Fault.REFUSED, new Random(seed), OUTAGE_MILLIS);
+      strikeRelaysAndShare(fleet, RelayFault.REFUSED, new Random(seed), OUTAGE_MILLIS);
       List<Node> readers = List.of();
       for (long millis = 0; millis < OUTAGE_MILLIS; millis += STEP_MILLIS) {
         fleet.run(STEP_MILLIS);
@@ -82,12 +81,12 @@
   }
 
   /** Strikes the relays and up to half of the other nodes, for 2 to 9 s. */
-  static void strikeRelaysAndShare(ConfigurationFleet fleet, Fault fault, Random random) {
+  static void strikeRelaysAndShare(ConfigurationFleet fleet, RelayFault fault, Random random) {
     strikeRelaysAndShare(fleet, fault, random, 2_000 + random.nextInt(7_000));
   }
 
   private static void strikeRelaysAndShare(
-      ConfigurationFleet fleet, Fault fault, Random random, long millis) {
+      ConfigurationFleet fleet, RelayFault fault, Random random, long millis) {
     List<Node> relays = fleet.serving();
     List<Node> others = new ArrayList<>(fleet.nodes());
     others.removeAll(relays);
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/ConfigurationFleet.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/ConfigurationFleet.java
@@ -31,24 +31,6 @@
  */
 final class ConfigurationFleet {
 
-  /** Ways in which a node loses the store, the other nodes or its process. */
-  enum Fault {
-    /** The store rejects the node's calls at once. */
-    REFUSED,
-    /** The store does not respond to the node. */
-    STORE_SILENT,
-    KILLED,
-    FROZEN,
-    /** Neither the store nor other nodes are reached. */
-    CUT_OFF,
-    /** Other nodes are not reached, the store is. */
-    CUT_FROM_NODES,
-    /** Heartbeats arrive, calls by other nodes get no response. */
-    CALLS_UNANSWERED,
-    /** A third of the datagrams is lost, and calls take 300 ms longer. */
-    LOSSY
-  }
-
   private static final long LINK_MICROS = 1_400;
   private static final int JITTER_MICROS = 3_000;
   private static final long STORE_MICROS = 4_000;
@@ -77,13 +59,12 @@
     private RelayController relays;
     private Map<String, TableFollower> followers = new HashMap<>();
     private final Set<CompletableFuture<TablePage>> storeCalls = new HashSet<>();
-    private @Nullable Fault fault;
+    private @Nullable RelayFault fault;
     private long frozenUntilMicros;
     private boolean up;
     private long incarnation;
     private long versionInForce;
     private boolean struck;
-    private long longestDelayMillis;
 
     private Node(int index, double linkMbps) {
       id = "node-" + index;
@@ -169,22 +150,11 @@
         return;
       }
       if (versionInForce > 0 && !struck) {
-        noteDelays(version);
+        delays.note(versionInForce, version);
       }
       versionInForce = version;
     }
 
-    private void noteDelays(long upTo) {
-      store
-          .acknowledgedAtMillis()
-          .forEach(
-              (version, at) -> {
-                if (version > versionInForce && version <= upTo) {
-                  longestDelayMillis = Math.max(longestDelayMillis, time.monotonicMillis() - at);
-                }
-              });
-    }
-
     private CompletableFuture<TablePeers.Response> call(
         InetSocketAddress address, String table, long afterChange) {
       Node other = byAddress.get(address);
@@ -193,7 +163,7 @@
           this,
           TimeUnit.MILLISECONDS.toMicros(PEER_TIMEOUT_MILLIS),
           () -> response.completeExceptionally(new IllegalStateException("no response")));
-      if (isConnected(this, other) && other.fault != Fault.CALLS_UNANSWERED) {
+      if (isConnected(this, other) && other.fault != RelayFault.CALLS_UNANSWERED) {
         after(
             other,
             latency(this, other),
@@ -227,7 +197,10 @@
     }
 
     private boolean reachesStore() {
-      return up && fault != Fault.REFUSED && fault != Fault.STORE_SILENT && fault != Fault.CUT_OFF;
+      return up
+          && fault != RelayFault.REFUSED
+          && fault != RelayFault.STORE_SILENT
+          && fault != RelayFault.CUT_OFF;
     }
   }
 
@@ -254,9 +227,9 @@
       CompletableFuture<TablePage> response = new CompletableFuture<>();
       node.storeCalls.add(response);
       response.whenComplete((page, failure) -> node.storeCalls.remove(response));
-      refusedCalls += node.fault == Fault.REFUSED ? 1 : 0;
-      if (node.fault == Fault.REFUSED) {
-        after(node, LINK_MICROS, () -> refuse(response));
+      if (node.fault == RelayFault.REFUSED) {
+        refusedCalls++;
+        after(node, LINK_MICROS, () -> fail(response, TableServiceException.Kind.UNREACHABLE));
         return response;
       }
       after(
@@ -282,6 +255,7 @@
 
   private final VirtualTime time = new VirtualTime();
   private final SimulatedOperatorStore store = new SimulatedOperatorStore(time);
+  private final ConfigurationDelays delays = new ConfigurationDelays(store, time);
   private final Random random;
   private final List<Node> nodes = new ArrayList<>();
   private final Map<InetSocketAddress, Node> byAddress = new HashMap<>();
@@ -309,7 +283,7 @@
   private void broadcast(Node sender, List<InetSocketAddress> receivers, RelayHeartbeat heartbeat) {
     for (InetSocketAddress address : receivers) {
       Node receiver = byAddress.get(address);
-      boolean lossy = sender.fault == Fault.LOSSY || receiver.fault == Fault.LOSSY;
+      boolean lossy = sender.fault == RelayFault.LOSSY || receiver.fault == RelayFault.LOSSY;
       boolean lost = random.nextInt(lossy ? ONE_IN_LOST_IF_LOSSY : ONE_IN_LOST) == 0;
       if (!lost && isConnected(sender, receiver)) {
         after(
@@ -332,11 +306,11 @@
   }
 
   private static boolean isCut(Node node) {
-    return node.fault == Fault.CUT_OFF || node.fault == Fault.CUT_FROM_NODES;
+    return node.fault == RelayFault.CUT_OFF || node.fault == RelayFault.CUT_FROM_NODES;
   }
 
   private long latency(Node one, Node other) {
-    boolean lossy = one.fault == Fault.LOSSY || other.fault == Fault.LOSSY;
+    boolean lossy = one.fault == RelayFault.LOSSY || other.fault == RelayFault.LOSSY;
     return LINK_MICROS + random.nextInt(JITTER_MICROS) + (lossy ? LOSSY_CALL_MICROS : 0);
   }
 
@@ -344,11 +318,7 @@
     return LINK_MICROS
         + STORE_MICROS / 2
         + random.nextInt(JITTER_MICROS)
-        + (node.fault == Fault.LOSSY ? LOSSY_CALL_MICROS : 0);
-  }
-
-  private static void refuse(CompletableFuture<TablePage> response) {
-    fail(response, TableServiceException.Kind.UNREACHABLE);
+        + (node.fault == RelayFault.LOSSY ? LOSSY_CALL_MICROS : 0);
   }
 
   private static void fail(CompletableFuture<TablePage> response, TableServiceException.Kind kind) {
@@ -356,26 +326,30 @@
   }
 
   /** Strikes a node with a fault for a time. */
-  void strike(Node node, Fault fault, long millis) {
+  void strike(Node node, RelayFault fault, long millis) {
     node.struck = true;
     node.fault = fault;
-    if (fault == Fault.REFUSED) {
-      List.copyOf(node.storeCalls).forEach(call -> after(node, LINK_MICROS, () -> refuse(call)));
-    } else if (fault == Fault.KILLED) {
+    if (fault == RelayFault.REFUSED) {
+      List.copyOf(node.storeCalls)
+          .forEach(
+              call ->
+                  after(
+                      node, LINK_MICROS, () -> fail(call, TableServiceException.Kind.UNREACHABLE)));
+    } else if (fault == RelayFault.KILLED) {
       node.up = false;
       node.executor.shutdown();
-    } else if (fault == Fault.FROZEN) {
+    } else if (fault == RelayFault.FROZEN) {
       node.frozenUntilMicros = time.nowMicros() + TimeUnit.MILLISECONDS.toMicros(millis);
     }
     time.schedule(TimeUnit.MILLISECONDS.toMicros(millis), () -> heal(node, fault));
   }
 
-  private void heal(Node node, Fault fault) {
+  private void heal(Node node, RelayFault fault) {
     if (node.fault != fault) {
       return;
     }
     node.fault = null;
-    if (fault == Fault.KILLED) {
+    if (fault == RelayFault.KILLED) {
       node.start();
     }
   }
@@ -385,7 +359,6 @@
     time.schedule(TimeUnit.MILLISECONDS.toMicros(millis), store::replaceConfiguration);
   }
 
-  /** Runs an action after a delay. */
   void after(long millis, Runnable action) {
     time.schedule(TimeUnit.MILLISECONDS.toMicros(millis), action);
   }
@@ -398,7 +371,6 @@
     return nodes;
   }
 
-  /** Returns the nodes that serve as relays. */
   List<Node> serving() {
     return nodes.stream().filter(Node::isServing).toList();
   }
@@ -419,13 +391,9 @@
    * present age.
    */
   long longestDelayMillis() {
-    long longest = 0;
-    for (Node node : nodes) {
-      if (!node.struck) {
-        node.noteDelays(Long.MAX_VALUE);
-        longest = Math.max(longest, node.longestDelayMillis);
-      }
-    }
-    return longest;
+    nodes.stream()
+        .filter(node -> !node.struck)
+        .forEach(node -> delays.note(node.versionInForce, Long.MAX_VALUE));
+    return delays.longestMillis();
   }
 }
