--- a/review/standins/LedgerServers.java
+++ b/review/standins/LedgerServers.java
@@ -18,12 +18,16 @@
     this.notes = notes;
   }
 
-  /** Serves as a process of its own: {@code ID IP PORT} for each server in it. */
+  /**
+   * Serves as a process of its own: {@code ID IP PORT} for each server in it. With {@code -Dtells=true}
+   * it writes what it runs to its standard output.
+   */
   public static void main(String[] arguments) throws Exception {
+    Consumer<String> notes = Boolean.getBoolean("tells") ? System.out::println : note -> {};
     for (int at = 0; at < arguments.length; at += 3) {
       InetAddress host = InetAddress.getByName(arguments[at + 1]);
       int port = Integer.parseInt(arguments[at + 2]);
-      new LedgerServers(note -> {}, arguments[at], new InetSocketAddress(host, port));
+      new LedgerServers(notes, arguments[at], new InetSocketAddress(host, port));
     }
     System.out.println("up");
     // Ends with the driver, whose end closes the standard input.
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -27,6 +27,7 @@
   private final Map<String, Row> rows = new TreeMap<>();
   private final List<Row> history = new ArrayList<>();
   private final HttpServer server;
+  private final Map<String, Integer> heldCalls = new HashMap<>();
   private long version;
 
   Store(InetSocketAddress address) throws IOException {
@@ -71,7 +72,10 @@
       Map<String, String> query = queryOf(exchange.getRequestURI().getRawQuery());
       switch (exchange.getRequestURI().getPath()) {
         case "/rows-get" -> answer(exchange, 200, scan(query));
-        case "/rows-feed" -> answer(exchange, 200, feed(query));
+        case "/rows-feed" -> {
+          String host = exchange.getRemoteAddress().getAddress().getHostAddress();
+          answer(exchange, 200, feed(query, host));
+        }
         case "/rows-tx" -> {
           String text = new String(body, StandardCharsets.UTF_8);
           String done = transact(text);
@@ -118,7 +122,14 @@
     return page(found);
   }
 
-  private synchronized String feed(Map<String, String> query) throws InterruptedException {
+  /** Returns how many calls for changes of a table have come from an address so far. */
+  synchronized int callsForChanges(String table, String host) {
+    return heldCalls.getOrDefault(table + " " + host, 0);
+  }
+
+  private synchronized String feed(Map<String, String> query, String host)
+      throws InterruptedException {
+    heldCalls.merge(query.get("table") + " " + host, 1, Integer::sum);
     long after = Long.parseLong(query.get("after"));
     long end = System.nanoTime() + Long.parseLong(query.getOrDefault("waitMs", "0")) * 1_000_000;
     while (true) {
