--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-javac -Xlint:all -d target/review review/standins/*.java
+javac -Xlint:all -d target/review review/*.java
