Quarantine: a quarantined request is sent again as a trial

A request that is the same each time was refused with 503 by all nodes for the hour of quarantine.hold; requests with bodies of their own were served by the same servers.

Cause: its three crashes quarantined the request, and nothing of it is sent any more that could be answered and so clear it. Hypotheses weighed: that crashes of one moment count too much (ruled out as the place of the fix: three copies of a crashing request crash three servers within milliseconds too, and nothing but one more send tells them apart), and that the quarantine has no way out (shown by the nodes' logs: request-quarantined once, then request-held-back only).

Change: quarantine.trial-delay (5 s) after the last crash one request with these contents is sent. Trials are limited to two over all nodes and restarts, since three late sends are borne: each is claimed in a row of its own that the store creates only if it does not exist, and only the process that made the claim sends. A node claims only if it has just refused the request, the first request that is really sent is the trial, and Retry-After tells when the outcome is expected.

--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterObserver.java
@@ -11,6 +11,7 @@
 import org.lockdale.gateway.quarantine.Suspect;
 import org.lockdale.gateway.quarantine.SuspectAttempt;
 import org.lockdale.gateway.quarantine.SuspectTable;
+import org.lockdale.gateway.quarantine.TrialClaim;
 import org.lockdale.gateway.quarantine.part.PartSuspect;
 import org.lockdale.gateway.resume.OriginStore;
 import org.lockdale.gateway.resume.RecordedVersion;
@@ -31,6 +32,7 @@
   private final RowReader<RecordedTargetVersions> versionsReader;
   private final RowReader<Suspect> suspectReader;
   private final RowReader<SuspectAttempt> attemptReader;
+  private final RowReader<TrialClaim> trialReader;
   private final NodeRegistry nodes;
   private final TargetVersionRecorder recorder;
   private final OperatorController operators;
@@ -38,6 +40,7 @@
   private final RowReader<RecordedVersion> softwareReader;
   private final ResumeServices resumes;
   private final Consumer<List<PartSuspect>> onParts;
+  private final Consumer<List<TrialClaim>> onTrials;
   private final BiConsumer<List<Suspect>, List<SuspectAttempt>> onSuspects;
   private boolean historyReplaced;
 
@@ -50,6 +53,7 @@
       TargetVersionRecorder recorder,
       OperatorController operators,
       Consumer<List<PartSuspect>> onParts,
+      Consumer<List<TrialClaim>> onTrials,
       BiConsumer<List<Suspect>, List<SuspectAttempt>> onSuspects) {
     this.nodeReader =
         new RowReader<>(
@@ -57,10 +61,12 @@
     this.versionsReader = new RowReader<>(table::parseTargetVersions);
     this.suspectReader = new RowReader<>(suspects::readSuspect);
     this.attemptReader = new RowReader<>(suspects::readAttempt);
+    this.trialReader = new RowReader<>(suspects::readTrial);
     this.partReader = new RowReader<>(suspects::readPart);
     this.softwareReader = new RowReader<>(origins::parseVersion);
     this.resumes = resumes;
     this.onParts = onParts;
+    this.onTrials = onTrials;
     this.onSuspects = onSuspects;
     this.nodes = nodes;
     this.recorder = recorder;
@@ -92,6 +98,7 @@
     }
     // Before the suspects, the first reading of which lets this node serve requests.
     onParts.accept(partReader.read(rows));
+    onTrials.accept(trialReader.read(rows));
     onSuspects.accept(suspectReader.read(rows), attemptReader.read(rows));
     nodes.refresh();
     nodes.onTableRead();
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -248,6 +248,7 @@
             operators,
             // Called only after start(), when all fields are set.
             parts -> quarantine.quarantine().parts().updateFromTable(parts),
+            trials -> quarantine.quarantine().updateTrials(trials),
             (suspects, attempts) -> quarantine.quarantine().updateFromTable(suspects, attempts));
     return TableFollowers.of(
         eventLoop, sources, settings, protocols, time, operators, backends, cluster);
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewaySettings.java
@@ -298,14 +298,6 @@
       duration(
           "lease.guard", "3s", "Minimum time between the orders of two holders of the same lease.");
 
-  /** Time for which a request that crashed backends is quarantined. */
-  public static final Setting<Duration> QUARANTINE_HOLD =
-      duration(
-          "quarantine.hold",
-          "60m",
-          "How long a request is quarantined after three backends have crashed while they ran it;"
-              + " then it may be tried again, and is quarantined again at its next crash.");
-
   /** Timeout of connecting to a backend. */
   public static final Setting<Duration> CONNECT_TIMEOUT =
       duration("backends.connect-timeout", "300ms", "Longest wait for a connection to a backend.");
@@ -349,7 +341,8 @@
           ENGINE_SILENCE,
           WEIGHTS_BOUND,
           LEASE_GUARD,
-          QUARANTINE_HOLD,
+          QuarantineSettings.HOLD,
+          QuarantineSettings.TRIAL_DELAY,
           CONNECT_TIMEOUT,
           STOP_GRACE);
 
--- a/gateway/src/main/java/org/lockdale/gateway/node/QuarantineServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/QuarantineServices.java
@@ -40,7 +40,7 @@
             context,
             blackboard.suspects(),
             blackboard.suspectParts(),
-            settings.get(GatewaySettings.QUARANTINE_HOLD).toMillis());
+            QuarantineSettings.times(settings));
     return new QuarantineServices(
         quarantine, new SuspectListClient(eventLoop, client, peers, quarantine::receive));
   }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -43,8 +43,11 @@
   private final SuspectRecorder recorder;
   private final ChangeBroadcaster<RequestFingerprint, Suspect> broadcaster;
   private final AttemptJournal journal;
+  private final UnconcludedAttempts unconcluded;
   private final LivenessEvidence livenessEvidence;
-
+  private final CrashRetractor retractor;
+  private final TrialClaims trialClaims;
+  private final SuspectTrials trials;
   private final SuspectPublisher publisher;
   private final AttemptIds attemptIds;
 
@@ -57,18 +60,17 @@
    * @param context its dependencies
    * @param section where it publishes to the request path which requests are quarantined
    * @param partSection where it publishes to the request path which prompt parts are held back
-   * @param holdMillis time in milliseconds after the last crash for which a request or a prompt
-   *     part is quarantined
+   * @param times when requests are quarantined and tried again
    */
   public Quarantine(
       QuarantineContext context,
       Section<Suspects> section,
       Section<SuspectParts> partSection,
-      long holdMillis) {
+      QuarantineTimes times) {
     this.context = context;
     this.section = section;
-    this.ledger = new SuspectLedger(holdMillis);
-    this.parts = new PartQuarantine(context.ofParts(partSection), holdMillis);
+    this.ledger = new SuspectLedger(times.holdMillis());
+    this.parts = new PartQuarantine(context.ofParts(partSection), times.holdMillis());
     CrashCounter counter =
         new CrashCounter(
             ledger,
@@ -84,10 +86,30 @@
         new SuspectRecorder(
             ledger, context.table(), context.coordinator(), context.eventLoop(), context.time());
     this.livenessEvidence = new LivenessEvidence(context.backends());
+    this.retractor =
+        new CrashRetractor(ledger, this::backends, this::lastAliveAtMillis, this::propagate);
     this.attemptIds = new AttemptIds(context.node());
     this.journal =
         new AttemptJournal(context.table(), attemptIds, context.eventLoop(), context.time());
-    this.publisher = new SuspectPublisher(section, ledger, context.time());
+    this.unconcluded =
+        new UnconcludedAttempts(
+            journal,
+            ledger,
+            this::backends,
+            this::lastAliveAtMillis,
+            context.time(),
+            this::propagate);
+    this.trialClaims =
+        new TrialClaims(context.table(), attemptIds, context.eventLoop(), context.time());
+    this.trials =
+        new SuspectTrials(
+            ledger,
+            trialClaims,
+            times.trialDelayMillis(),
+            context.coordinator(),
+            context.node(),
+            context.time());
+    this.publisher = new SuspectPublisher(section, ledger, trials, context.time());
     this.broadcaster =
         new ChangeBroadcaster<>(
             context.eventLoop(),
@@ -157,13 +179,30 @@
   }
 
   /**
-   * Returns why a request is quarantined, or empty if it may be sent; from any thread.
+   * Returns why a request is quarantined, or empty if it may go on; from any thread.
    *
    * @param request the request
    * @param caller name of the tenant, or the key where there is none
    */
   public Optional<QuarantinedRequest> quarantined(CallerRequest request, String caller) {
-    return section.value().quarantined(request, caller);
+    Optional<QuarantinedRequest> found = section.value().quarantined(request, caller);
+    found
+        .filter(quarantined -> !quarantined.isWithheld())
+        .ifPresent(quarantined -> trials.recordRefusal(quarantined.fingerprint()));
+    return found;
+  }
+
+  /**
+   * Returns whether a request may be sent to a backend now; from any thread. If it is sent as a
+   * trial, no other request is.
+   */
+  public boolean mayBeSent(CallerRequest request, String caller) {
+    return section.value().mayBeSent(request, caller);
+  }
+
+  /** Reports that an attempt has ended before the request left this node; from any thread. */
+  public void attemptNotSent(CallerRequest request, String caller) {
+    section.value().restorePermit(request, caller);
   }
 
   /**
@@ -257,6 +296,11 @@
     return ledger.heaviest(max);
   }
 
+  /** Processes all claims of trials in the shared store; to be called on the event loop. */
+  public void updateTrials(Collection<TrialClaim> rows) {
+    trialClaims.update(rows);
+  }
+
   /**
    * Processes all rows of the shared store; to be called on the event loop.
    *
@@ -265,7 +309,7 @@
    */
   public void updateFromTable(Collection<Suspect> rows, Collection<SuspectAttempt> attempts) {
     journal.update(attempts);
-    boolean changed = countUnconcluded();
+    boolean changed = unconcluded.count();
     for (Suspect row : recorder.update(rows)) {
       changed |= merge(row);
     }
@@ -279,39 +323,10 @@
     }
   }
 
-  /**
-   * Counts the crashes of backends while they ran attempts that other nodes, or this one before it
-   * restarted, have not concluded.
-   */
-  private boolean countUnconcluded() {
-    boolean changed = false;
-    for (SuspectAttempt attempt : journal.takeCrashed(backends(), this::lastAliveAtMillis)) {
-      Logger.info(
-          "event=backend-ended-under backend={} fingerprint={} evidence=unconcluded",
-          attempt.backend(),
-          attempt.fingerprint());
-      String key = keyOf(attempt);
-      Map<String, CrashInvolvement> crashes = Map.of(key, new CrashInvolvement(true, false));
-      Suspect suspect = new Suspect(attempt.fingerprint(), attempt.sketch(), crashes);
-      if (merge(suspect)) {
-        propagate(suspect);
-        changed = true;
-      }
-    }
-    return changed;
-  }
-
-  private String keyOf(SuspectAttempt unconcluded) {
-    RequestFingerprint fingerprint = unconcluded.fingerprint();
-    String backend = unconcluded.backend();
-    return journal.isOutlived(unconcluded)
-        ? ledger.latestKey(fingerprint, backend)
-        : ledger.keyOfNewCrash(fingerprint, backend, lastAliveAtMillis(backend));
-  }
-
   private void maintain() {
     long now = context.time().monotonicMillis();
-    boolean changed = retractCrashes(now) | countUnconcluded();
+    livenessEvidence.observe();
+    boolean changed = retractor.retract(now) | unconcluded.count();
     parts.retractCrashes(key -> lastAliveAtMillis(CrashKeys.backendOf(key)));
     parts.tick(publisher.quarantinedByBackend());
     journal.tick(context.coordinator().getAsBoolean());
@@ -322,6 +337,7 @@
       changed = true;
     }
     askOwners();
+    changed |= trials.tick();
     changed |= publisher.isOutdated(unresolved());
     if (changed) {
       publish();
@@ -356,31 +372,6 @@
     return tracked == null ? Long.MIN_VALUE : livenessEvidence.lastAliveAtMillis(tracked);
   }
 
-  /** Retracts crashes of backends that are known to have been alive later. */
-  private boolean retractCrashes(long nowMillis) {
-    livenessEvidence.observe();
-    boolean changed = false;
-    for (String backend : ledger.possiblyCrashedBackends()) {
-      TrackedBackend tracked = backends().find(backend);
-      if (tracked == null) {
-        continue;
-      }
-      long aliveAtMillis = lastAliveAtMillis(backend);
-      List<Suspect> forgiven = ledger.recordAlive(backend, aliveAtMillis);
-      if (!forgiven.isEmpty()) {
-        boolean answered = tracked.lastKnownAliveMillis() == aliveAtMillis;
-        Logger.info(
-            "event=backend-lives backend={} evidence={} seen-ms-ago={}",
-            backend,
-            answered ? "answered" : "record-stands",
-            nowMillis - aliveAtMillis);
-        forgiven.forEach(this::propagate);
-        changed = true;
-      }
-    }
-    return changed;
-  }
-
   private void publishSoon() {
     if (!publishing) {
       publishing = true;
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/QuarantinedRequest.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/QuarantinedRequest.java
@@ -23,6 +23,11 @@
     unresolvedBackends = Set.copyOf(unresolvedBackends);
   }
 
+  /** Returns the same request with another time at which it may be tried again. */
+  QuarantinedRequest withUntilMillis(long millis) {
+    return new QuarantinedRequest(fingerprint, crashedBackends, unresolvedBackends, millis);
+  }
+
   /** Returns whether it is withheld only until its unresolved attempts are resolved. */
   public boolean isWithheld() {
     return !unresolvedBackends.isEmpty();
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspect.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspect.java
@@ -28,6 +28,11 @@
     return weight;
   }
 
+  /** Returns the number of its crashes that aren't forgiven. */
+  int countedCrashes() {
+    return (int) crashes.values().stream().filter(crash -> !crash.forgiven()).count();
+  }
+
   /** Returns whether its next crash may quarantine it. */
   boolean isSignificant() {
     return weight() >= SuspectLedger.SIGNIFICANT_WEIGHT;
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectPublisher.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectPublisher.java
@@ -18,13 +18,16 @@
 
   private final Section<Suspects> section;
   private final SuspectLedger ledger;
+  private final SuspectTrials trials;
   private final Time time;
   private Map<RequestFingerprint, UnresolvedAttempts> published = Map.of();
   private List<QuarantinedRequest> previouslyQuarantined = List.of();
 
-  SuspectPublisher(Section<Suspects> section, SuspectLedger ledger, Time time) {
+  SuspectPublisher(
+      Section<Suspects> section, SuspectLedger ledger, SuspectTrials trials, Time time) {
     this.section = section;
     this.ledger = ledger;
+    this.trials = trials;
     this.time = time;
   }
 
@@ -70,11 +73,12 @@
   /** Publishes the state of the ledger with unresolved attempts. */
   void publish(Map<RequestFingerprint, UnresolvedAttempts> unresolved) {
     published = unresolved;
-    List<QuarantinedRequest> quarantined = ledger.quarantined(unresolved);
+    List<QuarantinedRequest> quarantined = trials.withRetryTimes(ledger.quarantined(unresolved));
     quarantined.forEach(this::logIfNew);
     previouslyQuarantined = quarantined;
     section.publish(
-        new Suspects(ledger.all(), unresolved.values(), quarantined), time.monotonicMillis());
+        new Suspects(ledger.all(), unresolved.values(), quarantined, trials.permits()),
+        time.monotonicMillis());
   }
 
   private void logIfNew(QuarantinedRequest request) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectRecorder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectRecorder.java
@@ -5,10 +5,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.time.Time;
 import org.tinylog.Logger;
@@ -40,12 +40,6 @@
    */
   private static final long RETRY_MILLIS = 500;
 
-  /**
-   * Delay before a row that is no longer needed is removed; all nodes have read its last state by
-   * then.
-   */
-  private static final long REMOVE_AFTER_MILLIS = 15_000;
-
   /**
    * Number of rows from which on requests with a single crash are not recorded. A server that
    * crashes runs about twenty requests, a few of which have no response yet.
@@ -87,7 +81,7 @@
   private final Set<RequestFingerprint> seenLocally = new HashSet<>();
   private final Map<RequestFingerprint, Suspect> recorded = new HashMap<>();
   private final Map<RequestFingerprint, Missing> missing = new HashMap<>();
-  private final Map<RequestFingerprint, Long> unneededSince = new HashMap<>();
+  private final UnneededRows<RequestFingerprint> unneeded = new UnneededRows<>();
   private final Set<RequestFingerprint> writing = new HashSet<>();
   private long retryAtMillis = Long.MIN_VALUE;
   private boolean failing;
@@ -230,20 +224,16 @@
 
   /** Removes rows that are no longer needed or whose suspects the ledger has dropped. */
   private void removeUnneeded(long nowMillis) {
-    for (RequestFingerprint fingerprint : List.copyOf(recorded.keySet())) {
-      Optional<Suspect> known = ledger.find(fingerprint);
-      if (known.isPresent() && isNeeded(known.get(), nowMillis)) {
-        unneededSince.remove(fingerprint);
-        continue;
-      }
-      long since = unneededSince.computeIfAbsent(fingerprint, key -> nowMillis);
-      if (nowMillis - since >= REMOVE_AFTER_MILLIS && writing.add(fingerprint)) {
+    Predicate<RequestFingerprint> isNeeded =
+        fingerprint ->
+            ledger.find(fingerprint).filter(known -> isNeeded(known, nowMillis)).isPresent();
+    for (RequestFingerprint fingerprint : unneeded.due(recorded.keySet(), isNeeded, nowMillis)) {
+      if (writing.add(fingerprint)) {
         table
             .remove(fingerprint)
             .whenCompleteAsync((done, failure) -> rowRemoved(fingerprint, failure), eventLoop);
       }
     }
-    unneededSince.keySet().retainAll(recorded.keySet());
   }
 
   private boolean isNeeded(Suspect suspect, long nowMillis) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTable.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTable.java
@@ -11,7 +11,7 @@
  * so that nodes that start, or were isolated, know them. Futures fail with a table service
  * exception.
  */
-public interface SuspectTable extends PartTable {
+public interface SuspectTable extends PartTable, TrialTable {
 
   /** Records a suspect, replacing any earlier record of it. */
   CompletableFuture<@Nullable Void> record(Suspect suspect);
--- /dev/null
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTrials.java
@@ -0,0 +1,195 @@
+package org.lockdale.gateway.quarantine;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
+import org.lockdale.coordination.time.Time;
+
+/**
+ * Lets quarantined requests be sent a few times as trials, since all their crashes may have had
+ * another cause, as when a failure domain loses power, and only an answer clears them.
+ *
+ * <p>A request that does crash servers may reach only few of them later, so the trials of a request
+ * are limited over all nodes and restarts: each is claimed in the shared store first, and only the
+ * process that holds the claim sends the request. A node claims a trial only if it was asked for
+ * the request, and the coordinator first, so that a claim is likely to be used. A claim whose
+ * process ends, or whose trial is lost, is followed by another one while any are left.
+ *
+ * <p>Its methods run on one event loop, but for {@link #recordRefusal}.
+ */
+final class SuspectTrials {
+
+  /** Time in milliseconds after which a trial without a known outcome is followed by the next. */
+  private static final long NEXT_DELAY_MILLIS = 20_000;
+
+  /**
+   * Time in milliseconds from a crash after a trial to the next trial. The request is the likely
+   * cause by then.
+   */
+  private static final long DELAY_AFTER_CRASH_MILLIS = 60_000;
+
+  /**
+   * Greatest number of trials of a request. The deployments tolerate three late sends, and one may
+   * be under way when a request is quarantined.
+   */
+  private static final int MAX_TRIALS = 2;
+
+  /**
+   * Number of crashes from which on a request has one trial only, since two of them may have been
+   * late sends.
+   */
+  private static final int CRASHES_WITH_ONE_TRIAL = 5;
+
+  /** Time in milliseconds within which a node must have refused a request to claim its trial. */
+  private static final long ASKED_MILLIS = 2_000;
+
+  /** Time in milliseconds for which other nodes leave a trial to the coordinator. */
+  private static final long OTHERS_DELAY_MILLIS = 1_500;
+
+  /** Range in milliseconds over which the other nodes spread, so that few of them claim a trial. */
+  private static final int OTHERS_SPREAD_MILLIS = 3_000;
+
+  /** Time in milliseconds within which a claimed trial usually has an outcome. */
+  private static final long OUTCOME_MILLIS = 2_000;
+
+  private final SuspectLedger ledger;
+  private final TrialClaims claims;
+  private final long delayMillis;
+  private final BooleanSupplier coordinator;
+  private final String node;
+  private final Time time;
+  private final Map<TrialClaim, TrialPermit> permits = new HashMap<>();
+  private final Map<RequestFingerprint, Long> refusedAt = new ConcurrentHashMap<>();
+  private Map<RequestFingerprint, TrialPermit> offered = Map.of();
+  private Map<RequestFingerprint, Long> retryAt = Map.of();
+
+  /**
+   * Creates an instance without trials.
+   *
+   * @param delayMillis time in milliseconds from the last crash to the first trial
+   * @param coordinator whether this node claims trials before the others
+   * @param node id of this node
+   */
+  SuspectTrials(
+      SuspectLedger ledger,
+      TrialClaims claims,
+      long delayMillis,
+      BooleanSupplier coordinator,
+      String node,
+      Time time) {
+    this.ledger = ledger;
+    this.claims = claims;
+    this.delayMillis = delayMillis;
+    this.coordinator = coordinator;
+    this.node = node;
+    this.time = time;
+  }
+
+  /** Records that a quarantined request was refused; from any thread. */
+  void recordRefusal(RequestFingerprint fingerprint) {
+    refusedAt.put(fingerprint, time.monotonicMillis());
+  }
+
+  /**
+   * Claims the trials that are due, and offers those that this process holds; to be called
+   * periodically.
+   *
+   * @return whether the permits or the times of retries have changed
+   */
+  boolean tick() {
+    long now = time.monotonicMillis();
+    Map<RequestFingerprint, TrialPermit> permitsBefore = offered;
+    Map<RequestFingerprint, Long> retriesBefore = retryAt;
+    offered = new HashMap<>();
+    retryAt = new HashMap<>();
+    Set<RequestFingerprint> quarantined = new HashSet<>();
+    for (QuarantinedRequest request : ledger.quarantined()) {
+      quarantined.add(request.fingerprint());
+      update(request.fingerprint(), now);
+    }
+    refusedAt.keySet().retainAll(quarantined);
+    permits.keySet().removeIf(claim -> !claims.isKnown(claim) && !isSuspect(claim.fingerprint()));
+    if (coordinator.getAsBoolean()) {
+      claims.removeUnneeded(this::isSuspect, now);
+    }
+    return !offered.equals(permitsBefore) || !retryAt.equals(retriesBefore);
+  }
+
+  private boolean isSuspect(RequestFingerprint fingerprint) {
+    return ledger.find(fingerprint).filter(suspect -> suspect.weight() > 0).isPresent();
+  }
+
+  private void update(RequestFingerprint fingerprint, long nowMillis) {
+    if (nowMillis >= ledger.lastCrashAtMillis(fingerprint) + delayMillis) {
+      claims.held(fingerprint).ifPresent(this::offer);
+    }
+    Optional<TrialClaim> latest = claims.latest(fingerprint);
+    int made = latest.map(TrialClaim::number).orElse(0);
+    if (made < maxTrials(fingerprint)) {
+      long dueAtMillis = dueAtMillis(fingerprint, latest);
+      retryAt.put(fingerprint, dueAtMillis + OUTCOME_MILLIS);
+      boolean isTurn = nowMillis >= dueAtMillis + ownDelayMillis(fingerprint);
+      if (isTurn && wasAsked(fingerprint, nowMillis)) {
+        claims.request(fingerprint, made + 1);
+      }
+    }
+    latest
+        .filter(claim -> nowMillis < claims.readAtMillis(claim) + OUTCOME_MILLIS)
+        .ifPresent(this::expectOutcome);
+  }
+
+  private void offer(TrialClaim claim) {
+    offered.put(claim.fingerprint(), permits.computeIfAbsent(claim, claimed -> new TrialPermit()));
+  }
+
+  private void expectOutcome(TrialClaim claim) {
+    retryAt.put(claim.fingerprint(), claims.readAtMillis(claim) + OUTCOME_MILLIS);
+  }
+
+  private int maxTrials(RequestFingerprint fingerprint) {
+    int crashes = ledger.find(fingerprint).orElseThrow().countedCrashes();
+    return crashes < CRASHES_WITH_ONE_TRIAL ? MAX_TRIALS : 1;
+  }
+
+  private long dueAtMillis(RequestFingerprint fingerprint, Optional<TrialClaim> latest) {
+    long lastCrashAtMillis = ledger.lastCrashAtMillis(fingerprint);
+    if (latest.isEmpty()) {
+      return lastCrashAtMillis + delayMillis;
+    }
+    long readAtMillis = claims.readAtMillis(latest.get());
+    return lastCrashAtMillis > readAtMillis
+        ? lastCrashAtMillis + DELAY_AFTER_CRASH_MILLIS
+        : Math.max(lastCrashAtMillis + delayMillis, readAtMillis + NEXT_DELAY_MILLIS);
+  }
+
+  private long ownDelayMillis(RequestFingerprint fingerprint) {
+    int place = Math.floorMod(31 * node.hashCode() + fingerprint.hashCode(), OTHERS_SPREAD_MILLIS);
+    return coordinator.getAsBoolean() ? 0 : OTHERS_DELAY_MILLIS + place;
+  }
+
+  private boolean wasAsked(RequestFingerprint fingerprint, long nowMillis) {
+    Long refused = refusedAt.get(fingerprint);
+    return refused != null && nowMillis - refused < ASKED_MILLIS;
+  }
+
+  /** Returns the permits with which quarantined requests may be sent from this node. */
+  Map<RequestFingerprint, TrialPermit> permits() {
+    return Map.copyOf(offered);
+  }
+
+  /** Returns the same requests with the times at which a trial is expected to have an outcome. */
+  List<QuarantinedRequest> withRetryTimes(List<QuarantinedRequest> requests) {
+    List<QuarantinedRequest> changed = new ArrayList<>();
+    for (QuarantinedRequest request : requests) {
+      Long retryAtMillis = request.isWithheld() ? null : retryAt.get(request.fingerprint());
+      changed.add(retryAtMillis == null ? request : request.withUntilMillis(retryAtMillis));
+    }
+    return changed;
+  }
+}
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspects.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspects.java
@@ -11,21 +11,23 @@
 
 /**
  * The requests that backends ran when they crashed, and which of them are quarantined or withheld,
- * as the request path reads them. Immutable.
+ * as the request path reads them. Immutable but for the permits of trials.
  */
 public final class Suspects {
 
   /** No suspects. */
-  public static final Suspects NONE = new Suspects(Set.of(), Set.of(), List.of());
+  public static final Suspects NONE = new Suspects(Set.of(), Set.of(), List.of(), Map.of());
 
   private final Set<Integer> sketches = new HashSet<>();
   private final Set<RequestFingerprint> suspected;
   private final Map<RequestFingerprint, QuarantinedRequest> quarantined = new HashMap<>();
+  private final Map<RequestFingerprint, TrialPermit> permits;
 
   Suspects(
       Collection<Suspect> suspects,
       Collection<UnresolvedAttempts> unresolved,
-      Collection<QuarantinedRequest> quarantined) {
+      Collection<QuarantinedRequest> quarantined,
+      Map<RequestFingerprint, TrialPermit> permits) {
     Set<RequestFingerprint> fingerprints = new HashSet<>();
     for (Suspect suspect : suspects) {
       sketches.add(suspect.sketch());
@@ -36,6 +38,7 @@
       fingerprints.add(attempts.fingerprint());
     }
     this.suspected = fingerprints;
+    this.permits = Map.copyOf(permits);
     quarantined.forEach(request -> this.quarantined.put(request.fingerprint(), request));
   }
 
@@ -49,8 +52,40 @@
     return !sketches.isEmpty() && sketches.contains(RequestFingerprint.sketchOf(request, caller));
   }
 
-  /** Returns why a request is quarantined, or empty if it may be sent. */
+  /**
+   * Returns why a request is quarantined, or empty if it may go on. While a trial of it is offered,
+   * all requests with its contents may, and the first that is sent is the trial.
+   */
   Optional<QuarantinedRequest> quarantined(CallerRequest request, String caller) {
+    return find(request, caller).filter(found -> !isTrialOffered(found.fingerprint()));
+  }
+
+  private boolean isTrialOffered(RequestFingerprint fingerprint) {
+    TrialPermit permit = permits.get(fingerprint);
+    return permit != null && permit.isAvailable();
+  }
+
+  /**
+   * Returns whether a request may be sent to a backend now, and uses up the permit if it is sent as
+   * a trial.
+   */
+  boolean mayBeSent(CallerRequest request, String caller) {
+    Optional<QuarantinedRequest> found = find(request, caller);
+    if (found.isEmpty()) {
+      return true;
+    }
+    TrialPermit permit = permits.get(found.get().fingerprint());
+    return permit != null && permit.use(request.id());
+  }
+
+  /** Offers a trial again that did not leave this node. */
+  void restorePermit(CallerRequest request, String caller) {
+    find(request, caller)
+        .map(found -> permits.get(found.fingerprint()))
+        .ifPresent(permit -> permit.restore(request.id()));
+  }
+
+  private Optional<QuarantinedRequest> find(CallerRequest request, String caller) {
     return quarantined.isEmpty() || !mayBeSuspect(request, caller)
         ? Optional.empty()
         : Optional.ofNullable(quarantined.get(RequestFingerprint.of(request, caller)));
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
@@ -50,7 +50,7 @@
   @Override
   public boolean isQuarantined() {
     Quarantine quarantine = path.services().quarantine();
-    return quarantine.quarantined(state.request, state.caller()).isPresent()
+    return !quarantine.mayBeSent(state.request, state.caller())
         || !quarantine.parts().mayBeSent(state.request, state.caller());
   }
 
@@ -90,7 +90,9 @@
   public void onConcluded(RunningAttempt attempt, AttemptResult result) {
     long now = path.nowMillis();
     var health = attempt.target().health();
-    if (result != AttemptResult.NOT_SENT && result != AttemptResult.WITHDRAWN) {
+    if (result == AttemptResult.NOT_SENT || result == AttemptResult.WITHDRAWN) {
+      path.services().quarantine().attemptNotSent(state.request, state.caller());
+    } else {
       state.sends++;
     }
     switch (result) {
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/EmptySuspectTable.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/EmptySuspectTable.java
@@ -39,6 +39,21 @@
     return Optional.empty();
   }
 
+  @Override
+  public CompletableFuture<Void> claimTrial(TrialClaim claim) {
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public CompletableFuture<Void> removeTrial(TrialClaim claim) {
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public Optional<TrialClaim> readTrial(TableRowChange row) {
+    return Optional.empty();
+  }
+
   @Override
   public CompletableFuture<Void> recordAttempt(SuspectAttempt attempt) {
     return CompletableFuture.completedFuture(null);
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
@@ -18,6 +18,7 @@
 import org.lockdale.coordination.blackboard.Section;
 import org.lockdale.coordination.blackboard.Snapshot;
 import org.lockdale.coordination.simulation.VirtualTime;
+import org.lockdale.coordination.table.TableServiceException;
 import org.lockdale.gateway.backend.Backend;
 import org.lockdale.gateway.backend.BackendTable;
 import org.lockdale.gateway.backend.TrackedBackend;
@@ -348,7 +349,12 @@
               this::askOwner,
               () -> number == 0,
               time);
-      quarantine = new Quarantine(context, section, new Section<>(SuspectParts.NONE), 3_600_000);
+      quarantine =
+          new Quarantine(
+              context,
+              section,
+              new Section<>(SuspectParts.NONE),
+              new QuarantineTimes(3_600_000, 5_000));
       quarantine.start();
       servers = BackendTable.EMPTY;
       idle.clear();
@@ -487,6 +493,7 @@
 
     void readTable() {
       if (reachesStore()) {
+        quarantine.updateTrials(List.copyOf(trialRows.values()));
         quarantine.updateFromTable(List.copyOf(rows.values()), List.copyOf(attemptRows));
       } else {
         executor.schedule(
@@ -517,6 +524,26 @@
       return CompletableFuture.completedFuture(null);
     }
 
+    @Override
+    public CompletableFuture<Void> claimTrial(TrialClaim claim) {
+      String key = keyOf(claim);
+      if (reachesStore() && trialRows.containsKey(key)) {
+        return CompletableFuture.failedFuture(
+            new TableServiceException(
+                TableServiceException.Kind.CONDITION_FAILED, "the trial is claimed"));
+      }
+      return write(() -> trialRows.put(key, claim));
+    }
+
+    @Override
+    public CompletableFuture<Void> removeTrial(TrialClaim claim) {
+      return write(() -> trialRows.remove(keyOf(claim)));
+    }
+
+    private static String keyOf(TrialClaim claim) {
+      return claim.fingerprint() + "/" + claim.number();
+    }
+
     @Override
     public CompletableFuture<Void> recordAttempt(SuspectAttempt attempt) {
       return write(() -> attemptRows.add(attempt));
@@ -536,6 +563,7 @@
   private final List<Contents> contents = new ArrayList<>();
   private final Map<RequestFingerprint, Suspect> rows = new LinkedHashMap<>();
   private final Set<SuspectAttempt> attemptRows = new LinkedHashSet<>();
+  private final Map<String, TrialClaim> trialRows = new LinkedHashMap<>();
   boolean storeDown;
   long storeDisturbedUntilMillis = -CONVERGENCE_MILLIS;
   private int crashes;
@@ -620,12 +648,17 @@
             .filter(each -> each.address.equals(assumed.address()))
             .findFirst()
             .orElseThrow();
+    if (!node.quarantine.mayBeSent(request, "tenant")) {
+      what.rejected = true;
+      return;
+    }
     if (server.up) {
       what.sent(node);
       new Run(node, server, assumed.id(), what, request, attemptsLeft);
       return;
     }
     node.avoid(server);
+    node.quarantine.attemptNotSent(request, "tenant");
     if (plan.evidence().addressesTaken()) {
       // The proxy that accepts connections at its address closes them.
       node.quarantine.attemptLost(
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
@@ -76,7 +76,12 @@
             attempt -> CompletableFuture.completedFuture(attemptOwnersRun),
             () -> false,
             time);
-    quarantine = new Quarantine(context, section, new Section<>(SuspectParts.NONE), 3_600_000);
+    quarantine =
+        new Quarantine(
+            context,
+            section,
+            new Section<>(SuspectParts.NONE),
+            new QuarantineTimes(3_600_000, 5_000));
     quarantine.start();
     time.runMillis(SOON_MILLIS);
   }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectFleet.java
@@ -3,10 +3,12 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.lockdale.coordination.blackboard.Section;
@@ -46,6 +48,9 @@
   boolean storeDown;
   boolean ownersUnreachable;
 
+  /** Ids of the nodes that take themselves for the coordinator. */
+  final Set<String> coordinators = new HashSet<>();
+
   /** Changes of the store that are in progress while a test delays them. */
   private final List<Runnable> delayedChanges = new ArrayList<>();
 
@@ -151,7 +156,7 @@
   final class Node extends EmptySuspectTable {
     private final VirtualExecutor executor = new VirtualExecutor(time);
     private final Quarantine quarantine;
-    private final String id = "node-" + ++startedNodes;
+    final String id = "node-" + ++startedNodes;
     private BackendTable backends = BackendTable.EMPTY;
     private boolean running = true;
     boolean readsBackends = true;
@@ -167,11 +172,14 @@
               this::broadcast,
               parts -> {},
               SuspectFleet.this::isInProgress,
-              () -> false,
+              () -> coordinators.contains(id),
               time);
       quarantine =
           new Quarantine(
-              context, new Section<>(Suspects.NONE), new Section<>(SuspectParts.NONE), 3_600_000);
+              context,
+              new Section<>(Suspects.NONE),
+              new Section<>(SuspectParts.NONE),
+              new QuarantineTimes(3_600_000, 5_000));
       quarantine.start();
     }
 
@@ -201,13 +209,17 @@
       }
       List<Suspect> suspects = new ArrayList<>();
       List<SuspectAttempt> attempts = new ArrayList<>();
+      List<TrialClaim> trials = new ArrayList<>();
       for (Object row : rows.values()) {
         if (row instanceof Suspect suspect) {
           suspects.add(suspect);
         } else if (row instanceof SuspectAttempt attempt) {
           attempts.add(attempt);
+        } else if (row instanceof TrialClaim trial) {
+          trials.add(trial);
         }
       }
+      quarantine.updateTrials(trials);
       quarantine.updateFromTable(suspects, attempts);
     }
 
@@ -241,6 +253,26 @@
       return attempt;
     }
 
+    /** Sends a request with the contents of the guilty one, unless it is refused. */
+    boolean sendIfPermitted(String requestId, String backend) {
+      CallerRequest request = Requests.of(requestId, "/a", "guilty");
+      if (refuses(request) || !quarantine.mayBeSent(request, TENANT)) {
+        return false;
+      }
+      send(request, backend);
+      return true;
+    }
+
+    /** Reports that a request did not leave the node. */
+    void reportNotSent(String requestId) {
+      quarantine.attemptNotSent(Requests.of(requestId, "/a", "guilty"), TENANT);
+    }
+
+    /** Returns why the guilty request is refused. */
+    Optional<QuarantinedRequest> refusal() {
+      return quarantine.quarantined(guilty(), TENANT);
+    }
+
     /** Concludes an attempt that its backend did not run: refused, rejected or withdrawn. */
     void concludeNotRun(Optional<SuspectAttempt> attempt) {
       attempt.ifPresent(each -> quarantine.attemptConcluded(each, AttemptOutcome.NOT_LOST));
@@ -277,6 +309,12 @@
       run(1);
     }
 
+    /** Reports a successful response to the guilty request. */
+    void recordAnswer() {
+      quarantine.requestAnswered(guilty(), TENANT);
+      run(1);
+    }
+
     /** Reports that an incarnation has ended, as another node has found. */
     void markEnded(String backend) {
       backends.find(backend).markEnded();
@@ -292,7 +330,11 @@
     }
 
     boolean refuses() {
-      return quarantine.quarantined(guilty(), TENANT).isPresent();
+      return refuses(guilty());
+    }
+
+    boolean refuses(CallerRequest request) {
+      return quarantine.quarantined(request, TENANT).isPresent();
     }
 
     /** Returns the weight of the crashes that count against the guilty request on this node. */
@@ -313,6 +355,21 @@
       return change(delayingRemovals, () -> rows.remove("suspect/" + fingerprint));
     }
 
+    /** The condition is checked when the delayed write takes effect, as the store does. */
+    @Override
+    public CompletableFuture<Void> claimTrial(TrialClaim claim) {
+      return change(delayingWrites, () -> rows.putIfAbsent(keyOf(claim), claim));
+    }
+
+    @Override
+    public CompletableFuture<Void> removeTrial(TrialClaim claim) {
+      return change(delayingRemovals, () -> rows.remove(keyOf(claim)));
+    }
+
+    private static String keyOf(TrialClaim claim) {
+      return "suspect-trial/" + claim.fingerprint() + "/" + claim.number();
+    }
+
     @Override
     public CompletableFuture<Void> recordAttempt(SuspectAttempt attempt) {
       return change(delayingWrites, () -> rows.put(keyOf(attempt), attempt));
--- a/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
@@ -32,6 +32,7 @@
 import org.lockdale.protocol.generated.TableSliceRequest;
 import org.lockdale.protocol.generated.TenantLevelsRecord;
 import org.lockdale.protocol.generated.TicketDatagram;
+import org.lockdale.protocol.generated.TrialClaimRecord;
 
 /**
  * Encodes and decodes one type of message with Avro. Each encoding starts with the 64-bit
@@ -144,6 +145,11 @@
     return of(0x7D3BDF24A12A80F6L, SoftwareVersionRecord::readFrom);
   }
 
+  /** Returns a codec of the claims to send a quarantined request as a trial. */
+  public static MessageCodec<TrialClaimRecord> trialClaims() {
+    return of(0xF94CB1130AD0B18AL, TrialClaimRecord::readFrom);
+  }
+
   /** Returns a codec of the datagrams between gateway nodes about prompt parts. */
   public static MessageCodec<PartDatagram> partDatagrams() {
     return of(0x1C009BDCD3B61805L, PartDatagram::readFrom);
--- a/protocol/src/test/java/org/lockdale/protocol/MessageCodecTest.java
+++ b/protocol/src/test/java/org/lockdale/protocol/MessageCodecTest.java
@@ -63,6 +63,7 @@
 import org.lockdale.protocol.generated.TableSliceRequest;
 import org.lockdale.protocol.generated.TenantLevelsRecord;
 import org.lockdale.protocol.generated.TicketDatagram;
+import org.lockdale.protocol.generated.TrialClaimRecord;
 import org.testng.annotations.Test;
 
 /** Tests the encoding of messages, and the compatibility of nodes that are one version apart. */
@@ -150,6 +151,7 @@
             Map.entry(MessageCodec.suspects(), SuspectRecord.getClassSchema()),
             Map.entry(MessageCodec.streamOrigins(), StreamOriginReport.getClassSchema()),
             Map.entry(MessageCodec.softwareVersions(), SoftwareVersionRecord.getClassSchema()),
+            Map.entry(MessageCodec.trialClaims(), TrialClaimRecord.getClassSchema()),
             Map.entry(MessageCodec.suspectParts(), PartSuspectRecord.getClassSchema()),
             Map.entry(MessageCodec.partDatagrams(), PartDatagram.getClassSchema()),
             Map.entry(MessageCodec.tableSliceRequests(), TableSliceRequest.getClassSchema()),
