A server that closes within a response head counts as crashed

Found on the way: the decoder reports a close within a head as an invalid head, so ResponseReader did not take it for a close by the peer. To the quarantine the connection was silent then, which counts as a crash only once the server's address refuses connections or its record has gone: where something else accepts connections at the address, a request that crashes servers while they write its head would have gone on for seconds. That a close before any byte counts at once is what the same servers get otherwise.

Change: a close within a head is reported as a close by the peer.

ResponseReaderTest.aCloseInsideAHeadIsAClose failed before (expected true, found false).

--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -85,7 +86,7 @@
       return;
     }
     if (part.decoderResult().isFailure()) {
-      fail(context, false, "the reply is not valid HTTP");
+      failUndecodable(context, part.decoderResult().cause());
       return;
     }
     if (part instanceof HttpResponse response) {
@@ -105,6 +106,15 @@
     }
   }
 
+  /** The decoder reports a connection that closes within a head as an invalid head. */
+  private void failUndecodable(ChannelHandlerContext context, Throwable cause) {
+    boolean closedInHead = cause instanceof PrematureChannelClosureException;
+    fail(
+        context,
+        closedInHead,
+        closedInHead ? "the connection closed within a head" : "the reply is not valid HTTP");
+  }
+
   private static int contentBytes(HttpObject part) {
     return part instanceof HttpContent content ? content.content().readableBytes() : 0;
   }
--- a/http/src/test/java/org/lockdale/http/ResponseReaderTest.java
+++ b/http/src/test/java/org/lockdale/http/ResponseReaderTest.java
@@ -3,11 +3,14 @@
 import static org.testng.Assert.assertEquals;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -47,6 +50,23 @@
     return listener.failures.get(0).isClosedByPeer();
   }
 
+  /** A server that crashes while it writes the head must count as one that crashes before. */
+  @Test
+  public void aCloseInsideAHeadIsAClose() {
+    ResponseReader reader =
+        new ResponseReader(
+            new ConnectionPool(Duration.ofSeconds(1)),
+            InetSocketAddress.createUnresolved("peer", 1));
+    EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), reader);
+    FailureCollector listener = new FailureCollector();
+    reader.start(new HttpCall(), listener);
+    channel.writeInbound(
+        Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nContent-Le", StandardCharsets.US_ASCII));
+    channel.finishAndReleaseAll();
+    assertEquals(listener.failures.size(), 1);
+    assertEquals(listener.failures.get(0).isClosedByPeer(), true);
+  }
+
   @Test
   public void aResetIsAClose() {
     assertEquals(isClosedByPeerAfter(new SocketException("Connection reset")), true);
