--- a/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
@@ -283,6 +283,45 @@
     assertEquals(nextCopy(), Map.of("a", "new", "c", "later"));
   }
 
+  private static TableRowChange removal(String key, long version) {
+    return new TableRowChange(key, new byte[0], version, true);
+  }
+
+  private void addRelayResponse(boolean complete, long lastChange, TableRowChange... rows) {
+    TableChanges changes = new TableChanges(complete, lastChange, List.of(rows));
+    peerResponses.add(
+        CompletableFuture.completedFuture(new TablePeers.Response(changes, 1_100, 3)));
+  }
+
+  /** The response of the store was held up while its link was cut. */
+  @Test
+  public void aLateResponseOfTheStoreDoesNotRestoreARowThatARelayRemoved() throws Exception {
+    feed.scans.add(page(false, 5, row("a", "1", 1), row("b", "1", 2)));
+    CompletableFuture<TablePage> held = new CompletableFuture<>();
+    feed.changes.add(held);
+    TableFollower follower = follow(true);
+    nextCopy();
+    addRelayResponse(false, 7, row("b", "2", 6), removal("b", 7));
+    assertTrue(announce(follower, 7));
+    assertEquals(nextCopy(), Map.of("a", "1"));
+    held.complete(page(false, 6, row("b", "2", 6)).join());
+    assertEquals(nextCopy(), Map.of("a", "1"));
+  }
+
+  /** The later pages of the scan were held up, and were read before the row was removed. */
+  @Test
+  public void aLateScanDoesNotRestoreARowThatARelayRemoved() throws Exception {
+    feed.scans.add(page(true, 5, row("a", "1", 1)));
+    CompletableFuture<TablePage> held = new CompletableFuture<>();
+    feed.scans.add(held);
+    TableFollower follower = follow(false);
+    addRelayResponse(true, 8, row("a", "1", 1));
+    assertTrue(announce(follower, 8));
+    assertEquals(nextCopy(), Map.of("a", "1"));
+    held.complete(page(false, 7, row("b", "2", 7)).join());
+    assertEquals(nextCopy(), Map.of("a", "1"));
+  }
+
   /** The pair of times sets the offset of the store's clock at nodes that read from this copy. */
   @Test
   public void aSlowScanDoesNotDateTheStoresClockTooLate() throws InterruptedException {
