Soak: all engines crash at one moment, beside a request that stays the same

Three callers a node repeat one request meanwhile that crashes nothing.

Other plans draw what they drew before: the new faults form plans of their own, and the further callers come only with them. Callers are started by one method for each kind; their numbers and random streams stay the same.

--- a/soak/src/main/java/org/lockdale/soak/judge/Disruptions.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/Disruptions.java
@@ -12,6 +12,10 @@
       return from <= end && until >= start;
     }
 
+    boolean isOutage() {
+      return !onLink && !subject.isEmpty() && !History.isDelay(subject);
+    }
+
     boolean affects(String machine) {
       return subject.equals(machine) || subject.equals(History.HOST);
     }
@@ -46,6 +50,11 @@
         .noneMatch(span -> !span.onLink() && span.affects(machine) && span.overlaps(from, until));
   }
 
+  /** Returns the end of the last outage of a node, a server or the store; 0 if there is none. */
+  long lastOutageEndMillis() {
+    return spans.values().stream().filter(Span::isOutage).mapToLong(Span::until).max().orElse(0);
+  }
+
   /**
    * Returns the end of the last disruption of the store or a link that started by a moment, or the
    * moment itself if it still lasts then; 0 if there is none.
--- a/soak/src/main/java/org/lockdale/soak/judge/History.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/History.java
@@ -22,6 +22,10 @@
   /** Subject of a time in which the soak's proxy was not scheduled. */
   public static final String PROXY = "proxy";
 
+  private static final String LINK_ARROW = ">";
+  private static final String FORMER = "former ";
+  private static final String STALLED = "stalled ";
+
   /**
    * Maximum time until an event reaches the checker through its pipe; one that is missing after
    * this time was not written. Ten times the longest delivery seen on a machine with twice as many
@@ -242,19 +246,28 @@
     return disruptions.isUndisrupted(machine, from - bounds.contactMillis(), until);
   }
 
+  /** Returns whether the soak itself only delays something, rather than a process being away. */
+  static boolean isDelay(String subject) {
+    return subject.equals(PROXY)
+        || subject.equals(HOST)
+        || subject.contains(LINK_ARROW)
+        || subject.startsWith(FORMER)
+        || subject.startsWith(STALLED);
+  }
+
   /** Returns the subject of a time in which the soak's proxy delayed connections of a link. */
   public static String delayedLink(String source, String destination) {
-    return source + ">" + destination;
+    return source + LINK_ARROW + destination;
   }
 
   /** Returns the subject of the time in which a node runs the previous build. */
   public static String previousBuild(String node) {
-    return "former " + node;
+    return FORMER + node;
   }
 
   /** Returns the subject of a time in which a server's process was not scheduled. */
   public static String stalledServer(String server) {
-    return "stalled " + processOf(server);
+    return STALLED + processOf(server);
   }
 
   /** Returns the name of a server's process, without the suffix of its incarnation. */
@@ -281,6 +294,11 @@
         && disruptions.isRunning(node, from, until);
   }
 
+  /** Returns the end of the last outage of a node, a server or the store; 0 if there is none. */
+  long lastOutageEndMillis() {
+    return disruptions.lastOutageEndMillis();
+  }
+
   /** Returns {@link Disruptions#lastDisruptionEndMillis}. */
   long lastDisruptionEndMillis(long moment) {
     return disruptions.lastDisruptionEndMillis(moment);
--- a/soak/src/main/java/org/lockdale/soak/judge/RequestFacts.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/RequestFacts.java
@@ -23,6 +23,14 @@
   /** Part of prompts that crashes each server that begins to answer a request with it. */
   public static final String CRASHING_PART = "bad0";
 
+  /** Path of the request that is the same each time and crashes no server. */
+  public static final String REPEATED_PATH = "/stream/repeated";
+
+  /** Returns whether it is the request that is the same each time and crashes no server. */
+  boolean isRepeated() {
+    return path.equals(REPEATED_PATH);
+  }
+
   /** Returns whether its prompt has the part that crashes servers. */
   public boolean hasCrashingPart() {
     String parts = prefix;
--- a/soak/src/main/java/org/lockdale/soak/judge/RuleChecker.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/RuleChecker.java
@@ -14,6 +14,7 @@
           ResponseRules::streamOrder,
           SoftwareVersionRules::mixedStreams,
           TakeUpRules::resumedShare,
+          StarvationRules::repeatedRequests,
           ModelRules::staleCachedParts,
           ModelRules::tenantIsolation,
           ModelRules::outdatedWeights,
--- a/soak/src/main/java/org/lockdale/soak/plan/Fault.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/Fault.java
@@ -164,6 +164,13 @@
    */
   record AllNodesKilled(long lastsMillis) implements Fault {}
 
+  /**
+   * All engines are killed at one moment by SIGKILL.
+   *
+   * @param lastsMillis time until they are started again, in milliseconds
+   */
+  record AllEnginesKilled(long lastsMillis) implements Fault {}
+
   /**
    * A node can't connect to any server, while other nodes, callers and the store reach it and all
    * others reach the servers.
--- a/soak/src/main/java/org/lockdale/soak/plan/FaultPlan.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/FaultPlan.java
@@ -26,6 +26,9 @@
   /** Divisor of a short run's length that gives its time without faults at the end. */
   private static final int QUIET_END_DIVISOR = 3;
 
+  /** Time without faults at the end of a plan of kills of all engines. */
+  private static final long RECOVERY_END_MILLIS = 30_000;
+
   private static final int MIN_GAP_MILLIS = 300;
   private static final int MAX_GAP_MILLIS = 3_500;
   private static final int MAX_SERIES_LENGTH = 4;
@@ -76,6 +79,19 @@
     return new FaultPlan(seed, lengthMillis, faults);
   }
 
+  /**
+   * Draws a plan of kills of all engines, with few other faults. It ends with time enough for the
+   * requests that were quarantined to be served again.
+   */
+  public static FaultPlan drawServiceCrashes(long seed, long lengthMillis, Deployment deployment) {
+    List<PlannedFault> faults =
+        new ArrayList<>(
+            ServiceCrashFaults.draw(
+                seed, QUIET_START_MILLIS, lengthMillis - RECOVERY_END_MILLIS, deployment));
+    faults.sort(Comparator.comparingLong(PlannedFault::atMillis));
+    return new FaultPlan(seed, lengthMillis, faults);
+  }
+
   /** Returns the time from which a plan has no faults. */
   private static long lastFaultMillis(long lengthMillis) {
     return lengthMillis - Math.min(QUIET_END_MILLIS, lengthMillis / QUIET_END_DIVISOR);
--- a/soak/src/main/java/org/lockdale/soak/run/Callers.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Callers.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 
 /** Runs all callers of a run, each in a thread of its own. */
 final class Callers implements Closeable {
@@ -47,6 +48,8 @@
   private final AtomicBoolean stopping = new AtomicBoolean();
   private final List<Thread> threads = new ArrayList<>();
   private final Counts counts = new Counts();
+  private final LoadBalancer loadBalancer;
+  private final NoteLog notes;
 
   /**
    * Starts the callers.
@@ -57,6 +60,7 @@
    * @param revoked further callers that use replaced keys; they draw nothing of that either
    * @param resuming further callers that ask for resumable streams; they draw nothing of that
    *     either
+   * @param repeating further callers that repeat one request; they draw nothing of that either
    */
   Callers(
       int number,
@@ -64,10 +68,13 @@
       int waiting,
       int revoked,
       int resuming,
+      int repeating,
       long seed,
       LoadBalancer loadBalancer,
       Operator operator,
       NoteLog notes) {
+    this.loadBalancer = loadBalancer;
+    this.notes = notes;
     SplittableRandom random = new SplittableRandom(seed);
     for (int index = 0; index < number; index++) {
       SplittableRandom own = random.split();
@@ -79,22 +86,22 @@
       SlowCaller caller = new SlowCaller(index, random.split(), loadBalancer, notes, counts);
       start("slow-caller-" + index, () -> caller.run(stopping));
     }
-    for (int index = number + slow; index < number + slow + waiting; index++) {
+    startFurther("waiting", waiting, random, LongRequests::new);
+    startFurther("revoked", revoked, random, own -> new ReplacedKeyRequests(operator));
+    startFurther("resuming", resuming, random, own -> new ResumableStreams());
+    startFurther("repeating", repeating, random, own -> new RepeatedRequests());
+  }
+
+  private void startFurther(
+      String kind,
+      int number,
+      SplittableRandom random,
+      Function<SplittableRandom, RequestSource> sources) {
+    for (int started = 0; started < number; started++) {
+      int index = threads.size();
       SplittableRandom own = random.split();
-      RequestSource source = new LongRequests(own);
-      Caller caller = new Caller(index, own, loadBalancer, source, notes, counts);
-      start("waiting-caller-" + index, () -> caller.run(stopping));
-    }
-    int others = number + slow + waiting;
-    for (int index = others; index < others + revoked; index++) {
-      RequestSource source = new ReplacedKeyRequests(operator);
-      Caller caller = new Caller(index, random.split(), loadBalancer, source, notes, counts);
-      start("revoked-caller-" + index, () -> caller.run(stopping));
-    }
-    for (int index = others + revoked; index < others + revoked + resuming; index++) {
-      RequestSource source = new ResumableStreams();
-      Caller caller = new Caller(index, random.split(), loadBalancer, source, notes, counts);
-      start("resuming-caller-" + index, () -> caller.run(stopping));
+      Caller caller = new Caller(index, own, loadBalancer, sources.apply(own), notes, counts);
+      start(kind + "-caller-" + index, () -> caller.run(stopping));
     }
   }
 
--- a/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
+++ b/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
@@ -46,15 +46,17 @@
   private final NoteLog notes;
   private final ServerReplacements replacements;
   private final List<String> nodes;
+  private final List<String> engines;
   private final Map<String, ProcessTrouble> outages = new ConcurrentHashMap<>();
   private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(THREADS);
 
-  FaultInjector(Processes processes, Operator operator, NoteLog notes, List<String> nodes) {
+  FaultInjector(Processes processes, Operator operator, NoteLog notes, Deployment deployment) {
     this.processes = processes;
     this.operator = operator;
     this.notes = notes;
     this.replacements = new ServerReplacements(processes, operator, notes);
-    this.nodes = nodes;
+    this.nodes = deployment.nodeNames();
+    this.engines = deployment.engineNames();
     executor.scheduleWithFixedDelay(
         () -> {
           removeSilentServers();
@@ -118,7 +120,9 @@
           ProcessTrouble.KILLED,
           () -> replacements.drainBeforeRecorded(announcement));
     } else if (fault instanceof Fault.AllNodesKilled kill) {
-      killAllNodes(kill);
+      kill(nodes, kill.lastsMillis());
+    } else if (fault instanceof Fault.AllEnginesKilled kill) {
+      kill(engines, kill.lastsMillis());
     } else if (fault instanceof Fault.SoftwareReleased release) {
       if (replacements.isDue(release)) {
         runOutage(release.engine(), ProcessTrouble.KILLED, () -> replacements.release(release));
@@ -274,9 +278,9 @@
     notes.recordDisruptionEnd(disruption);
   }
 
-  private void killAllNodes(Fault.AllNodesKilled kill) {
-    for (String node : nodes) {
-      inject(new Fault.OnProcess(node, ProcessTrouble.KILLED, kill.lastsMillis()));
+  private void kill(List<String> names, long lastsMillis) {
+    for (String name : names) {
+      inject(new Fault.OnProcess(name, ProcessTrouble.KILLED, lastsMillis));
     }
   }
 
--- a/soak/src/main/java/org/lockdale/soak/run/NoteLog.java
+++ b/soak/src/main/java/org/lockdale/soak/run/NoteLog.java
@@ -13,6 +13,7 @@
 import org.lockdale.soak.judge.ForwardingCounts;
 import org.lockdale.soak.judge.History;
 import org.lockdale.soak.judge.Note;
+import org.lockdale.soak.judge.RepeatedRequestCounts;
 import org.lockdale.soak.judge.RuleBreak;
 import org.lockdale.soak.judge.RuleChecker;
 import org.lockdale.soak.judge.TakenUpStreams;
@@ -55,6 +56,11 @@
     return TakenUpStreams.of(history);
   }
 
+  /** Returns how often the request that is the same each time was served after disruptions. */
+  synchronized RepeatedRequestCounts repeatedRequests() {
+    return RepeatedRequestCounts.of(history);
+  }
+
   /** Adds a note. Notes that arrive after {@link #close} are ignored. */
   synchronized void add(Note note) {
     if (closed) {
--- a/soak/src/main/java/org/lockdale/soak/run/SoakCommand.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakCommand.java
@@ -10,6 +10,7 @@
 import org.jspecify.annotations.Nullable;
 import org.lockdale.soak.judge.CrashCounts;
 import org.lockdale.soak.judge.History;
+import org.lockdale.soak.judge.RepeatedRequestCounts;
 import org.lockdale.soak.judge.RuleBreak;
 import org.lockdale.soak.judge.RuleChecker;
 import org.lockdale.soak.judge.TakenUpStreams;
@@ -57,6 +58,11 @@
       description = "Injects only software releases and kills of all nodes.")
   private boolean fleetRestartsOnly;
 
+  @Option(
+      names = "--service-crashes",
+      description = "Injects kills of all engines at one moment, and few other faults.")
+  private boolean serviceCrashesOnly;
+
   @Option(names = "--go-on", description = "Continues with the next seed after a rule violation.")
   private boolean continueOnViolation;
 
@@ -105,11 +111,7 @@
     int violated = 0;
     for (int index = 0; index < seeds && System.nanoTime() < end; index++) {
       long planSeed = first + index;
-      FaultPlan plan =
-          fleetRestartsOnly
-              ? FaultPlan.drawFleetRestarts(planSeed, seconds * 1_000, deployment)
-              : FaultPlan.draw(planSeed, seconds * 1_000, deployment);
-      if (!runPlan(plan, deployment, "seed-" + planSeed)) {
+      if (!runPlan(draw(planSeed, deployment), deployment, "seed-" + planSeed)) {
         violated++;
         if (!continueOnViolation) {
           return VIOLATION_STATUS;
@@ -119,10 +121,21 @@
     return violated > 0 ? VIOLATION_STATUS : 0;
   }
 
+  private FaultPlan draw(long planSeed, Deployment deployment) {
+    long lengthMillis = seconds * 1_000;
+    if (fleetRestartsOnly) {
+      return FaultPlan.drawFleetRestarts(planSeed, lengthMillis, deployment);
+    }
+    return serviceCrashesOnly
+        ? FaultPlan.drawServiceCrashes(planSeed, lengthMillis, deployment)
+        : FaultPlan.draw(planSeed, lengthMillis, deployment);
+  }
+
   private static int checkRecordedEvents(Path notes) throws IOException {
     History history = NoteLog.read(SoakRun.BOUNDS, notes);
     List<RuleBreak> violations = RuleChecker.check(history);
     System.out.println(CrashCounts.of(history) + " " + TakenUpStreams.of(history));
+    System.out.println(RepeatedRequestCounts.of(history));
     violations.forEach(System.out::println);
     return violations.isEmpty() ? 0 : VIOLATION_STATUS;
   }
--- a/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
@@ -36,6 +36,9 @@
   /** Callers that ask for resumable streams, in plans in which all nodes are killed. */
   private static final int RESUMING_CALLERS_PER_NODE = 3;
 
+  /** Callers that repeat one request, in plans in which all engines are killed. */
+  private static final int REPEATING_CALLERS_PER_NODE = 3;
+
   private static final long CHECK_MILLIS = 1_000;
   private static final long START_TIMEOUT_MILLIS = 60_000;
 
@@ -140,12 +143,12 @@
                 waitingCallers(),
                 revokedCallers(),
                 resumingCallers(),
+                repeatingCallers(),
                 plan.seed(),
                 loadBalancer,
                 operator,
                 notes);
-        FaultInjector injector =
-            new FaultInjector(processes, operator, notes, deployment.nodeNames())) {
+        FaultInjector injector = new FaultInjector(processes, operator, notes, deployment)) {
       long start = StandardStreams.nowMillis();
       long end = start + plan.lengthMillis();
       long nextCheck = start + CHECK_MILLIS;
@@ -197,7 +200,9 @@
             + " "
             + notes.forwardingCounts()
             + " "
-            + notes.takenUpStreams(),
+            + notes.takenUpStreams()
+            + " "
+            + notes.repeatedRequests(),
         violations);
   }
 
@@ -222,6 +227,13 @@
         : 0;
   }
 
+  /** Returns the number of callers that repeat one request; a former plan has none. */
+  private int repeatingCallers() {
+    return contains(Fault.AllEnginesKilled.class)
+        ? REPEATING_CALLERS_PER_NODE * deployment.nodes()
+        : 0;
+  }
+
   private boolean contains(Class<? extends Fault> kind) {
     return plan.faults().stream().anyMatch(planned -> kind.isInstance(planned.fault()));
   }
--- a/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
+++ b/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
@@ -83,6 +83,21 @@
     assertEquals(checksum.getValue(), OTHER_FAULTS_CHECKSUM);
   }
 
+  @Test
+  public void serviceCrashesKillAllEnginesAndLeaveTimeToRecover() {
+    for (long seed = 0; seed < 50; seed++) {
+      FaultPlan plan = FaultPlan.drawServiceCrashes(seed, MINUTE_MILLIS, Deployment.small());
+      long kills =
+          plan.faults().stream()
+              .filter(planned -> planned.fault() instanceof Fault.AllEnginesKilled)
+              .count();
+      assertTrue(kills >= 1, plan.toString());
+      assertTrue(
+          plan.faults().stream().allMatch(planned -> planned.atMillis() < MINUTE_MILLIS - 30_000),
+          plan.toString());
+    }
+  }
+
   @Test
   public void fleetRestartsAloneReleaseBothVersionsAndKillAllNodesTwiceOrMore() {
     for (long seed = 0; seed < 50; seed++) {
