Trials: the second one comes after 10 s, and late crashes are counted

Crashes beyond three were taken for late sends. Nodes know better: a crash that was learned more than 3 s after the third is one, those of one moment aren't. Where a node learned of several at once, as when it starts, those beyond three still count as late. The limit stays: late sends, trials included, are three at most, one of which may be under way.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -77,42 +76,8 @@
    */
   private static final int MAX_SUSPECTS = 1_024;
 
-  private static final class Entry {
-    private Suspect suspect;
-    private long lastCrashAtMillis;
-
-    /** Monotonic times at which this node learned of the crashes, by key. */
-    private final Map<String, Long> learnedAt = new HashMap<>();
-
-    /** Keys of crashes after which, as this node knows, their backends were alive. */
-    private final Set<String> outlived = new HashSet<>();
-
-    Entry(Suspect suspect, long nowMillis) {
-      this.suspect = suspect;
-      this.lastCrashAtMillis = nowMillis;
-    }
-
-    void recordLearned(Suspect received, long nowMillis) {
-      received.crashes().keySet().forEach(backend -> learnedAt.putIfAbsent(backend, nowMillis));
-    }
-
-    boolean isCrashed(String key) {
-      CrashInvolvement crash = suspect.crashes().get(key);
-      return crash != null && !crash.forgiven();
-    }
-
-    /** Returns whether a backend may have crashed since its latest crash was taken back. */
-    boolean mayCrashAgain(String backend, long aliveAtMillis) {
-      String key = CrashKeys.latest(backend, suspect.crashes());
-      CrashInvolvement crash = suspect.crashes().get(key);
-      return crash != null
-          && crash.forgiven()
-          && (outlived.contains(key) || learnedAt.get(key) < aliveAtMillis);
-    }
-  }
-
   private final long holdMillis;
-  private final Map<RequestFingerprint, Entry> entries = new LinkedHashMap<>();
+  private final Map<RequestFingerprint, SuspectEntry> entries = new LinkedHashMap<>();
 
   /**
    * Creates an empty ledger.
@@ -130,7 +95,7 @@
    * @param aliveAtMillis latest monotonic time at which the backend is known to have been alive
    */
   String keyOfNewCrash(RequestFingerprint fingerprint, String backend, long aliveAtMillis) {
-    Entry entry = entries.get(fingerprint);
+    SuspectEntry entry = entries.get(fingerprint);
     return entry != null && entry.mayCrashAgain(backend, aliveAtMillis)
         ? CrashKeys.next(backend, entry.suspect.crashes())
         : latestKey(fingerprint, backend);
@@ -148,7 +113,7 @@
    */
   boolean recordLoss(Suspect seen, long nowMillis) {
     boolean changed = merge(seen, nowMillis);
-    Entry entry = entries.get(seen.fingerprint());
+    SuspectEntry entry = entries.get(seen.fingerprint());
     seen.crashes().keySet().forEach(key -> entry.learnedAt.put(key, nowMillis));
     return changed;
   }
@@ -159,7 +124,7 @@
    * @return whether it counted
    */
   boolean retract(RequestFingerprint fingerprint, String key) {
-    Entry entry = entries.get(fingerprint);
+    SuspectEntry entry = entries.get(fingerprint);
     if (entry == null || !entry.isCrashed(key)) {
       return false;
     }
@@ -173,10 +138,10 @@
    * @return whether any of it is new
    */
   boolean merge(Suspect received, long nowMillis) {
-    Entry entry = entries.get(received.fingerprint());
+    SuspectEntry entry = entries.get(received.fingerprint());
     if (entry == null) {
       evictIfFull();
-      Entry first = new Entry(received, nowMillis);
+      SuspectEntry first = new SuspectEntry(received, nowMillis);
       first.recordLearned(received, nowMillis);
       entries.put(received.fingerprint(), first);
       return true;
@@ -214,10 +179,21 @@
    * a request, or a time in the distant past if the request is unknown.
    */
   long lastCrashAtMillis(RequestFingerprint fingerprint) {
-    Entry entry = entries.get(fingerprint);
+    SuspectEntry entry = entries.get(fingerprint);
     return entry == null ? Long.MIN_VALUE / 2 : entry.lastCrashAtMillis;
   }
 
+  /**
+   * Returns how many crashes of a request may have come after all nodes knew of the third; 0 if the
+   * request is unknown.
+   *
+   * @param beforeMillis monotonic time up to which crashes are counted
+   */
+  int lateCrashes(RequestFingerprint fingerprint, long beforeMillis) {
+    SuspectEntry entry = entries.get(fingerprint);
+    return entry == null ? 0 : entry.lateCrashes(beforeMillis);
+  }
+
   /** Returns all suspects. */
   List<Suspect> all() {
     return entries.values().stream().map(entry -> entry.suspect).toList();
@@ -239,7 +215,7 @@
    * @return the new state of the suspect; empty if nothing changed
    */
   Optional<Suspect> forgive(RequestFingerprint fingerprint) {
-    Entry entry = entries.get(fingerprint);
+    SuspectEntry entry = entries.get(fingerprint);
     if (entry == null || entry.suspect.weight() == 0) {
       return Optional.empty();
     }
@@ -253,7 +229,7 @@
    */
   Set<String> possiblyCrashedBackends() {
     Set<String> crashed = new TreeSet<>();
-    for (Entry entry : entries.values()) {
+    for (SuspectEntry entry : entries.values()) {
       entry.suspect.crashes().keySet().stream()
           .filter(key -> !entry.outlived.contains(key))
           .map(CrashKeys::backendOf)
@@ -270,7 +246,7 @@
    */
   List<Suspect> recordAlive(String backend, long atMillis) {
     List<Suspect> changed = new ArrayList<>();
-    for (Entry entry : entries.values()) {
+    for (SuspectEntry entry : entries.values()) {
       for (String key : CrashKeys.allOf(backend, entry.suspect.crashes())) {
         boolean outlived = entry.learnedAt.get(key) < atMillis;
         if (outlived && entry.isCrashed(key)) {
@@ -293,7 +269,7 @@
    */
   List<Suspect> expire(long nowMillis) {
     List<Suspect> released = new ArrayList<>();
-    for (Entry entry : List.copyOf(entries.values())) {
+    for (SuspectEntry entry : List.copyOf(entries.values())) {
       if (nowMillis - entry.lastCrashAtMillis <= holdMillis) {
         continue;
       }
@@ -322,13 +298,13 @@
   List<QuarantinedRequest> quarantined(Map<RequestFingerprint, UnresolvedAttempts> unresolved) {
     List<QuarantinedRequest> quarantined = new ArrayList<>();
     int requiredWeight = requiredWeight();
-    for (Entry entry : entries.values()) {
+    for (SuspectEntry entry : entries.values()) {
       if (entry.suspect.weight() >= requiredWeight) {
         quarantined.add(quarantined(entry));
       }
     }
     for (UnresolvedAttempts attempts : unresolved.values()) {
-      Entry entry = entries.get(attempts.fingerprint());
+      SuspectEntry entry = entries.get(attempts.fingerprint());
       Set<String> uncounted = uncounted(attempts.backends(), entry);
       int weight = knownWeight(entry);
       boolean isSuspect = weight > 0 && weight < requiredWeight;
@@ -366,11 +342,11 @@
    * Returns the weight of a request of which an attempt is recorded. Only attempts of suspects are
    * recorded, so if this node knows of no crash, it has missed one at least.
    */
-  private static int knownWeight(@Nullable Entry entry) {
+  private static int knownWeight(@Nullable SuspectEntry entry) {
     return entry == null ? SINGLE_CRASH_WEIGHT : entry.suspect.weight();
   }
 
-  private static Set<String> uncounted(Set<String> backends, @Nullable Entry entry) {
+  private static Set<String> uncounted(Set<String> backends, @Nullable SuspectEntry entry) {
     Set<String> uncounted = new TreeSet<>(backends);
     uncounted.removeIf(
         backend ->
@@ -381,7 +357,7 @@
   }
 
   private static QuarantinedRequest withheld(
-      UnresolvedAttempts attempts, @Nullable Entry entry, Set<String> uncounted) {
+      UnresolvedAttempts attempts, @Nullable SuspectEntry entry, Set<String> uncounted) {
     return new QuarantinedRequest(
         attempts.fingerprint(),
         entry == null ? Set.of() : CrashKeys.backendsOf(entry.suspect.crashes().keySet()),
@@ -389,7 +365,7 @@
         attempts.resolvedByMillis());
   }
 
-  private QuarantinedRequest quarantined(Entry entry) {
+  private QuarantinedRequest quarantined(SuspectEntry entry) {
     Suspect suspect = entry.suspect;
     return new QuarantinedRequest(
         suspect.fingerprint(),
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTrials.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTrials.java
@@ -25,14 +25,11 @@
  */
 final class SuspectTrials {
 
-  /** Time in milliseconds after which a trial without a known outcome is followed by the next. */
-  private static final long NEXT_DELAY_MILLIS = 20_000;
-
   /**
-   * Time in milliseconds from a crash after a trial to the next trial. The request is the likely
-   * cause by then.
+   * Time in milliseconds from a trial, or from a crash after it, to the next trial. Whatever else
+   * crashes servers may be over by then.
    */
-  private static final long DELAY_AFTER_CRASH_MILLIS = 60_000;
+  private static final long NEXT_DELAY_MILLIS = 10_000;
 
   /**
    * Greatest number of trials of a request. The deployments tolerate three late sends, and one may
@@ -40,12 +37,6 @@
    */
   private static final int MAX_TRIALS = 2;
 
-  /**
-   * Number of crashes from which on a request has one trial only, since two of them may have been
-   * late sends.
-   */
-  private static final int CRASHES_WITH_ONE_TRIAL = 5;
-
   /** Time in milliseconds within which a node must have refused a request to claim its trial. */
   private static final long ASKED_MILLIS = 2_000;
 
@@ -152,9 +143,10 @@
     retryAt.put(claim.fingerprint(), claims.readAtMillis(claim) + OUTCOME_MILLIS);
   }
 
+  /** Late sends before the first trial are within the same limit. */
   private int maxTrials(RequestFingerprint fingerprint) {
-    int crashes = ledger.find(fingerprint).orElseThrow().countedCrashes();
-    return crashes < CRASHES_WITH_ONE_TRIAL ? MAX_TRIALS : 1;
+    long firstTrialMillis = claims.firstReadAtMillis(fingerprint);
+    return Math.max(1, MAX_TRIALS - ledger.lateCrashes(fingerprint, firstTrialMillis));
   }
 
   private long dueAtMillis(RequestFingerprint fingerprint, Optional<TrialClaim> latest) {
@@ -163,9 +155,7 @@
       return lastCrashAtMillis + delayMillis;
     }
     long readAtMillis = claims.readAtMillis(latest.get());
-    return lastCrashAtMillis > readAtMillis
-        ? lastCrashAtMillis + DELAY_AFTER_CRASH_MILLIS
-        : Math.max(lastCrashAtMillis + delayMillis, readAtMillis + NEXT_DELAY_MILLIS);
+    return Math.max(lastCrashAtMillis, readAtMillis) + NEXT_DELAY_MILLIS;
   }
 
   private long ownDelayMillis(RequestFingerprint fingerprint) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/TrialClaims.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/TrialClaims.java
@@ -70,6 +70,14 @@
     return readAt.get(claim);
   }
 
+  /**
+   * Returns the monotonic time at which this node read the first claim of a request; {@link
+   * Long#MAX_VALUE} if none is known.
+   */
+  long firstReadAtMillis(RequestFingerprint fingerprint) {
+    return claimsOf(fingerprint).mapToLong(readAt::get).min().orElse(Long.MAX_VALUE);
+  }
+
   /** Returns the latest claim of a request that this process holds; empty if there is none. */
   Optional<TrialClaim> held(RequestFingerprint fingerprint) {
     return claimsOf(fingerprint)
