--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/FaultInjector.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/FaultInjector.java
@@ -37,7 +37,7 @@
   /** Breaks connections of servers that stay alive. */
   private void reset() {
     double share = plan.evidence().resets() * RESET_INTERVAL_MICROS / 1_000_000;
-    for (QuarantineSimulation.Server server : simulation.all) {
+    for (SimulatedQuarantineServer server : simulation.all) {
       for (QuarantineSimulation.Run run : List.copyOf(server.runs)) {
         if (random.nextDouble() < share) {
           server.runs.remove(run);
@@ -52,7 +52,7 @@
     time.schedule(
         (plan.waves().gapMillis() / 2 + random.nextInt(plan.waves().gapMillis())) * 1_000L,
         () -> {
-          for (QuarantineSimulation.Server server : simulation.all) {
+          for (SimulatedQuarantineServer server : simulation.all) {
             if (random.nextDouble() < plan.waves().share()) {
               server.crash();
             }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineSimulation.java
@@ -1,7 +1,5 @@
 package org.lockdale.gateway.quarantine;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -35,25 +33,6 @@
   static final long MAX_DELAY_MICROS = 20_000;
   static final int TABLE_MILLIS = 600;
 
-  /**
-   * Time in milliseconds from the crash of a server until its record is gone, as in a trace of the
-   * soak.
-   */
-  private static final int RECORD_EXPIRY_MILLIS = 2_200;
-
-  /**
-   * Time in milliseconds within which the nodes that observed a crash are killed if the plan says
-   * so.
-   */
-  private static final int OBSERVERS_KILLED_MILLIS = 50;
-
-  private static final int ALL_KILLED_MILLIS = 500;
-
-  /**
-   * Time in milliseconds within which nodes that were killed together restart, one after another.
-   */
-  private static final int DOWN_MILLIS = 2_500;
-
   /** Time in milliseconds for which a node avoids a server that failed an attempt. */
   static final long AVOID_MILLIS = 1_000;
 
@@ -63,9 +42,6 @@
    */
   private static final long LATE_SEND_MILLIS = 1_000;
 
-  /** Greatest delay in milliseconds with which a loaded node reads that a connection has closed. */
-  private static final int MAX_READ_DELAY_MILLIS = 900;
-
   /**
    * The result of a run.
    *
@@ -88,85 +64,9 @@
       int sendsAfterThirdEnd,
       int rowsWritten) {}
 
-  final class Server {
-    String id;
-    boolean up = true;
-    boolean hasRecord = true;
-    final InetSocketAddress address;
-    final Set<Run> runs = new LinkedHashSet<>();
-
-    Server(int index) {
-      id = "s" + index + "@" + time.wallMillis();
-      address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1_000 + index);
-    }
-
-    Backend record() {
-      return new Backend(id, "pool", address, "zone", 64, false, Map.of());
-    }
-
-    void crash() {
-      if (!up) {
-        return;
-      }
-      up = false;
-      crashes++;
-      List<Run> lost = List.copyOf(runs);
-      runs.clear();
-      Set<SimulatedQuarantineNode> observers = new LinkedHashSet<>();
-      lost.forEach(run -> observers.add(run.node));
-      lost.forEach(this::reportCrash);
-      if (plan.evidence().witnessesKilled()) {
-        observers.forEach(
-            node -> time.schedule(random.nextInt(OBSERVERS_KILLED_MILLIS) * 1_000L, node::restart));
-      }
-      nodes.forEach(node -> node.idle.remove(address));
-      if (plan.evidence().allKilled() > 0 && random.nextDouble() < plan.evidence().allKilled()) {
-        nodes.forEach(
-            node ->
-                time.schedule(
-                    random.nextInt(ALL_KILLED_MILLIS) * 1_000L,
-                    () -> node.restartAfter(random.nextInt(DOWN_MILLIS))));
-      }
-      time.schedule(RECORD_EXPIRY_MILLIS * 1_000L + random.nextInt(200_000), this::removeRecord);
-      time.schedule(plan.waves().restartMillis() * 1_000L, this::startAgain);
-    }
-
-    /** A node that is killed before it has read that the connection closed never reports it. */
-    private void reportCrash(Run run) {
-      Quarantine instance = run.node.quarantine;
-      int late = plan.evidence().allKilled() > 0 ? random.nextInt(MAX_READ_DELAY_MILLIS) : 0;
-      if (late == 0) {
-        run.lost();
-        return;
-      }
-      time.schedule(
-          late * 1_000L,
-          () -> {
-            if (run.node.quarantine == instance) {
-              run.lost();
-            }
-          });
-    }
-
-    private void removeRecord() {
-      if (!up) {
-        hasRecord = false;
-        nodes.forEach(SimulatedQuarantineNode::readServers);
-      }
-    }
-
-    private void startAgain() {
-      // The server keeps its id; the start time distinguishes the next incarnation.
-      id = id.substring(0, id.indexOf('@') + 1) + time.wallMillis();
-      up = true;
-      hasRecord = true;
-      nodes.forEach(SimulatedQuarantineNode::readServers);
-    }
-  }
-
   final class Run {
-    private final SimulatedQuarantineNode node;
-    final Server server;
+    final SimulatedQuarantineNode node;
+    final SimulatedQuarantineServer server;
 
     /** Id of the incarnation that, as far as the node knows, is serving. */
     final String assumed;
@@ -181,7 +81,7 @@
 
     Run(
         SimulatedQuarantineNode node,
-        Server server,
+        SimulatedQuarantineServer server,
         String assumed,
         Contents contents,
         CallerRequest request,
@@ -306,7 +206,7 @@
   final Random random;
   final SimulationPlan plan;
   final VirtualTime time = new VirtualTime();
-  final List<Server> all = new ArrayList<>();
+  final List<SimulatedQuarantineServer> all = new ArrayList<>();
   final List<SimulatedQuarantineNode> nodes = new ArrayList<>();
   private final List<Contents> contents = new ArrayList<>();
   final Map<RequestFingerprint, Suspect> rows = new LinkedHashMap<>();
@@ -314,7 +214,7 @@
   final Map<String, TrialClaim> trialRows = new LinkedHashMap<>();
   boolean storeDown;
   long storeDisturbedUntilMillis = -CONVERGENCE_MILLIS;
-  private int crashes;
+  int crashes;
   private int lostRuns;
   int rowsWritten;
   private int attempts;
@@ -326,7 +226,7 @@
 
   Result run() {
     for (int index = 0; index < plan.servers(); index++) {
-      all.add(new Server(index));
+      all.add(new SimulatedQuarantineServer(this, index));
     }
     for (int index = 0; index < plan.nodes(); index++) {
       nodes.add(new SimulatedQuarantineNode(this, index));
@@ -395,7 +295,7 @@
       Contents what,
       CallerRequest request,
       int attemptsLeft) {
-    Server server =
+    SimulatedQuarantineServer server =
         all.stream()
             .filter(each -> each.address.equals(assumed.address()))
             .findFirst()
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/SimulatedQuarantineNode.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/SimulatedQuarantineNode.java
@@ -126,12 +126,12 @@
   /**
    * Uses an idle connection or opens one; returns the monotonic time at which it was established.
    */
-  long connect(QuarantineSimulation.Server server) {
+  long connect(SimulatedQuarantineServer server) {
     Long connected = idle.getOrDefault(server.address, new ArrayDeque<>()).pollLast();
     return connected == null ? simulation.time.monotonicMillis() : connected;
   }
 
-  void avoid(QuarantineSimulation.Server server) {
+  void avoid(SimulatedQuarantineServer server) {
     avoidedUntil.put(
         server.address, simulation.time.monotonicMillis() + QuarantineSimulation.AVOID_MILLIS);
   }
@@ -204,7 +204,7 @@
           servers.with(
               simulation.all.stream()
                   .filter(server -> server.hasRecord)
-                  .map(QuarantineSimulation.Server::record)
+                  .map(SimulatedQuarantineServer::record)
                   .toList());
     }
   }
--- a/soak/src/test/java/org/lockdale/soak/run/SoakRunTest.java
+++ b/soak/src/test/java/org/lockdale/soak/run/SoakRunTest.java
@@ -43,6 +43,7 @@
       {"hangup-at-start-2"},
       {"forwarded-requests-outlive-cuts"},
       {"store-refuses-relays"},
+      {"all-engines-crash-together"},
     };
   }
 
