Quarantine: trials before a request was cleared don't count in its next quarantine

What callers saw: all servers of a service crash several times in a row. A request that is the same each time, and not the cause, is served again after the first two crashes, and then refused by all nodes for the hour of quarantine.hold, although all servers are sound and idle.

Cause: trials are limited to two, since a request that does crash servers may reach few of them later. The claims of a request that was answered stay in the store for 15 s, so crashes within that time found them used up.

Change: a node that sees a suspect cleared after three crashes marks the claims that it knows as concluded. They keep their numbers, so that the store still accepts one claim for each, but they don't count, and they don't permit a send. A request that crashes servers is never cleared, so its trials stay limited; a node that has not seen it cleared counts all claims.

QuarantineTrialTest fails with the change taken out and passes with it.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspect.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspect.java
@@ -14,6 +14,9 @@
 public record Suspect(
     RequestFingerprint fingerprint, int sketch, Map<String, CrashInvolvement> crashes) {
 
+  /** Smallest number of crashes that quarantine a request. */
+  static final int CRASHES_TO_QUARANTINE = 3;
+
   /** Copies the map of crashes. */
   public Suspect {
     crashes = Map.copyOf(crashes);
@@ -33,6 +36,14 @@
     return (int) crashes.values().stream().filter(crash -> !crash.forgiven()).count();
   }
 
+  /**
+   * Returns whether it may have been quarantined, and was cleared since; not if it is only known
+   * that its crashes are too few.
+   */
+  boolean wasCleared() {
+    return weight() == 0 && crashes.size() >= CRASHES_TO_QUARANTINE;
+  }
+
   /** Returns whether its next crash may quarantine it. */
   boolean isSignificant() {
     return weight() >= SuspectLedger.SIGNIFICANT_WEIGHT;
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectEntry.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectEntry.java
@@ -12,9 +12,6 @@
  */
 final class SuspectEntry {
 
-  /** Number of crashes that quarantine a request if its response had not started. */
-  private static final int CRASHES_TO_QUARANTINE = 3;
-
   /** Time in milliseconds within which all nodes that are connected know of a crash. */
   private static final long KNOWN_MILLIS = 3_000;
 
@@ -49,12 +46,12 @@
             .filter(at -> at < beforeMillis)
             .sorted()
             .toList();
-    if (counted.size() <= CRASHES_TO_QUARANTINE) {
+    if (counted.size() <= Suspect.CRASHES_TO_QUARANTINE) {
       return 0;
     }
-    long third = counted.get(CRASHES_TO_QUARANTINE - 1);
+    long third = counted.get(Suspect.CRASHES_TO_QUARANTINE - 1);
     long late = counted.stream().filter(at -> at > third + KNOWN_MILLIS).count();
-    return (int) late + Math.max(0, firstCrashes - CRASHES_TO_QUARANTINE);
+    return (int) late + Math.max(0, firstCrashes - Suspect.CRASHES_TO_QUARANTINE);
   }
 
   void recordLearned(Suspect received, long nowMillis) {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTrials.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTrials.java
@@ -19,7 +19,8 @@
  * are limited over all nodes and restarts: each is claimed in the shared store first, and only the
  * process that holds the claim sends the request. A node claims a trial only if it was asked for
  * the request, and the coordinator first, so that a claim is likely to be used. A claim whose
- * process ends, or whose trial is lost, is followed by another one while any are left.
+ * process ends, or whose trial is lost, is followed by another one while any are left. Once a
+ * request was cleared, the trials before that don't count: one that crashes servers never is.
  *
  * <p>Its methods run on one event loop, but for {@link #recordRefusal}.
  */
@@ -105,6 +106,9 @@
       update(request.fingerprint(), now);
     }
     refusedAt.keySet().retainAll(quarantined);
+    ledger.all().stream()
+        .filter(Suspect::wasCleared)
+        .forEach(suspect -> claims.conclude(suspect.fingerprint()));
     permits.keySet().removeIf(claim -> !claims.isKnown(claim) && !isSuspect(claim.fingerprint()));
     if (coordinator.getAsBoolean()) {
       claims.removeUnneeded(this::isSuspect, now);
@@ -121,13 +125,12 @@
       claims.held(fingerprint).ifPresent(this::offer);
     }
     Optional<TrialClaim> latest = claims.latest(fingerprint);
-    int made = latest.map(TrialClaim::number).orElse(0);
-    if (made < maxTrials(fingerprint)) {
+    if (claims.count(fingerprint) < maxTrials(fingerprint)) {
       long dueAtMillis = dueAtMillis(fingerprint, latest);
       retryAt.put(fingerprint, dueAtMillis + OUTCOME_MILLIS);
       boolean isTurn = nowMillis >= dueAtMillis + ownDelayMillis(fingerprint);
       if (isTurn && wasAsked(fingerprint, nowMillis)) {
-        claims.request(fingerprint, made + 1);
+        claims.request(fingerprint, claims.latestNumber(fingerprint) + 1);
       }
     }
     latest
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/TrialClaims.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/TrialClaims.java
@@ -35,6 +35,9 @@
   /** Monotonic times at which this process last requested a claim. */
   private final Map<RequestFingerprint, Long> requestedAt = new HashMap<>();
 
+  /** Claims of an earlier quarantine of their request, which was cleared since. */
+  private final Set<TrialClaim> concluded = new HashSet<>();
+
   private final Set<TrialClaim> removing = new HashSet<>();
   private final UnneededRows<TrialClaim> unneeded = new UnneededRows<>();
 
@@ -48,18 +51,41 @@
   /** Processes all claims in the store. */
   void update(Collection<TrialClaim> rows) {
     readAt.keySet().retainAll(Set.copyOf(rows));
+    concluded.retainAll(readAt.keySet());
     rows.forEach(claim -> readAt.putIfAbsent(claim, time.monotonicMillis()));
   }
 
-  /** Returns the latest claim of a request; empty if none is known. */
+  /**
+   * Records that a request was cleared, so that the claims known so far don't count when it is
+   * quarantined again.
+   */
+  void conclude(RequestFingerprint fingerprint) {
+    claimsOf(fingerprint).forEach(concluded::add);
+  }
+
+  /** Returns the greatest number of the claims of a request; 0 if none is known. */
+  int latestNumber(RequestFingerprint fingerprint) {
+    return claimsOf(fingerprint).mapToInt(TrialClaim::number).max().orElse(0);
+  }
+
+  /** Returns the number of claims since a request was last cleared. */
+  int count(RequestFingerprint fingerprint) {
+    return (int) currentClaimsOf(fingerprint).count();
+  }
+
+  /** Returns the latest claim since a request was last cleared; empty if none is known. */
   Optional<TrialClaim> latest(RequestFingerprint fingerprint) {
-    return claimsOf(fingerprint).max(Comparator.comparingInt(TrialClaim::number));
+    return currentClaimsOf(fingerprint).max(Comparator.comparingInt(TrialClaim::number));
   }
 
   private Stream<TrialClaim> claimsOf(RequestFingerprint fingerprint) {
     return readAt.keySet().stream().filter(claim -> claim.fingerprint().equals(fingerprint));
   }
 
+  private Stream<TrialClaim> currentClaimsOf(RequestFingerprint fingerprint) {
+    return claimsOf(fingerprint).filter(claim -> !concluded.contains(claim));
+  }
+
   /** Returns whether a claim is in the store, as far as this node knows. */
   boolean isKnown(TrialClaim claim) {
     return readAt.containsKey(claim);
@@ -71,16 +97,19 @@
   }
 
   /**
-   * Returns the monotonic time at which this node read the first claim of a request; {@link
-   * Long#MAX_VALUE} if none is known.
+   * Returns the monotonic time at which this node read the first claim since a request was last
+   * cleared; {@link Long#MAX_VALUE} if none is known.
    */
   long firstReadAtMillis(RequestFingerprint fingerprint) {
-    return claimsOf(fingerprint).mapToLong(readAt::get).min().orElse(Long.MAX_VALUE);
+    return currentClaimsOf(fingerprint).mapToLong(readAt::get).min().orElse(Long.MAX_VALUE);
   }
 
-  /** Returns the latest claim of a request that this process holds; empty if there is none. */
+  /**
+   * Returns the latest claim that this process holds since a request was last cleared; empty if
+   * there is none.
+   */
   Optional<TrialClaim> held(RequestFingerprint fingerprint) {
-    return claimsOf(fingerprint)
+    return currentClaimsOf(fingerprint)
         .filter(claim -> ids.isOfThisProcess(claim.owner()))
         .max(Comparator.comparingInt(TrialClaim::number));
   }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTrialTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTrialTest.java
@@ -234,6 +234,35 @@
     assertEquals(askEachSecond(OFFERED_MILLIS, coordinator, other), 1);
   }
 
+  /** Clears the request, and crashes all servers under it again soon after. */
+  private void releaseAndCrashAllServers(int incarnation) {
+    coordinator.release();
+    fleet.run(2 * SECOND);
+    assertFalse(other.refuses());
+    List.of("a@", "b@", "c@").forEach(server -> crash(other, server + incarnation));
+    fleet.run(500);
+    assertTrue(coordinator.refuses());
+    List.of("a", "b", "c").forEach(server -> fleet.putOnRecord(server, incarnation + 1));
+  }
+
+  @Test
+  public void theTrialsBeforeARequestWasClearedDoNotCountInItsNextQuarantine() {
+    crashAllServersAtOneMoment();
+    for (int incarnation = 2; incarnation < 7; incarnation++) {
+      assertEquals(askEachSecond(OFFERED_MILLIS, coordinator, other), 1);
+      releaseAndCrashAllServers(incarnation);
+    }
+  }
+
+  @Test
+  public void aTrialThatWasNotSentBeforeARequestWasClearedIsNotSentInItsNextQuarantine() {
+    crashAllServersAtOneMoment();
+    waitForTrial(coordinator);
+    releaseAndCrashAllServers(2);
+    assertEquals(askEachSecond(EARLIEST_MILLIS - SECOND, coordinator, other), 0);
+    assertEquals(askEachSecond(100 * SECOND, coordinator, other), 2);
+  }
+
   @Test
   public void theClaimsOfAnAnsweredRequestAreRemoved() {
     crashAllServersAtOneMoment();
