Quarantine: a request that is answered at other times is not quarantined when all servers crash

All servers of a service crash at one moment under a request that is the same each time, such as a poll. It holds three crashes then, is refused by all nodes, and is served again only by a trial, 5 s after the last crash at the earliest, or by none once both trials have met crashes.

Cause: the quarantine looks at crashes only. That a node had answered the same request hundreds of times in the seconds before, which a request that crashes the servers that run it never is, was not known to it.

Each answer explains the crashes of one moment after it (3 s): a request that would be quarantined for them is cleared, at all nodes. Crashes after that count, so that a request that begins to crash servers is quarantined; but as long as it is remembered its trials aren't limited, 10 s apart, since the limit guards against requests that are never answered.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -50,6 +50,7 @@
   private final SuspectTrials trials;
   private final SuspectPublisher publisher;
   private final AttemptIds attemptIds;
+  private final AnsweredRequests answeredRequests;
 
   private boolean tableRead;
   private boolean publishing;
@@ -101,10 +102,12 @@
             this::propagate);
     this.trialClaims =
         new TrialClaims(context.table(), attemptIds, context.eventLoop(), context.time());
+    this.answeredRequests = new AnsweredRequests(context.time());
     this.trials =
         new SuspectTrials(
             ledger,
             trialClaims,
+            answeredRequests::isKnown,
             times.trialDelayMillis(),
             context.coordinator(),
             context.node(),
@@ -213,6 +216,7 @@
    * @param caller name of the tenant, or the key where there is none
    */
   public void requestAnswered(CallerRequest request, String caller) {
+    answeredRequests.record(request, caller);
     section
         .value()
         .fingerprintIfSuspect(request, caller)
@@ -381,7 +385,15 @@
 
   private void publish() {
     publishing = false;
+    clearExplained();
     publisher.publish(unresolved());
     recorder.tick();
   }
+
+  /** Clears the requests that were answered shortly before the crashes that count against them. */
+  private void clearExplained() {
+    answeredRequests
+        .explained(ledger.quarantined())
+        .forEach(fingerprint -> forgive(fingerprint, "answered-before"));
+  }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTrials.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTrials.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import org.lockdale.coordination.time.Time;
 
 /**
@@ -52,6 +53,7 @@
 
   private final SuspectLedger ledger;
   private final TrialClaims claims;
+  private final Predicate<RequestFingerprint> answeredBefore;
   private final long delayMillis;
   private final BooleanSupplier coordinator;
   private final String node;
@@ -64,6 +66,7 @@
   /**
    * Creates an instance without trials.
    *
+   * @param answeredBefore whether a request is known to have got a successful response a while ago
    * @param delayMillis time in milliseconds from the last crash to the first trial
    * @param coordinator whether this node claims trials before the others
    * @param node id of this node
@@ -71,12 +74,14 @@
   SuspectTrials(
       SuspectLedger ledger,
       TrialClaims claims,
+      Predicate<RequestFingerprint> answeredBefore,
       long delayMillis,
       BooleanSupplier coordinator,
       String node,
       Time time) {
     this.ledger = ledger;
     this.claims = claims;
+    this.answeredBefore = answeredBefore;
     this.delayMillis = delayMillis;
     this.coordinator = coordinator;
     this.node = node;
@@ -146,8 +151,14 @@
     retryAt.put(claim.fingerprint(), claims.readAtMillis(claim) + OUTCOME_MILLIS);
   }
 
-  /** Late sends before the first trial are within the same limit. */
+  /**
+   * Returns how many trials of a request there may be. Late sends before the first one are within
+   * the same limit; a request that is answered at other times doesn't crash servers.
+   */
   private int maxTrials(RequestFingerprint fingerprint) {
+    if (answeredBefore.test(fingerprint)) {
+      return Integer.MAX_VALUE;
+    }
     long firstTrialMillis = claims.firstReadAtMillis(fingerprint);
     return Math.max(1, MAX_TRIALS - ledger.lateCrashes(fingerprint, firstTrialMillis));
   }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTrialTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTrialTest.java
@@ -41,13 +41,18 @@
   }
 
   private void crashAllServersAtOneMoment() {
-    crash(coordinator, "a@1");
-    crash(other, "b@1");
-    crash(coordinator, "c@1");
+    crashAllServersAtOneMoment(1, true);
+  }
+
+  /** Crashes an incarnation of each server, starts the next one, and checks who refuses. */
+  private void crashAllServersAtOneMoment(int incarnation, boolean refused) {
+    crash(coordinator, "a@" + incarnation);
+    crash(other, "b@" + incarnation);
+    crash(coordinator, "c@" + incarnation);
     fleet.run(500);
-    List.of("a", "b", "c").forEach(server -> fleet.putOnRecord(server, 2));
-    assertTrue(coordinator.refuses());
-    assertTrue(other.refuses());
+    List.of("a", "b", "c").forEach(server -> fleet.putOnRecord(server, incarnation + 1));
+    assertEquals(coordinator.refuses(), refused);
+    assertEquals(other.refuses(), refused);
   }
 
   private static void crash(Node node, String backend) {
@@ -263,6 +268,61 @@
     assertEquals(askEachSecond(100 * SECOND, coordinator, other), 2);
   }
 
+  /** Answers the request as often as a poll, so that it is known to be harmless. */
+  private void answerRepeatedly(Node node) {
+    node.recordAnswer();
+    node.recordAnswer();
+    fleet.run(SECOND);
+  }
+
+  @Test
+  public void aRequestThatIsAnsweredAtOtherTimesIsNotQuarantinedWhenAllServersCrash() {
+    answerRepeatedly(other);
+    for (int incarnation = 1; incarnation < 6; incarnation++) {
+      for (String server : List.of("a@", "b@", "c@")) {
+        crash(coordinator, server + incarnation);
+      }
+      fleet.run(500);
+      assertFalse(coordinator.refuses(), "crash " + incarnation);
+      assertFalse(other.refuses(), "crash " + incarnation);
+      int next = incarnation + 1;
+      List.of("a", "b", "c").forEach(server -> fleet.putOnRecord(server, next));
+      fleet.run(8 * SECOND);
+      coordinator.recordAnswer();
+      other.recordAnswer();
+    }
+  }
+
+  @Test
+  public void aRequestThatBeginsToCrashServersIsQuarantinedWhateverItWasBefore() {
+    answerRepeatedly(coordinator);
+    int incarnation = 0;
+    while (!coordinator.refuses() && incarnation < 10) {
+      crash(coordinator, "a@" + ++incarnation);
+      fleet.putOnRecord("a", incarnation + 1);
+      fleet.run(SECOND);
+    }
+    assertTrue(incarnation <= 7, "crashed " + incarnation);
+    assertTrue(other.refuses());
+  }
+
+  @Test
+  public void aRequestThatWasAnsweredBeforeHasTrialsUntilOneIsAnswered() {
+    answerRepeatedly(coordinator);
+    crashAllServersAtOneMoment(1, false);
+    fleet.run(4 * SECOND);
+    crashAllServersAtOneMoment(2, true);
+    for (int incarnation = 3; incarnation < 8; incarnation++) {
+      assertEquals(askEachSecond(12 * SECOND, coordinator, other), 1);
+      crash(coordinator, "a@" + incarnation);
+      fleet.putOnRecord("a", incarnation + 1);
+    }
+    assertEquals(askEachSecond(12 * SECOND, coordinator, other), 1);
+    coordinator.recordAnswer();
+    fleet.run(SECOND);
+    assertFalse(other.refuses());
+  }
+
   @Test
   public void theClaimsOfAnAnsweredRequestAreRemoved() {
     crashAllServersAtOneMoment();
