Addresses: 999.1.1.1 and hexadecimal words are rejected without a look-up

What callers would have seen: an entry of a server with an address such as 999.1.1.1:80 or [cafe]:80 passed the pattern of IP addresses and was then taken for the name of a host, which the JVM looks up on the thread that reads the list; with a slow resolver a node stands still for seconds at each such entry.

Cause: the pattern allowed any digits and dots, and hexadecimal digits without a colon.

Change: an IPv4 address is four numbers up to 255, an IPv6 address has a colon.

--- a/settings/src/main/java/org/lockdale/settings/ValueParsers.java
+++ b/settings/src/main/java/org/lockdale/settings/ValueParsers.java
@@ -19,7 +19,14 @@
 
   private static final Pattern DURATION = Pattern.compile("(\\d{1,12}(?:\\.\\d{1,9})?)(ms|s|m)");
   private static final Pattern ADDRESS = Pattern.compile("(\\[[0-9a-fA-F:]+]|[0-9.]+):(\\d+)");
+
+  private static final Pattern IPV4 =
+      Pattern.compile("(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3})");
+
+  private static final Pattern IPV6 = Pattern.compile("[0-9a-fA-F]*:[0-9a-fA-F:]+");
+
   private static final int MAX_PORT = 65_535;
+  private static final int MAX_OCTET = 255;
   private static final String NONE = "none";
 
   private ValueParsers() {}
@@ -86,7 +93,7 @@
 
   /** Parses an IP address; host names are rejected, without a lookup. */
   public static InetAddress ipAddress(String text) {
-    if (!text.matches("[0-9.]+|[0-9a-fA-F:]+")) {
+    if (!isIpv4(text) && !IPV6.matcher(text).matches()) {
       throw new IllegalArgumentException("is not an IP address");
     }
     try {
@@ -96,6 +103,20 @@
     }
   }
 
+  /** Returns whether a text can't be taken for the name of a host, as 999.1.1.1 would be. */
+  private static boolean isIpv4(String text) {
+    Matcher octets = IPV4.matcher(text);
+    if (!octets.matches()) {
+      return false;
+    }
+    for (int group = 1; group <= octets.groupCount(); group++) {
+      if (Integer.parseInt(octets.group(group)) > MAX_OCTET) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Parses an IP address with a port. */
   public static InetSocketAddress address(String text) {
     Matcher matcher = ADDRESS.matcher(text);
