Odd entries: a deeply nested row costs itself alone

What callers saw (other operators): one odd entry among the servers, and nodes ended again and again or no longer followed the list. Here: an entry nested some 400 deep, and no node follows the list any more, also after the entry has gone; requests go on to servers whose records were removed, and new servers are never learned.

Cause: JSON is read recursively. The parser's own limit is a depth of 1,000, but the threads of the deploy file have stacks of 256 KiB, which overflow before it. A StackOverflowError is no exception: it passed the row's catch, ended the task that had just applied the change, and that task would have sent the next call.

Change: values nested more than 64 deep are rejected as malformed. As the same may come about in another way, a row that can't be parsed for any reason is skipped and logged with its key, and a table whose processing fails is followed on, and processed again with the next proof.

Numbers of any size and ports out of range were rejected or read before as well.

--- a/gateway/src/main/java/org/lockdale/gateway/table/RowReader.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/RowReader.java
@@ -35,7 +35,7 @@
    * Creates a reader.
    *
    * @param parser parses a row; returns empty for a row to skip, and throws {@link
-   *     MalformedRecordException} for one that can't be parsed
+   *     MalformedRecordException} for one that can't be parsed. Any other failure counts as well
    */
   public RowReader(Function<TableRowChange, Optional<T>> parser) {
     this.parser = parser;
@@ -55,7 +55,9 @@
         Optional<T> record = Optional.empty();
         try {
           record = parser.apply(row);
-        } catch (MalformedRecordException malformed) {
+        } catch (RuntimeException | StackOverflowError malformed) {
+          // A row of another writer may hold anything, and must not keep the others from being
+          // read.
           rejected++;
           logRejected(row, malformed, rejected);
         }
@@ -71,13 +73,15 @@
     return records;
   }
 
-  private static void logRejected(
-      TableRowChange row, MalformedRecordException malformed, int rejected) {
+  private static void logRejected(TableRowChange row, Throwable malformed, int rejected) {
     if (rejected <= MAX_LOGGED) {
       Logger.warn(
           "event=row-rejected key={} cause=\"{}\"",
           printable(row.key()),
-          printable(malformed.getMessage()));
+          printable(
+              malformed instanceof MalformedRecordException
+                  ? malformed.getMessage()
+                  : malformed.toString()));
     }
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
@@ -80,6 +80,10 @@
   private long readStoreMillis;
   private long provenAtMillis = NEVER;
   private long provenEra;
+
+  /** Whether the listener has not processed the latest change yet. */
+  private boolean changeUnprocessed;
+
   private volatile boolean closed;
 
   /**
@@ -291,7 +295,18 @@
     provenEra = Math.max(provenEra, era);
     provenStoreMillis = Math.max(provenStoreMillis, storeMillis);
     provenAtMillis = Math.max(provenAtMillis, atMillis);
-    listener.onTable(copy.rows(), changed, provenAtMillis);
+    changeUnprocessed |= changed;
+    processCopy();
+  }
+
+  /** Has the listener process the copy. If it fails, the table is followed all the same. */
+  private void processCopy() {
+    try {
+      listener.onTable(copy.rows(), changeUnprocessed, provenAtMillis);
+      changeUnprocessed = false;
+    } catch (RuntimeException | StackOverflowError failure) {
+      Logger.error(failure, "event=table-not-processed table={}", table);
+    }
   }
 
   /** Applies what is read from the store to the copy. */
--- a/gateway/src/test/java/org/lockdale/gateway/table/RowReaderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/table/RowReaderTest.java
@@ -31,6 +31,12 @@
     if (text.equals("malformed")) {
       throw new MalformedRecordException(row.key(), "is malformed");
     }
+    if (text.equals("deep")) {
+      throw new StackOverflowError();
+    }
+    if (text.equals("odd")) {
+      throw new ArithmeticException("overflow");
+    }
     return text.isEmpty() ? Optional.empty() : Optional.of(text);
   }
 
@@ -50,6 +56,17 @@
     assertEquals(parsed.stream().sorted().toList(), List.of("one", "three", "two"));
   }
 
+  @Test
+  public void aRowThatCannotBeParsedForAnyReasonCostsNoOtherRow() {
+    put("a", "deep", 1);
+    put("b", "odd", 2);
+    put("c", "malformed", 3);
+    put("d", "good", 4);
+    assertEquals(reader.read(rows), List.of("good"));
+    reader.read(rows);
+    assertEquals(parsed.size(), 4, "each version is parsed once");
+  }
+
   @Test
   public void aRowThatReappearsWithTheSameVersionIsParsed() {
     put("a", "one", 1);
--- a/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/table/TableFollowerTest.java
@@ -118,12 +118,18 @@
 
   private TableFollower follower(String table, Duration maxRelayProofAge) {
     BlockingQueue<Map<String, String>> received = copies;
+    return follower(
+        table, maxRelayProofAge, (rows, changed, provenAt) -> received.add(texts(rows)));
+  }
+
+  private TableFollower follower(
+      String table, Duration maxRelayProofAge, TableFollower.Listener listener) {
     return new TableFollower(
         eventLoop,
         new TableFollower.Sources(feed, peers, clock),
         new TableFollower.Plan(table, Duration.ofSeconds(1), Duration.ZERO, maxRelayProofAge),
         SystemTime.instance(),
-        (rows, changed, provenAt) -> received.add(texts(rows)));
+        listener);
   }
 
   private static Map<String, String> texts(Map<String, TableRowChange> rows) {
@@ -162,6 +168,32 @@
     assertEquals(feed.firstCalls(4), List.of("scan start", "changes 3", "changes 3", "changes 3"));
   }
 
+  @Test
+  public void aTableWhoseProcessingFailsIsFollowedOnAndProcessedWithTheNextProof()
+      throws InterruptedException {
+    feed.scans.add(page(false, 3, row("a", "1", 1)));
+    feed.changes.add(page(false, 4, row("a", "bad", 4)));
+    feed.changes.add(page(false, 5));
+    BlockingQueue<Map<String, String>> received = copies;
+    Deque<Error> failures = new ArrayDeque<>(List.of(new StackOverflowError()));
+    TableFollower follower =
+        follower(
+            "table",
+            Duration.ofDays(1),
+            (rows, changed, provenAt) -> {
+              if (texts(rows).containsValue("bad") && !failures.isEmpty()) {
+                throw failures.poll();
+              }
+              if (changed) {
+                received.add(texts(rows));
+              }
+            });
+    follower.start();
+    eventLoop.execute(() -> follower.follow(true));
+    assertEquals(nextCopy(), Map.of("a", "1"));
+    assertEquals(nextCopy(), Map.of("a", "bad"));
+  }
+
   private boolean announce(TableFollower follower, long lastChange) throws Exception {
     return eventLoop
         .submit(() -> follower.onProofAnnounced(RELAY, new TableProof("table", lastChange, 1_000)))
--- a/settings/src/main/java/org/lockdale/settings/JsonTrees.java
+++ b/settings/src/main/java/org/lockdale/settings/JsonTrees.java
@@ -18,6 +18,12 @@
  */
 public final class JsonTrees {
 
+  /**
+   * Greatest number of objects and lists within each other. Deeper input is rejected, since values
+   * are read recursively and the stacks of threads are small.
+   */
+  private static final int MAX_NESTING = 64;
+
   private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
   private JsonTrees() {}
@@ -27,7 +33,7 @@
    *
    * @param parser parser at the start of the value
    * @return the value, or a missing node if the input is empty
-   * @throws IOException if the input is malformed or can't be read
+   * @throws IOException if the input is malformed, nested too deeply or can't be read
    */
   public static JsonNode read(JsonParser parser) throws IOException {
     JsonToken first = parser.nextToken();
@@ -38,6 +44,9 @@
     if (token == null) {
       throw new IOException("the input ends within a value");
     }
+    if (parser.getParsingContext().getNestingDepth() > MAX_NESTING) {
+      throw new IOException("the input is nested more than " + MAX_NESTING + " deep");
+    }
     return switch (token) {
       case START_OBJECT -> object(parser);
       case START_ARRAY -> array(parser);
--- a/settings/src/test/java/org/lockdale/settings/JsonTreesTest.java
+++ b/settings/src/test/java/org/lockdale/settings/JsonTreesTest.java
@@ -18,6 +18,7 @@
 public final class JsonTreesTest {
 
   private static final JsonFactory JSON = new JsonFactory();
+  private static final int MAX_NESTING = 64;
 
   @DataProvider
   public Object[] values() {
@@ -58,6 +59,18 @@
     expectThrows(IOException.class, () -> read(text));
   }
 
+  private static String nested(int depth) {
+    return "[".repeat(depth) + "]".repeat(depth);
+  }
+
+  @Test
+  public void inputThatIsNestedTooDeeplyIsRejected() throws IOException {
+    assertTrue(read(nested(MAX_NESTING)).isArray());
+    for (int depth : new int[] {MAX_NESTING + 1, 400, 990, 100_000}) {
+      expectThrows(IOException.class, () -> read(nested(depth)));
+    }
+  }
+
   @Test
   public void emptyInputIsAMissingNode() throws IOException {
     assertTrue(read("").isMissingNode());
