Streams: in an outage none goes on at a server that may have come back with another version

Where servers come back under their ids and at their addresses, the node takes them for the former ones: streams that it takes up are joined from two versions (ORDER), and streams that begin at such a server go on elsewhere at the former version.

Cause: the version of a server is that of the last record read, however old that is. New ids are safe: the node doesn't know these servers, and takes a stream up at a sole version only by a fresh read.

Change: once a node has not proven its list for 3 s, a stream that has begun is sent only over a connection that was established a second before the last proof, or by a moment at which that incarnation is known to have been alive; such a connection can't lead to the next one. A stream that begins over any other connection has no known version, and goes on nowhere. A server is asked for nothing; new streams begin as before. Where the list is proven nothing changes.

Left: the first 3 s of a cut. An earlier bound needs a server's own word about its start.

--- a/gateway/src/main/java/org/lockdale/gateway/life/LivenessEvidence.java
+++ b/gateway/src/main/java/org/lockdale/gateway/life/LivenessEvidence.java
@@ -31,6 +31,12 @@
    */
   private static final long GAP_MILLIS = 3_000;
 
+  /**
+   * Time in milliseconds after which the record of an incarnation that accepts connections has been
+   * written and read, without an outage.
+   */
+  private static final long RECORD_DELAY_MILLIS = 1_000;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final Supplier<Snapshot<BackendTable>> backends;
@@ -73,6 +79,21 @@
     }
   }
 
+  /**
+   * Returns whether a connection leads to an incarnation, and not to the next one, which may have
+   * other software. In an outage only those connections do that were established before it, or by a
+   * moment at which the incarnation is known to have been alive.
+   *
+   * @param connectedAtMillis monotonic time at which the connection was established
+   */
+  public boolean leadsTo(TrackedBackend target, long connectedAtMillis, long nowMillis) {
+    long readAtMillis = backends.get().asOfMillis();
+    boolean outage = nowMillis - readAtMillis > GAP_MILLIS;
+    return !outage
+        || connectedAtMillis <= readAtMillis - RECORD_DELAY_MILLIS
+        || connectedAtMillis <= target.lastKnownAliveMillis();
+  }
+
   private boolean hasRecord(TrackedBackend target) {
     return !target.hasEnded() && backends.get().value().find(target.backend().id()) != null;
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -214,11 +214,11 @@
 
   /**
    * Checks again just before sending, as the backend may have announced draining or a backoff while
-   * the request waited for a connection.
+   * the request waited for a connection, and this may lead to its next incarnation.
    */
   @Override
-  public boolean maySend() {
-    withdrawn = !target.isServing() || target.backoff().isActive(time.monotonicMillis());
+  public boolean maySend(long connectionAgeMillis) {
+    withdrawn = !services.maySend(state, target, connectionAgeMillis, time.monotonicMillis());
     return !withdrawn;
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/request/BackendAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/BackendAttempt.java
@@ -37,12 +37,18 @@
             path.backendProtocol(),
             path.services(),
             path.time(),
-            state.response.source(
-                target.backend().id(), () -> path.resumes().recordStart(state, target)),
+            state.response.source(target.backend().id(), this::recordStart),
             onFirstEvent,
             (ended, result) -> onConcluded.accept(this, result));
   }
 
+  private void recordStart() {
+    TrackedBackend target = attempt.target();
+    boolean isKnown =
+        path.services().leadsTo(target, attempt.connectedAtMillis(), path.time().monotonicMillis());
+    path.resumes().recordStart(state, target, isKnown);
+  }
+
   @Override
   public void start() {
     attempt.start(path.client(), path.pools().maxConnectionsTo(state));
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestServices.java
@@ -60,4 +60,23 @@
     rates.recordResponse(target.backend().id(), head.advertisedRate(), sentAtMillis);
     announcements.process(target, head);
   }
+
+  /**
+   * Returns whether a request may be sent over a connection now. A stream that has begun may not,
+   * if the server may have come back since this node read its record: it may have another software
+   * version.
+   *
+   * @param connectionAgeMillis age of the connection in milliseconds
+   */
+  boolean maySend(
+      RequestState state, TrackedBackend target, long connectionAgeMillis, long nowMillis) {
+    boolean accepts = target.isServing() && !target.backoff().isActive(nowMillis);
+    boolean hasBegun = state.origin != null;
+    return accepts && (!hasBegun || leadsTo(target, nowMillis - connectionAgeMillis, nowMillis));
+  }
+
+  /** Returns whether a connection leads to an incarnation, and not to the next one. */
+  boolean leadsTo(TrackedBackend target, long connectedAtMillis, long nowMillis) {
+    return quarantine.livenessEvidence().leadsTo(target, connectedAtMillis, nowMillis);
+  }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/ResumeStep.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/ResumeStep.java
@@ -89,11 +89,17 @@
    * Records where a stream begins; to be called before its first event is sent to the caller.
    *
    * @param server backend that sent the event
+   * @param isKnown whether it is known that this incarnation of the server sent it
    */
-  void recordStart(RequestState state, TrackedBackend server) {
+  void recordStart(RequestState state, TrackedBackend server, boolean isKnown) {
     if (state.origin != null) {
       return;
     }
+    if (!isKnown) {
+      log(state, "server-unproven");
+      state.origin = StreamOrigin.ofUnknownVersion(state.pool);
+      return;
+    }
     StreamOrigin origin = new StreamOrigin(state.pool, server.backend().softwareVersion());
     state.origin = origin;
     if (state.route().resumable()) {
--- a/gateway/src/test/java/org/lockdale/gateway/life/LivenessEvidenceTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/life/LivenessEvidenceTest.java
@@ -1,6 +1,7 @@
 package org.lockdale.gateway.life;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.net.InetSocketAddress;
@@ -52,6 +53,34 @@
     return target.lastKnownAliveMillis() == sentAtMillis;
   }
 
+  private boolean leadsToTarget(long connectedAtMillis, long nowMillis) {
+    return evidence.leadsTo(target, connectedAtMillis, nowMillis);
+  }
+
+  @Test
+  public void withoutAnOutageEachConnectionLeadsToTheIncarnationOnRecord() {
+    publishCurrentRecords(START_MILLIS, START_MILLIS + 20_000);
+    assertTrue(leadsToTarget(START_MILLIS + 22_000, START_MILLIS + 22_500));
+  }
+
+  /** A server came back with other software under its id while a node did not reach the store. */
+  @Test
+  public void inAnOutageAYoungConnectionMayLeadToTheNextIncarnation() {
+    publishCurrentRecords(START_MILLIS, START_MILLIS + 20_000);
+    long now = START_MILLIS + 25_000;
+    assertFalse(leadsToTarget(START_MILLIS + 24_000, now));
+    assertFalse(leadsToTarget(START_MILLIS + 19_500, now), "its record may not be read yet");
+    assertTrue(leadsToTarget(START_MILLIS + 19_000, now));
+  }
+
+  @Test
+  public void inAnOutageAConnectionLeadsToAnIncarnationThatWasAliveLater() {
+    publishCurrentRecords(START_MILLIS, START_MILLIS + 20_000);
+    target.recordAlive(START_MILLIS + 23_000);
+    assertTrue(leadsToTarget(START_MILLIS + 22_900, START_MILLIS + 25_000));
+    assertFalse(leadsToTarget(START_MILLIS + 23_100, START_MILLIS + 25_000));
+  }
+
   @Test
   public void aResponseOverAConnectionThatTheRecordOutlivedShowsThatTheIncarnationIsAlive() {
     publishCurrentRecords(START_MILLIS, START_MILLIS + 20_000);
--- a/http/src/main/java/org/lockdale/http/ConnectionPool.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.TimeUnit;
 import jdk.net.ExtendedSocketOptions;
 import org.jspecify.annotations.Nullable;
 
@@ -215,6 +216,11 @@
     return acquired;
   }
 
+  /** Returns the time since a connection was established, in milliseconds; 0 before that. */
+  static long ageMillis(Channel channel) {
+    return TimeUnit.NANOSECONDS.toMillis(ageNanos(channel));
+  }
+
   /** Returns the time since a connection was established, in nanoseconds; 0 before that. */
   static long ageNanos(Channel channel) {
     Long connectedAt = channel.attr(CONNECTED_AT).get();
--- a/http/src/main/java/org/lockdale/http/HttpCall.java
+++ b/http/src/main/java/org/lockdale/http/HttpCall.java
@@ -1,7 +1,6 @@
 package org.lockdale.http;
 
 import io.netty.channel.Channel;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
 
@@ -33,7 +32,7 @@
   /** Returns the age of the call's connection in milliseconds; 0 while the call has none. */
   public long connectionAgeMillis() {
     Channel current = channel;
-    return current == null ? 0 : TimeUnit.NANOSECONDS.toMillis(ConnectionPool.ageNanos(current));
+    return current == null ? 0 : ConnectionPool.ageMillis(current);
   }
 
   /**
--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -179,7 +179,7 @@
       sendOverPool(channel.eventLoop(), address, request, call, listener, maxConnections);
       return;
     }
-    if (!listener.maySend()) {
+    if (!listener.maySend(ConnectionPool.ageMillis(channel))) {
       pool.release(channel, address);
       if (call.tryEnd()) {
         listener.onFailure(
--- a/http/src/main/java/org/lockdale/http/HttpResponseListener.java
+++ b/http/src/main/java/org/lockdale/http/HttpResponseListener.java
@@ -21,8 +21,10 @@
    * Returns whether the request may still be sent. Called when a connection is available, right
    * before the first byte is written. If false, the call fails at {@link
    * HttpCallException.Stage#NOT_SENT}.
+   *
+   * @param connectionAgeMillis age of the connection in milliseconds
    */
-  default boolean maySend() {
+  default boolean maySend(long connectionAgeMillis) {
     return true;
   }
 
