--- a/soak/src/main/java/org/lockdale/soak/plan/Fault.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/Fault.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import org.lockdale.soak.standin.OddValue;
 
 /** A fault or change that a run injects into its deployment. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "fault")
@@ -115,6 +116,13 @@
    */
   record ForeignEntry(String key, String value, long lastsMillis) implements Fault {}
 
+  /**
+   * Another writer puts an entry into a table that readers may fail at.
+   *
+   * @param lastsMillis time until the entry is removed, in milliseconds
+   */
+  record OddEntry(String table, String key, OddValue value, long lastsMillis) implements Fault {}
+
   /**
    * A server advertises in its responses a rate limit for all nodes together.
    *
--- a/soak/src/main/java/org/lockdale/soak/plan/FaultPlan.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/FaultPlan.java
@@ -65,6 +65,7 @@
     faults.addAll(NodeCutFaults.draw(seed, QUIET_START_MILLIS, last, deployment));
     faults.addAll(StoreRefusalFaults.draw(seed, QUIET_START_MILLIS, last, deployment));
     faults.addAll(FleetRestartFaults.draw(seed, QUIET_START_MILLIS, last, deployment));
+    faults.addAll(OddEntryFaults.draw(seed, QUIET_START_MILLIS, last));
     faults.sort(Comparator.comparingLong(PlannedFault::atMillis));
     return new FaultPlan(seed, lengthMillis, faults);
   }
@@ -92,6 +93,32 @@
     return new FaultPlan(seed, lengthMillis, faults);
   }
 
+  /**
+   * Draws a plan of kills of all engines, several in a row, beside odd entries in the tables. It
+   * ends with time enough for the requests that were quarantined to be served again.
+   */
+  public static FaultPlan drawCrashSeries(long seed, long lengthMillis) {
+    long last = lengthMillis - RECOVERY_END_MILLIS;
+    List<PlannedFault> faults =
+        new ArrayList<>(CrashSeriesFaults.draw(seed, QUIET_START_MILLIS, last));
+    faults.addAll(OddEntryFaults.draw(seed, QUIET_START_MILLIS, last));
+    faults.sort(Comparator.comparingLong(PlannedFault::atMillis));
+    return new FaultPlan(seed, lengthMillis, faults);
+  }
+
+  /**
+   * Draws a plan of software releases with nodes that don't see them at once, beside odd entries in
+   * the tables.
+   */
+  public static FaultPlan drawOutOfStep(long seed, long lengthMillis, Deployment deployment) {
+    long last = lastFaultMillis(lengthMillis);
+    List<PlannedFault> faults =
+        new ArrayList<>(OutOfStepFaults.draw(seed, QUIET_START_MILLIS, last, deployment));
+    faults.addAll(OddEntryFaults.draw(seed, QUIET_START_MILLIS, last));
+    faults.sort(Comparator.comparingLong(PlannedFault::atMillis));
+    return new FaultPlan(seed, lengthMillis, faults);
+  }
+
   /** Returns the time from which a plan has no faults. */
   private static long lastFaultMillis(long lengthMillis) {
     return lengthMillis - Math.min(QUIET_END_MILLIS, lengthMillis / QUIET_END_DIVISOR);
--- a/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
+++ b/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
@@ -109,7 +109,9 @@
     } else if (fault instanceof Fault.StoreRefusesNodes refusal) {
       refuseNodes(refusal);
     } else if (fault instanceof Fault.ForeignEntry entry) {
-      writeForeignEntry(entry);
+      writeEntry("servers", entry.key(), entry.value(), entry.lastsMillis());
+    } else if (fault instanceof Fault.OddEntry entry) {
+      writeEntry(entry.table(), entry.key(), entry.value().text(), entry.lastsMillis());
     } else if (fault instanceof Fault.RateNamed rate) {
       advertiseRate(rate);
     } else if (fault instanceof Fault.RestWanted backoff) {
@@ -292,13 +294,12 @@
     }
   }
 
-  /**
-   * Writes an entry that describes no usable server into the server table, and removes it later.
-   */
-  private void writeForeignEntry(Fault.ForeignEntry entry) throws InterruptedException {
-    processes.store().put("servers", entry.key(), entry.value());
-    Thread.sleep(entry.lastsMillis());
-    processes.store().remove("servers", entry.key());
+  /** Writes an entry that is of no use into a table, and removes it later. */
+  private void writeEntry(String table, String key, String value, long lastsMillis)
+      throws InterruptedException {
+    processes.store().put(table, key, value);
+    Thread.sleep(lastsMillis);
+    processes.store().remove(table, key);
   }
 
   /** Lets a server advertise a rate limit. A server that is restarted meanwhile advertises none. */
--- a/soak/src/main/java/org/lockdale/soak/run/SoakCommand.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakCommand.java
@@ -63,6 +63,17 @@
       description = "Injects kills of all engines at one moment, and few other faults.")
   private boolean serviceCrashesOnly;
 
+  @Option(
+      names = "--crash-series",
+      description = "Injects only kills of all engines, several in a row, and odd entries.")
+  private boolean crashSeriesOnly;
+
+  @Option(
+      names = "--out-of-step",
+      description =
+          "Injects only software releases beside a node that is cut off, and odd entries.")
+  private boolean outOfStepOnly;
+
   @Option(names = "--go-on", description = "Continues with the next seed after a rule violation.")
   private boolean continueOnViolation;
 
@@ -126,6 +137,12 @@
     if (fleetRestartsOnly) {
       return FaultPlan.drawFleetRestarts(planSeed, lengthMillis, deployment);
     }
+    if (crashSeriesOnly) {
+      return FaultPlan.drawCrashSeries(planSeed, lengthMillis);
+    }
+    if (outOfStepOnly) {
+      return FaultPlan.drawOutOfStep(planSeed, lengthMillis, deployment);
+    }
     return serviceCrashesOnly
         ? FaultPlan.drawServiceCrashes(planSeed, lengthMillis, deployment)
         : FaultPlan.draw(planSeed, lengthMillis, deployment);
--- a/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
@@ -222,7 +222,7 @@
 
   /** Returns the number of callers that ask for resumable streams; a former plan has none. */
   private int resumingCallers() {
-    return contains(Fault.AllNodesKilled.class)
+    return contains(Fault.AllNodesKilled.class) || contains(Fault.SoftwareReleased.class)
         ? RESUMING_CALLERS_PER_NODE * deployment.nodes()
         : 0;
   }
--- a/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
+++ b/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import java.util.zip.CRC32;
+import org.lockdale.soak.standin.OddValue;
 import org.lockdale.soak.standin.StandardStreams;
 import org.testng.annotations.Test;
 
@@ -66,6 +67,7 @@
             Set.of(Fault.RateNamed.class, Fault.LeavingSaid.class, Fault.RestWanted.class)));
     assertTrue(kinds.containsAll(Set.of(Fault.ConnectTrouble.values())));
     assertTrue(kinds.containsAll(Set.of(Fault.RefusalTrouble.values())));
+    assertTrue(kinds.containsAll(Set.of(OddValue.values())));
     assertTrue(kinds.containsAll(Set.of(Fault.AllNodesKilled.class, Fault.SoftwareReleased.class)));
   }
 
@@ -79,6 +81,7 @@
         .filter(fault -> !(fault.fault() instanceof Fault.StoreRefusesNodes))
         .filter(fault -> !(fault.fault() instanceof Fault.AllNodesKilled))
         .filter(fault -> !(fault.fault() instanceof Fault.SoftwareReleased))
+        .filter(fault -> !(fault.fault() instanceof Fault.OddEntry))
         .forEach(fault -> checksum.update(StandardStreams.json(fault).getBytes(UTF_8)));
     assertEquals(checksum.getValue(), OTHER_FAULTS_CHECKSUM);
   }
@@ -98,6 +101,40 @@
     }
   }
 
+  @Test
+  public void aCrashSeriesKillsAllEnginesFourTimesAndLeavesTimeToRecover() {
+    for (long seed = 0; seed < 50; seed++) {
+      FaultPlan plan = FaultPlan.drawCrashSeries(seed, 2 * MINUTE_MILLIS);
+      long kills =
+          plan.faults().stream()
+              .filter(planned -> planned.fault() instanceof Fault.AllEnginesKilled)
+              .count();
+      assertTrue(kills >= 4, plan.toString());
+      assertTrue(
+          plan.faults().stream()
+              .allMatch(planned -> planned.atMillis() < 2 * MINUTE_MILLIS - 30_000),
+          plan.toString());
+    }
+  }
+
+  @Test
+  public void outOfStepPlansPauseCutOffAndRefuseNodesBesideReleases() {
+    Set<Object> kinds =
+        LongStream.range(0, 50)
+            .mapToObj(seed -> FaultPlan.drawOutOfStep(seed, MINUTE_MILLIS, Deployment.small()))
+            .flatMap(plan -> plan.faults().stream())
+            .map(fault -> fault.fault().getClass())
+            .collect(Collectors.toSet());
+    assertEquals(
+        kinds,
+        Set.of(
+            Fault.OnProcess.class,
+            Fault.OnLink.class,
+            Fault.StoreRefusesNodes.class,
+            Fault.SoftwareReleased.class,
+            Fault.OddEntry.class));
+  }
+
   @Test
   public void fleetRestartsAloneReleaseBothVersionsAndKillAllNodesTwiceOrMore() {
     for (long seed = 0; seed < 50; seed++) {
@@ -183,6 +220,9 @@
     if (fault instanceof Fault.StoreRefusesNodes refusal) {
       return refusal.trouble();
     }
+    if (fault instanceof Fault.OddEntry entry) {
+      return entry.value();
+    }
     if (fault instanceof Fault.ForeignEntry entry) {
       return entry.value();
     }
