Quarantine: a trial that is lost as all servers crash is made again

Cause: its two trials were sent 0.1 and 0.4 s before the next kills (nodes' logs: trial-claimed at 03:25:14.561 and 03:25:32.125, connection-closed-under of the trials' requests 02.., 04.. with the kills), and then quarantine.hold is left. While a request is quarantined only its trial runs anywhere, so servers that crash together with the trial's crash for another reason.

Change: where a trial's connection is closed, and crashes of all other servers of the pool, three servers at least, are reported within a second of it, the claim is withdrawn from the store, so that it counts at no node. The crash itself stays, and counts as a late one: a request that does crash servers, and is sent by chance as all others crash, gets no send more for it (QuarantineTrialTest has both sides).

QuarantineTrialTest.aTrialThatIsLostAsAllServersCrashIsMadeAgainUntilItIsAnswered fails on, the code without it.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -179,6 +179,7 @@
   /** Reports a lost attempt; from any thread. */
   public void attemptLost(LostAttempt attempt) {
     watch.attemptLost(attempt);
+    context.eventLoop().execute(() -> trials.recordLoss(attempt, backends()));
   }
 
   /**
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
@@ -194,6 +194,20 @@
     return entry == null ? 0 : entry.lateCrashes(beforeMillis);
   }
 
+  /** Returns the backends of whose crashes this node learned in a period, both ends included. */
+  Set<String> crashedBackends(long fromMillis, long untilMillis) {
+    Set<String> crashed = new HashSet<>();
+    for (SuspectEntry entry : entries.values()) {
+      entry.learnedAt.forEach(
+          (key, at) -> {
+            if (at >= fromMillis && at <= untilMillis) {
+              crashed.add(CrashKeys.backendOf(key));
+            }
+          });
+    }
+    return crashed;
+  }
+
   /** Returns all suspects. */
   List<Suspect> all() {
     return entries.values().stream().map(entry -> entry.suspect).toList();
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTrials.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectTrials.java
@@ -11,6 +11,9 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.backend.BackendTable;
+import org.lockdale.gateway.backend.TrackedBackend;
+import org.tinylog.Logger;
 
 /**
  * Lets quarantined requests be sent a few times as trials, since all their crashes may have had
@@ -20,8 +23,9 @@
  * are limited over all nodes and restarts: each is claimed in the shared store first, and only the
  * process that holds the claim sends the request. A node claims a trial only if it was asked for
  * the request, and the coordinator first, so that a claim is likely to be used. A claim whose
- * process ends, or whose trial is lost, is followed by another one while any are left. Once a
- * request was cleared, the trials before that don't count: one that crashes servers never is.
+ * process ends, or whose trial is lost, is followed by another one while any are left. A trial that
+ * is lost as all backends of its pool crash has shown nothing, and is made again. Once a request
+ * was cleared, the trials before that don't count: one that crashes servers never is.
  *
  * <p>Its methods run on one event loop, but for {@link #recordRefusal}.
  */
@@ -58,6 +62,7 @@
   private final BooleanSupplier coordinator;
   private final String node;
   private final Time time;
+  private final LostTrials lostTrials;
   private final Map<TrialClaim, TrialPermit> permits = new HashMap<>();
   private final Map<RequestFingerprint, Long> refusedAt = new ConcurrentHashMap<>();
   private Map<RequestFingerprint, TrialPermit> offered = Map.of();
@@ -81,6 +86,7 @@
       Time time) {
     this.ledger = ledger;
     this.claims = claims;
+    this.lostTrials = new LostTrials(ledger);
     this.answeredBefore = answeredBefore;
     this.delayMillis = delayMillis;
     this.coordinator = coordinator;
@@ -93,6 +99,37 @@
     refusedAt.put(fingerprint, time.monotonicMillis());
   }
 
+  /**
+   * Records that an attempt was lost. If it was a trial, and all backends of its pool crashed at
+   * that moment, it has shown nothing.
+   */
+  void recordLoss(LostAttempt lost, BackendTable backends) {
+    TrackedBackend backend = backends.find(lost.backend());
+    if (!lost.isClosed() || backend == null || permits.isEmpty()) {
+      return;
+    }
+    claims
+        .held(RequestFingerprint.of(lost.request(), lost.caller()))
+        .filter(claim -> wasSentBy(claim, lost.request().id()))
+        .ifPresent(
+            claim ->
+                lostTrials.add(
+                    claim, backends.ofPool(backend.backend().pool()), time.monotonicMillis()));
+  }
+
+  private boolean wasSentBy(TrialClaim claim, String requestId) {
+    TrialPermit permit = permits.get(claim);
+    return permit != null && permit.isUsedBy(requestId);
+  }
+
+  private void withdrawInconclusive(long nowMillis) {
+    for (TrialClaim claim : lostTrials.takeInconclusive(nowMillis)) {
+      Logger.info(
+          "event=trial-inconclusive fingerprint={} number={}", claim.fingerprint(), claim.number());
+      claims.withdraw(claim);
+    }
+  }
+
   /**
    * Claims the trials that are due, and offers those that this process holds; to be called
    * periodically.
@@ -105,6 +142,7 @@
     Map<RequestFingerprint, Long> retriesBefore = retryAt;
     offered = new HashMap<>();
     retryAt = new HashMap<>();
+    withdrawInconclusive(now);
     Set<RequestFingerprint> quarantined = new HashSet<>();
     for (QuarantinedRequest request : ledger.quarantined()) {
       quarantined.add(request.fingerprint());
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/TrialClaims.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/TrialClaims.java
@@ -149,6 +149,12 @@
     }
   }
 
+  /** Removes a claim whose trial has shown nothing, so that it doesn't count at any node. */
+  void withdraw(TrialClaim claim) {
+    concluded.add(claim);
+    remove(claim);
+  }
+
   private void remove(TrialClaim claim) {
     if (!removing.add(claim)) {
       return;
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/TrialPermit.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/TrialPermit.java
@@ -23,9 +23,14 @@
     return usedBy.compareAndSet(null, requestId);
   }
 
+  /** Returns whether a request has used the permit. */
+  boolean isUsedBy(String requestId) {
+    return requestId.equals(usedBy.get());
+  }
+
   /** Makes the permit available again, if a request that used it has not left this node. */
   void restore(String requestId) {
-    if (requestId.equals(usedBy.get())) {
+    if (isUsedBy(requestId)) {
       usedBy.set(null);
     }
   }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTrialTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTrialTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.quarantine.LostAttempt.Loss;
 import org.lockdale.gateway.quarantine.SuspectFleet.Node;
 import org.testng.annotations.BeforeMethod;
@@ -170,6 +171,46 @@
     assertTrue(sent >= 1 && sent <= ALLOWED_LATE_SENDS - 1, "sent " + sent);
   }
 
+  /** Sends the trial, and crashes servers under it and under other requests. */
+  private void loseTrial(int incarnation, String... servers) {
+    assertEquals(askEachSecond(12 * SECOND, coordinator), 1);
+    for (String server : servers) {
+      CallerRequest request = Requests.of("r", "/a", server.equals("a") ? "guilty" : server);
+      coordinator.lose(request, server + "@" + incarnation);
+      fleet.putOnRecord(server, incarnation + 1);
+    }
+  }
+
+  @Test
+  public void aTrialThatIsLostAsAllServersCrashIsMadeAgainUntilItIsAnswered() {
+    crashAllServersAtOneMoment();
+    for (int incarnation = 2; incarnation < 8; incarnation++) {
+      loseTrial(incarnation, "a", "b", "c");
+    }
+    assertEquals(askEachSecond(12 * SECOND, coordinator), 1);
+    coordinator.recordAnswer();
+    fleet.run(SECOND);
+    assertFalse(coordinator.refuses());
+    assertFalse(other.refuses());
+  }
+
+  @Test
+  public void aTrialThatIsLostWhileAServerOfThePoolLivesOnCounts() {
+    crashAllServersAtOneMoment();
+    loseTrial(2, "a", "b");
+    loseTrial(3, "a");
+    assertEquals(askEachSecond(100 * SECOND, coordinator, other), 0);
+  }
+
+  /** A request that crashes servers may by chance be sent as all others crash. */
+  @Test
+  public void anInconclusiveTrialAddsNoTrialToThoseOfARequestThatCrashesServers() {
+    crashAllServersAtOneMoment();
+    loseTrial(2, "a", "b", "c");
+    loseTrial(3, "a");
+    assertEquals(askEachSecond(100 * SECOND, coordinator, other), 0);
+  }
+
   /** Its server may have crashed because of another request. */
   @Test
   public void aTrialThatCrashesAServerIsFollowedByOneOther() {
