--- a/gateway/src/test/java/org/lockdale/gateway/configuration/CacheScopesTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/configuration/CacheScopesTest.java
@@ -67,29 +67,62 @@
         scopes(tenant("a", true), tenant("bc", true)).of(null));
   }
 
-  /** Tenants are isolated, shared again and removed in random order; nothing cached is dropped. */
+  /** What each scope holds: the tenants whose requests computed it. Nothing is ever dropped. */
+  private static final class Holders {
+
+    private final Map<String, Set<String>> makersByScope = new HashMap<>();
+
+    /** Runs a request of a tenant; returns the other tenants whose prompts it may have used. */
+    Set<String> run(Tenant user, CacheScopes scopes) {
+      String scope = String.valueOf(scopes.of(user));
+      Set<String> makers = makersByScope.computeIfAbsent(scope, first -> new HashSet<>());
+      makers.add(user.name());
+      Set<String> others = new HashSet<>(makers);
+      others.remove(user.name());
+      return others;
+    }
+  }
+
+  /**
+   * Runs requests of all tenants under random configurations, in which tenants are isolated, shared
+   * again and removed.
+   *
+   * @param lagging whether another node, which has the former configuration, runs some as well
+   */
+  private static void runRandomConfigurations(long seed, boolean lagging) {
+    Random random = new Random(seed);
+    Holders holders = new Holders();
+    List<Tenant> former = List.of();
+    for (int number = 0; number < CONFIGURATIONS; number++) {
+      List<Tenant> tenants = randomTenants(random);
+      if (lagging) {
+        CacheScopes scopes = new CacheScopes(former);
+        former.forEach(user -> holders.run(user, scopes));
+      }
+      Set<String> isolated = new HashSet<>();
+      tenants.stream().filter(Tenant::isolated).forEach(each -> isolated.add(each.name()));
+      CacheScopes scopes = new CacheScopes(tenants);
+      for (Tenant user : tenants) {
+        Set<String> others = holders.run(user, scopes);
+        String message = "seed " + seed + ": " + user + " of " + tenants + " used " + others;
+        assertFalse(isolated.contains(user.name()) && !others.isEmpty(), message);
+        assertFalse(others.stream().anyMatch(isolated::contains), message);
+      }
+      former = tenants;
+    }
+  }
+
   @Test
   public void noSequenceOfConfigurationsLetsPresentTenantsCrossAnIsolation() {
     for (long seed = 0; seed < SEEDS; seed++) {
-      Random random = new Random(seed);
-      Map<String, Set<String>> makersByScope = new HashMap<>();
-      for (int number = 0; number < CONFIGURATIONS; number++) {
-        List<Tenant> tenants = randomTenants(random);
-        Set<String> isolated = new HashSet<>();
-        tenants.stream().filter(Tenant::isolated).forEach(each -> isolated.add(each.name()));
-        CacheScopes scopes = new CacheScopes(tenants);
-        for (Tenant user : tenants) {
-          Set<String> makers =
-              makersByScope.computeIfAbsent(
-                  String.valueOf(scopes.of(user)), scope -> new HashSet<>());
-          makers.add(user.name());
-          Set<String> others = new HashSet<>(makers);
-          others.remove(user.name());
-          String message = "seed " + seed + ": " + user + " of " + tenants + " used " + others;
-          assertFalse(isolated.contains(user.name()) && !others.isEmpty(), message);
-          assertFalse(others.stream().anyMatch(isolated::contains), message);
-        }
-      }
+      runRandomConfigurations(seed, false);
+    }
+  }
+
+  @Test
+  public void noNodeWithTheFormerConfigurationLeavesPromptsBehindThatCrossAnIsolation() {
+    for (long seed = 0; seed < SEEDS; seed++) {
+      runRandomConfigurations(seed, true);
     }
   }
 
