--- a/gateway/src/test/java/org/lockdale/gateway/placement/BackendSelectorContract.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/BackendSelectorContract.java
@@ -240,8 +240,7 @@
    *
    * @param failing share of requests that fail, 0 to 1, for each backend in order
    */
-  private Map<String, Integer> sendWithoutPrompt(
-      List<TrackedBackend> backends, double... failing) {
+  private Map<String, Integer> sendWithoutPrompt(List<TrackedBackend> backends, double... failing) {
     Random random = new Random(1);
     Map<String, Integer> sent = new HashMap<>();
     Deque<BackendLoad.Share> open = new ArrayDeque<>();
