Tests: attempts of killed nodes have a test class of their own; six crashes in a row as a recorded plan

Its fixture is a class, and its eight tests on attempts of killed nodes stand apart; the 27 tests are the same.

--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/QuarantineTest.java
@@ -4,25 +4,13 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.concurrent.CompletableFuture;
-import java.util.stream.IntStream;
-import org.lockdale.coordination.blackboard.Section;
-import org.lockdale.coordination.blackboard.Snapshot;
-import org.lockdale.coordination.simulation.VirtualTime;
 import org.lockdale.gateway.backend.Backend;
-import org.lockdale.gateway.backend.BackendTable;
-import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.life.LivenessEvidence;
-import org.lockdale.gateway.quarantine.part.SuspectParts;
 import org.lockdale.http.Reachability;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /**
@@ -33,87 +21,7 @@
  * killed in that time, 0.1 to 4.3 s after the connection had closed, and the next one did not know
  * of it: the request was sent four to six times after the third crash, in 4 of 12 runs under load.
  */
-public final class QuarantineTest {
-
-  private static final int BACKENDS = 4;
-  private static final long SOON_MILLIS = 50;
-  private static final long RECORD_MILLIS = LivenessEvidence.RECORD_EXPIRY_MILLIS + 500;
-
-  private final List<Suspect> broadcast = new ArrayList<>();
-  private VirtualTime time;
-  private BackendTable backends;
-  private Section<Suspects> section;
-  private Quarantine quarantine;
-  private Reachability addresses;
-  private boolean attemptOwnersRun;
-  private boolean tableIsCurrent;
-  private long tableCurrentAtMillis;
-
-  @BeforeMethod
-  public void create() {
-    time = new VirtualTime();
-    start();
-  }
-
-  private void start() {
-    broadcast.clear();
-    backends =
-        BackendTable.EMPTY.with(
-            IntStream.range(0, BACKENDS).mapToObj(QuarantineTest::backend).toList());
-    section = new Section<>(Suspects.NONE);
-    addresses = Reachability.ACCEPTS;
-    attemptOwnersRun = false;
-    tableIsCurrent = true;
-    QuarantineContext context =
-        new QuarantineContext(
-            new VirtualExecutor(time),
-            address -> CompletableFuture.completedFuture(addresses),
-            this::records,
-            new EmptySuspectTable(),
-            "node",
-            broadcast::addAll,
-            parts -> {},
-            attempt -> CompletableFuture.completedFuture(attemptOwnersRun),
-            () -> false,
-            time);
-    quarantine =
-        new Quarantine(
-            context,
-            section,
-            new Section<>(SuspectParts.NONE),
-            new QuarantineTimes(3_600_000, 5_000));
-    quarantine.start();
-    time.runMillis(SOON_MILLIS);
-  }
-
-  private Snapshot<BackendTable> records() {
-    if (tableIsCurrent) {
-      tableCurrentAtMillis = time.monotonicMillis();
-    }
-    return new Snapshot<>(backends, 0, tableCurrentAtMillis);
-  }
-
-  private static Backend backend(int number) {
-    return new Backend(idOf(number), "pool", addressOf(number), "zone", 4, false, Map.of());
-  }
-
-  private static String idOf(int number) {
-    return "i-" + number + "@1";
-  }
-
-  private static InetSocketAddress addressOf(int number) {
-    return new InetSocketAddress(InetAddress.getLoopbackAddress(), 7_000 + number);
-  }
-
-  private static CallerRequest request() {
-    return Requests.of("r", "/a", "body");
-  }
-
-  private void lose(int backend, LostAttempt.Loss loss) {
-    quarantine.attemptLost(
-        new LostAttempt(
-            idOf(backend), addressOf(backend), request(), "tenant", 0, loss, 0, false, 0));
-  }
+public final class QuarantineTest extends QuarantineFixture {
 
   private void loseAtThree(LostAttempt.Loss loss) {
     for (int backend = 0; backend < 3; backend++) {
@@ -122,10 +30,6 @@
     time.runMillis(SOON_MILLIS);
   }
 
-  private boolean isQuarantined() {
-    return quarantine.quarantined(request(), "tenant").isPresent();
-  }
-
   @Test
   public void closedConnectionsToThreeBackendsQuarantineARequestBeforeTheirCrashesAreConfirmed() {
     loseAtThree(LostAttempt.Loss.CLOSED);
@@ -395,99 +299,6 @@
     assertEquals(broadcastCrashes(), Set.of(idOf(0), next));
   }
 
-  private static SuspectAttempt attemptOfAnotherNode(int backend) {
-    return new SuspectAttempt(
-        RequestFingerprint.of(request(), "tenant"),
-        RequestFingerprint.sketchOf(request(), "tenant"),
-        idOf(backend),
-        "0-" + backend + ":other");
-  }
-
-  private static Suspect suspectAfterCrashOf(int backend) {
-    return new Suspect(
-        RequestFingerprint.of(request(), "tenant"),
-        RequestFingerprint.sketchOf(request(), "tenant"),
-        Map.of(idOf(backend), new CrashInvolvement(true, false)));
-  }
-
-  /** Each node was killed before an attempt on record of a killed node counted as a crash. */
-  @Test
-  public void attemptsOfKilledNodesWithholdARequestHoweverBrieflyNodesRun() {
-    for (int process = 0; process < 6; process++) {
-      start();
-      backends = backends.with(List.of(backend(3)));
-      quarantine.updateFromTable(
-          List.of(suspectAfterCrashOf(0)),
-          List.of(attemptOfAnotherNode(1), attemptOfAnotherNode(2)));
-      assertTrue(isQuarantined(), "process " + process);
-      time.runMillis(4_000);
-      assertTrue(isQuarantined(), "process " + process + ", four seconds later");
-    }
-  }
-
-  @Test
-  public void attemptsOfKilledNodesWithholdARequestOfWhichNoCrashIsOnRecord() {
-    quarantine.updateFromTable(
-        List.of(), List.of(attemptOfAnotherNode(1), attemptOfAnotherNode(2)));
-    assertTrue(isQuarantined());
-  }
-
-  @Test
-  public void aWithheldRequestOfWhichNoCrashIsOnRecordCanBeReleased() {
-    quarantine.updateFromTable(
-        List.of(), List.of(attemptOfAnotherNode(1), attemptOfAnotherNode(2)));
-    assertTrue(quarantine.release(RequestFingerprint.of(request(), "tenant")));
-    time.runMillis(SOON_MILLIS);
-    assertFalse(isQuarantined());
-  }
-
-  @Test
-  public void aRequestIsWithheldOnlyUntilTheBackendsOfItsAttemptsAreKnownToLive() {
-    quarantine.updateFromTable(
-        List.of(suspectAfterCrashOf(0)), List.of(attemptOfAnotherNode(1), attemptOfAnotherNode(2)));
-    assertTrue(isQuarantined());
-    time.runMillis(RECORD_MILLIS + CrashDetector.OUTLIVED_MILLIS);
-    assertFalse(isQuarantined());
-  }
-
-  /** Requests that take long, or repeats at several nodes, must not be withheld. */
-  @Test
-  public void attemptsInProgressOnNodesThatRunWithholdNothing() {
-    attemptOwnersRun = true;
-    quarantine.updateFromTable(List.of(), List.of());
-    quarantine.updateFromTable(
-        List.of(suspectAfterCrashOf(0)), List.of(attemptOfAnotherNode(1), attemptOfAnotherNode(2)));
-    for (int second = 0; second < 5; second++) {
-      assertFalse(isQuarantined());
-      time.runMillis(1_000);
-    }
-    attemptOwnersRun = false;
-    time.runMillis(1_000);
-    assertTrue(isQuarantined(), "their nodes were killed");
-  }
-
-  @Test
-  public void oneUnresolvedAttemptAfterOneCrashWithholdsNothing() {
-    quarantine.updateFromTable(List.of(suspectAfterCrashOf(0)), List.of(attemptOfAnotherNode(1)));
-    assertFalse(isQuarantined());
-  }
-
-  @Test
-  public void anAttemptOnABackendWhoseCrashCountsAlreadyIsNoSecondCrash() {
-    quarantine.updateFromTable(
-        List.of(suspectAfterCrashOf(0)), List.of(attemptOfAnotherNode(0), attemptOfAnotherNode(1)));
-    assertFalse(isQuarantined());
-  }
-
-  @Test
-  public void aRequestThatWasAnsweredIsNotWithheld() {
-    quarantine.updateFromTable(
-        List.of(suspectAfterCrashOf(0)), List.of(attemptOfAnotherNode(1), attemptOfAnotherNode(2)));
-    quarantine.requestAnswered(request(), "tenant");
-    time.runMillis(SOON_MILLIS);
-    assertFalse(isQuarantined());
-  }
-
   /** A proxy accepts connections in place of a crashed server, and closes them. */
   @Test
   public void anAttemptThatReachedNoServerIsNoCrashOfALaterIncarnation() {
--- a/soak/src/test/java/org/lockdale/soak/run/SoakRunTest.java
+++ b/soak/src/test/java/org/lockdale/soak/run/SoakRunTest.java
@@ -44,6 +44,7 @@
       {"forwarded-requests-outlive-cuts"},
       {"store-refuses-relays"},
       {"all-engines-crash-together"},
+      {"all-engines-crash-in-a-row"},
     };
   }
 
