--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/AnsweredRequests.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/AnsweredRequests.java
@@ -13,15 +13,15 @@
  * crash under a request that does, they crash for another reason.
  *
  * <p>It is a cache of limited size, in which a request may displace another one. Contents are
- * hashed only from the second response to requests of the same length on, and only if they are
- * short, so that most requests cost no hash. Safe for use by several threads.
+ * hashed only if they are short and a request with the same sketch was answered before, so that
+ * requests that nobody repeats cost no hash. Safe for use by several threads.
  */
 final class AnsweredRequests {
 
   /** Number of requests that may be remembered; a power of two. */
   private static final int SLOTS = 4_096;
 
-  /** Longest body in bytes that is hashed on the request path, which takes about 0.1 ms. */
+  /** Longest body in bytes that is hashed, as hashing takes time on the request path. */
   private static final int MAX_BODY_BYTES = 16_384;
 
   /** Time in milliseconds for which a request is remembered after its last response. */
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -214,7 +214,7 @@
 
   /**
    * Checks again just before sending, as the backend may have announced draining or a backoff while
-   * the request waited for a connection, and this may lead to its next incarnation.
+   * the request waited for a connection, and the connection may lead to its next incarnation.
    */
   @Override
   public boolean maySend(long connectionAgeMillis) {
