Observability: surplus replies, connections and requests that were sent more than once are logged

A reply that was skipped because its id is of another request, and one that arrived on an idle connection, left no line; neither did a request that was served after a failed attempt.

--- a/gateway/src/main/java/org/lockdale/gateway/backend/BackendProtocol.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/BackendProtocol.java
@@ -16,9 +16,6 @@
    */
   boolean isControlPath(String path);
 
-  /** Returns whether a response belongs to a request, according to its headers. */
-  boolean belongsTo(CallerRequest request, HttpHeaders response);
-
   /** Parses the head of a response. */
   ResponseHead read(int status, HttpHeaders headers);
 }
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -8,12 +8,14 @@
 import io.netty.util.concurrent.Future;
 import java.io.Closeable;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.time.SystemTime;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.backend.SurplusReplies;
 import org.lockdale.gateway.blackboard.GatewayBlackboard;
 import org.lockdale.gateway.blackboard.GatewayPhase;
 import org.lockdale.gateway.cluster.PeerNode;
@@ -70,6 +72,7 @@
       new UsageLog(ProcessorTimes.ofThisProcess()::millisByThread, meter::totals);
   private final GatewayBlackboard blackboard = GatewayBlackboard.empty();
   private final Time time = SystemTime.instance();
+  private final SurplusReplies surplusReplies = new SurplusReplies(time);
   private final EventLoopGroup group;
   private final EventLoopGroup controlGroup;
   private final EventLoop controlLoop;
@@ -92,9 +95,11 @@
     controlGroup = eventLoops("control", 1);
     controlLoop = controlGroup.next();
     flow = new FlowServices(settings, time);
-    HttpClient backendClient = new HttpClient(group, settings.get(GatewaySettings.CONNECT_TIMEOUT));
+    Duration connectTimeout = settings.get(GatewaySettings.CONNECT_TIMEOUT);
+    HttpClient backendClient =
+        new HttpClient(group, connectTimeout, HttpClient.ExchangeListener.NONE, surplusReplies);
     HttpClient controlClient =
-        new HttpClient(controlGroup, settings.get(GatewaySettings.CONNECT_TIMEOUT), meter::called);
+        new HttpClient(controlGroup, connectTimeout, meter::called, surplusReplies);
     GatewayProtocols protocols = adapters.apply(controlGroup, controlClient);
     cluster =
         new ClusterServices(
@@ -194,7 +199,8 @@
             cluster.placements().admissionMetrics(),
             () -> blackboard.configuration().value().version(),
             () -> blackboard.configuration().snapshot().ageMillis(time.monotonicMillis()),
-            flow.held()));
+            flow.held(),
+            surplusReplies));
   }
 
   private RequestLimits limits() {
--- a/gateway/src/main/java/org/lockdale/gateway/node/MetricsHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/MetricsHandler.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.admission.AdmissionMetrics;
+import org.lockdale.gateway.backend.SurplusReplies;
 import org.lockdale.gateway.capacity.EngineCapacity;
 import org.lockdale.gateway.capacity.EngineCapacityTable;
 import org.lockdale.gateway.drain.BackendAnnouncements;
@@ -40,6 +41,7 @@
    * @param configurationAgeMillis supplies the time since the configuration was last proven to be
    *     current, in milliseconds
    * @param held bytes that the node holds for slow callers and backends
+   * @param surplusReplies counts of replies that were not due
    */
   record Sources(
       IntSupplier openRequests,
@@ -52,7 +54,8 @@
       @Nullable AdmissionMetrics admission,
       LongSupplier configurationVersion,
       LongSupplier configurationAgeMillis,
-      HeldBytes held) {}
+      HeldBytes held,
+      SurplusReplies surplusReplies) {}
 
   private final Sources sources;
 
@@ -82,9 +85,16 @@
     add(text, "lockdale_held_bytes", sources.held().heldBytes());
     add(text, "lockdale_paused_streams", sources.held().pausedStreams());
     add(text, "lockdale_slow_readers_cut_total", sources.held().cutOffs());
+    addSurplusReplies(text, sources.surplusReplies());
     exchange.reply(HttpReply.text(OK, text.toString()));
   }
 
+  private static void addSurplusReplies(StringBuilder text, SurplusReplies replies) {
+    String name = "lockdale_surplus_replies_total";
+    add(text, name + "{connection=\"idle\"}", replies.idleCount());
+    add(text, name + "{connection=\"waiting\"}", replies.skippedCount());
+  }
+
   private static void addRates(StringBuilder text, BackendRates rates) {
     Map<String, Double> limits = new TreeMap<>();
     rates.limited().forEach((backend, rate) -> limits.put(backend, rate.perSecond()));
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -189,6 +189,11 @@
     return times.connectedAtMillis(call);
   }
 
+  /** Returns the local port of its connection; 0 while it has none. */
+  int connection() {
+    return call == null ? 0 : call.connection();
+  }
+
   ObservedAttempt observed() {
     return observed;
   }
@@ -222,11 +227,6 @@
     return !withdrawn;
   }
 
-  @Override
-  public boolean accepts(int status, HttpHeaders headers) {
-    return protocol.belongsTo(state.request, headers);
-  }
-
   @Override
   public void onHead(int status, HttpHeaders headers) {
     recordReceived();
--- a/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/AttemptReporter.java
@@ -89,6 +89,7 @@
   @Override
   public void onConcluded(RunningAttempt attempt, AttemptResult result) {
     long now = path.nowMillis();
+    state.connection = attempt.connection();
     var health = attempt.target().health();
     if (result == AttemptResult.NOT_SENT || result == AttemptResult.WITHDRAWN) {
       path.services().quarantine().attemptNotSent(state.request, state.caller());
@@ -127,10 +128,12 @@
     }
     if (result != AttemptResult.COMPLETE) {
       Logger.info(
-          "event=attempt-failed request={} backend={} software-version={} result={} reason=\"{}\"",
+          "event=attempt-failed request={} backend={} software-version={} connection={} result={}"
+              + " reason=\"{}\"",
           state.request.id(),
           attempt.target().backend().id(),
           attempt.target().backend().softwareVersion(),
+          attempt.connection(),
           result,
           attempt.failure());
     }
--- a/gateway/src/main/java/org/lockdale/gateway/request/BackendAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/BackendAttempt.java
@@ -109,6 +109,11 @@
     return attempt.connectedAtMillis();
   }
 
+  @Override
+  public int connection() {
+    return attempt.connection();
+  }
+
   @Override
   public TrackedBackend target() {
     return attempt.target();
--- a/gateway/src/main/java/org/lockdale/gateway/request/CallerResponse.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/CallerResponse.java
@@ -26,6 +26,7 @@
   private @Nullable Source current;
   private boolean staleLogged;
   private boolean started;
+  private int status;
   private @Nullable String lastEventId;
 
   /** Number of the last event, or {@link ServerSentEventDecoder#NO_ID} if its id is no number. */
@@ -77,6 +78,11 @@
     return started;
   }
 
+  /** Returns the status that was sent to the caller; 0 before that. */
+  int status() {
+    return status;
+  }
+
   /**
    * Returns the id of the last event forwarded to the caller. Initially the last one that the
    * caller reports as received; null if none.
@@ -123,7 +129,7 @@
 
     private final String name;
     private final Runnable beforeStart;
-    private int status;
+    private int streamStatus;
     private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
     private boolean resumes;
 
@@ -158,8 +164,8 @@
      *
      * @param mayResume whether the stream goes on after the last event that the caller reports
      */
-    void prepareStream(int streamStatus, HttpHeaders streamHeaders, boolean mayResume) {
-      status = streamStatus;
+    void prepareStream(int newStatus, HttpHeaders streamHeaders, boolean mayResume) {
+      streamStatus = newStatus;
       headers = streamHeaders;
       resumes = started || mayResume && lastEventId != null;
     }
@@ -168,6 +174,7 @@
       if (!started) {
         started = true;
         beforeStart.run();
+        status = streamStatus;
         replies.startStream(status, headers);
       }
     }
@@ -238,6 +245,7 @@
       if (!isCurrent()) {
         return false;
       }
+      status = reply.status();
       replies.reply(reply);
       return true;
     }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -342,16 +342,18 @@
       terms.recordComplete(state);
     }
     boolean late = state.route != null && state.isLateStream();
-    if (late || !outcome.equals(COMPLETE)) {
+    if (late || state.sends > 1 || !outcome.equals(COMPLETE)) {
       Logger.info(
-          "event=request-ended request={} outcome={} late={} pool={} backend={} sends={} millis={}"
-              + " first-event-ms={} longest-gap-ms={} prompt-tokens={} waiting-tokens={}"
+          "event=request-ended request={} outcome={} status={} late={} pool={} backend={}"
+              + " connection={} sends={} millis={} first-event-ms={} longest-gap-ms={} prompt-tokens={} waiting-tokens={}"
               + " deferred={}",
           state.request.id(),
           outcome,
+          state.response.status(),
           late,
           state.pool,
           state.backend,
+          state.connection,
           state.sends,
           time.monotonicMillis() - state.arrivedAtMillis,
           state.response.firstEventMillis(),
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestState.java
@@ -105,6 +105,9 @@
   /** Id of the backend of the latest attempt; empty before the first one. */
   String backend = "";
 
+  /** Local port of the connection of the latest attempt that has ended; 0 if it had none. */
+  int connection;
+
   RequestState(
       HttpExchange exchange,
       CallerRequest request,
--- a/gateway/src/main/java/org/lockdale/gateway/request/RunningAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RunningAttempt.java
@@ -52,6 +52,9 @@
   /** Returns the monotonic time at which its connection was established, in milliseconds. */
   long connectedAtMillis();
 
+  /** Returns the local port of its connection; 0 while it has none. */
+  int connection();
+
   TrackedBackend target();
 
   AttemptPlan plan();
--- a/gateway/src/test/java/org/lockdale/gateway/request/SimulatedAttempt.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/SimulatedAttempt.java
@@ -178,6 +178,11 @@
     return sentAtMillis;
   }
 
+  @Override
+  public int connection() {
+    return 0;
+  }
+
   @Override
   public TrackedBackend target() {
     return target;
--- a/http/src/main/java/org/lockdale/http/ConnectionPool.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -92,9 +92,26 @@
   private final Map<InetSocketAddress, Integer> openCounts = new ConcurrentHashMap<>();
 
   private final Duration connectTimeout;
+  private final SurplusReply.Listener surplusReplies;
 
   ConnectionPool(Duration connectTimeout) {
+    this(connectTimeout, surplus -> {});
+  }
+
+  /**
+   * Creates a pool.
+   *
+   * @param connectTimeout maximum time to establish a connection
+   * @param surplusReplies notified of replies that were not due
+   */
+  ConnectionPool(Duration connectTimeout, SurplusReply.Listener surplusReplies) {
     this.connectTimeout = connectTimeout;
+    this.surplusReplies = surplusReplies;
+  }
+
+  /** Notifies the client's owner of a reply that was not due. */
+  void recordSurplus(SurplusReply reply) {
+    surplusReplies.onSurplusReply(reply);
   }
 
   Future<Channel> acquire(EventLoop eventLoop, InetSocketAddress address) {
@@ -216,6 +233,11 @@
     return acquired;
   }
 
+  /** Returns the local port of a connection; 0 if it has none. */
+  static int localPort(Channel channel) {
+    return channel.localAddress() instanceof InetSocketAddress local ? local.getPort() : 0;
+  }
+
   /** Returns the time since a connection was established, in milliseconds; 0 before that. */
   static long ageMillis(Channel channel) {
     return TimeUnit.NANOSECONDS.toMillis(ageNanos(channel));
--- a/http/src/main/java/org/lockdale/http/HttpCall.java
+++ b/http/src/main/java/org/lockdale/http/HttpCall.java
@@ -35,6 +35,12 @@
     return current == null ? 0 : ConnectionPool.ageMillis(current);
   }
 
+  /** Returns the local port of the call's connection; 0 while the call has none. */
+  public int connection() {
+    Channel current = channel;
+    return current == null ? 0 : ConnectionPool.localPort(current);
+  }
+
   /**
    * Pauses or resumes reading from the peer. While reading is paused, a close by the peer is not
    * noticed. Must be called on the call's event loop; has no effect once the call has ended.
--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -38,6 +38,10 @@
   /** Receives the sizes of each exchange that ended with a complete reply. */
   @FunctionalInterface
   public interface ExchangeListener {
+
+    /** Ignores all exchanges. */
+    ExchangeListener NONE = (path, sentBytes, receivedBytes) -> {};
+
     /**
      * Called after an exchange, on any thread.
      *
@@ -83,6 +87,22 @@
     this(group, new ConnectionPool(connectTimeout), exchangeListener);
   }
 
+  /**
+   * Creates a client.
+   *
+   * @param group event loops for calls that specify none
+   * @param connectTimeout maximum time to establish a connection
+   * @param exchangeListener notified of each completed {@link #exchange}
+   * @param surplusReplies notified of replies that were not due
+   */
+  public HttpClient(
+      EventLoopGroup group,
+      Duration connectTimeout,
+      ExchangeListener exchangeListener,
+      SurplusReply.Listener surplusReplies) {
+    this(group, new ConnectionPool(connectTimeout, surplusReplies), exchangeListener);
+  }
+
   /**
    * Creates a client.
    *
@@ -90,7 +110,7 @@
    * @param pool connections to use
    */
   HttpClient(EventLoopGroup group, ConnectionPool pool) {
-    this(group, pool, (path, sentBytes, receivedBytes) -> {});
+    this(group, pool, ExchangeListener.NONE);
   }
 
   private HttpClient(EventLoopGroup group, ConnectionPool pool, ExchangeListener exchangeListener) {
@@ -190,7 +210,7 @@
     }
     call.attach(channel);
     ResponseReader reader = channel.pipeline().get(ResponseReader.class);
-    reader.start(call, listener);
+    reader.start(call, listener, request.echoedId());
     boolean inParts = request.body().length > RequestBodyWriter.PART_BYTES;
     DefaultHttpRequest message =
         inParts
--- a/http/src/main/java/org/lockdale/http/HttpRequestMessage.java
+++ b/http/src/main/java/org/lockdale/http/HttpRequestMessage.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A request to be sent by {@link HttpClient}.
@@ -12,11 +13,19 @@
  * @param headers request headers; host, unless present, and content length are added when the
  *     request is sent
  * @param body request body
+ * @param echoedId id that the reply repeats; null if the peer repeats none, so that whatever comes
+ *     next is taken for the reply
  */
-public record HttpRequestMessage(HttpMethod method, String path, HttpHeaders headers, byte[] body) {
+public record HttpRequestMessage(
+    HttpMethod method, String path, HttpHeaders headers, byte[] body, @Nullable EchoedId echoedId) {
 
   private static final byte[] EMPTY = new byte[0];
 
+  /** Creates a request whose reply repeats no id. */
+  public HttpRequestMessage(HttpMethod method, String path, HttpHeaders headers, byte[] body) {
+    this(method, path, headers, body, null);
+  }
+
   /** Returns a {@code GET} request without a body. */
   public static HttpRequestMessage get(String path) {
     return new HttpRequestMessage(HttpMethod.GET, path, new DefaultHttpHeaders(), EMPTY);
--- a/http/src/main/java/org/lockdale/http/HttpResponseListener.java
+++ b/http/src/main/java/org/lockdale/http/HttpResponseListener.java
@@ -9,14 +9,6 @@
  */
 public interface HttpResponseListener {
 
-  /**
-   * Returns whether a reply belongs to this call. If not, it is a surplus reply to an earlier call
-   * on the same connection: it is discarded, and the call waits for the next reply.
-   */
-  default boolean accepts(int status, HttpHeaders headers) {
-    return true;
-  }
-
   /**
    * Returns whether the request may still be sent. Called when a connection is available, right
    * before the first byte is written. If false, the call fails at {@link
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /** Passes the parts of a reply to the listener of the call that occupies the connection. */
@@ -33,6 +34,12 @@
   /** Whether a surplus reply was received, after which the connection is not reused. */
   private boolean surplusSeen;
 
+  /** Id by which the reply to the latest call is recognized; null if by its place alone. */
+  private @Nullable EchoedId echoedId;
+
+  /** Time by {@link System#nanoTime} of the latest complete reply; null if there was none. */
+  private @Nullable Long repliedAtNanos;
+
   private long idleLimitNanos;
 
   /** Whether parts of the request's body have not been written yet. */
@@ -46,9 +53,10 @@
   }
 
   /** Starts to read the reply to a call. */
-  void start(HttpCall newCall, HttpResponseListener newListener) {
+  void start(HttpCall newCall, HttpResponseListener newListener, @Nullable EchoedId newEchoedId) {
     call = newCall;
     listener = newListener;
+    echoedId = newEchoedId;
     headReceived = false;
     skipping = false;
     progress = new ResponseProgress();
@@ -82,6 +90,9 @@
     HttpCall current = call;
     HttpResponseListener receiver = listener;
     if (current == null || receiver == null || current.hasEnded()) {
+      if (current == null && part instanceof HttpResponse response) {
+        recordSurplus(context, response, null);
+      }
       context.close();
       return;
     }
@@ -90,7 +101,7 @@
       return;
     }
     if (part instanceof HttpResponse response) {
-      start(response, receiver);
+      start(context, response, receiver);
     }
     if (skipping) {
       progress.recordSurplus(contentBytes(part));
@@ -128,14 +139,18 @@
     }
   }
 
-  private void start(HttpResponse response, HttpResponseListener receiver) {
-    boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    if (informational || !receiver.accepts(response.status().code(), response.headers())) {
+  private void start(
+      ChannelHandlerContext context, HttpResponse response, HttpResponseListener receiver) {
+    EchoedId expected = echoedId;
+    if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       skipping = true;
-      surplusSeen |= !informational;
-      if (informational) {
-        progress.recordInformationalHead();
-      }
+      progress.recordInformationalHead();
+      return;
+    }
+    if (expected != null && !expected.isIn(response.headers())) {
+      skipping = true;
+      surplusSeen = true;
+      recordSurplus(context, response, expected.value());
       return;
     }
     headReceived = true;
@@ -144,7 +159,22 @@
     receiver.onHead(response.status().code(), response.headers());
   }
 
+  private void recordSurplus(
+      ChannelHandlerContext context, HttpResponse response, @Nullable String awaitedId) {
+    EchoedId latest = echoedId;
+    Long replied = repliedAtNanos;
+    pool.recordSurplus(
+        new SurplusReply(
+            address,
+            ConnectionPool.localPort(context.channel()),
+            response.status().code(),
+            latest == null ? null : latest.idIn(response.headers()),
+            awaitedId,
+            replied == null ? -1 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - replied)));
+  }
+
   private void release(ChannelHandlerContext context) {
+    repliedAtNanos = System.nanoTime();
     call = null;
     listener = null;
     // The last part of a reply may arrive in a read during which the call was paused.
--- /dev/null
+++ b/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
@@ -0,0 +1,103 @@
+package org.lockdale.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests what happens to a reply that is not due on its connection. */
+public final class SurplusReplyTest {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final int MAX_SURPLUS = 100;
+
+  private final BlockingQueue<SurplusReply> surplus = new ArrayBlockingQueue<>(MAX_SURPLUS);
+  private EventLoopGroup group;
+  private HttpClient client;
+  private ScriptedPeer peer;
+
+  @BeforeMethod
+  public void start() {
+    surplus.clear();
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    client = new HttpClient(group, TIMEOUT, HttpClient.ExchangeListener.NONE, surplus::add);
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() throws IOException {
+    peer.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private static HttpRequestMessage request(String id) {
+    return new HttpRequestMessage(
+        HttpMethod.GET,
+        "/",
+        new DefaultHttpHeaders().set(ScriptedPeer.ID_HEADER, id),
+        new byte[0],
+        new EchoedId(ScriptedPeer.ID_HEADER, id));
+  }
+
+  private String call(HttpRequestMessage message) throws Exception {
+    HttpReply reply =
+        client
+            .exchange(peer.address(), message, TIMEOUT)
+            .get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+    return reply.status() + " " + new String(reply.body(), StandardCharsets.US_ASCII);
+  }
+
+  private SurplusReply nextSurplus() throws InterruptedException {
+    return surplus.poll(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+  }
+
+  @Test
+  public void aReplyToAnEarlierRequestIsSkippedAndReported() throws Exception {
+    peer =
+        new ScriptedPeer(
+            (request, connection) -> {
+              if (request.number() > 1) {
+                connection.send(ScriptedPeer.reply(500, "first", "late"));
+              }
+              connection.send(ScriptedPeer.reply(200, request.id(), "for " + request.id()));
+            });
+    assertEquals(call(request("first")), "200 for first");
+    assertEquals(call(request("second")), "200 for second");
+    SurplusReply reported = nextSurplus();
+    assertEquals(reported.address(), peer.address());
+    assertEquals(reported.status(), 500);
+    assertEquals(reported.id(), "first");
+    assertEquals(reported.awaitedId(), "second");
+    assertTrue(reported.connection() > 0);
+    assertTrue(reported.lateMillis() >= 0);
+  }
+
+  @Test
+  public void aReplyOnAnIdleConnectionIsReportedAndClosesIt() throws Exception {
+    peer =
+        new ScriptedPeer(
+            (request, connection) -> {
+              String reply = ScriptedPeer.reply(200, request.id(), "for " + request.id());
+              connection.send(request.number() == 1 ? reply + reply : reply);
+            });
+    assertEquals(call(request("first")), "200 for first");
+    SurplusReply reported = nextSurplus();
+    assertEquals(reported.id(), "first");
+    assertNull(reported.awaitedId());
+    assertEquals(call(request("second")), "200 for second");
+    assertEquals(peer.received().get(1).connection(), 2);
+  }
+}
