Surplus replies: an id is sent at most once over one connection to a server

What callers saw: a success where the server had answered with a failure. Cause (class): a reply is told from replies to other requests by the id that it repeats; where one id is sent twice over one connection, as for a caller that repeats a failed request with the same id, a late second reply to the first send has the id of the second one and is taken for its reply, whatever its status. At the limit of connections an idle one makes room, as before. Requests with other ids share a connection as before.

--- a/http/src/main/java/org/lockdale/http/ConnectionPool.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -115,7 +115,7 @@
   }
 
   Future<Channel> acquire(EventLoop eventLoop, InetSocketAddress address) {
-    return acquire(eventLoop, address, Integer.MAX_VALUE);
+    return acquire(eventLoop, address, null, Integer.MAX_VALUE);
   }
 
   /**
@@ -123,13 +123,15 @@
    *
    * @param eventLoop event loop of the connection
    * @param address peer
+   * @param id id that the reply repeats; null if none. No connection is used that has carried it
    * @param maxConnections maximum number of connections to the peer, including idle ones; applies
    *     only if a new one has to be opened
    * @return the connection; fails with an {@link HttpCallException} if a new connection would
    *     exceed the limit, and with the cause from Netty if it can't be established
    */
-  Future<Channel> acquire(EventLoop eventLoop, InetSocketAddress address, int maxConnections) {
-    Channel pooled = pollActive(new Key(eventLoop, address));
+  Future<Channel> acquire(
+      EventLoop eventLoop, InetSocketAddress address, @Nullable EchoedId id, int maxConnections) {
+    Channel pooled = pollActive(new Key(eventLoop, address), id);
     if (pooled != null) {
       return eventLoop.newSucceededFuture(pooled);
     }
@@ -249,17 +251,28 @@
     return connectedAt == null ? 0 : System.nanoTime() - connectedAt;
   }
 
-  private @Nullable Channel pollActive(Key key) {
+  /**
+   * Takes the idle connection that was used last among those on which a reply can be recognized.
+   */
+  private @Nullable Channel pollActive(Key key, @Nullable EchoedId id) {
     Deque<Channel> channels = idle.get(key);
     if (channels == null) {
       return null;
     }
-    Channel channel = channels.pollFirst();
-    while (channel != null && !isUsable(channel)) {
-      channel.close();
-      channel = channels.pollFirst();
+    for (Channel channel : channels) {
+      if (!isUsable(channel)) {
+        channels.remove(channel);
+        channel.close();
+      } else if (tellsApart(channel, id) && channels.remove(channel)) {
+        return channel;
+      }
     }
-    return channel;
+    return null;
+  }
+
+  private static boolean tellsApart(Channel channel, @Nullable EchoedId id) {
+    ResponseReader reader = channel.pipeline().get(ResponseReader.class);
+    return reader != null && reader.tellsApart(id);
   }
 
   private static boolean isUsable(Channel channel) {
--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -166,7 +166,7 @@
       HttpCall call,
       HttpResponseListener listener,
       int maxConnections) {
-    pool.acquire(eventLoop, address, maxConnections)
+    pool.acquire(eventLoop, address, request.echoedId(), maxConnections)
         .addListener(
             (Future<Channel> acquired) -> {
               if (acquired.isSuccess()) {
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -37,6 +37,8 @@
   /** Id by which the reply to the latest call is recognized; null if by its place alone. */
   private @Nullable EchoedId echoedId;
 
+  private final RecentIds carriedIds = new RecentIds();
+
   /** Time by {@link System#nanoTime} of the latest complete reply; null if there was none. */
   private @Nullable Long repliedAtNanos;
 
@@ -57,11 +59,22 @@
     call = newCall;
     listener = newListener;
     echoedId = newEchoedId;
+    if (newEchoedId != null) {
+      carriedIds.add(newEchoedId);
+    }
     headReceived = false;
     skipping = false;
     progress = new ResponseProgress();
   }
 
+  /**
+   * Returns whether a request may be sent over this connection: not if it has carried the id
+   * before, as a late second reply to the former send could not be told from the reply.
+   */
+  boolean tellsApart(@Nullable EchoedId id) {
+    return id == null || !carriedIds.mayContain(id);
+  }
+
   /** Records that the body of the current call is written in parts. */
   void expectBodyInParts() {
     writingBody = true;
--- a/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
@@ -4,16 +4,19 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -85,6 +88,78 @@
     assertTrue(reported.lateMillis() >= 0);
   }
 
+  @Test
+  public void aLateReplyToTheFirstSendIsNotTakenForTheReplyToTheSecond() throws Exception {
+    peer = failingPeerWithLateSuccess();
+    assertEquals(call(request("first")), "500 failure");
+    assertEquals(call(request("first")), "500 failure");
+    assertEquals(peer.received().get(1).connection(), 2);
+  }
+
+  @Test
+  public void aConnectionThatHasCarriedAnIdMakesRoomForAnotherOneAtTheLimit() throws Exception {
+    peer = failingPeerWithLateSuccess();
+    assertEquals(callAtLimit(request("first")), 500);
+    assertEquals(callAtLimit(request("first")), 500);
+    assertEquals(peer.received().get(1).connection(), 2);
+  }
+
+  @Test
+  public void requestsWithOtherIdsShareAConnection() throws Exception {
+    peer =
+        new ScriptedPeer(
+            (request, connection) ->
+                connection.send(ScriptedPeer.reply(200, request.id(), "for " + request.id())));
+    for (int index = 0; index < 2 * RecentIds.CAPACITY; index++) {
+      assertEquals(call(request("r" + index)), "200 for r" + index);
+    }
+    assertTrue(peer.received().stream().allMatch(request -> request.connection() == 1));
+  }
+
+  /** Answers with a failure, and with a success where the next reply on the connection is due. */
+  private static ScriptedPeer failingPeerWithLateSuccess() throws IOException {
+    return new ScriptedPeer(
+        (request, connection) -> {
+          if (request.number() > 1) {
+            connection.send(ScriptedPeer.reply(200, "first", "late success"));
+          }
+          connection.send(ScriptedPeer.reply(500, request.id(), "failure"));
+        });
+  }
+
+  private int callAtLimit(HttpRequestMessage message) throws Exception {
+    CompletableFuture<Integer> status = new CompletableFuture<>();
+    client.send(group.next(), peer.address(), message, new StatusListener(status), 1);
+    return status.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+  }
+
+  private static final class StatusListener implements HttpResponseListener {
+    private final CompletableFuture<Integer> result;
+    private int received;
+
+    StatusListener(CompletableFuture<Integer> result) {
+      this.result = result;
+    }
+
+    @Override
+    public void onHead(int status, HttpHeaders headers) {
+      received = status;
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {}
+
+    @Override
+    public void onEnd() {
+      result.complete(received);
+    }
+
+    @Override
+    public void onFailure(HttpCallException failure) {
+      result.completeExceptionally(failure);
+    }
+  }
+
   @Test
   public void aReplyOnAnIdleConnectionIsReportedAndClosesIt() throws Exception {
     peer =
