Surplus replies: a request does not wait behind one that has no end

Cause: the body of a skipped reply without a length ends with its connection, so the reply that was due is read as a part of it. Evidence: SurplusReplyTest, both cases on replies that have no end, fail before (no end within 10 s) and pass now.

--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -210,7 +210,7 @@
     }
     call.attach(channel);
     ResponseReader reader = channel.pipeline().get(ResponseReader.class);
-    reader.start(call, listener, request.echoedId());
+    reader.start(call, listener, request);
     boolean inParts = request.body().length > RequestBodyWriter.PART_BYTES;
     DefaultHttpRequest message =
         inParts
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -34,6 +34,9 @@
   /** Whether a surplus reply was received, after which the connection is not reused. */
   private boolean surplusSeen;
 
+  /** Method of the latest request; empty before the first one. */
+  private String method = "";
+
   /** Id by which the reply to the latest call is recognized; null if by its place alone. */
   private @Nullable EchoedId echoedId;
 
@@ -55,12 +58,13 @@
   }
 
   /** Starts to read the reply to a call. */
-  void start(HttpCall newCall, HttpResponseListener newListener, @Nullable EchoedId newEchoedId) {
+  void start(HttpCall newCall, HttpResponseListener newListener, HttpRequestMessage request) {
     call = newCall;
     listener = newListener;
-    echoedId = newEchoedId;
-    if (newEchoedId != null) {
-      carriedIds.add(newEchoedId);
+    method = request.method().name();
+    echoedId = request.echoedId();
+    if (echoedId != null) {
+      carriedIds.add(echoedId);
     }
     headReceived = false;
     skipping = false;
@@ -161,9 +165,7 @@
       return;
     }
     if (expected != null && !expected.isIn(response.headers())) {
-      skipping = true;
-      surplusSeen = true;
-      recordSurplus(context, response, expected.value());
+      skipSurplus(context, response, expected.value());
       return;
     }
     headReceived = true;
@@ -172,6 +174,16 @@
     receiver.onHead(response.status().code(), response.headers());
   }
 
+  private void skipSurplus(ChannelHandlerContext context, HttpResponse response, String awaitedId) {
+    skipping = true;
+    surplusSeen = true;
+    recordSurplus(context, response, awaitedId);
+    BodyFraming framing = BodyFraming.of(method, response.status().code(), response.headers());
+    if (framing == BodyFraming.CLOSE_DELIMITED) {
+      fail(context, false, "a reply without a length that belongs to another request came first");
+    }
+  }
+
   private void recordSurplus(
       ChannelHandlerContext context, HttpResponse response, @Nullable String awaitedId) {
     EchoedId latest = echoedId;
--- a/http/src/test/java/org/lockdale/http/ResponseReaderTest.java
+++ b/http/src/test/java/org/lockdale/http/ResponseReaderTest.java
@@ -44,7 +44,7 @@
             InetSocketAddress.createUnresolved("peer", 1));
     EmbeddedChannel channel = new EmbeddedChannel(reader);
     FailureCollector listener = new FailureCollector();
-    reader.start(new HttpCall(), listener, null);
+    reader.start(new HttpCall(), listener, HttpRequestMessage.get("/"));
     channel.pipeline().fireExceptionCaught(cause);
     assertEquals(listener.failures.size(), 1);
     return listener.failures.get(0).isClosedByPeer();
@@ -59,7 +59,7 @@
             InetSocketAddress.createUnresolved("peer", 1));
     EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder(), reader);
     FailureCollector listener = new FailureCollector();
-    reader.start(new HttpCall(), listener, null);
+    reader.start(new HttpCall(), listener, HttpRequestMessage.get("/"));
     channel.writeInbound(
         Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nContent-Le", StandardCharsets.US_ASCII));
     channel.finishAndReleaseAll();
--- a/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
@@ -1,8 +1,10 @@
 package org.lockdale.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoopGroup;
@@ -17,6 +19,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -160,6 +163,33 @@
     }
   }
 
+  @Test
+  public void aRequestDoesNotWaitBehindASurplusReplyThatHasNoEnd() throws IOException {
+    String endless = "HTTP/1.1 200 OK\r\n" + ScriptedPeer.ID_HEADER + ": other\r\n\r\nbody";
+    assertFailsAtOnce(endless);
+  }
+
+  @Test
+  public void aRequestDoesNotWaitBehindAReplyWithoutAnIdThatHasNoEnd() throws IOException {
+    assertFailsAtOnce("HTTP/1.1 200 OK\r\n\r\nbody");
+  }
+
+  /** Asserts that a call fails although its own reply follows these bytes. */
+  private void assertFailsAtOnce(String bytes) throws IOException {
+    peer =
+        new ScriptedPeer(
+            (request, connection) ->
+                connection.send(bytes + ScriptedPeer.reply(200, request.id(), "unreadable")));
+    CompletableFuture<Integer> status = new CompletableFuture<>();
+    client.send(group.next(), peer.address(), request("first"), new StatusListener(status));
+    ExecutionException failure =
+        expectThrows(
+            ExecutionException.class, () -> status.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS));
+    HttpCallException cause = (HttpCallException) failure.getCause();
+    assertEquals(cause.stage(), HttpCallException.Stage.NO_REPLY);
+    assertFalse(cause.isClosedByPeer());
+  }
+
   @Test
   public void aReplyOnAnIdleConnectionIsReportedAndClosesIt() throws Exception {
     peer =
