Surplus replies: a second reply in the read that completed the first one closes the connection

Cause, one of two: a call ended, and its connection was free, in the middle of a read; the next call could start within that turn of the event loop, and took the rest of the read for its reply. Change: a call ends with the read that completed its reply. What is left in the read was not due and closes the connection before it is handed out again. Evidence: SurplusReplyTest.aSecondReplyInOneReadIsNotTakenForTheReplyToTheNextCall fails before (the second call got 1-1, the second reply to the first one) and passes now; 83 tests of the module pass. The next call of a chain still gets the same connection where nothing else came, so there are no more connections than before.

--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -25,6 +25,10 @@
   private final InetSocketAddress address;
   private @Nullable HttpCall call;
   private @Nullable HttpResponseListener listener;
+
+  /** Listener of a call whose reply is complete, until the rest of the read is decoded. */
+  private @Nullable HttpResponseListener completed;
+
   private boolean headReceived;
   private boolean keepAlive;
 
@@ -129,6 +133,27 @@
       accept(content.content(), current, receiver);
     }
     if (part instanceof LastHttpContent && current.tryEnd()) {
+      completed = receiver;
+      call = null;
+      listener = null;
+      repliedAtNanos = System.nanoTime();
+    }
+  }
+
+  /**
+   * Ends a call with the read that completed its reply. Whatever else was in that read was not due,
+   * and has closed the connection by now, so that the next call can't take it for its reply.
+   */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    endCompleted(context);
+    context.fireChannelReadComplete();
+  }
+
+  private void endCompleted(ChannelHandlerContext context) {
+    HttpResponseListener receiver = completed;
+    if (receiver != null) {
+      completed = null;
       release(context);
       receiver.onEnd();
     }
@@ -199,12 +224,9 @@
   }
 
   private void release(ChannelHandlerContext context) {
-    repliedAtNanos = System.nanoTime();
-    call = null;
-    listener = null;
     // The last part of a reply may arrive in a read during which the call was paused.
     context.channel().config().setAutoRead(true);
-    if (keepAlive && !writingBody) {
+    if (keepAlive && !writingBody && context.channel().isActive()) {
       pool.release(context.channel(), address, System.nanoTime() + idleLimitNanos);
     } else {
       context.close();
@@ -227,11 +249,13 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     pool.discard(context.channel(), address);
+    endCompleted(context);
     fail(context, true, "the connection closed before the reply was complete");
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    endCompleted(context);
     fail(context, cause instanceof IOException && !isTimeout(cause), cause.toString());
   }
 
--- a/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
@@ -190,6 +190,25 @@
     assertFalse(cause.isClosedByPeer());
   }
 
+  @Test
+  public void aSecondReplyInOneReadIsNotTakenForTheReplyToTheNextCall() throws Exception {
+    peer =
+        new ScriptedPeer(
+            (request, connection) -> {
+              String reply =
+                  ScriptedPeer.reply(200, "", request.connection() + "-" + request.number());
+              connection.send(reply + reply);
+            });
+    HttpRequestMessage message = HttpRequestMessage.get("/");
+    // The second call starts in the turn of the event loop in which the first one ends.
+    HttpReply second =
+        client
+            .exchange(peer.address(), message, TIMEOUT)
+            .thenCompose(first -> client.exchange(peer.address(), message, TIMEOUT))
+            .get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+    assertEquals(new String(second.body(), StandardCharsets.US_ASCII), "2-1");
+  }
+
   @Test
   public void aReplyOnAnIdleConnectionIsReportedAndClosesIt() throws Exception {
     peer =
