HTTP client: calls whose replies carry no id are checked, or have a connection of their own

Cause: a peer that replies twice, the second time late, left a connection without ids one reply behind: the repeated reply was taken for the one to the next call, and each further call got the reply to the one before. Change: exchange takes a ReplyCheck, by which the caller tells a reply that can only belong to an earlier call. It is skipped and recorded as surplus, the call waits for the next reply, and the connection is closed after that, as where an id tells. exchangeOnce sends a call over a connection that is opened for it and closed after it. What collects a reply has a class of its own.

--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -1,26 +1,23 @@
 package org.lockdale.http;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.NoRouteToHostException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /** An HTTP/1.1 client with pooled connections, each of which carries one exchange at a time. */
 public final class HttpClient {
@@ -33,7 +30,6 @@
   private static final long CLOSE_DETECTION_MILLIS = 250;
 
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-  private static final int MAX_REPLY_BYTES = 64 * 1024 * 1024;
 
   /** Receives the sizes of each exchange that ended with a complete reply. */
   @FunctionalInterface
@@ -52,6 +48,14 @@
     void onExchange(String path, long sentBytes, long receivedBytes);
   }
 
+  /**
+   * Where a call gets its connection from.
+   *
+   * @param acquire takes or opens one
+   * @param singleUse whether it is closed after the call
+   */
+  private record Connections(Supplier<Future<Channel>> acquire, boolean singleUse) {}
+
   private final EventLoopGroup group;
   private final ConnectionPool pool;
   private final ExchangeListener exchangeListener;
@@ -155,22 +159,26 @@
       HttpResponseListener listener,
       int maxConnections) {
     HttpCall call = new HttpCall();
-    sendOverPool(eventLoop, address, request, call, listener, maxConnections);
+    Connections connections =
+        new Connections(
+            () -> pool.acquire(eventLoop, address, request.echoedId(), maxConnections), false);
+    send(connections, address, request, call, listener);
     return call;
   }
 
-  private void sendOverPool(
-      EventLoop eventLoop,
+  private void send(
+      Connections connections,
       InetSocketAddress address,
       HttpRequestMessage request,
       HttpCall call,
-      HttpResponseListener listener,
-      int maxConnections) {
-    pool.acquire(eventLoop, address, request.echoedId(), maxConnections)
+      HttpResponseListener listener) {
+    connections
+        .acquire()
+        .get()
         .addListener(
             (Future<Channel> acquired) -> {
               if (acquired.isSuccess()) {
-                write(acquired.getNow(), address, request, call, listener, maxConnections);
+                write(acquired.getNow(), connections, address, request, call, listener);
               } else if (call.tryEnd()) {
                 listener.onFailure(notSent(acquired.cause()));
               }
@@ -185,18 +193,18 @@
 
   private void write(
       Channel channel,
+      Connections connections,
       InetSocketAddress address,
       HttpRequestMessage request,
       HttpCall call,
-      HttpResponseListener listener,
-      int maxConnections) {
+      HttpResponseListener listener) {
     if (call.hasEnded()) {
       pool.release(channel, address);
       return;
     }
     if (!channel.isActive()) {
       // The pool handed it out to another thread just before this event loop closed it.
-      sendOverPool(channel.eventLoop(), address, request, call, listener, maxConnections);
+      send(connections, address, request, call, listener);
       return;
     }
     if (!listener.maySend(ConnectionPool.ageMillis(channel))) {
@@ -211,6 +219,9 @@
     call.attach(channel);
     ResponseReader reader = channel.pipeline().get(ResponseReader.class);
     reader.start(call, listener, request);
+    if (connections.singleUse()) {
+      reader.closeAfterReply();
+    }
     boolean inParts = request.body().length > RequestBodyWriter.PART_BYTES;
     DefaultHttpRequest message =
         inParts
@@ -287,7 +298,8 @@
   }
 
   /**
-   * Sends a request and collects the complete reply.
+   * Sends a request and collects the complete reply, to a peer that sends one reply to each
+   * request.
    *
    * @param address peer
    * @param request what to send
@@ -296,9 +308,55 @@
    */
   public CompletableFuture<HttpReply> exchange(
       InetSocketAddress address, HttpRequestMessage request, Duration timeout) {
+    return exchange(address, request, timeout, ReplyCheck.ANY);
+  }
+
+  /**
+   * Sends a request and collects the complete reply to it. A late second reply to an earlier call,
+   * which takes the place of the one that is due, is skipped if the check recognizes it.
+   *
+   * @param address peer
+   * @param request what to send
+   * @param timeout maximum time until the reply is complete
+   * @param check tells surplus replies
+   * @return the reply; fails with {@link HttpCallException} if the call fails or times out
+   */
+  public CompletableFuture<HttpReply> exchange(
+      InetSocketAddress address, HttpRequestMessage request, Duration timeout, ReplyCheck check) {
     EventLoop eventLoop = group.next();
+    Connections connections =
+        new Connections(
+            () -> pool.acquire(eventLoop, address, request.echoedId(), Integer.MAX_VALUE), false);
+    return exchange(eventLoop, connections, address, request, timeout, check);
+  }
+
+  /**
+   * Sends a request over a new connection, which carries no other call, and collects the complete
+   * reply. So no reply to another call can be taken for the one to this call, at the cost of a
+   * connection.
+   *
+   * @param address peer
+   * @param request what to send
+   * @param timeout maximum time until the reply is complete
+   * @return the reply; fails with {@link HttpCallException} if the call fails or times out
+   */
+  public CompletableFuture<HttpReply> exchangeOnce(
+      InetSocketAddress address, HttpRequestMessage request, Duration timeout) {
+    EventLoop eventLoop = group.next();
+    Connections connections = new Connections(() -> pool.connect(eventLoop, address), true);
+    return exchange(eventLoop, connections, address, request, timeout, ReplyCheck.ANY);
+  }
+
+  private CompletableFuture<HttpReply> exchange(
+      EventLoop eventLoop,
+      Connections connections,
+      InetSocketAddress address,
+      HttpRequestMessage request,
+      Duration timeout,
+      ReplyCheck check) {
     CompletableFuture<HttpReply> result = new CompletableFuture<>();
-    HttpCall call = send(eventLoop, address, request, new CollectingListener(result));
+    HttpCall call = new HttpCall();
+    send(connections, address, request, call, new ReplyCollector(check, result));
     var timer =
         eventLoop.schedule(
             () -> {
@@ -327,44 +385,4 @@
                 request.path(), request.body().length, reply.body().length));
     return result;
   }
-
-  private static final class CollectingListener implements HttpResponseListener {
-    private final CompletableFuture<HttpReply> result;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private int status;
-    private HttpHeaders headers = new DefaultHttpHeaders();
-
-    CollectingListener(CompletableFuture<HttpReply> result) {
-      this.result = result;
-    }
-
-    @Override
-    public void onHead(int replyStatus, HttpHeaders replyHeaders) {
-      status = replyStatus;
-      headers = replyHeaders;
-    }
-
-    @Override
-    public void onContent(ByteBuf content) {
-      if (body.size() + content.readableBytes() > MAX_REPLY_BYTES) {
-        result.completeExceptionally(
-            new HttpCallException(
-                HttpCallException.Stage.BROKEN_REPLY, "the reply exceeds the size limit"));
-        return;
-      }
-      byte[] part = new byte[content.readableBytes()];
-      content.readBytes(part);
-      body.writeBytes(part);
-    }
-
-    @Override
-    public void onEnd() {
-      result.complete(new HttpReply(status, headers, body.toByteArray()));
-    }
-
-    @Override
-    public void onFailure(HttpCallException failure) {
-      result.completeExceptionally(failure);
-    }
-  }
 }
--- a/http/src/main/java/org/lockdale/http/HttpResponseListener.java
+++ b/http/src/main/java/org/lockdale/http/HttpResponseListener.java
@@ -26,6 +26,15 @@
   /** Receives a part of the body; the buffer is only valid during the call. */
   void onContent(ByteBuf content);
 
+  /**
+   * Returns whether a complete reply belongs to this call; called right before {@link #onEnd}. If
+   * not, it is a surplus reply to an earlier call on the same connection: the listener drops what
+   * it has received, and the call waits for the next reply.
+   */
+  default boolean acceptsComplete() {
+    return true;
+  }
+
   /** Called when the reply is complete. */
   void onEnd();
 
--- /dev/null
+++ b/http/src/main/java/org/lockdale/http/ReplyCollector.java
@@ -0,0 +1,72 @@
+package org.lockdale.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
+
+/** Collects the complete reply to a call. Runs on the event loop of the call. */
+final class ReplyCollector implements HttpResponseListener {
+
+  private static final int MAX_REPLY_BYTES = 64 * 1024 * 1024;
+
+  private final ReplyCheck check;
+  private final CompletableFuture<HttpReply> result;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private int status;
+  private HttpHeaders headers = new DefaultHttpHeaders();
+  private @Nullable HttpReply complete;
+
+  /**
+   * Creates a collector.
+   *
+   * @param check tells surplus replies
+   * @param result receives the reply, or why there is none
+   */
+  ReplyCollector(ReplyCheck check, CompletableFuture<HttpReply> result) {
+    this.check = check;
+    this.result = result;
+  }
+
+  @Override
+  public void onHead(int replyStatus, HttpHeaders replyHeaders) {
+    status = replyStatus;
+    headers = replyHeaders;
+  }
+
+  @Override
+  public void onContent(ByteBuf content) {
+    if (body.size() + content.readableBytes() > MAX_REPLY_BYTES) {
+      result.completeExceptionally(
+          new HttpCallException(
+              HttpCallException.Stage.BROKEN_REPLY, "the reply exceeds the size limit"));
+      return;
+    }
+    byte[] part = new byte[content.readableBytes()];
+    content.readBytes(part);
+    body.writeBytes(part);
+  }
+
+  @Override
+  public boolean acceptsComplete() {
+    HttpReply reply = new HttpReply(status, headers, body.toByteArray());
+    if (check.accepts(reply)) {
+      complete = reply;
+      return true;
+    }
+    body.reset();
+    return false;
+  }
+
+  @Override
+  public void onEnd() {
+    result.complete(complete);
+  }
+
+  @Override
+  public void onFailure(HttpCallException failure) {
+    result.completeExceptionally(failure);
+  }
+}
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -30,6 +30,10 @@
   private @Nullable HttpResponseListener completed;
 
   private boolean headReceived;
+
+  /** Status of the reply whose head was received. */
+  private int status;
+
   private boolean keepAlive;
 
   /** Whether the parts of a reply that doesn't belong to the call are being discarded. */
@@ -49,6 +53,9 @@
   /** Time by {@link System#nanoTime} of the latest complete reply; null if there was none. */
   private @Nullable Long repliedAtNanos;
 
+  /** Whether the connection was opened for one call. */
+  private boolean singleUse;
+
   private long idleLimitNanos;
 
   /** Whether parts of the request's body have not been written yet. */
@@ -83,6 +90,11 @@
     return id == null || !carriedIds.mayContain(id);
   }
 
+  /** Closes the connection after the reply to the current call. */
+  void closeAfterReply() {
+    singleUse = true;
+  }
+
   /** Records that the body of the current call is written in parts. */
   void expectBodyInParts() {
     writingBody = true;
@@ -112,7 +124,7 @@
     HttpResponseListener receiver = listener;
     if (current == null || receiver == null || current.hasEnded()) {
       if (current == null && part instanceof HttpResponse response) {
-        recordSurplus(context, response, null);
+        recordSurplus(context, response.status().code(), idIn(response), null);
       }
       context.close();
       return;
@@ -132,7 +144,18 @@
     if (part instanceof HttpContent content && content.content().isReadable()) {
       accept(content.content(), current, receiver);
     }
-    if (part instanceof LastHttpContent && current.tryEnd()) {
+    if (part instanceof LastHttpContent && !current.hasEnded()) {
+      endReply(context, current, receiver);
+    }
+  }
+
+  private void endReply(
+      ChannelHandlerContext context, HttpCall current, HttpResponseListener receiver) {
+    if (!receiver.acceptsComplete()) {
+      surplusSeen = true;
+      headReceived = false;
+      recordSurplus(context, status, null, null);
+    } else if (current.tryEnd()) {
       completed = receiver;
       call = null;
       listener = null;
@@ -194,15 +217,21 @@
       return;
     }
     headReceived = true;
+    status = response.status().code();
     keepAlive = HttpUtil.isKeepAlive(response) && !surplusSeen;
     idleLimitNanos = KeepAliveHeader.idleLimitNanos(response.headers());
-    receiver.onHead(response.status().code(), response.headers());
+    receiver.onHead(status, response.headers());
+  }
+
+  private @Nullable String idIn(HttpResponse response) {
+    EchoedId latest = echoedId;
+    return latest == null ? null : latest.idIn(response.headers());
   }
 
   private void skipSurplus(ChannelHandlerContext context, HttpResponse response, String awaitedId) {
     skipping = true;
     surplusSeen = true;
-    recordSurplus(context, response, awaitedId);
+    recordSurplus(context, response.status().code(), idIn(response), awaitedId);
     BodyFraming framing = BodyFraming.of(method, response.status().code(), response.headers());
     if (framing == BodyFraming.CLOSE_DELIMITED) {
       fail(context, false, "a reply without a length that belongs to another request came first");
@@ -210,15 +239,17 @@
   }
 
   private void recordSurplus(
-      ChannelHandlerContext context, HttpResponse response, @Nullable String awaitedId) {
-    EchoedId latest = echoedId;
+      ChannelHandlerContext context,
+      int surplusStatus,
+      @Nullable String id,
+      @Nullable String awaitedId) {
     Long replied = repliedAtNanos;
     pool.recordSurplus(
         new SurplusReply(
             address,
             ConnectionPool.localPort(context.channel()),
-            response.status().code(),
-            latest == null ? null : latest.idIn(response.headers()),
+            surplusStatus,
+            id,
             awaitedId,
             replied == null ? -1 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - replied)));
   }
@@ -226,7 +257,7 @@
   private void release(ChannelHandlerContext context) {
     // The last part of a reply may arrive in a read during which the call was paused.
     context.channel().config().setAutoRead(true);
-    if (keepAlive && !writingBody && context.channel().isActive()) {
+    if (keepAlive && !writingBody && !singleUse && context.channel().isActive()) {
       pool.release(context.channel(), address, System.nanoTime() + idleLimitNanos);
     } else {
       context.close();
--- a/http/src/main/java/org/lockdale/http/SurplusReply.java
+++ b/http/src/main/java/org/lockdale/http/SurplusReply.java
@@ -12,6 +12,7 @@
  * @param status status code of the reply
  * @param id id of the request that the reply names; null if it names none
  * @param awaitedId id of the request that waits for its reply on the connection; null if none waits
+ *     or its reply carries no id
  * @param lateMillis time since the latest complete reply on the connection, in milliseconds; -1 if
  *     there was none
  */
