--- a/gateway/src/main/java/org/lockdale/gateway/cache/CacheEventSource.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cache/CacheEventSource.java
@@ -14,10 +14,11 @@
    * Waits for changes.
    *
    * @param holder address of the holder
-   * @param since position at which to start
+   * @param position position at which to start, from the previous page of the holder
    * @param wait longest time to wait for a change
    */
-  CompletableFuture<CacheEventPage> changes(InetSocketAddress holder, long since, Duration wait);
+  CompletableFuture<CacheEventPage> changes(
+      InetSocketAddress holder, CachePosition position, Duration wait);
 
   /**
    * Reads all parts that the holder keeps.
--- a/gateway/src/main/java/org/lockdale/gateway/cache/CacheFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cache/CacheFollower.java
@@ -30,8 +30,7 @@
   private final InetSocketAddress holder;
   private final HeldParts held;
   private final boolean snapshotFirst;
-  private long epoch;
-  private long next;
+  private CachePosition position = CachePosition.START;
   private boolean inSync;
   private int failures;
   private boolean closed;
@@ -74,7 +73,7 @@
     }
     CompletableFuture<CacheEventPage> response =
         inSync || !snapshotFirst
-            ? source.changes(holder, next, LONG_POLL_WAIT)
+            ? source.changes(holder, position, LONG_POLL_WAIT)
             : source.contents(holder);
     response.whenCompleteAsync(
         (page, failure) -> {
@@ -92,7 +91,7 @@
 
   private void accept(CacheEventPage page) {
     failures = 0;
-    boolean restarted = inSync && page.epoch() != epoch;
+    boolean restarted = inSync && page.epoch() != position.epoch();
     if (restarted || page.gap()) {
       Logger.info("event=cache-gap holder={} restarted={}", holder, restarted);
       held.clear();
@@ -103,8 +102,7 @@
       return;
     }
     inSync = true;
-    epoch = page.epoch();
-    next = page.next();
+    position = new CachePosition(page.epoch(), page.next());
     page.events().forEach(held::apply);
     held.setAvailable(true);
     eventLoop.schedule(this::poll, BATCH_MILLIS, TimeUnit.MILLISECONDS);
@@ -117,7 +115,7 @@
     held.setAvailable(false);
     held.clear();
     inSync = false;
-    next = 0;
+    position = CachePosition.START;
     long delay = FIRST_RETRY_MILLIS << Math.min(failures, MAX_DOUBLINGS);
     failures++;
     eventLoop.schedule(this::poll, delay, TimeUnit.MILLISECONDS);
--- a/gateway/src/test/java/org/lockdale/gateway/cache/CachePlannerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cache/CachePlannerTest.java
@@ -49,7 +49,7 @@
 
     @Override
     public synchronized CompletableFuture<CacheEventPage> changes(
-        InetSocketAddress holder, long since, Duration wait) {
+        InetSocketAddress holder, CachePosition position, Duration wait) {
       if (down.contains(holder)) {
         return CompletableFuture.failedFuture(new IllegalStateException("down"));
       }
@@ -57,14 +57,14 @@
       return CompletableFuture.completedFuture(
           new CacheEventPage(
               epochs.getOrDefault(holder, 1L),
-              since + 1,
+              position.next() + 1,
               false,
               events == null ? List.of() : List.copyOf(events)));
     }
 
     @Override
     public CompletableFuture<CacheEventPage> contents(InetSocketAddress holder) {
-      return changes(holder, 0, Duration.ZERO);
+      return changes(holder, CachePosition.START, Duration.ZERO);
     }
 
     synchronized void addEvent(
--- a/gateway/src/test/java/org/lockdale/gateway/cache/UnresponsiveHolders.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cache/UnresponsiveHolders.java
@@ -9,7 +9,7 @@
 
   @Override
   public CompletableFuture<CacheEventPage> changes(
-      InetSocketAddress holder, long since, Duration wait) {
+      InetSocketAddress holder, CachePosition position, Duration wait) {
     return new CompletableFuture<>();
   }
 
