Surplus replies: the log and the metric tell idle connections from calls whose replies carry no id

Cause: a surplus reply was counted as on an idle connection where the waiting call has no id. Change: the event says whether a call waited. Result: SurplusReplyTest, RepeatedReplyTest, RepeatedControlReplyTest, GatewayForwardingTest pass.

--- a/gateway/src/main/java/org/lockdale/gateway/backend/SurplusReplies.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/SurplusReplies.java
@@ -40,7 +40,7 @@
 
   @Override
   public void onSurplusReply(SurplusReply reply) {
-    (reply.awaitedId() == null ? idleCount : skippedCount).incrementAndGet();
+    (reply.idle() ? idleCount : skippedCount).incrementAndGet();
     long now = time.monotonicMillis();
     long next = nextLogMillis.get();
     if (now < next || !nextLogMillis.compareAndSet(next, now + LOG_INTERVAL_MILLIS)) {
@@ -48,12 +48,13 @@
       return;
     }
     Logger.warn(
-        "event=surplus-reply address={} connection={} status={} request={} awaited={} late-ms={}"
+        "event=surplus-reply address={} connection={} status={} request={} idle={} awaited={} late-ms={}"
             + " not-logged={}",
         reply.address(),
         reply.connection(),
         reply.status(),
         reply.id(),
+        reply.idle(),
         reply.awaitedId(),
         reply.lateMillis(),
         unloggedCount.getAndSet(0));
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -124,7 +124,7 @@
     HttpResponseListener receiver = listener;
     if (current == null || receiver == null || current.hasEnded()) {
       if (current == null && part instanceof HttpResponse response) {
-        recordSurplus(context, response.status().code(), idIn(response), null);
+        recordSurplus(context, response.status().code(), idIn(response), true);
       }
       context.close();
       return;
@@ -154,7 +154,7 @@
     if (!receiver.acceptsComplete()) {
       surplusSeen = true;
       headReceived = false;
-      recordSurplus(context, status, null, null);
+      recordSurplus(context, status, null, false);
     } else if (current.tryEnd()) {
       completed = receiver;
       call = null;
@@ -213,7 +213,7 @@
       return;
     }
     if (expected != null && !expected.isIn(response.headers())) {
-      skipSurplus(context, response, expected.value());
+      skipSurplus(context, response);
       return;
     }
     headReceived = true;
@@ -228,10 +228,10 @@
     return latest == null ? null : latest.idIn(response.headers());
   }
 
-  private void skipSurplus(ChannelHandlerContext context, HttpResponse response, String awaitedId) {
+  private void skipSurplus(ChannelHandlerContext context, HttpResponse response) {
     skipping = true;
     surplusSeen = true;
-    recordSurplus(context, response.status().code(), idIn(response), awaitedId);
+    recordSurplus(context, response.status().code(), idIn(response), false);
     BodyFraming framing = BodyFraming.of(method, response.status().code(), response.headers());
     if (framing == BodyFraming.CLOSE_DELIMITED) {
       fail(context, false, "a reply without a length that belongs to another request came first");
@@ -239,10 +239,8 @@
   }
 
   private void recordSurplus(
-      ChannelHandlerContext context,
-      int surplusStatus,
-      @Nullable String id,
-      @Nullable String awaitedId) {
+      ChannelHandlerContext context, int surplusStatus, @Nullable String id, boolean idle) {
+    EchoedId awaited = idle ? null : echoedId;
     Long replied = repliedAtNanos;
     pool.recordSurplus(
         new SurplusReply(
@@ -250,7 +248,8 @@
             ConnectionPool.localPort(context.channel()),
             surplusStatus,
             id,
-            awaitedId,
+            idle,
+            awaited == null ? null : awaited.value(),
             replied == null ? -1 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - replied)));
   }
 
--- a/http/src/main/java/org/lockdale/http/SurplusReply.java
+++ b/http/src/main/java/org/lockdale/http/SurplusReply.java
@@ -11,6 +11,7 @@
  * @param connection local port of the connection
  * @param status status code of the reply
  * @param id id of the request that the reply names; null if it names none
+ * @param idle whether no call waited for a reply on the connection
  * @param awaitedId id of the request that waits for its reply on the connection; null if none waits
  *     or its reply carries no id
  * @param lateMillis time since the latest complete reply on the connection, in milliseconds; -1 if
@@ -21,6 +22,7 @@
     int connection,
     int status,
     @Nullable String id,
+    boolean idle,
     @Nullable String awaitedId,
     long lateMillis) {
 
--- a/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
@@ -86,6 +86,7 @@
     assertEquals(reported.address(), peer.address());
     assertEquals(reported.status(), 500);
     assertEquals(reported.id(), "first");
+    assertFalse(reported.idle());
     assertEquals(reported.awaitedId(), "second");
     assertTrue(reported.connection() > 0);
     assertTrue(reported.lateMillis() >= 0);
@@ -220,6 +221,7 @@
     assertEquals(call(request("first")), "200 for first");
     SurplusReply reported = nextSurplus();
     assertEquals(reported.id(), "first");
+    assertTrue(reported.idle());
     assertNull(reported.awaitedId());
     assertEquals(call(request("second")), "200 for second");
     assertEquals(peer.received().get(1).connection(), 2);
