--- a/soak/src/main/java/org/lockdale/soak/judge/History.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/History.java
@@ -43,6 +43,11 @@
   private final List<Note.SaidToLive> livenessClaims = new ArrayList<>();
   private final List<Note.Forwarded> forwardings = new ArrayList<>();
   private final List<Note.Surplus> surplusBytes = new ArrayList<>();
+  private final List<Note.ForeignReply> foreignReplies = new ArrayList<>();
+  private final List<Note.AnsweredAgain> secondReplies = new ArrayList<>();
+  private final List<Note.SecondReplyUsed> usedSecondReplies = new ArrayList<>();
+  private final List<Note.OrderAnswered> orderAnswers = new ArrayList<>();
+  private final List<Note.OrderLogged> orderOutcomes = new ArrayList<>();
   private final List<Note.RateNamed> rateChanges = new ArrayList<>();
   private final List<Note.RateTold> rateAnnouncements = new ArrayList<>();
   private final List<Note.LeavingTold> drainAnnouncements = new ArrayList<>();
@@ -101,6 +106,10 @@
       backoffRequests.add(announcement);
     } else if (note instanceof Note.Forwarded forwarded) {
       forwardings.add(forwarded);
+    } else if (note instanceof Note.ForeignReply reply) {
+      foreignReplies.add(reply);
+    } else if (note instanceof Note.AnsweredAgain reply) {
+      secondReplies.add(reply);
     } else {
       return note instanceof Note.Rejected;
     }
@@ -110,6 +119,12 @@
   private void addControlNote(Note note) {
     if (note instanceof Note.Ordered ordered) {
       orders.add(ordered);
+    } else if (note instanceof Note.OrderAnswered answer) {
+      orderAnswers.add(answer);
+    } else if (note instanceof Note.OrderLogged outcome) {
+      orderOutcomes.add(outcome);
+    } else if (note instanceof Note.SecondReplyUsed used) {
+      usedSecondReplies.add(used);
     } else if (note instanceof Note.ConfigurationSent sent) {
       configurations.put(sent.facts().version(), sent.facts());
     } else if (note instanceof Note.ConfigurationAcknowledged acknowledged) {
@@ -173,6 +188,26 @@
     return surplusBytes;
   }
 
+  List<Note.ForeignReply> foreignReplies() {
+    return foreignReplies;
+  }
+
+  List<Note.AnsweredAgain> secondReplies() {
+    return secondReplies;
+  }
+
+  List<Note.SecondReplyUsed> usedSecondReplies() {
+    return usedSecondReplies;
+  }
+
+  List<Note.OrderAnswered> orderAnswers() {
+    return orderAnswers;
+  }
+
+  List<Note.OrderLogged> orderOutcomes() {
+    return orderOutcomes;
+  }
+
   List<Note.RateNamed> rateChanges() {
     return rateChanges;
   }
--- a/soak/src/main/java/org/lockdale/soak/judge/Note.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/Note.java
@@ -65,6 +65,14 @@
   /** A node logged that it forwards a request to another node. */
   record Forwarded(long atMillis, String node, String request) implements Note {}
 
+  /**
+   * A caller read a response that belongs to no request, or to another one.
+   *
+   * @param request id of the request that it was read for
+   * @param text what it is
+   */
+  record ForeignReply(long atMillis, String request, String text) implements Note {}
+
   /** A request reached a server. */
   record Arrived(long atMillis, String server, String service, String request) implements Note {}
 
@@ -125,6 +133,35 @@
    */
   record RestTold(long atMillis, String server, String request, long restMillis) implements Note {}
 
+  /**
+   * A server wrote a second reply.
+   *
+   * @param what id of the request or path of the call that it had answered before
+   * @param beforeNext whether it wrote it in front of the next reply on the connection
+   * @param delayMillis planned time since the first reply, in milliseconds
+   */
+  record AnsweredAgain(
+      long atMillis, String server, String what, int status, boolean beforeNext, long delayMillis)
+      implements Note {}
+
+  /**
+   * A server received a call with a number that only a second reply of it has contained.
+   *
+   * @param path path of the call
+   */
+  record SecondReplyUsed(long atMillis, String server, String path) implements Note {}
+
+  /** A server responded to an order of weights, with a status. */
+  record OrderAnswered(long atMillis, String server, long version, int status) implements Note {}
+
+  /**
+   * A node logged the outcome of an order of weights.
+   *
+   * @param outcome outcome in the node's words
+   */
+  record OrderLogged(long atMillis, String node, String server, long version, String outcome)
+      implements Note {}
+
   /** A server crashed because of a request that it had started to run. */
   record Crashed(long atMillis, String server, String request) implements Note {}
 
--- a/soak/src/main/java/org/lockdale/soak/judge/ResponseRules.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/ResponseRules.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /** Rules on what callers receive: their own responses, complete and unchanged. */
 final class ResponseRules {
@@ -16,13 +17,16 @@
   /** Checks rule MIXED: every caller receives the unchanged response of a run of its request. */
   static List<RuleBreak> mixedResponses(History history) {
     List<RuleBreak> violations = new ArrayList<>();
+    Map<String, Integer> lastEvents = lastEvents(history);
     for (Note.Surplus bytes : history.surplusBytes()) {
       violations.add(new RuleBreak("MIXED", bytes.node(), "surplus bytes: " + bytes.text()));
     }
     for (RequestHistory request : history.requests()) {
       Note.Answered response = request.response();
       if (response != null) {
-        String reason = findFault(history, request, response);
+        // What is wrong with the order of a stream's events is rule ORDER alone.
+        boolean inOrder = findStreamFault(history, request, lastEvents) == null;
+        String reason = findFault(history, request, response, inOrder);
         if (reason != null) {
           violations.add(new RuleBreak("MIXED", request.id(), reason));
         }
@@ -31,8 +35,13 @@
     return violations;
   }
 
-  /** Returns what is wrong with a response, or null if nothing is. */
-  private static String findFault(History history, RequestHistory request, Note.Answered response) {
+  /**
+   * Returns what is wrong with a response, or null if nothing is.
+   *
+   * @param compares whether its content is compared with what the server wrote
+   */
+  private static @Nullable String findFault(
+      History history, RequestHistory request, Note.Answered response, boolean compares) {
     boolean success = response.status() >= OK && response.status() < MULTIPLE_CHOICES;
     if (response.signature() == null) {
       return success ? "successful response without a server's signature" : null;
@@ -46,16 +55,34 @@
     }
     Note.Ended end = history.end(run.run());
     if (end == null) {
-      return null;
+      return compares && isUnended(history, request, response)
+          ? "complete, but its run has not ended"
+          : null;
     }
     if (end.status() != response.status()) {
       return "status " + response.status() + ", the server sent " + end.status();
     }
-    boolean streaming = request.sent() != null && request.sent().kind().isStreaming();
-    if (success && !streaming && response.whole() && !end.body().equals(response.body())) {
-      return "the body differs from the server's";
+    if (!compares) {
+      return null;
     }
-    return null;
+    Note.Sent sent = request.sent();
+    boolean stream = success && sent != null && sent.kind().isStreaming();
+    return stream
+        ? ResponseBodies.findStreamFault(history, request, response)
+        : ResponseBodies.findFault(response, end);
+  }
+
+  /**
+   * Returns whether a response is complete although its server has not recorded the end of its run,
+   * which it does before it writes the last part. Another run may complete a resumable stream.
+   */
+  private static boolean isUnended(
+      History history, RequestHistory request, Note.Answered response) {
+    Note.Sent sent = request.sent();
+    return response.whole()
+        && history.isFullyRecorded(response.atMillis())
+        && sent != null
+        && sent.kind() != RequestKind.RESUMABLE;
   }
 
   /** Checks rule ORDER: the events of a stream arrive in order, once each, up to the last one. */
@@ -63,21 +90,27 @@
     List<RuleBreak> violations = new ArrayList<>();
     Map<String, Integer> lastEvents = lastEvents(history);
     for (RequestHistory request : history.requests()) {
-      Note.Sent sent = request.sent();
-      Note.Answered response = request.response();
-      boolean relevant = sent != null && response != null && sent.kind().isStreaming();
-      if (relevant && response.status() == OK) {
-        boolean nothingLeft =
-            Integer.valueOf(sent.lastEventId()).equals(lastEvents.get(request.stream()));
-        String reason = findStreamFault(history, sent, response, nothingLeft);
-        if (reason != null) {
-          violations.add(new RuleBreak("ORDER", request.id(), reason));
-        }
+      String reason = findStreamFault(history, request, lastEvents);
+      if (reason != null) {
+        violations.add(new RuleBreak("ORDER", request.id(), reason));
       }
     }
     return violations;
   }
 
+  /** Returns what is wrong with the events of a request's stream, or null if nothing is. */
+  private static @Nullable String findStreamFault(
+      History history, RequestHistory request, Map<String, Integer> lastEvents) {
+    Note.Sent sent = request.sent();
+    Note.Answered response = request.response();
+    if (sent == null || response == null || !sent.kind().isStreaming() || response.status() != OK) {
+      return null;
+    }
+    boolean nothingLeft =
+        Integer.valueOf(sent.lastEventId()).equals(lastEvents.get(request.stream()));
+    return findStreamFault(history, sent, response, nothingLeft);
+  }
+
   /**
    * Returns the ids of the last events that callers received, by stream. A caller takes up a stream
    * after its last event if the end of the response is missing.
@@ -102,7 +135,7 @@
    *
    * @param nothingLeft whether the caller had received the last event before
    */
-  private static String findStreamFault(
+  private static @Nullable String findStreamFault(
       History history, Note.Sent sent, Note.Answered response, boolean nothingLeft) {
     int previous = sent.lastEventId();
     String run = null;
--- a/soak/src/main/java/org/lockdale/soak/judge/RuleChecker.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/RuleChecker.java
@@ -12,6 +12,8 @@
           RunRules::unrequestedRuns,
           ResponseRules::mixedResponses,
           ResponseRules::streamOrder,
+          ReplyRules::misplacedReplies,
+          ReplyRules::orderOutcomes,
           SoftwareVersionRules::mixedStreams,
           TakeUpRules::resumedShare,
           StarvationRules::repeatedRequests,
--- a/soak/src/main/java/org/lockdale/soak/plan/Fault.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/Fault.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import org.lockdale.soak.standin.OddValue;
+import org.lockdale.soak.standin.SecondReplyKind;
 
 /** A fault or change that a run injects into its deployment. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "fault")
@@ -149,6 +150,17 @@
   record RestWanted(String server, long restMillis, double share, long lastsMillis)
       implements Fault {}
 
+  /**
+   * A server answers twice, the second time with another status.
+   *
+   * @param share fraction of its replies that it repeats, 0 to 1
+   * @param maxDelayMillis maximum time from the first to the second reply, in milliseconds
+   * @param lastsMillis time for which it does so, in milliseconds
+   */
+  record SecondReplies(
+      String server, SecondReplyKind kind, double share, int maxDelayMillis, long lastsMillis)
+      implements Fault {}
+
   /**
    * A server is shut down as planned and replaced by another.
    *
--- a/soak/src/main/java/org/lockdale/soak/plan/FaultPlan.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/FaultPlan.java
@@ -119,6 +119,17 @@
     return new FaultPlan(seed, lengthMillis, faults);
   }
 
+  /**
+   * Draws a plan of servers that answer twice, beside some faults of nodes, links and the store.
+   */
+  public static FaultPlan drawSecondReplies(long seed, long lengthMillis, Deployment deployment) {
+    long last = lastFaultMillis(lengthMillis);
+    List<PlannedFault> faults =
+        new ArrayList<>(SecondReplyFaults.draw(seed, QUIET_START_MILLIS, last, deployment));
+    faults.sort(Comparator.comparingLong(PlannedFault::atMillis));
+    return new FaultPlan(seed, lengthMillis, faults);
+  }
+
   /** Returns the time from which a plan has no faults. */
   private static long lastFaultMillis(long lengthMillis) {
     return lengthMillis - Math.min(QUIET_END_MILLIS, lengthMillis / QUIET_END_DIVISOR);
--- a/soak/src/main/java/org/lockdale/soak/run/Caller.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Caller.java
@@ -11,6 +11,7 @@
 import org.lockdale.platform.RawCaller;
 import org.lockdale.soak.judge.Note;
 import org.lockdale.soak.judge.RequestFacts;
+import org.lockdale.soak.judge.RequestIds;
 import org.lockdale.soak.judge.RequestKind;
 import org.lockdale.soak.judge.StreamPiece;
 import org.lockdale.soak.standin.HeaderNames;
@@ -19,7 +20,8 @@
 /**
  * A caller that sends one request after another. It keeps its connection until the node closes it,
  * it breaks, or a request is abandoned. Some requests are abandoned before the response, use a
- * replaced API key, or go to the route that was added or removed last.
+ * replaced API key, or go to the route that was added or removed last. Some callers repeat a failed
+ * request under its id if they still have its connection.
  */
 final class Caller {
 
@@ -27,6 +29,7 @@
   private static final int MIN_PAUSE_MILLIS = 5;
   private static final int MAX_PAUSE_MILLIS = 120;
   private static final int OK = 200;
+  private static final int SERVER_ERROR = 500;
 
   /** One body in this many is sent with chunked transfer encoding. */
   private static final int CHUNKED_INTERVAL = 5;
@@ -41,8 +44,8 @@
   private final Callers.Counts counts;
   private @Nullable RawCaller connection;
 
-  /** The request that takes up a stream that has broken off; null if there is none. */
-  private @Nullable CallerRequest takeUp;
+  /** The request that takes up a broken stream or repeats a failed one; null if there is none. */
+  private @Nullable CallerRequest followUp;
 
   private String node = "";
   private int requests;
@@ -69,11 +72,13 @@
       while (!stopping.get()) {
         RawCaller open = connect();
         if (open != null) {
-          CallerRequest next = takeUp == null ? nextRequest() : takeUp;
-          takeUp = null;
+          CallerRequest next = followUp == null ? nextRequest() : followUp;
+          followUp = null;
           exchange(open, next);
         }
-        Thread.sleep(random.nextInt(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS));
+        if (followUp == null || followUp.send() == 1) {
+          Thread.sleep(random.nextInt(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS));
+        }
       }
     } catch (InterruptedException ended) {
       Thread.currentThread().interrupt();
@@ -119,7 +124,7 @@
       notes.add(
           new Note.Sent(
               StandardStreams.nowMillis(),
-              plan.id(),
+              plan.noteId(),
               node,
               plan.kind(),
               plan.facts(),
@@ -129,7 +134,7 @@
       counts.sent.incrementAndGet();
       if (plan.resumes() != null) {
         counts.takenUp.incrementAndGet();
-        notes.add(new Note.TakenUp(StandardStreams.nowMillis(), plan.id(), plan.resumes()));
+        notes.add(new Note.TakenUp(StandardStreams.nowMillis(), plan.noteId(), plan.resumes()));
       }
       open.send(requestText(plan));
       if (plan.stayMillis() > 0) {
@@ -160,7 +165,7 @@
   private void abandon(CallerRequest plan) {
     counts.abandoned.incrementAndGet();
     disconnect();
-    notes.add(new Note.Left(StandardStreams.nowMillis(), plan.id()));
+    notes.add(new Note.Left(StandardStreams.nowMillis(), plan.noteId()));
   }
 
   private void readResponse(RawCaller open, CallerRequest plan) throws IOException {
@@ -174,11 +179,12 @@
     notes.add(
         new Note.Answered(
             StandardStreams.nowMillis(),
-            plan.id(),
+            plan.noteId(),
             response.status(),
             response.header(HeaderNames.SIGNATURE),
             response.body(),
             response.complete()));
+    recordForeignReply(plan, response);
     boolean goesOn = response.status() == OK;
     if (plan.resumes() != null && goesOn) {
       counts.wentOn.incrementAndGet();
@@ -191,12 +197,31 @@
     if (!response.complete() || "close".equalsIgnoreCase(response.header("connection"))) {
       disconnect();
     }
+    boolean failed = response.status() >= SERVER_ERROR;
+    if (failed && connection != null && plan.hasRepeats()) {
+      followUp = plan.repeated();
+    }
+  }
+
+  /** Records a response that carries the mark of a second reply, or the id of another request. */
+  private void recordForeignReply(CallerRequest plan, RawCaller.Response response) {
+    String second = response.header(HeaderNames.SECOND_REPLY);
+    String id = response.header(HeaderNames.REQUEST_ID);
+    if (second != null) {
+      recordForeignReply(plan, "status " + response.status() + ", the second reply of " + second);
+    } else if (id != null && !id.equals(plan.id())) {
+      recordForeignReply(plan, "the response to " + id);
+    }
+  }
+
+  private void recordForeignReply(CallerRequest plan, String text) {
+    notes.add(new Note.ForeignReply(StandardStreams.nowMillis(), plan.noteId(), text));
   }
 
   /** Plans to take up a stream again if nothing of a response arrived when it was taken up. */
   private void planToRepeat(CallerRequest plan) {
     if (plan.resumes() != null) {
-      takeUp = plan.takenUp(nextId(), plan.lastEventId());
+      followUp = plan.takenUp(nextId(), plan.lastEventId());
     }
   }
 
@@ -204,9 +229,9 @@
   private void planToTakeUp(CallerRequest plan, String body) {
     List<StreamPiece> pieces = StreamPiece.parse(body);
     if (!pieces.isEmpty()) {
-      takeUp = plan.takenUp(nextId(), pieces.get(pieces.size() - 1).id());
+      followUp = plan.takenUp(nextId(), pieces.get(pieces.size() - 1).id());
     } else if (plan.resumes() != null) {
-      takeUp = plan.takenUp(nextId(), plan.lastEventId());
+      followUp = plan.takenUp(nextId(), plan.lastEventId());
     }
   }
 
@@ -223,6 +248,7 @@
     StringBuilder text = new StringBuilder(facts.method() + " " + facts.path() + " HTTP/1.1\r\n");
     appendHeader(text, "Host", Operator.HOST);
     appendHeader(text, HeaderNames.REQUEST_ID, plan.id());
+    appendHeader(text, HeaderNames.SEND, plan.send() > 1 ? "" + plan.send() : null);
     appendHeader(text, HeaderNames.DEADLINE, Integer.toString(plan.deadlineMillis()));
     appendHeader(text, "Authorization", "Bearer " + plan.key());
     appendHeader(text, HeaderNames.TENANT, "tenant-of-the-callers-own-choice");
@@ -233,7 +259,8 @@
     appendHeader(text, HeaderNames.EXPECTED_VERSION, "1");
     appendHeader(
         text, HeaderNames.LAST_EVENT, plan.lastEventId() > 0 ? "" + plan.lastEventId() : null);
-    appendHeader(text, HeaderNames.RESUMES, plan.resumes());
+    appendHeader(
+        text, HeaderNames.RESUMES, plan.resumes() == null ? null : RequestIds.idOf(plan.resumes()));
     if (plan.deadlineMillis() % CHUNKED_INTERVAL == 0) {
       appendHeader(text, "Transfer-Encoding", "chunked");
       return text.append("\r\n").append(chunked(facts.body())).toString();
--- a/soak/src/main/java/org/lockdale/soak/run/Callers.java
+++ b/soak/src/main/java/org/lockdale/soak/run/Callers.java
@@ -50,6 +50,7 @@
   private final Counts counts = new Counts();
   private final LoadBalancer loadBalancer;
   private final NoteLog notes;
+  private final SplittableRandom random;
 
   /**
    * Starts the callers.
@@ -75,7 +76,7 @@
       NoteLog notes) {
     this.loadBalancer = loadBalancer;
     this.notes = notes;
-    SplittableRandom random = new SplittableRandom(seed);
+    this.random = new SplittableRandom(seed);
     for (int index = 0; index < number; index++) {
       SplittableRandom own = random.split();
       RequestSource source = new MixedRequests(index, own, operator);
@@ -92,6 +93,14 @@
     startFurther("repeating", repeating, random, own -> new RepeatedRequests());
   }
 
+  /**
+   * Starts further callers that repeat failed requests under the same id; they draw nothing of what
+   * the others draw.
+   */
+  void startSameIdCallers(int number) {
+    startFurther("same-id", number, random, SameIdRequests::new);
+  }
+
   private void startFurther(
       String kind,
       int number,
--- a/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
+++ b/soak/src/main/java/org/lockdale/soak/run/FaultInjector.java
@@ -116,6 +116,8 @@
       advertiseRate(rate);
     } else if (fault instanceof Fault.RestWanted backoff) {
       requestBackoff(backoff);
+    } else if (fault instanceof Fault.SecondReplies second) {
+      answerTwice(second);
     } else if (fault instanceof Fault.LeavingSaid announcement) {
       runOutage(
           announcement.server(),
@@ -304,25 +306,32 @@
 
   /** Lets a server advertise a rate limit. A server that is restarted meanwhile advertises none. */
   private void advertiseRate(Fault.RateNamed rate) throws IOException, InterruptedException {
-    ManagedProcess process = processes.process(rate.server());
-    if (!process.hasExited()) {
-      process.send(ServerBase.RATE_COMMAND + rate.perSecond());
-      Thread.sleep(rate.lastsMillis());
-    }
-    if (!process.hasExited()) {
-      process.send(ServerBase.RATE_COMMAND);
-    }
+    String limit = Double.toString(rate.perSecond());
+    command(rate.server(), ServerBase.RATE_COMMAND, limit, rate.lastsMillis());
   }
 
   /** Lets a server request backoff. A server that is restarted meanwhile requests none. */
   private void requestBackoff(Fault.RestWanted backoff) throws IOException, InterruptedException {
-    ManagedProcess process = processes.process(backoff.server());
+    String arguments = backoff.restMillis() + " " + backoff.share();
+    command(backoff.server(), ServerBase.REST_COMMAND, arguments, backoff.lastsMillis());
+  }
+
+  /** Lets a server answer twice. A server that is restarted meanwhile answers once. */
+  private void answerTwice(Fault.SecondReplies second) throws IOException, InterruptedException {
+    String arguments = second.kind() + " " + second.share() + " " + second.maxDelayMillis();
+    command(second.server(), ServerBase.SECOND_REPLIES_COMMAND, arguments, second.lastsMillis());
+  }
+
+  /** Sends a server a command with arguments, and later the one without, which ends it. */
+  private void command(String server, String command, String arguments, long lastsMillis)
+      throws IOException, InterruptedException {
+    ManagedProcess process = processes.process(server);
     if (!process.hasExited()) {
-      process.send(ServerBase.REST_COMMAND + backoff.restMillis() + " " + backoff.share());
-      Thread.sleep(backoff.lastsMillis());
+      process.send(command + arguments);
+      Thread.sleep(lastsMillis);
     }
     if (!process.hasExited()) {
-      process.send(ServerBase.REST_COMMAND);
+      process.send(command);
     }
   }
 
--- a/soak/src/main/java/org/lockdale/soak/run/NodeOutput.java
+++ b/soak/src/main/java/org/lockdale/soak/run/NodeOutput.java
@@ -15,8 +15,8 @@
 import org.lockdale.soak.standin.StandardStreams;
 
 /**
- * Writes the log of one node to a file and records the lines about live backends and forwarded
- * requests as notes.
+ * Writes the log of one node to a file and records the lines about live backends, forwarded
+ * requests and orders as notes.
  */
 final class NodeOutput implements Consumer<String> {
 
@@ -27,6 +27,10 @@
   private static final Pattern REQUEST_FORWARDED =
       Pattern.compile("(\\S+) .*event=request-forwarded request=(\\S+) .*");
 
+  private static final Pattern WEIGHTS_ORDERED =
+      Pattern.compile(
+          "(\\S+) .*event=weights-ordered backend=(\\S+) model=\\S+ version=(\\d+) outcome=(\\S+).*");
+
   private static final long DAY_MILLIS = 86_400_000;
 
   private final String node;
@@ -57,6 +61,16 @@
       long atMillis = StandardStreams.nowMillis() - ageMillis(forwarded.group(1));
       notes.add(new Note.Forwarded(atMillis, node, forwarded.group(2)));
     }
+    recordOrder(line);
+  }
+
+  private void recordOrder(String line) {
+    Matcher ordered = WEIGHTS_ORDERED.matcher(line);
+    if (ordered.matches()) {
+      long atMillis = StandardStreams.nowMillis() - ageMillis(ordered.group(1));
+      long version = Long.parseLong(ordered.group(3));
+      notes.add(new Note.OrderLogged(atMillis, node, ordered.group(2), version, ordered.group(4)));
+    }
   }
 
   /**
--- a/soak/src/main/java/org/lockdale/soak/run/NoteLog.java
+++ b/soak/src/main/java/org/lockdale/soak/run/NoteLog.java
@@ -16,6 +16,7 @@
 import org.lockdale.soak.judge.RepeatedRequestCounts;
 import org.lockdale.soak.judge.RuleBreak;
 import org.lockdale.soak.judge.RuleChecker;
+import org.lockdale.soak.judge.SecondReplyCounts;
 import org.lockdale.soak.judge.TakenUpStreams;
 import org.lockdale.soak.standin.StandardStreams;
 
@@ -61,6 +62,11 @@
     return RepeatedRequestCounts.of(history);
   }
 
+  /** Returns the counts about servers that answered twice. */
+  synchronized SecondReplyCounts secondReplies() {
+    return SecondReplyCounts.of(history);
+  }
+
   /** Adds a note. Notes that arrive after {@link #close} are ignored. */
   synchronized void add(Note note) {
     if (closed) {
--- a/soak/src/main/java/org/lockdale/soak/run/SoakCommand.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakCommand.java
@@ -13,6 +13,7 @@
 import org.lockdale.soak.judge.RepeatedRequestCounts;
 import org.lockdale.soak.judge.RuleBreak;
 import org.lockdale.soak.judge.RuleChecker;
+import org.lockdale.soak.judge.SecondReplyCounts;
 import org.lockdale.soak.judge.TakenUpStreams;
 import org.lockdale.soak.plan.Deployment;
 import org.lockdale.soak.plan.FaultPlan;
@@ -74,6 +75,13 @@
           "Injects only software releases beside a node that is cut off, and odd entries.")
   private boolean outOfStepOnly;
 
+  @Option(
+      names = "--second-replies",
+      description =
+          "Injects servers that answer twice, the second time late, beside faults of nodes, links and"
+              + " the store.")
+  private boolean secondRepliesOnly;
+
   @Option(names = "--go-on", description = "Continues with the next seed after a rule violation.")
   private boolean continueOnViolation;
 
@@ -143,6 +151,9 @@
     if (outOfStepOnly) {
       return FaultPlan.drawOutOfStep(planSeed, lengthMillis, deployment);
     }
+    if (secondRepliesOnly) {
+      return FaultPlan.drawSecondReplies(planSeed, lengthMillis, deployment);
+    }
     return serviceCrashesOnly
         ? FaultPlan.drawServiceCrashes(planSeed, lengthMillis, deployment)
         : FaultPlan.draw(planSeed, lengthMillis, deployment);
@@ -152,7 +163,7 @@
     History history = NoteLog.read(SoakRun.BOUNDS, notes);
     List<RuleBreak> violations = RuleChecker.check(history);
     System.out.println(CrashCounts.of(history) + " " + TakenUpStreams.of(history));
-    System.out.println(RepeatedRequestCounts.of(history));
+    System.out.println(RepeatedRequestCounts.of(history) + " " + SecondReplyCounts.of(history));
     violations.forEach(System.out::println);
     return violations.isEmpty() ? 0 : VIOLATION_STATUS;
   }
--- a/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakRun.java
@@ -39,6 +39,9 @@
   /** Callers that repeat one request, in plans in which all engines are killed. */
   private static final int REPEATING_CALLERS_PER_NODE = 3;
 
+  /** Callers that repeat failed requests under the same id, in plans with second replies. */
+  private static final int SAME_ID_CALLERS_PER_NODE = 4;
+
   private static final long CHECK_MILLIS = 1_000;
   private static final long START_TIMEOUT_MILLIS = 60_000;
 
@@ -149,6 +152,7 @@
                 operator,
                 notes);
         FaultInjector injector = new FaultInjector(processes, operator, notes, deployment)) {
+      callers.startSameIdCallers(sameIdCallers());
       long start = StandardStreams.nowMillis();
       long end = start + plan.lengthMillis();
       long nextCheck = start + CHECK_MILLIS;
@@ -202,7 +206,9 @@
             + " "
             + notes.takenUpStreams()
             + " "
-            + notes.repeatedRequests(),
+            + notes.repeatedRequests()
+            + " "
+            + notes.secondReplies(),
         violations);
   }
 
@@ -234,6 +240,11 @@
         : 0;
   }
 
+  /** Returns the number of callers that repeat failed requests; a former plan has none. */
+  private int sameIdCallers() {
+    return contains(Fault.SecondReplies.class) ? SAME_ID_CALLERS_PER_NODE * deployment.nodes() : 0;
+  }
+
   private boolean contains(Class<? extends Fault> kind) {
     return plan.faults().stream().anyMatch(planned -> kind.isInstance(planned.fault()));
   }
--- a/soak/src/main/java/org/lockdale/soak/standin/CacheCalls.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/CacheCalls.java
@@ -16,6 +16,8 @@
 /** Requests for cached prompt parts: those of the platform, and transfers between stand-ins. */
 final class CacheCalls {
 
+  private static final String LIST_PATH = "/kv-list";
+  private static final String EVENTS_PATH = "/kv-events";
   private static final String TRANSFER_PATH = "/part";
 
   /** A transfer that takes longer is abandoned, and the part is computed instead. */
@@ -24,12 +26,17 @@
   private CacheCalls() {}
 
   /** Serves a request for cached parts; returns false without a response if it isn't one. */
-  static boolean serve(CachedParts cache, Received request, Socket connection) throws IOException {
+  static boolean serve(ServerBase server, CachedParts cache, Received request, Socket connection)
+      throws IOException {
     QueryStringDecoder uri = new QueryStringDecoder(request.line().split(" ")[1]);
     switch (uri.path()) {
-      case "/kv-list" -> respond(connection, cache.list());
-      case "/kv-events" -> respond(connection, changes(cache, request, uri));
-      case TRANSFER_PATH -> transfer(cache, request, connection, uri.parameters());
+      case LIST_PATH -> respond(server, connection, LIST_PATH, cache, cache.list());
+      case EVENTS_PATH -> {
+        long since = Long.parseLong(uri.parameters().get("since").get(0));
+        server.checkNumber(EVENTS_PATH, since);
+        respond(server, connection, EVENTS_PATH, cache, changes(cache, request, since));
+      }
+      case TRANSFER_PATH -> transfer(server, cache, request, connection, uri.parameters());
       default -> {
         return false;
       }
@@ -37,10 +44,9 @@
     return true;
   }
 
-  private static String changes(CachedParts cache, Received request, QueryStringDecoder uri)
+  private static String changes(CachedParts cache, Received request, long since)
       throws IOException {
     try {
-      long since = Long.parseLong(uri.parameters().get("since").get(0));
       return cache.changes(since, ServerBase.parseNumber(request.header("Wait-Ms")));
     } catch (InterruptedException ended) {
       Thread.currentThread().interrupt();
@@ -49,19 +55,26 @@
   }
 
   private static void transfer(
-      CachedParts cache, Received request, Socket connection, Map<String, List<String>> query)
+      ServerBase server,
+      CachedParts cache,
+      Received request,
+      Socket connection,
+      Map<String, List<String>> query)
       throws IOException {
     if (request.line().startsWith("PUT")) {
       cache.add(StandardStreams.parse(request.body(), Part.class));
-      respond(connection, "");
+      server.respond(connection, ServerBase.OK, "", "");
       return;
     }
     Part part = cache.get(query.get("salt").get(0), query.get("id").get(0));
-    respond(connection, part == null ? "" : StandardStreams.json(part));
+    server.respond(connection, ServerBase.OK, "", part == null ? "" : StandardStreams.json(part));
   }
 
-  private static void respond(Socket connection, String body) throws IOException {
-    ServerBase.respond(connection, ServerBase.OK, "", body, "Content-Type: application/json");
+  private static void respond(
+      ServerBase server, Socket connection, String path, CachedParts cache, String body)
+      throws IOException {
+    String again = cache.emptyPage(SecondReplies.FIRST_MARKED_NUMBER);
+    server.replies().toCall(connection, path, ServerBase.OK, body, again);
   }
 
   /** Fetches a part from another holder; returns null if it doesn't have it or doesn't respond. */
--- a/soak/src/main/java/org/lockdale/soak/standin/CacheStoreServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/CacheStoreServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import org.jspecify.annotations.Nullable;
 import org.lockdale.platform.RawBackend.Received;
 
 /** A store of cached prompt parts; it rejects all other requests. */
@@ -20,11 +21,17 @@
 
   @Override
   boolean serveControlRequest(Received request, Socket connection) throws IOException {
-    return CacheCalls.serve(cache, request, connection);
+    return CacheCalls.serve(this, cache, request, connection);
   }
 
   @Override
-  void execute(Received request, Socket connection) throws IOException {
+  void execute(Received request, Socket connection, @Nullable SecondReplyKind second)
+      throws IOException {
     reject(request, connection, MISDIRECTED);
   }
+
+  @Override
+  String secondBody(String run) {
+    return "";
+  }
 }
--- a/soak/src/main/java/org/lockdale/soak/standin/CachedParts.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/CachedParts.java
@@ -77,7 +77,7 @@
     while (lastEventNumber <= since && StandardStreams.nowMillis() < end) {
       wait(Math.max(1, end - StandardStreams.nowMillis()));
     }
-    ObjectNode body = responseHead();
+    ObjectNode body = responseHead(lastEventNumber);
     body.put("lost", !events.isEmpty() && events.get(0).number() > since + 1);
     ArrayNode list = body.putArray("events");
     for (Event event : events) {
@@ -90,17 +90,25 @@
   }
 
   synchronized String list() {
-    ObjectNode body = responseHead();
+    ObjectNode body = responseHead(lastEventNumber);
     ArrayNode list = body.putArray("held");
     parts.values().forEach(part -> write(list.addArray(), part));
     return body.toString();
   }
 
-  private ObjectNode responseHead() {
+  /** Returns a page without parts or changes that ends at a given event number. */
+  String emptyPage(long eventNumber) {
+    ObjectNode body = responseHead(eventNumber).put("lost", false);
+    body.putArray("events");
+    body.putArray("held");
+    return body.toString();
+  }
+
+  private ObjectNode responseHead(long eventNumber) {
     return StandardStreams.MAPPER
         .createObjectNode()
         .put("bootEpoch", bootEpoch)
-        .put("nextPageToken", lastEventNumber);
+        .put("nextPageToken", eventNumber);
   }
 
   private static void write(ArrayNode entry, Part part) {
--- a/soak/src/main/java/org/lockdale/soak/standin/EngineServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/EngineServer.java
@@ -16,6 +16,7 @@
 final class EngineServer extends ServerBase {
 
   private static final int SLOTS = 6;
+  private static final int SERVER_ERROR = 500;
 
   /** Maximum number of requests that wait for a slot. */
   private static final int QUEUE_CAPACITY = 6;
@@ -75,33 +76,47 @@
   boolean serveControlRequest(Received request, Socket connection) throws IOException {
     String path = request.line().split(" ")[1];
     if (path.equals("/report")) {
-      respond(connection, OK, "", report(), "Content-Type: application/json");
+      replies()
+          .toCall(
+              connection, path, OK, report(revision), report(SecondReplies.FIRST_MARKED_NUMBER));
     } else if (path.equals("/order")) {
-      respond(connection, order(request), "", "");
+      replies().toCall(connection, path, order(request), "", "");
     } else if (path.equals("/health")) {
       respond(connection, OK, "", "", "Lockdale-Instance-Id: " + id());
     } else {
-      return CacheCalls.serve(cache, request, connection);
+      return CacheCalls.serve(this, cache, request, connection);
     }
     return true;
   }
 
-  private synchronized String report() {
+  /**
+   * Returns the report on this engine.
+   *
+   * @param orders number of accepted orders
+   */
+  private synchronized String report(long orders) {
     ObjectNode body = selfDescription().put("stage", "colocated");
     body.putArray("models").addObject().put("name", model).put("version", weightsVersion);
     return body.put("busy", busy)
-        .put("seq", revision)
+        .put("seq", orders)
         .put("queued", queued)
         .put("running", running)
         .toString();
   }
 
-  private synchronized int order(Received request) throws IOException {
-    String target = request.header(HeaderNames.TARGET);
-    if (target != null && !target.equals(id())) {
-      return MISDIRECTED;
-    }
+  /** Carries out an order, or does not, and records and returns the status of the reply. */
+  private int order(Received request) throws IOException {
     JsonNode body = StandardStreams.MAPPER.readTree(request.body());
+    checkNumber("/order", body.path("expectedRev").asLong());
+    String target = request.header(HeaderNames.TARGET);
+    int status = target != null && !target.equals(id()) ? MISDIRECTED : order(body);
+    StandardStreams.writeNote(
+        new Note.OrderAnswered(
+            StandardStreams.nowMillis(), instance(), body.path("version").asLong(), status));
+    return status;
+  }
+
+  private synchronized int order(JsonNode body) {
     long fence = body.path("fence").asLong();
     if (fence < highestFencingToken) {
       return 412;
@@ -146,7 +161,8 @@
   }
 
   @Override
-  void execute(Received request, Socket connection) throws IOException {
+  void execute(Received request, Socket connection, @Nullable SecondReplyKind second)
+      throws IOException {
     long end = StandardStreams.nowMillis() + parseNumber(request.header(HeaderNames.DEADLINE));
     int status = acquireSlot(request, connection, end);
     if (status == 0) {
@@ -157,7 +173,7 @@
       return;
     }
     try {
-      stream(request, connection, end);
+      stream(request, connection, end, second);
     } finally {
       releaseSlot();
     }
@@ -207,7 +223,9 @@
     notifyAll();
   }
 
-  private void stream(Received request, Socket connection, long end) throws IOException {
+  private void stream(
+      Received request, Socket connection, long end, @Nullable SecondReplyKind second)
+      throws IOException {
     int hash = Math.floorMod(request.body().hashCode(), Integer.MAX_VALUE);
     boolean slow = request.body().startsWith(SLOW_BODY_PREFIX);
     int fewest = slow ? MIN_SLOW_PIECES : MIN_PIECES;
@@ -215,9 +233,14 @@
     int first = (int) parseNumber(request.header(HeaderNames.LAST_EVENT)) + 1;
     long plannedMillis = (long) PIECE_MILLIS * Math.max(1, pieces - first + 1);
     String run = startRun(request, weightsVersion, plannedMillis);
+    if (second != null && SecondReplies.failsFirst(second)) {
+      failTwice(request, connection, run, second);
+      return;
+    }
     long computeMillis = preparePrompt(request, run) / TOKENS_PER_MILLISECOND;
     StringBuilder body = new StringBuilder();
-    StreamWriter writer = new StreamWriter(connection, isCloseDelimited(run));
+    StreamWriter writer =
+        new StreamWriter(connection, replies().of(connection), isCloseDelimited(run));
     boolean complete = false;
     try {
       if (closesWithin(connection, computeMillis)) {
@@ -246,7 +269,20 @@
     } finally {
       recordEnd(run, OK, body.toString(), complete);
     }
-    writer.end();
+    writer.end(replies().second(second, request, OK, run, secondBody(run)));
+  }
+
+  private void failTwice(Received request, Socket connection, String run, SecondReplyKind second)
+      throws IOException {
+    String body = "failure of " + run;
+    recordEnd(run, SERVER_ERROR, body, true);
+    Reply first = Reply.of(SERVER_ERROR, request.id(), body, responseHeaders(request, run));
+    replies().toRequest(connection, request, first, second, run, secondBody(run));
+  }
+
+  @Override
+  String secondBody(String run) {
+    return new StreamPiece(1, run, false).text() + new StreamPiece(2, run, true).text();
   }
 
   /** Returns the text of an event, or an empty string if the stream has no such event. */
--- a/soak/src/main/java/org/lockdale/soak/standin/HeaderNames.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/HeaderNames.java
@@ -63,5 +63,11 @@
   /** Backoff in seconds that a server requests from the node whose request it rejects. */
   public static final String RETRY_AFTER = "Retry-After";
 
+  /** Number of a caller's send of a request under one id; a header of the soak's own. */
+  public static final String SEND = "Soak-Send";
+
+  /** Marks a second reply with the run of the first one; a header of the soak's own. */
+  public static final String SECOND_REPLY = "Soak-Second-Reply";
+
   private HeaderNames() {}
 }
--- a/soak/src/main/java/org/lockdale/soak/standin/PlainServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/PlainServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import org.jspecify.annotations.Nullable;
 import org.lockdale.platform.RawBackend;
 import org.lockdale.platform.RawBackend.Received;
 
@@ -51,7 +52,8 @@
   }
 
   @Override
-  void execute(Received request, Socket connection) throws IOException {
+  void execute(Received request, Socket connection, @Nullable SecondReplyKind second)
+      throws IOException {
     if (!acquireSlot()) {
       reject(request, connection, UNAVAILABLE);
       return;
@@ -66,12 +68,30 @@
         connection.close();
         return;
       }
+      if (second != null) {
+        sendTwice(request, connection, run, body, second);
+        return;
+      }
       sendResponse(request, connection, run, body, draw / MAX_RUN_MILLIS % FAILURE_INTERVAL);
     } finally {
       releaseSlot();
     }
   }
 
+  private void sendTwice(
+      Received request, Socket connection, String run, String body, SecondReplyKind second)
+      throws IOException {
+    int status = SecondReplies.failsFirst(second) ? SERVER_ERROR : OK;
+    recordEnd(run, status, body, true);
+    Reply first = Reply.of(status, request.id(), body, responseHeaders(request, run));
+    replies().toRequest(connection, request, first, second, run, secondBody(run));
+  }
+
+  @Override
+  String secondBody(String run) {
+    return "second answer of " + run;
+  }
+
   private static long durationMillis(Received request, int draw) {
     return request.body().startsWith(SLOW_BODY_PREFIX)
         ? MIN_SLOW_RUN_MILLIS + draw % (MAX_SLOW_RUN_MILLIS - MIN_SLOW_RUN_MILLIS)
--- a/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
@@ -13,6 +12,7 @@
 import org.lockdale.soak.judge.History;
 import org.lockdale.soak.judge.Note;
 import org.lockdale.soak.judge.RequestFacts;
+import org.lockdale.soak.judge.RequestIds;
 
 /**
  * Common part of all stand-in servers. It records the requests that arrive and rejects those that
@@ -45,36 +45,26 @@
    */
   public static final String REST_COMMAND = "rest ";
 
+  /**
+   * Prefix of a line that makes a server answer twice, with the arguments of {@link
+   * SecondReplies#configure}.
+   */
+  public static final String SECOND_REPLIES_COMMAND = "second ";
+
   private static final long CRASH_DELAY_MILLIS = 40;
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final Life incarnation;
   private final String service;
   private final AtomicLong runs = new AtomicLong();
+  private final ServerReplies replies;
+  private volatile @Nullable RawBackend backend;
 
   /** Advertised requests per second, or null for none. */
   private volatile @Nullable Double advertisedRate;
 
   private volatile boolean draining;
-  private volatile Rest requestedBackoff = Rest.NONE;
-
-  /**
-   * The backoff that a server requests.
-   *
-   * @param millis backoff in milliseconds
-   * @param share part of the requests that it rejects with it, 0 to 1
-   */
-  private record Rest(long millis, double share) {
-
-    static final Rest NONE = new Rest(0, 0);
-
-    static Rest parse(String text) {
-      String[] parts = text.split(" ");
-      return text.isEmpty()
-          ? NONE
-          : new Rest(Long.parseLong(parts[0]), Double.parseDouble(parts[1]));
-    }
-  }
+  private volatile RequestedBackoff requestedBackoff = RequestedBackoff.NONE;
 
   /**
    * An incarnation of a server.
@@ -93,6 +83,7 @@
   ServerBase(Life incarnation, String service) {
     this.incarnation = incarnation;
     this.service = service;
+    this.replies = new ServerReplies(incarnation.name());
   }
 
   /** Returns the name of a server's incarnation in notes. */
@@ -102,14 +93,14 @@
 
   /** Serves until the driver closes the standard input, and sends a row at every heartbeat. */
   final void run(InetSocketAddress address, long heartbeatMillis) throws IOException {
-    RawBackend[] backend = new RawBackend[1];
-    backend[0] =
+    backend =
         new RawBackend(
             incarnation.id(),
             address,
             (request, connection) -> {
-              if (backend[0] != null) {
-                backend[0].received().clear();
+              RawBackend started = backend;
+              if (started != null) {
+                started.received().clear();
               }
               serve(request, connection);
             });
@@ -130,7 +121,9 @@
     } else if (line.equals(LEAVING_COMMAND)) {
       draining = true;
     } else if (line.startsWith(REST_COMMAND)) {
-      requestedBackoff = Rest.parse(line.substring(REST_COMMAND.length()));
+      requestedBackoff = RequestedBackoff.parse(line.substring(REST_COMMAND.length()));
+    } else if (line.startsWith(SECOND_REPLIES_COMMAND)) {
+      replies.second().configure(line.substring(SECOND_REPLIES_COMMAND.length()));
     } else {
       NodeReaper.handleCommand(line);
     }
@@ -147,7 +140,7 @@
       return headers;
     }
     StandardStreams.writeNote(
-        new Note.RateTold(StandardStreams.nowMillis(), instance(), request.id()));
+        new Note.RateTold(StandardStreams.nowMillis(), instance(), noteId(request)));
     return headers + "\r\n" + HeaderNames.SERVER_LIMIT + ": " + rate;
   }
 
@@ -157,7 +150,7 @@
       return "";
     }
     StandardStreams.writeNote(
-        new Note.LeavingTold(StandardStreams.nowMillis(), instance(), request.id()));
+        new Note.LeavingTold(StandardStreams.nowMillis(), instance(), noteId(request)));
     return "\r\n" + HeaderNames.SERVER_LEAVING + ": 1";
   }
 
@@ -217,8 +210,16 @@
    */
   abstract boolean serveControlRequest(Received request, Socket connection) throws IOException;
 
-  /** Runs a caller's request that is meant for this server, or rejects it. */
-  abstract void execute(Received request, Socket connection) throws IOException;
+  /**
+   * Runs a caller's request that is meant for this server, or rejects it.
+   *
+   * @param second how the reply is repeated, or null if it is not
+   */
+  abstract void execute(Received request, Socket connection, @Nullable SecondReplyKind second)
+      throws IOException;
+
+  /** Returns the body of a second reply that is a success. */
+  abstract String secondBody(String run);
 
   private void serve(Received request, Socket connection) throws IOException {
     connection.setTcpNoDelay(true);
@@ -231,24 +232,29 @@
       return;
     }
     StandardStreams.writeNote(
-        new Note.Arrived(StandardStreams.nowMillis(), instance(), service, request.id()));
+        new Note.Arrived(StandardStreams.nowMillis(), instance(), service, noteId(request)));
     String target = request.header(HeaderNames.TARGET);
     if (target != null && !target.equals(incarnation.id())) {
       reject(request, connection, MISDIRECTED);
       return;
     }
-    Rest backoff = requestedBackoff;
+    RequestedBackoff backoff = requestedBackoff;
     if (ThreadLocalRandom.current().nextDouble() < backoff.share()) {
       shed(request, connection, backoff.millis());
       return;
     }
-    execute(request, connection);
+    SecondReplyKind second = replies.second().draw();
+    if (second == SecondReplyKind.SUCCESS_AFTER_REFUSAL) {
+      reject(request, connection, UNAVAILABLE, second);
+    } else {
+      execute(request, connection, second);
+    }
   }
 
   /** Rejects a request and requests backoff from its node. */
   private void shed(Received request, Socket connection, long backoffMillis) throws IOException {
     long now = StandardStreams.nowMillis();
-    StandardStreams.writeNote(new Note.Rejected(now, instance(), request.id(), UNAVAILABLE));
+    StandardStreams.writeNote(new Note.Rejected(now, instance(), noteId(request), UNAVAILABLE));
     String retryAfter = HeaderNames.RETRY_AFTER + ": " + backoffMillis / MILLIS_PER_SECOND;
     respond(
         connection,
@@ -257,19 +263,24 @@
         "",
         HeaderNames.NOT_EXECUTED + ": 1" + drainingHeader(request),
         retryAfter);
-    StandardStreams.writeNote(new Note.RestTold(now, instance(), request.id(), backoffMillis));
+    StandardStreams.writeNote(new Note.RestTold(now, instance(), noteId(request), backoffMillis));
   }
 
   /** Rejects a request with the given status, marked as not run. */
   final void reject(Received request, Socket connection, int status) throws IOException {
+    reject(request, connection, status, null);
+  }
+
+  private void reject(
+      Received request, Socket connection, int status, @Nullable SecondReplyKind second)
+      throws IOException {
     StandardStreams.writeNote(
-        new Note.Rejected(StandardStreams.nowMillis(), instance(), request.id(), status));
-    respond(
-        connection,
-        status,
-        request.id(),
-        "",
-        HeaderNames.NOT_EXECUTED + ": 1" + drainingHeader(request));
+        new Note.Rejected(StandardStreams.nowMillis(), instance(), noteId(request), status));
+    Reply reply =
+        Reply.of(
+            status, request.id(), "", HeaderNames.NOT_EXECUTED + ": 1" + drainingHeader(request));
+    String noRun = instance() + "/none";
+    replies.toRequest(connection, request, reply, second, noRun, secondBody(noRun));
   }
 
   /** Records the start of a run and returns its id; a crashing request ends the process later. */
@@ -289,7 +300,7 @@
             StandardStreams.nowMillis(),
             instance(),
             service,
-            request.id(),
+            noteId(request),
             run,
             facts,
             request.header(HeaderNames.TENANT),
@@ -298,7 +309,7 @@
             plannedMillis,
             (int) parseNumber(request.header(HeaderNames.LAST_EVENT))));
     if (request.body().startsWith(CRASHING_BODY_PREFIX) || facts.hasCrashingPart()) {
-      crash(request.id());
+      crash(noteId(request));
     }
     return run;
   }
@@ -335,29 +346,33 @@
     return header == null ? 0 : (long) Double.parseDouble(header.trim());
   }
 
-  static void respond(
+  /** Returns the id of a request in notes. */
+  static String noteId(Received request) {
+    return RequestIds.noteId(request.id(), (int) parseNumber(request.header(HeaderNames.SEND)));
+  }
+
+  /** Returns the replies of this server. */
+  final ServerReplies replies() {
+    return replies;
+  }
+
+  final void respond(
       Socket connection, int status, @Nullable String id, String body, String... headers)
       throws IOException {
-    StringBuilder text = new StringBuilder("HTTP/1.1 " + status + " Status\r\n");
-    if (id != null && !id.isEmpty()) {
-      text.append(HeaderNames.REQUEST_ID).append(": ").append(id).append("\r\n");
-    }
-    for (String header : headers) {
-      text.append(header).append("\r\n");
+    replies.of(connection).write(Reply.of(status, id, body, headers).text(), null);
+  }
+
+  /** Records that a node uses a number that stands only in a second reply of this server. */
+  final void checkNumber(String path, long number) {
+    if (number >= SecondReplies.FIRST_MARKED_NUMBER) {
+      StandardStreams.writeNote(
+          new Note.SecondReplyUsed(StandardStreams.nowMillis(), instance(), path));
     }
-    text.append("Content-Length: ").append(body.length()).append("\r\n\r\n").append(body);
-    RawBackend.write(connection, text.toString());
   }
 
   /** Waits and returns whether the peer closed the connection within {@code millis}. */
-  static boolean closesWithin(Socket connection, long millis) {
-    try {
-      connection.setSoTimeout((int) Math.max(1, millis));
-      return connection.getInputStream().read() < 0;
-    } catch (SocketTimeoutException stillOpen) {
-      return false;
-    } catch (IOException reset) {
-      return true;
-    }
+  final boolean closesWithin(Socket connection, long millis) {
+    RawBackend started = backend;
+    return started == null || started.closesWithin(connection, millis);
   }
 }
--- a/soak/src/main/java/org/lockdale/soak/standin/StreamWriter.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/StreamWriter.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import org.jspecify.annotations.Nullable;
 import org.lockdale.platform.RawBackend;
 
 /**
@@ -15,13 +16,15 @@
   private static final int AHEAD = 2;
 
   private final Socket connection;
+  private final ReplyChannel replies;
   private final boolean closeDelimited;
 
   /** Whether the start of the next event was written already. */
   private boolean isAhead;
 
-  StreamWriter(Socket connection, boolean closeDelimited) {
+  StreamWriter(Socket connection, ReplyChannel replies, boolean closeDelimited) {
     this.connection = connection;
+    this.replies = replies;
     this.closeDelimited = closeDelimited;
   }
 
@@ -33,7 +36,7 @@
    */
   void writeHead(String head, String next) throws IOException {
     String framing = closeDelimited ? "" : "Transfer-Encoding: chunked\r\n";
-    RawBackend.write(connection, head + framing + "\r\n" + startOf(next));
+    replies.beginStream(head + framing + "\r\n" + startOf(next));
   }
 
   /** Writes a comment of a given size, which is no part of any event's data. */
@@ -75,12 +78,16 @@
     }
   }
 
-  /** Completes the stream. */
-  void end() throws IOException {
+  /**
+   * Completes the stream.
+   *
+   * @param second second reply, or null for none; a close-delimited stream has none
+   */
+  void end(@Nullable LateReply second) throws IOException {
     if (closeDelimited) {
       connection.close();
     } else {
-      RawBackend.write(connection, "0\r\n\r\n");
+      replies.endStream("0\r\n\r\n", second);
     }
   }
 }
--- a/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
+++ b/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
@@ -11,6 +11,7 @@
 import java.util.stream.LongStream;
 import java.util.zip.CRC32;
 import org.lockdale.soak.standin.OddValue;
+import org.lockdale.soak.standin.SecondReplyKind;
 import org.lockdale.soak.standin.StandardStreams;
 import org.testng.annotations.Test;
 
@@ -135,6 +136,38 @@
             Fault.OddEntry.class));
   }
 
+  @Test
+  public void plansOfSecondRepliesContainAllKindsOfThemBesideOtherFaults() {
+    Set<Object> kinds =
+        LongStream.range(0, 50)
+            .mapToObj(seed -> FaultPlan.drawSecondReplies(seed, 20_000, Deployment.small()))
+            .flatMap(plan -> plan.faults().stream())
+            .map(planned -> kindOf(planned.fault()))
+            .collect(Collectors.toSet());
+    assertTrue(kinds.containsAll(Set.of(SecondReplyKind.values())));
+    assertTrue(kinds.containsAll(Set.of(Fault.RefusalTrouble.values())));
+    assertTrue(kinds.containsAll(Set.of(Fault.ConnectTrouble.values())));
+    assertTrue(
+        kinds.containsAll(
+            Set.of(
+                Fault.ProcessTrouble.KILLED,
+                Fault.ProcessTrouble.PAUSED,
+                Fault.LinkTrouble.RESET,
+                Fault.OperatorChange.WEIGHTS_NAMED)));
+  }
+
+  @Test
+  public void plansOfSecondRepliesLeaveTheEndsQuiet() {
+    for (long seed = 0; seed < 50; seed++) {
+      FaultPlan plan = FaultPlan.drawSecondReplies(seed, 24_000, Deployment.small());
+      assertEquals(plan, FaultPlan.drawSecondReplies(seed, 24_000, Deployment.small()));
+      assertTrue(
+          plan.faults().stream()
+              .allMatch(planned -> planned.atMillis() >= 3_000 && planned.atMillis() < 16_000),
+          plan.toString());
+    }
+  }
+
   @Test
   public void fleetRestartsAloneReleaseBothVersionsAndKillAllNodesTwiceOrMore() {
     for (long seed = 0; seed < 50; seed++) {
@@ -226,6 +259,9 @@
     if (fault instanceof Fault.ForeignEntry entry) {
       return entry.value();
     }
+    if (fault instanceof Fault.SecondReplies second) {
+      return second.kind();
+    }
     return fault instanceof Fault.ServerReplaced replaced ? replaced.announced() : fault.getClass();
   }
 }
