--- a/soak/src/main/java/org/lockdale/soak/standin/SecondReplies.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/SecondReplies.java
@@ -18,6 +18,7 @@
   /** Numbers from here on stand only in second replies to reports and calls for cache events. */
   static final long FIRST_MARKED_NUMBER = 1_000_000_000;
 
+  private static final int PROCESSING = 102;
   private static final int OK = 200;
   private static final int MULTIPLE_CHOICES = 300;
   private static final int SERVER_ERROR = 500;
@@ -115,7 +116,7 @@
         switch (kind) {
           case WITHOUT_LENGTH -> second.textWithoutLength();
           case INFORMATIONAL_HEAD ->
-              new Reply(102, second.id(), "", List.of()).textWithoutLength() + second.text();
+              new Reply(PROCESSING, second.id(), "", List.of()).textWithoutLength() + second.text();
           default -> second.text();
         };
     return new LateReply(text, instance, what, second.status(), moment());
--- a/soak/src/test/java/org/lockdale/soak/run/SoakRunTest.java
+++ b/soak/src/test/java/org/lockdale/soak/run/SoakRunTest.java
@@ -45,6 +45,7 @@
       {"store-refuses-relays"},
       {"all-engines-crash-together"},
       {"all-engines-crash-in-a-row"},
+      {"second-replies-taken-for-others"},
     };
   }
 
