Surplus replies: a HEAD has a connection of its own

What callers saw: a success where the server had decided on a failure, without a caller that repeats an id: a surplus reply to a HEAD announces a body that never comes, so the next request's reply is read as that body, and a second reply to that request is taken for its first one; also 504 for the next HEAD and 502 for the next request. Cause: replies and requests are matched by their order alone when it is decided whether a body follows. Change: a request by HEAD opens a connection, within the limit of connections to the server, and closes it after the reply. Evidence: three of the six cases of the platform's SurplusReplyTest (aHeadDoesNotWaitForABodyBehindASurplusReply, aReplyIsNotLostInTheBodyThatASurplusReplyToAHeadAnnounces, aRequestIsAnsweredBehindASurplusReplyToAHead) failed on the commit before (504; the late reply; 502) and pass. Cost: one new connection a HEAD; none for other methods.

--- a/http/src/main/java/org/lockdale/http/ConnectionPool.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -132,9 +132,13 @@
   Future<Channel> acquire(
       EventLoop eventLoop, InetSocketAddress address, @Nullable EchoedId id, int maxConnections) {
     Channel pooled = pollActive(new Key(eventLoop, address), id);
-    if (pooled != null) {
-      return eventLoop.newSucceededFuture(pooled);
-    }
+    return pooled == null
+        ? open(eventLoop, address, maxConnections)
+        : eventLoop.newSucceededFuture(pooled);
+  }
+
+  /** Opens a new connection, within a limit as for {@link #acquire}. */
+  Future<Channel> open(EventLoop eventLoop, InetSocketAddress address, int maxConnections) {
     if (!reserveSlot(address, maxConnections)) {
       return eventLoop.newFailedFuture(
           HttpCallException.atConnectionLimit(
--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -159,13 +159,27 @@
       HttpResponseListener listener,
       int maxConnections) {
     HttpCall call = new HttpCall();
-    Connections connections =
-        new Connections(
-            () -> pool.acquire(eventLoop, address, request.echoedId(), maxConnections), false);
+    Connections connections = connectionsFor(eventLoop, address, request, maxConnections);
     send(connections, address, request, call, listener);
     return call;
   }
 
+  /**
+   * Returns where a request gets its connection from. A HEAD has one of its own: its reply may
+   * announce a body that does not follow, so among surplus replies to HEAD and to other requests it
+   * can't be told where each of them ends.
+   */
+  private Connections connectionsFor(
+      EventLoop eventLoop,
+      InetSocketAddress address,
+      HttpRequestMessage request,
+      int maxConnections) {
+    return request.method().equals(HttpMethod.HEAD)
+        ? new Connections(() -> pool.open(eventLoop, address, maxConnections), true)
+        : new Connections(
+            () -> pool.acquire(eventLoop, address, request.echoedId(), maxConnections), false);
+  }
+
   private void send(
       Connections connections,
       InetSocketAddress address,
@@ -324,9 +338,7 @@
   public CompletableFuture<HttpReply> exchange(
       InetSocketAddress address, HttpRequestMessage request, Duration timeout, ReplyCheck check) {
     EventLoop eventLoop = group.next();
-    Connections connections =
-        new Connections(
-            () -> pool.acquire(eventLoop, address, request.echoedId(), Integer.MAX_VALUE), false);
+    Connections connections = connectionsFor(eventLoop, address, request, Integer.MAX_VALUE);
     return exchange(eventLoop, connections, address, request, timeout, check);
   }
 
