HTTP client: the probe has a class of its own

Change: what a probe waits for and makes of a failed connection is in ReachabilityProbe; nothing behaves otherwise. Result: the module's 85 tests pass.

--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -11,9 +10,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
-import java.net.NoRouteToHostException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -22,13 +19,6 @@
 /** An HTTP/1.1 client with pooled connections, each of which carries one exchange at a time. */
 public final class HttpClient {
 
-  /**
-   * Time for which a probe waits to see whether the peer closes a new connection, in milliseconds.
-   * A proxy finds out within a round trip that no process listens behind it; one that first looks
-   * up whose connection it is takes longer, especially on a loaded machine.
-   */
-  private static final long CLOSE_DETECTION_MILLIS = 250;
-
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
   /** Receives the sizes of each exchange that ended with a complete reply. */
@@ -273,38 +263,7 @@
    * @return what the peer did with the connection; never fails
    */
   public CompletableFuture<Reachability> probe(InetSocketAddress address) {
-    CompletableFuture<Reachability> result = new CompletableFuture<>();
-    pool.connect(group.next(), address)
-        .addListener(
-            (Future<Channel> connected) -> {
-              if (connected.isSuccess()) {
-                awaitClose(connected.getNow(), result);
-              } else {
-                result.complete(reachabilityOf(connected.cause()));
-              }
-            });
-    return result;
-  }
-
-  private static void awaitClose(Channel channel, CompletableFuture<Reachability> result) {
-    channel.closeFuture().addListener(closed -> result.complete(Reachability.CLOSES));
-    channel
-        .eventLoop()
-        .schedule(
-            () -> {
-              result.complete(Reachability.ACCEPTS);
-              channel.close();
-            },
-            CLOSE_DETECTION_MILLIS,
-            TimeUnit.MILLISECONDS);
-  }
-
-  private static Reachability reachabilityOf(Throwable cause) {
-    boolean inconclusive =
-        cause instanceof ConnectTimeoutException
-            || cause instanceof NoRouteToHostException
-            || !(cause instanceof ConnectException);
-    return inconclusive ? Reachability.UNKNOWN : Reachability.REFUSES;
+    return ReachabilityProbe.start(pool.connect(group.next(), address));
   }
 
   private static String hostOf(InetSocketAddress address) {
