Tests: connections of single calls are closed after them

RepeatedReplyTest counted the connections, and would have passed if they had stayed open. It now waits until none is.

--- a/http/src/test/java/org/lockdale/http/RepeatedReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/RepeatedReplyTest.java
@@ -103,5 +103,14 @@
   public void aCallOverItsOwnConnectionDoesNotGetARepeatedReplyToAnotherCall() throws Exception {
     assertEquals(wrongReplies(this::overOwnConnection), 0);
     assertEquals(peer.connections(), CALLERS * CALLS_PER_CALLER);
+    awaitNoOpenConnections();
+  }
+
+  private void awaitNoOpenConnections() {
+    long end = System.nanoTime() + TIMEOUT.toNanos();
+    while (peer.openConnections() > 0 && System.nanoTime() < end) {
+      Thread.onSpinWait();
+    }
+    assertEquals(peer.openConnections(), 0);
   }
 }
--- a/http/src/test/java/org/lockdale/http/RepeatingPeer.java
+++ b/http/src/test/java/org/lockdale/http/RepeatingPeer.java
@@ -33,6 +33,7 @@
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private final AtomicInteger connections = new AtomicInteger();
+  private final AtomicInteger openConnections = new AtomicInteger();
   private final AtomicInteger replies = new AtomicInteger();
   private final Random random;
 
@@ -51,11 +52,17 @@
     return connections.get();
   }
 
+  /** Returns the number of open connections. */
+  int openConnections() {
+    return openConnections.get();
+  }
+
   private void accept() {
     while (!listener.isClosed()) {
       try {
         Socket connection = listener.accept();
         connections.incrementAndGet();
+        openConnections.incrementAndGet();
         threads.execute(() -> serve(connection));
       } catch (IOException closed) {
         return;
@@ -78,6 +85,8 @@
       }
     } catch (IOException gone) {
       // The client closed the connection, as tests expect.
+    } finally {
+      openConnections.decrementAndGet();
     }
   }
 
