A node reads a newer configuration from the node that shows it one

A node that reaches neither the servers nor the store forwards a request; the other node has a newer configuration and handles it by that. The forwarding node passed the response on and handled the next request by its older one, so that its callers saw a version and then the one before it.

Cause: responses to forwarded requests tell whose they are, but not by which configuration they came about. Each carries that version now in an internal header, which callers don't get.

Until the read has ended the older configuration serves; a failed read is made anew with the next response.

ForwardedCallTest passes two more arguments; what it checks is the same.

--- a/gateway/src/main/java/org/lockdale/gateway/backend/BackendTable.java
+++ b/gateway/src/main/java/org/lockdale/gateway/backend/BackendTable.java
@@ -126,6 +126,11 @@
             || gone.containsKey(former.toString()));
   }
 
+  /** Returns the ids of all backends. */
+  public Set<String> ids() {
+    return Set.copyOf(byId.keySet());
+  }
+
   /** Returns all backends. */
   public Collection<TrackedBackend> all() {
     return byId.values();
--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -1,7 +1,6 @@
 package org.lockdale.gateway.node;
 
 import io.netty.channel.EventLoop;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -305,8 +304,7 @@
     versionRecorder.tick();
     placements.loads().expire();
     incarnations.draining().tick(blackboard.backends().value());
-    Set<String> engines = new HashSet<>();
-    blackboard.backends().value().all().forEach(tracked -> engines.add(tracked.backend().id()));
+    Set<String> engines = blackboard.backends().value().ids();
     placements.retain(engines);
     limits.maintain(engines);
   }
@@ -371,6 +369,7 @@
         incarnations.announcements(),
         reachability.pools(),
         new PeerSelector(nodes::peers, time),
+        new NewerConfigurations(eventLoop, blackboard.configuration(), tables.operators()),
         resumes.origins(),
         placements.reporter(),
         placements.capacities().engines(),
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -232,7 +232,7 @@
     recordReceived();
     ResponseHead received = protocol.read(status, headers);
     if (state.receivedFromPeer) {
-      ForwardHeaders.markResponse(received.headers());
+      ForwardHeaders.markResponse(received.headers(), state.configuration.version());
     }
     head = received;
     String model = state.request.model();
--- a/gateway/src/main/java/org/lockdale/gateway/request/ForwardHeaders.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/ForwardHeaders.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.lockdale.gateway.caller.MalformedRequestException;
 import org.lockdale.http.HttpExchange;
@@ -27,8 +28,14 @@
 
   private static final String FROM_BACKEND = "backend";
 
+  /**
+   * On each response to a forwarded request: version of the configuration by which the second node
+   * has handled it.
+   */
+  private static final String CONFIGURATION = "x-lockdale-configuration";
+
   /** Names of headers that only nodes may set. */
-  static final List<String> INTERNAL = List.of(ELAPSED, CONNECTION, ORIGIN);
+  static final List<String> INTERNAL = List.of(ELAPSED, CONNECTION, ORIGIN, CONFIGURATION);
 
   /** Headers of the connection between the caller and the first node. */
   private static final List<CharSequence> OF_CONNECTION =
@@ -78,14 +85,22 @@
     return exchange.header(ELAPSED) != null;
   }
 
-  /** Marks a response to a forwarded request as that of a backend. */
-  static void markResponse(HttpHeaders response) {
-    response.set(ORIGIN, FROM_BACKEND);
+  /**
+   * Marks a response to a forwarded request as that of a backend.
+   *
+   * @param configuration version of the configuration by which this node has handled the request
+   */
+  static void markResponse(HttpHeaders response, long configuration) {
+    response.set(ORIGIN, FROM_BACKEND).set(CONFIGURATION, configuration);
   }
 
-  /** Marks a response to a forwarded request as a refusal of this node. */
-  static void markRefusal(HttpHeaders response, RefusalKind kind) {
-    response.set(ORIGIN, kind.name());
+  /**
+   * Marks a response to a forwarded request as a refusal of this node.
+   *
+   * @param configuration version of the configuration by which this node has handled the request
+   */
+  static void markRefusal(HttpHeaders response, RefusalKind kind, long configuration) {
+    response.set(ORIGIN, kind.name()).set(CONFIGURATION, configuration);
   }
 
   /** Returns whether a response is from a node that supports forwarding. */
@@ -93,6 +108,19 @@
     return response.contains(ORIGIN);
   }
 
+  /**
+   * Returns the version of the configuration by which another node has handled a request, or empty
+   * if it does not tell.
+   */
+  static OptionalLong configurationOf(HttpHeaders response) {
+    String version = response.get(CONFIGURATION);
+    try {
+      return version == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(version));
+    } catch (NumberFormatException malformed) {
+      return OptionalLong.empty();
+    }
+  }
+
   /** Returns the kind of a refusal that another node has produced, or empty for other responses. */
   static Optional<RefusalKind> refusalOf(HttpHeaders response) {
     String origin = response.get(ORIGIN);
--- a/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
@@ -45,6 +45,7 @@
 
   private final RequestState state;
   private final PeerNode peer;
+  private final PeerConfigurations configurations;
   private final Consumer<Result> onResult;
   private final HeldBytes held;
   private final Time time;
@@ -61,14 +62,21 @@
   /**
    * Creates a call.
    *
+   * @param configurations receives the version of the other node's configuration
    * @param held counts what this node holds
    * @param time clock
    * @param onResult receives how the request has ended
    */
   ForwardedCall(
-      RequestState state, PeerNode peer, HeldBytes held, Time time, Consumer<Result> onResult) {
+      RequestState state,
+      PeerNode peer,
+      PeerConfigurations configurations,
+      HeldBytes held,
+      Time time,
+      Consumer<Result> onResult) {
     this.state = state;
     this.peer = peer;
+    this.configurations = configurations;
     this.held = held;
     this.time = time;
     this.source = state.response.source(peer.id(), () -> {});
@@ -118,6 +126,8 @@
     supported = ForwardHeaders.isMarked(received);
     refusal = ForwardHeaders.refusalOf(received);
     headers = ForwardHeaders.ofResponse(received);
+    ForwardHeaders.configurationOf(received)
+        .ifPresent(version -> configurations.observe(peer, version));
     if (!supported && call != null) {
       call.discardContent();
     } else if (supported && received.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/NodePeerCalls.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/NodePeerCalls.java
@@ -56,8 +56,12 @@
 
   @Override
   public Call create(PeerNode peer, Consumer<ForwardedCall.Result> onResult) {
+    RequestServices services = path.services();
     return new NodeCall(
-        path, state, new ForwardedCall(state, peer, path.services().held(), path.time(), onResult));
+        path,
+        state,
+        new ForwardedCall(
+            state, peer, services.configurations(), services.held(), path.time(), onResult));
   }
 
   @Override
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -199,7 +199,7 @@
   private void refuseMalformed(
       HttpExchange exchange, MalformedRequestException malformed, boolean fromPeer) {
     Refusal refusal = Refusal.of(RefusalKind.MALFORMED, malformed.getMessage());
-    exchange.reply(render(refusal, fromPeer));
+    exchange.reply(render(refusal, fromPeer, configuration()));
   }
 
   private RequestState stateOf(Arrival arrival, CallerRequest request) {
@@ -316,13 +316,13 @@
   }
 
   HttpReply render(RequestState state, Refusal refusal) {
-    return render(refusal, state.receivedFromPeer);
+    return render(refusal, state.receivedFromPeer, state.configuration);
   }
 
-  private HttpReply render(Refusal refusal, boolean fromPeer) {
+  private HttpReply render(Refusal refusal, boolean fromPeer, GatewayConfiguration configuration) {
     HttpReply reply = callerProtocol.render(refusal);
     if (fromPeer) {
-      ForwardHeaders.markRefusal(reply.headers(), refusal.kind());
+      ForwardHeaders.markRefusal(reply.headers(), refusal.kind(), configuration.version());
     }
     return reply;
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestServices.java
@@ -26,6 +26,7 @@
  * @param announcements receives what responses announce about draining and backoff
  * @param reachability detects pools that this node can't connect to
  * @param peers selects the nodes to which requests are forwarded
+ * @param configurations receives the versions of the configurations of other nodes
  * @param origins records where streams begin
  * @param observer notified of the progress of attempts
  * @param engines observations and estimates of engines
@@ -42,6 +43,7 @@
     BackendAnnouncements announcements,
     PoolReachability reachability,
     PeerSelector peers,
+    PeerConfigurations configurations,
     StreamOrigins origins,
     AttemptObserver observer,
     EngineServices engines,
--- a/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
@@ -84,6 +84,9 @@
   /** Whether the listener has not processed the latest change yet. */
   private boolean changeUnprocessed;
 
+  /** Whether the changes that this copy lacks are being read from a node that is not a relay. */
+  private boolean readsLacking;
+
   private volatile boolean closed;
 
   /**
@@ -196,15 +199,43 @@
     return CompletableFuture.completedFuture(true);
   }
 
+  /**
+   * Reads the changes that this copy lacks from another node whose copy is newer, unless such a
+   * read is in progress. It doesn't wait for a read from a relay, which may not respond any more.
+   * Must be called on the event loop.
+   */
+  public void readLacking(InetSocketAddress peer) {
+    if (closed || readsLacking) {
+      return;
+    }
+    readsLacking = true;
+    readChanges(peer).whenCompleteAsync((read, failure) -> onReadLacking(peer, failure), eventLoop);
+  }
+
+  private void onReadLacking(InetSocketAddress peer, @Nullable Throwable failure) {
+    readsLacking = false;
+    if (failure != null) {
+      Logger.info(
+          "event=peer-read-failed table={} node={} cause=\"{}\"",
+          table,
+          peer,
+          failure.getMessage());
+    }
+  }
+
   private CompletableFuture<Boolean> readFrom(InetSocketAddress relay) {
-    return readFrom(relay, copy.lastChange())
+    return readChanges(relay)
+        .handleAsync((read, failure) -> onReadFromRelay(relay, failure), eventLoop);
+  }
+
+  private CompletableFuture<@Nullable Void> readChanges(InetSocketAddress peer) {
+    return readFrom(peer, copy.lastChange())
         .exceptionallyComposeAsync(
             failure ->
                 Failures.causeOf(failure) instanceof TransferTooLargeException
-                    ? readFromStoreOrRelay(relay)
+                    ? readFromStoreOrRelay(peer)
                     : CompletableFuture.failedFuture(failure),
-            eventLoop)
-        .handleAsync((read, failure) -> onReadFromRelay(relay, failure), eventLoop);
+            eventLoop);
   }
 
   private boolean onReadFromRelay(InetSocketAddress relay, @Nullable Throwable failure) {
--- a/gateway/src/test/java/org/lockdale/gateway/request/ForwardedCallTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/ForwardedCallTest.java
@@ -43,6 +43,7 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
   private static final int OK = 200;
+  private static final long VERSION = 7;
   private static final int MARK_BYTES = 64 * 1024;
   private static final int BOUND_BYTES = 16 * 1024 * 1024;
   private static final long UNREAD_WAIT_MILLIS = 1_000;
@@ -148,7 +149,7 @@
         serve(
             exchange -> {
               HttpHeaders headers = new DefaultHttpHeaders();
-              ForwardHeaders.markResponse(headers);
+              ForwardHeaders.markResponse(headers, VERSION);
               exchange.startStream(OK, headers);
               for (String part : parts) {
                 exchange.write(Unpooled.copiedBuffer(part, StandardCharsets.UTF_8));
@@ -171,6 +172,7 @@
               new ForwardedCall(
                       received,
                       peer,
+                      (observed, version) -> {},
                       held,
                       SystemTime.instance(),
                       end -> {
