Soak: the denial of another node does not show a node's configuration

CONFIG (an older configuration is acted on again) was broken by nodes that had one version in force throughout. A node out of touch forwards a request with a replaced key to a node with the newer configuration, passes its 401 on, and serves the next one by its own. The rule checker took the 401 for an effect of the first node's configuration.

A forwarded 401 or 404 is always the other node's: the first one has found the request's route and tenant before it forwards it.

--- a/soak/src/main/java/org/lockdale/soak/judge/History.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/History.java
@@ -101,6 +101,7 @@
       backoffRequests.add(announcement);
     } else if (note instanceof Note.Forwarded forwarded) {
       forwardings.add(forwarded);
+      request(forwarded.request()).addForwardingNode(forwarded.node());
     } else {
       return note instanceof Note.Rejected;
     }
@@ -169,6 +170,11 @@
     return forwardings;
   }
 
+  /** Returns whether the node that a caller sent a request to has forwarded it to another node. */
+  boolean isForwarded(Note.Sent sent) {
+    return request(sent.request()).forwardingNodes().contains(sent.node());
+  }
+
   List<Note.Surplus> surplusBytes() {
     return surplusBytes;
   }
--- a/soak/src/main/java/org/lockdale/soak/judge/RequestHistory.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/RequestHistory.java
@@ -1,7 +1,9 @@
 package org.lockdale.soak.judge;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** The recorded events of one request. */
@@ -10,6 +12,7 @@
   private final String id;
   private final List<Note.Arrived> arrivals = new ArrayList<>();
   private final List<Note.Begun> runs = new ArrayList<>();
+  private final Set<String> forwardingNodes = new HashSet<>();
   private Note.@Nullable Sent sent;
   private Note.@Nullable TakenUp takenUp;
   private Note.@Nullable Answered response;
@@ -56,6 +59,15 @@
     left = note;
   }
 
+  /** Returns the nodes that have forwarded the request to another node. */
+  Set<String> forwardingNodes() {
+    return forwardingNodes;
+  }
+
+  void addForwardingNode(String node) {
+    forwardingNodes.add(node);
+  }
+
   List<Note.Arrived> arrivals() {
     return arrivals;
   }
