Nodes don't handle a request by an older configuration than a peer has shown

A node with version 2 that reaches no server forwards a request to a node that has version 1, since the store refuses it, and passes its 401 on. A forwarded request tells now by which configuration its node has handled it. A node with an older one refuses it as a node that lacks its configuration does, so that another node is tried, and 503 is what the caller gets where none has it.

A node with version 1 passes on what a node with version 2 answers, tries to read that configuration (no reply in 600 ms, three times), and meanwhile answers 401 to the new key itself. While it knows of a newer configuration it refuses unknown keys and routes for a while only, as it already did with a configuration whose last proof is 2 s old. What its own configuration allows it serves: it may be cut off for seconds, and most requests are the same by both.

The decision on such refusals moves from RouteFilter into DenialRule, and what a node has learned into PeerConfigurations, which replaces NewerConfigurations.

--- a/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/ClusterServices.java
@@ -369,7 +369,7 @@
         incarnations.announcements(),
         reachability.pools(),
         new PeerSelector(nodes::peers, time),
-        new NewerConfigurations(eventLoop, blackboard.configuration(), tables.operators()),
+        tables.peerConfigurations(eventLoop, blackboard.configuration()),
         resumes.origins(),
         placements.reporter(),
         placements.capacities().engines(),
--- a/gateway/src/main/java/org/lockdale/gateway/node/TableFollowers.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/TableFollowers.java
@@ -3,7 +3,10 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.List;
+import org.lockdale.coordination.blackboard.Section;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.configuration.GatewayConfiguration;
+import org.lockdale.gateway.request.PeerConfigurations;
 import org.lockdale.gateway.table.TableFollower;
 
 /**
@@ -109,6 +112,18 @@
     return outageThreshold(settings).plus(PROOF_MARGIN);
   }
 
+  /**
+   * Returns what reads the operators' table from nodes that have a newer configuration.
+   *
+   * @param eventLoop event loop of the followers
+   * @param configuration configuration of this node
+   */
+  PeerConfigurations peerConfigurations(
+      EventLoop eventLoop, Section<GatewayConfiguration> configuration) {
+    return new PeerConfigurations(
+        configuration, peer -> eventLoop.execute(() -> operators.readLacking(peer.address())));
+  }
+
   /** Returns all followers, that of the operators' table first. */
   List<TableFollower> all() {
     return List.of(operators, backends, cluster);
--- a/gateway/src/main/java/org/lockdale/gateway/request/ForwardHeaders.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/ForwardHeaders.java
@@ -29,7 +29,7 @@
   private static final String FROM_BACKEND = "backend";
 
   /**
-   * On each response to a forwarded request: version of the configuration by which the second node
+   * On each forwarded request and its response: version of the configuration by which the sender
    * has handled it.
    */
   private static final String CONFIGURATION = "x-lockdale-configuration";
@@ -47,8 +47,13 @@
 
   private ForwardHeaders() {}
 
-  /** Returns the headers with which a request is forwarded. */
-  static HttpHeaders ofRequest(HttpHeaders received, long elapsedMillis) {
+  /**
+   * Returns the headers with which a request is forwarded.
+   *
+   * @param elapsedMillis time since the request has arrived at this node
+   * @param configuration version of the configuration by which this node has handled the request
+   */
+  static HttpHeaders ofRequest(HttpHeaders received, long elapsedMillis, long configuration) {
     HttpHeaders forwarded = received.copy();
     String connection = String.join(",", received.getAll(HttpHeaderNames.CONNECTION));
     OF_CONNECTION.forEach(forwarded::remove);
@@ -56,7 +61,7 @@
     if (!connection.isEmpty()) {
       forwarded.set(CONNECTION, connection);
     }
-    return forwarded.set(ELAPSED, elapsedMillis);
+    return forwarded.set(ELAPSED, elapsedMillis).set(CONFIGURATION, configuration);
   }
 
   /**
@@ -69,7 +74,8 @@
     HttpHeaders headers = exchange.headers();
     String elapsed = headers.get(ELAPSED);
     String connection = headers.get(CONNECTION);
-    headers.remove(ELAPSED).remove(CONNECTION).remove(HttpHeaderNames.CONNECTION);
+    headers.remove(ELAPSED).remove(CONNECTION).remove(CONFIGURATION);
+    headers.remove(HttpHeaderNames.CONNECTION);
     if (connection != null) {
       headers.set(HttpHeaderNames.CONNECTION, connection);
     }
@@ -111,9 +117,11 @@
   /**
    * Returns the version of the configuration by which another node has handled a request, or empty
    * if it does not tell.
+   *
+   * @param headers headers of the forwarded request, before {@link #restore}, or of its response
    */
-  static OptionalLong configurationOf(HttpHeaders response) {
-    String version = response.get(CONFIGURATION);
+  static OptionalLong configurationOf(HttpHeaders headers) {
+    String version = headers.get(CONFIGURATION);
     try {
       return version == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(version));
     } catch (NumberFormatException malformed) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/ForwardedCall.java
@@ -95,7 +95,8 @@
         new HttpRequestMessage(
             HttpMethod.valueOf(state.request.method()),
             state.request.uri(),
-            ForwardHeaders.ofRequest(state.request.headers(), elapsedMillis),
+            ForwardHeaders.ofRequest(
+                state.request.headers(), elapsedMillis, state.configuration.version()),
             state.request.body());
     call = client.send(state.exchange.eventLoop(), peer.address(), message, this);
   }
@@ -127,7 +128,7 @@
     refusal = ForwardHeaders.refusalOf(received);
     headers = ForwardHeaders.ofResponse(received);
     ForwardHeaders.configurationOf(received)
-        .ifPresent(version -> configurations.observe(peer, version));
+        .ifPresent(version -> configurations.observeResponse(peer, version));
     if (!supported && call != null) {
       call.discardContent();
     } else if (supported && received.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -43,15 +43,6 @@
    */
   private static final int NO_MEMORY_RETRY_SECONDS = 1;
 
-  /**
-   * A request that has arrived.
-   *
-   * @param exchange the request
-   * @param elapsedMillis time since it has arrived at the node that forwarded it
-   * @param fromPeer whether another node has forwarded it
-   */
-  private record Arrival(HttpExchange exchange, long elapsedMillis, boolean fromPeer) {}
-
   private final GatewayBlackboard blackboard;
   private final CallerProtocol callerProtocol;
   private final BackendProtocol backendProtocol;
@@ -112,11 +103,12 @@
     this.terms = new AdmissionTermsSource(services.waitsForRoom());
     this.pools =
         new PoolState(blackboard, services.rates(), nodes, terms, limits.keepsUrgency(), time);
+    DenialRule denials = new DenialRule(services.configurations());
     this.filters =
         List.of(
             new PhaseFilter(blackboard.phase()),
-            new RouteFilter(backendProtocol::isControlPath),
-            new TenantFilter(limits.maxKeyProofAge().toMillis()),
+            new RouteFilter(backendProtocol::isControlPath, denials),
+            new TenantFilter(limits.maxKeyProofAge().toMillis(), denials),
             new QuarantineFilter(services.quarantine(), time));
   }
 
@@ -132,7 +124,7 @@
 
   @Override
   public void handle(HttpExchange exchange) {
-    handle(new Arrival(exchange, 0, false));
+    handle(Arrival.direct(exchange));
   }
 
   /** Returns whether a request was forwarded by another node; to be asked for peers only. */
@@ -143,7 +135,7 @@
   /** Handles a request that another node has forwarded. */
   public void handleForwarded(HttpExchange exchange) {
     try {
-      handle(new Arrival(exchange, ForwardHeaders.restore(exchange), true));
+      handle(Arrival.forwarded(exchange));
     } catch (MalformedRequestException malformed) {
       refuseMalformed(exchange, malformed, true);
     }
@@ -162,6 +154,11 @@
           .schedule(() -> handle(arrival), START_CHECK_MILLIS, TimeUnit.MILLISECONDS);
       return;
     }
+    if (arrival.fromPeer() && services.configurations().observeRequest(arrival.configuration())) {
+      // Its caller may have seen the effect of the other node's newer configuration.
+      exchange.reply(render(DenialRule.outdated(), true, configuration()));
+      return;
+    }
     serve(arrival);
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/request/RouteFilter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RouteFilter.java
@@ -8,23 +8,20 @@
 /** Finds the route of a request. */
 final class RouteFilter implements RequestFilter {
 
-  /**
-   * Age of the configuration beyond which an unknown route may be one that was added since; it is
-   * then refused as temporary only.
-   */
-  private static final long MAX_AGE_TO_DENY_MILLIS = 2_000;
-
   private static final long RETRY_AFTER_MILLIS = 300;
 
   private final Predicate<String> controlPaths;
+  private final DenialRule denials;
 
   /**
    * Creates a filter.
    *
    * @param controlPaths whether a path belongs to the control interface of backends
+   * @param denials decides on the refusal of an unknown route, which may have been added since
    */
-  RouteFilter(Predicate<String> controlPaths) {
+  RouteFilter(Predicate<String> controlPaths, DenialRule denials) {
     this.controlPaths = controlPaths;
+    this.denials = denials;
   }
 
   @Override
@@ -43,20 +40,6 @@
       state.route = route.get();
       return null;
     }
-    return denial(state, RefusalKind.NO_ROUTE, "No route has this host and path.");
-  }
-
-  /**
-   * Returns a final refusal if the configuration is known to be current, and a temporary one
-   * otherwise.
-   */
-  static Refusal denial(RequestState state, RefusalKind kind, String message) {
-    if (state.configurationAgeMillis > MAX_AGE_TO_DENY_MILLIS) {
-      return new Refusal(
-          RefusalKind.NOT_CONFIGURED,
-          "The configuration of this node may be out of date; try again.",
-          RETRY_AFTER_MILLIS);
-    }
-    return Refusal.of(kind, message);
+    return denials.apply(state, RefusalKind.NO_ROUTE, "No route has this host and path.");
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/request/TenantFilter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/TenantFilter.java
@@ -13,15 +13,18 @@
   private static final long RETRY_AFTER_MILLIS = 300;
 
   private final long maxProofAgeMillis;
+  private final DenialRule denials;
 
   /**
    * Creates a filter.
    *
    * @param maxProofAgeMillis age of the configuration beyond which a key is no longer trusted, in
    *     milliseconds
+   * @param denials decides on the refusal of an unknown key, which may have been added since
    */
-  TenantFilter(long maxProofAgeMillis) {
+  TenantFilter(long maxProofAgeMillis, DenialRule denials) {
     this.maxProofAgeMillis = maxProofAgeMillis;
+    this.denials = denials;
   }
 
   @Override
@@ -33,7 +36,7 @@
     if (tenant.isEmpty()) {
       return state.route().anonymousAllowed()
           ? null
-          : RouteFilter.denial(state, RefusalKind.UNKNOWN_KEY, "The key belongs to no tenant.");
+          : denials.apply(state, RefusalKind.UNKNOWN_KEY, "The key belongs to no tenant.");
     }
     if (state.configurationAgeMillis > maxProofAgeMillis) {
       return new Refusal(
--- a/gateway/src/test/java/org/lockdale/gateway/request/ForwardedCallTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/ForwardedCallTest.java
@@ -15,8 +15,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.lockdale.coordination.blackboard.Section;
 import org.lockdale.coordination.time.SystemTime;
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.cluster.PeerNode;
@@ -81,6 +83,7 @@
   /** What the caller got, the result of the call and the state of the request after it. */
   private record Outcome(String body, ForwardedCall.Result result, RequestState state) {}
 
+  private final List<String> newerNodes = new CopyOnWriteArrayList<>();
   private EventLoopGroup group;
   private HttpClient client;
   private HttpServer node;
@@ -90,6 +93,7 @@
   public void start() {
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     client = new HttpClient(group);
+    newerNodes.clear();
   }
 
   @AfterMethod(alwaysRun = true)
@@ -172,7 +176,9 @@
               new ForwardedCall(
                       received,
                       peer,
-                      (observed, version) -> {},
+                      new PeerConfigurations(
+                          new Section<>(GatewayConfiguration.NONE),
+                          newer -> newerNodes.add(newer.id())),
                       held,
                       SystemTime.instance(),
                       end -> {
@@ -200,6 +206,12 @@
     assertTrue(outcome.result() instanceof ForwardedCall.Result.Abandoned, outcome.toString());
   }
 
+  @Test
+  public void aNodeThatHasServedByANewerConfigurationIsReported() throws Exception {
+    forward(true, EVENTS);
+    assertEquals(newerNodes, List.of("node-2"));
+  }
+
   @Test
   public void theEventsOfAnotherNodeCountAsThoseOfTheResponse() throws Exception {
     Outcome outcome = forward(true, event(1) + "id: 2\nda", "ta: piece 2\n\n");
