A forwarded request waits for a configuration that is just spreading

A node that refuses a forwarded request is left out for a second by the node that forwarded it. While a new configuration spreads, a cut-off node that has it first could leave out all others, and refuse its requests for a second.

A request that tells a newer configuration waits up to 300 ms for it, in the loop in which requests wait for the start of a node, and is refused then.

That the wait ends with the configuration has no test of its own.

--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -34,8 +34,14 @@
   /** Outcome of a request whose complete response was forwarded. */
   static final String COMPLETE = "complete";
 
-  /** Interval at which a request that waits for the node to start checks whether it may proceed. */
-  private static final long START_CHECK_MILLIS = 15;
+  /** Interval at which a request that waits for the state of the node checks it again. */
+  private static final long STATE_CHECK_MILLIS = 15;
+
+  /**
+   * Time for which a forwarded request waits for the configuration by which the other node has
+   * handled it, which may just be spreading.
+   */
+  private static final long CONFIGURATION_WAIT_MILLIS = 300;
 
   /**
    * Seconds after which a request that found no memory is retried: slow callers are cut off once
@@ -148,18 +154,21 @@
       // work.
       return;
     }
-    if (isStarting() && ageMillis(exchange) < startWaitMillis) {
+    boolean lacksConfiguration =
+        arrival.fromPeer() && services.configurations().observeRequest(arrival.configuration());
+    long maxWaitMillis =
+        Math.max(
+            isStarting() ? startWaitMillis : 0, lacksConfiguration ? CONFIGURATION_WAIT_MILLIS : 0);
+    if (ageMillis(exchange) < maxWaitMillis) {
       exchange
           .eventLoop()
-          .schedule(() -> handle(arrival), START_CHECK_MILLIS, TimeUnit.MILLISECONDS);
-      return;
-    }
-    if (arrival.fromPeer() && services.configurations().observeRequest(arrival.configuration())) {
+          .schedule(() -> handle(arrival), STATE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    } else if (lacksConfiguration) {
       // Its caller may have seen the effect of the other node's newer configuration.
       exchange.reply(render(DenialRule.outdated(), true, configuration()));
-      return;
+    } else {
+      serve(arrival);
     }
-    serve(arrival);
   }
 
   /**
