--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -23,7 +23,6 @@
 import org.lockdale.http.HttpProtocolError;
 import org.lockdale.http.HttpReply;
 import org.lockdale.protocol.generated.AttemptVerdict;
-import org.tinylog.Logger;
 
 /**
  * Handles a request: reads it, applies the filters, and then tries backends until the request has
@@ -34,23 +33,20 @@
   /** Outcome of a request whose complete response was forwarded. */
   static final String COMPLETE = "complete";
 
-  /** Interval at which a request that waits for the node to start checks whether it may proceed. */
-  private static final long START_CHECK_MILLIS = 15;
+  /** Interval at which a request that waits for the state of the node checks it again. */
+  private static final long STATE_CHECK_MILLIS = 15;
 
   /**
-   * Seconds after which a request that found no memory is retried: slow callers are cut off once
-   * they have read nothing for about as long.
+   * Time for which a forwarded request waits for the configuration by which the other node has
+   * handled it, which may just be spreading.
    */
-  private static final int NO_MEMORY_RETRY_SECONDS = 1;
+  private static final long CONFIGURATION_WAIT_MILLIS = 300;
 
   /**
-   * A request that has arrived.
-   *
-   * @param exchange the request
-   * @param elapsedMillis time since it has arrived at the node that forwarded it
-   * @param fromPeer whether another node has forwarded it
+   * Seconds after which a request that found no memory is retried: slow callers are cut off once
+   * they have read nothing for about as long.
    */
-  private record Arrival(HttpExchange exchange, long elapsedMillis, boolean fromPeer) {}
+  private static final int NO_MEMORY_RETRY_SECONDS = 1;
 
   private final GatewayBlackboard blackboard;
   private final CallerProtocol callerProtocol;
@@ -112,11 +108,12 @@
     this.terms = new AdmissionTermsSource(services.waitsForRoom());
     this.pools =
         new PoolState(blackboard, services.rates(), nodes, terms, limits.keepsUrgency(), time);
+    DenialRule denials = new DenialRule(services.configurations());
     this.filters =
         List.of(
             new PhaseFilter(blackboard.phase()),
-            new RouteFilter(backendProtocol::isControlPath),
-            new TenantFilter(limits.maxKeyProofAge().toMillis()),
+            new RouteFilter(backendProtocol::isControlPath, denials),
+            new TenantFilter(limits.maxKeyProofAge().toMillis(), denials),
             new QuarantineFilter(services.quarantine(), time));
   }
 
@@ -132,7 +129,7 @@
 
   @Override
   public void handle(HttpExchange exchange) {
-    handle(new Arrival(exchange, 0, false));
+    handle(Arrival.direct(exchange));
   }
 
   /** Returns whether a request was forwarded by another node; to be asked for peers only. */
@@ -143,7 +140,7 @@
   /** Handles a request that another node has forwarded. */
   public void handleForwarded(HttpExchange exchange) {
     try {
-      handle(new Arrival(exchange, ForwardHeaders.restore(exchange), true));
+      handle(Arrival.forwarded(exchange));
     } catch (MalformedRequestException malformed) {
       refuseMalformed(exchange, malformed, true);
     }
@@ -156,13 +153,21 @@
       // work.
       return;
     }
-    if (isStarting() && ageMillis(exchange) < startWaitMillis) {
+    boolean lacksConfiguration =
+        arrival.fromPeer() && services.configurations().observeRequest(arrival.configuration());
+    long maxWaitMillis =
+        Math.max(
+            isStarting() ? startWaitMillis : 0, lacksConfiguration ? CONFIGURATION_WAIT_MILLIS : 0);
+    if (ageMillis(exchange) < maxWaitMillis) {
       exchange
           .eventLoop()
-          .schedule(() -> handle(arrival), START_CHECK_MILLIS, TimeUnit.MILLISECONDS);
-      return;
+          .schedule(() -> handle(arrival), STATE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    } else if (lacksConfiguration) {
+      // Its caller may have seen the effect of the other node's newer configuration.
+      exchange.reply(render(DenialRule.outdated(), true, configuration()));
+    } else {
+      serve(arrival);
     }
-    serve(arrival);
   }
 
   /**
@@ -199,7 +204,7 @@
   private void refuseMalformed(
       HttpExchange exchange, MalformedRequestException malformed, boolean fromPeer) {
     Refusal refusal = Refusal.of(RefusalKind.MALFORMED, malformed.getMessage());
-    exchange.reply(render(refusal, fromPeer));
+    exchange.reply(render(refusal, fromPeer, configuration()));
   }
 
   private RequestState stateOf(Arrival arrival, CallerRequest request) {
@@ -316,13 +321,13 @@
   }
 
   HttpReply render(RequestState state, Refusal refusal) {
-    return render(refusal, state.receivedFromPeer);
+    return render(refusal, state.receivedFromPeer, state.configuration);
   }
 
-  private HttpReply render(Refusal refusal, boolean fromPeer) {
+  private HttpReply render(Refusal refusal, boolean fromPeer, GatewayConfiguration configuration) {
     HttpReply reply = callerProtocol.render(refusal);
     if (fromPeer) {
-      ForwardHeaders.markRefusal(reply.headers(), refusal.kind());
+      ForwardHeaders.markRefusal(reply.headers(), refusal.kind(), configuration.version());
     }
     return reply;
   }
@@ -341,27 +346,7 @@
     if (outcome.equals(COMPLETE)) {
       terms.recordComplete(state);
     }
-    boolean late = state.route != null && state.isLateStream();
-    if (late || state.sends > 1 || !outcome.equals(COMPLETE)) {
-      Logger.info(
-          "event=request-ended request={} outcome={} status={} late={} pool={} backend={}"
-              + " connection={} sends={} millis={} first-event-ms={} longest-gap-ms={} prompt-tokens={} waiting-tokens={}"
-              + " deferred={}",
-          state.request.id(),
-          outcome,
-          state.response.status(),
-          late,
-          state.pool,
-          state.backend,
-          state.connection,
-          state.sends,
-          time.monotonicMillis() - state.arrivedAtMillis,
-          state.response.firstEventMillis(),
-          state.response.longestGapMillis(),
-          state.promptTokens(),
-          state.waitingTokens,
-          state.deferred);
-    }
+    EndedRequestLog.log(state, outcome, time.monotonicMillis());
   }
 
   Time time() {
--- a/gateway/src/test/java/org/lockdale/gateway/request/ForwardedCallTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/ForwardedCallTest.java
@@ -15,8 +15,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.lockdale.coordination.blackboard.Section;
 import org.lockdale.coordination.time.SystemTime;
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.cluster.PeerNode;
@@ -43,6 +45,7 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
   private static final int OK = 200;
+  private static final long VERSION = 7;
   private static final int MARK_BYTES = 64 * 1024;
   private static final int BOUND_BYTES = 16 * 1024 * 1024;
   private static final long UNREAD_WAIT_MILLIS = 1_000;
@@ -80,6 +83,7 @@
   /** What the caller got, the result of the call and the state of the request after it. */
   private record Outcome(String body, ForwardedCall.Result result, RequestState state) {}
 
+  private final List<String> newerNodes = new CopyOnWriteArrayList<>();
   private EventLoopGroup group;
   private HttpClient client;
   private HttpServer node;
@@ -89,6 +93,7 @@
   public void start() {
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     client = new HttpClient(group);
+    newerNodes.clear();
   }
 
   @AfterMethod(alwaysRun = true)
@@ -148,7 +153,7 @@
         serve(
             exchange -> {
               HttpHeaders headers = new DefaultHttpHeaders();
-              ForwardHeaders.markResponse(headers);
+              ForwardHeaders.markResponse(headers, VERSION);
               exchange.startStream(OK, headers);
               for (String part : parts) {
                 exchange.write(Unpooled.copiedBuffer(part, StandardCharsets.UTF_8));
@@ -171,6 +176,9 @@
               new ForwardedCall(
                       received,
                       peer,
+                      new PeerConfigurations(
+                          new Section<>(GatewayConfiguration.NONE),
+                          newer -> newerNodes.add(newer.id())),
                       held,
                       SystemTime.instance(),
                       end -> {
@@ -198,6 +206,12 @@
     assertTrue(outcome.result() instanceof ForwardedCall.Result.Abandoned, outcome.toString());
   }
 
+  @Test
+  public void aNodeThatHasServedByANewerConfigurationIsReported() throws Exception {
+    forward(true, EVENTS);
+    assertEquals(newerNodes, List.of("node-2"));
+  }
+
   @Test
   public void theEventsOfAnotherNodeCountAsThoseOfTheResponse() throws Exception {
     Outcome outcome = forward(true, event(1) + "id: 2\nda", "ta: piece 2\n\n");
