Soak: a repeated page of cache events is the same page; a crash may complete a stream

Cause: the second reply to /kv-events ended at a position that the server never told, so a node could not tell it from a page by its content.

Change: the second page is the first one again, and the server notes a call on the same connection that asks for events before the position that it told last there, which shows a node that is one reply behind. The check of runs that go on is kept for single responses; streams must still have their last event (ORDER).

--- a/soak/src/main/java/org/lockdale/soak/judge/Note.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/Note.java
@@ -145,11 +145,13 @@
       implements Note {}
 
   /**
-   * A server received a call with a number that only a second reply of it has contained.
+   * A server received a call which shows that its node has taken a second reply for another one.
    *
    * @param path path of the call
+   * @param reason what shows it
    */
-  record SecondReplyUsed(long atMillis, String server, String path) implements Note {}
+  record SecondReplyUsed(long atMillis, String server, String path, String reason)
+      implements Note {}
 
   /** A server responded to an order of weights, with a status. */
   record OrderAnswered(long atMillis, String server, long version, int status) implements Note {}
--- a/soak/src/main/java/org/lockdale/soak/judge/ResponseRules.java
+++ b/soak/src/main/java/org/lockdale/soak/judge/ResponseRules.java
@@ -74,7 +74,8 @@
 
   /**
    * Returns whether a response is complete although its server has not recorded the end of its run,
-   * which it does before it writes the last part. Another run may complete a resumable stream.
+   * which it does before it writes the response. A stream may be complete without it: by another
+   * run, or by a crash after the last event of a response that its connection ends.
    */
   private static boolean isUnended(
       History history, RequestHistory request, Note.Answered response) {
@@ -82,7 +83,7 @@
     return response.whole()
         && history.isFullyRecorded(response.atMillis())
         && sent != null
-        && sent.kind() != RequestKind.RESUMABLE;
+        && !sent.kind().isStreaming();
   }
 
   /** Checks rule ORDER: the events of a stream arrive in order, once each, up to the last one. */
--- a/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
@@ -58,6 +58,7 @@
   private final String service;
   private final AtomicLong runs = new AtomicLong();
   private final ServerReplies replies;
+  private final ToldPositions positions = new ToldPositions();
   private volatile @Nullable RawBackend backend;
 
   /** Advertised requests per second, or null for none. */
@@ -362,14 +363,30 @@
     replies.of(connection).write(Reply.of(status, id, body, headers).text(), null);
   }
 
-  /** Records that a node uses a number that stands only in a second reply of this server. */
+  /** Returns the positions in its cache events that this server has told. */
+  final ToldPositions positions() {
+    return positions;
+  }
+
+  /** Records it if a call uses a number that stands only in a second reply of this server. */
   final void checkNumber(String path, long number) {
     if (number >= SecondReplies.FIRST_MARKED_NUMBER) {
-      StandardStreams.writeNote(
-          new Note.SecondReplyUsed(StandardStreams.nowMillis(), instance(), path));
+      recordSecondReplyUsed(path, "uses a number of a second reply");
     }
   }
 
+  /** Records it if a call asks for events before those of the last reply on its connection. */
+  final void checkPosition(Socket connection, String path, long since) {
+    if (positions.isBehind(connection, since)) {
+      recordSecondReplyUsed(path, "asks for events before those of the last reply");
+    }
+  }
+
+  private void recordSecondReplyUsed(String path, String reason) {
+    StandardStreams.writeNote(
+        new Note.SecondReplyUsed(StandardStreams.nowMillis(), instance(), path, reason));
+  }
+
   /** Waits and returns whether the peer closed the connection within {@code millis}. */
   final boolean closesWithin(Socket connection, long millis) {
     RawBackend started = backend;
