The simulation of tenants' limits in parts

Cause: LimitSimulation had 556 lines and four jobs: simulated time and network, a node, its loans of shares, and its queries to the limit relay. Its event queue was VirtualTime's written again. Change: LimitSimulationNode, SimulatedShareLoans and SimulatedLimitQueries beside it; VirtualTime in place of the own queue; onRelays, which nothing called, is gone.

--- a/gateway/src/test/java/org/lockdale/gateway/limit/LimitSimulationTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/limit/LimitSimulationTest.java
@@ -211,7 +211,7 @@
       case RELAY_KILLED -> restart(simulation, simulation.limitRelay(), 3_500);
       case RELAY_FROZEN -> simulation.limitRelay().freeze(4_000);
       case RELAY_WITHOUT_STORE -> {
-        LimitSimulation.Node relay = simulation.limitRelay();
+        LimitSimulationNode relay = simulation.limitRelay();
         relay.reachesStore = false;
         simulation.after(6_000, () -> relay.reachesStore = true);
       }
@@ -248,12 +248,12 @@
   }
 
   private static void restart(
-      LimitSimulation simulation, LimitSimulation.Node node, long downMillis) {
+      LimitSimulation simulation, LimitSimulationNode node, long downMillis) {
     node.kill();
     simulation.after(downMillis, node::start);
   }
 
-  private static void partition(LimitSimulation simulation, LimitSimulation.Node node, int group) {
+  private static void partition(LimitSimulation simulation, LimitSimulationNode node, int group) {
     node.partition(group);
     simulation.after(5_500, () -> node.partition(0));
   }
--- a/gateway/src/test/java/org/lockdale/gateway/limit/TenantTraffic.java
+++ b/gateway/src/test/java/org/lockdale/gateway/limit/TenantTraffic.java
@@ -14,7 +14,7 @@
 
   final String tenant;
   final TenantLimit limit;
-  final Predicate<LimitSimulation.Node> receives;
+  final Predicate<LimitSimulationNode> receives;
   private final List<Sent> sent = new ArrayList<>();
   private TenantLimit currentLimit;
   private double level;
@@ -22,7 +22,7 @@
   double expected;
   double admitted;
 
-  TenantTraffic(String tenant, TenantLimit limit, Predicate<LimitSimulation.Node> receives) {
+  TenantTraffic(String tenant, TenantLimit limit, Predicate<LimitSimulationNode> receives) {
     this.tenant = tenant;
     this.limit = limit;
     this.currentLimit = limit;
