--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulationTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulationTest.java
@@ -157,7 +157,7 @@
   }
 
   private static void inject(RateSimulation simulation, Fault fault) {
-    List<RateSimulation.Node> nodes = simulation.nodes;
+    List<RateSimulationNode> nodes = simulation.nodes;
     switch (fault) {
       case RELAY_KILLED -> simulation.coordinator().restartAfter(3_500);
       case RELAY_FROZEN -> simulation.coordinator().freeze(4_000);
@@ -209,7 +209,7 @@
   }
 
   private static void partitionTemporarily(
-      RateSimulation simulation, RateSimulation.Node node, int group) {
+      RateSimulation simulation, RateSimulationNode node, int group) {
     node.partition(group);
     simulation.after(5_000, () -> node.partition(0));
   }
