--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/AttemptJournalTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/AttemptJournalTest.java
@@ -4,18 +4,11 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.ToLongFunction;
-import org.lockdale.coordination.simulation.VirtualTime;
-import org.lockdale.gateway.backend.Backend;
-import org.lockdale.gateway.backend.BackendTable;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -23,98 +16,15 @@
  * Tests that the rows of attempts of suspects outlive the nodes that wrote them, and count if the
  * backends crash.
  */
-public final class AttemptJournalTest {
+public final class AttemptJournalTest extends AttemptJournalFixture {
 
-  private static final AttemptIds IDS = new AttemptIds("node");
-  private static final SuspectAttempt ATTEMPT = attempt(1);
-  private static final ToLongFunction<String> NEVER_ALIVE = backend -> Long.MIN_VALUE;
-
-  /** Keeps one row a key, as the shared store does. */
-  private static final class Rows extends EmptySuspectTable {
-    private final Set<SuspectAttempt> present = new LinkedHashSet<>();
-    private final List<Runnable> delayed = new ArrayList<>();
-    private boolean slow;
-    private boolean unavailable;
-
-    private CompletableFuture<Void> change(Runnable change) {
-      if (slow) {
-        CompletableFuture<Void> changed = new CompletableFuture<>();
-        delayed.add(
-            () -> {
-              change.run();
-              changed.complete(null);
-            });
-        return changed;
-      }
-      if (unavailable) {
-        return CompletableFuture.failedFuture(new IllegalStateException("unavailable"));
-      }
-      change.run();
-      return CompletableFuture.completedFuture(null);
-    }
-
-    @Override
-    public CompletableFuture<Void> recordAttempt(SuspectAttempt attempt) {
-      return change(() -> present.add(attempt));
-    }
-
-    @Override
-    public CompletableFuture<Void> removeAttempt(SuspectAttempt attempt) {
-      return change(() -> present.remove(attempt));
-    }
-  }
-
-  private VirtualTime time;
-  private Rows rows;
-  private AttemptJournal journal;
   private int changes;
 
   @BeforeMethod
-  public void start() {
-    time = new VirtualTime();
-    rows = new Rows();
-    journal = newJournal(IDS);
+  public void resetChanges() {
     changes = 0;
   }
 
-  private AttemptJournal newJournal(AttemptIds ids) {
-    return new AttemptJournal(rows, ids, Runnable::run, time);
-  }
-
-  private static SuspectAttempt attempt(int number) {
-    return attempt(number, IDS);
-  }
-
-  private static SuspectAttempt attempt(int number, AttemptIds ids) {
-    return new SuspectAttempt(new RequestFingerprint(number, number), number, "i-1@1", ids.next());
-  }
-
-  private List<SuspectAttempt> rows() {
-    return List.copyOf(rows.present);
-  }
-
-  private Set<String> unresolvedBackends(long lastAliveAtMillis) {
-    UnresolvedAttempts attempts =
-        journal.unresolved(backend -> lastAliveAtMillis).get(ATTEMPT.fingerprint());
-    return attempts == null ? Set.of() : attempts.backends();
-  }
-
-  private static BackendTable table(String... ids) {
-    List<Backend> backends = new ArrayList<>();
-    for (String id : ids) {
-      InetSocketAddress address = InetSocketAddress.createUnresolved(id, 80);
-      backends.add(new Backend(id, "pool", address, "zone", 4, false, Map.of()));
-    }
-    return BackendTable.EMPTY.with(backends);
-  }
-
-  private void tickFor(long millis, boolean coordinator) {
-    for (long passed = 0; passed < millis; passed += 250) {
-      journal.tick(coordinator);
-      time.runMillis(250);
-    }
-  }
-
   /**
    * Three servers crashed, each within 0.2 s before the only node that knew of the crash was
    * killed.
@@ -151,49 +61,6 @@
     assertEquals(journal.takeCrashed(table("i-1@0"), NEVER_ALIVE), List.of());
   }
 
-  @Test
-  public void aConcludedAttemptLeavesNoRow() {
-    SuspectAttempt second = attempt(1);
-    journal.recordStart(ATTEMPT, false);
-    journal.recordStart(second, false);
-    journal.recordConclusion(ATTEMPT, AttemptOutcome.NOT_LOST);
-    assertEquals(rows(), List.of(second), "one is still in progress");
-    journal.recordConclusion(second, AttemptOutcome.NOT_LOST);
-    assertEquals(rows(), List.of());
-  }
-
-  /** Two nodes had sent a request to one backend; the row of both was removed by the first. */
-  @Test
-  public void aConcludedAttemptLeavesTheRowsOfOtherNodes() {
-    AttemptIds otherIds = new AttemptIds("other");
-    SuspectAttempt ofOther = attempt(1, otherIds);
-    journal.recordStart(ATTEMPT, false);
-    newJournal(otherIds).recordStart(ofOther, false);
-    journal.recordConclusion(ATTEMPT, AttemptOutcome.NOT_LOST);
-    journal.update(rows());
-    assertEquals(journal.takeCrashed(table("i-1@2"), NEVER_ALIVE), List.of(ofOther));
-  }
-
-  @Test
-  public void aRowIsRemovedOnlyAfterItsWriteIsDone() {
-    rows.slow = true;
-    journal.recordStart(ATTEMPT, false);
-    journal.recordConclusion(ATTEMPT, AttemptOutcome.NOT_LOST);
-    assertEquals(rows.delayed.size(), 1, "the removal might otherwise reach the store first");
-    rows.slow = false;
-    rows.delayed.forEach(Runnable::run);
-    assertEquals(rows(), List.of());
-  }
-
-  @Test
-  public void aRowThatTheStoreDidNotTakeIsWrittenLater() {
-    rows.unavailable = true;
-    journal.recordStart(ATTEMPT, false);
-    rows.unavailable = false;
-    tickFor(1_000, false);
-    assertEquals(rows(), List.of(ATTEMPT));
-  }
-
   @Test
   public void anAttemptOfAnotherNodeIsUnresolvedUntilItsBackendHasOutlivedIt() {
     journal = newJournal(new AttemptIds("other"));
@@ -300,17 +167,6 @@
     assertEquals(journal.takeCrashed(table("i-1@2"), NEVER_ALIVE), List.of(ATTEMPT));
   }
 
-  /** Otherwise one crash would count twice if it is attributed to the next incarnation. */
-  @Test
-  public void aReportedAttemptIsNotUnresolvedAndItsRowIsGoneBeforeOthersCountIt() {
-    journal.recordStart(ATTEMPT, false);
-    journal.recordConclusion(ATTEMPT, AttemptOutcome.REPORTED);
-    assertTrue(journal.isInProgress(ATTEMPT.id()));
-    assertEquals(unresolvedBackends(0), Set.of());
-    tickFor(3_000, false);
-    assertEquals(rows(), List.of());
-  }
-
   /**
    * Many suspects after a crash must not keep the attempt of a killed node from being asked for.
    */
@@ -339,14 +195,6 @@
     assertEquals(asked.size(), attempts.size());
   }
 
-  @Test
-  public void anAttemptThatWasConcludedWithoutALossIsNotReportedAsLost() {
-    journal.recordStart(ATTEMPT, false);
-    rows.unavailable = true;
-    journal.recordConclusion(ATTEMPT, AttemptOutcome.NOT_LOST);
-    assertTrue(journal.isInProgress(ATTEMPT.id()), "its row could not be removed");
-  }
-
   @Test
   public void attemptsOfAnEarlierProcessOfThisNodeAreUnresolvedAtOnce() {
     journal = newJournal(new AttemptIds("node"));
@@ -382,51 +230,4 @@
     journal.update(List.of(ATTEMPT));
     assertEquals(unresolvedBackends(0), Set.of(), "the row was read before it was removed");
   }
-
-  @Test
-  public void aLostAttemptStaysRecordedUntilItsBackendsFateIsKnown() {
-    journal.recordStart(ATTEMPT, false);
-    journal.recordConclusion(ATTEMPT, AttemptOutcome.UNKNOWN);
-    tickFor(9_000, false);
-    assertEquals(rows(), List.of(ATTEMPT));
-    tickFor(2_000, false);
-    assertEquals(rows(), List.of());
-  }
-
-  @Test
-  public void aRowThatTheStoreDidNotRemoveIsRemovedLater() {
-    journal.recordStart(ATTEMPT, false);
-    rows.unavailable = true;
-    journal.recordConclusion(ATTEMPT, AttemptOutcome.NOT_LOST);
-    rows.unavailable = false;
-    tickFor(500, false);
-    assertEquals(rows(), List.of());
-  }
-
-  @Test
-  public void rowsOfNodesThatAreGoneAreRemovedByTheCoordinator() {
-    journal = newJournal(new AttemptIds("other"));
-    rows.present.add(ATTEMPT);
-    journal.update(rows());
-    tickFor(29_000, true);
-    assertEquals(rows(), List.of(ATTEMPT));
-    tickFor(2_000, true);
-    assertEquals(rows(), List.of());
-  }
-
-  @Test
-  public void aNodeRecordsFewAttempts() {
-    for (int number = 0; number < 100; number++) {
-      journal.recordStart(attempt(number), false);
-    }
-    assertEquals(rows.present.size(), 32);
-  }
-
-  @Test
-  public void significantSuspectsFindRoomBesideManyOthers() {
-    for (int number = 0; number < 100; number++) {
-      journal.recordStart(attempt(number), number % 2 == 1);
-    }
-    assertEquals(rows.present.size(), 64);
-  }
 }
