The integral of borrowed shares in one place

Cause: TenantBuckets and RateAllowances had the same code for shares that nodes lend to this one: their end, their sum's integral over time, and what to do at each change of the sum. Change: BorrowedShares has it, and both settle their buckets when it reports a change. No decision is changed. TenantBucketsTest (15), LevelKeeperTest (16), RateAllowancesTest (9), ShareLenderTest (5), LimitClientTest (3) and RateSimulationTest (8) passed.

--- a/gateway/src/main/java/org/lockdale/gateway/limit/TenantBuckets.java
+++ b/gateway/src/main/java/org/lockdale/gateway/limit/TenantBuckets.java
@@ -54,7 +54,7 @@
     Allowance allowance;
     double level;
 
-    /** Value of {@link #shareMillis} up to which the level is computed. */
+    /** Integral of the borrowed shares up to which the level is computed. */
     double shareMillis;
 
     double reserveUsed;
@@ -86,7 +86,7 @@
     }
   }
 
-  private final ShareLoans shares = new ShareLoans();
+  private final BorrowedShares shares;
   private final ShareLoans reserves = new ShareLoans();
   private final Map<String, Bucket> buckets = new HashMap<>();
 
@@ -103,11 +103,6 @@
   private long keptGainsFromMillis = Long.MAX_VALUE;
   private long usedAtMillis = Long.MIN_VALUE;
 
-  /** Integral of the borrowed shares over time: a share of 1 adds 1 per millisecond. */
-  private double shareMillis;
-
-  private long updatedAtMillis;
-
   /**
    * Creates buckets without any tenant whose levels are not kept.
    *
@@ -129,7 +124,7 @@
   public TenantBuckets(long windowMillis, long nowMillis, boolean kept) {
     this.bucketFraction = kept ? 1 - KEPT_FRACTION : 1;
     this.reserveReuseMillis = windowMillis + Allowance.MAX_RETURN_MILLIS;
-    this.updatedAtMillis = nowMillis;
+    this.shares = new BorrowedShares(nowMillis, this::settleAfterShareChange);
   }
 
   /**
@@ -137,12 +132,13 @@
    * lowered loses the surplus.
    */
   public void setAllowances(Map<String, Allowance> allowances, long nowMillis) {
-    advance(nowMillis);
+    shares.update(nowMillis);
     settleAll();
     buckets.keySet().retainAll(allowances.keySet());
     allowances.forEach(
         (tenant, allowance) ->
-            buckets.computeIfAbsent(tenant, name -> new Bucket(allowance, shareMillis)).allowance =
+            buckets.computeIfAbsent(tenant, name -> new Bucket(allowance, shares.shareMillis()))
+                    .allowance =
                 allowance);
     settleAll();
     buckets.values().forEach(bucket -> bucket.kept.limitTo(maxKept(bucket)));
@@ -157,18 +153,12 @@
    * @param nowMillis monotonic time
    */
   public void lent(String node, double share, long untilMillis, long nowMillis) {
-    advance(nowMillis);
-    double before = shares.share();
     shares.lent(node, share, untilMillis, nowMillis);
-    settleAfterShareChange(before);
   }
 
   /** Releases the share of a node. A loan that ends no later and arrives after this is ignored. */
   public void release(String node, long untilMillis, long nowMillis) {
-    advance(nowMillis);
-    double before = shares.share();
-    shares.release(node, untilMillis);
-    settleAfterShareChange(before);
+    shares.release(node, untilMillis, nowMillis);
   }
 
   /** Records that a node lends its share of the reserves, as {@link #lent} does for limits. */
@@ -194,7 +184,7 @@
    *     milliseconds
    */
   public OptionalLong take(String tenant, double amount, long nowMillis) {
-    advance(nowMillis);
+    shares.update(nowMillis);
     Bucket bucket = buckets.get(tenant);
     if (bucket == null) {
       // The configuration of this node has no limit for the tenant yet, or no longer.
@@ -216,7 +206,7 @@
 
   /** Returns the amount of a tenant with a limit that may be used now, without the reserve. */
   double available(String tenant, long nowMillis) {
-    advance(nowMillis);
+    shares.update(nowMillis);
     Bucket bucket = buckets.get(tenant);
     settle(bucket, shares.share());
     return available(bucket, nowMillis);
@@ -271,40 +261,23 @@
    * @param millis duration of the suspension, in milliseconds
    */
   public void excludeSuspension(long millis) {
-    updatedAtMillis += millis;
+    shares.excludeSuspension(millis);
   }
 
   /** Returns the sum of the borrowed shares, from 0 to 1. */
   public double share(long nowMillis) {
-    advance(nowMillis);
+    shares.update(nowMillis);
     return shares.share();
   }
 
-  private void advance(long nowMillis) {
-    while (shares.nextEndMillis() <= nowMillis) {
-      elapse(shares.nextEndMillis());
-      double before = shares.share();
-      shares.end(shares.nextEndMillis());
-      settleAfterShareChange(before);
-    }
-    elapse(nowMillis);
-  }
-
-  private void elapse(long nowMillis) {
-    shareMillis += shares.share() * Math.max(0, nowMillis - updatedAtMillis);
-    updatedAtMillis = Math.max(updatedAtMillis, nowMillis);
-  }
-
   /**
    * Updates all levels after a change of the sum of the shares.
    *
-   * @param shareBefore sum of the shares until now
+   * @param shareBefore sum of the shares before the change
    */
   private void settleAfterShareChange(double shareBefore) {
-    if (shares.share() != shareBefore) {
-      buckets.values().forEach(bucket -> settle(bucket, shareBefore));
-      settleAll();
-    }
+    buckets.values().forEach(bucket -> settle(bucket, shareBefore));
+    settleAll();
   }
 
   private void settleAll() {
@@ -312,14 +285,14 @@
   }
 
   private void settle(Bucket bucket, double share) {
-    double gained = (shareMillis - bucket.shareMillis) * bucket.allowance.ratePerMilli();
-    bucket.shareMillis = shareMillis;
+    double gained = (shares.shareMillis() - bucket.shareMillis) * bucket.allowance.ratePerMilli();
+    bucket.shareMillis = shares.shareMillis();
     double full = bucket.level + gained;
     bucket.level = Math.min(full, bucket.allowance.capacity() * bucketFraction * share);
     boolean gains =
         ownsRow
-            && updatedAtMillis >= keptGainsFromMillis
-            && updatedAtMillis < keptUsableUntilMillis;
+            && shares.updatedAtMillis() >= keptGainsFromMillis
+            && shares.updatedAtMillis() < keptUsableUntilMillis;
     if (gains) {
       bucket.kept.gain(Math.min(gained, full - bucket.level), maxKept(bucket));
     }
@@ -339,7 +312,7 @@
    * tenant. What the row gains can no longer be used.
    */
   Map<String, Double> beginWrite(long nowMillis) {
-    advance(nowMillis);
+    shares.update(nowMillis);
     settleAll();
     Map<String, Double> levels = new HashMap<>();
     buckets.forEach(
--- a/gateway/src/main/java/org/lockdale/gateway/rate/RateAllowances.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/RateAllowances.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
-import org.lockdale.gateway.limit.ShareLoans;
+import org.lockdale.gateway.limit.BorrowedShares;
 
 /**
  * Number of requests that this node may send to backends that advertise a rate limit. Nodes lend
@@ -23,7 +23,7 @@
     private RateBound bound;
     private double level;
 
-    /** Value of {@link #shareMillis} up to which the level is computed. */
+    /** Integral of the borrowed shares up to which the level is computed. */
     private double shareMillis;
 
     Bucket(RateBound bound, double shareMillis) {
@@ -37,27 +37,22 @@
     }
   }
 
-  private final ShareLoans shares = new ShareLoans();
+  private final BorrowedShares shares;
   private final Map<String, Bucket> buckets = new HashMap<>();
 
-  /** Integral of the borrowed shares over time: a share of 1 adds 1 per millisecond. */
-  private double shareMillis;
-
-  private long updatedAtMillis;
-
   /** Creates the allowances of a node that has borrowed no shares. */
   public RateAllowances(long nowMillis) {
-    this.updatedAtMillis = nowMillis;
+    this.shares = new BorrowedShares(nowMillis, this::settleAfterShareChange);
   }
 
   /** Sets the rate that a backend advertises, in requests per second. */
   public void setRate(String backend, double perSecond, long nowMillis) {
-    advance(nowMillis);
+    shares.update(nowMillis);
     RateBound bound = new RateBound(perSecond);
-    Bucket bucket = buckets.computeIfAbsent(backend, id -> new Bucket(bound, shareMillis));
-    bucket.settle(shareMillis, shares.share());
+    Bucket bucket = buckets.computeIfAbsent(backend, id -> new Bucket(bound, shares.shareMillis()));
+    bucket.settle(shares.shareMillis(), shares.share());
     bucket.bound = bound;
-    bucket.settle(shareMillis, shares.share());
+    bucket.settle(shares.shareMillis(), shares.share());
   }
 
   /** Removes the rate of a backend that no longer advertises one. */
@@ -80,8 +75,8 @@
     if (bucket == null) {
       return true;
     }
-    advance(nowMillis);
-    bucket.settle(shareMillis, shares.share());
+    shares.update(nowMillis);
+    bucket.settle(shares.shareMillis(), shares.share());
     return bucket.level >= ONE_REQUEST - ROUNDING;
   }
 
@@ -127,59 +122,35 @@
 
   /** Records that a node lends its share until a time, in place of its earlier loan. */
   public void lent(String node, double share, long untilMillis, long nowMillis) {
-    advance(nowMillis);
-    double before = shares.share();
     shares.lent(node, share, untilMillis, nowMillis);
-    settleAfterShareChange(before);
   }
 
   /** Releases the share of a node. A loan that ends no later and arrives after this is ignored. */
   public void release(String node, long untilMillis, long nowMillis) {
-    advance(nowMillis);
-    double before = shares.share();
-    shares.release(node, untilMillis);
-    settleAfterShareChange(before);
+    shares.release(node, untilMillis, nowMillis);
   }
 
   /** Returns the sum of the borrowed shares, from 0 to 1. */
   public double share(long nowMillis) {
-    advance(nowMillis);
+    shares.update(nowMillis);
     return shares.share();
   }
 
   /** Returns whether a node has lent its share. */
   public boolean isLentBy(String node, long nowMillis) {
-    advance(nowMillis);
+    shares.update(nowMillis);
     return shares.isLentBy(node);
   }
 
-  private void advance(long nowMillis) {
-    while (shares.nextEndMillis() <= nowMillis) {
-      elapse(shares.nextEndMillis());
-      double before = shares.share();
-      shares.end(shares.nextEndMillis());
-      settleAfterShareChange(before);
-    }
-    elapse(nowMillis);
-  }
-
-  private void elapse(long nowMillis) {
-    shareMillis += shares.share() * Math.max(0, nowMillis - updatedAtMillis);
-    updatedAtMillis = Math.max(updatedAtMillis, nowMillis);
-  }
-
   /**
    * Updates all levels after a change of the sum of the shares.
    *
-   * @param shareBefore sum of the shares until now
+   * @param shareBefore sum of the shares before the change
    */
   private void settleAfterShareChange(double shareBefore) {
-    double share = shares.share();
-    if (share != shareBefore) {
-      for (Bucket bucket : buckets.values()) {
-        bucket.settle(shareMillis, shareBefore);
-        bucket.settle(shareMillis, share);
-      }
+    for (Bucket bucket : buckets.values()) {
+      bucket.settle(shares.shareMillis(), shareBefore);
+      bucket.settle(shares.shareMillis(), shares.share());
     }
   }
 }
