Broadcasts and messages of rates apart from RateExchange

Change: RateObservation (to and from a record), RateReportSender (as many messages as needed) and RateBroadcaster (intervals and receivers of broadcasts) beside it. No decision is changed.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RateExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RateExchange.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -23,7 +22,6 @@
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.AdvertisedRate;
 import org.lockdale.gateway.limit.ShareLender;
-import org.lockdale.gateway.rate.AdvertisedRates;
 import org.lockdale.gateway.rate.BackendRates;
 import org.lockdale.protocol.Message;
 import org.lockdale.protocol.generated.RateRecord;
@@ -46,30 +44,9 @@
   /** Rates read within this time go into one message. */
   private static final long BATCH_MILLIS = 10;
 
-  /** Shortest time between two broadcasts, since a rate may change with each response. */
-  private static final long BROADCAST_INTERVAL_MILLIS = 200;
-
-  /**
-   * Maximum number of nodes that a broadcast reaches if there is no coordinator to inform all of
-   * them.
-   */
-  private static final int MAX_RECEIVERS_WITHOUT_COORDINATOR = 16;
-
-  private static final int RECEIVER_OFFSET_SPREAD = 1_024;
-
-  /** Maximum number of records in one message, so that it fits into a datagram. */
-  private static final int MAX_RECORDS_IN_MESSAGE = 16;
-
   /** Maximum number of rates waiting to be reported; responses of rate-limited backends are few. */
   private static final int MAX_PENDING_OBSERVATIONS = 1_024;
 
-  /**
-   * Longest assumed transit time of a message. The receiver derives times from the ages in a
-   * message, so they appear later than they were by the transit time; this is subtracted from send
-   * times.
-   */
-  private static final long MAX_TRANSIT_MILLIS = 200;
-
   /**
    * Dependencies of an exchange.
    *
@@ -101,12 +78,11 @@
       long startedAtMillis,
       Time time) {}
 
-  private record Observation(
-      String backend, AdvertisedRate rate, long sentAtMillis, long receivedAtMillis) {}
-
   private final Context context;
   private final LoanSender loanSender;
-  private final Queue<Observation> pendingObservations = new ConcurrentLinkedQueue<>();
+  private final RateReportSender reportSender;
+  private final RateBroadcaster broadcaster;
+  private final Queue<RateObservation> pendingObservations = new ConcurrentLinkedQueue<>();
   private final AtomicBoolean sendScheduled = new AtomicBoolean();
   private final Map<String, LoanSender.Relay> latestHeartbeats = new HashMap<>();
 
@@ -117,14 +93,6 @@
    */
   private final Set<String> rateAwareNodes = ConcurrentHashMap.newKeySet();
 
-  /** The latest changed rate of each backend that is still to be broadcast. */
-  private final Map<String, Observation> pendingBroadcast = new HashMap<>();
-
-  private boolean broadcastScheduled;
-
-  /** Index of the first receiver of the next partial broadcast; nodes start at different ones. */
-  private int nextReceiver;
-
   /** Creates an exchange, which receives the rates read from responses from now on. */
   public RateExchange(Context context) {
     this.context = context;
@@ -140,7 +108,8 @@
                 context.time()),
             false,
             this::lendShare);
-    this.nextReceiver = Math.floorMod(context.selfId().hashCode(), RECEIVER_OFFSET_SPREAD);
+    this.reportSender = new RateReportSender(context.sender(), context.time());
+    this.broadcaster = new RateBroadcaster(context, reportSender);
     context.rates().setListener(this::onRateReceived);
   }
 
@@ -155,23 +124,23 @@
   }
 
   private void sendKnownRate(String relay, String backend) {
-    List<Observation> known =
+    List<RateObservation> known =
         context
             .rates()
             .advertisedRate(backend)
-            .map(advertised -> observationOf(backend, advertised))
+            .map(advertised -> RateObservation.of(backend, advertised))
             .stream()
             .toList();
     for (RelayElection.Relay each : context.relays().get()) {
       if (each.id().equals(relay)) {
-        send(List.of(each.address()), known);
+        reportSender.send(List.of(each.address()), known);
       }
     }
   }
 
   private void onRateReceived(
       String backend, AdvertisedRate rate, long sentAt, long receivedAt, boolean isChange) {
-    Observation observation = new Observation(backend, rate, sentAt, receivedAt);
+    RateObservation observation = new RateObservation(backend, rate, sentAt, receivedAt);
     if (pendingObservations.size() < MAX_PENDING_OBSERVATIONS) {
       pendingObservations.add(observation);
     }
@@ -185,13 +154,13 @@
 
   private void sendToRelays() {
     sendScheduled.set(false);
-    Map<List<Object>, Observation> latest = new LinkedHashMap<>();
-    for (Observation next = pendingObservations.poll();
+    Map<List<Object>, RateObservation> latest = new LinkedHashMap<>();
+    for (RateObservation next = pendingObservations.poll();
         next != null;
         next = pendingObservations.poll()) {
       latest.put(List.of(next.backend(), next.rate()), next);
     }
-    send(
+    reportSender.send(
         context.relays().get().stream().map(RelayElection.Relay::address).toList(),
         List.copyOf(latest.values()));
   }
@@ -201,13 +170,7 @@
     rateAwareNodes.add(sender);
     long now = context.time().monotonicMillis();
     for (RateRecord record : report.getRates()) {
-      Double perSecond = record.getPerSecond();
-      Observation observation =
-          new Observation(
-              record.getEngine(),
-              perSecond == null ? AdvertisedRate.NONE : new AdvertisedRate.Limited(perSecond),
-              now - record.getSentAgoMillis() - MAX_TRANSIT_MILLIS,
-              now - record.getHeardAgoMillis());
+      RateObservation observation = RateObservation.of(record, now);
       if (context
           .rates()
           .recordReport(
@@ -222,69 +185,12 @@
     lendShare();
   }
 
-  private void onRateChanged(Observation observation) {
+  private void onRateChanged(RateObservation observation) {
     lendShare();
     if (context.coordinator().get().isPresent()) {
       return;
     }
-    pendingBroadcast.put(observation.backend(), observation);
-    if (!broadcastScheduled) {
-      broadcast();
-    }
-  }
-
-  /** Broadcasts pending changes, and schedules a broadcast of those that follow meanwhile. */
-  private void broadcast() {
-    broadcastScheduled = !pendingBroadcast.isEmpty();
-    if (broadcastScheduled) {
-      send(addresses(broadcastReceivers()), List.copyOf(pendingBroadcast.values()));
-      pendingBroadcast.clear();
-      context
-          .executor()
-          .schedule(this::broadcast, BROADCAST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-    }
-  }
-
-  /**
-   * Returns the receivers of a broadcast. Without a coordinator every node places its own requests
-   * and broadcasts; messages from each node to each other would overload them, so each broadcast
-   * goes to the next few nodes in turn.
-   */
-  private List<PeerNode> broadcastReceivers() {
-    List<PeerNode> peers = new ArrayList<>(context.peers().get());
-    if (context.isCoordinator().getAsBoolean()
-        || peers.size() <= MAX_RECEIVERS_WITHOUT_COORDINATOR) {
-      return peers;
-    }
-    Collections.rotate(peers, nextReceiver);
-    nextReceiver = (nextReceiver + MAX_RECEIVERS_WITHOUT_COORDINATOR) % peers.size();
-    return peers.subList(0, MAX_RECEIVERS_WITHOUT_COORDINATOR);
-  }
-
-  private static List<InetSocketAddress> addresses(Collection<PeerNode> nodes) {
-    return nodes.stream().map(PeerNode::address).toList();
-  }
-
-  private void send(List<InetSocketAddress> receivers, List<Observation> observations) {
-    long now = context.time().monotonicMillis();
-    for (int from = 0; from < observations.size(); from += MAX_RECORDS_IN_MESSAGE) {
-      int until = Math.min(observations.size(), from + MAX_RECORDS_IN_MESSAGE);
-      List<RateRecord> records = new ArrayList<>();
-      observations
-          .subList(from, until)
-          .forEach(observation -> records.add(record(observation, now)));
-      context.sender().accept(receivers, new RateReport(records));
-    }
-  }
-
-  private static RateRecord record(Observation observation, long nowMillis) {
-    Double perSecond =
-        observation.rate() instanceof AdvertisedRate.Limited limited ? limited.perSecond() : null;
-    return new RateRecord(
-        observation.backend(),
-        perSecond,
-        nowMillis - observation.sentAtMillis(),
-        nowMillis - observation.receivedAtMillis());
+    broadcaster.broadcast(observation);
   }
 
   /**
@@ -343,23 +249,18 @@
    * or have just restarted.
    */
   private void sendToNonLenders() {
-    List<PeerNode> nonLenders = new ArrayList<>();
+    List<InetSocketAddress> nonLenders = new ArrayList<>();
     for (PeerNode peer : context.peers().get()) {
       if (!context.rates().isLentBy(peer.id())) {
-        nonLenders.add(peer);
+        nonLenders.add(peer.address());
       }
     }
-    List<Observation> known = new ArrayList<>();
-    context.rates().limited().forEach((backend, rate) -> known.add(observationOf(backend, rate)));
-    send(addresses(nonLenders), known);
-  }
-
-  private static Observation observationOf(String backend, AdvertisedRates.Observation rate) {
-    return new Observation(
-        backend,
-        new AdvertisedRate.Limited(rate.perSecond()),
-        rate.sentAtMillis(),
-        rate.receivedAtMillis());
+    List<RateObservation> known = new ArrayList<>();
+    context
+        .rates()
+        .limited()
+        .forEach((backend, rate) -> known.add(RateObservation.of(backend, rate)));
+    reportSender.send(nonLenders, known);
   }
 
   @Override
