Rows of suspects and of parts are written by the same code

Cause: SuspectRecorder and PartRecorder both had one change a row at a time, the pause after a failed call and the log line of its first failure; PartRecorder also had UnneededRows written again. Change: RowWriter, and UnneededRows for both, in the package quarantine.row, which both can use. Events in the log, delays and limits stay. A row that was removed and read once more before the next tick was the one case to compare: both versions keep the time since which it is not needed. SuspectRecorderTest (14), QuarantineTest (19), QuarantineTrialTest (23), KilledNodeAttemptsTest (8), PartQuarantineTest (6) and PartLedgerTest (18) passed.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectRecorder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectRecorder.java
@@ -9,8 +9,9 @@
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
-import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.quarantine.row.RowWriter;
+import org.lockdale.gateway.quarantine.row.UnneededRows;
 import org.tinylog.Logger;
 
 /**
@@ -34,12 +35,6 @@
    */
   private static final long OTHERS_DELAY_MILLIS = 1_200;
 
-  /**
-   * Delay of a retry after a failed write; a store that is available again is written to within
-   * this time.
-   */
-  private static final long RETRY_MILLIS = 500;
-
   /**
    * Number of rows from which on requests with a single crash are not recorded. A server that
    * crashes runs about twenty requests, a few of which have no response yet.
@@ -76,15 +71,12 @@
   private final SuspectLedger ledger;
   private final SuspectTable table;
   private final BooleanSupplier coordinator;
-  private final Executor eventLoop;
   private final Time time;
   private final Set<RequestFingerprint> seenLocally = new HashSet<>();
   private final Map<RequestFingerprint, Suspect> recorded = new HashMap<>();
   private final Map<RequestFingerprint, Missing> missing = new HashMap<>();
   private final UnneededRows<RequestFingerprint> unneeded = new UnneededRows<>();
-  private final Set<RequestFingerprint> writing = new HashSet<>();
-  private long retryAtMillis = Long.MIN_VALUE;
-  private boolean failing;
+  private final RowWriter<RequestFingerprint> writer;
 
   SuspectRecorder(
       SuspectLedger ledger,
@@ -95,8 +87,8 @@
     this.ledger = ledger;
     this.table = table;
     this.coordinator = coordinator;
-    this.eventLoop = eventLoop;
     this.time = time;
+    this.writer = new RowWriter<>(eventLoop, time, SuspectRecorder::logFailure);
   }
 
   /**
@@ -127,7 +119,7 @@
     List<Suspect> known = ledger.all();
     seenLocally.removeIf(fingerprint -> ledger.find(fingerprint).isEmpty());
     findMissing(known, now);
-    if (now < retryAtMillis) {
+    if (writer.isPaused(now)) {
       return;
     }
     for (Missing each : List.copyOf(missing.values())) {
@@ -193,33 +185,15 @@
   }
 
   private void write(Suspect suspect) {
-    if (!writing.add(suspect.fingerprint())) {
-      return;
-    }
-    table
-        .record(suspect)
-        .whenCompleteAsync(
-            (done, failure) -> {
-              if (failure == null) {
-                recorded.put(suspect.fingerprint(), suspect);
-              }
-              writeCompleted(suspect.fingerprint(), failure);
-            },
-            eventLoop);
+    writer.change(
+        suspect.fingerprint(),
+        () -> table.record(suspect),
+        () -> recorded.put(suspect.fingerprint(), suspect));
   }
 
-  private void writeCompleted(RequestFingerprint fingerprint, @Nullable Throwable failure) {
-    writing.remove(fingerprint);
-    if (failure != null) {
-      retryAtMillis = time.monotonicMillis() + RETRY_MILLIS;
-      if (!failing) {
-        Logger.info(
-            "event=suspect-not-recorded fingerprint={} cause={}",
-            fingerprint,
-            failure.getMessage());
-      }
-    }
-    failing = failure != null;
+  private static void logFailure(RequestFingerprint fingerprint, Throwable failure) {
+    Logger.info(
+        "event=suspect-not-recorded fingerprint={} cause={}", fingerprint, failure.getMessage());
   }
 
   /** Removes rows that are no longer needed or whose suspects the ledger has dropped. */
@@ -228,11 +202,8 @@
         fingerprint ->
             ledger.find(fingerprint).filter(known -> isNeeded(known, nowMillis)).isPresent();
     for (RequestFingerprint fingerprint : unneeded.due(recorded.keySet(), isNeeded, nowMillis)) {
-      if (writing.add(fingerprint)) {
-        table
-            .remove(fingerprint)
-            .whenCompleteAsync((done, failure) -> rowRemoved(fingerprint, failure), eventLoop);
-      }
+      writer.change(
+          fingerprint, () -> table.remove(fingerprint), () -> recorded.remove(fingerprint));
     }
   }
 
@@ -241,11 +212,4 @@
         && (suspect.isSignificant()
             || ageOf(suspect.fingerprint(), nowMillis) < SINGLE_CRASH_ROW_MILLIS);
   }
-
-  private void rowRemoved(RequestFingerprint fingerprint, @Nullable Throwable failure) {
-    if (failure == null) {
-      recorded.remove(fingerprint);
-    }
-    writeCompleted(fingerprint, failure);
-  }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/TrialClaims.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/TrialClaims.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.quarantine.row.UnneededRows;
 import org.tinylog.Logger;
 
 /**
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartRecorder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartRecorder.java
@@ -5,13 +5,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
-import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.time.Time;
+import org.lockdale.gateway.quarantine.row.RowWriter;
+import org.lockdale.gateway.quarantine.row.UnneededRows;
 import org.tinylog.Logger;
 
 /**
@@ -31,27 +30,17 @@
   /** Delay before a node that is not the coordinator writes a row. */
   private static final long OTHERS_DELAY_MILLIS = 1_200;
 
-  private static final long RETRY_MILLIS = 500;
-
-  /** Delay before a row is removed; all nodes have read its last state by then. */
-  private static final long REMOVE_AFTER_MILLIS = 15_000;
-
   private final PartLedger ledger;
   private final PartTable table;
   private final BooleanSupplier coordinator;
-  private final Executor eventLoop;
   private final Time time;
   private final Map<PromptPartKey, PartSuspect> recorded = new HashMap<>();
 
   /** Monotonic times since which rows differ from the ledger. */
   private final Map<PromptPartKey, Long> outdatedSince = new HashMap<>();
 
-  /** The same for rows that are not needed any longer. */
-  private final Map<PromptPartKey, Long> unneededSince = new HashMap<>();
-
-  private final Set<PromptPartKey> writing = new HashSet<>();
-  private long retryAtMillis = Long.MIN_VALUE;
-  private boolean failing;
+  private final UnneededRows<PromptPartKey> unneeded = new UnneededRows<>();
+  private final RowWriter<PromptPartKey> writer;
 
   PartRecorder(
       PartLedger ledger,
@@ -62,8 +51,8 @@
     this.ledger = ledger;
     this.table = table;
     this.coordinator = coordinator;
-    this.eventLoop = eventLoop;
     this.time = time;
+    this.writer = new RowWriter<>(eventLoop, time, PartRecorder::logFailure);
   }
 
   /**
@@ -88,13 +77,13 @@
         outdated.add(suspect.part());
         long since = outdatedSince.computeIfAbsent(suspect.part(), part -> now);
         boolean due = coordinator.getAsBoolean() || now - since >= OTHERS_DELAY_MILLIS;
-        if (due && now >= retryAtMillis) {
+        if (due && !writer.isPaused(now)) {
           write(suspect);
         }
       }
     }
     outdatedSince.keySet().retainAll(outdated);
-    if (coordinator.getAsBoolean() && now >= retryAtMillis) {
+    if (coordinator.getAsBoolean() && !writer.isPaused(now)) {
       removeUnneeded(now);
     }
   }
@@ -105,46 +94,27 @@
       return !row.includes(suspect);
     }
     return suspect.isSignificant()
-        && recorded.size() + writing.size() < (suspect.isHeld() ? MAX_HELD_ROWS : MAX_ROWS);
+        && recorded.size() + writer.changingCount() < (suspect.isHeld() ? MAX_HELD_ROWS : MAX_ROWS);
   }
 
   private void write(PartSuspect suspect) {
-    if (writing.add(suspect.part())) {
-      complete(
-          table.recordPart(suspect), suspect.part(), () -> recorded.put(suspect.part(), suspect));
-    }
+    writer.change(
+        suspect.part(),
+        () -> table.recordPart(suspect),
+        () -> recorded.put(suspect.part(), suspect));
+  }
+
+  private static void logFailure(PromptPartKey part, Throwable failure) {
+    Logger.info("event=part-not-recorded part={} cause={}", part, failure.getMessage());
   }
 
   private void removeUnneeded(long nowMillis) {
-    for (PromptPartKey part : List.copyOf(recorded.keySet())) {
-      Optional<PartSuspect> known = ledger.find(part);
-      if (known.filter(PartSuspect::isSignificant).isPresent()) {
-        unneededSince.remove(part);
-        continue;
-      }
-      long since = unneededSince.computeIfAbsent(part, key -> nowMillis);
-      if (nowMillis - since >= REMOVE_AFTER_MILLIS && writing.add(part)) {
-        complete(table.removePart(part), part, () -> recorded.remove(part));
-      }
+    for (PromptPartKey part : unneeded.due(recorded.keySet(), this::isNeeded, nowMillis)) {
+      writer.change(part, () -> table.removePart(part), () -> recorded.remove(part));
     }
-    unneededSince.keySet().retainAll(recorded.keySet());
   }
 
-  private void complete(
-      CompletableFuture<@Nullable Void> change, PromptPartKey part, Runnable onSuccess) {
-    change.whenCompleteAsync(
-        (@Nullable Void done, @Nullable Throwable failure) -> {
-          writing.remove(part);
-          if (failure == null) {
-            onSuccess.run();
-          } else {
-            retryAtMillis = time.monotonicMillis() + RETRY_MILLIS;
-            if (!failing) {
-              Logger.info("event=part-not-recorded part={} cause={}", part, failure.getMessage());
-            }
-          }
-          failing = failure != null;
-        },
-        eventLoop);
+  private boolean isNeeded(PromptPartKey part) {
+    return ledger.find(part).filter(PartSuspect::isSignificant).isPresent();
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/UnneededRows.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/row/UnneededRows.java
@@ -1,4 +1,4 @@
-package org.lockdale.gateway.quarantine;
+package org.lockdale.gateway.quarantine.row;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -13,7 +13,7 @@
  *
  * @param <K> type of the keys of the rows
  */
-final class UnneededRows<K> {
+public final class UnneededRows<K> {
 
   /**
    * Delay before a row that is no longer needed is removed; all nodes have read its last state by
@@ -28,8 +28,9 @@
    *
    * @param keys keys of all rows
    * @param isNeeded returns whether the row with a key is still needed
+   * @param nowMillis monotonic time
    */
-  List<K> due(Collection<K> keys, Predicate<K> isNeeded, long nowMillis) {
+  public List<K> due(Collection<K> keys, Predicate<K> isNeeded, long nowMillis) {
     List<K> due = new ArrayList<>();
     unneededSince.keySet().retainAll(keys);
     for (K key : keys) {
