Test fixtures that stood twice

Cause: a fleet of which the request has crashed one server was set up in four places, and PartQuarantineTest had the empty table of the other tests again. Change: ThirdCrashScenario.startWithOneCrash; EmptySuspectTable is public.

--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashEvidenceOrderTest.java
@@ -223,10 +223,7 @@
   /** Its node was killed before the store took it. */
   @Test
   public void aRowThatTheStoreTookLateCountsNoCrashOfTheNextIncarnation() {
-    fleet = new SuspectFleet("a", "b", "c", "d");
-    survivor = fleet.startNode();
-    witness = fleet.startNode();
-    witness.lose(Optional.empty(), "a@1", Loss.CLOSED);
+    startWithOneCrash();
     fleet.run(500);
     fleet.delayingWrites = true;
     Optional<SuspectAttempt> attempt = witness.send("c@1");
@@ -278,10 +275,7 @@
   /** A node that starts takes it for unresolved, and the server lives on while it runs. */
   @Test
   public void aCrashLongAfterANodeThatCountsItHasStartedCounts() {
-    fleet = new SuspectFleet("a", "b", "c", "d");
-    survivor = fleet.startNode();
-    witness = fleet.startNode();
-    witness.lose(Optional.empty(), "a@1", Loss.CLOSED);
+    startWithOneCrash();
     fleet.putOnRecord("a", 2);
     fleet.run(500);
     witness.send("c@1");
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/EmptySuspectTable.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/EmptySuspectTable.java
@@ -7,7 +7,7 @@
 import org.lockdale.gateway.table.TableRowChange;
 
 /** A table that accepts all writes and stores nothing. */
-class EmptySuspectTable implements SuspectTable {
+public class EmptySuspectTable implements SuspectTable {
 
   @Override
   public CompletableFuture<Void> record(Suspect suspect) {
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/ThirdCrashScenario.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/ThirdCrashScenario.java
@@ -31,10 +31,7 @@
 
   @BeforeMethod
   public void twoCrashesAreKnown() {
-    fleet = new SuspectFleet("a", "b", "c", "d");
-    survivor = fleet.startNode();
-    witness = fleet.startNode();
-    witness.lose(Optional.empty(), "a@1", Loss.CLOSED);
+    startWithOneCrash();
     witness.lose(Optional.empty(), "b@1", Loss.CLOSED);
     fleet.putOnRecord("a", 2);
     fleet.putOnRecord("b", 2);
@@ -43,6 +40,14 @@
     assertFalse(survivor.refuses());
   }
 
+  /** Starts anew, with a request that has crashed one server, as the witness has just observed. */
+  void startWithOneCrash() {
+    fleet = new SuspectFleet("a", "b", "c", "d");
+    survivor = fleet.startNode();
+    witness = fleet.startNode();
+    witness.lose(Optional.empty(), "a@1", Loss.CLOSED);
+  }
+
   /** Sends the request to a server that crashes under it, and kills the node that sent it. */
   void crashAndKillWitness(String backend) {
     witness.send(backend);
@@ -63,10 +68,7 @@
    * the guilty one, which has crashed one server before.
    */
   void crashNextIncarnationOfOneServer() {
-    fleet = new SuspectFleet("a", "b", "c", "d");
-    survivor = fleet.startNode();
-    witness = fleet.startNode();
-    witness.lose(Optional.empty(), "a@1", Loss.CLOSED);
+    startWithOneCrash();
     fleet.putOnRecord("a", 2);
     fleet.run(500);
     witness.lose(SuspectFleet.innocent(1), "c@1");
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/part/PartQuarantineTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/part/PartQuarantineTest.java
@@ -8,14 +8,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import org.lockdale.coordination.blackboard.Section;
 import org.lockdale.coordination.simulation.VirtualTime;
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.caller.PromptPart;
+import org.lockdale.gateway.quarantine.EmptySuspectTable;
 import org.lockdale.gateway.quarantine.VirtualExecutor;
-import org.lockdale.gateway.table.TableRowChange;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -30,24 +28,6 @@
   private PartQuarantine quarantine;
   private int requests;
 
-  private static final class NoTable implements PartTable {
-
-    @Override
-    public CompletableFuture<Void> recordPart(PartSuspect suspect) {
-      return CompletableFuture.completedFuture(null);
-    }
-
-    @Override
-    public CompletableFuture<Void> removePart(PromptPartKey part) {
-      return CompletableFuture.completedFuture(null);
-    }
-
-    @Override
-    public Optional<PartSuspect> readPart(TableRowChange row) {
-      return Optional.empty();
-    }
-  }
-
   @BeforeMethod
   public void create() {
     sent.clear();
@@ -56,7 +36,7 @@
         new PartContext(
             new VirtualExecutor(time),
             new Section<>(SuspectParts.NONE),
-            new NoTable(),
+            new EmptySuspectTable(),
             sent::addAll,
             () -> true,
             time);
