Crashes that no longer count are cleared, not forgiven

Cause: "forgive" is a figure of speech, and the log calls the same event suspect-cleared. Change: CrashInvolvement.cleared and asCleared, Suspect.withAllCleared, withCleared and clearedDownTo, SuspectLedger.clear. The field of the message keeps its name.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashInvolvement.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashInvolvement.java
@@ -6,23 +6,23 @@
  *
  * @param early whether the backend crashed before its response started, or so shortly after that
  *     the request is a likely cause
- * @param forgiven whether the crash no longer counts against the request
+ * @param cleared whether the crash no longer counts against the request
  */
-public record CrashInvolvement(boolean early, boolean forgiven) {
+public record CrashInvolvement(boolean early, boolean cleared) {
 
   private static final int EARLY_WEIGHT = 3;
   private static final int LATE_WEIGHT = 2;
 
-  /** Returns how much the crash counts against the request; 0 if it is forgiven. */
+  /** Returns how much the crash counts against the request; 0 if it was cleared. */
   int weight() {
-    return forgiven ? 0 : early ? EARLY_WEIGHT : LATE_WEIGHT;
+    return cleared ? 0 : early ? EARLY_WEIGHT : LATE_WEIGHT;
   }
 
   CrashInvolvement merge(CrashInvolvement other) {
-    return new CrashInvolvement(early || other.early, forgiven || other.forgiven);
+    return new CrashInvolvement(early || other.early, cleared || other.cleared);
   }
 
-  CrashInvolvement forgive() {
+  CrashInvolvement asCleared() {
     return new CrashInvolvement(early, true);
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashRetractor.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/CrashRetractor.java
@@ -44,15 +44,15 @@
         continue;
       }
       long aliveAtMillis = lastAliveAtMillis.applyAsLong(backend);
-      List<Suspect> forgiven = ledger.recordAlive(backend, aliveAtMillis);
-      if (!forgiven.isEmpty()) {
+      List<Suspect> retracted = ledger.recordAlive(backend, aliveAtMillis);
+      if (!retracted.isEmpty()) {
         boolean answered = tracked.lastKnownAliveMillis() == aliveAtMillis;
         Logger.info(
             "event=backend-lives backend={} evidence={} seen-ms-ago={}",
             backend,
             answered ? "answered" : "record-stands",
             nowMillis - aliveAtMillis);
-        forgiven.forEach(propagate);
+        retracted.forEach(propagate);
         changed = true;
       }
     }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -222,7 +222,7 @@
         .value()
         .fingerprintIfSuspect(request, caller)
         .ifPresent(
-            fingerprint -> context.eventLoop().execute(() -> forgive(fingerprint, "answered")));
+            fingerprint -> context.eventLoop().execute(() -> clear(fingerprint, "answered")));
   }
 
   /** Returns the requests that are quarantined; from any thread. */
@@ -236,22 +236,22 @@
    * @return whether any crash counted against it
    */
   boolean release(RequestFingerprint fingerprint) {
-    return forgive(fingerprint, "released");
+    return clear(fingerprint, "released");
   }
 
-  private boolean forgive(RequestFingerprint fingerprint, String reason) {
+  private boolean clear(RequestFingerprint fingerprint, String reason) {
     boolean significant = ledger.find(fingerprint).filter(Suspect::isSignificant).isPresent();
-    Optional<Suspect> forgiven =
+    Optional<Suspect> cleared =
         ledger
-            .forgive(fingerprint)
+            .clear(fingerprint)
             .or(() -> publisher.withheldWithoutCrash(fingerprint).filter(this::merge));
-    if (forgiven.isEmpty()) {
+    if (cleared.isEmpty()) {
       return false;
     }
     if (significant || publisher.isQuarantinedOrWithheld(fingerprint)) {
       // If it was not significant, other nodes receive this state when they report a second crash.
       Logger.info("event=suspect-cleared fingerprint={} reason={}", fingerprint, reason);
-      propagate(forgiven.get());
+      propagate(cleared.get());
       publishSoon();
     }
     return true;
@@ -395,6 +395,6 @@
   private void clearExplained() {
     answeredRequests
         .explained(ledger.quarantined())
-        .forEach(fingerprint -> forgive(fingerprint, "answered-before"));
+        .forEach(fingerprint -> clear(fingerprint, "answered-before"));
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspect.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Suspect.java
@@ -31,9 +31,9 @@
     return weight;
   }
 
-  /** Returns the number of its crashes that aren't forgiven. */
+  /** Returns the number of its crashes that aren't cleared. */
   int countedCrashes() {
-    return (int) crashes.values().stream().filter(crash -> !crash.forgiven()).count();
+    return (int) crashes.values().stream().filter(crash -> !crash.cleared()).count();
   }
 
   /**
@@ -62,29 +62,29 @@
     return merge(other).equals(this);
   }
 
-  /** Returns the same request with all crashes forgiven. */
-  Suspect forgive() {
-    Map<String, CrashInvolvement> forgiven = new TreeMap<>();
-    crashes.forEach((backend, crash) -> forgiven.put(backend, crash.forgive()));
-    return new Suspect(fingerprint, sketch, forgiven);
+  /** Returns the same request with all crashes cleared. */
+  Suspect withAllCleared() {
+    Map<String, CrashInvolvement> cleared = new TreeMap<>();
+    crashes.forEach((backend, crash) -> cleared.put(backend, crash.asCleared()));
+    return new Suspect(fingerprint, sketch, cleared);
   }
 
-  /** Returns the same request with the crash of one backend forgiven, since it is alive. */
-  Suspect forgive(String backend) {
-    Map<String, CrashInvolvement> forgiven = new TreeMap<>(crashes);
-    forgiven.computeIfPresent(backend, (id, crash) -> crash.forgive());
-    return new Suspect(fingerprint, sketch, forgiven);
+  /** Returns the same request with the crash of one backend cleared, since it is alive. */
+  Suspect withCleared(String backend) {
+    Map<String, CrashInvolvement> cleared = new TreeMap<>(crashes);
+    cleared.computeIfPresent(backend, (id, crash) -> crash.asCleared());
+    return new Suspect(fingerprint, sketch, cleared);
   }
 
   /**
-   * Returns the same request with as many crashes forgiven, in the order of the backends' ids, as
+   * Returns the same request with as many crashes cleared, in the order of the backends' ids, as
    * bring its weight down to a limit.
    */
-  Suspect forgiveDownTo(int weight) {
+  Suspect clearedDownTo(int weight) {
     Suspect lighter = this;
     for (String backend : new TreeMap<>(crashes).keySet()) {
       if (lighter.weight() > weight) {
-        lighter = lighter.forgive(backend);
+        lighter = lighter.withCleared(backend);
       }
     }
     return lighter;
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectEntry.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectEntry.java
@@ -60,7 +60,7 @@
 
   boolean isCrashed(String key) {
     CrashInvolvement crash = suspect.crashes().get(key);
-    return crash != null && !crash.forgiven();
+    return crash != null && !crash.cleared();
   }
 
   /** Returns whether a backend may have crashed since its latest crash was taken back. */
@@ -68,7 +68,7 @@
     String key = CrashKeys.latest(backend, suspect.crashes());
     CrashInvolvement crash = suspect.crashes().get(key);
     return crash != null
-        && crash.forgiven()
+        && crash.cleared()
         && (outlived.contains(key) || learnedAt.get(key) < aliveAtMillis);
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectLedger.java
@@ -128,7 +128,7 @@
     if (entry == null || !entry.isCrashed(key)) {
       return false;
     }
-    entry.suspect = entry.suspect.forgive(key);
+    entry.suspect = entry.suspect.withCleared(key);
     return true;
   }
 
@@ -224,16 +224,16 @@
   }
 
   /**
-   * Forgives all crashes of a request that got a successful response or was released.
+   * Clears all crashes of a request that got a successful response or was released.
    *
    * @return the new state of the suspect; empty if nothing changed
    */
-  Optional<Suspect> forgive(RequestFingerprint fingerprint) {
+  Optional<Suspect> clear(RequestFingerprint fingerprint) {
     SuspectEntry entry = entries.get(fingerprint);
     if (entry == null || entry.suspect.weight() == 0) {
       return Optional.empty();
     }
-    entry.suspect = entry.suspect.forgive();
+    entry.suspect = entry.suspect.withAllCleared();
     return Optional.of(entry.suspect);
   }
 
@@ -264,7 +264,7 @@
       for (String key : CrashKeys.allOf(backend, entry.suspect.crashes())) {
         boolean outlived = entry.learnedAt.get(key) < atMillis;
         if (outlived && entry.isCrashed(key)) {
-          entry.suspect = entry.suspect.forgive(key);
+          entry.suspect = entry.suspect.withCleared(key);
           changed.add(entry.suspect);
         }
         if (outlived) {
@@ -288,7 +288,7 @@
         continue;
       }
       if (entry.suspect.weight() > SIGNIFICANT_WEIGHT) {
-        entry.suspect = entry.suspect.forgiveDownTo(SIGNIFICANT_WEIGHT);
+        entry.suspect = entry.suspect.clearedDownTo(SIGNIFICANT_WEIGHT);
         entry.lastCrashAtMillis = nowMillis;
         released.add(entry.suspect);
       } else {
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectMessages.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectMessages.java
@@ -20,7 +20,7 @@
     List<SuspectEndRecord> crashes = new ArrayList<>();
     for (Map.Entry<String, CrashInvolvement> entry : suspect.crashes().entrySet()) {
       CrashInvolvement crash = entry.getValue();
-      crashes.add(new SuspectEndRecord(entry.getKey(), crash.early(), crash.forgiven()));
+      crashes.add(new SuspectEndRecord(entry.getKey(), crash.early(), crash.cleared()));
     }
     RequestFingerprint fingerprint = suspect.fingerprint();
     return new SuspectRecord(fingerprint.high(), fingerprint.low(), suspect.sketch(), crashes);
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectRecorder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/SuspectRecorder.java
@@ -92,7 +92,7 @@
   }
 
   /**
-   * Records that this node has observed the crash of a backend that ran a request, or has forgiven
+   * Records that this node has observed the crash of a backend that ran a request, or has cleared
    * the request, so that this node writes its row at once.
    */
   void markSeenLocally(RequestFingerprint fingerprint) {
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashKeysTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/CrashKeysTest.java
@@ -12,7 +12,7 @@
 public final class CrashKeysTest {
 
   private static final CrashInvolvement COUNTED = new CrashInvolvement(true, false);
-  private static final CrashInvolvement FORGIVEN = COUNTED.forgive();
+  private static final CrashInvolvement CLEARED = COUNTED.asCleared();
 
   @Test
   public void aCrashHasTheIdOfItsBackendAsKey() {
@@ -22,11 +22,11 @@
 
   @Test
   public void aCrashOfABackendThatWasSeenToLiveHasAnotherKey() {
-    String key = CrashKeys.next("i@1", Map.of("i@1", FORGIVEN));
+    String key = CrashKeys.next("i@1", Map.of("i@1", CLEARED));
     assertEquals(key, "i@1#1");
     assertEquals(CrashKeys.backendOf(key), "i@1");
-    assertEquals(CrashKeys.latest("i@1", Map.of("i@1", FORGIVEN, key, COUNTED)), key);
-    assertEquals(CrashKeys.next("i@1", Map.of("i@1", FORGIVEN, key, FORGIVEN)), "i@1#2");
+    assertEquals(CrashKeys.latest("i@1", Map.of("i@1", CLEARED, key, COUNTED)), key);
+    assertEquals(CrashKeys.next("i@1", Map.of("i@1", CLEARED, key, CLEARED)), "i@1#2");
   }
 
   /** A connection to a living server may break any number of times. */
@@ -34,7 +34,7 @@
   public void fewCrashesOfABackendAreToldApart() {
     Map<String, CrashInvolvement> crashes = new TreeMap<>();
     for (int number = 0; number < 100; number++) {
-      crashes.put(CrashKeys.next("i@1", crashes), FORGIVEN);
+      crashes.put(CrashKeys.next("i@1", crashes), CLEARED);
     }
     assertEquals(crashes.size(), 4);
   }
@@ -42,14 +42,14 @@
   @Test
   public void allCrashesOfABackendThatLivesAreTakenBack() {
     Map<String, CrashInvolvement> crashes =
-        Map.of("i@1", FORGIVEN, "i@1#1", COUNTED, CrashKeys.ofNextIncarnation("i@1"), COUNTED);
+        Map.of("i@1", CLEARED, "i@1#1", COUNTED, CrashKeys.ofNextIncarnation("i@1"), COUNTED);
     assertEquals(CrashKeys.allOf("i@1", crashes), List.of("i@1", "i@1#1", "i@1#next"));
     assertEquals(CrashKeys.backendsOf(crashes.keySet()), Set.of("i@1"));
   }
 
   @Test
   public void aBackendWithoutAStartTimeHasOneKey() {
-    assertEquals(CrashKeys.next("i", Map.of("i", FORGIVEN)), "i");
+    assertEquals(CrashKeys.next("i", Map.of("i", CLEARED)), "i");
     assertEquals(CrashKeys.backendOf("i#1"), "i#1", "an id may contain the separator");
   }
 }
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectLedgerTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectLedgerTest.java
@@ -75,7 +75,7 @@
   @Test
   public void aSuccessfulResponseClearsARequest() {
     crashed(1, true, "a", "b");
-    assertTrue(ledger.forgive(fingerprint(1)).isPresent());
+    assertTrue(ledger.clear(fingerprint(1)).isPresent());
     crashed(1, true, "c", "d");
     assertEquals(quarantined(), Set.of());
     crashed(1, true, "e");
@@ -85,7 +85,7 @@
   @Test
   public void aForgivenCrashStaysForgivenWhenANodeUnawareOfItReportsItAgain() {
     crashed(1, true, "a", "b");
-    ledger.forgive(fingerprint(1));
+    ledger.clear(fingerprint(1));
     crashed(1, true, "a", "b");
     assertEquals(ledger.find(fingerprint(1)).orElseThrow().weight(), 0);
   }
@@ -143,7 +143,9 @@
   public void nodesThatReceiveTheSameInAnyOrderConverge() {
     List<Suspect> received =
         List.of(
-            suspect(1, true, "a"), suspect(1, false, "a", "b"), suspect(1, true, "c").forgive());
+            suspect(1, true, "a"),
+            suspect(1, false, "a", "b"),
+            suspect(1, true, "c").withAllCleared());
     SuspectLedger other = new SuspectLedger(HOLD_MILLIS);
     received.forEach(suspect -> ledger.merge(suspect, 0));
     for (int index = received.size() - 1; index >= 0; index--) {
@@ -164,7 +166,7 @@
 
   @Test
   public void messagesAreReadAsTheyWereWritten() {
-    Suspect suspect = suspect(1, true, "a", "b").merge(suspect(1, false, "c").forgive());
+    Suspect suspect = suspect(1, true, "a", "b").merge(suspect(1, false, "c").withAllCleared());
     assertEquals(SuspectMessages.read(SuspectMessages.write(suspect)), suspect);
   }
 
--- a/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectRecorderTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/quarantine/SuspectRecorderTest.java
@@ -120,7 +120,7 @@
     learn(suspect(1, "a"));
     recorder.markSeenLocally(new RequestFingerprint(1, 1));
     recorder.tick();
-    ledger.forgive(new RequestFingerprint(1, 1));
+    ledger.clear(new RequestFingerprint(1, 1));
     tickFor(16_000);
     assertEquals(rows.written.size(), 1);
     assertEquals(rows.removed, List.of(new RequestFingerprint(1, 1)));
@@ -193,9 +193,9 @@
     coordinator = true;
     recorder.update(List.of(suspect(1, "a", "b")));
     learn(suspect(1, "a", "b"));
-    ledger.forgive(new RequestFingerprint(1, 1));
+    ledger.clear(new RequestFingerprint(1, 1));
     tickFor(600);
-    assertEquals(rows.written, List.of(suspect(1, "a", "b").forgive()));
+    assertEquals(rows.written, List.of(suspect(1, "a", "b").withAllCleared()));
     tickFor(14_000);
     assertTrue(rows.removed.isEmpty());
     tickFor(2_000);
