Origins of streams are replicated, not told

Cause: OriginPeers.tell, and what was "untold", needed their comments to be understood, and isSettled said nothing of what it asks. Change: replicate, Unreplicated, hasSoleVersion.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/OriginExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/OriginExchange.java
@@ -42,7 +42,9 @@
   /** How long to wait for answers. A node in another zone answers within a few milliseconds. */
   private static final long ANSWER_TIMEOUT_MILLIS = 60;
 
-  /** Interval of attempts to tell origins while this node does not know the other nodes yet. */
+  /**
+   * Interval of attempts to replicate origins while this node does not know the other nodes yet.
+   */
   private static final long RETRY_MILLIS = 200;
 
   /** Maximum number of records in one message, so that it fits into a datagram. */
@@ -102,9 +104,9 @@
   }
 
   @Override
-  public void tell(Map<StreamId, StreamOrigin> origins) {
+  public void replicate(Map<StreamId, StreamOrigin> origins) {
     if (context.nodes().getAsInt() == 0) {
-      context.executor().schedule(() -> tell(origins), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+      context.executor().schedule(() -> replicate(origins), RETRY_MILLIS, TimeUnit.MILLISECONDS);
       return;
     }
     Map<InetSocketAddress, List<StreamOriginRecord>> byKeeper = new HashMap<>();
--- a/gateway/src/main/java/org/lockdale/gateway/resume/OriginPeers.java
+++ b/gateway/src/main/java/org/lockdale/gateway/resume/OriginPeers.java
@@ -6,8 +6,8 @@
 /** Port to the other nodes, some of which keep the origin of each stream. */
 public interface OriginPeers {
 
-  /** Gives origins into the keeping of other nodes. */
-  void tell(Map<StreamId, StreamOrigin> origins);
+  /** Replicates origins to other nodes, which keep them. */
+  void replicate(Map<StreamId, StreamOrigin> origins);
 
   /** Asks the nodes that keep the origin of a stream; the future doesn't fail. */
   CompletableFuture<OriginReply> ask(StreamId id);
--- a/gateway/src/main/java/org/lockdale/gateway/resume/StreamOrigins.java
+++ b/gateway/src/main/java/org/lockdale/gateway/resume/StreamOrigins.java
@@ -14,16 +14,16 @@
 /**
  * Records where streams begin and finds out where one began that a caller takes up again, at this
  * node or another one. While a pool is known to have a single software version, which is nearly
- * always, its origins stay at this node; as soon as it may have several, they are given into the
- * keeping of other nodes, which know them when this one is gone, and of the store, which knows them
- * when all nodes are. Thread-safe.
+ * always, its origins stay at this node; as soon as it may have several, they are replicated to
+ * other nodes, which know them when this one is gone, and to the store, which knows them when all
+ * nodes are. Thread-safe.
  */
 public final class StreamOrigins {
 
   /** Bounds the memory where streams begin faster than their origins expire. */
-  private static final int MAX_UNTOLD = 50_000;
+  private static final int MAX_UNREPLICATED = 50_000;
 
-  private record Untold(StreamId id, long atMillis) {}
+  private record Unreplicated(StreamId id, long atMillis) {}
 
   private final OriginTable table;
   private final PoolVersions versions;
@@ -33,9 +33,9 @@
   private final Time time;
 
   /** Origins that other nodes do not keep yet, by pool. */
-  private final Map<String, Queue<Untold>> untold = new ConcurrentHashMap<>();
+  private final Map<String, Queue<Unreplicated>> unreplicated = new ConcurrentHashMap<>();
 
-  private final AtomicInteger untoldCount = new AtomicInteger();
+  private final AtomicInteger unreplicatedCount = new AtomicInteger();
 
   /**
    * Creates an instance.
@@ -71,64 +71,64 @@
    */
   public void recordStart(StreamId id, StreamOrigin origin, boolean isOnlyPool) {
     table.put(id, origin);
-    boolean isUnambiguous = isOnlyPool && isSettled(origin.pool());
-    if (isUnambiguous && untoldCount.get() < MAX_UNTOLD) {
-      untold
+    boolean isUnambiguous = isOnlyPool && hasSoleVersion(origin.pool());
+    if (isUnambiguous && unreplicatedCount.get() < MAX_UNREPLICATED) {
+      unreplicated
           .computeIfAbsent(origin.pool(), pool -> new ConcurrentLinkedQueue<>())
-          .add(new Untold(id, time.monotonicMillis()));
-      untoldCount.incrementAndGet();
+          .add(new Unreplicated(id, time.monotonicMillis()));
+      unreplicatedCount.incrementAndGet();
     } else {
       keep(Map.of(id, origin));
     }
   }
 
-  private boolean isSettled(String pool) {
+  private boolean hasSoleVersion(String pool) {
     return versions.soleVersion(pool).isPresent();
   }
 
   private void keep(Map<StreamId, StreamOrigin> origins) {
-    peers.tell(origins);
+    peers.replicate(origins);
     recorder.add(origins);
   }
 
   /**
-   * Tells other nodes the origins of streams in pools that may have several software versions by
-   * now; to be called periodically by one thread.
+   * Replicates the origins of streams in pools that may have several software versions by now; to
+   * be called periodically by one thread.
    */
   public void tick() {
     versions.tick();
-    untold.forEach(
+    unreplicated.forEach(
         (pool, queue) -> {
           removeExpired(queue);
-          if (!queue.isEmpty() && !isSettled(pool)) {
-            tellAll(queue);
+          if (!queue.isEmpty() && !hasSoleVersion(pool)) {
+            replicateAll(queue);
           }
         });
   }
 
-  private void removeExpired(Queue<Untold> queue) {
+  private void removeExpired(Queue<Unreplicated> queue) {
     long now = time.monotonicMillis();
-    Untold oldest = queue.peek();
+    Unreplicated oldest = queue.peek();
     while (oldest != null && now - oldest.atMillis() > OriginTable.RETENTION_MILLIS) {
       queue.remove();
-      untoldCount.decrementAndGet();
+      unreplicatedCount.decrementAndGet();
       oldest = queue.peek();
     }
   }
 
-  private void tellAll(Queue<Untold> queue) {
+  private void replicateAll(Queue<Unreplicated> queue) {
     long now = time.monotonicMillis();
     Map<StreamId, StreamOrigin> origins = new HashMap<>();
     Map<StreamId, StreamOrigin> recent = new HashMap<>();
-    for (Untold next = queue.poll(); next != null; next = queue.poll()) {
-      untoldCount.decrementAndGet();
+    for (Unreplicated next = queue.poll(); next != null; next = queue.poll()) {
+      unreplicatedCount.decrementAndGet();
       StreamId id = next.id();
       table.get(id).ifPresent(origin -> origins.put(id, origin));
       if (now - next.atMillis() <= OriginRecorder.COVERED_MILLIS) {
         table.get(id).ifPresent(origin -> recent.put(id, origin));
       }
     }
-    peers.tell(origins);
+    peers.replicate(origins);
     recorder.add(recent);
   }
 
--- a/gateway/src/test/java/org/lockdale/gateway/resume/StreamOriginsTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/resume/StreamOriginsTest.java
@@ -39,7 +39,7 @@
     OriginReply reply = OriginReply.NOT_KEPT;
 
     @Override
-    public void tell(Map<StreamId, StreamOrigin> origins) {
+    public void replicate(Map<StreamId, StreamOrigin> origins) {
       told.putAll(origins);
     }
 
