A relay that drops tickets is asked without them, not in an old form

Cause: "old form" does not say what the request lacks. Change: askWithoutTicket, isAskedWithoutTicket. Result: TicketClientTest, 13 tests: 12 passed, and heldTicketWaitsAtItsRelay failed ("expected [1] but found [0]": no ticket had arrived in the 600 ms that the test sleeps) at load 45 to 60. Alternately with and with this code before the renames, ten runs of the class at load 53 to 62, the same failure in three of five each. Nothing but names differs.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/TicketClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/TicketClient.java
@@ -129,8 +129,8 @@
 
   private void ask(RelayElection.Relay relay, OpenTicket open) {
     open.asked.add(relay.id());
-    if (support.isAskedInOldForm(relay.id(), now())) {
-      askInOldForm(open);
+    if (support.isAskedWithoutTicket(relay.id(), now())) {
+      askWithoutTicket(open);
       return;
     }
     number(open);
@@ -153,7 +153,7 @@
     openByNumber.put(open.number, open);
   }
 
-  private void askInOldForm(OpenTicket open) {
+  private void askWithoutTicket(OpenTicket open) {
     openByNumber.remove(open.number);
     CompletableFuture<PlacementResult> placed = context.client().place(open.query.withTerms(null));
     placed.thenAccept(result -> open.result.complete(result));
@@ -257,7 +257,7 @@
     if (!open.held && !support.isKnown(relay.id())) {
       support.recordUnanswered(relay.id(), now());
       cancel(open);
-      askInOldForm(open);
+      askWithoutTicket(open);
       return;
     }
     if (open.held) {
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/TicketSupport.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/TicketSupport.java
@@ -13,18 +13,18 @@
   private static final int MAX_UNANSWERED = 3;
 
   /** Time for which a relay that answers no tickets is asked without them, in milliseconds. */
-  private static final long OLD_FORM_MILLIS = 5_000;
+  private static final long WITHOUT_TICKET_MILLIS = 5_000;
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final Map<String, Long> heardMillis = new HashMap<>();
-  private final Map<String, Long> oldFormUntilMillis = new HashMap<>();
+  private final Map<String, Long> withoutTicketUntilMillis = new HashMap<>();
   private final Map<String, Integer> unanswered = new HashMap<>();
 
   /** Records that a relay has sent a message about a ticket. */
   void recordHeard(String relay, long nowMillis) {
     heardMillis.put(relay, nowMillis);
-    oldFormUntilMillis.remove(relay);
+    withoutTicketUntilMillis.remove(relay);
     unanswered.remove(relay);
   }
 
@@ -32,7 +32,7 @@
   void recordUnanswered(String relay, long nowMillis) {
     if (unanswered.merge(relay, 1, Integer::sum) >= MAX_UNANSWERED) {
       unanswered.remove(relay);
-      oldFormUntilMillis.put(relay, nowMillis + OLD_FORM_MILLIS);
+      withoutTicketUntilMillis.put(relay, nowMillis + WITHOUT_TICKET_MILLIS);
     }
   }
 
@@ -47,7 +47,7 @@
   }
 
   /** Returns whether a relay is asked without tickets at present. */
-  boolean isAskedInOldForm(String relay, long nowMillis) {
-    return oldFormUntilMillis.getOrDefault(relay, NEVER) > nowMillis;
+  boolean isAskedWithoutTicket(String relay, long nowMillis) {
+    return withoutTicketUntilMillis.getOrDefault(relay, NEVER) > nowMillis;
   }
 }
