Names for what relays send to nodes and announce to callers

Cause: "told" stood for capacities that were sent, for summaries that were received, for waits that were announced, and "untold" for reviews without a message for a ticket. Change: CapacitySummaries.Sent, EngineEstimates.Summary, announcedMillis, skippedReviews; beside it isWaitTooLong for isHopeless, and isPublicationOutdated for isSuspectPublishedInVain.

--- a/gateway/src/main/java/org/lockdale/gateway/admission/RoomForecast.java
+++ b/gateway/src/main/java/org/lockdale/gateway/admission/RoomForecast.java
@@ -148,15 +148,15 @@
   }
 
   /**
-   * Returns whether the wait of a request has become so much longer than it was told that it may
+   * Returns whether the wait of a request has become so much longer than announced that it may
    * still be refused.
    *
-   * @param toldMillis wait that it was told, in milliseconds
-   * @param sinceToldMillis time since then, in milliseconds
+   * @param announcedMillis wait that was announced to it, in milliseconds
+   * @param sinceAnnouncedMillis time since then, in milliseconds
    * @param waitMillis forecast further wait, in milliseconds
    */
-  public static boolean hasGrown(long toldMillis, long sinceToldMillis, long waitMillis) {
-    return sinceToldMillis + waitMillis > GROWTH_FACTOR * toldMillis;
+  public static boolean hasGrown(long announcedMillis, long sinceAnnouncedMillis, long waitMillis) {
+    return sinceAnnouncedMillis + waitMillis > GROWTH_FACTOR * announcedMillis;
   }
 
   /**
--- a/gateway/src/main/java/org/lockdale/gateway/capacity/CapacitySummaries.java
+++ b/gateway/src/main/java/org/lockdale/gateway/capacity/CapacitySummaries.java
@@ -4,9 +4,9 @@
 import java.util.Map;
 
 /**
- * Selects the capacities that a relay tells to nodes, which use them when they decide alone: those
- * that differ from what it told last. Reserved tokens are told along with them, but a difference of
- * these alone is not told: they change with each request. Performs no I/O; the time is passed in.
+ * Selects the capacities that a relay sends to nodes, which use them when they decide alone: those
+ * that differ from what it sent last. Reserved tokens are sent along with them, but a difference of
+ * these alone is not sent: they change with each request. Performs no I/O; the time is passed in.
  * Not thread-safe.
  */
 public final class CapacitySummaries {
@@ -14,25 +14,25 @@
   /** Smaller differences of a speed change no decision. */
   private static final double SPEED_DIFFERENCE = 0.1;
 
-  /** What was told is repeated after this, for nodes that have missed it or have started since. */
+  /** What was sent is repeated after this, for nodes that have missed it or have started since. */
   private static final long REPEAT_MILLIS = 30_000;
 
-  private record Told(EngineCapacity capacity, long atMillis) {}
+  private record Sent(EngineCapacity capacity, long atMillis) {}
 
-  private final Map<String, Told> told = new HashMap<>();
+  private final Map<String, Sent> sent = new HashMap<>();
 
-  /** Returns the capacities to tell now, and counts them as told. */
+  /** Returns the capacities to send now, and counts them as sent. */
   public Map<String, EngineCapacity> due(Map<String, EngineCapacity> present, long nowMillis) {
-    told.keySet().retainAll(present.keySet());
+    sent.keySet().retainAll(present.keySet());
     Map<String, EngineCapacity> due = new HashMap<>();
     present.forEach(
         (engine, capacity) -> {
-          Told last = told.get(engine);
+          Sent last = sent.get(engine);
           if (capacity.ageMillis() != Long.MAX_VALUE
               && (last == null
                   || nowMillis - last.atMillis() >= REPEAT_MILLIS
                   || differs(capacity, last.capacity()))) {
-            told.put(engine, new Told(capacity, nowMillis));
+            sent.put(engine, new Sent(capacity, nowMillis));
             due.put(engine, capacity);
           }
         });
--- a/gateway/src/main/java/org/lockdale/gateway/capacity/EngineEstimates.java
+++ b/gateway/src/main/java/org/lockdale/gateway/capacity/EngineEstimates.java
@@ -26,10 +26,10 @@
   /** Prompt tokens that an engine computes per millisecond, until any rate was observed. */
   private static final double DEFAULT_TOKENS_PER_MILLI = 30;
 
-  /** What another node told about silence, slowdowns and reserved tokens holds for this long. */
-  static final long TOLD_MILLIS = 2_000;
+  /** What another node sent about silence, slowdowns and reserved tokens holds for this long. */
+  static final long RECEIVED_VALID_MILLIS = 2_000;
 
-  private record Told(EngineCapacity capacity, long atMillis) {}
+  private record Summary(EngineCapacity capacity, long atMillis) {}
 
   private record Notice(Set<String> engines, long atMillis) {}
 
@@ -49,7 +49,7 @@
   private final UseReports reports = new UseReports();
   private final SilenceDetector detector = new SilenceDetector(reports);
   private final SpeedEstimator speeds = new SpeedEstimator();
-  private final Map<String, Told> told = new HashMap<>();
+  private final Map<String, Summary> summaries = new HashMap<>();
   private final Map<String, Notice> notices = new HashMap<>();
   private Set<String> slowed = Set.of();
   private Set<String> detected = Set.of();
@@ -101,7 +101,8 @@
 
   /** Processes what a relay tells about engines. */
   public void acceptSummary(Map<String, EngineCapacity> capacities, long nowMillis) {
-    capacities.forEach((engine, capacity) -> told.put(engine, new Told(capacity, nowMillis)));
+    capacities.forEach(
+        (engine, capacity) -> summaries.put(engine, new Summary(capacity, nowMillis)));
   }
 
   /** Processes the notice of a relay; an empty set ends its former one. */
@@ -146,8 +147,8 @@
     reports.retain(present, nowMillis);
     detector.retain(present);
     speeds.retain(present);
-    told.keySet().retainAll(present);
-    notices.values().removeIf(notice -> nowMillis - notice.atMillis() > TOLD_MILLIS);
+    summaries.keySet().retainAll(present);
+    notices.values().removeIf(notice -> nowMillis - notice.atMillis() > RECEIVED_VALID_MILLIS);
   }
 
   private Map<String, Boolean> silences(
@@ -163,7 +164,7 @@
     Map<String, SilenceDetector.Silence> found =
         detector.evaluate(
             id -> thresholdMillis(backends.find(id), estimates, medians, nowMillis), nowMillis);
-    // Only the relay that told it knows whether any node has attempts there.
+    // Only the relay that sent it knows whether any node has attempts there.
     notices.values().forEach(notice -> notice.engines().forEach(id -> silent.put(id, false)));
     if (decides) {
       found.forEach((id, silence) -> silent.put(id, silence.idle()));
@@ -234,16 +235,16 @@
             pool.mostSlowed() ? 1 : estimate.slowdown(),
             table.isSilent(tracked),
             observedAt == EngineObservations.NEVER ? Long.MAX_VALUE : nowMillis - observedAt);
-    Told summary = told.get(id);
+    Summary summary = summaries.get(id);
     boolean hasOwn = estimate.gapMillis() > 0 || estimate.callMillis() > 0;
     return summary == null || decides && hasOwn ? own : combined(own, summary, nowMillis);
   }
 
   /** Combines own observations with those of the relay, which knows the attempts of all nodes. */
-  private static EngineCapacity combined(EngineCapacity own, Told told, long nowMillis) {
-    EngineCapacity summary = told.capacity();
-    long age = nowMillis - told.atMillis();
-    boolean present = age <= TOLD_MILLIS;
+  private static EngineCapacity combined(EngineCapacity own, Summary received, long nowMillis) {
+    EngineCapacity summary = received.capacity();
+    long age = nowMillis - received.atMillis();
+    boolean present = age <= RECEIVED_VALID_MILLIS;
     long observed =
         summary.ageMillis() == Long.MAX_VALUE ? Long.MAX_VALUE : summary.ageMillis() + age;
     return new EngineCapacity(
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/AdmissionController.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/AdmissionController.java
@@ -165,23 +165,23 @@
 
   private void decideOnArrival(WaitingTicket added, boolean passed) {
     WaitForecasts.Expected expected = forecasts.of(added);
-    if (isHopeless(expected) && !passed) {
+    if (isWaitTooLong(expected) && !passed) {
       // Nothing is refused while there may be room.
       admit(added.ticket.pool());
     }
     if (!waiting.containsKey(added.ticket.key())) {
       return;
     }
-    if (isHopeless(expected)) {
+    if (isWaitTooLong(expected)) {
       refuse(added, Cause.ARRIVAL, expected.waitMillis());
     } else {
-      added.toldMillis = expected.waitMillis();
-      added.toldAtMillis = time.monotonicMillis();
+      added.announcedMillis = expected.waitMillis();
+      added.announcedAtMillis = time.monotonicMillis();
       added.listener.onHeld(expected.position(), expected.waitMillis());
     }
   }
 
-  private boolean isHopeless(WaitForecasts.Expected expected) {
+  private boolean isWaitTooLong(WaitForecasts.Expected expected) {
     Ticket ticket = expected.waiting().ticket;
     return !ticket.terms().possiblyRun()
         && RoomForecast.isTooLong(ticket, expected.waitMillis(), time.monotonicMillis());
@@ -352,8 +352,9 @@
     } else if (now > ticket.lastMillis()) {
       refuse(held, Cause.PATIENCE, expected.waitMillis());
       return;
-    } else if (isHopeless(expected)
-        && RoomForecast.hasGrown(held.toldMillis, now - held.toldAtMillis, expected.waitMillis())) {
+    } else if (isWaitTooLong(expected)
+        && RoomForecast.hasGrown(
+            held.announcedMillis, now - held.announcedAtMillis, expected.waitMillis())) {
       refuse(held, Cause.FORECAST_CHANGED, expected.waitMillis());
       return;
     }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/TicketResponder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/TicketResponder.java
@@ -40,8 +40,8 @@
   private final Map<String, Integer> ticketsByNode = new HashMap<>();
   private final Map<String, Integer> heldMessages = new HashMap<>();
 
-  /** Reviews in which a ticket was not told because its node had been told of others. */
-  private final Map<Ticket.Key, Integer> untold = new HashMap<>();
+  /** Reviews in which no message was sent for a ticket, as its node had got some for others. */
+  private final Map<Ticket.Key, Integer> skippedReviews = new HashMap<>();
 
   /**
    * Creates a responder.
@@ -83,7 +83,7 @@
         new AdmissionController.Listener() {
           @Override
           public void onResult(PlacementResult result) {
-            untold.remove(key);
+            skippedReviews.remove(key);
             if (result instanceof PlacementResult.Refused refused) {
               datagrams.sendTicketMessage(
                   List.of(address),
@@ -100,40 +100,40 @@
 
           @Override
           public void onHeld(int position, long expectedMillis) {
-            tell(key, address, new TicketHeld(key.number(), position, expectedMillis));
+            sendHeld(key, address, new TicketHeld(key.number(), position, expectedMillis));
           }
         });
     timer.onSubmitted();
   }
 
-  private void tell(Ticket.Key key, InetSocketAddress address, TicketHeld held) {
-    boolean isNew = !untold.containsKey(key);
+  private void sendHeld(Ticket.Key key, InetSocketAddress address, TicketHeld held) {
+    boolean isNew = !skippedReviews.containsKey(key);
     int messages = heldMessages.getOrDefault(key.node(), 0);
-    // A ticket that was not told for long takes precedence over the number of messages.
-    int rounds = untold.getOrDefault(key, 0);
-    // A node that hears nothing of its tickets takes the relay for dead, so one is told in any
-    // case.
-    boolean isDue = messages == 0 || rounds >= roundsBetween(key.node());
+    // A ticket without a message for long takes precedence over the number of messages.
+    int skipped = skippedReviews.getOrDefault(key, 0);
+    // A node that hears nothing of its tickets takes the relay for dead, so it gets a message for
+    // one in any case.
+    boolean isDue = messages == 0 || skipped >= maxSkippedReviews(key.node());
     if (isNew || messages < MAX_HELD_MESSAGES && isDue) {
-      untold.put(key, 0);
+      skippedReviews.put(key, 0);
       heldMessages.merge(key.node(), 1, Integer::sum);
       datagrams.sendTicketMessage(List.of(address), held);
     } else {
-      untold.put(key, rounds + 1);
+      skippedReviews.put(key, skipped + 1);
     }
   }
 
-  /** Returns in how many reviews each ticket of a node is told once. */
-  private int roundsBetween(String node) {
+  /** Returns for how many reviews each ticket of a node is skipped between two messages. */
+  private int maxSkippedReviews(String node) {
     int tickets = ticketsByNode.getOrDefault(node, 0);
     return Math.max(0, (tickets - 1) / MAX_HELD_MESSAGES);
   }
 
   private void onReview() {
     heldMessages.clear();
-    untold.keySet().removeIf(key -> !controller.isWaiting(key));
+    skippedReviews.keySet().removeIf(key -> !controller.isWaiting(key));
     ticketsByNode.clear();
-    untold.keySet().forEach(key -> ticketsByNode.merge(key.node(), 1, Integer::sum));
+    skippedReviews.keySet().forEach(key -> ticketsByNode.merge(key.node(), 1, Integer::sum));
     forgetExpired();
   }
 
@@ -150,7 +150,7 @@
     for (long number : message.getNumbers()) {
       Ticket.Key key = new Ticket.Key(sender, number);
       controller.cancel(key);
-      untold.remove(key);
+      skippedReviews.remove(key);
       Placed unused = placed.remove(key);
       if (unused != null) {
         loads.dropPlacement(sender, unused.placement());
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/WaitingTicket.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/WaitingTicket.java
@@ -14,11 +14,11 @@
 
   final AdmissionController.Listener listener;
 
-  /** Wait that was told on its arrival, in milliseconds. */
-  long toldMillis;
+  /** Wait that was announced on its arrival, in milliseconds. */
+  long announcedMillis;
 
-  /** Monotonic time at which the wait was told. */
-  long toldAtMillis;
+  /** Monotonic time at which the wait was announced. */
+  long announcedAtMillis;
 
   WaitingTicket(
       Ticket ticket,
--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartQuarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/part/PartQuarantine.java
@@ -267,14 +267,14 @@
       Logger.info("event=part-cleared part={} reason=held-long-enough", released.part());
       propagate(released);
     }
-    if (ledger.offerTrials(coordinator, now) || isSuspectPublishedInVain()) {
+    if (ledger.offerTrials(coordinator, now) || isPublicationOutdated()) {
       publishSoon();
     }
     recorder.tick();
   }
 
   /** Returns whether the request path reports answers that nothing depends on any more. */
-  private boolean isSuspectPublishedInVain() {
+  private boolean isPublicationOutdated() {
     return context.section().value().suspectedCount() > ledger.suspiciousCount();
   }
 
--- a/gateway/src/test/java/org/lockdale/gateway/capacity/EngineEstimatesTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/capacity/EngineEstimatesTest.java
@@ -134,7 +134,7 @@
     assertFalse(capacity("i-1").silent());
     assertTrue(capacity("i-2").silent());
     assertFalse(estimates.table().isProbeDue(backends.find("i-2"), 3_000));
-    estimates.update(backends, false, 1_500 + EngineEstimates.TOLD_MILLIS + 1);
+    estimates.update(backends, false, 1_500 + EngineEstimates.RECEIVED_VALID_MILLIS + 1);
     assertFalse(capacity("i-2").silent());
   }
 
