--- a/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
@@ -226,4 +226,69 @@
     assertEquals(call(request("second")), "200 for second");
     assertEquals(peer.received().get(1).connection(), 2);
   }
+
+  @Test
+  public void aLateReplyIsToldAfterManyOtherRequests() throws Exception {
+    peer =
+        new ScriptedPeer(
+            (request, connection) -> {
+              if (request.id().equals("first") && request.number() > 1) {
+                connection.send(ScriptedPeer.reply(200, "first", "late success"));
+              }
+              connection.send(
+                  ScriptedPeer.reply(
+                      request.id().equals("first") ? 500 : 200, request.id(), "due"));
+            });
+    assertEquals(call(request("first")), "500 due");
+    for (int index = 0; index < RecentIds.CAPACITY; index++) {
+      assertEquals(call(request("r" + index)), "200 due");
+    }
+    assertEquals(call(request("first")), "500 due");
+  }
+
+  @Test
+  public void aFailureWithoutAnIdOnAFreshConnectionIsTheReply() throws Exception {
+    peer =
+        new ScriptedPeer(
+            (request, connection) -> {
+              connection.send(ScriptedPeer.reply(500, "", "failure"));
+              connection.send(ScriptedPeer.reply(200, request.id(), "second reply"));
+            });
+    assertEquals(call(request("first")), "500 failure");
+  }
+
+  @Test
+  public void aDueReplyIsNotLostInTheBodyOfACutSurplusReply() throws Exception {
+    peer =
+        new ScriptedPeer(
+            (request, connection) -> {
+              String due = ScriptedPeer.reply(500, request.id(), "failure");
+              if (request.number() > 1) {
+                String whole = ScriptedPeer.reply(200, "first", "x".repeat(due.length()));
+                connection.send(whole.substring(0, whole.indexOf("\r\n\r\n") + 4));
+                connection.send(due + ScriptedPeer.reply(200, request.id(), "second reply"));
+              } else {
+                connection.send(due);
+              }
+            });
+    assertEquals(call(request("first")), "500 failure");
+    assertEquals(call(request("second")), "500 failure");
+  }
+
+  @Test
+  public void aHeadBehindAnInformationalHeadIsComplete() throws Exception {
+    peer =
+        new ScriptedPeer(
+            (request, connection) ->
+                connection.send(
+                    "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: h\r\nContent-Length: 5\r\n\r\n"));
+    HttpRequestMessage head =
+        new HttpRequestMessage(
+            HttpMethod.HEAD,
+            "/",
+            new DefaultHttpHeaders().set(ScriptedPeer.ID_HEADER, "h"),
+            new byte[0],
+            new EchoedId(ScriptedPeer.ID_HEADER, "h"));
+    assertEquals(call(head), "200 ");
+  }
 }
