CONNECT is refused with 501

Cause: as with HEAD, whether a body follows is decided by the order of requests; besides, a tunnel was never meant.

--- a/http/src/main/java/org/lockdale/http/HttpProtocolError.java
+++ b/http/src/main/java/org/lockdale/http/HttpProtocolError.java
@@ -4,6 +4,8 @@
 public enum HttpProtocolError {
   /** The request line, a header or the framing can't be parsed. */
   MALFORMED_REQUEST(400, "The request is not valid HTTP/1.1; check the client library."),
+  /** The method asks for a tunnel, which is not a request that has a reply with a body. */
+  METHOD_NOT_SUPPORTED(501, "The method CONNECT is not supported; send the request itself."),
   /** The request was not complete within the request timeout. */
   REQUEST_TIMEOUT(408, "The request body arrived too slowly; send it without pauses."),
   /** The body is larger than the limit. */
--- a/http/src/main/java/org/lockdale/http/RequestAssembler.java
+++ b/http/src/main/java/org/lockdale/http/RequestAssembler.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -115,6 +116,10 @@
   private void startRequest(ChannelHandlerContext context, HttpRequest request) {
     head = request;
     receivedNanos = System.nanoTime();
+    if (request.method().equals(HttpMethod.CONNECT)) {
+      reject(context, HttpProtocolError.METHOD_NOT_SUPPORTED);
+      return;
+    }
     if (HttpUtil.getContentLength(request, 0L) > settings.maxBodyBytes()) {
       reject(context, HttpProtocolError.BODY_TOO_LARGE);
       return;
