Surplus replies: ids are known for a connection's whole life; a failure without an id isn't skipped at first

A failure without an id on a connection that carried no other request was skipped as surplus, and a second reply to the same request, a success, was served after one send: such a failure fails the call (aFailureWithoutAnIdOnAFreshConnectionIsNotReplacedByASecondReply, and over a node aLateFailureWithoutAnIdIsNotReplacedByASecondReply, failed). A connection that another thread had just taken could be closed: it is closed only if it was removed (read only).

--- a/http/src/main/java/org/lockdale/http/ConnectionPool.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -54,7 +54,8 @@
   /** Unacknowledged TCP keepalive probes after which the connection fails. */
   private static final int KEEP_ALIVE_PROBES = 2;
 
-  private record Key(EventLoop eventLoop, InetSocketAddress address) {
+  /** Calls that may share connections. */
+  private record Key(EventLoop eventLoop, InetSocketAddress address, String group) {
 
     /**
      * Implemented explicitly, since the method that is generated for records is linked at run time
@@ -62,15 +63,22 @@
      */
     @Override
     public boolean equals(Object other) {
-      return other instanceof Key key && eventLoop == key.eventLoop && address.equals(key.address);
+      return other instanceof Key key
+          && eventLoop == key.eventLoop
+          && address.equals(key.address)
+          && group.equals(key.group);
     }
 
     @Override
     public int hashCode() {
-      return 31 * System.identityHashCode(eventLoop) + address.hashCode();
+      int loopAndAddress = 31 * System.identityHashCode(eventLoop) + address.hashCode();
+      return 31 * loopAndAddress + group.hashCode();
     }
   }
 
+  /** The calls that may share a connection. */
+  private static final AttributeKey<Key> KEY = AttributeKey.valueOf(ConnectionPool.class, "key");
+
   /** Time by {@link System#nanoTime} until which an idle connection may be reused. */
   private static final AttributeKey<Long> USABLE_UNTIL =
       AttributeKey.valueOf(ConnectionPool.class, "usable-until");
@@ -115,7 +123,7 @@
   }
 
   Future<Channel> acquire(EventLoop eventLoop, InetSocketAddress address) {
-    return acquire(eventLoop, address, null, Integer.MAX_VALUE);
+    return acquire(eventLoop, address, HttpRequestMessage.get("/"), Integer.MAX_VALUE);
   }
 
   /**
@@ -123,34 +131,45 @@
    *
    * @param eventLoop event loop of the connection
    * @param address peer
-   * @param id id that the reply repeats; null if none. No connection is used that has carried it
+   * @param request request to be sent. No connection is used that has carried its id
    * @param maxConnections maximum number of connections to the peer, including idle ones; applies
    *     only if a new one has to be opened
    * @return the connection; fails with an {@link HttpCallException} if a new connection would
    *     exceed the limit, and with the cause from Netty if it can't be established
    */
   Future<Channel> acquire(
-      EventLoop eventLoop, InetSocketAddress address, @Nullable EchoedId id, int maxConnections) {
-    Channel pooled = pollActive(new Key(eventLoop, address), id);
-    return pooled == null
-        ? open(eventLoop, address, maxConnections)
-        : eventLoop.newSucceededFuture(pooled);
+      EventLoop eventLoop,
+      InetSocketAddress address,
+      HttpRequestMessage request,
+      int maxConnections) {
+    Key key = new Key(eventLoop, address, request.connectionGroup());
+    Channel pooled = pollActive(key, request.echoedId());
+    return pooled == null ? open(key, maxConnections) : eventLoop.newSucceededFuture(pooled);
   }
 
   /** Opens a new connection, within a limit as for {@link #acquire}. */
   Future<Channel> open(EventLoop eventLoop, InetSocketAddress address, int maxConnections) {
-    if (!reserveSlot(address, maxConnections)) {
-      return eventLoop.newFailedFuture(
-          HttpCallException.atConnectionLimit(
-              maxConnections + " connections to it are open, which is this node's part"));
+    return open(defaultKey(eventLoop, address), maxConnections);
+  }
+
+  private static Key defaultKey(EventLoop eventLoop, InetSocketAddress address) {
+    return new Key(eventLoop, address, HttpRequestMessage.DEFAULT_GROUP);
+  }
+
+  private Future<Channel> open(Key key, int maxConnections) {
+    if (!reserveSlot(key.address(), maxConnections)) {
+      return key.eventLoop()
+          .newFailedFuture(
+              HttpCallException.atConnectionLimit(
+                  maxConnections + " connections to it are open, which is this node's part"));
     }
-    return openConnection(eventLoop, address);
+    return openConnection(key);
   }
 
   /** Opens a new connection regardless of limits. It enters the pool only when it is released. */
   Future<Channel> connect(EventLoop eventLoop, InetSocketAddress address) {
     reserveSlot(address, Integer.MAX_VALUE);
-    return openConnection(eventLoop, address);
+    return openConnection(defaultKey(eventLoop, address));
   }
 
   /**
@@ -195,7 +214,9 @@
   }
 
   /** Opens a connection for which a slot is reserved, and releases the slot if that fails. */
-  private Future<Channel> openConnection(EventLoop eventLoop, InetSocketAddress address) {
+  private Future<Channel> openConnection(Key key) {
+    EventLoop eventLoop = key.eventLoop();
+    InetSocketAddress address = key.address();
     Promise<Channel> acquired = eventLoop.newPromise();
     new Bootstrap()
         .group(eventLoop)
@@ -228,6 +249,7 @@
             (ChannelFuture connected) -> {
               if (connected.isSuccess()) {
                 Channel channel = connected.channel();
+                channel.attr(KEY).set(key);
                 channel.attr(CONNECTED_AT).set(System.nanoTime());
                 channel.closeFuture().addListener(closed -> onClosed(channel, address));
                 acquired.setSuccess(channel);
@@ -265,8 +287,9 @@
     }
     for (Channel channel : channels) {
       if (!isUsable(channel)) {
-        channels.remove(channel);
-        channel.close();
+        if (channels.remove(channel)) {
+          channel.close();
+        }
       } else if (tellsApart(channel, id) && channels.remove(channel)) {
         return channel;
       }
@@ -296,8 +319,8 @@
   }
 
   /** Puts back a connection that was not used since it was acquired. */
-  void release(Channel channel, InetSocketAddress address) {
-    addIdle(channel, address);
+  void release(Channel channel) {
+    addIdle(channel);
   }
 
   /**
@@ -305,15 +328,14 @@
    *
    * @param usableUntilNanos time by {@link System#nanoTime} until which it may be reused
    */
-  void release(Channel channel, InetSocketAddress address, long usableUntilNanos) {
+  void release(Channel channel, long usableUntilNanos) {
     channel.attr(USABLE_UNTIL).set(usableUntilNanos);
-    addIdle(channel, address);
+    addIdle(channel);
   }
 
-  private void addIdle(Channel channel, InetSocketAddress address) {
+  private void addIdle(Channel channel) {
     Deque<Channel> channels =
-        idle.computeIfAbsent(
-            new Key(channel.eventLoop(), address), key -> new ConcurrentLinkedDeque<>());
+        idle.computeIfAbsent(channel.attr(KEY).get(), key -> new ConcurrentLinkedDeque<>());
     if (channels.size() >= MAX_IDLE_PER_KEY) {
       channel.close();
       return;
@@ -322,8 +344,9 @@
   }
 
   /** Removes a closed connection from the pool, if it is there. */
-  void discard(Channel channel, InetSocketAddress address) {
-    Deque<Channel> channels = idle.get(new Key(channel.eventLoop(), address));
+  void discard(Channel channel) {
+    Key key = channel.attr(KEY).get();
+    Deque<Channel> channels = key == null ? null : idle.get(key);
     if (channels != null) {
       channels.remove(channel);
     }
--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -166,8 +166,7 @@
       int maxConnections) {
     return request.method().equals(HttpMethod.HEAD)
         ? new Connections(() -> pool.open(eventLoop, address, maxConnections), true)
-        : new Connections(
-            () -> pool.acquire(eventLoop, address, request.echoedId(), maxConnections), false);
+        : new Connections(() -> pool.acquire(eventLoop, address, request, maxConnections), false);
   }
 
   private void send(
@@ -203,7 +202,7 @@
       HttpCall call,
       HttpResponseListener listener) {
     if (call.hasEnded()) {
-      pool.release(channel, address);
+      pool.release(channel);
       return;
     }
     if (!channel.isActive()) {
@@ -212,7 +211,7 @@
       return;
     }
     if (!listener.maySend(ConnectionPool.ageMillis(channel))) {
-      pool.release(channel, address);
+      pool.release(channel);
       if (call.tryEnd()) {
         listener.onFailure(
             new HttpCallException(
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -48,7 +49,7 @@
   /** Id by which the reply to the latest call is recognized; null if by its place alone. */
   private @Nullable EchoedId echoedId;
 
-  private final RecentIds carriedIds = new RecentIds();
+  private final CarriedIds carriedIds = new CarriedIds();
 
   /** Time by {@link System#nanoTime} of the latest complete reply; null if there was none. */
   private @Nullable Long repliedAtNanos;
@@ -232,12 +233,25 @@
     skipping = true;
     surplusSeen = true;
     recordSurplus(context, response.status().code(), idIn(response), false);
+    if (isFailureOfOnlyRequest(response)) {
+      fail(context, false, "its failure repeats no id");
+      return;
+    }
     BodyFraming framing = BodyFraming.of(method, response.status().code(), response.headers());
     if (framing == BodyFraming.CLOSE_DELIMITED) {
       fail(context, false, "a reply without a length that belongs to another request came first");
     }
   }
 
+  /**
+   * Returns whether a failure without an id can only answer the request that waits, as the
+   * connection has carried no other one. What follows it may be a second reply.
+   */
+  private boolean isFailureOfOnlyRequest(HttpResponse response) {
+    boolean failure = response.status().code() >= HttpResponseStatus.BAD_REQUEST.code();
+    return failure && idIn(response) == null && carriedIds.isFirst();
+  }
+
   private void recordSurplus(
       ChannelHandlerContext context, int surplusStatus, @Nullable String id, boolean idle) {
     EchoedId awaited = idle ? null : echoedId;
@@ -256,13 +270,17 @@
   private void release(ChannelHandlerContext context) {
     // The last part of a reply may arrive in a read during which the call was paused.
     context.channel().config().setAutoRead(true);
-    if (keepAlive && !writingBody && !singleUse && context.channel().isActive()) {
-      pool.release(context.channel(), address, System.nanoTime() + idleLimitNanos);
+    if (isReusable() && context.channel().isActive()) {
+      pool.release(context.channel(), System.nanoTime() + idleLimitNanos);
     } else {
       context.close();
     }
   }
 
+  private boolean isReusable() {
+    return keepAlive && !writingBody && !singleUse && !carriedIds.isFull();
+  }
+
   private void fail(ChannelHandlerContext context, boolean closedByPeer, String reason) {
     HttpCall current = call;
     HttpResponseListener receiver = listener;
@@ -278,7 +296,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    pool.discard(context.channel(), address);
+    pool.discard(context.channel());
     endCompleted(context);
     fail(context, true, "the connection closed before the reply was complete");
   }
