--- a/soak/src/main/java/org/lockdale/soak/standin/CacheCalls.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/CacheCalls.java
@@ -39,7 +39,7 @@
         server.checkNumber(EVENTS_PATH, since);
         server.checkPosition(connection, EVENTS_PATH, since);
         String page = changes(cache, request, since);
-        server.positions().record(connection, page);
+        server.positions().record(connection, since, page);
         // A second page is the same, so that a node can tell it by its position only.
         server.replies().toCall(connection, EVENTS_PATH, ServerBase.OK, page, page);
       }
--- a/soak/src/main/java/org/lockdale/soak/standin/ToldPositions.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/ToldPositions.java
@@ -5,22 +5,30 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** The last position in a server's cache events that it has told on each connection. */
+/** Where the first page of a server's cache events ended, on connections that just carried it. */
 final class ToldPositions {
 
   private final Map<Socket, Long> positions = new ConcurrentHashMap<>();
 
-  /** Records the page with which the server replies on a connection. */
-  void record(Socket connection, String page) throws IOException {
+  /**
+   * Records the page with which the server replies to a call.
+   *
+   * @param since position that the call asked for, 0 for the start
+   */
+  void record(Socket connection, long since, String page) throws IOException {
     positions.keySet().removeIf(Socket::isClosed);
+    if (since > 0) {
+      positions.remove(connection);
+      return;
+    }
     long position = StandardStreams.MAPPER.readTree(page).path("nextPageToken").asLong();
     positions.put(connection, position);
   }
 
   /**
-   * Returns whether a call asks for events before the position that the reply before it on the same
-   * connection told, and does not start anew. The peer has then taken something else for that
-   * reply.
+   * Returns whether a call asks for events before the end of the first page that its connection has
+   * just carried. The peer has then taken an older page for the first one, without the parts before
+   * that. A peer that takes a repeated empty page for the next one loses nothing.
    */
   boolean isBehind(Socket connection, long since) {
     return since > 0 && since < positions.getOrDefault(connection, 0L);
