--- a/http/src/main/java/org/lockdale/http/HttpResponseListener.java
+++ b/http/src/main/java/org/lockdale/http/HttpResponseListener.java
@@ -9,14 +9,6 @@
  */
 public interface HttpResponseListener {
 
-  /**
-   * Returns whether a reply belongs to this call. If not, it is a surplus reply to an earlier call
-   * on the same connection: it is discarded, and the call waits for the next reply.
-   */
-  default boolean accepts(int status, HttpHeaders headers) {
-    return true;
-  }
-
   /**
    * Returns whether the request may still be sent. Called when a connection is available, right
    * before the first byte is written. If false, the call fails at {@link
@@ -34,6 +26,15 @@
   /** Receives a part of the body; the buffer is only valid during the call. */
   void onContent(ByteBuf content);
 
+  /**
+   * Returns whether a complete reply belongs to this call; called right before {@link #onEnd}. If
+   * not, it is a surplus reply to an earlier call on the same connection: the listener drops what
+   * it has received, and the call waits for the next reply.
+   */
+  default boolean acceptsComplete() {
+    return true;
+  }
+
   /** Called when the reply is complete. */
   void onEnd();
 
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /** Passes the parts of a reply to the listener of the call that occupies the connection. */
@@ -24,7 +25,15 @@
   private final InetSocketAddress address;
   private @Nullable HttpCall call;
   private @Nullable HttpResponseListener listener;
+
+  /** Listener of a call whose reply is complete, until the rest of the read is decoded. */
+  private @Nullable HttpResponseListener completed;
+
   private boolean headReceived;
+
+  /** Status of the reply whose head was received. */
+  private int status;
+
   private boolean keepAlive;
 
   /** Whether the parts of a reply that doesn't belong to the call are being discarded. */
@@ -33,6 +42,20 @@
   /** Whether a surplus reply was received, after which the connection is not reused. */
   private boolean surplusSeen;
 
+  /** Method of the latest request; empty before the first one. */
+  private String method = "";
+
+  /** Id by which the reply to the latest call is recognized; null if by its place alone. */
+  private @Nullable EchoedId echoedId;
+
+  private final RecentIds carriedIds = new RecentIds();
+
+  /** Time by {@link System#nanoTime} of the latest complete reply; null if there was none. */
+  private @Nullable Long repliedAtNanos;
+
+  /** Whether the connection was opened for one call. */
+  private boolean singleUse;
+
   private long idleLimitNanos;
 
   /** Whether parts of the request's body have not been written yet. */
@@ -46,14 +69,32 @@
   }
 
   /** Starts to read the reply to a call. */
-  void start(HttpCall newCall, HttpResponseListener newListener) {
+  void start(HttpCall newCall, HttpResponseListener newListener, HttpRequestMessage request) {
     call = newCall;
     listener = newListener;
+    method = request.method().name();
+    echoedId = request.echoedId();
+    if (echoedId != null) {
+      carriedIds.add(echoedId);
+    }
     headReceived = false;
     skipping = false;
     progress = new ResponseProgress();
   }
 
+  /**
+   * Returns whether a request may be sent over this connection: not if it has carried the id
+   * before, as a late second reply to the former send could not be told from the reply.
+   */
+  boolean tellsApart(@Nullable EchoedId id) {
+    return id == null || !carriedIds.mayContain(id);
+  }
+
+  /** Closes the connection after the reply to the current call. */
+  void closeAfterReply() {
+    singleUse = true;
+  }
+
   /** Records that the body of the current call is written in parts. */
   void expectBodyInParts() {
     writingBody = true;
@@ -82,6 +123,9 @@
     HttpCall current = call;
     HttpResponseListener receiver = listener;
     if (current == null || receiver == null || current.hasEnded()) {
+      if (current == null && part instanceof HttpResponse response) {
+        recordSurplus(context, response.status().code(), idIn(response), true);
+      }
       context.close();
       return;
     }
@@ -90,7 +134,7 @@
       return;
     }
     if (part instanceof HttpResponse response) {
-      start(response, receiver);
+      start(context, response, receiver);
     }
     if (skipping) {
       progress.recordSurplus(contentBytes(part));
@@ -100,7 +144,39 @@
     if (part instanceof HttpContent content && content.content().isReadable()) {
       accept(content.content(), current, receiver);
     }
-    if (part instanceof LastHttpContent && current.tryEnd()) {
+    if (part instanceof LastHttpContent && !current.hasEnded()) {
+      endReply(context, current, receiver);
+    }
+  }
+
+  private void endReply(
+      ChannelHandlerContext context, HttpCall current, HttpResponseListener receiver) {
+    if (!receiver.acceptsComplete()) {
+      surplusSeen = true;
+      headReceived = false;
+      recordSurplus(context, status, null, false);
+    } else if (current.tryEnd()) {
+      completed = receiver;
+      call = null;
+      listener = null;
+      repliedAtNanos = System.nanoTime();
+    }
+  }
+
+  /**
+   * Ends a call with the read that completed its reply. Whatever else was in that read was not due,
+   * and has closed the connection by now, so that the next call can't take it for its reply.
+   */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    endCompleted(context);
+    context.fireChannelReadComplete();
+  }
+
+  private void endCompleted(ChannelHandlerContext context) {
+    HttpResponseListener receiver = completed;
+    if (receiver != null) {
+      completed = null;
       release(context);
       receiver.onEnd();
     }
@@ -128,28 +204,59 @@
     }
   }
 
-  private void start(HttpResponse response, HttpResponseListener receiver) {
-    boolean informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    if (informational || !receiver.accepts(response.status().code(), response.headers())) {
+  private void start(
+      ChannelHandlerContext context, HttpResponse response, HttpResponseListener receiver) {
+    EchoedId expected = echoedId;
+    if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       skipping = true;
-      surplusSeen |= !informational;
-      if (informational) {
-        progress.recordInformationalHead();
-      }
+      progress.recordInformationalHead();
+      return;
+    }
+    if (expected != null && !expected.isIn(response.headers())) {
+      skipSurplus(context, response);
       return;
     }
     headReceived = true;
+    status = response.status().code();
     keepAlive = HttpUtil.isKeepAlive(response) && !surplusSeen;
     idleLimitNanos = KeepAliveHeader.idleLimitNanos(response.headers());
-    receiver.onHead(response.status().code(), response.headers());
+    receiver.onHead(status, response.headers());
+  }
+
+  private @Nullable String idIn(HttpResponse response) {
+    EchoedId latest = echoedId;
+    return latest == null ? null : latest.idIn(response.headers());
+  }
+
+  private void skipSurplus(ChannelHandlerContext context, HttpResponse response) {
+    skipping = true;
+    surplusSeen = true;
+    recordSurplus(context, response.status().code(), idIn(response), false);
+    BodyFraming framing = BodyFraming.of(method, response.status().code(), response.headers());
+    if (framing == BodyFraming.CLOSE_DELIMITED) {
+      fail(context, false, "a reply without a length that belongs to another request came first");
+    }
+  }
+
+  private void recordSurplus(
+      ChannelHandlerContext context, int surplusStatus, @Nullable String id, boolean idle) {
+    EchoedId awaited = idle ? null : echoedId;
+    Long replied = repliedAtNanos;
+    pool.recordSurplus(
+        new SurplusReply(
+            address,
+            ConnectionPool.localPort(context.channel()),
+            surplusStatus,
+            id,
+            idle,
+            awaited == null ? null : awaited.value(),
+            replied == null ? -1 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - replied)));
   }
 
   private void release(ChannelHandlerContext context) {
-    call = null;
-    listener = null;
     // The last part of a reply may arrive in a read during which the call was paused.
     context.channel().config().setAutoRead(true);
-    if (keepAlive && !writingBody) {
+    if (keepAlive && !writingBody && !singleUse && context.channel().isActive()) {
       pool.release(context.channel(), address, System.nanoTime() + idleLimitNanos);
     } else {
       context.close();
@@ -172,11 +279,13 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     pool.discard(context.channel(), address);
+    endCompleted(context);
     fail(context, true, "the connection closed before the reply was complete");
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    endCompleted(context);
     fail(context, cause instanceof IOException && !isTimeout(cause), cause.toString());
   }
 
