Weights: an engine that is said to hold the ordered version is asked for its state

Cause: a 200 to an order counts as "already held" and ended the move; the engine was taken to hold the version on all nodes. The reply carries no id. An own connection rules out a late reply to a call before, but the users' servers also begin a connection with a success that belongs to no request. Cost: one report where an engine held the version at the order, which the query before it rules out but for races.

--- a/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
+++ b/gateway/src/main/java/org/lockdale/gateway/weights/EngineUpdate.java
@@ -221,11 +221,8 @@
         outcome);
     switch (outcome) {
       case ACCEPTED -> checkAfter(FIRST_CHECK_MILLIS);
-      case ALREADY_HELD -> {
-        move.engine().observeWeights(move.model(), move.version());
-        succeed();
-      }
-      case CONFLICT, UNKNOWN -> checkAfter(CHECK_MILLIS);
+      // The response carries no id and may be the one to another call, so the state decides.
+      case ALREADY_HELD, CONFLICT, UNKNOWN -> checkAfter(CHECK_MILLIS);
       case FENCED -> {
         lease.relinquish();
         done.complete(false);
--- a/gateway/src/test/java/org/lockdale/gateway/weights/EngineUpdateTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/weights/EngineUpdateTest.java
@@ -42,6 +42,8 @@
   private static final class ControlledEngine implements EngineControl {
     private boolean ordered;
     private boolean done;
+    private OrderOutcome outcome = OrderOutcome.ACCEPTED;
+    private int orders;
     private long startedAtMillis = 1;
 
     @Override
@@ -57,8 +59,9 @@
 
     @Override
     public CompletableFuture<OrderOutcome> load(Backend backend, LoadOrder order) {
-      ordered = true;
-      return CompletableFuture.completedFuture(OrderOutcome.ACCEPTED);
+      orders++;
+      ordered = outcome == OrderOutcome.ACCEPTED;
+      return CompletableFuture.completedFuture(outcome);
     }
   }
 
@@ -201,4 +204,25 @@
     assertFalse(control.ordered);
     assertTrue(engine.hasEnded());
   }
+
+  /** The success that tells so carries no id, so it may be a repeated reply to another call. */
+  @Test
+  public void anEngineThatIsSaidToHoldTheVersionIsAskedForItsState() {
+    control.outcome = OrderOutcome.ALREADY_HELD;
+    CompletableFuture<Boolean> done = start();
+    while (control.orders == 0) {
+      step();
+    }
+    assertFalse(done.isDone());
+    assertEquals(engine.weightsOf(MODEL), Long.valueOf(1));
+    control.outcome = OrderOutcome.ACCEPTED;
+    while (!control.ordered) {
+      step();
+    }
+    control.done = true;
+    while (!done.isDone()) {
+      step();
+    }
+    assertTrue(done.join());
+  }
 }
