--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -302,19 +302,20 @@
 
   /**
    * Sends a request over a new connection, which carries no other call, and collects the complete
-   * reply. So no reply to another call can be taken for the one to this call, at the cost of a
+   * reply. So no late reply to another call can be taken for the one to this call, at the cost of a
    * connection.
    *
    * @param address peer
    * @param request what to send
    * @param timeout maximum time until the reply is complete
+   * @param check tells replies that the peer sends without a request
    * @return the reply; fails with {@link HttpCallException} if the call fails or times out
    */
   public CompletableFuture<HttpReply> exchangeOnce(
-      InetSocketAddress address, HttpRequestMessage request, Duration timeout) {
+      InetSocketAddress address, HttpRequestMessage request, Duration timeout, ReplyCheck check) {
     EventLoop eventLoop = group.next();
     Connections connections = new Connections(() -> pool.connect(eventLoop, address), true);
-    return exchange(eventLoop, connections, address, request, timeout, ReplyCheck.ANY);
+    return exchange(eventLoop, connections, address, request, timeout, check);
   }
 
   private CompletableFuture<HttpReply> exchange(
--- a/http/src/test/java/org/lockdale/http/RepeatedReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/RepeatedReplyTest.java
@@ -62,7 +62,8 @@
   }
 
   private CompletableFuture<HttpReply> overOwnConnection(String path) {
-    return client.exchangeOnce(peer.address(), HttpRequestMessage.get(path), TIMEOUT);
+    return client.exchangeOnce(
+        peer.address(), HttpRequestMessage.get(path), TIMEOUT, ReplyCheck.ANY);
   }
 
   /** Sends calls one after another from each caller; returns how many got another call's reply. */
