Failing test: a relay that does not know a server's start names it again

What callers may see: a second send of a request to the server that has failed it, over the connection of the first one, where a late reply to the first send is taken for that to the second one.

Cause, by reading: a node excludes the incarnations that it has tried (i-1@5). A relay whose row of the server has no start time, as one of an earlier version, doesn't find i-1 among them and answers i-1; the node takes that for the present incarnation and doesn't compare it with those that the query excludes.

--- a/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
@@ -233,6 +233,24 @@
     assertEquals(uncounted, List.of());
   }
 
+  /** The relay names the server alone, as it does not know its start. */
+  @Test
+  public void aServerThatWasTriedIsNotChosenAgainByARelayThatDoesNotKnowItsStart()
+      throws Exception {
+    addRelay("senior", true);
+    String tried = "i-1@5";
+    blackboard.backends().publish(BackendTable.EMPTY.with(List.of(backend(tried))), 0);
+    PlacementQuery retry =
+        new PlacementQuery("pool", "zone", null, null, List.of(), Set.of(tried), null, null);
+    PlacementResult result = client.place(retry).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    assertTrue(result.placed().isEmpty(), result.toString());
+  }
+
+  private static Backend backend(String id) {
+    InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+    return new Backend(id, "pool", address, "zone", 4, false, Map.of());
+  }
+
   @Test
   public void theNodeDecidesIfNoRelayAnswers() throws Exception {
     addRelay("senior", false);
