Placement: a relay that names a server that was tried is not followed

What callers may see: a second send of a request to the server that has failed it. Cause: a node excludes the incarnations that it has tried; a relay whose row of the server has no start time, as one of an earlier version, does not find the server among them and names it again, and the node did not compare the answer with what the query excludes. Change: it does, and decides itself. Evidence: PlacementClientTest.aServerThatWasTriedIsNotChosenAgainByARelayThatDoesNotKnowItsStart failed and passes, with the other 24 tests of the three gateway classes run.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
@@ -275,7 +275,7 @@
       String sender, PlacementQuery query, PlacementAnswer answer, boolean isGranted) {
     String engine = answer.getEngine();
     TrackedBackend target = engine == null ? null : context.backends().get().resolve(engine);
-    if (target == null || !acceptsRequests(target)) {
+    if (target == null || target.isAmong(query.excluded()) || !acceptsRequests(target)) {
       return null;
     }
     Long weights = weightsOf(query, target, answer);
