--- a/gateway/src/test/java/org/lockdale/gateway/cluster/TicketClientTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/TicketClientTest.java
@@ -166,6 +166,7 @@
   public void heldTicketWaitsAtItsRelay() throws Exception {
     FakeTicketRelay relay = newRelay("relay-1", Behaviour.HOLDS);
     CompletableFuture<PlacementResult> future = place();
+    await(() -> !relay.tickets.isEmpty());
     Thread.sleep(600);
     assertFalse(future.isDone());
     assertEquals(relay.tickets.size(), 1);
