Soak: a node that goes on from a page of another connection has not taken a second reply

Played by hand, the plan store-refuses-relays broke MIXED in one of two plays (load 24 to 38): "a node's call of /kv-events asks for events before the end of the first page", twice, at both relays, 22 ms apart. The servers had written no second reply in that run (second-replies=0, second-replies-to-calls=0), so none can have been taken: the check is wrong there.

Order, from the logs, partly inferred: engine-2 comes back under its id. The former follower of each relay asks for the first page at its retry (2.4 s after the one before, 39.934); 25 ms later the list names the new incarnation, a new follower starts and asks for the first page as well, over a second connection. Both wait for the first event. The page of the closed follower ends later; its connection is released last, so the new follower goes on over it from its own, shorter page. It loses nothing.

Change: a call counts only if a reply on its connection had a second one, and it goes on from the end of an earlier page of that connection. A node that takes an older page for the first one does just that; the earlier case of the test is kept with its page.

--- a/soak/src/main/java/org/lockdale/soak/standin/ReplyChannel.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/ReplyChannel.java
@@ -32,6 +32,7 @@
   private final List<LateReply> beforeNext = new ArrayList<>();
 
   private boolean streaming;
+  private boolean repeated;
 
   ReplyChannel(Socket connection) {
     this.connection = connection;
@@ -56,6 +57,11 @@
     plan(second);
   }
 
+  /** Returns whether a reply on this connection has or will have a second one. */
+  synchronized boolean hasRepeatedReply() {
+    return repeated;
+  }
+
   private static String behindFirst(@Nullable LateReply second) {
     if (second == null || second.moment().place() != LateReply.Place.BEHIND_FIRST) {
       return "";
@@ -68,6 +74,7 @@
     if (second == null) {
       return;
     }
+    repeated = true;
     switch (second.moment().place()) {
       case LATER ->
           TIMER.schedule(
--- a/soak/src/test/java/org/lockdale/soak/standin/ReplyChannelTest.java
+++ b/soak/src/test/java/org/lockdale/soak/standin/ReplyChannelTest.java
@@ -1,6 +1,8 @@
 package org.lockdale.soak.standin;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -70,6 +72,14 @@
     assertEquals(text.indexOf("head,end,") >= 0, true, text);
   }
 
+  @Test
+  public void onlyAReplyWithASecondOneIsRepeated() throws IOException {
+    replies.write("first,", null);
+    assertFalse(replies.hasRepeatedReply());
+    replies.write("next,", second(Place.BEFORE_NEXT, 0));
+    assertTrue(replies.hasRepeatedReply());
+  }
+
   private void assertRead(String expected) throws IOException {
     InputStream input = peer.getInputStream();
     byte[] read = input.readNBytes(expected.length());
--- a/soak/src/test/java/org/lockdale/soak/standin/ToldPositionsTest.java
+++ b/soak/src/test/java/org/lockdale/soak/standin/ToldPositionsTest.java
@@ -16,6 +16,8 @@
   public void aCallBehindTheFirstPageOfItsConnectionIsDetected() throws IOException {
     try (Socket connection = new Socket();
         Socket other = new Socket()) {
+      positions.record(connection, 2, "{\"nextPageToken\":6}");
+      assertFalse(positions.isBehind(connection, 6));
       positions.record(connection, 0, "{\"nextPageToken\":7}");
       assertTrue(positions.isBehind(connection, 6));
       assertFalse(positions.isBehind(connection, 7));
@@ -26,4 +28,14 @@
       assertFalse(positions.isBehind(connection, 8));
     }
   }
+
+  @Test
+  public void aCallThatGoesOnFromAPageOfAnotherConnectionIsNotBehind() throws IOException {
+    try (Socket closedFollower = new Socket();
+        Socket follower = new Socket()) {
+      positions.record(follower, 0, "{\"nextPageToken\":2}");
+      positions.record(closedFollower, 0, "{\"nextPageToken\":7}");
+      assertFalse(positions.isBehind(closedFollower, 2));
+    }
+  }
 }
