HTTP client: a head that continues in another one fails the call

Callers could get a success, with its signature, where the server had answered with a failure: with status 200 of a surplus reply and the id, signature and body of the failure behind it.

Cause: a surplus reply that names no request and is cut within its status line or within the value of a header has no line end, so that the status line of the reply that is due is read as the rest of that line. The head that comes out has the first status and the second reply's id, which the comparison of ids accepts. No surplus reply is seen or logged, the request has one send and no attempt-failed. The same happens if the cut bytes came in the read that completed the reply before, or on the idle connection, as the decoder keeps them and passes nothing on.

Evidence: CutSurplusHeadTest cuts a success without an id at each of its bytes, in front of a failure and behind the reply before it: 13 of its lengths gave a success in both cases on: those that end in the reason phrase or in a value. A cut in a name or at a line end isn't valid HTTP already. SurplusReplyTest of the platform: the caller got 200 where the server had answered 500. Both pass now, as do CutReplyTest, ResponseReaderTest, HttpClientTest, ParserFuzzTest, CutHeadTest, MalformedResponsesTest and DuplicateReplyTest.

Why it works: a head that is cut has to run into the "HTTP/1.x NNN" of the next one, in its reason phrase or in a value, before that one's id can be read. Such a head fails the call as one that may have run, and closes the connection. A header value that really holds such text fails its call too.

--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -135,6 +135,10 @@
       return;
     }
     if (part instanceof HttpResponse response) {
+      if (MergedHeads.isMerged(response)) {
+        fail(context, false, "its head continues in another one");
+        return;
+      }
       start(context, response, receiver);
     }
     if (skipping) {
