HTTP client: a connection for one call that was not sent is closed

Servers kept a connection for each report, order or list whose time was up before its connection was established, until they closed it as idle; they count against maxConnections.

Cause: a connection that is opened for one call goes to the pool if the call has ended by then. Calls with connections of their own never take one from the pool, so nothing used it again. Before these calls had connections of their own, the next one took it.

Why it works: what was acquired for a single use is closed wherever nothing is sent over it: the call has ended, or was withdrawn.

--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -202,7 +202,7 @@
       HttpCall call,
       HttpResponseListener listener) {
     if (call.hasEnded()) {
-      pool.release(channel);
+      putBack(channel, connections);
       return;
     }
     if (!channel.isActive()) {
@@ -211,7 +211,7 @@
       return;
     }
     if (!listener.maySend(ConnectionPool.ageMillis(channel))) {
-      pool.release(channel);
+      putBack(channel, connections);
       if (call.tryEnd()) {
         listener.onFailure(
             new HttpCallException(
@@ -250,6 +250,15 @@
     }
   }
 
+  /** Ends the use of a connection over which nothing was sent. */
+  private void putBack(Channel channel, Connections connections) {
+    if (connections.singleUse()) {
+      channel.close();
+    } else {
+      pool.release(channel);
+    }
+  }
+
   /** Closes the idle connections to a peer. */
   public void closeIdleConnections(InetSocketAddress address) {
     pool.closeIdleConnections(address);
--- a/http/src/test/java/org/lockdale/http/HttpClientTest.java
+++ b/http/src/test/java/org/lockdale/http/HttpClientTest.java
@@ -17,6 +17,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -224,6 +225,25 @@
     }
   }
 
+  @Test
+  public void aConnectionForASingleCallIsClosedIfTheCallEndsBeforeItOpens() throws Exception {
+    EventLoop loop = group.next();
+    CountDownLatch unblock = new CountDownLatch(1);
+    try (ServerSocket peer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      InetSocketAddress address = (InetSocketAddress) peer.getLocalSocketAddress();
+      loop.execute(() -> awaitUninterruptibly(unblock));
+      CompletableFuture<HttpReply> reply =
+          new HttpClient(loop)
+              .exchangeOnce(address, HttpRequestMessage.get("/"), PATIENT, ReplyCheck.ANY);
+      reply.cancel(false);
+      unblock.countDown();
+      try (Socket opened = peer.accept()) {
+        opened.setSoTimeout((int) PATIENT.toMillis());
+        assertEquals(opened.getInputStream().read(), -1);
+      }
+    }
+  }
+
   @Test
   public void closedAndIdleConnectionsFreeTheirSlots() throws Exception {
     HttpClient client = new HttpClient(group);
