HTTP client: a HEAD does not wait behind a surplus reply

A HEAD waited to its deadline, and its caller got 504, where a surplus reply without a body came in front of its reply.

Cause: on the new connection of a HEAD, the surplus reply is read as the one without a body. The decoder then no longer knows that the next one belongs to a HEAD, and waits for the body that it announces.

Evidence: SurplusReplyTest.aHeadDoesNotWaitForABodyBehindAReplyWithoutAnId ended after 10 s without a result before; it passes now with the other 11 of the class, CutReplyTest and ResponseReaderTest.

Why it works: what is skipped in front of the reply to a HEAD may have a body or only announce one, so its end isn't known, as of a reply without a length; the attempt fails at once, and a repeatable request goes elsewhere.

--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -5,6 +5,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -241,12 +242,21 @@
       fail(context, false, "its failure repeats no id");
       return;
     }
-    BodyFraming framing = BodyFraming.of(method, response.status().code(), response.headers());
-    if (framing == BodyFraming.CLOSE_DELIMITED) {
-      fail(context, false, "a reply without a length that belongs to another request came first");
+    if (hasUnknownEnd(response)) {
+      fail(
+          context, false, "a reply without a known end that belongs to another request came first");
     }
   }
 
+  /**
+   * Returns whether it can't be told where a surplus reply ends, so that the call would wait to its
+   * deadline. In front of the reply to a HEAD, it may have a body or only announce one.
+   */
+  private boolean hasUnknownEnd(HttpResponse surplus) {
+    BodyFraming framing = BodyFraming.of(method, surplus.status().code(), surplus.headers());
+    return framing == BodyFraming.CLOSE_DELIMITED || method.equals(HttpMethod.HEAD.name());
+  }
+
   /**
    * Returns whether a failure without an id can only answer the request that waits, as the
    * connection has carried no other one. What follows it may be a second reply.
--- a/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
@@ -52,8 +52,16 @@
   }
 
   private static HttpRequestMessage request(String id) {
+    return request(HttpMethod.GET, id);
+  }
+
+  private static HttpRequestMessage headRequest(String id) {
+    return request(HttpMethod.HEAD, id);
+  }
+
+  private static HttpRequestMessage request(HttpMethod method, String id) {
     return new HttpRequestMessage(
-        HttpMethod.GET,
+        method,
         "/",
         new DefaultHttpHeaders().set(ScriptedPeer.ID_HEADER, id),
         new byte[0],
@@ -179,14 +187,22 @@
     assertFailsAtOnce("HTTP/1.1 200 OK\r\n\r\nbody");
   }
 
+  @Test
+  public void aHeadDoesNotWaitForABodyBehindAReplyWithoutAnId() throws IOException {
+    String surplusReply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    String reply = "HTTP/1.1 200 OK\r\nX-Id: h\r\nContent-Length: 5\r\n\r\n";
+    assertFailsAtOnce(headRequest("h"), surplusReply + reply);
+  }
+
   /** Asserts that a call fails although its own reply follows these bytes. */
   private void assertFailsAtOnce(String bytes) throws IOException {
-    peer =
-        new ScriptedPeer(
-            (request, connection) ->
-                connection.send(bytes + ScriptedPeer.reply(200, request.id(), "unreadable")));
+    assertFailsAtOnce(request("first"), bytes + ScriptedPeer.reply(200, "first", "unreadable"));
+  }
+
+  private void assertFailsAtOnce(HttpRequestMessage message, String bytes) throws IOException {
+    peer = new ScriptedPeer((request, connection) -> connection.send(bytes));
     CompletableFuture<Integer> status = new CompletableFuture<>();
-    client.send(group.next(), peer.address(), request("first"), new StatusListener(status));
+    client.send(group.next(), peer.address(), message, new StatusListener(status));
     ExecutionException failure =
         expectThrows(
             ExecutionException.class, () -> status.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS));
@@ -274,13 +290,6 @@
             (request, connection) ->
                 connection.send(
                     "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: h\r\nContent-Length: 5\r\n\r\n"));
-    HttpRequestMessage head =
-        new HttpRequestMessage(
-            HttpMethod.HEAD,
-            "/",
-            new DefaultHttpHeaders().set(ScriptedPeer.ID_HEADER, "h"),
-            new byte[0],
-            new EchoedId(ScriptedPeer.ID_HEADER, "h"));
-    assertEquals(call(head), "200 ");
+    assertEquals(call(headRequest("h")), "200 ");
   }
 }
