Cache events: a late failure is not taken for the reply to the next poll

Cause: the replies carry no id. A page tells by its position that it was read before; a status other than 200 has nothing that tells whose it is, and it may also follow a first reply that was a success, so that not using a connection after a failure would not help.

Why this works: a failure over a connection that carried a call before doesn't count. It closes the connection, and the poll is sent once more over a new one, which has no earlier reply that could be repeated; the reply to that counts. A failure over a new connection counts at once and closes it too, so a holder that keeps failing gets one call for each poll. Other calls keep their connections after a failure, as before.

RepeatedReplyTest now also counts a failure as a wrong reply, whatever its body.

--- a/http/src/main/java/org/lockdale/http/ConnectionPool.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -147,13 +147,13 @@
     return pooled == null ? open(key, maxConnections) : eventLoop.newSucceededFuture(pooled);
   }
 
-  /** Opens a new connection, within a limit as for {@link #acquire}. */
-  Future<Channel> open(EventLoop eventLoop, InetSocketAddress address, int maxConnections) {
-    return open(defaultKey(eventLoop, address), maxConnections);
-  }
-
-  private static Key defaultKey(EventLoop eventLoop, InetSocketAddress address) {
-    return new Key(eventLoop, address, HttpRequestMessage.DEFAULT_GROUP);
+  /** Opens a new connection, as {@link #acquire} does where none is idle. */
+  Future<Channel> open(
+      EventLoop eventLoop,
+      InetSocketAddress address,
+      HttpRequestMessage request,
+      int maxConnections) {
+    return open(new Key(eventLoop, address, request.connectionGroup()), maxConnections);
   }
 
   private Future<Channel> open(Key key, int maxConnections) {
@@ -169,7 +169,7 @@
   /** Opens a new connection regardless of limits. It enters the pool only when it is released. */
   Future<Channel> connect(EventLoop eventLoop, InetSocketAddress address) {
     reserveSlot(address, Integer.MAX_VALUE);
-    return openConnection(defaultKey(eventLoop, address));
+    return openConnection(new Key(eventLoop, address, HttpRequestMessage.DEFAULT_GROUP));
   }
 
   /**
--- a/http/src/main/java/org/lockdale/http/HttpCall.java
+++ b/http/src/main/java/org/lockdale/http/HttpCall.java
@@ -10,6 +10,7 @@
   private final AtomicBoolean ended = new AtomicBoolean();
   private volatile @Nullable Channel channel;
   private volatile boolean sent;
+  private volatile boolean connectionUsed;
   private boolean contentDiscarded;
 
   HttpCall() {}
@@ -41,6 +42,11 @@
     return current == null ? 0 : ConnectionPool.localPort(current);
   }
 
+  /** Returns whether the call's connection carried another call before; false while it has none. */
+  boolean isConnectionUsed() {
+    return connectionUsed;
+  }
+
   /**
    * Pauses or resumes reading from the peer. While reading is paused, a close by the peer is not
    * noticed. Must be called on the call's event loop; has no effect once the call has ended.
@@ -78,8 +84,14 @@
     return ended.get();
   }
 
-  void attach(Channel connection) {
+  /**
+   * Records the connection of the call.
+   *
+   * @param used whether it carried another call before
+   */
+  void attach(Channel connection, boolean used) {
     channel = connection;
+    connectionUsed = used;
   }
 
   void markSent() {
--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -14,7 +14,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
+import org.tinylog.Logger;
 
 /** An HTTP/1.1 client with pooled connections, each of which carries one exchange at a time. */
 public final class HttpClient {
@@ -38,14 +38,6 @@
     void onExchange(String path, long sentBytes, long receivedBytes);
   }
 
-  /**
-   * Where a call gets its connection from.
-   *
-   * @param acquire takes or opens one
-   * @param singleUse whether it is closed after the call
-   */
-  private record Connections(Supplier<Future<Channel>> acquire, boolean singleUse) {}
-
   private final EventLoopGroup group;
   private final ConnectionPool pool;
   private final ExchangeListener exchangeListener;
@@ -149,28 +141,14 @@
       HttpResponseListener listener,
       int maxConnections) {
     HttpCall call = new HttpCall();
-    Connections connections = connectionsFor(eventLoop, address, request, maxConnections);
+    ConnectionSource connections =
+        ConnectionSource.of(pool, eventLoop, address, request, maxConnections);
     send(connections, address, request, call, listener);
     return call;
   }
 
-  /**
-   * Returns where a request gets its connection from. A HEAD has one of its own: its reply may
-   * announce a body that does not follow, so among surplus replies to HEAD and to other requests it
-   * can't be told where each of them ends.
-   */
-  private Connections connectionsFor(
-      EventLoop eventLoop,
-      InetSocketAddress address,
-      HttpRequestMessage request,
-      int maxConnections) {
-    return request.method().equals(HttpMethod.HEAD)
-        ? new Connections(() -> pool.open(eventLoop, address, maxConnections), true)
-        : new Connections(() -> pool.acquire(eventLoop, address, request, maxConnections), false);
-  }
-
   private void send(
-      Connections connections,
+      ConnectionSource connections,
       InetSocketAddress address,
       HttpRequestMessage request,
       HttpCall call,
@@ -196,7 +174,7 @@
 
   private void write(
       Channel channel,
-      Connections connections,
+      ConnectionSource connections,
       InetSocketAddress address,
       HttpRequestMessage request,
       HttpCall call,
@@ -219,12 +197,10 @@
       }
       return;
     }
-    call.attach(channel);
     ResponseReader reader = channel.pipeline().get(ResponseReader.class);
+    call.attach(channel, reader.isUsed());
     reader.start(call, listener, request);
-    if (connections.singleUse()) {
-      reader.closeAfterReply();
-    }
+    reader.setReuse(connections.reuse());
     boolean inParts = request.body().length > RequestBodyWriter.PART_BYTES;
     DefaultHttpRequest message =
         inParts
@@ -296,8 +272,60 @@
   public CompletableFuture<HttpReply> exchange(
       InetSocketAddress address, HttpRequestMessage request, Duration timeout, ReplyCheck check) {
     EventLoop eventLoop = group.next();
-    Connections connections = connectionsFor(eventLoop, address, request, Integer.MAX_VALUE);
-    return exchange(eventLoop, connections, address, request, timeout, check);
+    ConnectionSource connections =
+        ConnectionSource.of(pool, eventLoop, address, request, Integer.MAX_VALUE);
+    return exchange(connections, new HttpCall(), address, request, timeout, check);
+  }
+
+  /**
+   * Sends a request that may be processed twice, and collects the complete reply to it, as {@link
+   * #exchange(InetSocketAddress, HttpRequestMessage, Duration, ReplyCheck)} does. A failure over a
+   * connection that carried another call may be a late second reply to that call, whatever the
+   * status of the first one. Therefore it ends the connection, and the request is sent once more,
+   * over a new connection, with the same timeout.
+   *
+   * @param address peer
+   * @param request what to send
+   * @param timeout maximum time until the reply is complete, for each of the two sends
+   * @param check tells surplus replies among those with other statuses
+   * @return the reply; fails with {@link HttpCallException} if a call fails or times out
+   */
+  public CompletableFuture<HttpReply> exchangeRepeatable(
+      InetSocketAddress address, HttpRequestMessage request, Duration timeout, ReplyCheck check) {
+    EventLoop eventLoop = group.next();
+    ConnectionSource pooled =
+        new ConnectionSource(
+            eventLoop,
+            () -> pool.acquire(eventLoop, address, request, Integer.MAX_VALUE),
+            ConnectionReuse.AFTER_SUCCESS);
+    HttpCall call = new HttpCall();
+    return exchange(pooled, call, address, request, timeout, check)
+        .thenCompose(
+            reply ->
+                reply.isSuccess() || !call.isConnectionUsed()
+                    ? CompletableFuture.completedFuture(reply)
+                    : repeat(call, reply, address, request, timeout, check));
+  }
+
+  private CompletableFuture<HttpReply> repeat(
+      HttpCall failed,
+      HttpReply failure,
+      InetSocketAddress address,
+      HttpRequestMessage request,
+      Duration timeout,
+      ReplyCheck check) {
+    Logger.info(
+        "event=call-repeated address={} connection={} status={}",
+        address,
+        failed.connection(),
+        failure.status());
+    EventLoop eventLoop = group.next();
+    ConnectionSource fresh =
+        new ConnectionSource(
+            eventLoop,
+            () -> pool.open(eventLoop, address, request, Integer.MAX_VALUE),
+            ConnectionReuse.AFTER_SUCCESS);
+    return exchange(fresh, new HttpCall(), address, request, timeout, check);
   }
 
   /**
@@ -314,20 +342,22 @@
   public CompletableFuture<HttpReply> exchangeOnce(
       InetSocketAddress address, HttpRequestMessage request, Duration timeout, ReplyCheck check) {
     EventLoop eventLoop = group.next();
-    Connections connections = new Connections(() -> pool.connect(eventLoop, address), true);
-    return exchange(eventLoop, connections, address, request, timeout, check);
+    ConnectionSource connections =
+        new ConnectionSource(
+            eventLoop, () -> pool.connect(eventLoop, address), ConnectionReuse.NEVER);
+    return exchange(connections, new HttpCall(), address, request, timeout, check);
   }
 
   private CompletableFuture<HttpReply> exchange(
-      EventLoop eventLoop,
-      Connections connections,
+      ConnectionSource connections,
+      HttpCall call,
       InetSocketAddress address,
       HttpRequestMessage request,
       Duration timeout,
       ReplyCheck check) {
     CompletableFuture<HttpReply> result = new CompletableFuture<>();
-    HttpCall call = new HttpCall();
     send(connections, address, request, call, new ReplyCollector(check, result));
+    EventLoop eventLoop = connections.eventLoop();
     var timer =
         eventLoop.schedule(
             () -> {
--- a/http/src/main/java/org/lockdale/http/HttpReply.java
+++ b/http/src/main/java/org/lockdale/http/HttpReply.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 
@@ -48,6 +49,11 @@
     return new HttpReply(status, new DefaultHttpHeaders(), EMPTY);
   }
 
+  /** Returns whether the status is one of success. */
+  public boolean isSuccess() {
+    return HttpStatusClass.SUCCESS.contains(status);
+  }
+
   /** Sets a header and returns this reply. */
   public HttpReply with(CharSequence name, Object value) {
     headers.set(name, value);
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -54,8 +54,7 @@
   /** Time by {@link System#nanoTime} of the latest complete reply; null if there was none. */
   private @Nullable Long repliedAtNanos;
 
-  /** Whether the connection was opened for one call. */
-  private boolean singleUse;
+  private ConnectionReuse reuse = ConnectionReuse.AFTER_ANY_REPLY;
 
   private long idleLimitNanos;
 
@@ -91,9 +90,14 @@
     return id == null || !carriedIds.mayContain(id);
   }
 
-  /** Closes the connection after the reply to the current call. */
-  void closeAfterReply() {
-    singleUse = true;
+  /** Returns whether the connection has carried a complete call. */
+  boolean isUsed() {
+    return repliedAtNanos != null;
+  }
+
+  /** Sets after which replies to the current call the connection stays open. */
+  void setReuse(ConnectionReuse newReuse) {
+    reuse = newReuse;
   }
 
   /** Records that the body of the current call is written in parts. */
@@ -278,7 +282,7 @@
   }
 
   private boolean isReusable() {
-    return keepAlive && !writingBody && !singleUse && !carriedIds.isFull();
+    return keepAlive && !writingBody && reuse.isAllowedAfter(status) && !carriedIds.isFull();
   }
 
   private void fail(ChannelHandlerContext context, boolean closedByPeer, String reason) {
--- a/http/src/test/java/org/lockdale/http/RepeatedReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/RepeatedReplyTest.java
@@ -61,6 +61,14 @@
         reply -> reply.bodyText().equals(path));
   }
 
+  private CompletableFuture<HttpReply> repeatable(String path) {
+    return client.exchangeRepeatable(
+        peer.address(),
+        HttpRequestMessage.get(path),
+        TIMEOUT,
+        reply -> !reply.isSuccess() || reply.bodyText().equals(path));
+  }
+
   private CompletableFuture<HttpReply> overOwnConnection(String path) {
     return client.exchangeOnce(
         peer.address(), HttpRequestMessage.get(path), TIMEOUT, ReplyCheck.ANY);
@@ -78,7 +86,7 @@
             for (int call = 0; call < CALLS_PER_CALLER; call++) {
               String path = prefix + call;
               HttpReply reply = exchange.apply(path).get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
-              wrong += reply.bodyText().equals(path) ? 0 : 1;
+              wrong += reply.isSuccess() && reply.bodyText().equals(path) ? 0 : 1;
             }
             return wrong;
           };
@@ -107,6 +115,18 @@
     awaitNoOpenConnections();
   }
 
+  /** A second reply to a success is a failure, which has nothing that tells whose it is. */
+  @Test
+  public void aRepeatableCallDoesNotGetALateFailureOfAnotherCall() throws Exception {
+    peer.close();
+    peer = new RepeatingPeer(SEED, 503);
+    assertEquals(wrongReplies(this::repeatable), 0);
+    int repeats = CALLERS * CALLS_PER_CALLER / RepeatingPeer.REPEATED_REPLY;
+    assertTrue(
+        peer.connections() <= repeats + CALLERS * EVENT_LOOPS,
+        "each late failure costs one connection at most: " + peer.connections());
+  }
+
   private void awaitNoOpenConnections() {
     long end = System.nanoTime() + TIMEOUT.toNanos();
     while (peer.openConnections() > 0 && System.nanoTime() < end) {
--- a/http/src/test/java/org/lockdale/http/RepeatingPeer.java
+++ b/http/src/test/java/org/lockdale/http/RepeatingPeer.java
@@ -19,13 +19,14 @@
 
 /**
  * A server that replies to each request with its path after some work and sends each third reply a
- * second time, up to 200 ms later.
+ * second time, up to 200 ms later, with a status of its own.
  */
 final class RepeatingPeer implements Closeable {
 
   /** Each reply whose number is a multiple of this is repeated. */
   static final int REPEATED_REPLY = 3;
 
+  private static final int SUCCESS = 200;
   private static final int MAX_DELAY_MILLIS = 200;
   private static final int MAX_WORK_MICROS = 10_000;
 
@@ -36,9 +37,15 @@
   private final AtomicInteger openConnections = new AtomicInteger();
   private final AtomicInteger replies = new AtomicInteger();
   private final Random random;
+  private final int secondStatus;
 
   RepeatingPeer(long seed) throws IOException {
+    this(seed, SUCCESS);
+  }
+
+  RepeatingPeer(long seed, int secondStatus) throws IOException {
     random = new Random(seed);
+    this.secondStatus = secondStatus;
     listener = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
     threads.execute(this::accept);
   }
@@ -91,17 +98,22 @@
   }
 
   private void reply(Socket connection, String path) throws IOException {
-    byte[] reply =
-        ("HTTP/1.1 200 OK\r\nContent-Length: " + path.length() + "\r\n\r\n" + path)
-            .getBytes(StandardCharsets.US_ASCII);
     LockSupport.parkNanos(TimeUnit.MICROSECONDS.toNanos(random(MAX_WORK_MICROS)));
-    write(connection, reply);
+    write(connection, reply(SUCCESS, path));
     if (replies.incrementAndGet() % REPEATED_REPLY == 0) {
       timer.schedule(
-          () -> write(connection, reply), random(MAX_DELAY_MILLIS), TimeUnit.MILLISECONDS);
+          () -> write(connection, reply(secondStatus, path)),
+          random(MAX_DELAY_MILLIS),
+          TimeUnit.MILLISECONDS);
     }
   }
 
+  private static byte[] reply(int status, String path) {
+    String reply =
+        "HTTP/1.1 " + status + " OK\r\nContent-Length: " + path.length() + "\r\n\r\n" + path;
+    return reply.getBytes(StandardCharsets.US_ASCII);
+  }
+
   private synchronized int random(int max) {
     return random.nextInt(max + 1);
   }
