Checked calls: a connection isn't used again after a failure

Cause: a failure is accepted as it is, whoever's it is. If it repeats an earlier reply, the one that is due is still to come, and the next call of the group may be sent over that connection before it does: that call takes it, and the calls after it are one reply behind as well.

Why this works: a call that has a check is one to a peer that may reply twice. Its connection is closed after a failure, with whatever is still to arrive there, and the next call has another one. What remains is that the call itself counts as failed. Calls without a check go to peers that reply once, and keep their connections.

Connections: one for each call to the store that fails with a status (429, 412, 503): in RepeatableCallTest two failing calls have two connections, before one.

--- a/http/src/main/java/org/lockdale/http/ConnectionSource.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionSource.java
@@ -18,7 +18,7 @@
     EventLoop eventLoop, Supplier<Future<Channel>> acquire, ConnectionReuse reuse) {
 
   /**
-   * Returns where a request gets its connection from. A HEAD has one of its own: its reply may
+   * Returns an idle connection in the pool, or a new one. A HEAD has one of its own: its reply may
    * announce a body that does not follow, so among surplus replies to HEAD and to other requests it
    * can't be told where each of them ends.
    */
@@ -27,15 +27,14 @@
       EventLoop eventLoop,
       InetSocketAddress address,
       HttpRequestMessage request,
-      int maxConnections) {
+      int maxConnections,
+      ConnectionReuse reuse) {
     return request.method().equals(HttpMethod.HEAD)
         ? new ConnectionSource(
             eventLoop,
             () -> pool.open(eventLoop, address, request, maxConnections),
             ConnectionReuse.NEVER)
         : new ConnectionSource(
-            eventLoop,
-            () -> pool.acquire(eventLoop, address, request, maxConnections),
-            ConnectionReuse.AFTER_ANY_REPLY);
+            eventLoop, () -> pool.acquire(eventLoop, address, request, maxConnections), reuse);
   }
 }
--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -142,7 +142,8 @@
       int maxConnections) {
     HttpCall call = new HttpCall();
     ConnectionSource connections =
-        ConnectionSource.of(pool, eventLoop, address, request, maxConnections);
+        ConnectionSource.of(
+            pool, eventLoop, address, request, maxConnections, ConnectionReuse.AFTER_ANY_REPLY);
     send(connections, address, request, call, listener);
     return call;
   }
@@ -256,12 +257,14 @@
    */
   public CompletableFuture<HttpReply> exchange(
       InetSocketAddress address, HttpRequestMessage request, Duration timeout) {
-    return exchange(address, request, timeout, ReplyCheck.ANY);
+    ConnectionSource connections = pooled(address, request, ConnectionReuse.AFTER_ANY_REPLY);
+    return exchange(connections, new HttpCall(), address, request, timeout, ReplyCheck.ANY);
   }
 
   /**
    * Sends a request and collects the complete reply to it. A late second reply to an earlier call,
-   * which takes the place of the one that is due, is skipped if the check recognizes it.
+   * which takes the place of the one that is due, is skipped if the check recognizes it. A failure
+   * ends the connection: if it is such a reply, the one that is due is still to arrive there.
    *
    * @param address peer
    * @param request what to send
@@ -271,12 +274,15 @@
    */
   public CompletableFuture<HttpReply> exchange(
       InetSocketAddress address, HttpRequestMessage request, Duration timeout, ReplyCheck check) {
-    EventLoop eventLoop = group.next();
-    ConnectionSource connections =
-        ConnectionSource.of(pool, eventLoop, address, request, Integer.MAX_VALUE);
+    ConnectionSource connections = pooled(address, request, ConnectionReuse.AFTER_SUCCESS);
     return exchange(connections, new HttpCall(), address, request, timeout, check);
   }
 
+  private ConnectionSource pooled(
+      InetSocketAddress address, HttpRequestMessage request, ConnectionReuse reuse) {
+    return ConnectionSource.of(pool, group.next(), address, request, Integer.MAX_VALUE, reuse);
+  }
+
   /**
    * Sends a request that may be processed twice, and collects the complete reply to it, as {@link
    * #exchange(InetSocketAddress, HttpRequestMessage, Duration, ReplyCheck)} does. A failure over a
@@ -292,14 +298,9 @@
    */
   public CompletableFuture<HttpReply> exchangeRepeatable(
       InetSocketAddress address, HttpRequestMessage request, Duration timeout, ReplyCheck check) {
-    EventLoop eventLoop = group.next();
-    ConnectionSource pooled =
-        new ConnectionSource(
-            eventLoop,
-            () -> pool.acquire(eventLoop, address, request, Integer.MAX_VALUE),
-            ConnectionReuse.AFTER_SUCCESS);
+    ConnectionSource connections = pooled(address, request, ConnectionReuse.AFTER_SUCCESS);
     HttpCall call = new HttpCall();
-    return exchange(pooled, call, address, request, timeout, check)
+    return exchange(connections, call, address, request, timeout, check)
         .thenCompose(
             reply ->
                 reply.isSuccess() || !call.isConnectionUsed()
--- a/http/src/test/java/org/lockdale/http/RepeatableCallTest.java
+++ b/http/src/test/java/org/lockdale/http/RepeatableCallTest.java
@@ -87,7 +87,18 @@
   }
 
   @Test
-  public void otherCallsKeepTheirConnectionAfterAFailure() throws Exception {
+  public void aCheckedCallClosesItsConnectionAfterAFailure() throws Exception {
+    peer = new ScriptedPeer((request, connection) -> connection.send(reply(503)));
+    for (int call = 0; call < 2; call++) {
+      client
+          .exchange(peer.address(), HttpRequestMessage.get("/"), TIMEOUT, reply -> true)
+          .get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+    }
+    assertEquals(connectionsOfCalls(), List.of(1, 2));
+  }
+
+  @Test
+  public void aCallToAPeerThatRepliesOnceKeepsItsConnectionAfterAFailure() throws Exception {
     peer = new ScriptedPeer((request, connection) -> connection.send(reply(503)));
     for (int call = 0; call < 2; call++) {
       client
