--- a/http/src/main/java/org/lockdale/http/ConnectionSource.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionSource.java
@@ -18,9 +18,9 @@
     EventLoop eventLoop, Supplier<Future<Channel>> acquire, ConnectionReuse reuse) {
 
   /**
-   * Returns an idle connection in the pool, or a new one. A HEAD has one of its own: its reply may
-   * announce a body that does not follow, so among surplus replies to HEAD and to other requests it
-   * can't be told where each of them ends.
+   * Takes an idle connection of the pool, or opens a new one. A HEAD has one of its own: its reply
+   * may announce a body that does not follow, so among surplus replies to HEAD and to other
+   * requests it can't be told where each of them ends.
    */
   static ConnectionSource of(
       ConnectionPool pool,
--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -228,8 +228,8 @@
   }
 
   /** Ends the use of a connection over which nothing was sent. */
-  private void putBack(Channel channel, Connections connections) {
-    if (connections.singleUse()) {
+  private void putBack(Channel channel, ConnectionSource connections) {
+    if (connections.reuse() == ConnectionReuse.NEVER) {
       channel.close();
     } else {
       pool.release(channel);
