PlacementRequest: conditions of candidates in a record of their own

What stood twice: the record had four predicates of the same type in a row, three constructors that passed all components on with more and more defaults, and callers that named `engine -> false` up to three times, so that a newcomer had to count arguments. BackendChooser and TimeSelector each joined three of the predicates into "can't be sent the request now".

Now: CandidateConditions holds the four predicates, the constant NONE and isUnavailable, which both selectors use. PlacementRequest keeps the short constructor and has withConditions; the order in which the predicates are tested is the same (rate limit, room, backoff).

Tests: only how requests are made has changed; no test or assertion is touched. Run: placement tests and FleetPlacementTest, 58 tests, 0 failures.

--- a/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/BackendChooser.java
@@ -133,7 +133,7 @@
       if (!candidate.isAmong(request.excluded())) {
         boolean isEjected = candidate.health().isEjected(nowMillis);
         (isEjected ? ejected : usable).add(candidate);
-        noneHealthy &= isEjected || request.backingOff().test(candidate);
+        noneHealthy &= isEjected || request.conditions().backingOff().test(candidate);
       }
     }
     List<TrackedBackend> considered = usable;
@@ -142,8 +142,7 @@
       // in a backoff has itself requested to be sent no requests, so it stays excluded.
       considered.addAll(ejected);
     }
-    List<TrackedBackend> available =
-        without(considered, request.atRateLimit().or(request.full()).or(request.backingOff()));
+    List<TrackedBackend> available = without(considered, request.conditions()::isUnavailable);
     PromptPlacement prompt = request.prompt();
     return prompt == null
         ? cheapest(available, candidate -> promptlessCost(candidate, request.zone(), nowMillis))
@@ -174,7 +173,7 @@
       long nowMillis) {
     double shortShare = mix.recordAndGetShortShare(request.pool(), prompt);
     List<TrackedBackend> current = new ArrayList<>(considered);
-    current.removeIf(request.outdated());
+    current.removeIf(request.conditions().outdated());
     boolean currentFirst = current.size() * MIN_CURRENT_DIVISOR >= considered.size();
     List<TrackedBackend> preferred =
         EnginePartition.split(currentFirst ? current : considered, shortShare).preferredFor(prompt);
@@ -186,7 +185,9 @@
             promptCost(candidate, request.missingPrefixOf().apply(candidate), candidate == home)
                 + sharedCost(candidate, request.zone(), nowMillis)
                 + (preferredSet.contains(candidate) ? 0 : NON_PREFERRED_COST)
-                + (currentFirst && request.outdated().test(candidate) ? OUTDATED_COST : 0));
+                + (currentFirst && request.conditions().outdated().test(candidate)
+                    ? OUTDATED_COST
+                    : 0));
   }
 
   private static Optional<TrackedBackend> cheapest(
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
@@ -201,17 +201,15 @@
       PromptPlacement prompt = query.parts().isEmpty() ? null : PromptPlacement.of(query.parts());
       PlacementRequest request =
           new PlacementRequest(
-                  query.pool(),
-                  query.zone(),
-                  candidates,
-                  query.excluded(),
-                  prompt,
-                  this::needOf,
-                  this::isBehindDueVersion,
-                  this::isAtRateLimit,
-                  this::isBackingOff,
-                  full)
-              .withTerms(query.terms());
+              query.pool(),
+              query.zone(),
+              candidates,
+              query.excluded(),
+              prompt,
+              this::needOf,
+              new CandidateConditions(
+                  this::isBehindDueVersion, this::isAtRateLimit, this::isBackingOff, full),
+              query.terms());
       Optional<TrackedBackend> probed = probed();
       if (probed.isPresent()) {
         return new PlacementResult.Placed(placed(probed.get(), request));
--- a/gateway/src/main/java/org/lockdale/gateway/placement/TimeSelector.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/TimeSelector.java
@@ -142,7 +142,7 @@
       if (!candidate.isAmong(request.excluded())) {
         boolean isUnhealthy = candidate.health().isEjected(nowMillis) || states.isSilent(candidate);
         (isUnhealthy ? unhealthy : usable).add(candidate);
-        noneHealthy &= isUnhealthy || request.backingOff().test(candidate);
+        noneHealthy &= isUnhealthy || request.conditions().backingOff().test(candidate);
       }
     }
     if (noneHealthy) {
@@ -151,19 +151,13 @@
     return usable;
   }
 
-  private static boolean isAvailable(PlacementRequest request, TrackedBackend candidate) {
-    return !request.atRateLimit().test(candidate)
-        && !request.full().test(candidate)
-        && !request.backingOff().test(candidate);
-  }
-
   private Optional<TrackedBackend> choosePlain(
       List<TrackedBackend> considered, PlacementRequest request, long nowMillis) {
     double objective =
         request.terms() == null ? PLAIN_OBJECTIVE_MILLIS : request.terms().objectiveMillis();
     List<Choice> choices = new ArrayList<>(considered.size());
     for (TrackedBackend candidate : considered) {
-      if (isAvailable(request, candidate)) {
+      if (!request.conditions().isUnavailable(candidate)) {
         int slots = Math.max(1, candidate.backend().slots());
         double time =
             PLAIN_MILLIS
@@ -191,7 +185,7 @@
     List<EngineState> engines = states.of(considered);
     PoolDemand demand = demands.computeIfAbsent(request.pool(), pool -> new PoolDemand());
     List<TrackedBackend> outdated = new ArrayList<>(considered);
-    outdated.removeIf(request.outdated().negate());
+    outdated.removeIf(request.conditions().outdated().negate());
     boolean currentFirst =
         (considered.size() - outdated.size()) * MIN_CURRENT_DIVISOR >= considered.size();
     Set<TrackedBackend> behind = currentFirst ? Set.copyOf(outdated) : Set.of();
@@ -201,7 +195,7 @@
     List<Choice> choices = new ArrayList<>(engines.size());
     for (EngineState state : engines) {
       TrackedBackend engine = state.engine();
-      if (isAvailable(request, engine)) {
+      if (!request.conditions().isUnavailable(engine)) {
         TimeCost.Estimate estimate =
             costs.of(
                 state,
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/FleetPlacementTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/FleetPlacementTest.java
@@ -23,6 +23,7 @@
 import org.lockdale.gateway.capacity.EngineCapacities;
 import org.lockdale.gateway.placement.BackendChooser;
 import org.lockdale.gateway.placement.BackendSelector;
+import org.lockdale.gateway.placement.CandidateConditions;
 import org.lockdale.gateway.placement.PlacementRequest;
 import org.lockdale.gateway.placement.PromptPlacement;
 import org.lockdale.gateway.placement.TimeSelector;
@@ -123,15 +124,15 @@
       candidates.removeIf(engine -> moving.contains(engine.backend().id()));
       PlacementRequest request =
           new PlacementRequest(
-              "pool",
-              "zone",
-              candidates,
-              Set.of(),
-              prompt,
-              engine -> missingPrefixOf(engine, prompt),
-              engine -> preferCurrent && due && !moved.contains(engine.backend().id()),
-              engine -> false,
-              engine -> false);
+                  "pool",
+                  "zone",
+                  candidates,
+                  Set.of(),
+                  prompt,
+                  engine -> missingPrefixOf(engine, prompt))
+              .withConditions(
+                  CandidateConditions.NONE.withOutdated(
+                      engine -> preferCurrent && due && !moved.contains(engine.backend().id())));
       TrackedBackend chosen = chooser.choose(request, time.monotonicMillis()).orElseThrow();
       String engine = chosen.backend().id();
       placedWhenDue += due ? 1 : 0;
--- a/gateway/src/test/java/org/lockdale/gateway/placement/BackendSelectorContract.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/BackendSelectorContract.java
@@ -127,15 +127,9 @@
       List<TrackedBackend> engines, List<TrackedBackend> current, PromptPlacement prompt) {
     PlacementRequest request =
         new PlacementRequest(
-            "pool",
-            "zone-a",
-            engines,
-            Set.of(),
-            prompt,
-            engine -> newPrefix(prompt),
-            engine -> !current.contains(engine),
-            engine -> false,
-            engine -> false);
+                "pool", "zone-a", engines, Set.of(), prompt, engine -> newPrefix(prompt))
+            .withConditions(
+                CandidateConditions.NONE.withOutdated(engine -> !current.contains(engine)));
     return selector.choose(request, 0).orElseThrow();
   }
 
@@ -188,15 +182,8 @@
       Set<TrackedBackend> backingOff, List<TrackedBackend> engines, PromptPlacement prompt) {
     PlacementRequest request =
         new PlacementRequest(
-            "pool",
-            "zone-a",
-            engines,
-            Set.of(),
-            prompt,
-            engine -> newPrefix(prompt),
-            engine -> false,
-            engine -> false,
-            backingOff::contains);
+                "pool", "zone-a", engines, Set.of(), prompt, engine -> newPrefix(prompt))
+            .withConditions(CandidateConditions.NONE.withBackingOff(backingOff::contains));
     return selector.choose(request, 1);
   }
 
--- a/gateway/src/test/java/org/lockdale/gateway/placement/TimeSelectorCapacityTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/placement/TimeSelectorCapacityTest.java
@@ -99,16 +99,9 @@
       PromptPlacement prompt = prompt("p" + prefix);
       PlacementRequest request =
           new PlacementRequest(
-              "pool",
-              "zone-a",
-              engines,
-              Set.of(),
-              prompt,
-              engine -> newPrefix(prompt),
-              engine -> false,
-              engine -> false,
-              engine -> false,
-              engine -> engine != engines.get(2));
+                  "pool", "zone-a", engines, Set.of(), prompt, engine -> newPrefix(prompt))
+              .withConditions(
+                  CandidateConditions.NONE.withFull(engine -> engine != engines.get(2)));
       assertEquals(chooser.choose(request, 0).orElseThrow(), engines.get(2));
     }
   }
