Tests of the HTTP client: one listener for the status of a response

What stood twice: HttpClientTest and SurplusReplyTest each had a response listener that completes a future with the status at the end of the response, and a test of SurplusReplyTest made its HEAD request by hand where the class has a method for requests.

HttpClientTest has 6 tests and SurplusReplyTest 11 as before, and as many calls of assertions and of expectThrows.

--- a/http/src/test/java/org/lockdale/http/HttpClientTest.java
+++ b/http/src/test/java/org/lockdale/http/HttpClientTest.java
@@ -4,14 +4,12 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -64,30 +62,6 @@
     };
   }
 
-  private static HttpResponseListener statusInto(CompletableFuture<Integer> status) {
-    return new HttpResponseListener() {
-      private int received;
-
-      @Override
-      public void onHead(int replyStatus, HttpHeaders headers) {
-        received = replyStatus;
-      }
-
-      @Override
-      public void onContent(ByteBuf content) {}
-
-      @Override
-      public void onEnd() {
-        status.complete(received);
-      }
-
-      @Override
-      public void onFailure(HttpCallException failure) {
-        status.completeExceptionally(failure);
-      }
-    };
-  }
-
   /**
    * A caller on another thread may acquire a pooled connection that its event loop is about to
    * close. A write to it then fails, or, if the event loop has already reported the close, raises
@@ -107,7 +81,7 @@
 
     CompletableFuture<Integer> status = new CompletableFuture<>();
     HttpRequestMessage request = HttpRequestMessage.json(HttpMethod.GET, "/", new byte[0]);
-    client.send(eventLoop, address, request, statusInto(status));
+    client.send(eventLoop, address, request, new StatusListener(status));
     unblock.countDown();
 
     assertEquals((int) status.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), 200);
@@ -189,7 +163,7 @@
         loop,
         server.address(),
         new HttpRequestMessage(HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0]),
-        statusInto(status),
+        new StatusListener(status),
         1);
     return status;
   }
--- a/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
@@ -6,12 +6,10 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -52,8 +50,12 @@
   }
 
   private static HttpRequestMessage request(String id) {
+    return request(HttpMethod.GET, id);
+  }
+
+  private static HttpRequestMessage request(HttpMethod method, String id) {
     return new HttpRequestMessage(
-        HttpMethod.GET,
+        method,
         "/",
         new DefaultHttpHeaders().set(ScriptedPeer.ID_HEADER, id),
         new byte[0],
@@ -141,33 +143,6 @@
     return status.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
   }
 
-  private static final class StatusListener implements HttpResponseListener {
-    private final CompletableFuture<Integer> result;
-    private int received;
-
-    StatusListener(CompletableFuture<Integer> result) {
-      this.result = result;
-    }
-
-    @Override
-    public void onHead(int status, HttpHeaders headers) {
-      received = status;
-    }
-
-    @Override
-    public void onContent(ByteBuf content) {}
-
-    @Override
-    public void onEnd() {
-      result.complete(received);
-    }
-
-    @Override
-    public void onFailure(HttpCallException failure) {
-      result.completeExceptionally(failure);
-    }
-  }
-
   @Test
   public void aRequestDoesNotWaitBehindASurplusReplyThatHasNoEnd() throws IOException {
     String endless = "HTTP/1.1 200 OK\r\n" + ScriptedPeer.ID_HEADER + ": other\r\n\r\nbody";
@@ -274,13 +249,6 @@
             (request, connection) ->
                 connection.send(
                     "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: h\r\nContent-Length: 5\r\n\r\n"));
-    HttpRequestMessage head =
-        new HttpRequestMessage(
-            HttpMethod.HEAD,
-            "/",
-            new DefaultHttpHeaders().set(ScriptedPeer.ID_HEADER, "h"),
-            new byte[0],
-            new EchoedId(ScriptedPeer.ID_HEADER, "h"));
-    assertEquals(call(head), "200 ");
+    assertEquals(call(request(HttpMethod.HEAD, "h")), "200 ");
   }
 }
