Quarantine: clearing of suspects in a class of its own

Now: SuspectClearer clears suspects that were answered, released, answered before the crashes, or held long enough, and is the only place of that log line. Order of steps, log texts and reasons are the same.

--- a/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/lockdale/gateway/quarantine/Quarantine.java
@@ -14,7 +14,6 @@
 import org.lockdale.gateway.life.LivenessEvidence;
 import org.lockdale.gateway.quarantine.part.PartQuarantine;
 import org.lockdale.gateway.quarantine.part.SuspectParts;
-import org.tinylog.Logger;
 
 /**
  * Quarantines requests that are suspected of crashing backends. Each node observes which backends
@@ -49,6 +48,7 @@
   private final TrialClaims trialClaims;
   private final SuspectTrials trials;
   private final SuspectPublisher publisher;
+  private final SuspectClearer clearer;
   private final AttemptIds attemptIds;
   private final AnsweredRequests answeredRequests;
 
@@ -113,13 +113,25 @@
             context.node(),
             context.time());
     this.publisher = new SuspectPublisher(section, ledger, trials, context.time());
-    this.broadcaster =
-        new ChangeBroadcaster<>(
-            context.eventLoop(),
-            ledger::find,
-            suspect -> suspect.weight() >= SuspectLedger.QUARANTINE_WEIGHT,
-            MAX_IN_MESSAGE,
-            context.sender());
+    this.clearer =
+        new SuspectClearer(
+            ledger,
+            publisher,
+            answeredRequests,
+            context.time(),
+            this::propagate,
+            this::publishSoon);
+    this.broadcaster = broadcaster(context, ledger);
+  }
+
+  private static ChangeBroadcaster<RequestFingerprint, Suspect> broadcaster(
+      QuarantineContext context, SuspectLedger ledger) {
+    return new ChangeBroadcaster<>(
+        context.eventLoop(),
+        ledger::find,
+        suspect -> suspect.weight() >= SuspectLedger.QUARANTINE_WEIGHT,
+        MAX_IN_MESSAGE,
+        context.sender());
   }
 
   /** Starts its periodic maintenance. */
@@ -222,7 +234,7 @@
         .value()
         .fingerprintIfSuspect(request, caller)
         .ifPresent(
-            fingerprint -> context.eventLoop().execute(() -> clear(fingerprint, "answered")));
+            fingerprint -> context.eventLoop().execute(() -> clearer.clearAnswered(fingerprint)));
   }
 
   /** Returns the requests that are quarantined; from any thread. */
@@ -236,25 +248,7 @@
    * @return whether any crash counted against it
    */
   boolean release(RequestFingerprint fingerprint) {
-    return clear(fingerprint, "released");
-  }
-
-  private boolean clear(RequestFingerprint fingerprint, String reason) {
-    boolean significant = ledger.find(fingerprint).filter(Suspect::isSignificant).isPresent();
-    Optional<Suspect> cleared =
-        ledger
-            .clear(fingerprint)
-            .or(() -> publisher.withheldWithoutCrash(fingerprint).filter(this::merge));
-    if (cleared.isEmpty()) {
-      return false;
-    }
-    if (significant || publisher.isQuarantinedOrWithheld(fingerprint)) {
-      // If it was not significant, other nodes receive this state when they report a second crash.
-      Logger.info("event=suspect-cleared fingerprint={} reason={}", fingerprint, reason);
-      propagate(cleared.get());
-      publishSoon();
-    }
-    return true;
+    return clearer.release(fingerprint);
   }
 
   private void propagate(Suspect suspect) {
@@ -335,12 +329,7 @@
     parts.retractCrashes(key -> lastAliveAtMillis(CrashKeys.backendOf(key)));
     parts.tick(publisher.quarantinedByBackend());
     journal.tick(context.coordinator().getAsBoolean());
-    for (Suspect released : ledger.expire(now)) {
-      Logger.info(
-          "event=suspect-cleared fingerprint={} reason=held-long-enough", released.fingerprint());
-      propagate(released);
-      changed = true;
-    }
+    changed |= clearer.clearExpired(now);
     askOwners();
     changed |= trials.tick();
     changed |= publisher.isOutdated(unresolved());
@@ -386,15 +375,8 @@
 
   private void publish() {
     publishing = false;
-    clearExplained();
+    clearer.clearExplained();
     publisher.publish(unresolved());
     recorder.tick();
   }
-
-  /** Clears the requests that were answered shortly before the crashes that count against them. */
-  private void clearExplained() {
-    answeredRequests
-        .explained(ledger.quarantined())
-        .forEach(fingerprint -> clear(fingerprint, "answered-before"));
-  }
 }
