Soak: announcements and records of runs leave ServerBase

What read oddly: ServerBase, 395 lines, dispatched requests, held what the server announces (rate limit, draining, backoff) with the driver's commands for it, wrote the notes on arrivals and runs, and ended the process under crashing requests.

Now: Announcements has the announced state, its commands and headers; RunRecorder the notes on arrivals and runs and the crash; ServerBase, 302 lines, dispatches. Notes, headers, their order and the draws of random numbers are the same. service(), which nobody called, is gone. The names of commands stay in ServerBase, where the driver takes them from.

--- a/soak/src/main/java/org/lockdale/soak/standin/EngineServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/EngineServer.java
@@ -232,7 +232,7 @@
     int pieces = fewest + hash % ((slow ? MAX_SLOW_PIECES : MAX_PIECES) - fewest);
     int first = (int) parseNumber(request.header(HeaderNames.LAST_EVENT)) + 1;
     long plannedMillis = (long) PIECE_MILLIS * Math.max(1, pieces - first + 1);
-    String run = startRun(request, weightsVersion, plannedMillis);
+    String run = runs().recordStart(request, weightsVersion, plannedMillis);
     if (second != null && SecondReplies.failsFirst(second)) {
       failTwice(request, connection, run, second);
       return;
@@ -267,7 +267,7 @@
       }
       complete = true;
     } finally {
-      recordEnd(run, OK, body.toString(), complete);
+      runs().recordEnd(run, OK, body.toString(), complete);
     }
     writer.end(replies().second(second, request, OK, run, secondBody(run)));
   }
@@ -275,7 +275,7 @@
   private void failTwice(Received request, Socket connection, String run, SecondReplyKind second)
       throws IOException {
     String body = "failure of " + run;
-    recordEnd(run, SERVER_ERROR, body, true);
+    runs().recordEnd(run, SERVER_ERROR, body, true);
     Reply first = Reply.of(SERVER_ERROR, request.id(), body, responseHeaders(request, run));
     replies().toRequest(connection, request, first, second, run, secondBody(run));
   }
--- a/soak/src/main/java/org/lockdale/soak/standin/PlainServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/PlainServer.java
@@ -61,10 +61,10 @@
     try {
       int draw = Math.floorMod((request.id() + instance()).hashCode(), Integer.MAX_VALUE);
       long durationMillis = durationMillis(request, draw);
-      String run = startRun(request, 0, durationMillis);
+      String run = runs().recordStart(request, 0, durationMillis);
       String body = "answer of " + run + " to " + request.id();
       if (closesWithin(connection, durationMillis)) {
-        recordEnd(run, OK, body, false);
+        runs().recordEnd(run, OK, body, false);
         connection.close();
         return;
       }
@@ -82,7 +82,7 @@
       Received request, Socket connection, String run, String body, SecondReplyKind second)
       throws IOException {
     int status = SecondReplies.failsFirst(second) ? SERVER_ERROR : OK;
-    recordEnd(run, status, body, true);
+    runs().recordEnd(run, status, body, true);
     Reply first = Reply.of(status, request.id(), body, responseHeaders(request, run));
     replies().toRequest(connection, request, first, second, run, secondBody(run));
   }
@@ -103,7 +103,7 @@
       throws IOException {
     String signature = responseHeaders(request, run);
     int status = failure == 0 ? SERVER_ERROR : OK;
-    recordEnd(run, status, body, failure != 1);
+    runs().recordEnd(run, status, body, failure != 1);
     switch (failure) {
       case 1 -> {
         String half = body.substring(0, body.length() / 2);
--- a/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
@@ -5,13 +5,11 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.platform.RawBackend;
 import org.lockdale.platform.RawBackend.Received;
 import org.lockdale.soak.judge.History;
 import org.lockdale.soak.judge.Note;
-import org.lockdale.soak.judge.RequestFacts;
 import org.lockdale.soak.judge.RequestIds;
 
 /**
@@ -51,22 +49,15 @@
    */
   public static final String SECOND_REPLIES_COMMAND = "second ";
 
-  private static final long CRASH_DELAY_MILLIS = 40;
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final Life incarnation;
-  private final String service;
-  private final AtomicLong runs = new AtomicLong();
+  private final RunRecorder runs;
+  private final Announcements announcements;
   private final ServerReplies replies;
   private final ToldPositions positions = new ToldPositions();
   private volatile @Nullable RawBackend backend;
 
-  /** Advertised requests per second, or null for none. */
-  private volatile @Nullable Double advertisedRate;
-
-  private volatile boolean draining;
-  private volatile RequestedBackoff requestedBackoff = RequestedBackoff.NONE;
-
   /**
    * An incarnation of a server.
    *
@@ -83,7 +74,8 @@
 
   ServerBase(Life incarnation, String service) {
     this.incarnation = incarnation;
-    this.service = service;
+    this.runs = new RunRecorder(incarnation.name(), service);
+    this.announcements = new Announcements(incarnation.name());
     this.replies = new ServerReplies(incarnation.name());
   }
 
@@ -114,45 +106,19 @@
   }
 
   private void handleCommand(String line) {
-    if (line.startsWith(RATE_COMMAND)) {
-      String rate = line.substring(RATE_COMMAND.length());
-      advertisedRate = rate.isEmpty() ? null : Double.valueOf(rate);
-      StandardStreams.writeNote(
-          new Note.RateNamed(StandardStreams.nowMillis(), instance(), advertisedRate));
-    } else if (line.equals(LEAVING_COMMAND)) {
-      draining = true;
-    } else if (line.startsWith(REST_COMMAND)) {
-      requestedBackoff = RequestedBackoff.parse(line.substring(REST_COMMAND.length()));
-    } else if (line.startsWith(SECOND_REPLIES_COMMAND)) {
+    if (announcements.handleCommand(line)) {
+      return;
+    }
+    if (line.startsWith(SECOND_REPLIES_COMMAND)) {
       replies.second().configure(line.substring(SECOND_REPLIES_COMMAND.length()));
     } else {
       NodeReaper.handleCommand(line);
     }
   }
 
-  /**
-   * Returns the headers of a run's response: the signature, the announcement that the server is
-   * draining, and its advertised rate. Records the latter two.
-   */
+  /** Returns the headers of a run's response: the signature and what the server announces. */
   final String responseHeaders(Received request, String run) {
-    String headers = HeaderNames.SIGNATURE + ": " + run + drainingHeader(request);
-    Double rate = advertisedRate;
-    if (rate == null) {
-      return headers;
-    }
-    StandardStreams.writeNote(
-        new Note.RateTold(StandardStreams.nowMillis(), instance(), noteId(request)));
-    return headers + "\r\n" + HeaderNames.SERVER_LIMIT + ": " + rate;
-  }
-
-  /** Returns the line to append to a response's headers; empty unless the server is draining. */
-  private String drainingHeader(Received request) {
-    if (!draining) {
-      return "";
-    }
-    StandardStreams.writeNote(
-        new Note.LeavingTold(StandardStreams.nowMillis(), instance(), noteId(request)));
-    return "\r\n" + HeaderNames.SERVER_LEAVING + ": 1";
+    return HeaderNames.SIGNATURE + ": " + run + announcements.headers(request);
   }
 
   /** Records that the machine did not schedule this server, so that it read requests late. */
@@ -199,10 +165,6 @@
     return selfDescription().put("slots", slots).put("coldRemainingMs", 0).put("seq", 1);
   }
 
-  final String service() {
-    return service;
-  }
-
   /** Returns the row as JSON, without the address and state, which the driver adds. */
   abstract String row();
 
@@ -232,15 +194,14 @@
       respond(connection, 400, "", "", HeaderNames.NOT_EXECUTED + ": 1");
       return;
     }
-    StandardStreams.writeNote(
-        new Note.Arrived(StandardStreams.nowMillis(), instance(), service, noteId(request)));
+    runs.recordArrival(request);
     String target = request.header(HeaderNames.TARGET);
     if (target != null && !target.equals(incarnation.id())) {
       reject(request, connection, MISDIRECTED);
       return;
     }
-    RequestedBackoff backoff = requestedBackoff;
-    if (ThreadLocalRandom.current().nextDouble() < backoff.share()) {
+    RequestedBackoff backoff = announcements.drawBackoff();
+    if (backoff != null) {
       shed(request, connection, backoff.millis());
       return;
     }
@@ -262,7 +223,7 @@
         UNAVAILABLE,
         request.id(),
         "",
-        HeaderNames.NOT_EXECUTED + ": 1" + drainingHeader(request),
+        HeaderNames.NOT_EXECUTED + ": 1" + announcements.drainingHeader(request),
         retryAfter);
     StandardStreams.writeNote(new Note.RestTold(now, instance(), noteId(request), backoffMillis));
   }
@@ -279,68 +240,17 @@
         new Note.Rejected(StandardStreams.nowMillis(), instance(), noteId(request), status));
     Reply reply =
         Reply.of(
-            status, request.id(), "", HeaderNames.NOT_EXECUTED + ": 1" + drainingHeader(request));
+            status,
+            request.id(),
+            "",
+            HeaderNames.NOT_EXECUTED + ": 1" + announcements.drainingHeader(request));
     String noRun = instance() + "/none";
     replies.toRequest(connection, request, reply, second, noRun, secondBody(noRun));
   }
 
-  /** Records the start of a run and returns its id; a crashing request ends the process later. */
-  final String startRun(Received request, long weights, long plannedMillis) {
-    String run = instance() + "/" + runs.incrementAndGet();
-    String[] line = request.line().split(" ");
-    RequestFacts facts =
-        new RequestFacts(
-            line[0],
-            line[1],
-            request.body(),
-            request.header(HeaderNames.MODEL),
-            request.header(HeaderNames.PREFIX),
-            request.header(HeaderNames.USAGE));
-    StandardStreams.writeNote(
-        new Note.Begun(
-            StandardStreams.nowMillis(),
-            instance(),
-            service,
-            noteId(request),
-            run,
-            facts,
-            request.header(HeaderNames.TENANT),
-            weights,
-            parseNumber(request.header(HeaderNames.DEADLINE)),
-            plannedMillis,
-            (int) parseNumber(request.header(HeaderNames.LAST_EVENT))));
-    if (request.body().startsWith(CRASHING_BODY_PREFIX) || facts.hasCrashingPart()) {
-      crash(noteId(request));
-    }
-    return run;
-  }
-
-  /** Ends this process shortly after the start of the run, as a fault in a server's code does. */
-  private void crash(String requestId) {
-    Thread crash =
-        new Thread(
-            () -> {
-              sleep(CRASH_DELAY_MILLIS);
-              StandardStreams.writeNote(
-                  new Note.Crashed(StandardStreams.nowMillis(), instance(), requestId));
-              Runtime.getRuntime().halt(1);
-            },
-            "crash");
-    crash.setDaemon(true);
-    crash.start();
-  }
-
-  private static void sleep(long millis) {
-    try {
-      Thread.sleep(millis);
-    } catch (InterruptedException ended) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
-  static void recordEnd(String run, int status, String body, boolean complete) {
-    StandardStreams.writeNote(
-        new Note.Ended(StandardStreams.nowMillis(), run, status, body, complete));
+  /** Returns the recorder of this server's runs. */
+  final RunRecorder runs() {
+    return runs;
   }
 
   static long parseNumber(@Nullable String header) {
