Gateway: plain names for missing changes and named versions

What read oddly: TableFollower.readLacking, readsLacking and onReadLacking; configurations that nodes "have told", a rule whose collaborator "knows of newer configurations", a relay "taken for dead" by a node that "hears nothing". A comment in TicketResponder said that a ticket without a message for long takes precedence over the number of messages, which the condition below it doesn't do: beside new tickets, no more than MAX_HELD_MESSAGES are sent in a review, in turn.

No statement has changed.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/TicketResponder.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/TicketResponder.java
@@ -40,7 +40,10 @@
   private final Map<String, Integer> ticketsByNode = new HashMap<>();
   private final Map<String, Integer> heldMessages = new HashMap<>();
 
-  /** Reviews in which no message was sent for a ticket, as its node had got some for others. */
+  /**
+   * Number of reviews since the last message for a ticket. Reviews are skipped when the ticket's
+   * node has received enough messages for other tickets.
+   */
   private final Map<Ticket.Key, Integer> skippedReviews = new HashMap<>();
 
   /**
@@ -109,10 +112,9 @@
   private void sendHeld(Ticket.Key key, InetSocketAddress address, TicketHeld held) {
     boolean isNew = !skippedReviews.containsKey(key);
     int messages = heldMessages.getOrDefault(key.node(), 0);
-    // A ticket without a message for long takes precedence over the number of messages.
     int skipped = skippedReviews.getOrDefault(key, 0);
-    // A node that hears nothing of its tickets takes the relay for dead, so it gets a message for
-    // one in any case.
+    // A node that receives no message for any of its tickets considers the relay failed, so the
+    // first message of a review is always sent. Others are sent for the tickets in turn.
     boolean isDue = messages == 0 || skipped >= maxSkippedReviews(key.node());
     if (isNew || messages < MAX_HELD_MESSAGES && isDue) {
       skippedReviews.put(key, 0);
--- a/gateway/src/main/java/org/lockdale/gateway/node/TableFollowers.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/TableFollowers.java
@@ -121,7 +121,8 @@
   PeerConfigurations peerConfigurations(
       EventLoop eventLoop, Section<GatewayConfiguration> configuration) {
     return new PeerConfigurations(
-        configuration, peer -> eventLoop.execute(() -> operators.readLacking(peer.address())));
+        configuration,
+        peer -> eventLoop.execute(() -> operators.readMissingChanges(peer.address())));
   }
 
   /** Returns all followers, that of the operators' table first. */
--- a/gateway/src/main/java/org/lockdale/gateway/request/DenialRule.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/DenialRule.java
@@ -16,7 +16,7 @@
   /**
    * Creates a rule.
    *
-   * @param configurations knows of newer configurations
+   * @param configurations newest version of the configuration that other nodes have named
    */
   DenialRule(PeerConfigurations configurations) {
     this.configurations = configurations;
--- a/gateway/src/main/java/org/lockdale/gateway/request/ForwardHeaders.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/ForwardHeaders.java
@@ -116,7 +116,7 @@
 
   /**
    * Returns the version of the configuration by which another node has handled a request, or empty
-   * if it does not tell.
+   * if the headers do not name it.
    *
    * @param headers headers of the forwarded request, before {@link #restore}, or of its response
    */
--- a/gateway/src/main/java/org/lockdale/gateway/request/PeerConfigurations.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/PeerConfigurations.java
@@ -8,7 +8,7 @@
 import org.tinylog.Logger;
 
 /**
- * The newest version of the configuration that other nodes have told with forwarded requests and
+ * The newest version of the configuration that other nodes have named in forwarded requests and
  * their responses. Callers may have seen the effect of that version, so this node reads it and does
  * not deny requests by an older one. Thread-safe.
  */
@@ -55,7 +55,7 @@
     return version > own.value().version();
   }
 
-  /** Returns whether a configuration is older than the newest one that another node has told. */
+  /** Returns whether a configuration is older than the newest one that another node has named. */
   boolean isOutdated(GatewayConfiguration configuration) {
     return configuration.version() < newest.get();
   }
--- a/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
+++ b/gateway/src/main/java/org/lockdale/gateway/table/TableFollower.java
@@ -85,7 +85,7 @@
   private boolean changeUnprocessed;
 
   /** Whether the changes that this copy lacks are being read from a node that is not a relay. */
-  private boolean readsLacking;
+  private boolean readingMissingChanges;
 
   private volatile boolean closed;
 
@@ -204,16 +204,17 @@
    * read is in progress. It doesn't wait for a read from a relay, which may not respond any more.
    * Must be called on the event loop.
    */
-  public void readLacking(InetSocketAddress peer) {
-    if (closed || readsLacking) {
+  public void readMissingChanges(InetSocketAddress peer) {
+    if (closed || readingMissingChanges) {
       return;
     }
-    readsLacking = true;
-    readChanges(peer).whenCompleteAsync((read, failure) -> onReadLacking(peer, failure), eventLoop);
+    readingMissingChanges = true;
+    readChanges(peer)
+        .whenCompleteAsync((read, failure) -> onMissingChangesRead(peer, failure), eventLoop);
   }
 
-  private void onReadLacking(InetSocketAddress peer, @Nullable Throwable failure) {
-    readsLacking = false;
+  private void onMissingChangesRead(InetSocketAddress peer, @Nullable Throwable failure) {
+    readingMissingChanges = false;
     if (failure != null) {
       Logger.info(
           "event=peer-read-failed table={} node={} cause=\"{}\"",
--- a/gateway/src/test/java/org/lockdale/gateway/table/LackingChangesTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/table/LackingChangesTest.java
@@ -83,7 +83,7 @@
   public void changesAreReadAlthoughARelayDoesNotRespond() {
     follower.onProofAnnounced(RELAY, new TableProof(TABLE, NEWER, 0));
     responses.put(PEER, newerCopy());
-    follower.readLacking(PEER);
+    follower.readMissingChanges(PEER);
     time.runMillis(1);
     assertEquals(calls, List.of(RELAY, PEER));
     assertEquals(keys, Set.of("old", "new"));
@@ -91,14 +91,14 @@
 
   @Test
   public void aSecondReadBeginsOnlyAfterTheFirstOne() {
-    follower.readLacking(PEER);
-    follower.readLacking(PEER);
+    follower.readMissingChanges(PEER);
+    follower.readMissingChanges(PEER);
     time.runMillis(1);
     assertEquals(calls, List.of(PEER));
     responses.get(PEER).completeExceptionally(new IllegalStateException("no reply"));
     time.runMillis(1);
     responses.put(PEER, newerCopy());
-    follower.readLacking(PEER);
+    follower.readMissingChanges(PEER);
     time.runMillis(1);
     assertEquals(calls, List.of(PEER, PEER));
     assertEquals(keys, Set.of("old", "new"));
