--- a/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
@@ -6,12 +6,10 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -149,33 +147,6 @@
     return status.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
   }
 
-  private static final class StatusListener implements HttpResponseListener {
-    private final CompletableFuture<Integer> result;
-    private int received;
-
-    StatusListener(CompletableFuture<Integer> result) {
-      this.result = result;
-    }
-
-    @Override
-    public void onHead(int status, HttpHeaders headers) {
-      received = status;
-    }
-
-    @Override
-    public void onContent(ByteBuf content) {}
-
-    @Override
-    public void onEnd() {
-      result.complete(received);
-    }
-
-    @Override
-    public void onFailure(HttpCallException failure) {
-      result.completeExceptionally(failure);
-    }
-  }
-
   @Test
   public void aRequestDoesNotWaitBehindASurplusReplyThatHasNoEnd() throws IOException {
     String endless = "HTTP/1.1 200 OK\r\n" + ScriptedPeer.ID_HEADER + ": other\r\n\r\nbody";
