Soak: usual terms for incarnations, page ends and second replies

What read oddly: an incarnation of a server was a Life; ToldPositions held where the first page of cache events ended; a second reply had a `what` and a body called `again`; a reply channel planned what it schedules; a fault beside another one was its company, and a rejection with a backoff was shed.

None of these names is written out: notes, plans and draws of random numbers are the same.

--- a/soak/src/main/java/org/lockdale/soak/plan/SecondReplyFaults.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/SecondReplyFaults.java
@@ -31,11 +31,11 @@
   /** One episode in this many is a series at one server. */
   private static final int SERIES_ONE_IN = 4;
 
-  /** One episode in this many comes with another fault. */
-  private static final int COMPANY_ONE_IN = 2;
+  /** One episode in this many comes with a fault of another kind. */
+  private static final int CONCURRENT_FAULT_ONE_IN = 2;
 
   /** One cut or refusal in this many of other plans is kept, so that the servers stay in use. */
-  private static final int OTHERS_ONE_IN = 3;
+  private static final int KEPT_ONE_IN = 3;
 
   private SecondReplyFaults() {}
 
@@ -45,8 +45,8 @@
     for (long at = fromMillis; at < untilMillis; at += drawing.gapMillis()) {
       drawing.addEpisode(at);
     }
-    drawing.addSome(NodeCutFaults.draw(seed, fromMillis, untilMillis, deployment));
-    drawing.addSome(StoreRefusalFaults.draw(seed, fromMillis, untilMillis, deployment));
+    drawing.addSample(NodeCutFaults.draw(seed, fromMillis, untilMillis, deployment));
+    drawing.addSample(StoreRefusalFaults.draw(seed, fromMillis, untilMillis, deployment));
     return drawing.faults;
   }
 
@@ -77,14 +77,14 @@
       } else {
         addSeries(at, pick(servers));
       }
-      if (random.nextInt(COMPANY_ONE_IN) == 0) {
-        add(at + random.nextInt(MAX_DURATION_MILLIS), company());
+      if (random.nextInt(CONCURRENT_FAULT_ONE_IN) == 0) {
+        add(at + random.nextInt(MAX_DURATION_MILLIS), concurrentFault());
       }
     }
 
-    void addSome(List<PlannedFault> others) {
+    void addSample(List<PlannedFault> others) {
       for (PlannedFault other : others) {
-        if (random.nextInt(OTHERS_ONE_IN) == 0) {
+        if (random.nextInt(KEPT_ONE_IN) == 0) {
           faults.add(other);
         }
       }
@@ -110,7 +110,7 @@
           lastsMillis);
     }
 
-    private Fault company() {
+    private Fault concurrentFault() {
       String node = pick(deployment.nodeNames());
       return switch (random.nextInt(4)) {
         case 0 -> new Fault.ByOperator(Fault.OperatorChange.WEIGHTS_NAMED);
--- a/soak/src/main/java/org/lockdale/soak/standin/CacheCalls.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/CacheCalls.java
@@ -31,15 +31,15 @@
     QueryStringDecoder uri = new QueryStringDecoder(request.line().split(" ")[1]);
     switch (uri.path()) {
       case LIST_PATH -> {
-        String again = cache.emptyList(SecondReplies.FIRST_MARKED_NUMBER);
-        server.replies().toCall(connection, LIST_PATH, ServerBase.OK, cache.list(), again);
+        String secondBody = cache.emptyList(SecondReplies.FIRST_MARKED_NUMBER);
+        server.replies().toCall(connection, LIST_PATH, ServerBase.OK, cache.list(), secondBody);
       }
       case EVENTS_PATH -> {
         long since = Long.parseLong(uri.parameters().get("since").get(0));
         server.checkNumber(EVENTS_PATH, since);
         server.checkPosition(connection, EVENTS_PATH, since);
         String page = changes(cache, request, since);
-        server.positions().record(connection, since, page);
+        server.firstPageEnds().record(connection, since, page);
         // A second page is the same, so that a node can tell it by its position only.
         server.replies().toCall(connection, EVENTS_PATH, ServerBase.OK, page, page);
       }
--- a/soak/src/main/java/org/lockdale/soak/standin/CacheStoreServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/CacheStoreServer.java
@@ -10,7 +10,7 @@
 
   private final CachedParts cache = new CachedParts();
 
-  CacheStoreServer(Life incarnation) {
+  CacheStoreServer(Incarnation incarnation) {
     super(incarnation, "prompts");
   }
 
--- a/soak/src/main/java/org/lockdale/soak/standin/EngineServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/EngineServer.java
@@ -58,7 +58,7 @@
 
   private long highestFencingToken;
 
-  EngineServer(Life incarnation, String service, String model, long weightsVersion) {
+  EngineServer(Incarnation incarnation, String service, String model, long weightsVersion) {
     super(incarnation, service);
     this.model = model;
     this.weightsVersion = weightsVersion;
--- a/soak/src/main/java/org/lockdale/soak/standin/ToldPositions.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/FirstPageEnds.java
@@ -6,9 +6,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /** Where the first page of a server's cache events ended, on connections that just carried it. */
-final class ToldPositions {
+final class FirstPageEnds {
 
-  private final Map<Socket, Long> positions = new ConcurrentHashMap<>();
+  private final Map<Socket, Long> endPositions = new ConcurrentHashMap<>();
 
   /**
    * Records the page with which the server replies to a call.
@@ -16,13 +16,13 @@
    * @param since position that the call asked for, 0 for the start
    */
   void record(Socket connection, long since, String page) throws IOException {
-    positions.keySet().removeIf(Socket::isClosed);
+    endPositions.keySet().removeIf(Socket::isClosed);
     if (since > 0) {
-      positions.remove(connection);
+      endPositions.remove(connection);
       return;
     }
     long position = StandardStreams.MAPPER.readTree(page).path("nextPageToken").asLong();
-    positions.put(connection, position);
+    endPositions.put(connection, position);
   }
 
   /**
@@ -31,6 +31,6 @@
    * that. A peer that takes a repeated empty page for the next one loses nothing.
    */
   boolean isBehind(Socket connection, long since) {
-    return since > 0 && since < positions.getOrDefault(connection, 0L);
+    return since > 0 && since < endPositions.getOrDefault(connection, 0L);
   }
 }
--- a/soak/src/main/java/org/lockdale/soak/standin/LateReply.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/LateReply.java
@@ -6,9 +6,9 @@
  * A second reply and when it is written.
  *
  * @param text head and body
- * @param what request or call that it answers
+ * @param call id of the request, or path of the call, that it answers
  */
-record LateReply(String text, String server, String what, int status, Moment moment) {
+record LateReply(String text, String server, String call, int status, Moment moment) {
 
   /**
    * When a second reply is written.
@@ -34,7 +34,7 @@
         new Note.AnsweredAgain(
             StandardStreams.nowMillis(),
             server,
-            what,
+            call,
             status,
             moment.place() == Place.BEFORE_NEXT,
             moment.delayMillis()));
--- a/soak/src/main/java/org/lockdale/soak/standin/PlainServer.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/PlainServer.java
@@ -21,7 +21,7 @@
 
   private int running;
 
-  PlainServer(Life incarnation, String service) {
+  PlainServer(Incarnation incarnation, String service) {
     super(incarnation, service);
   }
 
--- a/soak/src/main/java/org/lockdale/soak/standin/ReplyChannel.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/ReplyChannel.java
@@ -40,7 +40,7 @@
   /** Writes a reply that is followed by a second one, unless that is null. */
   synchronized void write(String reply, @Nullable LateReply second) throws IOException {
     RawBackend.write(connection, take(beforeNext) + reply + behindFirst(second));
-    plan(second);
+    schedule(second);
   }
 
   /** Writes the start of a stream, which lasts until {@link #endStream}. */
@@ -53,7 +53,7 @@
   synchronized void endStream(String end, @Nullable LateReply second) throws IOException {
     streaming = false;
     RawBackend.write(connection, end + take(due) + behindFirst(second));
-    plan(second);
+    schedule(second);
   }
 
   private static String behindFirst(@Nullable LateReply second) {
@@ -64,7 +64,7 @@
     return second.text();
   }
 
-  private void plan(@Nullable LateReply second) {
+  private void schedule(@Nullable LateReply second) {
     if (second == null) {
       return;
     }
--- a/soak/src/main/java/org/lockdale/soak/standin/SecondReplies.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/SecondReplies.java
@@ -111,7 +111,7 @@
     return late(kind, path, second);
   }
 
-  private LateReply late(SecondReplyKind kind, String what, Reply second) {
+  private LateReply late(SecondReplyKind kind, String call, Reply second) {
     String text =
         switch (kind) {
           case WITHOUT_LENGTH -> second.textWithoutLength();
@@ -119,7 +119,7 @@
               new Reply(PROCESSING, second.id(), "", List.of()).textWithoutLength() + second.text();
           default -> second.text();
         };
-    return new LateReply(text, instance, what, second.status(), moment());
+    return new LateReply(text, instance, call, second.status(), moment());
   }
 
   private Moment moment() {
--- a/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/ServerBase.java
@@ -51,11 +51,11 @@
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
-  private final Life incarnation;
+  private final Incarnation incarnation;
   private final RunRecorder runs;
   private final Announcements announcements;
   private final ServerReplies replies;
-  private final ToldPositions positions = new ToldPositions();
+  private final FirstPageEnds firstPageEnds = new FirstPageEnds();
   private volatile @Nullable RawBackend backend;
 
   /**
@@ -64,7 +64,7 @@
    * @param id id of the server, which may stay the same after a restart
    * @param startedAtMillis Unix time of its start
    */
-  record Life(String id, long startedAtMillis) {
+  record Incarnation(String id, long startedAtMillis) {
 
     /** Returns the name of this incarnation in notes. */
     String name() {
@@ -72,7 +72,7 @@
     }
   }
 
-  ServerBase(Life incarnation, String service) {
+  ServerBase(Incarnation incarnation, String service) {
     this.incarnation = incarnation;
     this.runs = new RunRecorder(incarnation.name(), service);
     this.announcements = new Announcements(incarnation.name());
@@ -202,7 +202,7 @@
     }
     RequestedBackoff backoff = announcements.drawBackoff();
     if (backoff != null) {
-      shed(request, connection, backoff.millis());
+      rejectWithBackoff(request, connection, backoff.millis());
       return;
     }
     SecondReplyKind second = replies.second().draw();
@@ -214,7 +214,8 @@
   }
 
   /** Rejects a request and requests backoff from its node. */
-  private void shed(Received request, Socket connection, long backoffMillis) throws IOException {
+  private void rejectWithBackoff(Received request, Socket connection, long backoffMillis)
+      throws IOException {
     long now = StandardStreams.nowMillis();
     StandardStreams.writeNote(new Note.Rejected(now, instance(), noteId(request), UNAVAILABLE));
     String retryAfter = HeaderNames.RETRY_AFTER + ": " + backoffMillis / MILLIS_PER_SECOND;
@@ -273,9 +274,9 @@
     replies.of(connection).write(Reply.of(status, id, body, headers).text(), null);
   }
 
-  /** Returns the positions in its cache events that this server has told. */
-  final ToldPositions positions() {
-    return positions;
+  /** Returns where the first pages of cache events ended on this server's connections. */
+  final FirstPageEnds firstPageEnds() {
+    return firstPageEnds;
   }
 
   /** Records it if a call uses a number that stands only in a second reply of this server. */
@@ -287,7 +288,7 @@
 
   /** Records it if a call asks for events before the end of the first page on its connection. */
   final void checkPosition(Socket connection, String path, long since) {
-    if (positions.isBehind(connection, since)) {
+    if (firstPageEnds.isBehind(connection, since)) {
       recordSecondReplyUsed(path, "asks for events before the end of the first page");
     }
   }
--- a/soak/src/main/java/org/lockdale/soak/standin/ServerReplies.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/ServerReplies.java
@@ -37,7 +37,7 @@
    *
    * @param kind how the reply is repeated, or null if it is not
    * @param run run that a second reply names
-   * @param again body of a second reply that is a success
+   * @param secondBody body of a second reply that is a success
    */
   void toRequest(
       Socket connection,
@@ -45,29 +45,33 @@
       Reply reply,
       @Nullable SecondReplyKind kind,
       String run,
-      String again)
+      String secondBody)
       throws IOException {
-    of(connection).write(reply.text(), second(kind, request, reply.status(), run, again));
+    of(connection).write(reply.text(), second(kind, request, reply.status(), run, secondBody));
   }
 
   /** Returns the second reply to a caller's request, or null if there is none. */
   @Nullable LateReply second(
-      @Nullable SecondReplyKind kind, Received request, int firstStatus, String run, String again) {
+      @Nullable SecondReplyKind kind,
+      Received request,
+      int firstStatus,
+      String run,
+      String secondBody) {
     return kind == null
         ? null
-        : secondReplies.toRequest(kind, ServerBase.noteId(request), firstStatus, run, again);
+        : secondReplies.toRequest(kind, ServerBase.noteId(request), firstStatus, run, secondBody);
   }
 
   /**
    * Responds to a call without an id.
    *
-   * @param again body of a second reply that is a success
+   * @param secondBody body of a second reply that is a success
    */
-  void toCall(Socket connection, String path, int status, String body, String again)
+  void toCall(Socket connection, String path, int status, String body, String secondBody)
       throws IOException {
     SecondReplyKind kind = secondReplies.draw();
     Reply reply = Reply.of(status, "", body, "Content-Type: application/json");
     of(connection)
-        .write(reply.text(), kind == null ? null : secondReplies.toCall(kind, path, again));
+        .write(reply.text(), kind == null ? null : secondReplies.toCall(kind, path, secondBody));
   }
 }
--- a/soak/src/main/java/org/lockdale/soak/standin/StandInProcess.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/StandInProcess.java
@@ -46,7 +46,7 @@
         .toList();
   }
 
-  private static ServerBase.Life parseIncarnation(String... arguments) {
-    return new ServerBase.Life(arguments[3], Long.parseLong(arguments[4]));
+  private static ServerBase.Incarnation parseIncarnation(String... arguments) {
+    return new ServerBase.Incarnation(arguments[3], Long.parseLong(arguments[4]));
   }
 }
