--- a/soak/src/main/java/org/lockdale/soak/standin/ToldPositions.java
+++ b/soak/src/main/java/org/lockdale/soak/standin/PageEnds.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /** Where the pages of a server's cache events ended, by the connection that carried them. */
-final class ToldPositions {
+final class PageEnds {
 
   /** The pages of one connection. */
   private static final class Pages {
