--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -287,7 +287,7 @@
    * @param address peer
    * @param request what to send
    * @param timeout maximum time until the reply is complete, for each of the two sends
-   * @param check tells surplus replies among those with other statuses
+   * @param check tells surplus replies that are successes
    * @return the reply; fails with {@link HttpCallException} if a call fails or times out
    */
   public CompletableFuture<HttpReply> exchangeRepeatable(
