HTTP client: a reply that switches protocols fails the call at once

A request waited to its deadline, and its caller got 504, if a 101 came in front of the reply, from whichever request.

Cause: the 101 was skipped as an informational head, but the decoder reads nothing after it as HTTP.

Evidence: SurplusReplyTest.aRequestDoesNotWaitBehindASwitchOfProtocols ended after 10 s without a result before; it passes now with the other 12 of the class, CutReplyTest, ResponseReaderTest and ParserFuzzTest.

Why it works: no call asks for another protocol, so nothing that is readable can follow; the attempt fails, and a repeatable request goes elsewhere.

--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -213,6 +213,10 @@
   private void start(
       ChannelHandlerContext context, HttpResponse response, HttpResponseListener receiver) {
     EchoedId expected = echoedId;
+    if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+      fail(context, false, "it switches to another protocol");
+      return;
+    }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       skipping = true;
       progress.recordInformationalHead();
