HTTP client: bytes that arrive on an idle connection close it

A request that may run only once got 502, and a repeatable one a second send, although the server answered it: on its connection, bytes without a line end had arrived after the reply to the request before.

Cause: the decoder keeps what doesn't form a head yet and passes nothing on, so the connection stayed in the pool; the next reply was read behind these bytes and wasn't valid HTTP, or had the status of a head that was cut.

Evidence: SurplusReplyTest.bytesOnAnIdleConnectionAreNotReadAsPartOfTheNextReply found the connection open after 10 s before; it passes now, as do all tests of the module (95 in 16 classes, once).

Why it works: no call waits, so whatever arrives is not due. A server that sends a blank line in a packet of its own behind each reply gets a new connection for each request. Bytes in the read that completes a reply stay undetected.

--- a/http/src/main/java/org/lockdale/http/ReceivedByteCounter.java
+++ b/http/src/main/java/org/lockdale/http/ReceivedByteCounter.java
@@ -6,7 +6,8 @@
 
 /**
  * Counts the bytes of a connection before they are decoded, since the decoder passes on neither
- * blank lines nor chunk sizes. The limits are checked once a read has been decoded.
+ * blank lines nor chunk sizes. The limits are checked once a read has been decoded, as well as
+ * whether the bytes were due.
  */
 final class ReceivedByteCounter extends ChannelInboundHandlerAdapter {
 
@@ -23,5 +24,6 @@
     }
     context.fireChannelRead(message);
     reader.checkProgress(context);
+    reader.checkIdle(context);
   }
 }
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -120,6 +120,16 @@
     }
   }
 
+  /**
+   * Closes the connection if bytes have arrived that no call waits for. They may not form a head
+   * yet, and the decoder would put them in front of the next reply.
+   */
+  void checkIdle(ChannelHandlerContext context) {
+    if (call == null && completed == null) {
+      context.close();
+    }
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
     HttpCall current = call;
--- a/http/src/test/java/org/lockdale/http/ScriptedPeer.java
+++ b/http/src/test/java/org/lockdale/http/ScriptedPeer.java
@@ -59,6 +59,11 @@
     void close() throws IOException {
       socket.close();
     }
+
+    /** Returns whether either side has closed the connection. */
+    boolean isClosed() {
+      return socket.isClosed();
+    }
   }
 
   private final ServerSocket listener;
--- a/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
@@ -32,6 +32,7 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
   private static final int MAX_SURPLUS = 100;
+  private static final long POLL_MILLIS = 5;
 
   private final BlockingQueue<SurplusReply> surplus = new ArrayBlockingQueue<>(MAX_SURPLUS);
   private EventLoopGroup group;
@@ -252,6 +253,29 @@
     assertEquals(peer.received().get(1).connection(), 2);
   }
 
+  @Test
+  public void bytesOnAnIdleConnectionAreNotReadAsPartOfTheNextReply() throws Exception {
+    CompletableFuture<ScriptedPeer.Connection> first = new CompletableFuture<>();
+    peer =
+        new ScriptedPeer(
+            (request, connection) -> {
+              first.complete(connection);
+              connection.send(ScriptedPeer.reply(200, request.id(), "for " + request.id()));
+            });
+    assertEquals(call(request("first")), "200 for first");
+    first.join().send("no line end");
+    awaitClosed(first.join());
+    assertEquals(call(request("second")), "200 for second");
+  }
+
+  private static void awaitClosed(ScriptedPeer.Connection connection) throws InterruptedException {
+    long deadline = System.nanoTime() + TIMEOUT.toNanos();
+    while (!connection.isClosed() && System.nanoTime() < deadline) {
+      Thread.sleep(POLL_MILLIS);
+    }
+    assertTrue(connection.isClosed());
+  }
+
   @Test
   public void aLateReplyIsToldAfterManyOtherRequests() throws Exception {
     Set<Integer> carried = ConcurrentHashMap.newKeySet();
