--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -124,6 +124,16 @@
     }
   }
 
+  /**
+   * Closes the connection if bytes have arrived that no call waits for. They may not form a head
+   * yet, and the decoder would put them in front of the next reply.
+   */
+  void checkIdle(ChannelHandlerContext context) {
+    if (call == null && completed == null) {
+      context.close();
+    }
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
     HttpCall current = call;
@@ -217,6 +227,10 @@
   private void start(
       ChannelHandlerContext context, HttpResponse response, HttpResponseListener receiver) {
     EchoedId expected = echoedId;
+    if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+      fail(context, false, "it switches to another protocol");
+      return;
+    }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       skipping = true;
       progress.recordInformationalHead();
--- a/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
@@ -30,6 +30,7 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
   private static final int MAX_SURPLUS = 100;
+  private static final long POLL_MILLIS = 5;
 
   private final BlockingQueue<SurplusReply> surplus = new ArrayBlockingQueue<>(MAX_SURPLUS);
   private EventLoopGroup group;
@@ -158,6 +159,11 @@
     assertFailsAtOnce("HTTP/1.1 200 OK\r\n\r\nbody");
   }
 
+  @Test
+  public void aRequestDoesNotWaitBehindASwitchOfProtocols() throws IOException {
+    assertFailsAtOnce("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n");
+  }
+
   @Test
   public void aHeadDoesNotWaitForABodyBehindAReplyWithoutAnId() throws IOException {
     String surplusReply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
@@ -218,6 +224,29 @@
     assertEquals(peer.received().get(1).connection(), 2);
   }
 
+  @Test
+  public void bytesOnAnIdleConnectionAreNotReadAsPartOfTheNextReply() throws Exception {
+    CompletableFuture<ScriptedPeer.Connection> first = new CompletableFuture<>();
+    peer =
+        new ScriptedPeer(
+            (request, connection) -> {
+              first.complete(connection);
+              connection.send(ScriptedPeer.reply(200, request.id(), "for " + request.id()));
+            });
+    assertEquals(call(request("first")), "200 for first");
+    first.join().send("no line end");
+    awaitClosed(first.join());
+    assertEquals(call(request("second")), "200 for second");
+  }
+
+  private static void awaitClosed(ScriptedPeer.Connection connection) throws InterruptedException {
+    long deadline = System.nanoTime() + TIMEOUT.toNanos();
+    while (!connection.isClosed() && System.nanoTime() < deadline) {
+      Thread.sleep(POLL_MILLIS);
+    }
+    assertTrue(connection.isClosed());
+  }
+
   @Test
   public void aLateReplyIsToldAfterManyOtherRequests() throws Exception {
     Set<Integer> carried = ConcurrentHashMap.newKeySet();
