HTTP: only a reply in chunks is framed by chunks

A request waited to its deadline behind a surplus reply with another Transfer-Encoding than chunked, which ends with its connection.

Cause: any Transfer-Encoding counted as chunks, while the decoder reads such a reply until the connection closes, so the reply was skipped without an end.

Evidence: SurplusReplyTest.aRequestDoesNotWaitBehindASurplusReplyWhoseEncodingHasNoChunks ended after 10 s without a result before; it passes now, as do all tests of the module (96, once) and platform SurplusReplyTest, CutHeadTest, CloseDelimitedResponseTest and ResponseEndingTest.

Why it works: the framing follows the same rule as the decoder. An empty stream with such an encoding no longer counts as whole either (read only).

--- a/http/src/main/java/org/lockdale/http/BodyFraming.java
+++ b/http/src/main/java/org/lockdale/http/BodyFraming.java
@@ -1,6 +1,7 @@
 package org.lockdale.http;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 
 /** How a receiver knows where the body of a response ends. */
@@ -31,7 +32,7 @@
     if (method.equals("HEAD") || status == NO_CONTENT || status == NOT_MODIFIED) {
       return NONE;
     }
-    if (headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+    if (headers.containsValue(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true)) {
       return CHUNKED;
     }
     return headers.contains(HttpHeaderNames.CONTENT_LENGTH) ? CONTENT_LENGTH : CLOSE_DELIMITED;
--- a/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
@@ -193,6 +193,11 @@
     assertFailsAtOnce("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n");
   }
 
+  @Test
+  public void aRequestDoesNotWaitBehindASurplusReplyWhoseEncodingHasNoChunks() throws IOException {
+    assertFailsAtOnce("HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n");
+  }
+
   @Test
   public void aHeadDoesNotWaitForABodyBehindAReplyWithoutAnId() throws IOException {
     String surplusReply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
