HTTP client: a failure without an id fails the call on used connections too

Callers could get a success where the server had answered with a failure: a failure without an id on a connection that had carried another request was skipped as surplus, and the second reply to the request, a success with its id, was served. So far only the first request of a connection was kept from that.

Cause: nothing tells whether a failure without an id answers the request that waits or is a late second reply to an earlier one. It was taken for the latter, the case in which an error does harm.

Evidence: SurplusReplyTest.aFailureWithoutAnIdOnAUsedConnectionIsNotReplacedByASecondReply (from the review) got 200 before and fails the call now. The tests of surplus and doubled replies, their load test, CutHeadTest, CutReplyTest, HttpClientTest and GatewayForwardingTest pass (load 8 to 20).

Why it works: such a failure ends the attempt as one that may have run; a repeatable request goes elsewhere. It costs an attempt where a late failure without an id comes in front of a reply. A server whose failures never have an id is no longer waited for to the deadline.

--- a/http/src/main/java/org/lockdale/http/CarriedIds.java
+++ b/http/src/main/java/org/lockdale/http/CarriedIds.java
@@ -36,11 +36,6 @@
     return false;
   }
 
-  /** Returns whether the connection has carried no id but one. */
-  boolean isFirst() {
-    return count == 1;
-  }
-
   /** Returns whether no further id is to be recorded. */
   boolean isFull() {
     return count >= CAPACITY;
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -256,7 +256,7 @@
     skipping = true;
     surplusSeen = true;
     recordSurplus(context, response.status().code(), idIn(response), false);
-    if (isFailureOfOnlyRequest(response)) {
+    if (isFailureWithoutId(response)) {
       fail(context, false, "its failure repeats no id");
       return;
     }
@@ -276,12 +276,12 @@
   }
 
   /**
-   * Returns whether a failure without an id can only answer the request that waits, as the
-   * connection has carried no other one. What follows it may be a second reply.
+   * Returns whether a reply may be a failure of the request that waits, although it has no id. What
+   * follows it may then be a second reply, which must not be taken for the first one.
    */
-  private boolean isFailureOfOnlyRequest(HttpResponse response) {
+  private boolean isFailureWithoutId(HttpResponse response) {
     boolean failure = response.status().code() >= HttpResponseStatus.BAD_REQUEST.code();
-    return failure && idIn(response) == null && carriedIds.isFirst();
+    return failure && idIn(response) == null;
   }
 
   private void recordSurplus(
--- a/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
+++ b/http/src/test/java/org/lockdale/http/SurplusReplyTest.java
@@ -288,6 +288,20 @@
     assertEquals(((HttpCallException) failed.getCause()).stage(), HttpCallException.Stage.NO_REPLY);
   }
 
+  @Test
+  public void aFailureWithoutAnIdOnAUsedConnectionIsNotReplacedByASecondReply() throws Exception {
+    peer =
+        new ScriptedPeer(
+            (request, connection) -> {
+              if (request.number() > 1) {
+                connection.send(ScriptedPeer.reply(500, "", "failure"));
+              }
+              connection.send(ScriptedPeer.reply(200, request.id(), "for " + request.id()));
+            });
+    assertEquals(call(request("first")), "200 for first");
+    expectThrows(ExecutionException.class, () -> call(request("second")));
+  }
+
   @Test
   public void aHeadBehindAnInformationalHeadIsComplete() throws Exception {
     peer =
