Log each request to a server that advertises a rate, and rates that are forgotten

Cause: rate-sends gave a sum each four seconds; from the logs nobody could tell which requests reached such a server, who had granted them, how long each was under way, or when a rate was no longer kept. None of the four hypotheses could be told apart. No decision changes.

--- a/gateway/src/main/java/org/lockdale/gateway/rate/BackendRates.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/BackendRates.java
@@ -1,11 +1,10 @@
 package org.lockdale.gateway.rate;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.AdvertisedRate;
 import org.tinylog.Logger;
@@ -44,14 +43,6 @@
    */
   private static final long RECENT_MILLIS = 15_000;
 
-  /**
-   * Interval at which the numbers of requests sent to limited backends are logged, in milliseconds.
-   */
-  private static final long LOG_INTERVAL_MILLIS = 4_000;
-
-  /** Maximum number of backends that are logged each time; many may advertise rates at once. */
-  private static final int MAX_LOGGED = 16;
-
   /**
    * Rate at which the retries of callers are scheduled after a backoff. How much a backend accepts
    * then is unknown; this rate spreads the callers, and delays few of them.
@@ -62,10 +53,8 @@
   private final AdvertisedRates advertised = new AdvertisedRates();
   private final RateAllowances allowances;
   private final RetryAfterSchedule retrySchedule = new RetryAfterSchedule();
-  private final Map<String, Long> sends = new HashMap<>();
-  private final Map<String, Long> loggedSends = new HashMap<>();
+  private final RateLog log = new RateLog();
   private volatile Listener listener = (backend, rate, sentAt, receivedAt, isNew) -> {};
-  private long loggedAtMillis;
   private long delays;
 
   /** Whether any backend advertises a rate or did so until recently. */
@@ -212,7 +201,11 @@
   }
 
   private synchronized boolean tryTakeLocked(String backend) {
-    return allowances.tryTake(backend, time.monotonicMillis());
+    boolean taken = allowances.tryTake(backend, time.monotonicMillis());
+    if (taken && advertised.lowest(backend).isPresent()) {
+      log.recordGrant(backend);
+    }
+    return taken;
   }
 
   /**
@@ -264,17 +257,30 @@
     return allowances.isLentBy(node, time.monotonicMillis());
   }
 
-  /** Records that this node sends a request to a backend. */
-  public void recordSend(String backend) {
-    if (anyKnown) {
-      count(backend);
-    }
+  /**
+   * Records that this node sends a request to a backend.
+   *
+   * @param backend text form of the backend's incarnation
+   * @param request id of the request
+   * @param grantedBy id of the relay that placed the request, or an empty text for this node
+   * @return the send, to be passed to {@link #recordEnd}; null if the backend advertises no rate
+   */
+  public @Nullable RateSend recordSend(String backend, String request, String grantedBy) {
+    return anyKnown ? recordSendLocked(backend, request, grantedBy) : null;
   }
 
-  private synchronized void count(String backend) {
-    if (advertised.perSecond(backend).isPresent()) {
-      sends.merge(backend, 1L, Long::sum);
+  private synchronized @Nullable RateSend recordSendLocked(
+      String backend, String request, String grantedBy) {
+    if (advertised.perSecond(backend).isEmpty()) {
+      return null;
     }
+    log.recordSend(backend);
+    return new RateSend(backend, request, grantedBy, time.monotonicMillis());
+  }
+
+  /** Records that the response to a request has begun, or that its attempt ended without one. */
+  public synchronized void recordEnd(RateSend send, RateSend.End end) {
+    log.logEnd(send, end, time.monotonicMillis());
   }
 
   /**
@@ -287,29 +293,19 @@
       return;
     }
     long now = time.monotonicMillis();
+    advertised
+        .limited()
+        .forEach(
+            (backend, rate) -> {
+              if (!backends.contains(backend)) {
+                log.logForgotten(backend, rate.perSecond(), "no-record");
+              }
+            });
     advertised.retain(backends, now);
     allowances.retain(backends);
     anyKnown = !advertised.isEmpty();
-    sends.keySet().retainAll(backends);
-    loggedSends.keySet().retainAll(backends);
-    if (now - loggedAtMillis >= LOG_INTERVAL_MILLIS) {
-      loggedAtMillis = now;
-      sends.entrySet().stream()
-          .filter(sent -> sent.getValue() > loggedSends.getOrDefault(sent.getKey(), 0L))
-          .limit(MAX_LOGGED)
-          .forEach(this::log);
-      loggedSends.putAll(sends);
-    }
-  }
-
-  private void log(Map.Entry<String, Long> sent) {
-    String backend = sent.getKey();
-    Logger.info(
-        "event=rate-sends backend={} per-second={} sends={} share={}",
-        backend,
-        advertised.perSecond(backend).orElse(Double.NaN),
-        sent.getValue() - loggedSends.getOrDefault(backend, 0L),
-        allowances.share(time.monotonicMillis()));
+    log.retain(backends);
+    log.tick(advertised, allowances.share(now), now);
   }
 
   /**
@@ -317,7 +313,7 @@
    * by backend id.
    */
   public synchronized Map<String, Long> sends() {
-    return new TreeMap<>(sends);
+    return log.sends();
   }
 
   /** Returns how many requests were delayed because the backends accepted no more. */
--- a/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/Attempt.java
@@ -40,6 +40,7 @@
   private final ResponseBuffer body;
   private final BackendLoad.Share share;
   private final ObservedAttempt observed;
+  private final AttemptRateSend rateSend;
   private @Nullable HttpCall call;
   private @Nullable ResponseHead head;
   private @Nullable StreamForwarder forwarder;
@@ -58,6 +59,7 @@
       RequestServices services,
       Time time,
       CallerResponse.Source source,
+      AttemptRateSend rateSend,
       Runnable onFirstEvent,
       BiConsumer<Attempt, AttemptResult> onResult) {
     this.state = state;
@@ -68,6 +70,7 @@
     this.time = time;
     this.times = new AttemptTimes(time);
     this.source = source;
+    this.rateSend = rateSend;
     this.body = new ResponseBuffer(state.exchange.held());
     this.onFirstEvent = onFirstEvent;
     this.onResult = onResult;
@@ -86,7 +89,7 @@
     source.open();
     times.recordSent();
     target.addEndListener(onIncarnationEnd);
-    services.rates().recordSend(target.backend().id());
+    rateSend.start(target.backend().id(), state.request.id());
     call =
         client.send(
             state.exchange.eventLoop(),
@@ -123,10 +126,7 @@
     }
   }
 
-  /**
-   * Fails the attempt, as an ended incarnation sends nothing more. The connection does not always
-   * show this by a close or reset.
-   */
+  /** Fails the attempt: an ended incarnation sends nothing more, and may not close connections. */
   private void incarnationEnded() {
     if (!ended) {
       loss = LostAttempt.Loss.SILENT;
@@ -230,6 +230,7 @@
   @Override
   public void onHead(int status, HttpHeaders headers) {
     recordReceived();
+    rateSend.answered();
     ResponseHead received = protocol.read(status, headers);
     if (state.receivedFromPeer) {
       ForwardHeaders.markResponse(received.headers(), state.configuration.version());
@@ -243,14 +244,11 @@
       responded = true;
       services.recordResponse(target, received, connectedAtMillis(), times.sentAtMonotonicMillis());
     }
-    if (received.misdirected()) {
-      finish(
-          AttemptResult.MISDIRECTED,
-          "the backend is another incarnation or has other weights than intended");
-    } else if (received.notRun()) {
-      finish(AttemptResult.NOT_RUN, "the backend accepts no requests now");
-    } else if (received.isSuccess() && !received.authentic()) {
-      abandon(AttemptResult.FAILED, "its response has no proof of origin");
+    HeadRejection rejection = HeadRejection.of(received);
+    if (rejection != null && rejection.abandons()) {
+      abandon(rejection.result(), rejection.reason());
+    } else if (rejection != null) {
+      finish(rejection.result(), rejection.reason());
     } else if (received.isSuccess() && received.eventStream()) {
       BodyFraming framing = BodyFraming.of(state.request.method(), status, headers);
       CallerFlow flow =
@@ -386,6 +384,7 @@
   }
 
   private void release() {
+    rateSend.ended(call, loss);
     target.removeEndListener(onIncarnationEnd);
     if (call != null) {
       call.discardContent();
--- a/gateway/src/main/java/org/lockdale/gateway/request/BackendAttempt.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/BackendAttempt.java
@@ -4,6 +4,7 @@
 import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.backend.AttemptPlan;
 import org.lockdale.gateway.backend.TrackedBackend;
+import org.lockdale.gateway.placement.Placement;
 import org.lockdale.gateway.quarantine.LostAttempt;
 import org.lockdale.http.HttpReply;
 
@@ -23,12 +24,15 @@
   BackendAttempt(
       RequestPath path,
       RequestState state,
-      TrackedBackend target,
+      Placement placement,
       AttemptPlan plan,
       Runnable onFirstEvent,
       BiConsumer<RunningAttempt, AttemptResult> onConcluded) {
     this.path = path;
     this.state = state;
+    TrackedBackend target = placement.target();
+    Placement.Origin origin = placement.origin();
+    String placedBy = origin == null ? "" : origin.relay();
     this.attempt =
         new Attempt(
             state,
@@ -38,6 +42,7 @@
             path.services(),
             path.time(),
             state.response.source(target.backend().id(), this::recordStart),
+            new AttemptRateSend(path.services().rates(), placedBy),
             onFirstEvent,
             (ended, result) -> onConcluded.accept(this, result));
   }
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPlacement.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPlacement.java
@@ -71,8 +71,7 @@
       Placement placement,
       Runnable onFirstEvent,
       BiConsumer<RunningAttempt, AttemptResult> onConcluded) {
-    return new BackendAttempt(
-        path, state, placement.target(), planOf(placement), onFirstEvent, onConcluded);
+    return new BackendAttempt(path, state, placement, planOf(placement), onFirstEvent, onConcluded);
   }
 
   @Override
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulationRequests.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulationRequests.java
@@ -126,7 +126,7 @@
     String target = backend.id();
     long sentAt = node.monotonicMillis();
     long current = node.incarnation();
-    node.rates().recordSend(target);
+    node.rates().recordSend(target, "", "");
     simulation.time.schedule(
         simulation.linkMicros(),
         () -> {
