The rate of a server is kept while its record is missing

What callers saw: a server that named 0.3 requests a second got 21 in four seconds where 6.8 are allowed, each time its record had been away for a moment and came back. Cause: BackendRates.tick forgot the rates of all servers without a record at hand. Records expire, are edited, and are read late, while the incarnation goes on with its rate; until it had answered once more each node sent freely. Change: rates belong to the incarnation. They are kept for ten minutes without a record, of 256 such backends at the most, and end with the record of a later incarnation. Loans of shares go on for ten seconds without a record only, so that a server that has gone costs no messages.

--- a/gateway/src/main/java/org/lockdale/gateway/rate/AdvertisedRates.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/AdvertisedRates.java
@@ -1,6 +1,7 @@
 package org.lockdale.gateway.rate;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +9,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.lockdale.gateway.backend.AdvertisedRate;
+import org.lockdale.gateway.backend.Incarnation;
 
 /**
  * The rate limits that backends advertise in their responses. Responses arrive out of order, so a
@@ -34,6 +36,18 @@
    */
   private static final long ENDED_RETENTION_MILLIS = 10_000;
 
+  /**
+   * Time for which the rate limit of an incarnation without a record is kept, in milliseconds. Its
+   * record may come back, since records expire and are edited while their servers run.
+   */
+  private static final long UNRECORDED_RETENTION_MILLIS = 600_000;
+
+  /** Time without a record after which a backend is probably no longer used, in milliseconds. */
+  private static final long UNUSED_MILLIS = 10_000;
+
+  /** Maximum number of backends without a record whose rate limits are kept. */
+  private static final int MAX_UNRECORDED = 256;
+
   private static final double NO_LIMIT = Double.POSITIVE_INFINITY;
 
   /**
@@ -62,6 +76,9 @@
   /** Observations that no later one has superseded, by backend. */
   private final Map<String, List<Observation>> latest = new HashMap<>();
 
+  /** Monotonic time since which a backend has had no record, by backend. */
+  private final Map<String, Long> unrecordedSince = new HashMap<>();
+
   /**
    * Processes the rate limit of a response. An unreadable rate changes nothing: a backend with a
    * limit keeps it, and one that never advertised a limit must not be limited by a mistake.
@@ -146,15 +163,57 @@
     return latest.isEmpty();
   }
 
+  /** Returns whether a backend that has a record, or had one until recently, has a rate limit. */
+  public boolean isAnyInUseLimited(long nowMillis) {
+    return latest.keySet().stream()
+        .filter(
+            backend -> nowMillis - unrecordedSince.getOrDefault(backend, nowMillis) < UNUSED_MILLIS)
+        .anyMatch(backend -> rateOf(backend) != NO_LIMIT);
+  }
+
   /**
-   * Removes backends that no longer exist, and limits that ended long ago.
+   * Removes incarnations that were replaced by a later one or have had no record for long, and
+   * limits that ended long ago. The rate limit of an incarnation whose record is missing is kept.
    *
-   * @param backends the existing ones
+   * @param recorded backends that have a record
    * @param nowMillis monotonic time
+   * @return the removed backends that had a rate limit, with their rates
    */
-  public void retain(Set<String> backends, long nowMillis) {
-    latest.keySet().retainAll(backends);
+  public Map<String, Double> retain(Set<String> recorded, long nowMillis) {
     latest.entrySet().removeIf(entry -> endedLongAgo(entry.getKey(), nowMillis));
+    unrecordedSince.keySet().retainAll(latest.keySet());
+    unrecordedSince.keySet().removeAll(recorded);
+    List<String> unrecorded =
+        latest.keySet().stream().filter(backend -> !recorded.contains(backend)).toList();
+    unrecorded.forEach(backend -> unrecordedSince.putIfAbsent(backend, nowMillis));
+    Map<String, Double> removed = new HashMap<>();
+    for (String backend : unrecorded) {
+      boolean expired =
+          nowMillis - unrecordedSince.get(backend) >= UNRECORDED_RETENTION_MILLIS
+              || isReplaced(backend, recorded);
+      if (expired) {
+        remove(backend, removed);
+      }
+    }
+    while (unrecordedSince.size() > MAX_UNRECORDED) {
+      remove(
+          Collections.min(unrecordedSince.entrySet(), Map.Entry.comparingByValue()).getKey(),
+          removed);
+    }
+    return removed;
+  }
+
+  private void remove(String backend, Map<String, Double> removed) {
+    if (rateOf(backend) != NO_LIMIT) {
+      removed.put(backend, rateOf(backend));
+    }
+    latest.remove(backend);
+    unrecordedSince.remove(backend);
+  }
+
+  private static boolean isReplaced(String backend, Set<String> recorded) {
+    Incarnation incarnation = Incarnation.parse(backend);
+    return recorded.stream().map(Incarnation::parse).anyMatch(incarnation::isBefore);
   }
 
   private boolean endedLongAgo(String backend, long nowMillis) {
--- a/gateway/src/main/java/org/lockdale/gateway/rate/BackendRates.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/BackendRates.java
@@ -170,9 +170,13 @@
     return advertised.lowest(backend);
   }
 
-  /** Returns whether any backend advertises a rate. */
+  /** Returns whether any backend that is probably still used advertises a rate. */
   public boolean isAnyLimited() {
-    return anyKnown && !limited().isEmpty();
+    return anyKnown && isAnyLimitedLocked();
+  }
+
+  private synchronized boolean isAnyLimitedLocked() {
+    return advertised.isAnyInUseLimited(time.monotonicMillis());
   }
 
   /**
@@ -284,27 +288,19 @@
   }
 
   /**
-   * Removes backends that no longer exist, and periodically logs what was sent to the others.
+   * Removes backends that are gone, and periodically logs what was sent to the others.
    *
-   * @param backends the existing ones
+   * @param backends backends that have a record
    */
   public synchronized void tick(Set<String> backends) {
     if (!anyKnown) {
       return;
     }
     long now = time.monotonicMillis();
-    advertised
-        .limited()
-        .forEach(
-            (backend, rate) -> {
-              if (!backends.contains(backend)) {
-                log.logForgotten(backend, rate.perSecond(), "no-record");
-              }
-            });
-    advertised.retain(backends, now);
-    allowances.retain(backends);
+    advertised.retain(backends, now).forEach(log::logForgotten);
+    allowances.retain(advertised.limited().keySet());
     anyKnown = !advertised.isEmpty();
-    log.retain(backends);
+    log.retain(advertised.limited().keySet());
     log.tick(advertised, allowances.share(now), now);
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/rate/RateAllowances.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/RateAllowances.java
@@ -61,9 +61,9 @@
   }
 
   /**
-   * Removes backends that no longer exist.
+   * Removes the allowances of all backends but some.
    *
-   * @param backends the existing ones
+   * @param backends backends whose allowances remain
    */
   public void retain(Set<String> backends) {
     buckets.keySet().retainAll(backends);
--- a/gateway/src/main/java/org/lockdale/gateway/rate/RateLog.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/RateLog.java
@@ -69,9 +69,8 @@
   }
 
   /** Logs that the rate of a backend is no longer kept, although the backend did not end it. */
-  void logForgotten(String backend, double perSecond, String reason) {
-    Logger.info(
-        "event=rate-forgotten backend={} per-second={} reason={}", backend, perSecond, reason);
+  void logForgotten(String backend, double perSecond) {
+    Logger.info("event=rate-forgotten backend={} per-second={}", backend, perSecond);
   }
 
   /** Removes all backends but the given ones. */
--- a/gateway/src/test/java/org/lockdale/gateway/rate/AdvertisedRatesTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/rate/AdvertisedRatesTest.java
@@ -1,8 +1,10 @@
 package org.lockdale.gateway.rate;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.lockdale.gateway.backend.AdvertisedRate;
@@ -103,6 +105,46 @@
     assertTrue(rates.isEmpty());
   }
 
+  @Test
+  public void theRateOfAnIncarnationIsKeptWhileItsRecordIsMissing() {
+    recordRate(4, 0, 10);
+    for (long at = 0; at < 599_000; at += 500) {
+      assertEquals(rates.retain(Set.of("i-2@1"), at), Map.of());
+    }
+    assertEquals(rates.perSecond(ID), OptionalDouble.of(4));
+    rates.retain(Set.of(ID), 599_500);
+    rates.retain(Set.of(), 600_000);
+    assertEquals(rates.retain(Set.of(), 1_199_000), Map.of());
+    assertEquals(rates.retain(Set.of(), 1_200_000), Map.of(ID, 4.0));
+    assertTrue(rates.isEmpty());
+  }
+
+  @Test
+  public void anEarlierIncarnationsRecordDoesNotEndARate() {
+    rates.record("i-1@2", new AdvertisedRate.Limited(4), 0, 10);
+    rates.retain(Set.of("i-1@1"), 500);
+    assertEquals(rates.perSecond("i-1@2"), OptionalDouble.of(4));
+  }
+
+  @Test
+  public void theRatesOfAtMost256BackendsWithoutARecordAreKept() {
+    for (int server = 0; server < 300; server++) {
+      rates.record("i-" + server + "@1", new AdvertisedRate.Limited(4), 0, 10);
+      rates.retain(Set.of(), server);
+    }
+    assertEquals(rates.limited().size(), 256);
+    assertEquals(rates.perSecond("i-43@1"), OptionalDouble.empty());
+    assertEquals(rates.perSecond("i-44@1"), OptionalDouble.of(4));
+  }
+
+  @Test
+  public void aBackendWithoutARecordIsInUseForTenSeconds() {
+    recordRate(4, 0, 10);
+    rates.retain(Set.of(), 500);
+    assertTrue(rates.isAnyInUseLimited(10_499));
+    assertFalse(rates.isAnyInUseLimited(10_500));
+  }
+
   @Test(expectedExceptions = IllegalArgumentException.class)
   public void aRateIsANumber() {
     new AdvertisedRate.Limited(Double.NaN);
