What is under way to a server counts towards its rate

What callers saw: servers that name 3.9 requests a second and stand still for 6 s got more than 28 in the four seconds after it, each request granted as it should be. Cause: a request counted when it was granted and was felt when it arrived. Class: counted when decided, effective later. Change: each node counts its requests to such a server: those whose response has not begun, and those that arrived within the last four seconds, by the time of the response. A response shows that what the node sent before has arrived too. Nodes report the counts to the relays within 20 ms of a send and each half second; a relay grants only while they and what it granted in the last half second stay within what the server tolerates in a window, by the share that it holds.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramDispatcher.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramDispatcher.java
@@ -24,6 +24,7 @@
 import org.lockdale.protocol.generated.RateGrant;
 import org.lockdale.protocol.generated.RateReport;
 import org.lockdale.protocol.generated.RelayHeartbeat;
+import org.lockdale.protocol.generated.SendCountReport;
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
 import org.lockdale.protocol.generated.ShareReleased;
@@ -141,6 +142,11 @@
     rates.onReport(sender, report);
   }
 
+  @Override
+  public void onSendCounts(String sender, SendCountReport report) {
+    rates.onSendCounts(sender, report);
+  }
+
   @Override
   public void onRateGrant(String sender, RateGrant grant) {
     placements.onGrant(sender, grant);
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramExchange.java
@@ -38,7 +38,9 @@
 import org.lockdale.protocol.generated.RateDatagram;
 import org.lockdale.protocol.generated.RateGrant;
 import org.lockdale.protocol.generated.RateReport;
+import org.lockdale.protocol.generated.RateUseDatagram;
 import org.lockdale.protocol.generated.RelayHeartbeat;
+import org.lockdale.protocol.generated.SendCountReport;
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
 import org.lockdale.protocol.generated.ShareReleased;
@@ -71,6 +73,7 @@
   private final MessageCodec<NodeDatagram> codec = MessageCodec.nodeDatagrams();
   private final MessageCodec<NodeNotice> noticeCodec = MessageCodec.nodeNotices();
   private final MessageCodec<RateDatagram> rateCodec = MessageCodec.rateDatagrams();
+  private final MessageCodec<RateUseDatagram> rateUseCodec = MessageCodec.rateUseDatagrams();
   private final MessageCodec<DrainDatagram> drainCodec = MessageCodec.drainDatagrams();
   private final MessageCodec<OriginDatagram> originCodec = MessageCodec.originDatagrams();
   private final MessageCodec<CapacityDatagram> capacityCodec = MessageCodec.capacityDatagrams();
@@ -135,10 +138,11 @@
   /** Sends a message about the rates of backends; nodes of an earlier version ignore it. */
   public void sendRateMessage(Collection<InetSocketAddress> receivers, Message body) {
     if (!receivers.isEmpty()) {
-      sendBytes(
-          receivers,
-          RATE_KIND_PREFIX + kindOf(body),
-          rateCodec.encode(new RateDatagram(nodeId, body)));
+      byte[] message =
+          body instanceof SendCountReport
+              ? rateUseCodec.encode(new RateUseDatagram(nodeId, body))
+              : rateCodec.encode(new RateDatagram(nodeId, body));
+      sendBytes(receivers, RATE_KIND_PREFIX + kindOf(body), message);
     }
   }
 
@@ -214,6 +218,10 @@
           RateDatagram datagram = rateCodec.decode(message);
           meter.received(RATE_KIND_PREFIX + kindOf(datagram.getBody()), message.length);
           dispatch(datagram, packet.sender());
+        } else if (rateUseCodec.matchesSchema(message)) {
+          RateUseDatagram datagram = rateUseCodec.decode(message);
+          meter.received(RATE_KIND_PREFIX + kindOf(datagram.getBody()), message.length);
+          dispatch(datagram);
         } else if (drainCodec.matchesSchema(message)) {
           DrainDatagram datagram = drainCodec.decode(message);
           meter.received(kindOf(datagram.getBody()), message.length);
@@ -256,6 +264,12 @@
       }
     }
 
+    private void dispatch(RateUseDatagram datagram) {
+      if (datagram.getBody() instanceof SendCountReport report) {
+        listener.onSendCounts(datagram.getSender(), report);
+      }
+    }
+
     private void dispatch(PartDatagram datagram) {
       if (datagram.getBody() instanceof PartSuspectReport report) {
         listener.onPartReport(report);
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramListener.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/DatagramListener.java
@@ -16,6 +16,7 @@
 import org.lockdale.protocol.generated.RateGrant;
 import org.lockdale.protocol.generated.RateReport;
 import org.lockdale.protocol.generated.RelayHeartbeat;
+import org.lockdale.protocol.generated.SendCountReport;
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
 import org.lockdale.protocol.generated.ShareReleased;
@@ -67,6 +68,9 @@
   /** Called when a node reports the rates that backends advertise. */
   void onRateReport(String sender, RateReport report);
 
+  /** Called when a node reports its requests to backends that advertise rates. */
+  void onSendCounts(String sender, SendCountReport report);
+
   /** Called when a relay has counted a placement against the rate of its backend. */
   void onRateGrant(String sender, RateGrant grant);
 
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RateExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RateExchange.java
@@ -23,10 +23,13 @@
 import org.lockdale.gateway.backend.AdvertisedRate;
 import org.lockdale.gateway.limit.ShareLender;
 import org.lockdale.gateway.rate.BackendRates;
+import org.lockdale.gateway.rate.NodeRun;
 import org.lockdale.protocol.Message;
 import org.lockdale.protocol.generated.RateRecord;
 import org.lockdale.protocol.generated.RateReport;
 import org.lockdale.protocol.generated.RelayHeartbeat;
+import org.lockdale.protocol.generated.SendCountRecord;
+import org.lockdale.protocol.generated.SendCountReport;
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
 import org.lockdale.protocol.generated.ShareReleased;
@@ -82,6 +85,7 @@
   private final LoanSender loanSender;
   private final RateReportSender reportSender;
   private final RateBroadcaster broadcaster;
+  private final SendCountReporter sendCounts;
   private final Queue<RateObservation> pendingObservations = new ConcurrentLinkedQueue<>();
   private final AtomicBoolean sendScheduled = new AtomicBoolean();
   private final Map<String, LoanSender.Relay> latestHeartbeats = new HashMap<>();
@@ -110,6 +114,7 @@
             this::lendShare);
     this.reportSender = new RateReportSender(context.sender(), context.time());
     this.broadcaster = new RateBroadcaster(context, reportSender);
+    this.sendCounts = new SendCountReporter(context);
     context.rates().setListener(this::onRateReceived);
   }
 
@@ -185,6 +190,14 @@
     lendShare();
   }
 
+  /** Processes the numbers of requests to backends with rates that another node reports. */
+  void onSendCounts(String sender, SendCountReport report) {
+    NodeRun node = new NodeRun(sender, report.getLife());
+    for (SendCountRecord record : report.getCounts()) {
+      context.rates().recordSentCount(node, record.getEngine(), record.getCount());
+    }
+  }
+
   private void onRateChanged(RateObservation observation) {
     lendShare();
     if (context.coordinator().get().isPresent()) {
@@ -239,6 +252,7 @@
    */
   public void tick() {
     lendShare();
+    sendCounts.report();
     if (context.isCoordinator().getAsBoolean() && context.rates().isAnyLimited()) {
       sendToNonLenders();
     }
--- a/gateway/src/main/java/org/lockdale/gateway/node/MetricsHandler.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/MetricsHandler.java
@@ -101,6 +101,7 @@
     add(text, "lockdale_rate_share", rates.share());
     addAll(text, "lockdale_backend_rate_per_second", "backend", limits);
     addAll(text, "lockdale_backend_rate_sends_total", "backend", rates.sends());
+    addAll(text, "lockdale_backend_rate_pending", "backend", rates.pendingCounts());
     add(text, "lockdale_rate_delays_total", rates.delays());
   }
 
--- a/gateway/src/main/java/org/lockdale/gateway/rate/AdvertisedRates.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/AdvertisedRates.java
@@ -153,6 +153,11 @@
     return limited;
   }
 
+  /** Returns the backends that have a rate limit or had one until recently. */
+  public Set<String> known() {
+    return Set.copyOf(latest.keySet());
+  }
+
   /** Returns whether a backend has a rate limit or had one until recently. */
   public boolean isKnown(String backend) {
     return latest.containsKey(backend);
--- a/gateway/src/main/java/org/lockdale/gateway/rate/BackendRates.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/BackendRates.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 import org.lockdale.coordination.time.Time;
 import org.lockdale.gateway.backend.AdvertisedRate;
@@ -52,9 +53,11 @@
   private final Time time;
   private final AdvertisedRates advertised = new AdvertisedRates();
   private final RateAllowances allowances;
+  private final PendingArrivals pending = new PendingArrivals();
   private final RetryAfterSchedule retrySchedule = new RetryAfterSchedule();
   private final RateLog log = new RateLog();
   private volatile Listener listener = (backend, rate, sentAt, receivedAt, isNew) -> {};
+  private volatile Runnable sendListener = () -> {};
   private long delays;
 
   /** Whether any backend advertises a rate or did so until recently. */
@@ -71,6 +74,11 @@
     listener = newListener;
   }
 
+  /** Sets the listener for requests to backends that advertise rates, in place of any former. */
+  public void setSendListener(Runnable newListener) {
+    sendListener = newListener;
+  }
+
   /**
    * Processes the rate limit of a response to this node.
    *
@@ -192,7 +200,9 @@
   }
 
   private synchronized boolean hasRoomLocked(String backend) {
-    return allowances.hasRoom(backend, time.monotonicMillis());
+    long now = time.monotonicMillis();
+    return allowances.hasRoom(backend, now)
+        && pending.hasRoom(backend, allowances.perWindow(backend, now), now);
   }
 
   /**
@@ -205,9 +215,11 @@
   }
 
   private synchronized boolean tryTakeLocked(String backend) {
-    boolean taken = allowances.tryTake(backend, time.monotonicMillis());
+    long now = time.monotonicMillis();
+    boolean taken = hasRoomLocked(backend) && allowances.tryTake(backend, now);
     if (taken && advertised.lowest(backend).isPresent()) {
       log.recordGrant(backend);
+      pending.recordGrant(backend, now);
     }
     return taken;
   }
@@ -232,7 +244,10 @@
       perSecond = RETRIES_AFTER_BACKOFF_PER_SECOND;
     }
     for (String backend : backends) {
-      double wait = allowances.waitMillis(backend, now);
+      double wait =
+          Math.max(
+              allowances.waitMillis(backend, now),
+              pending.waitMillis(backend, allowances.perWindow(backend, now), now));
       if (wait < Double.POSITIVE_INFINITY) {
         soonest = Math.min(soonest, wait);
         perSecond += allowances.perSecond(backend);
@@ -270,7 +285,11 @@
    * @return the send, to be passed to {@link #recordEnd}; null if the backend advertises no rate
    */
   public @Nullable RateSend recordSend(String backend, String request, String grantedBy) {
-    return anyKnown ? recordSendLocked(backend, request, grantedBy) : null;
+    RateSend send = anyKnown ? recordSendLocked(backend, request, grantedBy) : null;
+    if (send != null) {
+      sendListener.run();
+    }
+    return send;
   }
 
   private synchronized @Nullable RateSend recordSendLocked(
@@ -279,12 +298,49 @@
       return null;
     }
     log.recordSend(backend);
-    return new RateSend(backend, request, grantedBy, time.monotonicMillis());
+    RateSend send = new RateSend(backend, request, grantedBy, time.monotonicMillis());
+    pending.recordSend(send);
+    return send;
   }
 
   /** Records that the response to a request has begun, or that its attempt ended without one. */
   public synchronized void recordEnd(RateSend send, RateSend.End end) {
-    log.logEnd(send, end, time.monotonicMillis());
+    long now = time.monotonicMillis();
+    pending.recordEnd(send, end, now);
+    log.logEnd(send, end, now);
+  }
+
+  /**
+   * Returns the number of this node's requests that may arrive now or have arrived recently, by
+   * backend, for those that advertise rates.
+   */
+  public Map<String, Integer> sentCounts() {
+    return anyKnown ? sentCountsLocked() : Map.of();
+  }
+
+  private synchronized Map<String, Integer> sentCountsLocked() {
+    return pending.sentCounts(time.monotonicMillis());
+  }
+
+  /**
+   * Records the number of another node's requests to a backend, in place of its earlier report.
+   * Ignored for a backend that advertises no rate to the knowledge of this node.
+   */
+  public synchronized void recordSentCount(NodeRun node, String backend, int count) {
+    if (advertised.isKnown(backend)) {
+      pending.recordReport(node, backend, count, time.monotonicMillis());
+    }
+  }
+
+  /**
+   * Returns the number of requests that this node knows of and that may arrive now or have arrived
+   * recently, by backend.
+   */
+  public synchronized Map<String, Integer> pendingCounts() {
+    long now = time.monotonicMillis();
+    Map<String, Integer> counts = new TreeMap<>();
+    advertised.limited().keySet().forEach(id -> counts.put(id, pending.count(id, now)));
+    return counts;
   }
 
   /**
@@ -299,9 +355,10 @@
     long now = time.monotonicMillis();
     advertised.retain(backends, now).forEach(log::logForgotten);
     allowances.retain(advertised.limited().keySet());
+    pending.retain(advertised.known());
     anyKnown = !advertised.isEmpty();
     log.retain(advertised.limited().keySet());
-    log.tick(advertised, allowances.share(now), now);
+    log.tick(advertised, pending, allowances.share(now), now);
   }
 
   /**
--- a/gateway/src/main/java/org/lockdale/gateway/rate/RateAllowances.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/RateAllowances.java
@@ -120,6 +120,16 @@
     return bucket == null ? Double.POSITIVE_INFINITY : bucket.bound.perSecond() * shares.share();
   }
 
+  /**
+   * Returns the number of requests that this node may have arrive at a backend in one window;
+   * positive infinity if the backend has no rate.
+   */
+  public double perWindow(String backend, long nowMillis) {
+    shares.update(nowMillis);
+    Bucket bucket = buckets.get(backend);
+    return bucket == null ? Double.POSITIVE_INFINITY : bucket.bound.perWindow(shares.share());
+  }
+
   /** Records that a node lends its share until a time, in place of its earlier loan. */
   public void lent(String node, double share, long untilMillis, long nowMillis) {
     shares.lent(node, share, untilMillis, nowMillis);
--- a/gateway/src/main/java/org/lockdale/gateway/rate/RateBound.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/RateBound.java
@@ -5,9 +5,9 @@
  * to at most 1, so in any period all nodes together send at most the rate times the period, plus
  * the {@link #capacity} of a full share.
  *
- * @param perSecond requests per second that all nodes together may send
+ * @param advertisedPerSecond requests per second that the backend accepts from all nodes together
  */
-record RateBound(double perSecond) {
+record RateBound(double advertisedPerSecond) {
 
   /**
    * Minimum rate. A backend that accepts nothing is sent an occasional request, since only a
@@ -35,9 +35,21 @@
   /** Part of that burst that does not depend on the rate, in requests. */
   private static final double BURST_REQUESTS = 2;
 
-  /** Raises the rate to the minimum. */
-  RateBound {
-    perSecond = Math.max(perSecond, MIN_PER_SECOND);
+  /** Factor by which a backend tolerates more requests in a window than its rate allows. */
+  private static final double WINDOW_FACTOR = 1.5;
+
+  /** Requests that a backend tolerates in a window in addition. */
+  private static final double WINDOW_REQUESTS = 5;
+
+  /** Returns the requests per second that all nodes together may send: the minimum at least. */
+  double perSecond() {
+    return Math.max(advertisedPerSecond, MIN_PER_SECOND);
+  }
+
+  /** Returns the number of requests that a share may have arrive in one window. */
+  double perWindow(double share) {
+    double windowSeconds = SentRequests.WINDOW_MILLIS / 1_000.0;
+    return (WINDOW_FACTOR * advertisedPerSecond * windowSeconds + WINDOW_REQUESTS) * share;
   }
 
   /**
@@ -46,7 +58,7 @@
    * @param shareMillis integral of the share over time, in milliseconds
    */
   double gain(double shareMillis) {
-    return perSecond * shareMillis / 1_000;
+    return perSecond() * shareMillis / 1_000;
   }
 
   /**
@@ -55,8 +67,8 @@
    * accumulate one if all isolated nodes together do not exceed what the backend tolerates.
    */
   double capacity(double share) {
-    double burst = (BURST_SECONDS * perSecond + BURST_REQUESTS) * share;
-    double tolerated = (TOLERATED_SECONDS * perSecond + TOLERATED_REQUESTS) * share;
+    double burst = (BURST_SECONDS * perSecond() + BURST_REQUESTS) * share;
+    double tolerated = (TOLERATED_SECONDS * perSecond() + TOLERATED_REQUESTS) * share;
     return Math.max(burst, Math.min(1, tolerated));
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/rate/RateLog.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/RateLog.java
@@ -79,7 +79,7 @@
   }
 
   /** Logs the sums of the backends with new requests, if they are due. */
-  void tick(AdvertisedRates rates, double share, long nowMillis) {
+  void tick(AdvertisedRates rates, PendingArrivals pending, double share, long nowMillis) {
     if (nowMillis - loggedAtMillis < INTERVAL_MILLIS) {
       return;
     }
@@ -93,19 +93,21 @@
                     entry.getKey(),
                     entry.getValue(),
                     rates.perSecond(entry.getKey()).orElse(Double.NaN),
+                    pending.count(entry.getKey(), nowMillis),
                     share));
     byBackend.values().forEach(RateLog::startInterval);
     linesLeft = MAX_SENDS;
     suppressed = 0;
   }
 
-  private void logSums(String backend, Counts counts, double perSecond, double share) {
+  private void logSums(String backend, Counts counts, double perSecond, int pending, double share) {
     Logger.info(
-        "event=rate-sends backend={} per-second={} sends={} grants={} share={} lines-suppressed={}",
+        "event=rate-sends backend={} per-second={} sends={} grants={} pending={} share={} lines-suppressed={}",
         backend,
         perSecond,
         counts.sends - counts.loggedSends,
         counts.grants - counts.loggedGrants,
+        pending,
         share,
         suppressed);
   }
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/NoOpDatagramListener.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/NoOpDatagramListener.java
@@ -16,6 +16,7 @@
 import org.lockdale.protocol.generated.RateGrant;
 import org.lockdale.protocol.generated.RateReport;
 import org.lockdale.protocol.generated.RelayHeartbeat;
+import org.lockdale.protocol.generated.SendCountReport;
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
 import org.lockdale.protocol.generated.ShareReleased;
@@ -68,6 +69,9 @@
   @Override
   public void onRateReport(String sender, RateReport report) {}
 
+  @Override
+  public void onSendCounts(String sender, SendCountReport report) {}
+
   @Override
   public void onRateGrant(String sender, RateGrant grant) {}
 
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RateLimitedBackend.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RateLimitedBackend.java
@@ -35,6 +35,15 @@
   private double allowed;
   private int served;
 
+  /** Until when it reads no requests, nor answers any; those that wait arrive then. */
+  long stalledUntilMillis;
+
+  /** Minimum time to answer a request. */
+  long serviceMillis;
+
+  /** Whether it has a record, without which nodes do not choose it. */
+  boolean recorded = true;
+
   RateLimitedBackend(String server) {
     this.server = server;
     restart(0);
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulation.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulation.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.lockdale.coordination.simulation.VirtualTime;
 import org.lockdale.protocol.Message;
 
@@ -54,6 +56,14 @@
     return node;
   }
 
+  /** Returns the incarnations of the backends that have a record. */
+  Set<String> recordedBackends() {
+    return backends.stream()
+        .filter(backend -> backend.recorded)
+        .map(RateLimitedBackend::id)
+        .collect(Collectors.toSet());
+  }
+
   RateSimulationNode node(String id) {
     return byId.get(id);
   }
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulationNode.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulationNode.java
@@ -9,6 +9,7 @@
 import org.lockdale.gateway.rate.BackendRates;
 import org.lockdale.protocol.generated.RateReport;
 import org.lockdale.protocol.generated.RelayHeartbeat;
+import org.lockdale.protocol.generated.SendCountReport;
 import org.lockdale.protocol.generated.ShareLoan;
 import org.lockdale.protocol.generated.ShareRecall;
 import org.lockdale.protocol.generated.ShareReleased;
@@ -207,6 +208,7 @@
 
   private void runUpkeep() {
     if (!isEarlierVersion) {
+      rates.tick(simulation.recordedBackends());
       exchange.tick();
     }
   }
@@ -217,6 +219,8 @@
     }
     if (message instanceof RateReport report) {
       exchange.onReport(sender.id, report);
+    } else if (message instanceof SendCountReport report) {
+      exchange.onSendCounts(sender.id, report);
     } else if (message instanceof ShareLoan loan) {
       exchange.borrow(sender.id, loan);
     } else if (message instanceof ShareRecall recall) {
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulationRequests.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulationRequests.java
@@ -2,7 +2,9 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.lockdale.gateway.backend.AdvertisedRate;
+import org.lockdale.gateway.rate.RateSend;
 
 /**
  * The requests that a node of {@link RateSimulation} receives: it has a relay choose a backend or
@@ -18,6 +20,9 @@
   private final RateSimulationNode node;
   private int unansweredQueries;
 
+  /** Until when the links of this node to backends with rates hold what they carry. */
+  long linksHeldUntilMillis;
+
   RateSimulationRequests(RateSimulation simulation, RateSimulationNode node) {
     this.simulation = simulation;
     this.node = node;
@@ -30,7 +35,8 @@
   private Optional<RateLimitedBackend> choose() {
     RateLimitedBackend best = null;
     for (RateLimitedBackend candidate : simulation.backends) {
-      boolean open = node.isEarlierVersion || node.rates().hasRoom(candidate.id());
+      boolean open =
+          candidate.recorded && (node.isEarlierVersion || node.rates().hasRoom(candidate.id()));
       if (open && (best == null || simulation.random.nextInt(simulation.backends.size()) == 0)) {
         best = candidate;
       }
@@ -126,35 +132,72 @@
     String target = backend.id();
     long sentAt = node.monotonicMillis();
     long current = node.incarnation();
-    node.rates().recordSend(target, "", "");
+    RateSend send = node.rates().recordSend(target, "", "");
     simulation.time.schedule(
-        simulation.linkMicros(),
-        () -> {
-          if (!backend.id().equals(target)) {
-            return;
-          }
-          // An earlier version cannot comply with a rate, whatever an earlier incarnation of the
-          // node received.
-          backend.onRequest(
-              node.isEarlierVersion ? "" : node.id, simulation.time.monotonicMillis());
-          simulation.time.schedule(
-              simulation.random.nextInt(SERVICE_MICROS),
-              () -> {
-                AdvertisedRate rate = backend.advertisedRate();
-                simulation.time.schedule(
-                    simulation.linkMicros(),
-                    () -> node.whenAwake(current, () -> onResponse(backend, target, rate, sentAt)));
-              });
-        });
+        simulation.linkMicros() + heldMicros(backend, linksHeldUntilMillis),
+        () -> arriveAt(backend, target, send, sentAt, current));
+  }
+
+  private long heldMicros(RateLimitedBackend backend, long untilMillis) {
+    boolean hasRate = backend.advertisedRate() instanceof AdvertisedRate.Limited;
+    return hasRate ? Math.max(0, untilMillis * 1_000 - simulation.time.nowMicros()) : 0;
+  }
+
+  private void arriveAt(
+      RateLimitedBackend backend,
+      String target,
+      @Nullable RateSend send,
+      long sentAt,
+      long incarnation) {
+    if (!backend.id().equals(target)) {
+      return;
+    }
+    long stalledMicros = backend.stalledUntilMillis * 1_000 - simulation.time.nowMicros();
+    if (stalledMicros > 0) {
+      simulation.time.schedule(
+          stalledMicros, () -> arriveAt(backend, target, send, sentAt, incarnation));
+      return;
+    }
+    // An earlier version cannot comply with a rate, whatever an earlier incarnation of the node
+    // received.
+    backend.onRequest(node.isEarlierVersion ? "" : node.id, simulation.time.monotonicMillis());
+    long serviceMicros = backend.serviceMillis * 1_000 + simulation.random.nextInt(SERVICE_MICROS);
+    simulation.time.schedule(
+        serviceMicros, () -> answer(backend, target, send, sentAt, incarnation));
+  }
+
+  private void answer(
+      RateLimitedBackend backend,
+      String target,
+      @Nullable RateSend send,
+      long sentAt,
+      long incarnation) {
+    long stalledMicros = backend.stalledUntilMillis * 1_000 - simulation.time.nowMicros();
+    if (stalledMicros > 0) {
+      simulation.time.schedule(
+          stalledMicros, () -> answer(backend, target, send, sentAt, incarnation));
+      return;
+    }
+    AdvertisedRate rate = backend.advertisedRate();
+    simulation.time.schedule(
+        simulation.linkMicros() + heldMicros(backend, linksHeldUntilMillis),
+        () -> node.whenAwake(incarnation, () -> onResponse(backend, target, rate, send, sentAt)));
   }
 
   private void onResponse(
-      RateLimitedBackend backend, String target, AdvertisedRate rate, long sentAt) {
+      RateLimitedBackend backend,
+      String target,
+      AdvertisedRate rate,
+      @Nullable RateSend send,
+      long sentAt) {
     if (!node.isEarlierVersion) {
       if (backend.id().equals(target)) {
         backend.onResponseReceived(node.id, rate, simulation.time.monotonicMillis());
       }
       node.rates().recordResponse(target, rate, sentAt);
+      if (send != null) {
+        node.rates().recordEnd(send, RateSend.End.ANSWERED);
+      }
     }
   }
 }
--- a/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
+++ b/protocol/src/main/java/org/lockdale/protocol/MessageCodec.java
@@ -25,6 +25,7 @@
 import org.lockdale.protocol.generated.PartSuspectRecord;
 import org.lockdale.protocol.generated.PeerMessage;
 import org.lockdale.protocol.generated.RateDatagram;
+import org.lockdale.protocol.generated.RateUseDatagram;
 import org.lockdale.protocol.generated.SoftwareVersionRecord;
 import org.lockdale.protocol.generated.StreamOriginReport;
 import org.lockdale.protocol.generated.SuspectRecord;
@@ -125,6 +126,11 @@
     return of(0xF59EEF35DA66E803L, RateDatagram::readFrom);
   }
 
+  /** Returns a codec of the datagrams between gateway nodes about requests to limited backends. */
+  public static MessageCodec<RateUseDatagram> rateUseDatagrams() {
+    return of(0xA5B7D4C6DC32E6D5L, RateUseDatagram::readFrom);
+  }
+
   /** Returns a codec of the datagrams between gateway nodes about draining backends. */
   public static MessageCodec<DrainDatagram> drainDatagrams() {
     return of(0xB57AA0A0C9366968L, DrainDatagram::readFrom);
--- a/protocol/src/test/java/org/lockdale/protocol/MessageCodecTest.java
+++ b/protocol/src/test/java/org/lockdale/protocol/MessageCodecTest.java
@@ -52,6 +52,7 @@
 import org.lockdale.protocol.generated.PlacementQuestion;
 import org.lockdale.protocol.generated.QueryPart;
 import org.lockdale.protocol.generated.RateDatagram;
+import org.lockdale.protocol.generated.RateUseDatagram;
 import org.lockdale.protocol.generated.RelayHeartbeat;
 import org.lockdale.protocol.generated.SoftwareVersionRecord;
 import org.lockdale.protocol.generated.StreamOriginReport;
@@ -143,6 +144,7 @@
             Map.entry(MessageCodec.nodeDatagrams(), NodeDatagram.getClassSchema()),
             Map.entry(MessageCodec.nodeNotices(), NodeNotice.getClassSchema()),
             Map.entry(MessageCodec.rateDatagrams(), RateDatagram.getClassSchema()),
+            Map.entry(MessageCodec.rateUseDatagrams(), RateUseDatagram.getClassSchema()),
             Map.entry(MessageCodec.drainDatagrams(), DrainDatagram.getClassSchema()),
             Map.entry(MessageCodec.originDatagrams(), OriginDatagram.getClassSchema()),
             Map.entry(MessageCodec.capacityDatagrams(), CapacityDatagram.getClassSchema()),
