A choice without a grant is counted, also at a rate that was not heard for long; nodes that have started ask for rates

Cause: a node let a relay's choice pass uncounted if its own last answer of that server was over 15 s old, as the rate might have ended; a relay that had just started knew no rate, and nobody told it. Not heard lately was read as no longer. Change: each choice without a grant is counted. Nodes tell a relay that has just started the rates that they know, three times at the most; a node that has started asks eight others. That a stale rate doesn't stay: who gets a report of a rate that has ended answers with the end, and a relay that has forgotten the end takes the rate over until the next answer ends it for all. Tidied: PeerRateSupport is a listener with one method now; what tells rates to others is in KnownRateSender.

--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/PlacementClient.java
@@ -76,7 +76,7 @@
    * @param relays supplies the other relays that place requests, the most senior first
    * @param backends supplies the backends that are in the shared store
    * @param decider decides if no relay answers
-   * @param rates which nodes take the rates of backends into account
+   * @param uncounted receives placements that relays made without counting them against a rate
    * @param reporter notified of requests that count in a backend's load
    * @param time clock
    */
@@ -87,7 +87,7 @@
       Supplier<List<RelayElection.Relay>> relays,
       Supplier<BackendTable> backends,
       PlacementDecider decider,
-      PeerRateSupport rates,
+      UncountedPlacementListener uncounted,
       NodeReporter reporter,
       Time time) {}
 
@@ -282,9 +282,8 @@
     if (weights != null && isOutdated(sender, query, target, weights)) {
       return null;
     }
-    boolean supportsRates = context.rates().supportsRates(sender);
-    if (!isGranted && !context.decider().tryCount(target, supportsRates)) {
-      context.rates().onUncountedPlacement(sender, target.backend().id());
+    if (!isGranted && !context.decider().tryCount(target)) {
+      context.uncounted().onUncountedPlacement(sender, target.backend().id());
       return null;
     }
     CacheTransfer transfer =
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RateExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RateExchange.java
@@ -1,7 +1,6 @@
 package org.lockdale.gateway.cluster;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -42,7 +41,7 @@
  * a rate. Rates read from responses may be passed in on any thread; everything else runs on one
  * event loop.
  */
-public final class RateExchange implements ShareBorrower, PeerRateSupport {
+public final class RateExchange implements ShareBorrower, UncountedPlacementListener {
 
   /** Rates read within this time go into one message. */
   private static final long BATCH_MILLIS = 10;
@@ -86,6 +85,7 @@
   private final RateReportSender reportSender;
   private final RateBroadcaster broadcaster;
   private final SendCountReporter sendCounts;
+  private final KnownRateSender knownRates;
   private final Queue<RateObservation> pendingObservations = new ConcurrentLinkedQueue<>();
   private final AtomicBoolean sendScheduled = new AtomicBoolean();
   private final Map<String, LoanSender.Relay> latestHeartbeats = new HashMap<>();
@@ -115,32 +115,13 @@
     this.reportSender = new RateReportSender(context.sender(), context.time());
     this.broadcaster = new RateBroadcaster(context, reportSender);
     this.sendCounts = new SendCountReporter(context);
+    this.knownRates = new KnownRateSender(context, reportSender);
     context.rates().setListener(this::onRateReceived);
   }
 
-  @Override
-  public boolean supportsRates(String node) {
-    return rateAwareNodes.contains(node);
-  }
-
   @Override
   public void onUncountedPlacement(String relay, String backend) {
-    context.executor().execute(() -> sendKnownRate(relay, backend));
-  }
-
-  private void sendKnownRate(String relay, String backend) {
-    List<RateObservation> known =
-        context
-            .rates()
-            .advertisedRate(backend)
-            .map(advertised -> RateObservation.of(backend, advertised))
-            .stream()
-            .toList();
-    for (RelayElection.Relay each : context.relays().get()) {
-      if (each.id().equals(relay)) {
-        reportSender.send(List.of(each.address()), known);
-      }
-    }
+    context.executor().execute(() -> knownRates.tellRate(relay, backend));
   }
 
   private void onRateReceived(
@@ -173,6 +154,9 @@
   /** Processes the rates that another node reports. */
   void onReport(String sender, RateReport report) {
     rateAwareNodes.add(sender);
+    if (report.getRates().isEmpty()) {
+      knownRates.answer(sender);
+    }
     long now = context.time().monotonicMillis();
     for (RateRecord record : report.getRates()) {
       RateObservation observation = RateObservation.of(record, now);
@@ -185,6 +169,8 @@
               observation.sentAtMillis(),
               observation.receivedAtMillis())) {
         onRateChanged(observation);
+      } else {
+        knownRates.tellEnd(sender, observation);
       }
     }
     lendShare();
@@ -221,6 +207,9 @@
     if (before != null && before.heartbeat().incarnation() != heartbeat.getLife()) {
       rateAwareNodes.remove(relay);
     }
+    if (!rateAwareNodes.contains(relay)) {
+      knownRates.tellRelay(relay, address, heartbeat.getLife());
+    }
     lendShare();
   }
 
@@ -254,27 +243,8 @@
     lendShare();
     sendCounts.report();
     if (context.isCoordinator().getAsBoolean() && context.rates().isAnyLimited()) {
-      sendToNonLenders();
-    }
-  }
-
-  /**
-   * Sends all known rates to the nodes that do not lend their share: they have received no rate yet
-   * or have just restarted.
-   */
-  private void sendToNonLenders() {
-    List<InetSocketAddress> nonLenders = new ArrayList<>();
-    for (PeerNode peer : context.peers().get()) {
-      if (!context.rates().isLentBy(peer.id())) {
-        nonLenders.add(peer.address());
-      }
+      knownRates.tellNonLenders();
     }
-    List<RateObservation> known = new ArrayList<>();
-    context
-        .rates()
-        .limited()
-        .forEach((backend, rate) -> known.add(RateObservation.of(backend, rate)));
-    reportSender.send(nonLenders, known);
   }
 
   @Override
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RateObservation.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RateObservation.java
@@ -25,7 +25,7 @@
   static RateObservation of(String backend, AdvertisedRates.Observation rate) {
     return new RateObservation(
         backend,
-        new AdvertisedRate.Limited(rate.perSecond()),
+        rate.isLimit() ? new AdvertisedRate.Limited(rate.perSecond()) : AdvertisedRate.NONE,
         rate.sentAtMillis(),
         rate.receivedAtMillis());
   }
--- a/gateway/src/main/java/org/lockdale/gateway/cluster/PeerRateSupport.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/UncountedPlacementListener.java
@@ -1,12 +1,8 @@
 package org.lockdale.gateway.cluster;
 
-/** Tracks which nodes take the rates that backends advertise into account. */
-public interface PeerRateSupport {
-
-  /**
-   * Returns whether a node has shown that it supports rates; one of an earlier version never does.
-   */
-  boolean supportsRates(String node);
+/** Receives placements that relays made without counting them against a rate. */
+@FunctionalInterface
+public interface UncountedPlacementListener {
 
   /**
    * Called when a relay placed a request without counting it against the backend's rate; the relay
--- a/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
+++ b/gateway/src/main/java/org/lockdale/gateway/placement/PlacementDecider.java
@@ -128,17 +128,13 @@
 
   /**
    * Counts a request that another node has placed without counting it, such as a node that doesn't
-   * know the backend's rate limit. Nothing is counted where this node has not received the rate
-   * limit recently and the other node supports rate limits: the limit may no longer apply, and the
-   * other node may have learned this first.
+   * know the backend's rate limit.
    *
    * @param target backend at which the request was placed
-   * @param supportsRates whether the other node supports advertised rate limits
    * @return whether the request may be sent within the share of the limit that this node holds
    */
-  public boolean tryCount(TrackedBackend target, boolean supportsRates) {
-    String id = target.backend().id();
-    return supportsRates && !rates.wasRecentlyAdvertised(id) || rates.tryTake(id);
+  public boolean tryCount(TrackedBackend target) {
+    return rates.tryTake(target.backend().id());
   }
 
   /** Returns whether a version of weights is too old for a request to start on it now. */
--- a/gateway/src/main/java/org/lockdale/gateway/rate/AdvertisedRates.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/AdvertisedRates.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -60,6 +61,11 @@
    */
   public record Observation(double perSecond, long sentAtMillis, long receivedAtMillis) {
 
+    /** Returns whether the response advertised a limit. */
+    public boolean isLimit() {
+      return perSecond < NO_LIMIT;
+    }
+
     boolean isLaterThan(Observation other) {
       return sentAtMillis > other.receivedAtMillis;
     }
@@ -128,14 +134,25 @@
   private static Optional<Observation> lowestOf(List<Observation> observations) {
     Observation lowest = null;
     for (Observation observation : observations) {
-      boolean limits = observation.perSecond() < NO_LIMIT;
-      if (limits && (lowest == null || observation.perSecond() < lowest.perSecond())) {
+      if (observation.isLimit()
+          && (lowest == null || observation.perSecond() < lowest.perSecond())) {
         lowest = observation;
       }
     }
     return Optional.ofNullable(lowest);
   }
 
+  /**
+   * Returns the latest response of a backend that had a rate limit until recently and has none now;
+   * empty for any other.
+   */
+  public Optional<Observation> endOf(String backend) {
+    List<Observation> observations = latest.getOrDefault(backend, List.of());
+    return lowestOf(observations).isPresent()
+        ? Optional.empty()
+        : observations.stream().max(Comparator.comparingLong(Observation::receivedAtMillis));
+  }
+
   /** Returns the rate limit of a backend in requests per second, or empty if it has none. */
   public OptionalDouble perSecond(String backend) {
     return lowest(backend).stream().mapToDouble(Observation::perSecond).findAny();
--- a/gateway/src/main/java/org/lockdale/gateway/rate/BackendRates.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/BackendRates.java
@@ -38,12 +38,6 @@
         boolean isNew);
   }
 
-  /**
-   * Time after which a rate that was not advertised again may have ended without this node having
-   * noticed, in milliseconds.
-   */
-  private static final long RECENT_MILLIS = 15_000;
-
   /**
    * Rate at which the retries of callers are scheduled after a backoff. How much a backend accepts
    * then is unknown; this rate spreads the callers, and delays few of them.
@@ -159,17 +153,6 @@
     return anyKnown && advertisedRate(backend).isPresent();
   }
 
-  /**
-   * Returns whether a backend advertises a rate and the response that determines it was received
-   * recently.
-   */
-  public boolean wasRecentlyAdvertised(String backend) {
-    return anyKnown
-        && advertisedRate(backend)
-            .filter(lowest -> time.monotonicMillis() - lowest.receivedAtMillis() < RECENT_MILLIS)
-            .isPresent();
-  }
-
   /**
    * Returns the lowest rate among the latest responses of a backend, or empty if it advertises
    * none.
@@ -178,6 +161,14 @@
     return advertised.lowest(backend);
   }
 
+  /**
+   * Returns the latest response of a backend that advertised a rate until recently and does so no
+   * more; empty for any other.
+   */
+  public synchronized Optional<AdvertisedRates.Observation> endOf(String backend) {
+    return advertised.endOf(backend);
+  }
+
   /** Returns whether any backend that is probably still used advertises a rate. */
   public boolean isAnyLimited() {
     return anyKnown && isAnyLimitedLocked();
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/PlacementClientTest.java
@@ -67,19 +67,6 @@
   /** Backends whose placements a relay has not counted in their rate. */
   private final List<String> uncounted = new ArrayList<>();
 
-  private final PeerRateSupport noRates =
-      new PeerRateSupport() {
-        @Override
-        public boolean supportsRates(String node) {
-          return false;
-        }
-
-        @Override
-        public void onUncountedPlacement(String relay, String backend) {
-          uncounted.add(backend);
-        }
-      };
-
   private final List<RelayElection.Relay> relays = new ArrayList<>();
   private EventLoopGroup group;
   private GatewayBlackboard blackboard;
@@ -151,7 +138,7 @@
                 () -> relays,
                 () -> blackboard.backends().value(),
                 decider,
-                noRates,
+                (relay, backend) -> uncounted.add(backend),
                 new NodeReporter(
                     loop,
                     datagrams,
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RateDelaySimulationTest.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RateDelaySimulationTest.java
@@ -43,7 +43,10 @@
     RELAY_KILLED_IN_STALL,
     MESSAGES_LOST_IN_STALL,
     RATES_CHANGE_IN_STALL,
-    RESTARTS_IN_TURN
+    RESTARTS_IN_TURN,
+    SLOW_AND_RESTARTS_IN_TURN,
+    SLOW_AND_RELAYS_RESTART,
+    UNHEARD_AND_RELAYS_RESTART
   }
 
   private record Result(double worstExcess, double passed, double rejected) {}
@@ -156,11 +159,20 @@
             2_000,
             () -> limited.forEach(b -> b.advertise(rate / 3, simulation.time.monotonicMillis())));
       }
-      case RESTARTS_IN_TURN -> {
-        for (int index = 0; index < nodes.size(); index++) {
-          RateSimulationNode node = nodes.get(index);
-          simulation.after(index * 20_000L / nodes.size(), () -> node.restartAfter(600));
-        }
+      case RESTARTS_IN_TURN -> restartInTurn(simulation, 20_000);
+      case SLOW_AND_RESTARTS_IN_TURN -> {
+        limited.forEach(backend -> backend.serviceMillis = 3_000);
+        restartInTurn(simulation, 12_000);
+      }
+      case SLOW_AND_RELAYS_RESTART -> {
+        limited.forEach(backend -> backend.serviceMillis = 3_000);
+        restartRelays(simulation, 6);
+      }
+      case UNHEARD_AND_RELAYS_RESTART -> {
+        limited.forEach(backend -> backend.serviceMillis = 1_500);
+        limited.subList(1, LIMITED).forEach(backend -> backend.recorded = false);
+        simulation.after(16_000, () -> limited.forEach(backend -> backend.recorded = true));
+        simulation.after(15_500, () -> restartRelays(simulation, 3));
       }
       default -> throw new AssertionError(fault);
     }
@@ -178,6 +190,22 @@
     }
   }
 
+  private static void restartInTurn(RateSimulation simulation, long withinMillis) {
+    List<RateSimulationNode> nodes = simulation.nodes;
+    for (int index = 0; index < nodes.size(); index++) {
+      RateSimulationNode node = nodes.get(index);
+      simulation.after(index * withinMillis / nodes.size(), () -> node.restartAfter(600));
+    }
+  }
+
+  /** Restarts the relay that places requests, some times with a second in between. */
+  private static void restartRelays(RateSimulation simulation, int times) {
+    if (times > 0) {
+      simulation.coordinator().restartAfter(100);
+      simulation.after(1_000, () -> restartRelays(simulation, times - 1));
+    }
+  }
+
   private static void holdLinks(RateSimulationNode node, long untilMillis) {
     node.requests().linksHeldUntilMillis = untilMillis;
   }
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulationRequests.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/RateSimulationRequests.java
@@ -89,7 +89,7 @@
       RateSimulationNode relay, Optional<RateLimitedBackend> chosen, boolean isGranted) {
     if (chosen.isEmpty()) {
       simulation.rejected++;
-    } else if (node.isEarlierVersion || isGranted || tryCount(relay, chosen.get().id())) {
+    } else if (node.isEarlierVersion || isGranted || node.rates().tryTake(chosen.get().id())) {
       run(chosen.get());
     } else {
       node.exchange().onUncountedPlacement(relay.id, chosen.get().id());
@@ -101,12 +101,6 @@
     return !node.isEarlierVersion && node.rates().isLimited(backend.id());
   }
 
-  private boolean tryCount(RateSimulationNode relay, String backend) {
-    boolean supportsRates = node.exchange().supportsRates(relay.id);
-    return supportsRates && !node.rates().wasRecentlyAdvertised(backend)
-        || node.rates().tryTake(backend);
-  }
-
   private void onTimeout(RateSimulationNode relay, boolean isRepeat) {
     if (++unansweredQueries >= MAX_UNANSWERED_QUERIES) {
       unansweredQueries = 0;
--- a/gateway/src/test/java/org/lockdale/gateway/cluster/TicketNode.java
+++ b/gateway/src/test/java/org/lockdale/gateway/cluster/TicketNode.java
@@ -72,16 +72,6 @@
     NodeReporter reporter =
         new NodeReporter(
             loop, datagrams, () -> blackboard.backends().value(), List::of, SystemTime.instance());
-    PeerRateSupport noRates =
-        new PeerRateSupport() {
-          @Override
-          public boolean supportsRates(String node) {
-            return false;
-          }
-
-          @Override
-          public void onUncountedPlacement(String relay, String backend) {}
-        };
     placements =
         new PlacementClient(
             new PlacementClient.Context(
@@ -91,7 +81,7 @@
                 () -> known,
                 () -> blackboard.backends().value(),
                 decider,
-                noRates,
+                (relay, backend) -> {},
                 reporter,
                 SystemTime.instance()),
             Duration.ofMillis(ANSWER_MILLIS),
