Replies that a node collects are bounded together, not by 64 MiB each

What callers saw (other operators, could happen here): a faulty server sends a body without end; the node keeps it, and requests of other callers end with the process. Cause: forwarded responses and heads are bounded by what a node may hold, but a reply to a call of the node itself (reports and cache events of engines, pages of the store, tables of other nodes) was collected up to 64 MiB for each call, in a heap of 96 MiB. Change: all replies that are being collected share 16 MiB; beyond that the call with the longest fails, and sound calls go on.

--- a/http/src/main/java/org/lockdale/http/HttpClient.java
+++ b/http/src/main/java/org/lockdale/http/HttpClient.java
@@ -39,6 +39,7 @@
   }
 
   private final EventLoopGroup group;
+  private final CollectedReplies collected = new CollectedReplies();
   private final ConnectionPool pool;
   private final ExchangeListener exchangeListener;
 
@@ -366,7 +367,7 @@
       Duration timeout,
       ReplyCheck check) {
     CompletableFuture<HttpReply> result = new CompletableFuture<>();
-    send(connections, address, request, call, new ReplyCollector(check, result));
+    send(connections, address, request, call, new ReplyCollector(check, collected, result));
     EventLoop eventLoop = connections.eventLoop();
     var timer =
         eventLoop.schedule(
--- a/http/src/main/java/org/lockdale/http/ReplyCollector.java
+++ b/http/src/main/java/org/lockdale/http/ReplyCollector.java
@@ -10,9 +10,8 @@
 /** Collects the complete reply to a call. Runs on the event loop of the call. */
 final class ReplyCollector implements HttpResponseListener {
 
-  private static final int MAX_REPLY_BYTES = 64 * 1024 * 1024;
-
   private final ReplyCheck check;
+  private final CollectedReplies collected;
   private final CompletableFuture<HttpReply> result;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private int status;
@@ -23,11 +22,15 @@
    * Creates a collector.
    *
    * @param check tells surplus replies
+   * @param collected bounds the replies that are collected at the same time
    * @param result receives the reply, or why there is none
    */
-  ReplyCollector(ReplyCheck check, CompletableFuture<HttpReply> result) {
+  ReplyCollector(
+      ReplyCheck check, CollectedReplies collected, CompletableFuture<HttpReply> result) {
     this.check = check;
+    this.collected = collected;
     this.result = result;
+    result.whenComplete((reply, failure) -> collected.remove(this));
   }
 
   @Override
@@ -38,10 +41,12 @@
 
   @Override
   public void onContent(ByteBuf content) {
-    if (body.size() + content.readableBytes() > MAX_REPLY_BYTES) {
-      result.completeExceptionally(
-          new HttpCallException(
-              HttpCallException.Stage.BROKEN_REPLY, "the reply exceeds the size limit"));
+    ReplyCollector largest = collected.add(this, content.readableBytes());
+    if (largest != null) {
+      largest.giveUp();
+    }
+    if (result.isDone()) {
+      collected.remove(this);
       return;
     }
     byte[] part = new byte[content.readableBytes()];
@@ -49,6 +54,13 @@
     body.writeBytes(part);
   }
 
+  /** Fails the call; from any thread. */
+  private void giveUp() {
+    result.completeExceptionally(
+        new HttpCallException(
+            HttpCallException.Stage.BROKEN_REPLY, "the reply exceeds the size limit"));
+  }
+
   @Override
   public boolean acceptsComplete() {
     HttpReply reply = new HttpReply(status, headers, body.toByteArray());
@@ -57,6 +69,7 @@
       return true;
     }
     body.reset();
+    collected.remove(this);
     return false;
   }
 
