A planned stop answers what it can't finish, sends nothing late that may run only once, and waits for what arrives

Cause: the phase of the node was asked when a request arrived, and not again when it was sent; the end of the grace ended the process with its connections; a connection counted as busy from its first complete request on; idle connections were closed at once, new ones among them. Change: from half of the grace on (phase FINISHING) a request that may run only once is refused as not run instead of being sent; 0.25 s before the process ends all open requests get their final response, 502 where a server may have run them; a request that is being received keeps the node; a connection has to be idle for a second to be closed. Requests that may be repeated are still sent late: the next server is likely to answer in time, and if not their caller is told.

--- a/gateway/src/main/java/org/lockdale/gateway/blackboard/GatewayPhase.java
+++ b/gateway/src/main/java/org/lockdale/gateway/blackboard/GatewayPhase.java
@@ -14,10 +14,20 @@
    */
   STOPPING,
   /** Open requests are completed; new ones are refused as not run. */
-  DRAINING;
+  DRAINING,
+  /**
+   * As {@link #DRAINING}; besides, requests that may run only once are not sent to a backend any
+   * more, as their responses might come too late.
+   */
+  FINISHING;
 
   /** Returns whether a planned stop is in progress. */
   public boolean isEnding() {
-    return this == STOPPING || this == DRAINING;
+    return this == STOPPING || refusesRequests();
+  }
+
+  /** Returns whether new requests are refused. */
+  public boolean refusesRequests() {
+    return this == DRAINING || this == FINISHING;
   }
 }
--- a/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
+++ b/gateway/src/main/java/org/lockdale/gateway/node/GatewayNode.java
@@ -48,6 +48,18 @@
   /** Part of the grace period that is reserved for the process to exit. */
   private static final long EXIT_MILLIS = 250;
 
+  /** Time before the end of a stop at which open requests get a final response. */
+  private static final long FINAL_RESPONSE_MILLIS = 250;
+
+  /** Part of the grace period after which no request is sent that may run only once. */
+  private static final int LAST_SEND_DIVISOR = 2;
+
+  /**
+   * Time for which a connection has to be idle to be closed in a stop: its caller may be sending a
+   * request.
+   */
+  private static final Duration MIN_IDLE = Duration.ofSeconds(1);
+
   private static final long STOP_CHECK_MILLIS = 50;
 
   /**
@@ -267,11 +279,15 @@
   private void checkStopped(long startedAtMillis) {
     long elapsed = time.monotonicMillis() - startedAtMillis;
     long grace = settings.get(GatewaySettings.STOP_GRACE).toMillis() - EXIT_MILLIS;
-    callers.closeIdleConnections();
+    callers.closeIdleConnections(MIN_IDLE);
     boolean noticed = elapsed >= READINESS_NOTICE_MILLIS;
-    if (noticed && blackboard.phase().value() == GatewayPhase.STOPPING) {
+    if (noticed) {
       // Requests that arrive from now on might not complete within the grace period.
-      blackboard.phase().publish(GatewayPhase.DRAINING, time.monotonicMillis());
+      boolean late = elapsed >= grace / LAST_SEND_DIVISOR;
+      publishPhase(late ? GatewayPhase.FINISHING : GatewayPhase.DRAINING);
+    }
+    if (elapsed >= grace - FINAL_RESPONSE_MILLIS) {
+      path.endOpenRequests();
     }
     if (noticed && isIdle() || elapsed >= grace) {
       endStop();
@@ -281,6 +297,12 @@
         () -> checkStopped(startedAtMillis), STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  private void publishPhase(GatewayPhase phase) {
+    if (blackboard.phase().value() != phase) {
+      blackboard.phase().publish(phase, time.monotonicMillis());
+    }
+  }
+
   /** Returns whether no request is open and no reply waits to be written to its connection. */
   private boolean isIdle() {
     return path.openRequests() == 0 && busyConnections() == 0;
@@ -321,7 +343,7 @@
    * Returns whether a planned stop has reached its last phase, in which new requests are rejected.
    */
   public boolean isDraining() {
-    return blackboard.phase().value() == GatewayPhase.DRAINING;
+    return blackboard.phase().value().refusesRequests();
   }
 
   /**
--- a/gateway/src/main/java/org/lockdale/gateway/request/NodeEnvironment.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/NodeEnvironment.java
@@ -46,6 +46,11 @@
     }
   }
 
+  @Override
+  public boolean sendsUnrepeatable() {
+    return path.sendsUnrepeatable();
+  }
+
   @Override
   public boolean isOutdated(long weights) {
     String model = state.request.model();
--- a/gateway/src/main/java/org/lockdale/gateway/request/PhaseFilter.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/PhaseFilter.java
@@ -8,7 +8,7 @@
 final class PhaseFilter implements RequestFilter {
 
   /** Minimal delay: another node can take the request at once. */
-  private static final long RETRY_AFTER_MILLIS = 1;
+  static final long RETRY_AFTER_MILLIS = 1;
 
   private final Section<GatewayPhase> phase;
 
@@ -18,7 +18,7 @@
 
   @Override
   public @Nullable Refusal apply(RequestState state) {
-    if (phase.value() != GatewayPhase.DRAINING) {
+    if (!phase.value().refusesRequests()) {
       return null;
     }
     return new Refusal(
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestEnvironment.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestEnvironment.java
@@ -21,6 +21,9 @@
   /** Records that the latest retry that was taken, if any, is sent now. */
   void recordRetrySent();
 
+  /** Returns whether requests that may run only once may still be sent to a backend. */
+  boolean sendsUnrepeatable();
+
   /** Returns whether weights are too old for the request to start on. */
   boolean isOutdated(long weights);
 
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestExecution.java
@@ -151,6 +151,10 @@
       giveUp("backends crashed, or may have crashed, while this request ran", null);
       return;
     }
+    if (!state.route().isRepeatable() && !environment.sendsUnrepeatable()) {
+      giveUpStopping();
+      return;
+    }
     recordEstimate(placement.get());
     if (queuePlace.cannotMeetDeadline()) {
       giveUp("too many requests wait at pool " + state.pool, null);
@@ -316,6 +320,19 @@
     end(ending.giveUp(reason, backendFailure, retryAfterMillis));
   }
 
+  private void giveUpStopping() {
+    retryAfterMillis = PhaseFilter.RETRY_AFTER_MILLIS;
+    giveUp("this node is stopping", null);
+  }
+
+  /** Ends the request, as the node is about to stop. */
+  void onNodeStopping() {
+    if (!hasEnded()) {
+      cancelSends();
+      giveUpStopping();
+    }
+  }
+
   private void onTimeout() {
     if (hasEnded()) {
       return;
@@ -326,6 +343,12 @@
       timeout = timers.schedule(this::onTimeout, FORWARD_GRACE_MILLIS);
       return;
     }
+    cancelSends();
+    end(ending.timeOut());
+  }
+
+  /** Cancels what was sent to a backend or another node, which may have run the request. */
+  private void cancelSends() {
     if (forwarding.cancel()) {
       state.possibleRuns++;
     }
@@ -333,7 +356,6 @@
       reports.onTimedOut(attempting.attempt());
       state.possibleRuns++;
     }
-    end(ending.timeOut());
   }
 
   private void onCallerDisconnected() {
--- a/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
+++ b/gateway/src/main/java/org/lockdale/gateway/request/RequestPath.java
@@ -11,6 +11,7 @@
 import org.lockdale.gateway.backend.BackendProtocol;
 import org.lockdale.gateway.backend.TrackedBackend;
 import org.lockdale.gateway.blackboard.GatewayBlackboard;
+import org.lockdale.gateway.blackboard.GatewayPhase;
 import org.lockdale.gateway.caller.CallerProtocol;
 import org.lockdale.gateway.caller.CallerRequest;
 import org.lockdale.gateway.caller.MalformedRequestException;
@@ -63,6 +64,7 @@
   private final ResumeStep resumes;
   private final AdmissionTermsSource terms;
   private final AtomicInteger openRequests = new AtomicInteger();
+  private final OpenExecutions openExecutions = new OpenExecutions();
   private final RequestCounter endedRequests = new RequestCounter();
 
   /**
@@ -261,7 +263,22 @@
     if (!state.receivedFromPeer) {
       budget.recordRequest(state.pool);
     }
-    new RequestExecution(ExecutionPorts.of(this, state), state).start();
+    RequestExecution execution = new RequestExecution(ExecutionPorts.of(this, state), state);
+    openExecutions.add(state, execution);
+    execution.start();
+  }
+
+  /**
+   * Gives all open requests their final response, as the node is about to stop. Streams that have
+   * begun are broken off.
+   */
+  public void endOpenRequests() {
+    openExecutions.endAll();
+  }
+
+  /** Returns whether requests that may run only once may still be sent to a backend. */
+  boolean sendsUnrepeatable() {
+    return blackboard.phase().value() != GatewayPhase.FINISHING;
   }
 
   /** Returns the services of the node. */
@@ -341,6 +358,7 @@
   }
 
   void ended(RequestState state, String outcome) {
+    openExecutions.remove(state);
     openRequests.decrementAndGet();
     endedRequests.count(outcome);
     if (outcome.equals(COMPLETE)) {
--- a/gateway/src/test/java/org/lockdale/gateway/request/SimulatedNode.java
+++ b/gateway/src/test/java/org/lockdale/gateway/request/SimulatedNode.java
@@ -176,6 +176,11 @@
     invariants.retryRecordedAsSent();
   }
 
+  @Override
+  public boolean sendsUnrepeatable() {
+    return true;
+  }
+
   @Override
   public boolean isOutdated(long weights) {
     return outdated;
--- a/http/src/main/java/org/lockdale/http/HttpServer.java
+++ b/http/src/main/java/org/lockdale/http/HttpServer.java
@@ -18,6 +18,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.Closeable;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -212,13 +213,21 @@
 
   /** Closes the connections on which no request is being received, handled or answered. */
   public void closeIdleConnections() {
+    closeIdleConnections(Duration.ZERO);
+  }
+
+  /**
+   * Closes the connections on which no request has been received, handled or answered for a time. A
+   * caller that has just connected, or just got a reply, may be sending a request.
+   */
+  public void closeIdleConnections(Duration minIdle) {
     for (Channel connection : connections) {
       connection
           .eventLoop()
           .execute(
               () -> {
                 RequestAssembler assembler = connection.pipeline().get(RequestAssembler.class);
-                if (assembler != null && assembler.isIdle()) {
+                if (assembler != null && assembler.isIdleFor(minIdle)) {
                   connection.close();
                 }
               });
--- a/http/src/main/java/org/lockdale/http/RequestAssembler.java
+++ b/http/src/main/java/org/lockdale/http/RequestAssembler.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
@@ -51,6 +52,10 @@
   private ByteBuf body = Unpooled.EMPTY_BUFFER;
   private @Nullable ScheduledFuture<?> requestTimeout;
   private long receivedNanos;
+
+  /** Time by {@link System#nanoTime} since which no request has been in progress. */
+  private long idleSinceNanos = System.nanoTime();
+
   private boolean rejected;
 
   /** Whether this connection is counted in {@link #busyConnections}. */
@@ -62,8 +67,8 @@
    * @param settings limits of the server
    * @param handler serves the requests
    * @param held counts the bytes that the connection holds
-   * @param busyConnections the server's count of connections with requests whose replies have not
-   *     been written in full
+   * @param busyConnections the server's count of connections with requests that are being received,
+   *     or whose replies have not been written in full
    */
   RequestAssembler(
       HttpServerSettings settings,
@@ -84,9 +89,17 @@
     return active == null && head == null && pipelined.isEmpty();
   }
 
-  /** Counts this connection as busy while it is open and has complete requests. */
+  /**
+   * Returns whether it has been {@linkplain #isIdle idle} for a time, counted from its start or its
+   * last reply.
+   */
+  boolean isIdleFor(Duration duration) {
+    return isIdle() && System.nanoTime() - idleSinceNanos >= duration.toNanos();
+  }
+
+  /** Counts this connection as busy while it is open and not idle. */
   private void updateBusy(ChannelHandlerContext context) {
-    boolean now = context.channel().isActive() && (active != null || !pipelined.isEmpty());
+    boolean now = context.channel().isActive() && !isIdle();
     if (now != busy) {
       busy = now;
       busyConnections.addAndGet(now ? 1 : -1);
@@ -116,6 +129,7 @@
   private void startRequest(ChannelHandlerContext context, HttpRequest request) {
     head = request;
     receivedNanos = System.nanoTime();
+    updateBusy(context);
     if (request.method().equals(HttpMethod.CONNECT)) {
       reject(context, HttpProtocolError.METHOD_NOT_SUPPORTED);
       return;
@@ -230,6 +244,7 @@
       held.release(reserved);
     }
     active = null;
+    idleSinceNanos = System.nanoTime();
     HttpExchange next = pipelined.poll();
     if (next != null && context.channel().isActive()) {
       dispatch(next);
