Soak: plans of servers that advertise rates while requests to them are delayed

The plans so far name rates for seconds, mostly at engines, which end by other faults, and no fault is aimed at such a server.

--- a/soak/src/main/java/org/lockdale/soak/plan/FaultPlan.java
+++ b/soak/src/main/java/org/lockdale/soak/plan/FaultPlan.java
@@ -130,6 +130,16 @@
     return new FaultPlan(seed, lengthMillis, faults);
   }
 
+  /** Draws a plan of servers that advertise rates while requests to them are delayed. */
+  public static FaultPlan drawLimitedServers(long seed, long lengthMillis, Deployment deployment) {
+    List<PlannedFault> faults =
+        new ArrayList<>(
+            LimitedServerFaults.draw(
+                seed, QUIET_START_MILLIS, lastFaultMillis(lengthMillis), deployment));
+    faults.sort(Comparator.comparingLong(PlannedFault::atMillis));
+    return new FaultPlan(seed, lengthMillis, faults);
+  }
+
   /** Returns the time from which a plan has no faults. */
   private static long lastFaultMillis(long lengthMillis) {
     return lengthMillis - Math.min(QUIET_END_MILLIS, lengthMillis / QUIET_END_DIVISOR);
--- a/soak/src/main/java/org/lockdale/soak/run/SoakCommand.java
+++ b/soak/src/main/java/org/lockdale/soak/run/SoakCommand.java
@@ -82,6 +82,11 @@
               + " the store.")
   private boolean secondRepliesOnly;
 
+  @Option(
+      names = "--limited-servers",
+      description = "Only servers that advertise rates, and what delays requests to them.")
+  private boolean limitedServersOnly;
+
   @Option(names = "--go-on", description = "Continues with the next seed after a rule violation.")
   private boolean continueOnViolation;
 
@@ -151,6 +156,9 @@
     if (outOfStepOnly) {
       return FaultPlan.drawOutOfStep(planSeed, lengthMillis, deployment);
     }
+    if (limitedServersOnly) {
+      return FaultPlan.drawLimitedServers(planSeed, lengthMillis, deployment);
+    }
     if (secondRepliesOnly) {
       return FaultPlan.drawSecondReplies(planSeed, lengthMillis, deployment);
     }
--- a/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
+++ b/soak/src/test/java/org/lockdale/soak/plan/FaultPlanTest.java
@@ -156,6 +156,29 @@
                 Fault.OperatorChange.WEIGHTS_NAMED)));
   }
 
+  @Test
+  public void plansOfLimitedServersDelayRequestsInEveryWay() {
+    Set<Object> kinds =
+        LongStream.range(0, 50)
+            .mapToObj(seed -> FaultPlan.drawLimitedServers(seed, 30_000, Deployment.small()))
+            .flatMap(plan -> plan.faults().stream())
+            .map(fault -> kindOf(fault.fault()))
+            .collect(Collectors.toSet());
+    assertTrue(kinds.containsAll(Set.of(Fault.LinkTrouble.values())));
+    assertTrue(
+        kinds.containsAll(
+            Set.of(
+                Fault.ProcessTrouble.PAUSED,
+                Fault.ProcessTrouble.KILLED,
+                Fault.ProcessTrouble.RESTARTED,
+                Fault.StoreTrouble.FORGETFUL)));
+    for (long seed = 0; seed < 50; seed++) {
+      FaultPlan plan = FaultPlan.drawLimitedServers(seed, 30_000, Deployment.small());
+      assertEquals(plan, FaultPlan.drawLimitedServers(seed, 30_000, Deployment.small()));
+      assertTrue(plan.faults().get(0).fault() instanceof Fault.RateNamed);
+    }
+  }
+
   @Test
   public void plansOfSecondRepliesLeaveTheEndsQuiet() {
     for (long seed = 0; seed < 50; seed++) {
