--- a/gateway/src/main/java/org/lockdale/gateway/cluster/RateExchange.java
+++ b/gateway/src/main/java/org/lockdale/gateway/cluster/RateExchange.java
@@ -38,8 +38,8 @@
  * reports the rates that it reads from responses to the relays, the nodes elected to decide for
  * others, and lends its share of all rates to the coordinator, the relay that places its requests.
  * The coordinator broadcasts changed rates to all nodes. Sends nothing while no backend advertises
- * a rate. Rates read from responses may be passed in on any thread; everything else runs on one
- * event loop.
+ * a rate, except for one question when the node has started. Rates read from responses may be
+ * passed in on any thread; everything else runs on one event loop.
  */
 public final class RateExchange implements ShareBorrower, UncountedPlacementListener {
 
--- a/gateway/src/main/java/org/lockdale/gateway/rate/AdvertisedRates.java
+++ b/gateway/src/main/java/org/lockdale/gateway/rate/AdvertisedRates.java
@@ -209,14 +209,10 @@
         latest.keySet().stream().filter(backend -> !recorded.contains(backend)).toList();
     unrecorded.forEach(backend -> unrecordedSince.putIfAbsent(backend, nowMillis));
     Map<String, Double> removed = new HashMap<>();
-    for (String backend : unrecorded) {
-      boolean expired =
-          nowMillis - unrecordedSince.get(backend) >= UNRECORDED_RETENTION_MILLIS
-              || isReplaced(backend, recorded);
-      if (expired) {
-        remove(backend, removed);
-      }
-    }
+    unrecorded.stream()
+        .filter(backend -> nowMillis - unrecordedSince.get(backend) >= UNRECORDED_RETENTION_MILLIS)
+        .forEach(backend -> remove(backend, removed));
+    replaced(unrecorded, recorded).forEach(backend -> remove(backend, removed));
     while (unrecordedSince.size() > MAX_UNRECORDED) {
       remove(
           Collections.min(unrecordedSince.entrySet(), Map.Entry.comparingByValue()).getKey(),
@@ -233,9 +229,24 @@
     unrecordedSince.remove(backend);
   }
 
-  private static boolean isReplaced(String backend, Set<String> recorded) {
-    Incarnation incarnation = Incarnation.parse(backend);
-    return recorded.stream().map(Incarnation::parse).anyMatch(incarnation::isBefore);
+  /** Returns those backends of which a later incarnation has a record. */
+  private static List<String> replaced(List<String> unrecorded, Set<String> recorded) {
+    if (unrecorded.isEmpty()) {
+      return List.of();
+    }
+    Map<String, Incarnation> byServer = new HashMap<>();
+    recorded.stream()
+        .map(Incarnation::parse)
+        .forEach(incarnation -> byServer.put(incarnation.server(), incarnation));
+    List<String> replaced = new ArrayList<>();
+    for (String backend : unrecorded) {
+      Incarnation incarnation = Incarnation.parse(backend);
+      Incarnation present = byServer.get(incarnation.server());
+      if (present != null && incarnation.isBefore(present)) {
+        replaced.add(backend);
+      }
+    }
+    return replaced;
   }
 
   private boolean endedLongAgo(String backend, long nowMillis) {
