--- a/review/two/Engine.java
+++ b/review/two/Engine.java
@@ -13,9 +13,9 @@
 final class Engine {
 
   /** Use of a part that another request made. */
-  record Use(String request, String tenant, String part, String maker, long makerVersion) {}
+  record Use(String request, String tenant, String part, String maker, String makerRequest) {}
 
-  private record Held(String tenant, long version, int tokens) {}
+  private record Held(String tenant, String request, int tokens) {}
 
   private final Kit kit;
   private final String id;
@@ -27,7 +27,7 @@
   private final Map<String, Held> parts = new LinkedHashMap<>();
   private final List<String> changes = new ArrayList<>();
   private final List<Use> uses = new ArrayList<>();
-  private final List<String> runs = new ArrayList<>();
+  private final Map<String, String> runs = new LinkedHashMap<>();
   private long version = 1;
   private long orders;
 
@@ -66,9 +66,9 @@
     return List.copyOf(uses);
   }
 
-  /** Returns the ids of the requests that have run. */
-  synchronized List<String> runs() {
-    return List.copyOf(runs);
+  /** Returns the tenant that was named for each request that has run; empty for none. */
+  synchronized Map<String, String> runs() {
+    return new LinkedHashMap<>(runs);
   }
 
   private boolean handle(Kit.Message request, Socket connection)
@@ -173,7 +173,7 @@
   private synchronized void prepare(Kit.Message request, String requestId) {
     String salt = request.header("lockdale-cache-salt");
     String tenant = request.header("lockdale-tenant");
-    runs.add(requestId);
+    runs.put(requestId, tenant == null ? "" : tenant);
     kit.log("run " + requestId + " at " + id + " tenant=" + tenant + " salt=" + salt);
     boolean kept = true;
     for (String item : request.header("lockdale-prefix-hash").split(",")) {
@@ -183,10 +183,20 @@
       Held held = parts.get(key);
       kept &= held != null;
       if (kept) {
-        uses.add(new Use(requestId, tenant, part, held.tenant(), held.version()));
-        kit.log("use " + requestId + " tenant=" + tenant + " part=" + part + " made-by=" + held.tenant());
+        uses.add(new Use(requestId, tenant, part, held.tenant(), held.request()));
+        kit.log(
+            "use "
+                + requestId
+                + " tenant="
+                + tenant
+                + " part="
+                + part
+                + " made-by="
+                + held.tenant()
+                + " in "
+                + held.request());
       } else {
-        parts.put(key, new Held(tenant, version, tokens));
+        parts.put(key, new Held(tenant, requestId, tokens));
         changes.add(
             "["
                 + (changes.size() + 1)
--- a/review/two/WallCase2.java
+++ b/review/two/WallCase2.java
@@ -2,6 +2,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -87,7 +88,7 @@
     }
     Kit.Client alpha = new Kit.Client(frozen.ip, 8782);
     Map<String, String> alphas =
-        new java.util.HashMap<>(headers("alpha-1", "key-alpha", "a1"));
+        new HashMap<>(headers("alpha-1", "key-alpha", "a1"));
     alphas.put("Lockdale-Prefix-Hash", "dd04:198,ee05:79,a1:120");
     alpha.send("POST", "/q/x", alphas, body("alpha-1"));
     kit.log("answer alpha-1 " + alpha.read(10_000).status);
@@ -107,7 +108,7 @@
     for (int i = 0; i < READERS; i++) {
       Kit.Client client = clients.get(i);
       String id = "beta-after-" + i;
-      Map<String, String> betas = new java.util.HashMap<>(headers(id, "key-beta", "d" + i));
+      Map<String, String> betas = new HashMap<>(headers(id, "key-beta", "d" + i));
       betas.put("Lockdale-Prefix-Hash", "dd04:198,ee05:79,d" + i + ":120");
       kit.log("send " + id + " " + (kit.millis() - acknowledged) + " ms after the acknowledgement");
       client.send("POST", "/q/x", betas, body(id));
