--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 mvn -q -B -DskipTests -pl soak -am package
 rm -rf target/review-2
 mkdir -p target/review-2
-javac -cp target/lockdale-soak.jar -d target/review-2 review/two/*.java
+javac -encoding UTF-8 -cp target/lockdale-soak.jar -d target/review-2 review/two/*.java
