--- a/review/two/Kit.java
+++ b/review/two/Kit.java
@@ -114,6 +114,11 @@
         address(200 + node), cut ? StandInStore.Fault.SILENT : StandInStore.Fault.NONE);
   }
 
+  /** Takes the store down, or ends that: its calls are refused with 503. */
+  void storeDown(boolean down) {
+    store.setFault(down ? StandInStore.Fault.DOWN : StandInStore.Fault.NONE);
+  }
+
   static String java() {
     return Path.of(System.getProperty("java.home"), "bin", "java").toString();
   }
