Replies: a status outside of 100 to 599 fails the call

What callers saw: a server in trouble answered with status 000, and the caller got that as an answer.

Cause: Netty's decoder reads the status with Integer.parseInt. So it accepts 000, 999, 20, 0200 and +200, and any protocol name in front of it.

Change: ReplyDecoder checks the parts of the status line as they were sent. A head that fails is one that never arrived: a safe request goes to another server, one that may run once gets 502. The decoder replaces HttpClientCodec, whose decoder can't be extended. It knows the method of the request from the reader, as the codec did from its queue.

All replies are read by this decoder: servers, other nodes, store and feed, reports, orders, cache events. Not rejected, as RFC 9112, section 4, allows it: other blanks between the parts of the line.

--- a/http/src/main/java/org/lockdale/http/ConnectionPool.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -10,7 +10,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.AttributeKey;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
@@ -240,7 +240,8 @@
                 channel
                     .pipeline()
                     .addLast(new ReceivedByteCounter(reader))
-                    .addLast(new HttpClientCodec())
+                    .addLast(new HttpRequestEncoder())
+                    .addLast(new ReplyDecoder(reader::method))
                     .addLast(reader);
               }
             })
--- /dev/null
+++ b/http/src/main/java/org/lockdale/http/ReplyDecoder.java
@@ -0,0 +1,51 @@
+package org.lockdale.http;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import java.util.function.Supplier;
+
+/**
+ * Decodes the replies of a peer, and rejects what Netty's decoder accepts although no reply may
+ * have it. A rejected part has a failure as its decoder result.
+ */
+final class ReplyDecoder extends HttpResponseDecoder {
+
+  private final Supplier<String> method;
+
+  /**
+   * Creates a decoder.
+   *
+   * @param method returns the method of the latest request, on which the framing of a reply depends
+   */
+  ReplyDecoder(Supplier<String> method) {
+    super(new HttpDecoderConfig());
+    this.method = method;
+  }
+
+  @Override
+  protected HttpMessage createMessage(String[] statusLine) {
+    StatusLine.check(statusLine[0], statusLine[1], statusLine[2]);
+    return super.createMessage(statusLine);
+  }
+
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    HttpResponse head = (HttpResponse) message;
+    return isWithoutContent(head) || super.isContentAlwaysEmpty(message);
+  }
+
+  /** Returns whether the reply has no content because of the method of its request. */
+  private boolean isWithoutContent(HttpResponse head) {
+    HttpStatusClass statusClass = head.status().codeClass();
+    if (statusClass == HttpStatusClass.INFORMATIONAL) {
+      return false;
+    }
+    boolean connected =
+        statusClass == HttpStatusClass.SUCCESS && method.get().equals(HttpMethod.CONNECT.name());
+    return connected || method.get().equals(HttpMethod.HEAD.name());
+  }
+}
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -91,6 +91,11 @@
     return id == null || !carriedIds.mayContain(id);
   }
 
+  /** Returns the method of the latest request; empty before the first one. */
+  String method() {
+    return method;
+  }
+
   /** Returns whether the connection has carried a complete call. */
   boolean isUsed() {
     return repliedAtNanos != null;
@@ -204,11 +209,13 @@
 
   /** The decoder reports a connection that closes within a head as an invalid head. */
   private void failUndecodable(ChannelHandlerContext context, Throwable cause) {
-    boolean closedInHead = cause instanceof PrematureChannelClosureException;
-    fail(
-        context,
-        closedInHead,
-        closedInHead ? "the connection closed within a head" : "the reply is not valid HTTP");
+    if (cause instanceof PrematureChannelClosureException) {
+      fail(context, true, "the connection closed within a head");
+    } else if (cause instanceof InvalidReplyException) {
+      fail(context, false, "the reply is not valid HTTP: " + cause.getMessage());
+    } else {
+      fail(context, false, "the reply is not valid HTTP");
+    }
   }
 
   private static int contentBytes(HttpObject part) {
