Replies: a field name with a blank or a control byte fails the call

What callers saw (on other systems of this kind): a server in trouble sent a head in which the name of a field held a blank or a control byte. The caller got it as an answer, with that line passed on, or with another body.

Cause: in replies, Netty's decoder ends a name at its first blank and skips the rest up to the colon. So "Content-Length X: 3" sets the length of the body, and "X Sum: 3" is passed on as "X". A line without a colon passes too if it has a blank.

Change: ReplyDecoder requires the colon right after the name. The check is in the one method that splits all field lines, so it holds for trailers and for heads that are skipped.

A blank between a name and its colon fails too, which RFC 9112, section 5.1, would let a proxy remove: that name holds a blank, as reported, and such lines are read differently by others. Lines that continue the value before them are accepted as before.

Test: both InvalidHeadTest fail without the change, pass with it.

--- a/http/src/main/java/org/lockdale/http/ReplyDecoder.java
+++ b/http/src/main/java/org/lockdale/http/ReplyDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.util.AsciiString;
 import java.util.function.Supplier;
 
 /**
@@ -14,6 +15,8 @@
  */
 final class ReplyDecoder extends HttpResponseDecoder {
 
+  private static final byte COLON = ':';
+
   private final Supplier<String> method;
 
   /**
@@ -32,6 +35,16 @@
     return super.createMessage(statusLine);
   }
 
+  /** Netty's decoder takes any blank within a name for its end. */
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    AsciiString name = super.splitHeaderName(line, start, length);
+    if (line[start + length] != COLON) {
+      throw new InvalidReplyException("a field name is followed by a blank", name.toString());
+    }
+    return name;
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     HttpResponse head = (HttpResponse) message;
--- a/http/src/test/java/org/lockdale/http/InvalidHeadTest.java
+++ b/http/src/test/java/org/lockdale/http/InvalidHeadTest.java
@@ -9,6 +9,8 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -24,6 +26,7 @@
   private static final String STATUS = "HTTP/1.1 200 OK\r\n";
   private static final String BODY = "a body";
   private static final String LENGTH = "Content-Length: " + BODY.length() + "\r\n";
+  private static final int DELETE = 0x7f;
 
   private EventLoopGroup group;
   private HttpClient client;
@@ -106,6 +109,83 @@
         "HTTP/1.1 200 O\u0001K\r\n" + LENGTH + "\r\n" + BODY, HttpCallException.Stage.NO_REPLY);
   }
 
+  /** Names with a blank or a control byte at the start, inside and at the end. */
+  private static Stream<String> invalidNames(String prefix, String suffix) {
+    List<String> names = new ArrayList<>();
+    for (char control = 0; control <= DELETE; control++) {
+      if (control <= ' ' && control != '\n' || control == DELETE) {
+        names.add(prefix + control + suffix);
+      }
+    }
+    return names.stream();
+  }
+
+  /** A line that starts with a blank continues the value of the line before it. */
+  private static boolean startsLikeContinuation(String name) {
+    return name.startsWith(" ") || name.startsWith("\t");
+  }
+
+  @DataProvider
+  public Object[][] names() {
+    return cases(
+        Stream.of(
+                invalidNames("", "X-Sum").filter(name -> !startsLikeContinuation(name)),
+                invalidNames("X-", "Sum"),
+                invalidNames("X-Sum", ""),
+                invalidNames("Content-Length", "X"),
+                invalidNames("Content-Length", " X"),
+                invalidNames("Transfer-Encoding", "X"))
+            .flatMap(each -> each));
+  }
+
+  @Test(dataProvider = "names")
+  public void aReplyWithABlankOrControlByteInAFieldNameIsNotTakenForAnAnswer(String name)
+      throws Exception {
+    String value = name.startsWith("Transfer") ? "chunked" : "3";
+    assertInvalid(
+        STATUS + "Vary: a\r\n" + name + ": " + value + "\r\n" + LENGTH + "\r\n" + BODY,
+        HttpCallException.Stage.NO_REPLY);
+  }
+
+  @Test(dataProvider = "names")
+  public void anInvalidFieldNameDoesNotEndABodyThatEndsWithItsConnection(String name)
+      throws Exception {
+    String value = name.startsWith("Transfer") ? "chunked" : "3";
+    assertInvalid(
+        STATUS + name + ": " + value + "\r\nConnection: close\r\n\r\n" + BODY,
+        HttpCallException.Stage.NO_REPLY);
+  }
+
+  @Test(dataProvider = "names")
+  public void anInvalidFieldNameInAnInterimHeadFailsTheReply(String name) throws Exception {
+    assertInvalid(
+        "HTTP/1.1 103 Early Hints\r\n" + name + ": 3\r\n\r\n" + STATUS + LENGTH + "\r\n" + BODY,
+        HttpCallException.Stage.NO_REPLY);
+  }
+
+  @Test(dataProvider = "names")
+  public void anInvalidFieldNameInTrailersFailsTheReply(String name) throws Exception {
+    assertInvalid(
+        STATUS
+            + "Transfer-Encoding: chunked\r\n\r\n6\r\n"
+            + BODY
+            + "\r\n0\r\n"
+            + name
+            + ": 3\r\n\r\n",
+        HttpCallException.Stage.BROKEN_REPLY);
+  }
+
+  @Test
+  public void aFirstFieldNameThatStartsWithABlankIsNotTakenForAnAnswer() throws Exception {
+    assertInvalid(
+        STATUS + " X-Sum: 3\r\n" + LENGTH + "\r\n" + BODY, HttpCallException.Stage.NO_REPLY);
+  }
+
+  @Test
+  public void aFieldLineWithoutAColonIsNotTakenForAnAnswer() throws Exception {
+    assertInvalid(STATUS + "X Sum\r\n" + LENGTH + "\r\n" + BODY, HttpCallException.Stage.NO_REPLY);
+  }
+
   @DataProvider
   public Object[][] soundHeads() {
     return cases(
