Replies: a body without a length ends only with the peer's orderly close

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as the whole answer.

Cause: such a body ends with its connection. If the reset is noticed by a write, Netty closes the channel, and the decoder can't tell that close from one by the peer: it reports the end of the body. The same holds for a write that timed out and for a close by this process.

In the client, the reset and a close by this process ended as whole.

Change: ConnectionEnd records how the connection has ended, where it ends. With half-closed connections allowed, Netty reports the end of the input as an event of its own; without that event the decoder ends no body. The connection is closed at that event as before.

--- a/http/src/main/java/org/lockdale/http/ConnectionPool.java
+++ b/http/src/main/java/org/lockdale/http/ConnectionPool.java
@@ -223,6 +223,7 @@
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
         .option(
             NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
@@ -236,12 +237,14 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
+                ConnectionEnd end = new ConnectionEnd();
                 ResponseReader reader = new ResponseReader(ConnectionPool.this, address);
                 channel
                     .pipeline()
+                    .addLast(end)
                     .addLast(new ReceivedByteCounter(reader))
                     .addLast(new HttpRequestEncoder())
-                    .addLast(new ReplyDecoder(reader::method))
+                    .addLast(new ReplyDecoder(end, reader::method))
                     .addLast(reader);
               }
             })
--- a/http/src/main/java/org/lockdale/http/ReplyDecoder.java
+++ b/http/src/main/java/org/lockdale/http/ReplyDecoder.java
@@ -1,5 +1,7 @@
 package org.lockdale.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -7,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.AsciiString;
+import java.util.List;
 import java.util.function.Supplier;
 
 /**
@@ -18,14 +21,17 @@
   private static final byte COLON = ':';
 
   private final Supplier<String> method;
+  private final ConnectionEnd connectionEnd;
 
   /**
    * Creates a decoder.
    *
+   * @param connectionEnd tells how the connection has ended
    * @param method returns the method of the latest request, on which the framing of a reply depends
    */
-  ReplyDecoder(Supplier<String> method) {
+  ReplyDecoder(ConnectionEnd connectionEnd, Supplier<String> method) {
     super(new HttpDecoderConfig());
+    this.connectionEnd = connectionEnd;
     this.method = method;
   }
 
@@ -45,6 +51,15 @@
     return name;
   }
 
+  /** A reply without a length is complete only if the peer has closed the connection. */
+  @Override
+  protected void decodeLast(ChannelHandlerContext context, ByteBuf rest, List<Object> parts)
+      throws Exception {
+    if (connectionEnd.isOrderly()) {
+      super.decodeLast(context, rest, parts);
+    }
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     HttpResponse head = (HttpResponse) message;
