Replies: a transfer coding other than chunked fails the call

What callers would see: a reply with "Transfer-Encoding: gzip", "chunked x" or an empty one reached the caller as whole, with the coded bytes (chunk sizes included) as its body, or with as many bytes as a length beside it said. On an open connection the call waited for its timeout. Found while looking for other replies whose body is not the server's; nobody has reported it.

Cause: Netty's decoder knows chunked only. Without it the body ends with the length or the connection, whatever the coding.

Change: the reader fails replies with a body whose codings are not exactly one "chunked". Requests offer no other coding (no TE), so that no server may choose one.

Test: both InvalidHeadTest fail without the change, pass with it.

--- a/http/src/main/java/org/lockdale/http/BodyFraming.java
+++ b/http/src/main/java/org/lockdale/http/BodyFraming.java
@@ -37,4 +37,14 @@
     }
     return headers.contains(HttpHeaderNames.CONTENT_LENGTH) ? CONTENT_LENGTH : CLOSE_DELIMITED;
   }
+
+  /**
+   * Returns whether the body has a transfer coding other than the chunked one. Such a body can't be
+   * decoded here, so its bytes are not those that the peer's handler has written.
+   */
+  static boolean hasUnknownCoding(String method, int status, HttpHeaders headers) {
+    return of(method, status, headers) != NONE
+        && headers.getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
+            .anyMatch(coding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding));
+  }
 }
--- a/http/src/main/java/org/lockdale/http/ResponseReader.java
+++ b/http/src/main/java/org/lockdale/http/ResponseReader.java
@@ -159,6 +159,10 @@
       return;
     }
     if (part instanceof HttpResponse response) {
+      if (hasUnknownCoding(response)) {
+        fail(context, false, "its body has a transfer coding other than chunked");
+        return;
+      }
       start(context, response, receiver);
     }
     if (skipping) {
@@ -174,6 +178,10 @@
     }
   }
 
+  private boolean hasUnknownCoding(HttpResponse response) {
+    return BodyFraming.hasUnknownCoding(method, response.status().code(), response.headers());
+  }
+
   private void endReply(
       ChannelHandlerContext context, HttpCall current, HttpResponseListener receiver) {
     if (!receiver.acceptsComplete()) {
--- a/http/src/test/java/org/lockdale/http/InvalidHeadTest.java
+++ b/http/src/test/java/org/lockdale/http/InvalidHeadTest.java
@@ -186,6 +186,28 @@
     assertInvalid(STATUS + "X Sum\r\n" + LENGTH + "\r\n" + BODY, HttpCallException.Stage.NO_REPLY);
   }
 
+  @DataProvider
+  public Object[][] codings() {
+    return cases(
+        Stream.of("gzip", "identity", "xchunked", "chunked x", "chunked;q=1", "", "gzip, chunked"));
+  }
+
+  @Test(dataProvider = "codings")
+  public void aBodyWithAnUnknownTransferCodingIsNotTakenForTheServersBody(String coding)
+      throws Exception {
+    String chunks = "6\r\n" + BODY + "\r\n0\r\n\r\n";
+    assertInvalid(
+        STATUS + "Transfer-Encoding: " + coding + "\r\n\r\n" + chunks,
+        HttpCallException.Stage.NO_REPLY);
+  }
+
+  @Test(dataProvider = "codings")
+  public void aLengthBesideAnUnknownTransferCodingIsNotUsed(String coding) throws Exception {
+    assertInvalid(
+        STATUS + "Transfer-Encoding: " + coding + "\r\n" + LENGTH + "\r\n" + BODY,
+        HttpCallException.Stage.NO_REPLY);
+  }
+
   @DataProvider
   public Object[][] soundHeads() {
     return cases(
